--- /dev/null
+++ b/sailward/acts.py
@@ -0,0 +1,140 @@
+"""Events that owners are given and commands that they answer with."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ticked:
+    """Time went on."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Heard:
+    """A message came from the daemon that listens at `sender`."""
+
+    sender: str
+    body: dict
+
+
+@dataclass(frozen=True, kw_only=True)
+class Synced:
+    """All records up to the one with this number are on the disk."""
+
+    seq: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class DiskFailed:
+    """Records could not be stored; `full` if for want of room."""
+
+    seq: int
+    full: bool
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Asked:
+    """An HTTP exchange arrived; `body` is None if it is over the bound."""
+
+    token: str
+    method: str
+    path: str
+    query: dict
+    headers: dict
+    body: bytes | None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Called:
+    """An HTTP call ended: `code` 0 with a `fault`, or the result whole.
+
+    `sent` says whether a byte of the exchange may have left.
+    """
+
+    token: str
+    code: int
+    headers: dict
+    body: bytes
+    fault: str
+    sent: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class StopAsked:
+    """The platform wants this process to stop within its grace."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Tell:
+    """Send a message to the daemon that listens at `to`; it may be lost."""
+
+    to: str
+    body: dict
+
+
+@dataclass(frozen=True, kw_only=True)
+class Store:
+    """Append records, sync, then report `seq`."""
+
+    seq: int
+    records: tuple
+
+
+@dataclass(frozen=True, kw_only=True)
+class Rewrite:
+    """Replace the whole file by these records, synced, then report `seq`."""
+
+    seq: int
+    records: tuple
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """Give an HTTP exchange its result."""
+
+    token: str
+    code: int
+    body: bytes
+    headers: dict = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Call:
+    """Make an HTTP call. `owner` names whose connection it is; `fresh` asks for one of its own.
+
+    It is not begun after `begin_by`.
+    """
+
+    token: str
+    owner: str
+    address: str
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    wait: float
+    fresh: bool
+    begin_by: float = float("inf")
+
+
+@dataclass(frozen=True, kw_only=True)
+class HangUp:
+    """Close every connection that belongs to `owner`."""
+
+    owner: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Log:
+    """Write one line to the log."""
+
+    event: str
+    fields: dict = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Stop:
+    """End the process with this exit code."""
+
+    code: int
--- /dev/null
+++ b/sailward/cask/acceptor.py
@@ -0,0 +1,74 @@
+"""The voter: promises and votes, to be synced before they are told."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+NONE = [0, ""]
+
+
+@dataclass(kw_only=True)
+class Slot:
+    """What a voter remembers of one register."""
+
+    promised: list = field(default_factory=lambda: list(NONE))
+    ballot: list = field(default_factory=lambda: list(NONE))
+    value: dict | None = None
+    since: float = 0.0
+
+    def vote(self) -> list:
+        """The vote as a message carries it: empty if none was cast."""
+        return [list(self.ballot), self.value] if self.value is not None else []
+
+
+class Acceptor:
+    """Owner of a voter's slots. `step` answers a message with (records to sync, reply)."""
+
+    def __init__(self, *, slots: dict[str, Slot]) -> None:
+        self.slots = slots
+
+    def step(self, *, now: float, body: dict) -> tuple[list[dict], dict]:
+        """Judge one prepare, accept or read."""
+        name, op = body["register"], body["op"]
+        slot = self.slots.get(name) or Slot()
+        if body["kind"] == "read":
+            return [], {"kind": "told", "op": op, "register": name, "vote": slot.vote()}
+        ballot = body["ballot"]
+        if body["kind"] == "prepare":
+            if ballot <= slot.promised:
+                return [], _nack(op=op, name=name, ballot=ballot, reason="promised", seen=slot.promised[0])
+            record = {"k": "promise", "r": name, "b": ballot}
+            reply = {"kind": "promise", "op": op, "register": name, "ballot": ballot, "vote": slot.vote()}
+        else:
+            if ballot < slot.promised:
+                return [], _nack(op=op, name=name, ballot=ballot, reason="promised", seen=slot.promised[0])
+            record = {"k": "vote", "r": name, "b": ballot, "v": body["value"]}
+            reply = {"kind": "voted", "op": op, "register": name, "ballot": ballot}
+        fold_record(slots=self.slots, record=record, now=now)
+        return [record], reply
+
+
+def fold_record(*, slots: dict[str, Slot], record: dict, now: float) -> None:
+    """Fold one record, new or from the disk, into the slots."""
+    if record["k"] == "drop":
+        slots.pop(record["r"], None)
+        return
+    slot = slots.setdefault(record["r"], Slot())
+    slot.since = now
+    slot.promised = max(slot.promised, record["b"])
+    if record["k"] == "vote":
+        slot.ballot, slot.value = record["b"], record["v"]
+
+
+def slot_records(*, name: str, slot: Slot) -> list[dict]:
+    """The records that rebuild a slot."""
+    records = []
+    if slot.value is not None:
+        records.append({"k": "vote", "r": name, "b": slot.ballot, "v": slot.value})
+    if slot.promised > slot.ballot or slot.value is None:
+        records.append({"k": "promise", "r": name, "b": slot.promised})
+    return records
+
+
+def _nack(*, op: str, name: str, ballot: list, reason: str, seen: int) -> dict:
+    return {"kind": "nack", "op": op, "register": name, "ballot": ballot, "reason": reason,
+            "round": seen, "voters": {}}
--- /dev/null
+++ b/sailward/cask/held.py
@@ -0,0 +1,59 @@
+"""Values of registers that are known to have been chosen."""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+from sailward.cask.proposer import EMPTY
+
+CONTROL = ("config", "orders", "voters")
+
+
+@dataclass(kw_only=True)
+class Held:
+    """A register's value that is known to have been chosen."""
+
+    ballot: list = field(default_factory=lambda: [0, ""])
+    value: dict = field(default_factory=lambda: dict(EMPTY))
+
+
+@dataclass(kw_only=True)
+class HeldBook:
+    """Owner of the chosen values; `step` folds one, and an older one never replaces a newer."""
+
+    held: dict = field(default_factory=dict)
+
+    def step(self, *, name: str, ballot: list, value: dict) -> bool:
+        """Hold this value; is it news?"""
+        held = self.held.get(name) or Held()
+        if value["number"] < held.value["number"]:
+            return False
+        news = value["number"] > held.value["number"]
+        self.held[name] = Held(ballot=max(ballot, held.ballot), value=value if news else held.value)
+        return news
+
+    def number(self, *, name: str) -> int:
+        """The number held, 0 if none."""
+        return self.held[name].value["number"] if name in self.held else 0
+
+    def have(self) -> dict:
+        """Number, mark and ballot of each register held."""
+        return {name: [held.value["number"], held.value["mark"], held.ballot] for name, held in self.held.items()}
+
+    def covers(self, *, name: str, newest: list) -> bool:
+        """Is this vote (number, mark, ballot) held here, or older than what is?"""
+        number, mark, ballot = newest
+        if number == 0:
+            return True
+        held = self.held.get(name)
+        return held is not None and (mark == held.value["mark"] or ballot <= held.ballot)
+
+    def voters(self) -> dict:
+        """The voters as a proposer needs them."""
+        return read_voters(value=self.held["voters"].value) if "voters" in self.held else {"number": 0, "members": {}}
+
+
+def read_voters(*, value: dict) -> dict:
+    """The voters in a register's value."""
+    members = json.loads(value["text"])["members"] if value["text"] else {}
+    return {"number": value["number"], "members": members}
--- /dev/null
+++ b/sailward/charts/__init__.py
@@ -0,0 +1,19 @@
+"""State charts as data files, and their interpreter."""
+from __future__ import annotations
+
+import json
+from importlib import resources
+
+
+class Chart:
+    """A state chart read from a data file."""
+
+    def __init__(self, *, name: str) -> None:
+        chart = json.loads(resources.files(__package__).joinpath(f"{name}.json").read_text("utf-8"))
+        self.initial: str = chart["initial"]
+        self.marks: dict = chart.get("marks", {})
+        self._moves: dict = chart["moves"]
+
+    def step(self, *, state: str, event: str) -> str:
+        """The state after this event: the same one if the chart names no move."""
+        return self._moves[state].get(event, state)
--- /dev/null
+++ b/sailward/counter/client.py
@@ -0,0 +1,73 @@
+"""One exchange with the core: the first cellar that answers."""
+from __future__ import annotations
+
+import io
+import json
+from dataclasses import dataclass, field
+
+import pycurl
+
+from sailward import constants
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """What a cellar answered."""
+
+    code: int
+    body: dict
+    cellar: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unreachable:
+    """No cellar answered. `sent` says whether the exchange may have arrived at one."""
+
+    reasons: tuple
+    sent: bool
+
+
+@dataclass(kw_only=True)
+class Client:
+    """Asks the cellars in turn."""
+
+    cellars: list
+    headers: dict = field(default_factory=dict)
+
+    def step(self, *, method: str, path: str, body: bytes = b"", headers: dict | None = None) -> Reply | Unreachable:
+        """One exchange. A change that may have arrived is not sent to another cellar."""
+        reasons = []
+        for cellar in self.cellars:
+            reply = ask_once(address=cellar, method=method, path=path, body=body, headers=headers or {})
+            if isinstance(reply, Reply):
+                return reply
+            reasons += reply.reasons
+            if reply.sent and method != "GET":
+                return Unreachable(reasons=tuple(reasons), sent=True)
+        return Unreachable(reasons=tuple(reasons), sent=False)
+
+
+def ask_once(*, address: str, method: str, path: str, body: bytes = b"", headers: dict | None = None) -> Reply | Unreachable:
+    """One exchange with one daemon."""
+    handle, out = pycurl.Curl(), io.BytesIO()
+    handle.setopt(pycurl.URL, f"http://{address}{path}")
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(constants.DIAL_WAIT * 2000))
+    handle.setopt(pycurl.TIMEOUT_MS, int(constants.STEWARD_WAIT * 1000))
+    rows = [f"{name}: {value}" for name, value in (headers or {}).items()]
+    handle.setopt(pycurl.HTTPHEADER, ["Expect:", "Content-Type: application/json", *rows])
+    if method != "GET":
+        handle.setopt(pycurl.POSTFIELDS, body)
+        handle.setopt(pycurl.CUSTOMREQUEST, method)
+    handle.setopt(pycurl.WRITEDATA, out)
+    try:
+        handle.perform()
+    except pycurl.error as fault:
+        return Unreachable(reasons=(f"{address}: {fault.args[1]}",), sent=fault.args[0] != pycurl.E_COULDNT_CONNECT)
+    code = handle.getinfo(pycurl.RESPONSE_CODE)
+    try:
+        answer = json.loads(out.getvalue())
+    except ValueError:
+        return Unreachable(reasons=(f"{address}: not a sailward daemon",), sent=True)
+    return Reply(code=code, body=answer, cellar=address)
--- /dev/null
+++ b/sailward/dock/loop.py
@@ -0,0 +1,104 @@
+"""The loop of a process: events to its owner, the owner's commands to the edges."""
+from __future__ import annotations
+
+import os
+import queue
+import signal
+import time
+import traceback
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Answer, Call, HangUp, Log, Rewrite, Stop, StopAsked, Store, Tell, Ticked
+from sailward.dock.logs import write_log
+
+
+@dataclass(kw_only=True)
+class Loop:
+    """Task that runs the owner: the only thread that touches its state."""
+
+    handlers: dict[type, Callable] = field(default_factory=dict)
+    line: queue.SimpleQueue = field(default_factory=queue.SimpleQueue)
+    on_stop: Callable | None = None
+
+    def tell(self, event: object) -> None:
+        """Put an event in the owner's line."""
+        self.line.put(event)
+
+    def run(self, *, step: Callable) -> int:
+        """Run the owner until it stops; gives the exit code."""
+        signal.signal(signal.SIGTERM, lambda *_: self.tell(StopAsked()))
+        signal.signal(signal.SIGINT, lambda *_: self.tell(StopAsked()))
+        tick_at = time.monotonic()
+        while True:
+            now = time.monotonic()
+            if now >= tick_at:
+                event: object = Ticked()
+                tick_at = now + constants.TICK
+            else:
+                try:
+                    event = self.line.get(timeout=tick_at - now)
+                except queue.Empty:
+                    continue
+            try:
+                commands = step(now=time.monotonic(), event=event)
+                for command in commands:
+                    if isinstance(command, Stop):
+                        write_log(event="stopped", fields={"code": command.code})
+                        return command.code
+                    self._carry_out(command=command)
+            except Exception:
+                write_log(event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()},
+                          level="error")
+                return constants.EXIT_FAULT
+
+    def _carry_out(self, *, command: object) -> None:
+        if isinstance(command, Log):
+            write_log(event=command.event, fields=command.fields)
+            return
+        self.handlers[type(command)](command)
+
+
+@dataclass(kw_only=True)
+class Edges:
+    """The edges of one process, put together."""
+
+    loop: Loop
+    post: object
+    web: object
+    calls: object | None = None
+    disk: object | None = None
+
+    def connect(self) -> None:
+        """Tell the loop which edge carries out which command."""
+        self.loop.handlers = {
+            Tell: lambda one: self.post.send(to=one.to, body=one.body),
+            Answer: lambda one: self.web.answer(command=one),
+            Call: lambda one: self.calls.give(call=one),
+            HangUp: lambda one: None,
+            Store: lambda one: self.disk.give(command=one),
+            Rewrite: lambda one: self.disk.give(command=one),
+        }
+
+
+def run_guarded(*, threads: ThreadPoolExecutor, loop: Loop, name: str, run: Callable) -> None:
+    """Run a task on a thread; if it ends by a fault, the process ends."""
+    def guard() -> None:
+        try:
+            run()
+        except Exception:
+            write_log(event="task-fault", fields={"task": name, "trace": traceback.format_exc()}, level="error")
+            os._exit(constants.EXIT_FAULT)
+    threads.submit(guard)
+
+
+def end_process(*, code: int, web: object) -> None:
+    """Let the last answers be written, then end."""
+    end = time.monotonic() + constants.FLUSH_WAIT
+    web.close_after()
+    while web.open_count() and time.monotonic() < end:
+        time.sleep(0.01)
+    time.sleep(0.05)
+    os._exit(code)
--- /dev/null
+++ b/sailward/dock/post.py
@@ -0,0 +1,153 @@
+"""Held TCP connections between our processes, one out and one in for each pair that talks."""
+from __future__ import annotations
+
+import collections
+import contextlib
+import queue
+import socket
+import struct
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from sailward import constants
+from sailward.acts import Heard
+from sailward.cask.messages import BadMessage, pack_message, read_message
+from sailward.dock.logs import write_log
+
+LENGTH = struct.Struct(">I")
+GREETING = b"sailward/1 "
+
+
+class Post:
+    """Task that owns the message sockets. `send` puts a message in its peer's line."""
+
+    def __init__(self, *, address: str, tell: Callable[[object], None], threads: ThreadPoolExecutor) -> None:
+        self._address, self._tell, self._threads = address, tell, threads
+        self._lines: dict[str, queue.Queue] = {}
+        self.counts: collections.Counter = collections.Counter()
+        host, port = split_address(address=address)
+        self._listener = socket.create_server((host, port), backlog=64, reuse_port=False)
+
+    def start(self) -> None:
+        """Begin to listen."""
+        self._threads.submit(self._accept)
+
+    def send(self, *, to: str, body: dict) -> None:
+        """Send, or lose, a message."""
+        if to == self._address:
+            self._tell(Heard(sender=to, body=body))
+            return
+        line = self._lines.get(to)
+        if line is None:
+            line = self._lines[to] = queue.Queue(maxsize=constants.OUT_LINE)
+            self._threads.submit(self._deliver, to, line)
+        try:
+            line.put_nowait(body)
+        except queue.Full:
+            self.counts["dropped"] += 1
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._threads.submit(self._receive, connection)
+
+    def _receive(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError), connection, connection.makefile("rb") as stream:
+            sender = _read_greeting(stream=stream)
+            if sender is None:
+                self._complain(sender="unknown", reason="greeting")
+                return
+            while True:
+                head = stream.read(LENGTH.size)
+                if len(head) < LENGTH.size:
+                    return
+                (length,) = LENGTH.unpack(head)
+                if length > constants.FRAME_BYTES:
+                    self._complain(sender=sender, reason="too-long")
+                    return
+                payload = stream.read(length)
+                if len(payload) < length:
+                    return
+                body = read_message(payload=payload)
+                if isinstance(body, BadMessage):
+                    self._complain(sender=sender, reason=body.reason)
+                    return
+                self.counts["heard"] += 1
+                self.counts["heard-bytes"] += length
+                self._tell(Heard(sender=sender, body=body))
+
+    def _complain(self, *, sender: str, reason: str) -> None:
+        self.counts["bad"] += 1
+        write_log(event="bad-message", fields={"from": sender, "reason": reason, "count": self.counts["bad"]},
+                  level="warning")
+
+    def _deliver(self, to: str, line: queue.Queue) -> None:
+        connection = None
+        while True:
+            body = line.get()
+            if connection is not None and _is_closed(connection=connection):
+                connection.close()
+                connection = None
+            if connection is None:
+                connection = self._dial(to=to, line=line)
+                if connection is None:
+                    continue
+            try:
+                payload = pack_message(body=body)
+                connection.sendall(LENGTH.pack(len(payload)) + payload)
+                self.counts["sent"] += 1
+                self.counts["sent-bytes"] += len(payload)
+            except OSError:
+                connection.close()
+                connection = None
+
+    def _dial(self, *, to: str, line: queue.Queue) -> socket.socket | None:
+        try:
+            connection = socket.create_connection(split_address(address=to), timeout=constants.DIAL_WAIT)
+            connection.settimeout(constants.LEASE)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            greeting = GREETING + self._address.encode()
+            connection.sendall(LENGTH.pack(len(greeting)) + greeting)
+            return connection
+        except (OSError, ValueError):
+            # what waited through the pause is stale: the owners ask again by themselves
+            time.sleep(constants.DIAL_PAUSE)
+            with contextlib.suppress(queue.Empty):
+                while True:
+                    line.get_nowait()
+            return None
+
+
+def split_address(*, address: str) -> tuple[str, int]:
+    """The host and port in `host:port`."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _read_greeting(*, stream) -> str | None:
+    head = stream.read(LENGTH.size)
+    if len(head) < LENGTH.size:
+        return None
+    (length,) = LENGTH.unpack(head)
+    greeting = stream.read(length) if length < 200 else b""
+    if not greeting.startswith(GREETING):
+        return None
+    return greeting[len(GREETING):].decode("ascii", "replace")
+
+
+def _is_closed(*, connection: socket.socket) -> bool:
+    try:
+        connection.setblocking(False)
+        return connection.recv(1) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        with contextlib.suppress(OSError):
+            connection.settimeout(constants.LEASE)
--- /dev/null
+++ b/sailward/dock/web.py
@@ -0,0 +1,147 @@
+"""HTTP towards callers and operators: threads that wait for the owner's answer."""
+from __future__ import annotations
+
+import itertools
+import json
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import TimeoutError as WaitedOut
+
+from werkzeug.exceptions import ClientDisconnected, HTTPException, RequestEntityTooLarge
+from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
+from werkzeug.wrappers import Request
+
+import sailward
+from sailward import constants
+from sailward.acts import Answer, Asked
+from sailward.dock.logs import write_log
+from sailward.dock.post import split_address
+
+
+class Handler(WSGIRequestHandler):
+    """HTTP/1.1 with kept connections, quiet, and with its own faults in JSON."""
+
+    protocol_version = "HTTP/1.1"
+    timeout = constants.HTTP_IDLE
+    disable_nagle_algorithm = True
+    wbufsize = -1
+
+    def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
+        """Requests are the owner's to log."""
+
+    def log(self, type: str, message: str, *args: object) -> None:
+        """Faults of a connection, in our own form."""
+        write_log(event="http-fault", fields={"detail": message % args if args else message}, level="debug")
+
+    def version_string(self) -> str:
+        """The Server header."""
+        return f"sailward/{sailward.__version__}"
+
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Malformed requests: nothing of them ran."""
+        body = json.dumps({"error": "malformed", "detail": message or "", "ran": "not-run"}).encode() + b"\n"
+        self.close_connection = True
+        self.send_response(code)
+        for name, value in (("Content-Type", "application/json"), ("Content-Length", str(len(body))),
+                            ("Sailward-Ran", "not-run"), ("Connection", "close")):
+            self.send_header(name, value)
+        self.end_headers()
+        if self.command != "HEAD":
+            self.wfile.write(body)
+        self.wfile.flush()
+
+
+class PoolServer(BaseWSGIServer):
+    """A WSGI server whose connections are served by a bounded pool of threads."""
+
+    multithread = True
+    request_queue_size = 256
+
+    def __init__(self, *, host: str, port: int, app: Callable, threads: ThreadPoolExecutor) -> None:
+        self._threads = threads
+        self._room = threading.BoundedSemaphore(constants.HTTP_THREADS)
+        super().__init__(host, port, app, handler=Handler)
+
+    def process_request(self, request, client_address) -> None:
+        """Serve a connection on a thread of the pool, or close it at once if there is none."""
+        if not self._room.acquire(blocking=False):
+            self.shutdown_request(request)
+            return
+        self._threads.submit(self._serve, request, client_address)
+
+    def _serve(self, request, client_address) -> None:
+        try:
+            self.finish_request(request, client_address)
+        except Exception:  # one connection's fault is not the server's
+            self.handle_error(request, client_address)
+        finally:
+            self.shutdown_request(request)
+            self._room.release()
+
+
+class Web:
+    """Task that owns the HTTP listener. Each request is told to the owner and waits for its answer."""
+
+    def __init__(self, *, address: str, limit: int, tell: Callable[[object], None],
+                 threads: ThreadPoolExecutor) -> None:
+        self._tell, self._limit = tell, limit
+        self._waiting: dict[str, Future] = {}
+        self._count = itertools.count(1)
+        self._closing = False
+        host, port = split_address(address=address)
+        self._server = PoolServer(host=host, port=port, app=self._serve, threads=threads)
+
+    def run(self) -> None:
+        """Accept connections for ever."""
+        self._server.serve_forever(poll_interval=0.2)
+
+    def answer(self, *, command: Answer) -> None:
+        """Give a waiting request its answer."""
+        future = self._waiting.pop(command.token, None)
+        if future is not None:
+            future.set_result(command)
+
+    def close_after(self) -> None:
+        """From now on each answer closes its connection."""
+        self._closing = True
+
+    def open_count(self) -> int:
+        """Requests that wait for an answer."""
+        return len(self._waiting)
+
+    def _serve(self, environ: dict, start_response: Callable) -> list[bytes]:
+        request = Request(environ)
+        request.max_content_length = self._limit
+        token = f"http {next(self._count)}"
+        try:
+            body: bytes | None = request.get_data(cache=False)
+        except RequestEntityTooLarge:
+            body = None
+        except (ClientDisconnected, HTTPException, OSError) as fault:
+            raise ConnectionError("the caller left before its request was whole") from fault
+        future: Future = Future()
+        self._waiting[token] = future
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        self._tell(Asked(token=token, method=request.method, path=request.path,
+                         query=request.args.to_dict(), headers=headers, body=body))
+        try:
+            answer = future.result(timeout=constants.ANSWER_WAIT)
+        except WaitedOut:
+            self._waiting.pop(token, None)
+            text = json.dumps({"error": "no-answer", "detail": "the owner gave none", "ran": "unknown"}).encode()
+            answer = Answer(token=token, code=500, body=text, headers={"Sailward-Ran": "unknown"})
+        rows = [(name, value) for name, value in answer.headers.items() if name.lower() != "content-length"]
+        rows.append(("Content-Length", str(len(answer.body))))
+        if body is None or self._closing:
+            rows.append(("Connection", "close"))
+        start_response(f"{answer.code} {_phrase(code=answer.code)}", rows)
+        return [b"" if request.method == "HEAD" else answer.body]
+
+
+def _phrase(*, code: int) -> str:
+    from http import HTTPStatus
+    try:
+        return HTTPStatus(code).phrase
+    except ValueError:
+        return "Other"
--- /dev/null
+++ b/sailward/house/__init__.py
@@ -0,0 +1,1 @@
+"""The owners of whole processes, put together from the planes."""
--- /dev/null
+++ b/sailward/house/cellar.py
@@ -0,0 +1,258 @@
+"""The whole of a cellar: voter, proposer, desk, worker list, standing view, pushes."""
+from __future__ import annotations
+
+import json
+import random
+
+from sailward import constants
+from sailward.acts import Asked, Called, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
+from sailward.cask.acceptor import Acceptor, fold_record
+from sailward.cask.held import CONTROL, HeldBook, read_voters
+from sailward.cask.proposer import Accepted, Begin, Proposer
+from sailward.house.desk import Desk
+from sailward.house.ledger import Ledger
+from sailward.house.report import show_status
+from sailward.house.standing import Standing
+from sailward.house.subscribers import Subscribers
+from sailward.pour.exchange import answer_json
+from sailward.roster.gossip import Place, Roster
+from sailward.roster.pages import Pager
+
+VOTING = ("prepare", "accept", "read")
+TOLD = ("promise", "voted", "nack", "told")
+
+
+class Cellar:
+    """Owner of a cellar process. `step` takes one event and gives commands."""
+
+    def __init__(self, *, place: Place, platform: str, nonce: str, start: int, rng: random.Random,
+                 records: list[dict], now: float) -> None:
+        slots: dict = {}
+        self.identity = ""
+        for record in records:
+            if record["k"] == "identity":
+                self.identity = record["id"]
+            else:
+                fold_record(slots=slots, record=record, now=now)
+        new = not self.identity
+        self.identity = self.identity or f"{place.name}#{nonce}"
+        self.place, self.start = place, start
+        self.held = HeldBook()
+        self.acceptor = Acceptor(slots=slots)
+        self.ledger = Ledger(identity=self.identity, slots=slots)
+        self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
+        self.desk = Desk(identity=f"{place.name}#{nonce}")
+        self.roster = Roster(place=place, start=start, fit=True)
+        self.pager = Pager(platform=platform)
+        self.subscribers = Subscribers()
+        self.standing = Standing()
+        self.workers: tuple = (-1, -1, None)
+        self.count = len(records)
+        self._begun = self.ledger.step(records=[{"k": "identity", "id": self.identity}] if new else [], replies=[])
+        self._reading: dict[str, str] = {}
+        self._read_at: dict[str, float] = {}
+        self._behind: dict[str, float] = {}
+        self._swept = now
+        self._judged = -1e9
+        self._ops = 0
+
+    def step(self, *, now: float, event: object) -> list:
+        """Answer one event with commands."""
+        commands, self._begun = self._begun, []
+        if isinstance(event, Heard):
+            commands += self._hear(now=now, sender=event.sender, body=event.body)
+        elif isinstance(event, Asked):
+            commands += self._ask(now=now, event=event)
+        elif isinstance(event, Called):
+            commands += self._page(now=now, event=event)
+        elif isinstance(event, (Synced, DiskFailed)):
+            commands += self.ledger.hear(event=event)
+        elif isinstance(event, StopAsked):
+            commands.append(Stop(code=0))
+        else:
+            commands += self._look_at_alarms(now=now)
+        return commands
+
+    @property
+    def voters(self) -> dict:
+        """The voters known to be chosen; until that is known again after a start, those voted for."""
+        known = self.held.voters()
+        slot = self.acceptor.slots.get("voters")
+        if known["number"] or slot is None or slot.value is None:
+            return known
+        return read_voters(value=slot.value)
+
+    @property
+    def voting(self) -> bool:
+        """May this cellar vote and grant?"""
+        return self.identity in self.voters["members"] and self.ledger.usable
+
+    def _hear(self, *, now: float, sender: str, body: dict) -> list:
+        kind = body["kind"]
+        if kind in VOTING:
+            return self._vote(now=now, sender=sender, body=body)
+        if kind in TOLD:
+            commands, settled = self.proposer.step(now=now, voters=self.voters, event=(sender, body))
+            return commands + self._settle(now=now, settled=settled)
+        if kind == "chosen":
+            return self._keep(now=now, name=body["register"], ballot=body["ballot"], value=body["value"], tell=False)
+        if kind == "ask":
+            return self._grant(now=now, sender=sender, body=body)
+        if kind == "ack":
+            return self.subscribers.step(now=now, event=(sender, body), news={})
+        if kind == "gossip":
+            return self.roster.step(now=now, event=(sender, body))
+        return [Log(event="message-unexpected", fields={"kind": kind, "from": sender})]
+
+    def _vote(self, *, now: float, sender: str, body: dict) -> list:
+        if not self.voting:
+            return []
+        if body["voters"] != self.voters["number"]:
+            return [Tell(to=sender, body={"kind": "nack", "op": body["op"], "register": body["register"],
+                                          "ballot": body.get("ballot", [0, ""]), "reason": "voters", "round": 0,
+                                          "voters": self.voters})]
+        records, reply = self.acceptor.step(now=now, body=body)
+        return self.ledger.step(records=records, replies=[Tell(to=sender, body=reply)])
+
+    def _grant(self, *, now: float, sender: str, body: dict) -> list:
+        commands = self.subscribers.step(now=now, event=(sender, body), news=self._news())
+        newest = {}
+        for name, slot in self.acceptor.slots.items():
+            if not name.startswith("exchange/"):
+                value = slot.value or {"number": 0, "mark": ""}
+                newest[name] = [value["number"], value["mark"], slot.ballot]
+        for name, have in body["have"].items():
+            if name in CONTROL and isinstance(have, list) and have[0] > self.held.number(name=name):
+                self._behind.setdefault(name, now - constants.STALLED)
+        warm = now - self.subscribers.members[sender].first < constants.WARM_TELL
+        reply = {"kind": "grant", "seq": body["seq"], "newest": newest, "identity": self.identity,
+                 "voting": self.voting, "proxies": len(self.subscribers.proxies()),
+                 "view": self.standing.view(with_warm=warm)}
+        return [*commands, Tell(to=sender, body=reply)]
+
+    def _news(self) -> dict:
+        news = {name: (held.value["number"], held.ballot, held.value) for name, held in self.held.held.items()
+                if held.value["number"]}
+        epoch, revision, value = self.workers
+        if value is not None:
+            news["workers"] = (revision, [epoch, ""], value)
+        return news
+
+    def _ask(self, *, now: float, event: Asked) -> list:
+        if event.path == "/status" and event.method == "GET":
+            return [answer_json(token=event.token, code=200, body=show_status(cellar=self, now=now))]
+        if event.path == "/workers" and event.method == "GET":
+            epoch, revision, value = self.workers
+            rows = json.loads(value["text"]) if value else []
+            return [answer_json(token=event.token, code=200, body={"epoch": epoch, "revision": revision, "workers": rows})]
+        if event.path == "/found" and event.method == "POST":
+            return self._found(now=now, event=event)
+        commands, begins = self.desk.step(event=event)
+        return commands + self._begin(now=now, begins=begins)
+
+    def _found(self, *, now: float, event: Asked) -> list:
+        try:
+            members = json.loads(event.body or b"")["members"]
+            sound = bool(members) and all(isinstance(k, str) and isinstance(v, str) for k, v in members.items())
+        except (ValueError, KeyError, TypeError, AttributeError):
+            sound = False
+        if not sound or self.identity not in members:
+            return [answer_json(token=event.token, code=422, body={
+                "outcome": "refused", "error": "members", "detail": "give members: {identity: address}, this one among them"})]
+        value = {"number": 1, "mark": "founded", "trail": [], "text": json.dumps({"members": members}, sort_keys=True)}
+        slot = self.acceptor.slots.get("voters")
+        if slot is not None and slot.value != value:
+            return [answer_json(token=event.token, code=409, body={
+                "outcome": "refused", "error": "founded", "detail": "this cellar belongs to a core already"})]
+        record = {"k": "vote", "r": "voters", "b": [0, "founder"], "v": value}
+        if slot is None:
+            fold_record(slots=self.acceptor.slots, record=record, now=now)
+        self.held.step(name="voters", ballot=[0, "founder"], value=value)
+        answer = answer_json(token=event.token, code=200, body={"outcome": "accepted", "number": 1})
+        return self.ledger.step(records=[record] if slot is None else [], replies=[answer])
+
+    def _page(self, *, now: float, event: Called | None) -> list:
+        commands, whole = self.pager.step(now=now, event=event)
+        if whole is not None and (whole.epoch, whole.revision) > self.workers[:2]:
+            rows = sorted(whole.workers, key=lambda row: row["id"])
+            value = {"number": whole.revision, "mark": str(whole.epoch), "trail": [], "text": json.dumps(rows)}
+            self.workers = (whole.epoch, whole.revision, value)
+            commands.append(Log(event="list-news", fields={"revision": whole.revision, "workers": len(rows)}))
+            commands += self.subscribers.step(now=now, event=None, news=self._news())
+        return commands
+
+    def _begin(self, *, now: float, begins: list[Begin]) -> list:
+        commands = []
+        for begin in begins:
+            more, settled = self.proposer.step(now=now, voters=self.voters, event=begin)
+            commands += more + self._settle(now=now, settled=settled)
+        return commands
+
+    def _settle(self, *, now: float, settled: list) -> list:
+        commands = []
+        for one in settled:
+            ballot, value = getattr(one.outcome, "ballot", [0, ""]), getattr(one.outcome, "value", None)
+            if one.register in CONTROL and value and value["number"]:
+                commands += self._keep(now=now, name=one.register, ballot=ballot, value=value, tell=True)
+            if self._reading.pop(one.op, None) is None:
+                more, begins = self.desk.step(event=one)
+                commands += more + self._begin(now=now, begins=begins)
+        return commands
+
+    def _keep(self, *, now: float, name: str, ballot: list, value: dict, tell: bool) -> list:
+        if name not in CONTROL or not self.held.step(name=name, ballot=ballot, value=value):
+            return []
+        if name == "config":
+            self.desk.full = json.loads(value["text"])["full"]
+        commands = self.subscribers.step(now=now, event=None, news=self._news())
+        if tell:
+            body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
+            commands += [Tell(to=address, body=body) for identity, address in self.voters["members"].items()
+                         if identity != self.identity]
+        return [Log(event="in-force", fields={"register": name, "number": value["number"]}), *commands]
+
+    def _look_at_alarms(self, *, now: float) -> list:
+        commands, settled = self.proposer.step(now=now, voters=self.voters, event=None)
+        commands += self._settle(now=now, settled=settled)
+        commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
+        commands += self._read_what_is_due(now=now) + self._sweep(now=now)
+        if now - self._judged >= 0.2:
+            self._judged = now
+            commands += self.subscribers.step(now=now, event=None, news=self._news())
+            commands += self.standing.step(now=now, proxies=self.subscribers.proxies())
+        if not self.ledger.usable and not self.ledger.rewriting and now - self._read_at.get("disk", -1e9) > 1.0:
+            self._read_at["disk"] = now
+            commands.append(self.ledger.rewrite())
+        return commands
+
+    def _read_what_is_due(self, *, now: float) -> list:
+        if not self.voters["members"]:
+            return []
+        begins = []
+        for name in CONTROL:
+            slot = self.acceptor.slots.get(name)
+            vote = [slot.value["number"], slot.value["mark"], slot.ballot] if slot and slot.value else [0, "", [0, ""]]
+            if self.held.covers(name=name, newest=vote):
+                if self._behind.get(name, now) >= now:
+                    self._behind.pop(name, None)
+            else:
+                self._behind.setdefault(name, now)
+            stalled = name in self._behind and now - self._behind[name] >= constants.STALLED
+            due = now - self._read_at.get(name, -1e9) >= (constants.STALLED if stalled else constants.READ_EVERY)
+            if due and name not in self._reading.values():
+                self._ops, self._read_at[name] = self._ops + 1, now
+                self._behind.pop(name, None)
+                op = f"{self.proposer.identity}/own{self._ops}"
+                self._reading[op] = name
+                begins.append(Begin(op=op, register=name))
+        return self._begin(now=now, begins=begins)
+
+    def _sweep(self, *, now: float) -> list:
+        if now - self._swept < constants.CLAIM_SWEEP:
+            return []
+        self._swept = now
+        old = [name for name, slot in self.acceptor.slots.items()
+               if name.startswith("exchange/") and now - slot.since > constants.CLAIM_LIFE]
+        for name in old:
+            del self.acceptor.slots[name]
+        return self.ledger.step(records=[{"k": "drop", "r": name} for name in old], replies=[])
--- /dev/null
+++ b/sailward/house/ledger.py
@@ -0,0 +1,66 @@
+"""A cellar's place on the disk: records synced in order, and what waits for them."""
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import DiskFailed, Log, Rewrite, Stop, Store, Synced
+from sailward.cask.acceptor import slot_records
+
+
+@dataclass(kw_only=True)
+class Ledger:
+    """Owner of the order between records and replies. `step` stores, syncs, fails or rewrites."""
+
+    identity: str
+    slots: dict
+    seq: int = 0
+    synced: int = 0
+    count: int = 0
+    usable: bool = True
+    rewriting: int = 0
+    waiting: deque = field(default_factory=deque)
+
+    def step(self, *, records: list, replies: list) -> list:
+        """Store the records; let the replies go only when all before them is synced."""
+        commands: list = []
+        if records:
+            self.seq, self.count = self.seq + 1, self.count + len(records)
+            commands.append(Store(seq=self.seq, records=tuple(records)))
+        if replies and self.synced >= self.seq:
+            return commands + replies
+        if replies:
+            self.waiting.append((self.seq, replies))
+        live = len(self.slots) + 1
+        if not self.rewriting and self.count > max(constants.REWRITE_RECORDS, constants.REWRITE_FACTOR * live):
+            commands.append(self.rewrite())
+        return commands
+
+    def rewrite(self) -> Rewrite:
+        """Replace the file by what is live."""
+        records = [{"k": "identity", "id": self.identity}]
+        for name, slot in self.slots.items():
+            records += slot_records(name=name, slot=slot)
+        self.seq += 1
+        self.rewriting, self.count = self.seq, len(records)
+        return Rewrite(seq=self.seq, records=tuple(records))
+
+    def hear(self, *, event: Synced | DiskFailed) -> list:
+        """Fold the disk's word: what waited goes out, or is dropped for good."""
+        if isinstance(event, DiskFailed):
+            self.usable, self.rewriting = False, 0
+            self.waiting.clear()
+            log = Log(event="disk-failed", fields={"full": event.full, "reason": event.reason})
+            # after a failed sync nothing on this descriptor can be believed again
+            return [log] if event.full else [log, Stop(code=constants.EXIT_DISK)]
+        commands: list = []
+        if event.seq >= self.rewriting > 0:
+            self.rewriting = 0
+            if not self.usable:
+                self.usable = True
+                commands.append(Log(event="disk-usable-again"))
+        self.synced = max(self.synced, event.seq)
+        while self.waiting and self.waiting[0][0] <= self.synced:
+            commands += self.waiting.popleft()[1]
+        return commands
--- /dev/null
+++ b/sailward/house/report.py
@@ -0,0 +1,25 @@
+"""What a cellar shows its operators."""
+from __future__ import annotations
+
+import sailward
+
+
+def show_status(*, cellar, now: float) -> dict:
+    """The status of the core, the halls and the proxies, as this cellar sees it."""
+    registers = {name: {"number": held.value["number"], "acknowledged_by": sorted(
+        member.entry.get("id", "") for member in cellar.subscribers.members.values()
+        if member.acked.get(name, -1) >= held.value["number"]
+        or (member.have.get(name) or [-1])[0] >= held.value["number"])}
+        for name, held in cellar.held.held.items()}
+    daemons = [{"id": known.entry["id"], "kind": known.entry["kind"], "hall": known.entry["hall"],
+                "fit": known.entry["fit"], "lost": known.lost, "version": known.entry["version"],
+                "http": known.entry["http"]} for known in cellar.roster.known.values()]
+    halls = {f"{service}|{hall}": {"state": state.state, "fraction": state.fraction,
+                                   "for_s": round(now - state.since, 1)}
+             for (service, hall), state in cellar.standing.book.halls.items()}
+    return {"id": cellar.place.name, "identity": cellar.identity, "version": sailward.__version__,
+            "post": cellar.place.post, "voting": cellar.voting, "disk_usable": cellar.ledger.usable,
+            "voters": cellar.voters, "registers": registers, "daemons": sorted(daemons, key=lambda one: one["id"]),
+            "halls": halls, "proxies": len(cellar.subscribers.proxies()),
+            "list": {"epoch": cellar.workers[0], "revision": cellar.workers[1]},
+            "slots": len(cellar.acceptor.slots)}
--- /dev/null
+++ b/sailward/house/sommelier.py
@@ -0,0 +1,218 @@
+"""The whole of a proxy: lease, worker status, draw, exchanges."""
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+
+from sailward import constants
+from sailward.acts import Asked, Call, Called, Heard, Log, Stop, StopAsked, Tell
+from sailward.cask.held import CONTROL, HeldBook
+from sailward.cask.proposer import Accepted, Begin, Proposer
+from sailward.charts import Chart
+from sailward.pour.choosing import Chooser
+from sailward.pour.claims import PREFIX, Claims
+from sailward.pour.exchange import Refusal, answer_json, answer_refusal, is_promise_safe
+from sailward.pour.exchanges import Exchanges
+from sailward.pour.lease import Lease
+from sailward.pour.plan import read_plan
+from sailward.pour.status import Prober
+from sailward.pour.world import World, read_orders
+from sailward.roster.gossip import Place, Roster
+
+STOPPING = Chart(name="stopping")
+TOLD = ("promise", "voted", "nack", "told")
+
+
+class Sommelier:
+    """Owner of a proxy process. `step` takes one event and gives commands."""
+
+    def __init__(self, *, place: Place, nonce: str, start: int, rng: random.Random, now: float) -> None:
+        self.place = place
+        self.identity = f"{place.name}#{nonce}"
+        self.held = HeldBook()
+        self.lease = Lease(held=self.held)
+        self.proposer = Proposer(identity=self.identity, rng=rng)
+        self.roster = Roster(place=place, start=start)
+        self.world = World(prober=Prober(rng=rng))
+        self.chooser = Chooser(rng=rng, world=self.world)
+        self.claims = Claims(identity=self.identity, post=place.post, region=place.region)
+        self.exchanges = Exchanges(identity=self.identity, chooser=self.chooser, claims=self.claims)
+        self.stopping = STOPPING.initial
+        self.stop_by = 0.0
+        self.suspect = False
+        self.cellars: dict[str, tuple[float, int]] = {}
+        self._reading: dict[str, str] = {}
+        self._counted = -1e9
+        self._ops = 0
+
+    def step(self, *, now: float, event: object) -> list:
+        """Answer one event with commands."""
+        if isinstance(event, Heard):
+            commands = self._hear(now=now, sender=event.sender, body=event.body)
+        elif isinstance(event, Asked):
+            commands = self._ask(now=now, event=event)
+        elif isinstance(event, Called):
+            commands = self._called(now=now, event=event)
+        elif isinstance(event, StopAsked):
+            self.stopping, self.stop_by = STOPPING.step(state=self.stopping, event="stop_asked"), now + constants.STOP_GRACE
+            commands = [Log(event="stopping", fields={"open": len(self.exchanges.live)})]
+        else:
+            commands = self._look_at_alarms(now=now)
+        return [replace(one, begin_by=self.lease.until(voters=self.held.voters()))
+                if isinstance(one, Call) and one.token.startswith("x ") else one for one in commands]
+
+    def acting(self, *, now: float) -> bool:
+        """May this proxy act on what it holds?"""
+        return self.lease.is_held(now=now, voters=self.held.voters()) and self.world.book.revision[1] >= 0
+
+    def _ask(self, *, now: float, event: Asked) -> list:
+        if event.path == "/sailward/status" and event.method == "GET":
+            return [answer_json(token=event.token, code=200, body=self._show(now=now))]
+        if self.stopping not in STOPPING.marks["taking"]:
+            refusal = Refusal(code=503, reason="stopping", detail="this proxy is stopping: ask a concierge for another")
+            return [answer_refusal(token=event.token, refusal=refusal, not_run=is_promise_safe(event=event))]
+        commands, begins = self.exchanges.step(now=now, event=event, acting=self.acting(now=now))
+        return commands + self._begin(now=now, begins=begins)
+
+    def _called(self, *, now: float, event: Called) -> list:
+        if event.token.startswith("probe "):
+            commands = self.world.prober.step(now=now, event=event)
+            return commands + self._count_halls(now=now) if commands else []
+        return self._give(now=now, event=event)
+
+    def _give(self, *, now: float, event: object) -> list:
+        commands, begins = self.exchanges.step(now=now, event=event, acting=self.acting(now=now))
+        return commands + self._begin(now=now, begins=begins)
+
+    def _hear(self, *, now: float, sender: str, body: dict) -> list:
+        kind = body["kind"]
+        if kind in TOLD:
+            commands, settled = self.proposer.step(now=now, voters=self.held.voters(), event=(sender, body))
+            return commands + self._settle(now=now, settled=settled)
+        if kind == "grant":
+            return self._take_grant(now=now, sender=sender, body=body)
+        if kind == "push":
+            return self._take_push(now=now, sender=sender, body=body)
+        if kind in ("peek", "peeked"):
+            return self._give(now=now, event=(sender, body))
+        if kind == "gossip":
+            return self.roster.step(now=now, event=(sender, body))
+        return [Log(event="message-unexpected", fields={"kind": kind, "from": sender})]
+
+    def _take_grant(self, *, now: float, sender: str, body: dict) -> list:
+        self.world.keep_view(now=now, identity=body["identity"], view=body["view"])
+        self.cellars[sender] = (now, body["proxies"])
+        return self._step_lease(now=now, event=(sender, body))
+
+    def _step_lease(self, *, now: float, event: tuple | None) -> list:
+        voters = self.held.voters()
+        addresses = {*voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
+        epoch, revision = self.world.book.revision
+        have = {**self.held.have(), "workers": [revision, str(epoch), [epoch, ""]]}
+        report = self.world.report(now=now, suspect=self.suspect) if event is None else {}
+        return self.lease.step(now=now, event=event, voters=voters, addresses=sorted(addresses),
+                               report=report, daemon=self.roster.own_entry(), have=have)
+
+    def _take_push(self, *, now: float, sender: str, body: dict) -> list:
+        name, value = body["name"], body["value"]
+        ack = Tell(to=sender, body={"kind": "ack", "seq": body["seq"], "name": name, "number": body["number"]})
+        if name == "workers":
+            return [*self._take_list(now=now, value=value), ack]
+        if name not in CONTROL:
+            return [Log(event="push-unexpected", fields={"name": name})]
+        return [*self._keep(now=now, name=name, ballot=body["ballot"], value=value), ack]
+
+    def _take_list(self, *, now: float, value: dict) -> list:
+        came, went = self.world.book.step(epoch=int(value["mark"]), revision=value["number"],
+                                          workers=json.loads(value["text"]))
+        commands = self.world.prober.follow(now=now, workers=self.world.book.workers, warm=self.world.warm())
+        self.chooser.bounds.forget(keep=set(self.world.book.workers))
+        if came or went:
+            commands.append(Log(event="workers", fields={"came": len(came), "went": len(went)}))
+        return commands + self._count_halls(now=now)
+
+    def _keep(self, *, now: float, name: str, ballot: list, value: dict) -> list:
+        news = self.held.step(name=name, ballot=ballot, value=value)
+        self.lease.review()
+        if not news:
+            return []
+        if name == "config":
+            self.world.plan = read_plan(value=value)
+        elif name == "orders":
+            self.world.emptied = read_orders(value=value)
+        return [Log(event="in-force", fields={"register": name, "number": value["number"]})]
+
+    def _begin(self, *, now: float, begins: list[Begin]) -> list:
+        commands = []
+        for begin in begins:
+            more, settled = self.proposer.step(now=now, voters=self.held.voters(), event=begin)
+            commands += more + self._settle(now=now, settled=settled)
+        return commands
+
+    def _settle(self, *, now: float, settled: list) -> list:
+        commands = []
+        for one in settled:
+            name = self._reading.pop(one.op, None)
+            if one.register.startswith(PREFIX):
+                commands += self._give(now=now, event=one)
+            elif name is not None and isinstance(one.outcome, Accepted) and one.outcome.value["number"]:
+                commands += self._keep(now=now, name=name, ballot=one.outcome.ballot, value=one.outcome.value)
+        return commands
+
+    def _look_at_alarms(self, *, now: float) -> list:
+        commands, settled = self.proposer.step(now=now, voters=self.held.voters(), event=None)
+        commands += self._settle(now=now, settled=settled)
+        commands += self._step_lease(now=now, event=None)
+        commands += self._read_what_is_behind(now=now)
+        commands += self.roster.step(now=now, event=None)
+        commands += self.world.prober.step(now=now, event=None)
+        commands += self._give(now=now, event=None)
+        if now - self._counted >= 0.25:
+            commands += self._count_halls(now=now)
+        heard = [count for at, count in self.cellars.values() if now - at < constants.SUBSCRIBER_LIFE]
+        self.world.proxies = max([1, *heard])
+        self.roster.fit = self.acting(now=now) and not self.suspect and self.stopping in STOPPING.marks["named"]
+        return commands + self._look_at_stop(now=now)
+
+    def _read_what_is_behind(self, *, now: float) -> list:
+        begins = []
+        for name, since in self.lease.behind.items():
+            if now - since >= constants.READ_WAIT and name not in self._reading.values() and name in CONTROL:
+                self._ops += 1
+                op = f"{self.identity}/read{self._ops}"
+                self._reading[op] = name
+                begins.append(Begin(op=op, register=name, wait=constants.LEASE))
+        return self._begin(now=now, begins=begins)
+
+    def _count_halls(self, *, now: float) -> list:
+        self._counted = now
+        commands = self.world.halls.step(now=now, counts=self.world.counts())
+        halls = {hall for _, hall in self.world.halls.halls}
+        down = {hall for hall in halls
+                if all(state.healthy == 0 for (_, name), state in self.world.halls.halls.items() if name == hall)}
+        stood = {hall for hall in down if not all(
+            self.world.standing_drained(now=now, service=service, hall=hall)
+            for service, name in self.world.halls.halls if name == hall)}
+        suspect = len(stood) > constants.SUSPECT_SELF * len(halls) and len(self.cellars) > 0
+        if suspect != self.suspect:
+            self.suspect = suspect
+            commands.append(Log(event="suspects-itself" if suspect else "trusts-itself", fields={"down": len(down)}))
+        return commands
+
+    def _look_at_stop(self, *, now: float) -> list:
+        if self.stopping == STOPPING.initial:
+            return []
+        if now >= self.stop_by - constants.STOP_GRACE + constants.LEAVE_WAIT:
+            self.stopping = STOPPING.step(state=self.stopping, event="left")
+        event = "grace_over" if now >= self.stop_by else "all_done" if not self.exchanges.live else ""
+        self.stopping = STOPPING.step(state=self.stopping, event=event)
+        return [Stop(code=0)] if self.stopping == "over" else []
+
+    def _show(self, *, now: float) -> dict:
+        workers = {key: probed.state for key, probed in self.world.prober.probed.items()}
+        halls = {f"{service}|{hall}": [state.state, round(state.fraction, 3)]
+                 for (service, hall), state in self.world.halls.halls.items()}
+        return {"id": self.place.name, "fit": self.roster.fit, "acting": self.acting(now=now), "suspect": self.suspect,
+                "registers": {name: self.held.number(name=name) for name in CONTROL}, "proxies": self.world.proxies,
+                "halls": halls, "workers": workers, "tally": dict(self.exchanges.tally), "open": len(self.exchanges.sent)}
--- /dev/null
+++ b/sailward/house/subscribers.py
@@ -0,0 +1,74 @@
+"""The proxies that a cellar pushes to, and what each has acknowledged."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Tell
+
+
+@dataclass(kw_only=True)
+class Subscriber:
+    """One daemon that asks this cellar for its lease."""
+
+    entry: dict
+    first: float
+    seen: float
+    have: dict = field(default_factory=dict)
+    report: dict = field(default_factory=dict)
+    pushed: dict = field(default_factory=dict)
+    acked: dict = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class Subscribers:
+    """Owner of the pushes. `step` folds an asking or an acknowledgement, or pushes what is due."""
+
+    members: dict = field(default_factory=dict)
+    seq: int = 0
+
+    def step(self, *, now: float, event: tuple | None, news: dict) -> list:
+        """`news` is {name: (number, ballot, value)}; the event a (sender, ask or ack) or None."""
+        if event is not None:
+            self._fold(now=now, sender=event[0], body=event[1])
+        for address, member in list(self.members.items()):
+            if now - member.seen > constants.SUBSCRIBER_LIFE:
+                del self.members[address]
+        commands = []
+        for address, member in self.members.items():
+            for name, (number, ballot, value) in news.items():
+                commands += self._push(now=now, address=address, member=member, name=name, number=number,
+                                       ballot=ballot, value=value)
+        return commands
+
+    def proxies(self) -> list[Subscriber]:
+        """The proxies that have asked of late."""
+        return [member for member in self.members.values() if member.entry.get("kind") == "sommelier"]
+
+    def _fold(self, *, now: float, sender: str, body: dict) -> None:
+        member = self.members.get(sender)
+        if body["kind"] == "ack":
+            if member is not None:
+                member.acked[body["name"]] = max(body["number"], member.acked.get(body["name"], -1))
+            return
+        start = body["daemon"].get("start")
+        if member is None or member.entry.get("start") != start:
+            member = self.members[sender] = Subscriber(entry=body["daemon"], first=now, seen=now)
+        member.entry, member.seen = body["daemon"], now
+        member.have, member.report = body["have"], body["report"]
+
+    def _push(self, *, now: float, address: str, member: Subscriber, name: str, number: int,
+              ballot: list, value: dict) -> list:
+        given = member.have.get(name)
+        had = (given[2][0], given[0]) if name == "workers" and given else (0, given[0] if given else -1)
+        at = (ballot[0], number) if name == "workers" else (0, number)
+        acked = name != "workers" and member.acked.get(name, -1) >= number
+        if had >= at or acked:
+            return []
+        pushed = member.pushed.get(name)
+        if pushed and pushed[0] == at and now - pushed[1] < constants.PUSH_AGAIN:
+            return []
+        self.seq += 1
+        member.pushed[name] = (at, now)
+        body = {"kind": "push", "seq": self.seq, "name": name, "number": number, "ballot": ballot, "value": value}
+        return [Tell(to=address, body=body)]
--- /dev/null
+++ b/sailward/label/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configurations: reading, checking, stamping out templates."""
--- /dev/null
+++ b/sailward/label/check.py
@@ -0,0 +1,169 @@
+"""Checking a configuration: the shape first, then the rules across its fields."""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from cerberus import Validator
+
+from sailward import constants
+from sailward.label.schema import CONFIG
+from sailward.label.stamps import expand_stamps
+
+
+@dataclass(frozen=True, kw_only=True)
+class Fault:
+    """One thing wrong, and where."""
+
+    path: str
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Sound:
+    """A configuration that may be accepted, as written and with its templates stamped out."""
+
+    written: dict
+    full: dict
+    warnings: tuple
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unsound:
+    """A configuration that may not."""
+
+    faults: tuple
+
+
+def read_config(*, text: bytes | str) -> dict | Unsound:
+    """The JSON object in this text; names given twice are a fault."""
+    if len(text) > constants.CONFIG_BYTES:
+        return Unsound(faults=(Fault(path="", reason=f"longer than {constants.CONFIG_BYTES} bytes"),))
+    twice: list[str] = []
+    try:
+        config = json.loads(text, object_pairs_hook=lambda pairs: _no_name_twice(pairs=pairs, twice=twice),
+                            parse_constant=_no_constant)
+    except (ValueError, RecursionError) as fault:
+        return Unsound(faults=(Fault(path="", reason=f"not JSON: {fault}"),))
+    if twice:
+        return Unsound(faults=tuple(Fault(path=name, reason="given twice") for name in twice))
+    if not isinstance(config, dict):
+        return Unsound(faults=(Fault(path="", reason="not a JSON object"),))
+    return config
+
+
+def check_config(*, config: dict) -> Sound | Unsound:
+    """Every fault of a configuration, or its full form with warnings."""
+    faults = _check_shape(config=config)
+    if faults:
+        return Unsound(faults=tuple(faults))
+    full, faults = expand_stamps(config=config)
+    faults = [Fault(path=path, reason=reason) for path, reason in faults]
+    if not faults and config.get("stamps"):
+        faults = _check_shape(config=full)
+    if faults:
+        return Unsound(faults=tuple(faults))
+    full = Validator(CONFIG).normalized(full)
+    faults = [*_check_pools(full=full), *_check_matches(full=full), *_check_homes(full=full)]
+    if faults:
+        return Unsound(faults=tuple(faults))
+    return Sound(written=config, full=full, warnings=tuple(_warn_of_caps(full=full)))
+
+
+def _no_name_twice(*, pairs: list, twice: list) -> dict:
+    names = [name for name, _ in pairs]
+    twice += sorted({name for name in names if names.count(name) > 1}) if len(set(names)) < len(names) else []
+    return dict(pairs)
+
+
+def _no_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
+def _check_shape(*, config: dict) -> list[Fault]:
+    validator = Validator(CONFIG)
+    try:
+        if validator.validate(config):
+            return []
+    except Exception as fault:  # cerberus trips over some foreign shapes
+        return [Fault(path="", reason=f"unreadable shape: {fault}")]
+    return list(_flatten(errors=validator.errors, path=""))
+
+
+def _flatten(*, errors: object, path: str):
+    if isinstance(errors, dict):
+        for name, inner in errors.items():
+            yield from _flatten(errors=inner, path=f"{path}.{name}" if path else str(name))
+    elif isinstance(errors, list):
+        for inner in errors:
+            yield from _flatten(errors=inner, path=path)
+    else:
+        yield Fault(path=path, reason=str(errors))
+
+
+def _check_pools(*, full: dict):
+    for name, pool in full["pools"].items():
+        if pool["service"] not in full["services"]:
+            yield Fault(path=f"pools.{name}.service", reason=f"no service {pool['service']!r}")
+        listed = [*pool["preferred"], *pool["fallback"]]
+        for hall in sorted(set(listed)):
+            if hall not in full["halls"]:
+                yield Fault(path=f"pools.{name}", reason=f"no hall {hall!r}")
+            if listed.count(hall) > 1:
+                yield Fault(path=f"pools.{name}", reason=f"hall {hall!r} is listed {listed.count(hall)} times")
+
+
+def _check_matches(*, full: dict):
+    seen: dict = {}
+    for index, match in enumerate(full["matches"]):
+        path = f"matches.{index}"
+        if sum(share["weight"] for share in match["pools"]) <= 0:
+            yield Fault(path=f"{path}.pools", reason="the weights add up to 0")
+        known = [share["pool"] for share in match["pools"] if share["pool"] in full["pools"]]
+        for at, share in enumerate(match["pools"]):
+            if share["pool"] not in full["pools"]:
+                yield Fault(path=f"{path}.pools.{at}.pool", reason=f"no pool {share['pool']!r}")
+        if len({full["pools"][pool]["service"] for pool in known}) > 1:
+            yield Fault(path=f"{path}.pools", reason="the pools are of different services")
+        if len(set(known)) < len(known):
+            yield Fault(path=f"{path}.pools", reason="a pool is listed twice")
+        for tenant in match["tenants"]:
+            if tenant not in full["tenants"]:
+                yield Fault(path=f"{path}.tenants", reason=f"no tenant {tenant!r}")
+        for tenant in match["tenants"] or [""]:
+            for method in match["methods"] or [""]:
+                first = seen.setdefault((match["path"], tenant, method), index)
+                if first != index:
+                    yield Fault(path=path, reason=f"the same as matches.{first}: it could never be used")
+
+
+def _check_homes(*, full: dict):
+    regions = {hall["region"] for hall in full["halls"].values()}
+    for name, tenant in full["tenants"].items():
+        for home in tenant["homes"]:
+            if home not in regions:
+                yield Fault(path=f"tenants.{name}.homes", reason=f"no hall stands in region {home!r}")
+    for index, match in enumerate(full["matches"]):
+        for tenant in match["tenants"] or list(full["tenants"]):
+            homes = full["tenants"].get(tenant, {}).get("homes")
+            if not homes:
+                continue
+            for share in match["pools"]:
+                pool = full["pools"].get(share["pool"])
+                if pool is None or share["weight"] == 0:
+                    continue
+                halls = [*pool["preferred"], *pool["fallback"]]
+                if not any(full["halls"].get(hall, {}).get("region") in homes for hall in halls):
+                    yield Fault(path=f"matches.{index}.pools",
+                                reason=f"pool {share['pool']!r} has no hall at home for tenant {tenant!r}")
+
+
+def _warn_of_caps(*, full: dict):
+    for name, pool in full["pools"].items():
+        halls = [*pool["preferred"], *pool["fallback"]]
+        room = int(constants.DRAIN_CAP * len(halls))
+        if len(pool["preferred"]) > room:
+            yield Fault(path=f"pools.{name}", reason=f"the drain cap covers {room} of {len(pool['preferred'])} "
+                                                     "preferred halls: losing all would leave one marked")
+        if not pool["fallback"]:
+            yield Fault(path=f"pools.{name}.fallback", reason="no fallback: a lost tier is refused")
--- /dev/null
+++ b/sailward/label/schema.py
@@ -0,0 +1,64 @@
+"""The shape of a configuration, for cerberus."""
+from __future__ import annotations
+
+from sailward import constants
+
+NAME = {"type": "string", "regex": r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
+HALLS = {"type": "list", "schema": NAME, "default": []}
+AMOUNT = {"type": "number", "min": 0.1, "max": 1e6}
+
+SERVICE = {
+    "expiry_s": {"type": "number", "min": 0.05, "max": 5.0, "default": constants.SERVICE_EXPIRY},
+    "rate": {**AMOUNT, "default": constants.WORKER_RATE},
+    "cold_rate": {**AMOUNT, "default": constants.COLD_RATE},
+    "cold_ramp_s": {"type": "number", "min": 0, "max": 3600, "default": constants.COLD_RAMP},
+    "result_bytes": {"type": "integer", "min": 1, "max": constants.RESULT_BYTES,
+                     "default": constants.RESULT_BYTES},
+    "digest_required": {"type": "boolean", "default": False},
+    "slots": {"type": "integer", "min": 0, "max": 4096, "default": 0},
+}
+POOL = {
+    "service": {**NAME, "required": True},
+    "preferred": {**HALLS, "required": True, "minlength": 1},
+    "fallback": HALLS,
+}
+MATCH = {
+    "path": {"type": "string", "regex": r"^/[^?#\s]*$", "required": True},
+    "methods": {"type": "list", "schema": {"type": "string", "regex": "^[A-Z]{1,16}$"}, "default": []},
+    "tenants": {"type": "list", "schema": NAME, "default": []},
+    "pools": {"type": "list", "minlength": 1, "maxlength": 32, "required": True, "schema": {
+        "type": "dict", "schema": {"pool": {**NAME, "required": True},
+                                   "weight": {"type": "integer", "min": 0, "max": 1000000, "required": True}}}},
+}
+TENANT = {
+    "homes": {"type": "list", "schema": NAME, "default": []},
+    "share": {"type": "integer", "min": 1, "max": 100, "default": 1},
+}
+
+
+def _by_name(*, shape: dict) -> dict:
+    return {"type": "dict", "keysrules": NAME, "valuesrules": {"type": "dict", "schema": shape}, "default": {}}
+
+
+TEMPLATE = {
+    "parameters": {"type": "dict", "keysrules": {"type": "string", "regex": "^[a-z][a-z0-9_]{0,30}$"},
+                   "valuesrules": {"type": "dict", "schema": {
+                       "type": {"type": "string", "allowed": ["string", "integer", "list"], "required": True},
+                       "default": {"nullable": True}}}, "default": {}},
+    "shape": {"type": "dict", "required": True},
+}
+STAMP = {
+    "template": {**NAME, "required": True},
+    "parameters": {"type": "dict", "default": {}},
+    "overlay": {"type": "dict", "default": {}},
+}
+CONFIG = {
+    "halls": {"type": "dict", "keysrules": NAME, "required": True, "minlength": 1,
+              "valuesrules": {"type": "dict", "schema": {"region": {**NAME, "required": True}}}},
+    "services": {**_by_name(shape=SERVICE), "required": True, "minlength": 1},
+    "pools": _by_name(shape=POOL),
+    "tenants": _by_name(shape=TENANT),
+    "matches": {"type": "list", "default": [], "schema": {"type": "dict", "schema": MATCH}},
+    "templates": _by_name(shape=TEMPLATE),
+    "stamps": _by_name(shape=STAMP),
+}
--- /dev/null
+++ b/sailward/pour/__init__.py
@@ -0,0 +1,1 @@
+"""Data plane: match, allow, draw, hall, worker, send on."""
--- /dev/null
+++ b/sailward/pour/bounds.py
@@ -0,0 +1,52 @@
+"""Rate bounds of workers, counted over all pools; cold workers rise from a small bound."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sailward import constants
+from sailward.pour.plan import Service
+
+
+@dataclass(kw_only=True)
+class Bucket:
+    """What a worker may still be sent."""
+
+    level: float
+    at: float
+
+
+class Bounds:
+    """Owner of this proxy's part of each worker's bound. `step` asks for one exchange's place."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, Bucket] = {}
+
+    def step(self, *, now: float, key: str, service: Service, warm: float, proxies: int) -> bool:
+        """Take a place at the worker if its bound has one."""
+        bucket = self._fill(now=now, key=key, service=service, warm=warm, proxies=proxies)
+        if bucket.level < 1.0:
+            return False
+        bucket.level -= 1.0
+        return True
+
+    def forget(self, *, keep: set[str]) -> None:
+        """Drop the workers that are no longer listed."""
+        self._buckets = {key: bucket for key, bucket in self._buckets.items() if key in keep}
+
+    def _fill(self, *, now: float, key: str, service: Service, warm: float, proxies: int) -> Bucket:
+        rate = rate_of(service=service, warm=warm) * constants.RATE_MARGIN / max(1, proxies)
+        burst = max(1.0, rate * constants.RATE_BURST)
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = Bucket(level=1.0, at=now)
+        bucket.level = min(burst, bucket.level + rate * (now - bucket.at))
+        bucket.at = now
+        return bucket
+
+
+def rate_of(*, service: Service, warm: float) -> float:
+    """The bound of a worker that has been in good status for `warm` seconds."""
+    if service.cold_ramp <= 0 or warm >= service.cold_ramp:
+        return service.rate
+    cold = min(service.cold_rate, service.rate)
+    return cold + (service.rate - cold) * max(0.0, warm) / service.cold_ramp
--- /dev/null
+++ b/sailward/pour/choosing.py
@@ -0,0 +1,69 @@
+"""Choosing the worker: pool by weight, hall by share, worker by two random choices."""
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from sailward.pour.bounds import Bounds
+from sailward.pour.draw import draw_hall, draw_pool, share_halls
+from sailward.pour.exchange import Exchange, Refusal
+from sailward.pour.world import World
+from sailward.roster.workers import Worker
+
+
+@dataclass(kw_only=True)
+class Chooser:
+    """Owner of the open counts and bounds by worker. `step` gives a worker or a refusal."""
+
+    rng: random.Random
+    world: World
+    bounds: Bounds = field(default_factory=Bounds)
+    open: dict = field(default_factory=dict)
+
+    def step(self, *, now: float, exchange: Exchange) -> Worker | Refusal:
+        """The worker that is to run this exchange; takes its place in the bound."""
+        if not exchange.pool:
+            exchange.pool = draw_pool(match=exchange.match, rng=self.rng)
+        pool = self.world.plan.pools[exchange.pool]
+        views = self.world.views_of(now=now, service=pool.service, tenant=exchange.tenant)
+        shares = share_halls(pool=pool, views=views)
+        if not shares:
+            return Refusal(code=503, reason="no-hall", detail="no hall that may serve this tenant has a healthy worker")
+        first = draw_hall(shares=shares, rng=self.rng)
+        others = [hall for hall in (*pool.preferred, *pool.fallback)
+                  if hall != first and hall in views and views[hall].allowed and views[hall].healthy]
+        others.sort(key=lambda hall: (hall not in shares, views[hall].drained))
+        for hall in (first, *others):
+            worker = self._choose(now=now, exchange=exchange, hall=hall)
+            if worker is not None:
+                return worker
+        return Refusal(code=503, reason="no-room", detail="every worker that may serve is at its bound")
+
+    def took(self, *, key: str) -> None:
+        """An exchange was sent on to this worker."""
+        self.open[key] = self.open.get(key, 0) + 1
+
+    def left(self, *, key: str) -> None:
+        """An exchange ended at this worker."""
+        count = self.open.get(key, 1) - 1
+        if count > 0:
+            self.open[key] = count
+        else:
+            self.open.pop(key, None)
+
+    def _choose(self, *, now: float, exchange: Exchange, hall: str) -> Worker | None:
+        world, service = self.world, exchange.service
+        able = []
+        for key, worker in world.book.workers.items():
+            if worker.service == service.name and worker.hall == hall and not worker.leaving \
+                    and key not in exchange.tried:
+                probed = world.prober.probed.get(key)
+                if probed is not None and probed.healthy:
+                    able.append((worker, now - probed.warm_since))
+        while able:
+            picks = self.rng.sample(able, min(2, len(able)))
+            pick = min(picks, key=lambda one: self.open.get(one[0].key, 0))
+            if self.bounds.step(now=now, key=pick[0].key, service=service, warm=pick[1], proxies=world.proxies):
+                return pick[0]
+            able.remove(pick)
+        return None
--- /dev/null
+++ b/sailward/pour/claims.py
@@ -0,0 +1,167 @@
+"""The claim on an unsafe exchange: won at a majority before a byte is sent on."""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Tell
+from sailward.cask.proposer import Accepted, Begin, Refused, Settled
+from sailward.pour.exchange import Exchange, Refusal
+from sailward.pour.kept import Kept, Memory
+
+PREFIX = "exchange/"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Won:
+    """The claim is this exchange's: it may be sent on, once."""
+
+    exchange: Exchange
+
+
+@dataclass(frozen=True, kw_only=True)
+class Lost:
+    """It may not be sent on."""
+
+    exchange: Exchange
+    refusal: Refusal
+
+
+@dataclass(frozen=True, kw_only=True)
+class Replayed:
+    """It ran already: this is its kept result."""
+
+    exchange: Exchange
+    code: int
+    headers: dict
+    body: bytes
+
+
+@dataclass(kw_only=True)
+class Peeking:
+    """Waiting for the owner of an earlier claim to tell what became of it."""
+
+    exchange: Exchange
+    number: int
+    expiry: float
+
+
+@dataclass(kw_only=True)
+class Claims:
+    """Owner of the claims under way. `step` gives (commands, proposer's begins, verdicts)."""
+
+    identity: str
+    post: str
+    region: str
+    kept: Kept = field(default_factory=Kept)
+    claiming: dict = field(default_factory=dict)
+    peeking: dict = field(default_factory=dict)
+    count: int = 0
+
+    def step(self, *, now: float, event: object) -> tuple[list, list[Begin], list]:
+        """Take an Exchange to claim, a Settled, a (sender, peek or peeked), or None."""
+        if isinstance(event, Exchange):
+            return self._begin(now=now, exchange=event)
+        if isinstance(event, Settled):
+            return self._settle(now=now, event=event)
+        if event is None:
+            return [], [], self._look_at_alarms(now=now)
+        sender, body = event
+        if body["kind"] == "peek":
+            reply = self.kept.peeked(token=body["token"], digest=body["key"], region=body["region"])
+            return [Tell(to=sender, body=reply)], [], []
+        return self._take_peeked(now=now, body=body)
+
+    def may_store(self, *, homes: frozenset) -> bool:
+        """May a result of a tenant with these homes be kept here?"""
+        return not homes or self.region in homes
+
+    def _begin(self, *, now: float, exchange: Exchange) -> tuple[list, list[Begin], list]:
+        memory = self.kept.memories.get(exchange.digest)
+        if memory is None:
+            return [], [self._claim(now=now, exchange=exchange, expected=0)], []
+        if memory.fingerprint != exchange.fingerprint:
+            return [], [], [_lost_to_other(exchange=exchange)]
+        return self._judge_state(now=now, exchange=exchange, state=memory.state, number=memory.number,
+                                 code=memory.code, headers=memory.headers, body=memory.body)
+
+    def _claim(self, *, now: float, exchange: Exchange, expected: int) -> Begin:
+        self.count += 1
+        self.kept.begin(now=now, digest=exchange.digest, fingerprint=exchange.fingerprint,
+                        homes=exchange.tenant.homes, count=self.count)
+        op = f"{self.identity}/claim{self.count}"
+        self.claiming[op] = exchange
+        text = json.dumps({"o": self.post, "i": self.identity, "f": exchange.fingerprint, "n": self.count})
+        wait = min(constants.CLAIM_EXPIRY, max(0.05, exchange.expiry - now))
+        return Begin(op=op, register=PREFIX + exchange.digest, expected=expected, text=text, wait=wait)
+
+    def _settle(self, *, now: float, event: Settled) -> tuple[list, list[Begin], list]:
+        exchange = self.claiming.pop(event.op, None)
+        if exchange is None:
+            return [], [], []
+        memory, outcome = self.kept.memories.get(exchange.digest), event.outcome
+        if isinstance(outcome, Accepted):
+            if memory is None:
+                return [], [], [Lost(exchange=exchange, refusal=Refusal(code=503, reason="claim-forgotten"))]
+            memory.state, memory.number = "running", outcome.value["number"]
+            return [], [], [Won(exchange=exchange)]
+        if memory is not None:
+            memory.state = "unsent"
+        if isinstance(outcome, Refused) and outcome.reason == "number" and outcome.value["number"]:
+            return self._take_other(now=now, exchange=exchange, value=outcome.value, memory=memory)
+        refusal = Refusal(code=503, reason="claim-uncertain", detail="no majority of the core answered in time")
+        return [], [], [Lost(exchange=exchange, refusal=refusal)]
+
+    def _take_other(self, *, now: float, exchange: Exchange, value: dict,
+                    memory: Memory | None) -> tuple[list, list[Begin], list]:
+        claim = json.loads(value["text"])
+        if claim["i"] == self.identity:
+            # ours: unsent if it is no older than what is remembered, else it may have run
+            known = memory is not None and claim["n"] >= memory.first and claim["f"] == exchange.fingerprint
+            return self._judge_state(now=now, exchange=exchange, state="unsent" if known else "unknown",
+                                     number=value["number"])
+        self.kept.memories.pop(exchange.digest, None)
+        if claim["f"] != exchange.fingerprint:
+            return [], [], [_lost_to_other(exchange=exchange)]
+        self.count += 1
+        token = f"{self.identity}/peek{self.count}"
+        self.peeking[token] = Peeking(exchange=exchange, number=value["number"],
+                                      expiry=now + constants.ROUND_WAIT * 2)
+        body = {"kind": "peek", "token": token, "key": exchange.digest, "number": value["number"],
+                "region": self.region}
+        return [Tell(to=claim["o"], body=body)], [], []
+
+    def _take_peeked(self, *, now: float, body: dict) -> tuple[list, list[Begin], list]:
+        peeking = self.peeking.pop(body["token"], None)
+        if peeking is None:
+            return [], [], []
+        headers = body["headers"] if body["code"] else None
+        return self._judge_state(now=now, exchange=peeking.exchange, state=body["state"], number=peeking.number,
+                                 code=body["code"], headers=headers, body=bytes(body["body"]))
+
+    def _judge_state(self, *, now: float, exchange: Exchange, state: str, number: int, code: int = 0,
+                     headers: dict | None = None, body: bytes = b"") -> tuple[list, list[Begin], list]:
+        if state == "unsent":
+            return [], [self._claim(now=now, exchange=exchange, expected=number)], []
+        if state == "done" and headers is not None:
+            return [], [], [Replayed(exchange=exchange, code=code, headers=headers, body=body)]
+        shown = "running" if state == "claiming" else state
+        refusal = Refusal(code=409, reason="repeat", state=shown, detail="this key was sent on before")
+        return [], [], [Lost(exchange=exchange, refusal=refusal)]
+
+    def _look_at_alarms(self, *, now: float) -> list:
+        verdicts = []
+        for token, peeking in list(self.peeking.items()):
+            if now >= peeking.expiry:
+                del self.peeking[token]
+                refusal = Refusal(code=409, reason="repeat", state="unknown",
+                                  detail="the proxy that claimed this key can't be reached")
+                verdicts.append(Lost(exchange=peeking.exchange, refusal=refusal))
+        self.kept.step(now=now)
+        return verdicts
+
+
+def _lost_to_other(*, exchange: Exchange) -> Lost:
+    return Lost(exchange=exchange, refusal=Refusal(code=422, reason="key-reused",
+                                                   detail="this key was given with another request"))
--- /dev/null
+++ b/sailward/pour/exchange.py
@@ -0,0 +1,143 @@
+"""One caller's exchange: taking it in, and refusing it with a word that holds."""
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+from urllib.parse import quote, urlencode
+
+from sailward import constants
+from sailward.acts import Answer, Asked
+from sailward.pour.plan import Match, Plan, Service, Tenant
+
+SAFE = frozenset({"GET", "HEAD", "OPTIONS"})
+KNOWN = SAFE | {"POST", "PUT", "PATCH", "DELETE"}
+HOP = frozenset({"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
+                 "transfer-encoding", "upgrade", "host", "content-length", "expect"})
+
+
+@dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """Why an exchange is not served. `state` tells a repeat what became of the first."""
+
+    code: int
+    reason: str
+    detail: str = ""
+    state: str = ""
+
+
+@dataclass(kw_only=True)
+class Exchange:
+    """One exchange under way."""
+
+    token: str
+    name: str
+    tenant: Tenant
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    match: Match
+    service: Service
+    key: str
+    turn: int
+    arrived: float
+    expiry: float
+    pool: str = ""
+    state: str = "arrived"
+    worker: str = ""
+    tries: int = 0
+    tried: set = field(default_factory=set)
+    sent: bool = False
+    claim: int = 0
+    answered: bool = False
+
+    @property
+    def unsafe(self) -> bool:
+        """Does running it twice do harm?"""
+        return self.method not in SAFE
+
+    @property
+    def digest(self) -> str:
+        """What the claim is written under: no tenant's data can be read from it."""
+        return digest_key(tenant=self.tenant.name, key=self.key)
+
+    @property
+    def fingerprint(self) -> str:
+        """The same for the same method, path and body."""
+        mix = f"{self.method} {self.path}\0".encode() + self.body
+        return hashlib.blake2b(mix, digest_size=12).hexdigest()
+
+
+def digest_key(*, tenant: str, key: str) -> str:
+    """The digest of a tenant's key."""
+    return hashlib.blake2b(f"{tenant}\0{key}".encode(), digest_size=16).hexdigest()
+
+
+def take_exchange(*, event: Asked, plan: Plan, now: float, name: str) -> Exchange | Refusal:
+    """The exchange that a caller asked for, or why it can't be one."""
+    if event.body is None:
+        return Refusal(code=413, reason="too-large", detail=f"at most {constants.BODY_BYTES} bytes")
+    if event.method not in KNOWN:
+        return Refusal(code=405, reason="method-unknown", detail=event.method[:40])
+    tenant = plan.tenants.get(event.headers.get("sailward-tenant", ""))
+    if tenant is None:
+        return Refusal(code=400, reason="tenant-unknown", detail="give Sailward-Tenant, a tenant's name")
+    turn = _read_turn(text=event.headers.get("sailward-try", ""))
+    if turn is None:
+        return Refusal(code=400, reason="try-ill-formed", detail="Sailward-Try is a number from 1")
+    key = event.headers.get("idempotency-key", "")
+    if len(key) > 255:
+        return Refusal(code=400, reason="key-too-long", detail="Idempotency-Key has 255 characters at most")
+    match = plan.match(path=event.path, method=event.method, tenant=tenant.name)
+    if match is None:
+        return Refusal(code=404, reason="unmatched", detail=event.path[:200])
+    if event.method not in SAFE and not key:
+        return Refusal(code=428, reason="key-missing", detail="an unsafe exchange needs an Idempotency-Key")
+    service = plan.services[plan.pools[match.shares[0][0]].service]
+    path = quote(event.path, safe="/%:@!$&'()*+,;=~-._") + ("?" + urlencode(event.query, doseq=True) if event.query else "")
+    return Exchange(token=event.token, name=name, tenant=tenant, method=event.method, path=path,
+                    headers=event.headers, body=event.body, match=match, service=service, key=key, turn=turn,
+                    arrived=now, expiry=now + constants.LINE_WAIT + service.expiry)
+
+
+def is_promise_safe(*, event: Asked) -> bool:
+    """May `not-run` be said of an exchange that this proxy did not send on?
+
+    Of a safe one always. Of an unsafe one only if the caller says that it is the first sending:
+    an earlier one may run, or have run, elsewhere.
+    """
+    return event.method in SAFE or event.headers.get("sailward-try", "") == "1" \
+        or not event.headers.get("idempotency-key", "")
+
+
+def answer_refusal(*, token: str, refusal: Refusal, not_run: bool) -> Answer:
+    """The final result of an exchange that is given up: whether it ran, and when to come back."""
+    body = {"error": refusal.reason, "detail": refusal.detail, "ran": "not-run" if not_run else "unknown"}
+    if refusal.state:
+        body["state"] = refusal.state
+    headers = {"Sailward-Ran": body["ran"]}
+    if refusal.code in (409, 429, 502, 503, 504):
+        headers["Retry-After"] = str(constants.RETRY_AFTER)
+    return answer_json(token=token, code=refusal.code, body=body, headers=headers)
+
+
+def answer_json(*, token: str, code: int, body: object, headers: dict | None = None) -> Answer:
+    """A result in JSON."""
+    return Answer(token=token, code=code, body=json.dumps(body).encode() + b"\n",
+                  headers={"Content-Type": "application/json", **(headers or {})})
+
+
+def headers_onward(*, exchange: Exchange, worker: str) -> dict:
+    """The headers that go to the worker."""
+    headers = {name: value for name, value in exchange.headers.items()
+               if name not in HOP and not name.startswith("sailward-")}
+    headers |= {"sailward-exchange": exchange.name, "sailward-worker": worker,
+                "sailward-tenant": exchange.tenant.name, "sailward-service": exchange.service.name}
+    return headers
+
+
+def _read_turn(*, text: str) -> int | None:
+    if text == "":
+        return 0
+    return int(text) if text.isascii() and text.isdigit() and 0 < int(text[:9]) and len(text) < 9 else None
--- /dev/null
+++ b/sailward/pour/exchanges.py
@@ -0,0 +1,227 @@
+"""The exchanges under way in a proxy: allow, claim, send on, try again or give up at once."""
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Answer, Asked, Call, Called, Log
+from sailward.pour.choosing import Chooser
+from sailward.pour.claims import Claims, Lost, Replayed, Won
+from sailward.pour.exchange import (Exchange, Refusal, answer_refusal, headers_onward, is_promise_safe,
+                                    take_exchange)
+from sailward.pour.lines import Lines
+from sailward.pour.tries import Tries
+from sailward.pour.verify import Bad, Good, Unsent, WorkerRefused, judge_result
+
+
+@dataclass(kw_only=True)
+class Exchanges:
+    """Owner of all exchanges of this proxy. `step` gives (commands, proposer's begins)."""
+
+    identity: str
+    chooser: Chooser
+    claims: Claims
+    lines: Lines = field(default_factory=Lines)
+    tries: Tries = field(default_factory=Tries)
+    live: dict = field(default_factory=dict)
+    sent: dict = field(default_factory=dict)
+    calls: dict = field(default_factory=dict)
+    tally: Counter = field(default_factory=Counter)
+    count: int = 0
+
+    def step(self, *, now: float, event: object, acting: bool) -> tuple[list, list]:
+        """Take an Asked, a Called, a Settled, a peek, or None; `acting` says whether the lease is held."""
+        if isinstance(event, Asked):
+            return self._arrive(now=now, event=event, acting=acting)
+        if isinstance(event, Called):
+            commands, begins = self._return(now=now, event=event, acting=acting)
+        elif event is None:
+            commands, begins = self._look_at_alarms(now=now, acting=acting), []
+            verdicts = self.claims.step(now=now, event=None)[2]
+            commands += self._hear_verdicts(now=now, verdicts=verdicts, acting=acting)
+        else:
+            commands, begins, verdicts = self.claims.step(now=now, event=event)
+            commands += self._hear_verdicts(now=now, verdicts=verdicts, acting=acting)
+        more, others = self._pump(now=now, acting=acting)
+        return commands + more, begins + others
+
+    def _arrive(self, *, now: float, event: Asked, acting: bool) -> tuple[list, list]:
+        self.count += 1
+        taken = take_exchange(event=event, plan=self.chooser.world.plan, now=now,
+                              name=f"{self.identity}.{self.count}")
+        promise = is_promise_safe(event=event)
+        if not acting and not (isinstance(taken, Refusal) and taken.code == 413):
+            # without a lease even "no such tenant" could be stale news
+            taken = Refusal(code=503, reason="no-lease", detail="this proxy is cut off from the core")
+        if isinstance(taken, Refusal):
+            self._count_refusal(reason=taken.reason)
+            return [answer_refusal(token=event.token, refusal=taken, not_run=promise)], []
+        memory = self.claims.kept.memories.get(taken.digest) if taken.key else None
+        repeat = taken.turn > 1 or (memory is not None and memory.state == "unsent")
+        replay = memory is not None and memory.state != "unsent"
+        if not replay and not self.tries.step(now=now, first=not repeat):
+            return [self._refuse(exchange=taken, reason="too-many-repeats",
+                                 detail="repeats are over their share of the traffic")], []
+        if len(self.sent) < constants.MAX_OPEN and not self.lines.count():
+            return self._dispatch(now=now, exchange=taken)
+        self.live[taken.token] = taken
+        taken.state = "waiting"
+        if self.lines.step(tenant=taken.tenant.name, item=taken.token, share=taken.tenant.share) is None:
+            return [self._refuse(exchange=taken, reason="line-full", detail="this tenant's line is full")], []
+        return [], []
+
+    def _dispatch(self, *, now: float, exchange: Exchange) -> tuple[list, list]:
+        self.live[exchange.token] = exchange
+        if exchange.unsafe and not exchange.claim:
+            exchange.state = "claiming"
+            commands, begins, verdicts = self.claims.step(now=now, event=exchange)
+            return commands + self._hear_verdicts(now=now, verdicts=verdicts, acting=True), begins
+        return self._send_on(now=now, exchange=exchange), []
+
+    def _send_on(self, *, now: float, exchange: Exchange) -> list:
+        worker = self.chooser.step(now=now, exchange=exchange)
+        if isinstance(worker, Refusal):
+            return [self._refuse(exchange=exchange, reason=worker.reason, detail=worker.detail)]
+        if exchange.tries == 0:
+            self.tally["sent-on"] += 1
+        exchange.tries += 1
+        exchange.worker, exchange.state, exchange.sent = worker.key, "sent", True
+        exchange.tried.add(worker.key)
+        self.chooser.took(key=worker.key)
+        token = f"x {exchange.name} {exchange.tries}"
+        self.sent[token] = exchange
+        left = max(0.05, exchange.expiry - now)
+        wait = left if exchange.unsafe or exchange.tries >= constants.MAX_TRIES else left / 2
+        self.calls[token] = now + wait + constants.LINE_WAIT
+        return [Call(token=token, owner=worker.key, address=worker.address, method=exchange.method,
+                     path=exchange.path, headers=headers_onward(exchange=exchange, worker=worker.key),
+                     body=exchange.body, wait=min(wait, exchange.service.expiry), fresh=exchange.unsafe)]
+
+    def _hear_verdicts(self, *, now: float, verdicts: list, acting: bool) -> list:
+        commands = []
+        for verdict in verdicts:
+            exchange = verdict.exchange
+            if isinstance(verdict, Won):
+                exchange.claim = 1
+                if exchange.answered or not acting or now >= exchange.expiry:
+                    self._unsend(exchange=exchange)
+                    if not exchange.answered:
+                        commands.append(self._refuse(exchange=exchange, reason="no-lease", detail="lost while claiming"))
+                else:
+                    commands += self._send_on(now=now, exchange=exchange)
+            elif exchange.answered:
+                continue
+            elif isinstance(verdict, Replayed):
+                commands.append(self._answer(exchange=exchange, code=verdict.code, body=verdict.body,
+                                             headers={**verdict.headers, "Sailward-Repeat": "kept"}))
+            elif isinstance(verdict, Lost):
+                commands.append(self._refuse(exchange=exchange, refusal=verdict.refusal))
+        return commands
+
+    def _return(self, *, now: float, event: Called, acting: bool) -> tuple[list, list]:
+        exchange = self.sent.pop(event.token, None)
+        self.calls.pop(event.token, None)
+        if exchange is None:
+            return [], []
+        self.chooser.left(key=exchange.worker)
+        verdict = judge_result(exchange=exchange, event=event)
+        if isinstance(verdict, Good) and not self._try_better(exchange=exchange, verdict=verdict):
+            return self._finish(exchange=exchange, verdict=verdict), []
+        commands = [] if isinstance(verdict, Good) else self._mark_worker(now=now, exchange=exchange, verdict=verdict)
+        ran = exchange.unsafe and isinstance(verdict, Bad)
+        if ran:
+            memory = self.claims.kept.memories.get(exchange.digest)
+            if memory is not None:
+                memory.state = "unknown"
+        elif isinstance(verdict, (Unsent, WorkerRefused)):
+            exchange.sent = False
+        if exchange.answered:
+            if exchange.unsafe and not ran:
+                self._unsend(exchange=exchange)
+            return commands, []
+        again = not ran and acting and exchange.tries < constants.MAX_TRIES and now < exchange.expiry
+        if again and self.tries.step(now=now, first=False):
+            self.tally["tried-again"] += 1
+            return commands + self._send_on(now=now, exchange=exchange), []
+        if isinstance(verdict, Good):
+            return commands + self._finish(exchange=exchange, verdict=verdict), []
+        code = 504 if getattr(verdict, "reason", "") == "timed-out" else 502
+        refusal = Refusal(code=code if isinstance(verdict, Bad) else 503, reason="worker-failed", detail=verdict.reason)
+        return commands + [self._refuse(exchange=exchange, refusal=refusal)], []
+
+    def _try_better(self, *, exchange: Exchange, verdict: Good) -> bool:
+        return not exchange.unsafe and verdict.code in (502, 503, 504) and not exchange.answered \
+            and exchange.tries < constants.MAX_TRIES
+
+    def _mark_worker(self, *, now: float, exchange: Exchange, verdict: object) -> list:
+        event = {"Unsent": "refused"}.get(type(verdict).__name__, "")
+        if isinstance(verdict, Bad):
+            event = "stranger" if verdict.stranger else "fail"
+        commands = self.chooser.world.prober.mark(now=now, key=exchange.worker, event=event) if event else []
+        fields = {"exchange": exchange.name, "worker": exchange.worker, "reason": verdict.reason}
+        return [*commands, Log(event="sending-on-failed", fields=fields)]
+
+    def _finish(self, *, exchange: Exchange, verdict: Good) -> list:
+        if exchange.unsafe:
+            self.claims.kept.finish(digest=exchange.digest, code=verdict.code, headers=verdict.headers,
+                                    body=verdict.body, store=self.claims.may_store(homes=exchange.tenant.homes))
+        if exchange.answered:
+            return []
+        return [self._answer(exchange=exchange, code=verdict.code, headers=verdict.headers, body=verdict.body)]
+
+    def _answer(self, *, exchange: Exchange, code: int, headers: dict, body: bytes) -> Answer:
+        self.tally["answered"] += 1
+        exchange.answered = True
+        self.live.pop(exchange.token, None)
+        return Answer(token=exchange.token, code=code, body=body, headers=headers)
+
+    def _refuse(self, *, exchange: Exchange, reason: str = "", detail: str = "",
+                refusal: Refusal | None = None) -> Answer:
+        refusal = refusal or Refusal(code=503, reason=reason, detail=detail)
+        self._count_refusal(reason=refusal.reason)
+        if exchange.state == "waiting":
+            self.lines.drop(item=exchange.token)
+        if exchange.claim and not exchange.sent:
+            self._unsend(exchange=exchange)
+        exchange.answered = True
+        self.live.pop(exchange.token, None)
+        promise = not exchange.sent and (not exchange.unsafe or exchange.turn == 1) and not refusal.state
+        return answer_refusal(token=exchange.token, refusal=refusal, not_run=promise)
+
+    def _unsend(self, *, exchange: Exchange) -> None:
+        memory = self.claims.kept.memories.get(exchange.digest)
+        if memory is not None and memory.state == "running":
+            memory.state = "unsent"
+
+    def _count_refusal(self, *, reason: str) -> None:
+        self.tally[f"refused-{reason}"] += 1
+
+    def _pump(self, *, now: float, acting: bool) -> tuple[list, list]:
+        commands, begins = [], []
+        while acting and len(self.sent) < constants.MAX_OPEN:
+            token = self.lines.step(tenant="")
+            if token is None:
+                break
+            exchange = self.live.get(token)
+            if exchange is None:
+                continue
+            more, others = self._dispatch(now=now, exchange=exchange)
+            commands, begins = commands + more, begins + others
+        return commands, begins
+
+    def _look_at_alarms(self, *, now: float, acting: bool) -> list:
+        commands = []
+        for exchange in list(self.live.values()):
+            if exchange.state == "waiting" and (not acting or now - exchange.arrived >= constants.LINE_WAIT):
+                reason = "waited-out" if acting else "no-lease"
+                commands.append(self._refuse(exchange=exchange, reason=reason))
+            elif now >= exchange.expiry:
+                refusal = Refusal(code=504, reason="expired")
+                commands.append(self._refuse(exchange=exchange, refusal=refusal))
+        for token, end in list(self.calls.items()):
+            if now >= end:
+                # its end was lost on the way; what came of it is not known
+                lost = Called(token=token, code=0, headers={}, body=b"", fault="timed-out", sent=True)
+                commands += self._return(now=now, event=lost, acting=False)[0]
+        return commands
--- /dev/null
+++ b/sailward/pour/kept.py
@@ -0,0 +1,75 @@
+"""What a proxy remembers of the unsafe exchanges that it claimed."""
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from sailward import constants
+
+
+@dataclass(kw_only=True)
+class Memory:
+    """One claim of this proxy: claiming, unsent, running, done or unknown."""
+
+    state: str
+    fingerprint: str
+    at: float
+    homes: frozenset
+    first: int
+    number: int = 0
+    code: int = 0
+    headers: dict | None = None
+    body: bytes = b""
+
+
+class Kept:
+    """Owner of the memories, bounded by age and bytes. `step` lets old ones go."""
+
+    def __init__(self) -> None:
+        self.memories: OrderedDict[str, Memory] = OrderedDict()
+        self._bytes = 0
+
+    def step(self, *, now: float) -> None:
+        """Forget what is older than a claim's life; drop the oldest results over the bound."""
+        while self.memories:
+            digest, memory = next(iter(self.memories.items()))
+            if now - memory.at < constants.CLAIM_LIFE:
+                break
+            del self.memories[digest]
+            self._bytes -= len(memory.body)
+        for memory in self.memories.values():
+            if self._bytes <= constants.KEPT_BYTES:
+                return
+            self._bytes -= len(memory.body)
+            memory.body, memory.headers = b"", None
+
+    def begin(self, *, now: float, digest: str, fingerprint: str, homes: frozenset,
+              count: int) -> Memory:
+        """Remember that the claim with this count is being made here; `first` is the first one remembered."""
+        old = self.memories.pop(digest, None)
+        memory = Memory(state="claiming", fingerprint=fingerprint, at=now, homes=homes,
+                        first=old.first if old else count)
+        if old is not None:
+            self._bytes -= len(old.body)
+        self.memories[digest] = memory
+        return memory
+
+    def finish(self, *, digest: str, code: int, headers: dict, body: bytes, store: bool) -> None:
+        """Remember the result; its content only if this place may `store` it."""
+        memory = self.memories.get(digest)
+        if memory is None:
+            return
+        memory.state, memory.code = "done", code
+        if store:
+            memory.headers, memory.body = headers, body
+            self._bytes += len(body)
+
+    def peeked(self, *, token: str, digest: str, region: str) -> dict:
+        """The answer to another proxy in this region."""
+        memory = self.memories.get(digest)
+        state = memory.state if memory else "unknown"
+        body = {"kind": "peeked", "token": token, "state": "running" if state == "claiming" else state,
+                "code": 0, "headers": {}, "body": b""}
+        if memory and memory.headers is not None and (not memory.homes or region in memory.homes):
+            body |= {"code": memory.code, "headers": memory.headers, "body": memory.body}
+        return body
--- /dev/null
+++ b/sailward/pour/lease.py
@@ -0,0 +1,93 @@
+"""The lease of a proxy on the control state that it holds."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Log, Tell
+from sailward.cask.held import HeldBook
+from sailward.cask.proposer import blocking_of
+from sailward.charts import Chart
+
+CHART = Chart(name="lease")
+
+
+@dataclass(kw_only=True)
+class Grant:
+    """The last thing one voter said, and until when its consent holds."""
+
+    asked: float
+    newest: dict
+    until: float = -1e9
+
+
+class Lease:
+    """Owner of the lease. `step` takes a grant (sender, body), or None for time going on."""
+
+    def __init__(self, *, held: HeldBook) -> None:
+        self._held = held
+        self.state = CHART.initial
+        self.behind: dict[str, float] = {}
+        self._asked: dict[int, float] = {}
+        self._grants: dict[str, Grant] = {}
+        self._seq = 0
+        self._next = -1e9
+
+    def step(self, *, now: float, event: tuple | None, voters: dict, addresses: list,
+             report: dict, daemon: dict, have: dict) -> list:
+        """Fold what came, judge the lease, ask again when it is time."""
+        if event is not None:
+            self._take_grant(body=event[1], voters=voters)
+        commands = self._judge(now=now, voters=voters)
+        if event is None and now >= self._next:
+            commands += self._ask(now=now, addresses=addresses, report=report, daemon=daemon, have=have)
+        return commands
+
+    def review(self) -> None:
+        """Judge the grants again after a newer value is held."""
+        for grant in self._grants.values():
+            grant.until = max(grant.until, self._end_of(grant=grant))
+
+    def until(self, *, voters: dict) -> float:
+        """When the lease runs out."""
+        members = voters.get("members") or {}
+        ends = sorted((grant.until for name, grant in self._grants.items() if name in members), reverse=True)
+        need = blocking_of(members=members)
+        return ends[need - 1] if members and len(ends) >= need else -1e9
+
+    def is_held(self, *, now: float, voters: dict) -> bool:
+        """May the proxy act now?"""
+        return now < self.until(voters=voters) and all(self._held.number(name=name) for name in ("config", "voters"))
+
+    def _ask(self, *, now: float, addresses: list, report: dict, daemon: dict, have: dict) -> list:
+        self._seq, self._next = self._seq + 1, now + constants.LEASE_ASK
+        self._asked[self._seq] = now
+        self._asked.pop(self._seq - 50, None)
+        body = {"kind": "ask", "seq": self._seq, "have": have, "report": report, "daemon": daemon}
+        return [Tell(to=address, body=body) for address in addresses]
+
+    def _take_grant(self, *, body: dict, voters: dict) -> None:
+        asked = self._asked.get(body["seq"])
+        if asked is None or not body["voting"] or body["identity"] not in (voters.get("members") or {}):
+            return
+        grant = self._grants.setdefault(body["identity"], Grant(asked=asked, newest={}))
+        if asked < grant.asked:
+            return
+        grant.asked, grant.newest = asked, body["newest"]
+        grant.until = max(grant.until, self._end_of(grant=grant))
+
+    def _behind_in(self, *, grant: Grant) -> list[str]:
+        return [name for name, newest in grant.newest.items() if not self._held.covers(name=name, newest=newest)]
+
+    def _end_of(self, *, grant: Grant) -> float:
+        return -1e9 if self._behind_in(grant=grant) else grant.asked + constants.LEASE
+
+    def _judge(self, *, now: float, voters: dict) -> list:
+        live = [grant for grant in self._grants.values() if now - grant.asked < constants.LEASE]
+        names = {name for grant in live for name in self._behind_in(grant=grant)}
+        self.behind = {name: self.behind.get(name, now) for name in names}
+        before = self.state
+        self.state = CHART.step(state=before, event="granted" if self.is_held(now=now, voters=voters) else "run_out")
+        if before == self.state:
+            return []
+        return [Log(event=f"lease-{self.state}", fields={"behind": ",".join(self.behind) or "none"})]
--- /dev/null
+++ b/sailward/pour/status.py
@@ -0,0 +1,105 @@
+"""Status of workers by this proxy's own probes."""
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from sailward import constants
+from sailward.acts import Call, Called, HangUp, Log
+from sailward.charts import Chart
+from sailward.roster.workers import Worker
+
+CHART = Chart(name="worker")
+
+
+@dataclass(kw_only=True)
+class Probed:
+    """What is known of one worker of one generation."""
+
+    worker: Worker
+    state: str = CHART.initial
+    next_at: float = 0.0
+    token: str = ""
+    warm_since: float = 0.0
+    listed: float = 0.0
+    count: int = 0
+
+    @property
+    def healthy(self) -> bool:
+        """May it be sent exchanges, as far as probes tell?"""
+        return self.state in CHART.marks["healthy"]
+
+    @property
+    def known(self) -> bool:
+        """Has any probe ended?"""
+        return self.state in CHART.marks["known"]
+
+
+class Prober:
+    """Owner of the workers' status. `step` takes a probe's end, or None for time going on."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self.probed: dict[str, Probed] = {}
+
+    def step(self, *, now: float, event: Called | None) -> list:
+        """Judge one probe, or begin those that are due."""
+        if event is not None:
+            return self._judge(now=now, event=event)
+        commands = []
+        for key, probed in self.probed.items():
+            if probed.token and now > probed.next_at + 2 * constants.PROBE_WAIT:
+                probed.token = ""  # its end was lost on the way
+            if not probed.token and now >= probed.next_at:
+                commands.append(self._probe(now=now, key=key, probed=probed))
+        return commands
+
+    def follow(self, *, now: float, workers: dict[str, Worker], warm: dict) -> list:
+        """Take the newest list; `warm` tells how long others have seen a worker in good status."""
+        commands = [HangUp(owner=key) for key in self.probed if key not in workers]
+        self.probed = {key: probed for key, probed in self.probed.items() if key in workers}
+        for key, worker in workers.items():
+            probed = self.probed.get(key)
+            if probed is None:
+                self.probed[key] = Probed(worker=worker, next_at=now, listed=now)
+                self.probed[key].warm_since = now - warm.get(key, 0.0)
+            else:
+                probed.worker = worker
+        return commands
+
+    def mark(self, *, now: float, key: str, event: str) -> list:
+        """Fold what an exchange told of a worker: `refused` or `stranger`."""
+        probed = self.probed.get(key)
+        return self._move(now=now, probed=probed, event=event) if probed else []
+
+    def _probe(self, *, now: float, key: str, probed: Probed) -> Call:
+        probed.count += 1
+        probed.token, probed.next_at = f"probe {key} {probed.count}", now + constants.PROBE_WAIT
+        return Call(token=probed.token, owner=key, address=probed.worker.address, method="GET", path="/status",
+                    headers={"Sailward-Worker": key}, body=b"", wait=constants.PROBE_WAIT, fresh=False)
+
+    def _judge(self, *, now: float, event: Called) -> list:
+        key = event.token.split(" ")[1]
+        probed = self.probed.get(key)
+        if probed is None or probed.token != event.token:
+            return []
+        probed.token = ""
+        verdict = "pass" if event.code == 200 else "fail"
+        if verdict == "pass" and event.headers.get("sailward-worker") != key:
+            verdict = "stranger"
+        commands = self._move(now=now, probed=probed, event=verdict)
+        every = constants.PROBE_EVERY if probed.state in ("good", "down") else constants.PROBE_DOUBT
+        probed.next_at = now + every * (0.9 + 0.2 * self._rng.random())
+        return commands
+
+    def _move(self, *, now: float, probed: Probed, event: str) -> list:
+        before = probed.state
+        probed.state = CHART.step(state=before, event=event)
+        if before == probed.state:
+            return []
+        if before == "rising" and probed.state == "good":
+            probed.warm_since = now
+        if {before, probed.state} <= {"good", "doubt"}:
+            return []
+        return [Log(event="worker-status", fields={"worker": probed.worker.key, "from": before,
+                                                    "to": probed.state, "by": event})]
--- /dev/null
+++ b/sailward/pour/verify.py
@@ -0,0 +1,85 @@
+"""Is a worker's result whole, its own, and this exchange's?"""
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+from dataclasses import dataclass
+
+from sailward.acts import Called
+from sailward.pour.exchange import HOP, Exchange
+
+
+@dataclass(frozen=True, kw_only=True)
+class Good:
+    """The worker's own result, whole."""
+
+    code: int
+    headers: dict
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class WorkerRefused:
+    """The worker itself says that it did not run the exchange."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Unsent:
+    """No byte of the exchange left this process."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Bad:
+    """Nothing that may be given to a caller; it may have run."""
+
+    reason: str
+    stranger: bool = False
+
+
+def judge_result(*, exchange: Exchange, event: Called) -> Good | WorkerRefused | Unsent | Bad:
+    """Judge the end of one sending-on."""
+    if event.code == 0:
+        return Bad(reason=event.fault) if event.sent else Unsent(reason=event.fault)
+    headers = event.headers
+    if headers.get("sailward-worker") != exchange.worker:
+        return Bad(reason="another-worker", stranger=True)
+    if headers.get("sailward-exchange") != exchange.name:
+        return Bad(reason="another-exchange")
+    if event.code in (429, 503) and headers.get("sailward-ran") == "not-run":
+        return WorkerRefused(reason=f"code:{event.code}")
+    fault = _find_fault(exchange=exchange, event=event)
+    if fault:
+        return Bad(reason=fault)
+    kept = {name: value for name, value in headers.items()
+            if name not in HOP and not name.startswith("sailward-")}
+    return Good(code=event.code, headers=kept, body=event.body)
+
+
+def _find_fault(*, exchange: Exchange, event: Called) -> str:
+    headers, body = event.headers, event.body
+    if event.code < 200:
+        return "code"
+    if exchange.method == "HEAD" or event.code in (204, 304):
+        return ""
+    if "content-length" not in headers and headers.get("transfer-encoding", "").lower() != "chunked":
+        return "unframed"
+    if "content-length" in headers and headers["content-length"] != str(len(body)):
+        return "cut-short"
+    if len(body) > exchange.service.result_bytes:
+        return "too-large"
+    digest = headers.get("content-digest", "")
+    if digest or exchange.service.digest_required:
+        wanted = "sha-256=:" + base64.b64encode(hashlib.sha256(body).digest()).decode() + ":"
+        if wanted not in [part.strip() for part in digest.split(",")]:
+            return "wrong-bytes"
+    if headers.get("content-type", "").split(";")[0].strip() == "application/json":
+        try:
+            json.loads(body)
+        except ValueError:
+            return "not-json"
+    return ""
--- /dev/null
+++ b/sailward/programs/common.py
@@ -0,0 +1,80 @@
+"""What the daemons' programs have in common."""
+from __future__ import annotations
+
+import os
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from docopt import DocoptExit, docopt
+
+import sailward
+from sailward import constants
+from sailward.dock.calls import Calls
+from sailward.dock.logs import start_logs, write_log
+from sailward.dock.loop import Edges, Loop, run_guarded
+from sailward.dock.post import Post
+from sailward.dock.startup import BadStartup, read_startup
+from sailward.dock.web import Web
+from sailward.roster.gossip import Place
+
+
+def read_flags(*, doc: str, argv: list[str] | None) -> dict:
+    """The flags; wrong ones end the process with the usage and code 2."""
+    try:
+        return docopt(doc, argv=argv, version=f"sailward {sailward.__version__}")
+    except DocoptExit as fault:
+        print(fault.code, file=sys.stderr)
+        sys.exit(constants.EXIT_USAGE)
+
+
+def read_settings(*, flags: dict, schema: dict) -> dict:
+    """The settings; wrong ones end the process with every fault and code 2."""
+    settings = read_startup(flags=flags, schema=schema)
+    if isinstance(settings, BadStartup):
+        for fault in settings.faults:
+            print(fault, file=sys.stderr)
+        sys.exit(constants.EXIT_USAGE)
+    start_logs(level=settings["log_level"], name=settings["name"])
+    return settings
+
+
+def make_place(*, settings: dict, kind: str) -> Place:
+    """The place that the settings tell."""
+    return Place(name=settings["name"], kind=kind, hall=settings["hall"], region=settings["region"],
+                 post=settings["post"], http=settings["http"], seeds=tuple(settings["seeds"]),
+                 version=sailward.__version__)
+
+
+def make_nonce() -> str:
+    """What sets this start apart."""
+    return os.urandom(constants.NONCE_BYTES).hex()
+
+
+def make_start() -> int:
+    """A number that grows from start to start. Wall time: it orders a daemon's own starts, no more."""
+    return time.time_ns() // 1000
+
+
+def start_edges(*, settings: dict, loop: Loop, limit: int, calling: bool, disk: object | None = None) -> Edges:
+    """Open the sockets and begin to serve; an address in use ends the process."""
+    threads = ThreadPoolExecutor(max_workers=2 * constants.HTTP_THREADS)
+    try:
+        post = Post(address=settings["post"], tell=loop.tell, threads=threads)
+        web = Web(address=settings["http"], limit=limit, tell=loop.tell,
+                  threads=ThreadPoolExecutor(max_workers=constants.HTTP_THREADS))
+    except (OSError, SystemExit) as fault:
+        write_log(event="address-taken", fields={"post": settings["post"], "http": settings["http"],
+                                                 "reason": fault}, level="error")
+        os._exit(constants.EXIT_TAKEN)
+    calls = Calls(tell=loop.tell) if calling else None
+    edges = Edges(loop=loop, post=post, web=web, calls=calls, disk=disk)
+    edges.connect()
+    post.start()
+    run_guarded(threads=threads, loop=loop, name="web", run=web.run)
+    if calls:
+        run_guarded(threads=threads, loop=loop, name="calls", run=calls.run)
+    if disk:
+        run_guarded(threads=threads, loop=loop, name="disk", run=disk.run)
+    write_log(event="started", fields={"post": settings["post"], "http": settings["http"], "hall": settings["hall"]})
+    return edges
--- /dev/null
+++ b/sailward/programs/concierge.py
@@ -0,0 +1,44 @@
+"""concierge: a directory of sailward. It hands callers the addresses of proxies.
+
+Usage:
+  concierge --settings FILE [options]
+  concierge [options]
+  concierge (-h | --help | --version)
+
+Options:
+  --settings FILE    Settings in TOML; a flag goes before the file.
+  --name NAME        This daemon's name, one of its own in the fleet.
+  --hall HALL        The hall (zone) it stands in.
+  --region REGION    The region of the hall.
+  --post ADDRESS     IP:port for messages between sailward's processes.
+  --http ADDRESS     IP:port for callers.
+  --seeds LIST       One to three IP:port of other processes' posts, with commas.
+  --log-level LEVEL  debug, info, warning or error [default is info].
+  -h --help          Show this.
+  --version          Show the version.
+
+Exit codes: 0 stopped; 2 bad flags or settings; 7 address in use; 70 fault.
+"""
+from __future__ import annotations
+
+import random
+
+from sailward import constants
+from sailward.dock.loop import Loop, end_process
+from sailward.dock.startup import COMMON
+from sailward.house.concierge import Concierge
+from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run a directory until it is told to stop."""
+    settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=COMMON)
+    loop, nonce = Loop(), make_nonce()
+    owner = Concierge(place=make_place(settings=settings, kind="concierge"), start=make_start(),
+                      rng=random.Random(nonce))
+    edges = start_edges(settings=settings, loop=loop, limit=constants.BODY_BYTES, calling=False)
+    end_process(code=loop.run(step=owner.step), web=edges.web)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sailward/programs/steward.py
@@ -0,0 +1,137 @@
+"""steward: the operators' client of sailward.
+
+Usage:
+  steward [options] found
+  steward [options] get
+  steward [options] put FILE
+  steward [options] patch FILE
+  steward [options] check FILE
+  steward [options] empty HALL [--confirm]
+  steward [options] refill HALL
+  steward [options] orders
+  steward [options] status
+  steward [options] workers
+  steward (-h | --help | --version)
+
+Options:
+  --cellars LIST   IP:port of the cellars' operators' interfaces, with commas
+                   [default: 127.0.0.1:7100].
+  --if-match N     Change only the configuration that has this number.
+  --confirm        Empty the hall though a bound tenant is left without any place.
+  -h --help        Show this.
+  --version        Show the version.
+
+FILE is JSON, or - for standard input. `found` joins the named cellars, all new, into a core.
+
+Exit codes: 0 done; 1 the configuration has faults; 2 bad usage or file; 3 no cellar answered, nothing changed;
+4 refused, nothing changed; 6 unknown: the change may be in force, now or later, read it back.
+"""
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from urllib.parse import quote
+
+from sailward import constants
+from sailward.counter.client import Client, Reply, Unreachable, ask_once
+from sailward.label.check import Unsound, check_config, read_config
+from sailward.programs.common import read_flags
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Carry out one command of an operator."""
+    flags = read_flags(doc=__doc__, argv=argv)
+    cellars = [one.strip() for one in flags["--cellars"].split(",") if one.strip()]
+    if not cellars:
+        _end(code=constants.EXIT_USAGE, message="--cellars names no cellar")
+    client = Client(cellars=cellars)
+    if flags["found"]:
+        _found(cellars=cellars)
+    elif flags["put"] or flags["patch"]:
+        _change(client=client, flags=flags)
+    elif flags["check"]:
+        _check(text=_read(path=flags["FILE"]))
+    elif flags["empty"] or flags["refill"]:
+        path = f"/halls/{quote(flags['HALL'], safe='')}/" + ("empty" if flags["empty"] else "refill")
+        _show(reply=client.step(method="POST", path=path + ("?confirm=yes" if flags["--confirm"] else "")))
+    else:
+        path = next(name for name in ("get", "orders", "status", "workers") if flags[name])
+        _show(reply=client.step(method="GET", path="/config" if path == "get" else f"/{path}"))
+
+
+def _found(*, cellars: list[str]) -> None:
+    members = {}
+    for cellar in cellars:
+        reply = ask_once(address=cellar, method="GET", path="/status")
+        if isinstance(reply, Unreachable) or "identity" not in reply.body:
+            _end(code=constants.EXIT_UNREACHABLE, message=f"every cellar named must answer; {cellar} does not")
+        members[reply.body["identity"]] = reply.body["post"]
+    if len(members) < len(cellars):
+        _end(code=constants.EXIT_USAGE, message="a cellar is named twice")
+    for cellar in cellars:
+        reply = ask_once(address=cellar, method="POST", path="/found", body=json.dumps({"members": members}).encode())
+        if isinstance(reply, Unreachable):
+            _end(code=constants.EXIT_UNKNOWN, message=f"{cellar} did not answer: give the same command again")
+        if reply.code != 200:
+            _show(reply=reply)
+    print(json.dumps({"outcome": "founded", "members": members}, indent=2))
+
+
+def _change(*, client: Client, flags: dict) -> None:
+    text = _read(path=flags["FILE"])
+    headers = {}
+    if flags["--if-match"] is not None:
+        if not flags["--if-match"].isdigit():
+            _end(code=constants.EXIT_USAGE, message="--if-match is a number")
+        headers["If-Match"] = f'"{flags["--if-match"]}"'
+    method = "PUT" if flags["put"] else "PATCH"
+    _show(reply=client.step(method=method, path="/config", body=text, headers=headers))
+
+
+def _check(*, text: bytes) -> None:
+    config = read_config(text=text)
+    sound = config if isinstance(config, Unsound) else check_config(config=config)
+    if isinstance(sound, Unsound):
+        for fault in sound.faults:
+            print(f"fault: {fault.path or '(whole)'}: {fault.reason}")
+        sys.exit(1)
+    for fault in sound.warnings:
+        print(f"warning: {fault.path}: {fault.reason}")
+    print(f"sound, {len(sound.warnings)} warnings")
+
+
+def _read(*, path: str) -> bytes:
+    try:
+        return sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
+    except OSError as fault:
+        _end(code=constants.EXIT_USAGE, message=f"{path}: {fault.strerror}")
+
+
+def _show(*, reply: Reply | Unreachable) -> None:
+    if isinstance(reply, Unreachable):
+        for reason in reply.reasons:
+            print(reason, file=sys.stderr)
+        if reply.sent:
+            _end(code=constants.EXIT_UNKNOWN, message="unknown: the change may be in force, now or later; read it back")
+        _end(code=constants.EXIT_UNREACHABLE, message="no cellar answered; nothing was changed")
+    if reply.code < 300:
+        print(json.dumps(reply.body, indent=2))
+        return
+    for fault in reply.body.get("faults", []):
+        print(f"fault: {fault['path'] or '(whole)'}: {fault['reason']}", file=sys.stderr)
+    message = f"{reply.body.get('outcome', 'refused')}: {reply.body.get('error')}: {reply.body.get('detail')}"
+    for tenant in reply.body.get("tenants", []):
+        print(f"tenant: {tenant}", file=sys.stderr)
+    if reply.body.get("outcome") == "unknown":
+        _end(code=constants.EXIT_UNKNOWN, message=message)
+    _end(code=1 if reply.body.get("faults") else constants.EXIT_REFUSED, message=message)
+
+
+def _end(*, code: int, message: str) -> None:
+    print(message, file=sys.stderr)
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sailward/roster/gossip.py
@@ -0,0 +1,114 @@
+"""The roster of daemons: beats told to the few that each watches, until all know all."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Log, Tell
+from sailward.roster.rendezvous import choose_names
+
+ENTRY = {"id": str, "kind": str, "hall": str, "region": str, "post": str, "http": str,
+         "start": int, "beat": int, "fit": bool, "version": str}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Place:
+    """Where a daemon stands and how it is reached."""
+
+    name: str
+    kind: str
+    hall: str
+    region: str
+    post: str
+    http: str
+    seeds: tuple = ()
+    version: str = ""
+
+
+@dataclass(kw_only=True)
+class Known:
+    """One daemon as it is known here."""
+
+    entry: dict
+    seen: float
+    lost: bool = False
+
+
+@dataclass(kw_only=True)
+class Roster:
+    """Owner of the daemons known; `step` takes a gossip message or None for time going on."""
+
+    place: Place
+    start: int
+    fit: bool = False
+    beat: int = 0
+    known: dict = field(default_factory=dict)
+    told: float = -1e9
+
+    def step(self, *, now: float, event: tuple | None) -> list:
+        """Fold a (sender, body) or tell the watched."""
+        if event is not None:
+            sender, body = event
+            commands = self._fold(now=now, entries=body["entries"])
+            if not body["reply"]:
+                reply = {"kind": "gossip", "entries": self._entries(now=now), "reply": True}
+                commands.append(Tell(to=sender, body=reply))
+            return commands
+        commands = self._judge(now=now)
+        if now - self.told >= constants.GOSSIP:
+            self.told, self.beat = now, self.beat + 1
+            body = {"kind": "gossip", "entries": self._entries(now=now), "reply": False}
+            commands += [Tell(to=address, body=body) for address in self._watched()]
+        return commands
+
+    def own_entry(self) -> dict:
+        """What this daemon says of itself."""
+        place = self.place
+        return {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region,
+                "post": place.post, "http": place.http, "start": self.start, "beat": self.beat,
+                "fit": self.fit, "version": place.version}
+
+    def alive(self, *, kind: str) -> list[dict]:
+        """The entries of the daemons of this kind that are not lost."""
+        return [known.entry for known in self.known.values() if known.entry["kind"] == kind and not known.lost]
+
+    def _watched(self) -> list[str]:
+        others = {known.entry["id"]: known.entry["post"] for known in self.known.values()}
+        names = choose_names(key=self.place.name, names=others, count=constants.WATCHED)
+        addresses = [others[name] for name in names]
+        alive = sum(not known.lost for known in self.known.values())
+        if alive < constants.WATCHED or self.beat % 10 == 0:
+            addresses += [seed for seed in self.place.seeds if seed not in addresses]
+        return [address for address in addresses if address != self.place.post]
+
+    def _entries(self, *, now: float) -> list[dict]:
+        fresh = [known.entry for known in self.known.values() if not known.lost]
+        return [self.own_entry(), *fresh]
+
+    def _fold(self, *, now: float, entries: list) -> list:
+        commands = []
+        for entry in entries:
+            if not is_entry(given=entry) or entry["id"] == self.place.name:
+                continue
+            known = self.known.get(entry["id"])
+            if known and (entry["start"], entry["beat"]) <= (known.entry["start"], known.entry["beat"]):
+                continue
+            if known is None or known.lost:
+                commands.append(Log(event="daemon-found", fields={"daemon": entry["id"], "at": entry["post"]}))
+            self.known[entry["id"]] = Known(entry=entry, seen=now)
+        return commands
+
+    def _judge(self, *, now: float) -> list:
+        commands = []
+        for name, known in list(self.known.items()):
+            if not known.lost and now - known.seen > constants.SUSPECT:
+                known.lost = True
+                commands.append(Log(event="daemon-lost", fields={"daemon": name}))
+            if now - known.seen > constants.FORGET:
+                del self.known[name]
+        return commands
+
+
+def is_entry(*, given: object) -> bool:
+    """Is it a daemon's entry, with all its fields?"""
+    return isinstance(given, dict) and all(isinstance(given.get(name), kind) for name, kind in ENTRY.items())
--- /dev/null
+++ b/tasting/deployments.py
@@ -0,0 +1,98 @@
+"""The two deployments of the users, as data: machines, workers, configuration, callers."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deployment:
+    """One user's fleet."""
+
+    name: str
+    halls: dict
+    daemons: tuple
+    workers: tuple
+    config: dict
+    callers: tuple
+    rate: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerKind:
+    """One kind of caller: what it asks for, and its part of all the traffic."""
+
+    tenant: str
+    path: str
+    unsafe: bool
+    part: float
+    region: str
+    eager: bool = False
+
+
+def _halls(*regions: tuple) -> dict:
+    return {f"{short}-{letter}": region for region, short in regions for letter in "ab"}
+
+
+def _daemons(*, halls: dict, sommeliers: int, concierges: int) -> tuple:
+    names = list(halls)
+    rows = [("cellar", f"cellar-{i}", names[i % 4]) for i in range(4)]
+    rows += [("sommelier", f"sommelier-{i}", names[i % 4]) for i in range(sommeliers)]
+    rows += [("concierge", f"concierge-{i}", names[(i + 1) % 4]) for i in range(concierges)]
+    return tuple(rows)
+
+
+def _workers(*, halls: dict, services: tuple, extra: int = 0) -> tuple:
+    rows = [(f"{service}-{hall}-{i}", service, hall) for service in services for hall in halls for i in range(2)]
+    rows += [(f"{services[0]}-{list(halls)[0]}-{2 + i}", services[0], list(halls)[0]) for i in range(extra)]
+    return tuple(rows)
+
+
+def _config(*, halls: dict, services: tuple, tenants: dict, split: tuple, expiry: float = 2.0) -> dict:
+    first, second = list(dict.fromkeys(halls.values()))
+    ours = [hall for hall, region in halls.items() if region == first]
+    theirs = [hall for hall, region in halls.items() if region == second]
+    pools, matches = {}, []
+    for service in services:
+        pools[f"{service}-{first}"] = {"service": service, "preferred": ours, "fallback": theirs}
+        pools[f"{service}-{second}"] = {"service": service, "preferred": theirs, "fallback": ours}
+        matches.append({"path": f"/{service}", "pools": [{"pool": f"{service}-{first}", "weight": split[0]},
+                                                        {"pool": f"{service}-{second}", "weight": split[1]}]})
+    return {"halls": {hall: {"region": region} for hall, region in halls.items()},
+            "services": {service: {"expiry_s": expiry, "rate": 100, "cold_rate": 10, "cold_ramp_s": 10}
+                         for service in services},
+            "pools": pools, "tenants": tenants, "matches": matches}
+
+
+def make_arriaga() -> Deployment:
+    """Wine: 11 machines, 4 halls in 2 regions, 32 workers in 4 services, 155 exchanges/s."""
+    halls = _halls(("guadalajara", "gdl"), ("ensenada", "ens"))
+    services = ("stock", "orders", "notes", "deliveries")
+    tenants = {"restaurants": {}, "hotels": {}, "shops": {}, "tapatia": {"homes": ["guadalajara"]}}
+    callers = (CallerKind(tenant="restaurants", path="/stock", unsafe=False, part=0.30, region="guadalajara"),
+               CallerKind(tenant="hotels", path="/notes", unsafe=False, part=0.20, region="ensenada"),
+               CallerKind(tenant="restaurants", path="/orders", unsafe=True, part=0.15, region="guadalajara"),
+               CallerKind(tenant="tapatia", path="/orders", unsafe=True, part=0.10, region="guadalajara"),
+               CallerKind(tenant="shops", path="/deliveries", unsafe=False, part=0.15, region="ensenada", eager=True),
+               CallerKind(tenant="tapatia", path="/stock", unsafe=False, part=0.10, region="guadalajara"))
+    return Deployment(name="arriaga", halls=halls, daemons=_daemons(halls=halls, sommeliers=5, concierges=2),
+                      workers=_workers(halls=halls, services=services), callers=callers, rate=155.0,
+                      config=_config(halls=halls, services=services, tenants=tenants, split=(70, 30)))
+
+
+def make_peachtree() -> Deployment:
+    """Desks: 12 machines, 4 halls in 2 regions, 33 workers in 4 services, 225 exchanges/s."""
+    halls = _halls(("atlanta", "atl"), ("savannah", "sav"))
+    services = ("lookup", "booking", "usage", "occupancy")
+    tenants = {"brand-a": {"share": 1}, "brand-b": {"share": 1}, "brand-c": {"share": 1, "homes": ["savannah"]}}
+    callers = (CallerKind(tenant="brand-a", path="/lookup", unsafe=False, part=0.30, region="atlanta"),
+               CallerKind(tenant="brand-b", path="/lookup", unsafe=False, part=0.25, region="savannah"),
+               CallerKind(tenant="brand-a", path="/booking", unsafe=True, part=0.15, region="atlanta"),
+               CallerKind(tenant="brand-c", path="/booking", unsafe=True, part=0.10, region="savannah"),
+               CallerKind(tenant="brand-b", path="/usage", unsafe=False, part=0.10, region="savannah"),
+               CallerKind(tenant="brand-c", path="/occupancy", unsafe=False, part=0.10, region="savannah"))
+    return Deployment(name="peachtree", halls=halls, daemons=_daemons(halls=halls, sommeliers=6, concierges=2),
+                      workers=_workers(halls=halls, services=services, extra=1), callers=callers, rate=225.0,
+                      config=_config(halls=halls, services=services, tenants=tenants, split=(60, 40)))
+
+
+DEPLOYMENTS = {"arriaga": make_arriaga, "peachtree": make_peachtree}
--- /dev/null
+++ b/tasting/mind.py
@@ -0,0 +1,84 @@
+"""The worker stand-in's mind: what it does with one exchange. Shared by the simulator and the real process."""
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+import random
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """What goes back. `cut` bytes are sent of the body; `lost` means that the connection just closes."""
+
+    code: int = 200
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+    cut: int | None = None
+    lost: bool = False
+    ran: bool = False
+
+
+@dataclass(kw_only=True)
+class Mind:
+    """One worker. `mode` is its trouble of the moment, met by each exchange with `chance`."""
+
+    name: str
+    generation: int
+    service: str
+    hall: str
+    rng: random.Random
+    mode: str = "well"
+    chance: float = 1.0
+    runs: int = 0
+
+    @property
+    def key(self) -> str:
+        """Its identity."""
+        return f"{self.name}/{self.generation}"
+
+    def step(self, *, method: str, path: str, headers: dict) -> Reply:
+        """Judge one exchange."""
+        own = {"sailward-worker": self.key}
+        if path == "/status":
+            return Reply(code=503 if self.mode == "unwell" else 200, headers=own, body=b"{}")
+        troubled = self.mode != "well" and self.rng.random() < self.chance
+        own["sailward-exchange"] = headers.get("sailward-exchange", "")
+        if headers.get("sailward-worker") != self.key or headers.get("sailward-service") != self.service:
+            # the address passed from another worker: a real one would not know, but it runs nothing foreign
+            return Reply(code=421, headers=own, body=b"{}")
+        if troubled and self.mode == "refuse":
+            return Reply(code=503, headers={**own, "sailward-ran": "not-run"}, body=b"{}")
+        if troubled and self.mode == "lose-unrun":
+            return Reply(lost=True)
+        self.runs += 1
+        if troubled and self.mode == "lose":
+            return Reply(lost=True, ran=True)
+        body = json.dumps({"worker": self.key, "hall": self.hall, "service": self.service,
+                           "nonce": headers.get("x-caller", ""), "method": method}).encode()
+        digest = base64.b64encode(hashlib.sha256(body).digest()).decode()
+        own |= {"content-type": "application/json", "content-digest": f"sha-256=:{digest}:",
+                "content-length": str(len(body))}
+        if troubled and self.mode == "wrong-bytes":
+            return Reply(headers=own, body=body[:-9] + b"#" + body[-8:], ran=True)
+        if troubled and self.mode == "cut":
+            return Reply(headers=own, body=body, cut=len(body) // 2, ran=True)
+        if troubled and self.mode == "other-exchange":
+            return Reply(headers={**own, "sailward-exchange": "someone-else"}, body=body, ran=True)
+        if troubled and self.mode == "error":
+            return Reply(code=500, headers=own, body=body, ran=True)
+        return Reply(headers=own, body=body, ran=True)
+
+
+def judge_body(*, code: int, body: bytes, nonce: str) -> str:
+    """What a caller makes of a result: good, or what is wrong with it."""
+    if code >= 400:
+        return ""
+    try:
+        seen = json.loads(body)
+    except ValueError:
+        return "not-json"
+    if not isinstance(seen, dict) or seen.get("nonce") != nonce:
+        return "not-mine"
+    return "good"
--- /dev/null
+++ b/tasting/run_fleet.py
@@ -0,0 +1,132 @@
+"""Run a deployment as real processes, bring faults about, and check the histories.
+
+Usage:
+  run_fleet [options] DEPLOYMENT
+
+Options:
+  --seconds N      How long the callers order [default: 20].
+  --rate N         Orders a second; by default the deployment's own.
+  --seed N         Seed of the callers and of the faults [default: 1].
+  --faults WORDS   Steps as SECOND:VERB:NAME with commas; verbs are kill, start, stop, freeze, thaw, replace,
+                   leave, empty, refill, mode. For mode, NAME is WORKER/MODE/CHANCE.
+  --folder DIR     Where settings, data, logs and histories are kept; a new one by default.
+"""
+from __future__ import annotations
+
+import collections
+import json
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+from docopt import docopt
+
+from tasting.checker import check_history
+from tasting.deployments import DEPLOYMENTS
+from tasting.real.callers import Callers, ask
+from tasting.real.fleet import Fleet
+
+
+def bring_up(*, fleet: Fleet) -> None:
+    """Start, found, configure, and wait until every proxy serves."""
+    fleet.start_all()
+    for words, text in ((("found",), b""), (("put", "-"), json.dumps(fleet.deployment.config).encode())):
+        done = fleet.steward(*words, text=text)
+        if done.returncode != 0:
+            raise RuntimeError(f"steward {words}: {done.returncode}: {done.stderr.decode()}")
+    for name in fleet.names_of(kind="sommelier"):
+        fleet.wait_for(check=lambda name=name: serves(fleet=fleet, name=name), what=f"{name} to serve")
+    for name in fleet.names_of(kind="concierge"):
+        fleet.wait_for(check=lambda name=name: names_all(fleet=fleet, name=name), what=f"{name} to name all proxies")
+
+
+def serves(*, fleet: Fleet, name: str) -> bool:
+    """Does the proxy hold its lease and see all workers well?"""
+    status = fleet.status_of(name=name)
+    states = collections.Counter(status.get("workers", {}).values())
+    return bool(status.get("acting")) and states["good"] == len(fleet.workers)
+
+
+def names_all(*, fleet: Fleet, name: str) -> bool:
+    """Does the directory name every proxy?"""
+    try:
+        code, _, body = ask(address=fleet.https[name], method="GET", path="/proxies")
+    except OSError:
+        return False
+    return code == 200 and len(json.loads(body)["proxies"]) == len(fleet.names_of(kind="sommelier"))
+
+
+def do_step(*, fleet: Fleet, verb: str, name: str) -> None:
+    """Bring one fault about."""
+    if verb == "start":
+        fleet.start_daemon(name=name) if name in fleet.kinds else fleet.start_worker(name=name)
+    elif verb == "stop":
+        fleet.stop(name=name)
+    elif verb in ("kill", "freeze", "thaw"):
+        getattr(fleet, verb)(name=name)
+    elif verb == "replace":
+        fleet.replace_worker(name=name)
+    elif verb == "leave":
+        fleet.platform.set_worker(row={**fleet.workers[name], "leaving": True})
+    elif verb in ("empty", "refill"):
+        begun = time.monotonic()
+        if fleet.steward(verb, name).returncode == 0:
+            fleet.history.add(t=time.monotonic(), k="emptied" if verb == "empty" else "refilled", hall=name, begun=begun)
+    elif verb == "mode":
+        worker, mode, chance = name.split("/")
+        ask(address=fleet.workers[worker]["address"], method="POST", path="/tasting/mode",
+            body=json.dumps({"mode": mode, "chance": float(chance)}).encode())
+    else:
+        raise ValueError(f"no verb {verb!r}")
+
+
+def report(*, fleet: Fleet) -> list:
+    """Print the figures; gives the broken rules."""
+    history = fleet.whole_history()
+    broken = check_history(history=history, halls=fleet.deployment.halls)
+    got = history.of(k="got")
+    good = sum(row["verdict"] == "good" for row in got)
+    kinds = collections.Counter(f"{row['code']}-{row['reason']}-{row['ran']}" for row in got if row["verdict"] != "good")
+    times = sorted(row["took"] for row in got if row["verdict"] == "good")
+    print(f"tries {len(got)}, good {good}, others {dict(kinds)}, runs {len(history.of(k='run'))}")
+    if times:
+        print(f"took: median {times[len(times) // 2] * 1000:.1f} ms, 99 of 100 under {times[int(len(times) * 0.99)] * 1000:.1f} ms")
+    for one in broken[:10]:
+        print(f"broken {one.rule}: {one.detail}")
+    print(f"{len(broken)} broken rules")
+    return broken
+
+
+def main() -> None:
+    """Run one deployment."""
+    flags = docopt(__doc__)
+    deployment = DEPLOYMENTS[flags["DEPLOYMENT"]]()
+    folder = Path(flags["--folder"] or tempfile.mkdtemp(prefix="sailward-"))
+    fleet = Fleet(deployment=deployment, folder=folder)
+    try:
+        began = time.monotonic()
+        bring_up(fleet=fleet)
+        print(f"up after {time.monotonic() - began:.1f} s in {folder}")
+        callers = Callers(deployment=deployment, seed=int(flags["--seed"]), history=fleet.history,
+                          concierges=[fleet.https[name] for name in fleet.names_of(kind="concierge")])
+        thread = threading.Thread(target=lambda: callers.run(rate=float(flags["--rate"] or deployment.rate),
+                                                             seconds=float(flags["--seconds"])))
+        began = time.monotonic()
+        thread.start()
+        for step in filter(None, (flags["--faults"] or "").split(",")):
+            second, verb, name = step.split(":")
+            time.sleep(max(0.0, began + float(second) - time.monotonic()))
+            do_step(fleet=fleet, verb=verb, name=name)
+        thread.join()
+        print(f"callers lagged {callers.lag * 1000:.0f} ms at the most")
+        fleet.history.write(path=str(folder / "callers.jsonl"))
+        broken = report(fleet=fleet)
+    finally:
+        fleet.end()
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tasting/sim/clock.py
@@ -0,0 +1,30 @@
+"""Virtual time."""
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+
+class Clock:
+    """Runs what is due in the order of its time."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self._heap: list = []
+        self._count = itertools.count()
+
+    def after(self, delay: float, act: Callable[[], None]) -> None:
+        """Run `act` after `delay` seconds."""
+        heapq.heappush(self._heap, (self.now + delay, next(self._count), act))
+
+    def at(self, when: float, act: Callable[[], None]) -> None:
+        """Run `act` at this time."""
+        heapq.heappush(self._heap, (max(when, self.now), next(self._count), act))
+
+    def run(self, *, until: float) -> None:
+        """Run all that is due until then."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, act = heapq.heappop(self._heap)
+            act()
+        self.now = until
--- /dev/null
+++ b/tasting/sim/disk.py
@@ -0,0 +1,69 @@
+"""The seeded disk: what is not synced may be lost or torn; it may be full, wiped or damaged."""
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from sailward.acts import Rewrite, Store
+from sailward.dock.disk import Damaged, Read, pack_frame, read_frames
+
+
+@dataclass(kw_only=True)
+class Disk:
+    """The bytes of one cellar's file, in the product's own form."""
+
+    rng: random.Random
+    synced: bytes = b""
+    pending: list = field(default_factory=list)
+    is_full: bool = False
+    sync_fails: bool = False
+    lies: bool = False
+
+    def write(self, *, command: Store | Rewrite) -> float:
+        """Take the command; gives how long its sync takes."""
+        self.pending.append(command)
+        return self.rng.uniform(0.001, 0.006)
+
+    def sync(self, *, command: Store | Rewrite) -> None:
+        """The command's bytes last from now on."""
+        self.pending.remove(command)
+        frame = pack_frame(records=command.records)
+        self.synced = frame if isinstance(command, Rewrite) else self.synced + frame
+
+    def lose_power(self) -> None:
+        """A part of what was not synced is there, maybe torn."""
+        for command in self.pending:
+            if isinstance(command, Rewrite):
+                continue
+            frame = pack_frame(records=command.records)
+            keep = self.rng.randrange(len(frame) + 1)
+            self.synced += frame[:keep]
+            if keep < len(frame):
+                break
+        self.pending.clear()
+
+    def kill(self) -> None:
+        """The process is gone; what it had written is there."""
+        for command in self.pending:
+            if isinstance(command, Store) and self.rng.random() < 0.7:
+                self.synced += pack_frame(records=command.records)
+            else:
+                break
+        self.pending.clear()
+
+    def wipe(self) -> None:
+        """Everything is gone."""
+        self.synced = b""
+        self.pending.clear()
+
+    def damage(self) -> None:
+        """One byte in the middle is wrong."""
+        at = len(self.synced) // 3
+        self.synced = self.synced[:at] + bytes([self.synced[at] ^ 0x5A]) + self.synced[at + 1:]
+
+    def read(self) -> Read | Damaged:
+        """What a start finds; a torn end is cut off."""
+        found = read_frames(data=self.synced)
+        if isinstance(found, Read):
+            self.synced = self.synced[:found.length]
+        return found
--- /dev/null
+++ b/tasting/sim/expect.py
@@ -0,0 +1,89 @@
+"""What a scenario expects beyond that no rule is broken: judged by histories."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tasting.sim.world import World
+
+
+def judge_expectation(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """(what is wrong or nothing, the figure) of one expectation."""
+    head, rest = words[0], words[1:]
+    judge = {"share": _judge_share, "good": _judge_good, "rows": _judge_rows, "runs": _judge_runs,
+             "answers": _judge_answers, "split": _judge_split}[head]
+    return judge(words=rest, world=world, begin=begin)
+
+
+def _window(*, words: list[str], begin: float) -> tuple[list[str], float, float]:
+    if "from" not in words:
+        return words, 0.0, float("inf")
+    at = words.index("from")
+    return words[:at], begin + float(words[at + 1]), begin + float(words[at + 3])
+
+
+def _picked(*, rows: list, low: float, high: float) -> list:
+    return [row for row in rows if low <= row["t"] < high]
+
+
+def _pairs(*, words: list[str]) -> dict:
+    return dict(word.split("=", 1) for word in words if "=" in word)
+
+
+def _judge_share(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """share PLACE LOW HIGH [field=value ...] from A to B: the part of the runs in a region, hall or worker."""
+    words, low, high = _window(words=words, begin=begin)
+    place, least, most = words[0], float(words[1]), float(words[2])
+    runs = _picked(rows=world.history.of(k="run"), low=low, high=high)
+    for name, value in _pairs(words=words).items():
+        runs = [run for run in runs if str(run[name]) == value]
+    if not runs:
+        return f"share {place}: no runs", None
+    part = sum(place in (run["region"], run["hall"], run["worker"]) for run in runs) / len(runs)
+    return ("" if least <= part <= most else f"share {place} is {part:.3f} of {len(runs)}, not {least} to {most}"), round(part, 4)
+
+
+def _judge_split(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """split SERVICE from A to B: shows the part of each hall; judges nothing by itself."""
+    words, low, high = _window(words=words, begin=begin)
+    runs = [run for run in _picked(rows=world.history.of(k="run"), low=low, high=high) if run["service"] == words[0]]
+    halls = {hall: round(sum(run["hall"] == hall for run in runs) / max(1, len(runs)), 3) for hall in world.deployment.halls}
+    return ("" if runs else "split: no runs"), {**halls, "runs": len(runs)}
+
+
+def _judge_good(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """good LEAST [field=value ...] from A to B: the part of tries with a good result."""
+    words, low, high = _window(words=words, begin=begin)
+    rows = _picked(rows=world.history.of(k="got"), low=low, high=high)
+    for name, value in _pairs(words=words).items():
+        rows = [row for row in rows if str(row[name]) == value]
+    if not rows:
+        return "good: no results", None
+    part = sum(row["verdict"] == "good" for row in rows) / len(rows)
+    least = float(words[0])
+    reasons: dict = {}
+    for row in rows:
+        if row["verdict"] != "good":
+            name = f"{row['code']}-{row['reason']}-{row['ran']}"
+            reasons[name] = reasons.get(name, 0) + 1
+    return ("" if part >= least else f"good is {part:.4f} of {len(rows)}, under {least}: {reasons}"), round(part, 4)
+
+
+def _judge_rows(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """rows KIND LEAST MOST [field=value ...] from A to B: how many rows of the history."""
+    words, low, high = _window(words=words, begin=begin)
+    rows = _picked(rows=world.history.of(k=words[0]), low=low, high=high)
+    for name, value in _pairs(words=words).items():
+        rows = [row for row in rows if str(row[name]) == value]
+    least, most = float(words[1]), float(words[2])
+    return ("" if least <= len(rows) <= most else f"rows {words[0]} {_pairs(words=words)}: {len(rows)}, not {least} to {most}"), len(rows)
+
+
+def _judge_runs(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """runs LEAST MOST [field=value ...] from A to B."""
+    return _judge_rows(words=["run", *words], world=world, begin=begin)
+
+
+def _judge_answers(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """answers LEAST MOST [field=value ...] from A to B."""
+    return _judge_rows(words=["got", *words], world=world, begin=begin)
--- /dev/null
+++ b/tasting/sim/node.py
@@ -0,0 +1,196 @@
+"""One simulated process: an owner, its alarms, and its commands carried out on the simulated world."""
+from __future__ import annotations
+
+import marshal
+import random
+from typing import TYPE_CHECKING
+
+from sailward import constants
+from sailward.acts import (Answer, Asked, Call, Called, DiskFailed, Heard, Log, Rewrite, Stop, StopAsked, Store,
+                           Synced, Tell, Ticked)
+from sailward.cask.messages import BadMessage, check_message
+from sailward.dock.disk import Damaged
+from sailward.house.cellar import Cellar
+from sailward.house.concierge import Concierge
+from sailward.house.sommelier import Sommelier
+from sailward.roster.gossip import Place
+from tasting.sim.disk import Disk
+
+if TYPE_CHECKING:
+    from tasting.sim.world import World
+
+
+class Node:
+    """A daemon's machine: it can be up, down or frozen; its disk outlives its process."""
+
+    def __init__(self, *, world: World, name: str, kind: str, hall: str, region: str, index: int, seeds: tuple) -> None:
+        self.world = world
+        self.place = Place(name=name, kind=kind, hall=hall, region=region, post=f"10.0.0.{index}:7000",
+                           http=f"10.0.0.{index}:7100", seeds=seeds, version="sim")
+        self.names = frozenset({name, hall, region, kind})
+        self.rng = random.Random(f"{world.seed}/{name}")
+        self.disk = Disk(rng=self.rng)
+        self.owner = None
+        self.life = 0
+        self.frozen: list | None = None
+        self.skew = 0.0
+        self.waiting: dict = {}
+        self.logs: list = []
+        self.code: int | None = None
+
+    @property
+    def up(self) -> bool:
+        """Is its process there and running?"""
+        return self.owner is not None and self.frozen is None
+
+    def start(self) -> None:
+        """Start the process on what the disk holds."""
+        if self.owner is not None:
+            return
+        self.life += 1
+        nonce = f"{self.rng.getrandbits(48):012x}"
+        common = {"place": self.place, "start": int(self.world.clock.now * 1000), "rng": random.Random(nonce)}
+        self.code = None
+        if self.place.kind == "cellar":
+            found = self.disk.read()
+            if isinstance(found, Damaged):
+                self.code = constants.EXIT_DISK
+                return
+            self.owner = Cellar(platform=self.world.platform.address, nonce=nonce, records=found.records,
+                                now=self.now(), **common)
+        elif self.place.kind == "sommelier":
+            self.owner = Sommelier(nonce=nonce, now=self.now(), **common)
+        else:
+            self.owner = Concierge(**common)
+        self._tick(life=self.life)
+
+    def stop(self) -> None:
+        """A planned stop."""
+        if self.up:
+            self.give(event=StopAsked())
+
+    def kill(self) -> None:
+        """The process is gone at once."""
+        self.disk.kill()
+        self._end()
+
+    def lose_power(self) -> None:
+        """The machine is dark at once."""
+        self.disk.lose_power()
+        self._end()
+
+    def freeze(self) -> None:
+        """The process stands still; what arrives waits."""
+        if self.up:
+            self.frozen = []
+
+    def thaw(self) -> None:
+        """The process goes on."""
+        held, self.frozen = self.frozen or [], None
+        for event in held:
+            self.give(event=event)
+
+    def now(self) -> float:
+        """Its monotonic clock: of its own beginning, but of the same rate."""
+        return self.world.clock.now - 900.0 + self.place.post.__len__()
+
+    def give(self, *, event: object) -> None:
+        """Let the owner answer an event."""
+        if self.owner is None:
+            return
+        if self.frozen is not None:
+            self.frozen.append(event)
+            return
+        life = self.life
+        for command in self.owner.step(now=self.now(), event=event):
+            if self.life != life or self.owner is None:
+                return
+            self._carry_out(command=command)
+
+    def ask(self, *, event: Asked, answer) -> None:
+        """An HTTP exchange arrives; `answer` is called with the Answer, or None if the process is gone."""
+        if self.owner is None:
+            answer(None)
+            return
+        self.waiting[event.token] = answer
+        self.give(event=event)
+
+    def _end(self) -> None:
+        self.owner, self.frozen = None, None
+        self.life += 1
+        waiting, self.waiting = self.waiting, {}
+        for answer in waiting.values():
+            answer(None)
+
+    def _tick(self, *, life: int) -> None:
+        if self.life != life:
+            return
+        if self.frozen is None:
+            self.give(event=Ticked())
+        self.world.clock.after(constants.TICK * self.rng.uniform(0.9, 1.1), lambda: self._tick(life=life))
+
+    def _carry_out(self, *, command: object) -> None:
+        if isinstance(command, Tell):
+            self._send(command=command)
+        elif isinstance(command, Answer):
+            answer = self.waiting.pop(command.token, None)
+            if answer is not None:
+                answer(command)
+        elif isinstance(command, Call):
+            self._call(command=command)
+        elif isinstance(command, (Store, Rewrite)):
+            self._store(command=command)
+        elif isinstance(command, Log):
+            self.logs.append((self.world.clock.now, command.event, command.fields))
+        elif isinstance(command, Stop):
+            self.code = command.code
+            self._end()
+
+    def _send(self, *, command: Tell) -> None:
+        to = self.world.by_post.get(command.to)
+        if to is None:
+            return
+        body = check_message(body=marshal.loads(marshal.dumps(command.body)))
+        if isinstance(body, BadMessage):
+            raise AssertionError(f"{self.place.name} sent a bad message: {body.reason} {command.body}")
+        self.world.count_message(kind=body["kind"])
+        event = Heard(sender=self.place.post, body=body)
+        delays = [0.0001] if to is self else self.world.network.delays(
+            a=self.names, b=to.names, near=self.place.region == to.place.region)
+        for delay in delays:
+            life = to.life
+            self.world.clock.after(delay, lambda: to.give(event=event) if to.life == life else None)
+
+    def _call(self, *, command: Call) -> None:
+        life = self.life
+
+        def done(called: Called) -> None:
+            if self.life == life:
+                self.give(event=called)
+        self.world.call(caller=self, command=command, done=done)
+
+    def _store(self, *, command: Store | Rewrite) -> None:
+        disk, life = self.disk, self.life
+        if disk.is_full and isinstance(command, Store):
+            failed = DiskFailed(seq=command.seq, full=True, reason="no room")
+            self.world.clock.after(0.001, lambda: self.give(event=failed) if self.life == life else None)
+            return
+
+        def synced() -> None:
+            if self.life != life:
+                return
+            if disk.sync_fails:
+                disk.pending.clear()
+                self.give(event=DiskFailed(seq=command.seq, full=False, reason="sync"))
+                return
+            if command in disk.pending:
+                if disk.lies:
+                    disk.pending.remove(command)
+                else:
+                    disk.sync(command=command)
+            self.give(event=Synced(seq=command.seq))
+        delay = disk.write(command=command)
+        # syncs end in order
+        delay = max(delay, getattr(self, "_sync_end", 0.0) - self.world.clock.now)
+        self._sync_end = self.world.clock.now + delay
+        self.world.clock.after(delay, synced)
--- /dev/null
+++ b/tasting/sim/operators.py
@@ -0,0 +1,114 @@
+"""The operators' stand-in: sends configurations and orders, reads back, keeps what it was told."""
+from __future__ import annotations
+
+import copy
+import hashlib
+import itertools
+import json
+from typing import TYPE_CHECKING
+
+from sailward.acts import Answer, Asked
+
+if TYPE_CHECKING:
+    from tasting.sim.world import World
+
+
+class Operators:
+    """All operators of one fleet."""
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+        self._count = itertools.count(1)
+        self.config = copy.deepcopy(world.deployment.config)
+
+    def ask(self, *, method: str, path: str, body: object = None, cellar: str = "", headers: dict | None = None,
+            query: dict | None = None, then=None) -> None:
+        """One exchange with a cellar: the named one, or the first that is up."""
+        world = self._world
+        nodes = [node for node in world.nodes.values() if node.place.kind == "cellar" and (node.up or node.place.name == cellar)]
+        node = world.nodes[cellar] if cellar else (nodes[0] if nodes else None)
+        if node is None:
+            if then:
+                then(None)
+            return
+        text = body if isinstance(body, bytes) else (b"" if body is None else json.dumps(body).encode())
+        event = Asked(token=f"op {next(self._count)}", method=method, path=path, query=query or {},
+                      headers=headers or {}, body=text)
+        ended = []
+
+        def got(answer: Answer | None) -> None:
+            if not ended:
+                ended.append(1)
+                if then:
+                    then(answer)
+        node.ask(event=event, answer=got)
+        world.clock.after(9.0, lambda: got(None))
+
+    def found(self, *, cellars: list[str]) -> None:
+        """Join the cellars into a core."""
+        nodes = [self._world.nodes[name] for name in cellars]
+        members = {node.owner.identity: node.place.post for node in nodes}
+        for node in nodes:
+            self.ask(method="POST", path="/found", body={"members": members}, cellar=node.place.name)
+
+    def put(self, *, config: object, cellar: str = "", if_match: str = "", invalid: bool = False,
+            patch: dict | None = None) -> None:
+        """Send a configuration, whole or as a patch (then `config` is what it makes)."""
+        world, begun = self._world, self._world.clock.now
+        headers = {"if-match": f'"{if_match}"'} if if_match else {}
+
+        def then(answer: Answer | None) -> None:
+            seen = json.loads(answer.body) if answer else {}
+            outcome = seen.get("outcome", "unknown") if answer else "unknown"
+            world.history.add(t=world.clock.now, k="put", begun=begun, outcome=outcome, number=seen.get("number", 0),
+                              code=answer.code if answer else 0, invalid=invalid, digest=digest_of(config=config),
+                              allows=allows_of(config=config), error=seen.get("error", ""), cellar=cellar)
+        self.ask(method="PATCH" if patch is not None else "PUT", path="/config",
+                 body=config if patch is None else patch, cellar=cellar, headers=headers, then=then)
+
+    def read_back(self, *, cellar: str = "") -> None:
+        """Read the configuration."""
+        world, begun = self._world, self._world.clock.now
+
+        def then(answer: Answer | None) -> None:
+            if answer is None or answer.code != 200:
+                world.history.add(t=world.clock.now, k="read-failed", code=answer.code if answer else 0)
+                return
+            seen = json.loads(answer.body)
+            world.history.add(t=world.clock.now, k="read-back", begun=begun, number=seen["number"],
+                              digest=digest_of(config=seen["config"]), cellar=cellar)
+        self.ask(method="GET", path="/config", cellar=cellar, then=then)
+
+    def order(self, *, hall: str, empty: bool, confirm: bool = False, cellar: str = "") -> None:
+        """Empty a hall, or take it back."""
+        world, begun = self._world, self._world.clock.now
+
+        def then(answer: Answer | None) -> None:
+            if answer is not None and answer.code == 200:
+                world.history.add(t=world.clock.now, k="emptied" if empty else "refilled", hall=hall, begun=begun)
+            else:
+                seen = json.loads(answer.body) if answer else {}
+                world.history.add(t=world.clock.now, k="order-refused", hall=hall, code=answer.code if answer else 0,
+                                  error=seen.get("error", ""))
+        self.ask(method="POST", path=f"/halls/{hall}/{'empty' if empty else 'refill'}",
+                 query={"confirm": "yes"} if confirm else {}, cellar=cellar, then=then)
+
+
+def digest_of(*, config: object) -> str:
+    """The same for the same content."""
+    return hashlib.blake2b(json.dumps(config, sort_keys=True, default=repr).encode(), digest_size=8).hexdigest()
+
+
+def allows_of(*, config: object) -> dict | None:
+    """{path: halls that may serve it}, read from the configuration as the operator wrote it."""
+    try:
+        allows: dict = {}
+        for match in config["matches"]:
+            halls = allows.setdefault(match["path"], [])
+            for share in match["pools"]:
+                pool = config["pools"][share["pool"]]
+                if share["weight"]:
+                    halls += [*pool["preferred"], *pool.get("fallback", [])]
+        return allows
+    except (KeyError, TypeError):
+        return None
--- /dev/null
+++ b/tasting/sim/platform.py
@@ -0,0 +1,52 @@
+"""The platform's stand-in: the list of workers, in pages, with a revision."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tasting.mind import Mind
+
+if TYPE_CHECKING:
+    from tasting.sim.world import World
+
+
+class Platform:
+    """Keeps the list. Each change makes a new revision."""
+
+    address = "10.2.0.1:80"
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+        self._rows: dict[str, dict] = {}
+        self.revision = 0
+        self.epoch = 1
+        self.up = True
+
+    def list_worker(self, *, mind: Mind, address: str) -> None:
+        """Put a worker on the list, or a new generation of it."""
+        self._rows[mind.name] = {"id": mind.name, "generation": mind.generation, "service": mind.service,
+                                 "address": address, "hall": mind.hall, "leaving": False}
+        self.revision += 1
+
+    def mark_leaving(self, *, name: str) -> None:
+        """Mark a worker as leaving."""
+        row = self._rows[name]
+        self._rows[name] = {**row, "leaving": True}
+        self.revision += 1
+        self._note(row=row, k="leaving")
+
+    def unlist(self, *, name: str) -> None:
+        """Take a worker off the list."""
+        row = self._rows.pop(name)
+        self.revision += 1
+        self._note(row=row, k="gone")
+
+    def page(self, *, after: str, limit: int) -> dict:
+        """One page of the list."""
+        names = sorted(name for name in self._rows if name > after)
+        rows = [self._rows[name] for name in names[:limit]]
+        return {"epoch": self.epoch, "revision": self.revision, "total": len(self._rows), "workers": rows,
+                "next": rows[-1]["id"] if len(names) > limit else ""}
+
+    def _note(self, *, row: dict, k: str) -> None:
+        self._world.history.add(t=self._world.clock.now, k=k, worker=f"{row['id']}/{row['generation']}",
+                                revision=self.revision)
--- /dev/null
+++ b/tasting/sim/scenario.py
@@ -0,0 +1,95 @@
+"""Scenarios: small text files, read and run on the simulator."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from tasting.checker import Broken, check_history
+from tasting.deployments import DEPLOYMENTS
+from tasting.sim.expect import judge_expectation
+from tasting.sim.faults import Faults
+from tasting.sim.sabotage import SABOTAGE
+from tasting.sim.world import World
+
+BEGIN = 1000.0
+
+
+@dataclass(kw_only=True)
+class Scenario:
+    """One scenario as its file tells it."""
+
+    title: str = ""
+    rule: str = ""
+    fleet: str = "arriaga"
+    seeds: range = range(1, 4)
+    steps: list = field(default_factory=list)
+    expects: list = field(default_factory=list)
+    fails: list = field(default_factory=list)
+    end: float = 30.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a run showed."""
+
+    broken: list
+    failed: list
+    figures: dict
+    world: World
+
+
+def read_scenario(*, text: str) -> Scenario:
+    """The scenario in a text."""
+    scenario = Scenario()
+    for number, line in enumerate(text.splitlines(), start=1):
+        words = line.split("#")[0].split()
+        if not words:
+            continue
+        head, rest = words[0], words[1:]
+        if head in ("title", "rule"):
+            setattr(scenario, head, " ".join(rest))
+        elif head == "fleet":
+            scenario.fleet = rest[0]
+        elif head == "seeds":
+            low, _, high = rest[0].partition("-")
+            scenario.seeds = range(int(low), int(high or low) + 1)
+        elif head == "at":
+            scenario.steps.append((float(rest[0]), rest[1], rest[2:]))
+        elif head == "every":
+            step, begin, end = float(rest[0]), float(rest[2]), float(rest[4])
+            count = int(round((end - begin) / step))
+            scenario.steps += [(begin + step * i, rest[5], rest[6:]) for i in range(count)]
+        elif head == "end":
+            scenario.end = float(rest[0])
+        elif head == "expect":
+            scenario.expects.append(rest)
+        elif head == "fails":
+            # fails without SAFEGUARD by RULE
+            scenario.fails.append((rest[1], rest[3]))
+        else:
+            raise ValueError(f"line {number}: unknown word {head!r}")
+    return scenario
+
+
+def run_scenario(*, scenario: Scenario, seed: int, without: str = "") -> Outcome:
+    """Run once with this seed; `without` takes a safeguard out first."""
+    if without:
+        with SABOTAGE[without]():
+            return _run(scenario=scenario, seed=seed)
+    return _run(scenario=scenario, seed=seed)
+
+
+def _run(*, scenario: Scenario, seed: int) -> Outcome:
+    world = World(deployment=DEPLOYMENTS[scenario.fleet](), seed=seed)
+    faults = Faults(world=world)
+    for when, verb, words in scenario.steps:
+        world.clock.at(BEGIN + when, lambda verb=verb, words=words: faults.step(verb=verb, words=words))
+    world.clock.run(until=BEGIN + scenario.end)
+    faults.note_stored()
+    broken: list[Broken] = check_history(history=world.history, halls=world.deployment.halls)
+    failed, figures = [], {}
+    for words in scenario.expects:
+        fault, figure = judge_expectation(words=words, world=world, begin=BEGIN)
+        figures[" ".join(words)] = figure
+        if fault:
+            failed.append(fault)
+    return Outcome(broken=broken, failed=failed, figures=figures, world=world)
--- /dev/null
+++ b/tasting/sim/world.py
@@ -0,0 +1,145 @@
+"""The simulated world: daemons, workers, the platform, and the calls between them."""
+from __future__ import annotations
+
+import collections
+import json
+import random
+from urllib.parse import parse_qs, urlsplit
+
+from sailward.acts import Call, Called
+from tasting.deployments import Deployment
+from tasting.history import History
+from tasting.mind import Mind
+from tasting.sim.clock import Clock
+from tasting.sim.network import Network
+from tasting.sim.node import Node
+from tasting.sim.platform import Platform
+
+
+class Machine:
+    """A worker's address: whoever answers there now."""
+
+    def __init__(self, *, mind: Mind, region: str) -> None:
+        self.mind = mind
+        self.up = True
+        self.frozen = False
+        self.thaws: list = []
+        self.names = frozenset({mind.name, mind.hall, region, "worker"})
+        self.region = region
+
+
+class World:
+    """All of one simulated fleet."""
+
+    def __init__(self, *, deployment: Deployment, seed: int) -> None:
+        self.seed = seed
+        self.deployment = deployment
+        self.rng = random.Random(f"{seed}/world")
+        self.clock = Clock()
+        self.network = Network(rng=random.Random(f"{seed}/network"))
+        self.history = History()
+        self.messages: collections.Counter = collections.Counter()
+        self.platform = Platform(world=self)
+        self.machines: dict[str, Machine] = {}
+        self.nodes: dict[str, Node] = {}
+        self.by_post: dict[str, Node] = {}
+        self.by_http: dict[str, Node] = {}
+        self.service_time = (0.002, 0.02)
+        seeds = tuple(f"10.0.0.{index}:7000" for index in (1, 2, 5))
+        for index, (kind, name, hall) in enumerate(deployment.daemons, start=1):
+            self.add_node(name=name, kind=kind, hall=hall, index=index, seeds=seeds)
+        for index, (name, service, hall) in enumerate(deployment.workers, start=1):
+            self.add_worker(name=name, service=service, hall=hall, address=f"10.1.0.{index}:80")
+
+    def add_node(self, *, name: str, kind: str, hall: str, index: int, seeds: tuple) -> Node:
+        """Add a daemon's machine."""
+        node = Node(world=self, name=name, kind=kind, hall=hall, region=self.deployment.halls[hall],
+                    index=index, seeds=seeds)
+        self.nodes[name] = self.by_post[node.place.post] = self.by_http[node.place.http] = node
+        return node
+
+    def add_worker(self, *, name: str, service: str, hall: str, address: str, generation: int = 1) -> Machine:
+        """Start a worker and list it."""
+        mind = Mind(name=name, generation=generation, service=service, hall=hall,
+                    rng=random.Random(f"{self.seed}/{name}/{generation}"))
+        machine = Machine(mind=mind, region=self.deployment.halls[hall])
+        self.machines[address] = machine
+        self.platform.list_worker(mind=mind, address=address)
+        self.history.add(t=self.clock.now, k="worker-started", worker=mind.key, hall=hall)
+        return machine
+
+    def machine_of(self, *, name: str) -> tuple[str, Machine]:
+        """The address and machine of a worker by its name."""
+        rows = [(address, one) for address, one in self.machines.items() if one.mind.name == name]
+        return rows[-1]
+
+    def count_message(self, *, kind: str) -> None:
+        """Count a message between daemons."""
+        self.messages[kind] += 1
+
+    def call(self, *, caller: Node, command: Call, done) -> None:
+        """Carry out an HTTP call of a daemon to a worker or the platform."""
+        ended = []
+
+        def end(*, delay: float, called: Called) -> None:
+            if not ended:
+                ended.append(1)
+                self.clock.after(max(0.0, delay), lambda: done(called))
+
+        def fail(*, fault: str, sent: bool, delay: float) -> None:
+            end(delay=delay, called=Called(token=command.token, code=0, headers={}, body=b"", fault=fault, sent=sent))
+
+        if caller.now() > command.begin_by:
+            return fail(fault="too-late", sent=False, delay=0.0)
+        self.clock.after(command.wait, lambda: fail(fault="timed-out", sent=True, delay=0.0))
+        if command.address == self.platform.address:
+            return self._call_platform(caller=caller, command=command, end=end, fail=fail)
+        machine = self.machines.get(command.address)
+        if machine is None or self.network.is_cut(a=caller.names, b=machine.names):
+            return self.clock.after(min(command.wait, 0.5), lambda: fail(fault="no-connection", sent=False, delay=0.0))
+        if not machine.up:
+            return fail(fault="no-connection", sent=False, delay=0.001)
+        near = caller.place.region == machine.region
+        there = (0.0005 if near else 0.012) * self.network.slow * self.rng.uniform(0.7, 1.5)
+        self.clock.after(there, lambda: self._arrive(caller=caller, machine=machine, command=command, end=end,
+                                                     fail=fail, back=there))
+        return None
+
+    def _arrive(self, *, caller: Node, machine: Machine, command: Call, end, fail, back: float) -> None:
+        if machine.frozen:
+            machine.thaws.append(lambda: self._arrive(caller=caller, machine=machine, command=command, end=end,
+                                                      fail=fail, back=back))
+            return
+        if not machine.up:
+            fail(fault="connection-lost", sent=True, delay=back)
+            return
+        mind, headers = machine.mind, {name.lower(): value for name, value in command.headers.items()}
+        reply = mind.step(method=command.method, path=urlsplit(command.path).path, headers=headers)
+        busy = self.rng.uniform(*self.service_time) if command.path != "/status" else 0.0005
+        if reply.ran:
+            self.history.add(t=self.clock.now, k="run", worker=mind.key, service=mind.service, hall=mind.hall,
+                             asked=headers.get("sailward-service", ""), region=machine.region,
+                             key=headers.get("idempotency-key", ""), tenant=headers.get("sailward-tenant", ""),
+                             nonce=headers.get("x-caller", ""), turn=int(headers.get("x-caller-try", "0")),
+                             path=command.path, unsafe=command.method not in ("GET", "HEAD"),
+                             proxy=caller.place.name, until=self.clock.now + busy)
+
+        def come_back() -> None:
+            if not machine.up or reply.lost or self.network.is_cut(a=caller.names, b=machine.names):
+                fail(fault="connection-lost", sent=True, delay=back)
+            elif reply.cut is not None:
+                fail(fault="cut-short", sent=True, delay=back)
+            else:
+                end(delay=back, called=Called(token=command.token, code=reply.code, headers=dict(reply.headers),
+                                              body=reply.body, fault="", sent=True))
+        self.clock.after(busy, come_back)
+
+    def _call_platform(self, *, caller: Node, command: Call, end, fail) -> None:
+        if self.network.is_cut(a=caller.names, b=frozenset({"platform"})) or not self.platform.up:
+            self.clock.after(min(command.wait, 0.5), lambda: fail(fault="no-connection", sent=False, delay=0.0))
+            return
+        query = {name: values[0] for name, values in parse_qs(urlsplit(command.path).query).items()}
+        page = self.platform.page(after=query.get("after", ""), limit=int(query["limit"]))
+        self.history.add(t=self.clock.now, k="list-read", cellar=caller.place.name, revision=page["revision"])
+        end(delay=self.rng.uniform(0.005, 0.03),
+            called=Called(token=command.token, code=200, headers={}, body=json.dumps(page).encode(), fault="", sent=True))
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,52 @@
+"""One small run of real processes: facts, not speed."""
+from __future__ import annotations
+
+import dataclasses
+import json
+import threading
+from pathlib import Path
+
+from tasting.checker import check_history
+from tasting.deployments import make_arriaga
+from tasting.real.callers import Callers
+from tasting.real.fleet import Fleet
+from tasting.run_fleet import bring_up, do_step
+
+
+def make_small():
+    """Four cellars, two proxies, one directory, one service of four workers."""
+    whole = make_arriaga()
+    keep = ("orders",)
+    config = {**whole.config, "services": {name: whole.config["services"][name] for name in keep},
+              "pools": {name: one for name, one in whole.config["pools"].items() if one["service"] in keep},
+              "matches": [one for one in whole.config["matches"] if one["path"] == "/orders"]}
+    daemons = [row for row in whole.daemons if row[1] in (
+        "cellar-0", "cellar-1", "cellar-2", "cellar-3", "sommelier-0", "sommelier-2", "concierge-0")]
+    workers = [row for row in whole.workers if row[1] in keep and row[0].endswith("-0")]
+    callers = [one for one in whole.callers if one.path == "/orders"]
+    return dataclasses.replace(whole, config=config, daemons=tuple(daemons), workers=tuple(workers), callers=tuple(callers))
+
+
+def test_real_processes_keep_the_rules(tmp_path: Path) -> None:
+    fleet = Fleet(deployment=make_small(), folder=tmp_path)
+    try:
+        bring_up(fleet=fleet)
+        callers = Callers(deployment=fleet.deployment, seed=1, history=fleet.history,
+                          concierges=[fleet.https["concierge-0"]])
+        thread = threading.Thread(target=lambda: callers.run(rate=30, seconds=8))
+        thread.start()
+        do_step(fleet=fleet, verb="kill", name="cellar-1")
+        do_step(fleet=fleet, verb="kill", name="orders-gdl-a-0")
+        do_step(fleet=fleet, verb="empty", name="ens-a")
+        assert fleet.stop(name="sommelier-2") == 0
+        do_step(fleet=fleet, verb="start", name="cellar-1")
+        thread.join()
+        history = fleet.whole_history()
+        assert not check_history(history=history, halls=fleet.deployment.halls)
+        assert sum(row["verdict"] == "good" for row in history.of(k="got")) > 50
+        assert len(history.of(k="emptied")) == 1
+        done = fleet.steward("get")
+        assert done.returncode == 0 and json.loads(done.stdout)["config"] == fleet.deployment.config
+        assert fleet.steward("put", "-", text=b'{"halls": 3}').returncode == 1
+    finally:
+        fleet.end()
