An accepted change tells its own number, not that of the change after it

Cause: a proposer that found its mark in the trail of a later value reported the later value's number as its own. A claim could have been taken for won after another proxy had taken it over. Conclusion: Accepted carries the number of the change itself; a claim counts only if it still stands.

--- a/sailward/cask/proposer.py
+++ b/sailward/cask/proposer.py
@@ -12,8 +12,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Accepted:
-    """The change, or the value read, stands at a majority."""
+    """The change with this number was chosen; `value` is what stands now, which may be a later one."""
 
+    number: int
     ballot: list
     value: dict
 
@@ -170,14 +171,14 @@
         told = list(work.answers.values())
         if all(one == told[0] for one in told):
             ballot, value = told[0] if told[0] else ([0, ""], EMPTY)
-            return [], [self._settle(work=work, outcome=Accepted(ballot=ballot, value=value))]
+            return [], [self._settle(work=work, outcome=_read(ballot=ballot, value=value))]
         if len(work.answers) < len(work.voters):
             agreed = [one for one in told if told.count(one) >= majority_of(members=work.voters)]
             if not agreed:
                 work.again = min(work.again, now + constants.BACKOFF)
                 return [], []
             ballot, value = agreed[0] if agreed[0] else ([0, ""], EMPTY)
-            return [], [self._settle(work=work, outcome=Accepted(ballot=ballot, value=value))]
+            return [], [self._settle(work=work, outcome=_read(ballot=ballot, value=value))]
         work.again = now
         return [], []
 
@@ -194,7 +195,7 @@
         else:
             work.value = value
         if work.value["number"] == 0:
-            return [], [self._settle(work=work, outcome=Accepted(ballot=[0, ""], value=EMPTY))
+            return [], [self._settle(work=work, outcome=_read(ballot=[0, ""], value=EMPTY))
                         if begin.text is None else self._refuse(work=work)]
         work.phase = "accept"
         return self._open_round(now=now, work=work), []
@@ -204,13 +205,19 @@
 
     def _judge_votes(self, *, work: Operation) -> Accepted | Refused | Unknown:
         ours = work.mark in (work.value["mark"], *work.value["trail"])
-        if work.begin.text is None or ours:
-            return Accepted(ballot=work.ballot, value=work.value)
+        if work.begin.text is None:
+            return _read(ballot=work.ballot, value=work.value)
+        if ours:
+            return Accepted(number=work.begin.expected + 1, ballot=work.ballot, value=work.value)
         if work.offered and work.value["number"] > work.begin.expected + constants.TRAIL:
             return Unknown(reason="trail-too-short")
         return Refused(reason="number", value=work.value, ballot=work.ballot)
 
 
+def _read(*, ballot: list, value: dict) -> Accepted:
+    return Accepted(number=value["number"], ballot=ballot, value=value)
+
+
 def majority_of(*, members: dict) -> int:
     """How many of these voters are a majority."""
     return len(members) // 2 + 1
--- a/sailward/house/desk.py
+++ b/sailward/house/desk.py
@@ -138,7 +138,7 @@
 
     def _after_change(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
         if isinstance(outcome, Accepted):
-            number = outcome.value["number"]
+            number = outcome.number
             body = {"outcome": "accepted", "number": number, **{k: v for k, v in job.note.items() if k != "dry"}}
             log = Log(event="accepted", fields={"register": job.register, "number": number, "by": job.kind})
             return [log, answer_json(token=job.token, code=200, body=body, headers={"ETag": f'"{number}"'})], []
--- a/sailward/pour/claims.py
+++ b/sailward/pour/claims.py
@@ -102,8 +102,8 @@
             return [], [], []
         memory, outcome = self.kept.memories.get(exchange.digest), event.outcome
         if isinstance(outcome, Accepted):
-            if memory is None:
-                return [], [], [Lost(exchange=exchange, refusal=Refusal(code=503, reason="claim-forgotten"))]
+            if memory is None or outcome.value["number"] != outcome.number:
+                return [], [], [Lost(exchange=exchange, refusal=Refusal(code=503, reason="claim-passed-on"))]
             memory.state, memory.number = "running", outcome.value["number"]
             return [], [], [Won(exchange=exchange)]
         if memory is not None:
