Repeats of exchanges that no worker had seen no longer eat the budget of tries

Cause: after the core had been out of reach, callers' repeats of refused first tries were counted as retries and held to 15 of 100, though no worker had ever seen those exchanges. Ruled out: the lease (held again 0.3 s after the heal), rate bounds (no refusal of that kind).

--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -84,6 +84,8 @@
 """s. The window that the rules name."""
 TRY_FLOOR = 2
 """tries always allowed in a window, so that a quiet proxy can still try again."""
+CREDIT_LIFE = 15.0
+"""s that a refused first try, sent to no worker, is made up for by a caller's repeat."""
 MAX_TRIES = 2
 """times that one exchange is sent on at the most."""
 RETRY_AFTER = 1
--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -51,6 +51,7 @@
     sent: bool = False
     claim: int = 0
     answered: bool = False
+    paid: str = ""
 
     @property
     def unsafe(self) -> bool:
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -29,9 +29,11 @@
     calls: dict = field(default_factory=dict)
     tally: Counter = field(default_factory=Counter)
     count: int = 0
+    now: float = 0.0
 
     def step(self, *, now: float, event: object, acting: bool) -> tuple[list, list]:
         """Take an Asked, a Called, a Settled, a peek, or None; `acting` says whether the lease is held."""
+        self.now = now
         if isinstance(event, Asked):
             return self._arrive(now=now, event=event, acting=acting)
         if isinstance(event, Called):
@@ -56,11 +58,14 @@
             taken = Refusal(code=503, reason="no-lease", detail="this proxy is cut off from the core")
         if isinstance(taken, Refusal):
             self._count_refusal(reason=taken.reason)
+            if taken.code == 503 and event.headers.get("sailward-try", "1") == "1":
+                self.tries.credit(now=now)
             return [answer_refusal(token=event.token, refusal=taken, not_run=promise)], []
         memory = self.claims.kept.memories.get(taken.digest) if taken.key else None
         repeat = taken.turn > 1 or (memory is not None and memory.state == "unsent")
         replay = memory is not None and memory.state != "unsent"
-        if not replay and not self.tries.step(now=now, first=not repeat):
+        taken.paid = "" if replay else self.tries.step(now=now, first=not repeat, caller=True)
+        if not replay and not taken.paid:
             return [self._refuse(exchange=taken, reason="too-many-repeats",
                                  detail="repeats are over their share of the traffic")], []
         if len(self.sent) < constants.MAX_OPEN and not self.lines.count():
@@ -180,6 +185,9 @@
                 refusal: Refusal | None = None) -> Answer:
         refusal = refusal or Refusal(code=503, reason=reason, detail=detail)
         self._count_refusal(reason=refusal.reason)
+        if exchange.paid and exchange.tries == 0:
+            self.tries.refund(now=self.now, paid=exchange.paid, swells=refusal.code != 503)
+            exchange.paid = ""
         if exchange.state == "waiting":
             self.lines.drop(item=exchange.token)
         if exchange.claim and not exchange.sent:
--- a/sailward/pour/tries.py
+++ b/sailward/pour/tries.py
@@ -5,23 +5,48 @@
 
 from sailward import constants
 
+FIRST, CREDIT, BUDGET = "first", "credit", "budget"
+
 
 class Tries:
-    """Owner of the counts. `step` counts a first try, or asks for one more of another."""
+    """Owner of the counts. `step` pays for one sending-on, or gives "" if nothing is left.
+
+    A first try always pays for itself. A caller's repeat pays with the credit of a first try that was
+    refused here and sent to no worker, as it swells nothing; else, like the proxy's own second tries,
+    from a share of the first ones.
+    """
 
     def __init__(self) -> None:
         self._firsts: deque = deque()
         self._mores: deque = deque()
+        self._credits: deque = deque()
 
-    def step(self, *, now: float, first: bool) -> bool:
-        """Count a first try (always allowed), or take one from the budget if it has one."""
-        for line in (self._firsts, self._mores):
-            while line and line[0] <= now - constants.TRY_WINDOW:
+    def step(self, *, now: float, first: bool, caller: bool = False) -> str:
+        """What this sending-on was paid with."""
+        for line, life in ((self._firsts, constants.TRY_WINDOW), (self._mores, constants.TRY_WINDOW),
+                           (self._credits, constants.CREDIT_LIFE)):
+            while line and line[0] <= now - life:
                 line.popleft()
         if first:
             self._firsts.append(now)
-            return True
+            return FIRST
+        if caller and self._credits:
+            self._credits.popleft()
+            self._firsts.append(now)
+            return CREDIT
         if len(self._mores) + 1 > max(constants.TRY_FLOOR, constants.TRY_SHARE * len(self._firsts)):
-            return False
+            return ""
         self._mores.append(now)
-        return True
+        return BUDGET
+
+    def refund(self, *, now: float, paid: str, swells: bool) -> None:
+        """What was paid for was refused and sent to no worker. `swells`: an earlier sending did reach one."""
+        line = self._mores if paid == BUDGET else self._firsts
+        if line:
+            line.pop()
+        if paid != BUDGET and not swells:
+            self._credits.append(now)
+
+    def credit(self, *, now: float) -> None:
+        """A first try was refused before it was counted."""
+        self._credits.append(now)
