--- a/sailward/pour/draw.py
+++ b/sailward/pour/draw.py
@@ -33,21 +33,25 @@
 def share_halls(*, pool: Pool, views: dict[str, HallView]) -> dict[str, float]:
     """The share of each hall of the pool; empty if nothing may serve.
 
-    Overrides go first and ignore the cap. Marked halls leave up to the cap; a hall kept in by the cap
-    takes its part of the spread, and nothing if it has no healthy worker. Where only halls in their
-    hold could serve, the hold is cut short: it guards against flapping, not against serving.
+    Overrides go first and ignore the cap. Marked halls leave, up to the cap, and the others of the tier
+    take their part. A hall that the cap keeps in stays in the spread: what it can't keep, all of it if it
+    has no healthy worker, spills. Where only marked halls could serve, they do: the hold guards against
+    flapping, not against serving.
     """
     marked = _marked(pool=pool, views=views)
     usable = [hall for hall in (*pool.preferred, *pool.fallback)
-              if hall in views and views[hall].allowed and views[hall].healthy]
+              if hall in views and views[hall].allowed and views[hall].listed]
     standing = [hall for hall in usable if hall not in marked]
-    if not standing:
-        standing = usable
+    if not any(views[hall].healthy for hall in standing):
+        standing = [hall for hall in usable if views[hall].healthy]
     preferred = [hall for hall in pool.preferred if hall in standing]
     fallback = [hall for hall in pool.fallback if hall in standing]
-    keeps = {hall: min(1.0, views[hall].fraction / constants.SPILL) for hall in standing}
-    if not preferred or not fallback:
-        return _normalize(shares={hall: keeps[hall] for hall in preferred or fallback})
+    keeps = {hall: min(1.0, views[hall].fraction / constants.SPILL) if views[hall].healthy else 0.0
+             for hall in standing}
+    if not any(keeps[hall] for hall in preferred) or not any(keeps[hall] for hall in fallback):
+        preferred, fallback = [hall for hall in standing if keeps[hall]], []
+    if not fallback:
+        return _normalize(shares={hall: keeps[hall] for hall in preferred})
     shares = {hall: keeps[hall] / len(preferred) for hall in preferred}
     spill = 1.0 - sum(shares.values())
     if spill > 1e-9:
