Empty cellars are brought in through voters, after copying every register; lost ones leave

Before: a cellar that lost its disk stayed without a voice for good; a second loss ended all changes. Now the voters register changes by one member at a time: the new one in, a copy from a majority of the set before (each of which first keeps the new set, so it votes no more under the old one), the lost one out. A voter refuses operations under a set older than one that it voted for. A voter now repeats the promise of the same ballot, and an address is asked once.

--- a/sailward/cask/acceptor.py
+++ b/sailward/cask/acceptor.py
@@ -34,8 +34,11 @@
             return [], {"kind": "told", "op": op, "register": name, "vote": slot.vote()}
         ballot = body["ballot"]
         if body["kind"] == "prepare":
-            if ballot <= slot.promised:
+            if ballot < slot.promised or ballot == slot.ballot:
                 return [], _nack(op=op, name=name, ballot=ballot, reason="promised", seen=slot.promised[0])
+            if ballot == slot.promised:
+                # the same asking came twice
+                return [], {"kind": "promise", "op": op, "register": name, "ballot": ballot, "vote": slot.vote()}
             record = {"k": "promise", "r": name, "b": ballot}
             reply = {"kind": "promise", "op": op, "register": name, "ballot": ballot, "vote": slot.vote()}
         else:
@@ -71,4 +74,4 @@
 
 def _nack(*, op: str, name: str, ballot: list, reason: str, seen: int) -> dict:
     return {"kind": "nack", "op": op, "register": name, "ballot": ballot, "reason": reason,
-            "round": seen, "voters": {}}
+            "round": seen, "voters": []}
--- a/sailward/cask/messages.py
+++ b/sailward/cask/messages.py
@@ -11,7 +11,7 @@
     "promise": {"op": str, "register": str, "ballot": BALLOT, "vote": list},
     "accept": {"op": str, "register": str, "ballot": BALLOT, "voters": int, "value": dict},
     "voted": {"op": str, "register": str, "ballot": BALLOT},
-    "nack": {"op": str, "register": str, "ballot": BALLOT, "reason": str, "round": int, "voters": dict},
+    "nack": {"op": str, "register": str, "ballot": BALLOT, "reason": str, "round": int, "voters": list},
     "read": {"op": str, "register": str, "voters": int},
     "told": {"op": str, "register": str, "vote": list},
     "chosen": {"register": str, "ballot": BALLOT, "value": dict},
@@ -23,9 +23,8 @@
     "gossip": {"entries": list, "reply": bool},
     "peek": {"token": str, "key": str, "number": int, "region": str},
     "peeked": {"token": str, "state": str, "code": int, "headers": dict, "body": bytes},
-    "copy": {"after": str},
-    "copied": {"identity": str, "slots": list, "next": str, "voters": int},
-    "found": {"voters": dict},
+    "copy": {"after": str, "ballot": BALLOT, "value": dict},
+    "copied": {"after": str, "voters": int, "slots": list, "next": str},
 }
 VALUE = {"number": int, "mark": str, "trail": list, "text": str}
 
@@ -65,6 +64,11 @@
         return BadMessage(reason=f"field:{body['kind']}.ballot")
     if "value" in fields and not is_value(given=body["value"]):
         return BadMessage(reason=f"field:{body['kind']}.value")
+    for row in body["slots"] if "slots" in fields else ():
+        if not (isinstance(row, list) and len(row) == 3 and isinstance(row[0], str) and is_vote(given=row[1:])):
+            return BadMessage(reason=f"field:{body['kind']}.slots")
+    if "voters" in fields and fields["voters"] is list and body["voters"] and not is_vote(given=body["voters"]):
+        return BadMessage(reason=f"field:{body['kind']}.voters")
     if body.get("vote") and not is_vote(given=body["vote"]):
         return BadMessage(reason=f"field:{body['kind']}.vote")
     return body
--- a/sailward/cask/proposer.py
+++ b/sailward/cask/proposer.py
@@ -119,7 +119,7 @@
             body |= {"kind": "prepare", "ballot": work.ballot}
         else:
             body |= {"kind": "accept", "ballot": work.ballot, "value": work.value}
-        return [Tell(to=address, body=body) for address in work.voters.values()]
+        return [Tell(to=address, body=body) for address in sorted(set(work.voters.values()))]
 
     def _look_at_alarms(self, *, now: float, voters: dict) -> tuple[list, list[Settled]]:
         commands, settled = [], []
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -146,6 +146,14 @@
 JOURNAL = 512
 """events that an owner's journal keeps after folding."""
 
+REPLACE_AFTER = 20.0
+"""s that a voter must be lost before a waiting empty cellar takes its place: longer than a roll of its machine."""
+COPY_AGAIN = 0.5
+"""s. A page of a copy that has not come by then is asked for again."""
+COPY_PAGE = 200
+"""slots in one page of a copy: about 60 kB."""
+REPAIR_EVERY = 1.0
+"""s between looks at whether a voter must be replaced."""
 READ_EVERY = 5.0
 """s between a cellar's own reads of the control registers: finds what it missed."""
 STALLED = 0.5
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -6,11 +6,13 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
-from sailward.cask.acceptor import Acceptor, fold_record
+from sailward.cask.acceptor import Acceptor, fold_record, slot_records
 from sailward.cask.held import CONTROL, HeldBook, read_voters
 from sailward.cask.proposer import Accepted, Begin, Proposer
+from sailward.house.copying import Copying, copy_page
 from sailward.house.desk import Desk
 from sailward.house.ledger import Ledger
+from sailward.house.repair import Repair
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscribers
@@ -34,9 +36,12 @@
                  records: list[dict], now: float) -> None:
         slots: dict = {}
         self.identity = ""
+        copied = False
         for record in records:
             if record["k"] == "identity":
                 self.identity = record["id"]
+            elif record["k"] == "copied":
+                copied = True
             else:
                 fold_record(slots=slots, record=record, now=now)
         new = not self.identity
@@ -44,10 +49,14 @@
         self.place, self.start = place, start
         self.held = HeldBook()
         self.acceptor = Acceptor(slots=slots)
-        self.ledger = Ledger(identity=self.identity, slots=slots)
+        self.ledger = Ledger(identity=self.identity, slots=slots, copied=copied)
         self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
         self.desk = Desk(identity=f"{place.name}#{nonce}")
-        self.roster = Roster(place=place, start=start, fit=True)
+        self.roster = Roster(place=place, start=start, identity=self.identity)
+        self.repair = Repair()
+        self.copying = Copying(identity=self.identity)
+        self._names: list = []
+        self._asked = -1e9
         self.pager = Pager(platform=platform)
         self.subscribers = Subscribers()
         self.standing = Standing()
@@ -90,17 +99,27 @@
     @property
     def voting(self) -> bool:
         """May this cellar vote and grant?"""
-        return self.identity in self.voters["members"] and self.ledger.usable
+        return self.identity in self.voters["members"] and self.ledger.copied and self.ledger.usable
 
     def _hear(self, *, now: float, sender: str, body: dict) -> list:
         kind = body["kind"]
         if kind in VOTING:
             return self._vote(now=now, sender=sender, body=body)
         if kind in TOLD:
+            if kind == "nack" and body["voters"]:
+                return self._keep(now=now, name="voters", ballot=body["voters"][0], value=body["voters"][1], tell=False)
             commands, settled = self.proposer.step(now=now, voters=self.voters, event=(sender, body))
             return commands + self._settle(now=now, settled=settled)
         if kind == "chosen":
             return self._keep(now=now, name=body["register"], ballot=body["ballot"], value=body["value"], tell=False)
+        if kind == "push" and body["name"] in CONTROL:
+            return self._keep(now=now, name=body["name"], ballot=body["ballot"], value=body["value"], tell=False)
+        if kind in ("push", "grant"):
+            return []
+        if kind == "copy":
+            return self._tell_page(now=now, sender=sender, body=body)
+        if kind == "copied":
+            return self._take_page(now=now, event=(sender, body))
         if kind == "ask":
             return self._grant(now=now, sender=sender, body=body)
         if kind == "ack":
@@ -112,10 +131,14 @@
     def _vote(self, *, now: float, sender: str, body: dict) -> list:
         if not self.voting:
             return []
-        if body["voters"] != self.voters["number"]:
+        known, slot = self.voters["number"], self.acceptor.slots.get("voters")
+        floor = slot.value["number"] if slot and slot.value and body["register"] != "voters" else known
+        if body["voters"] != known or body["voters"] < floor:
+            # a voter acts under one set at a time, and under none older than one that it voted for
+            held = self.held.held.get("voters")
             return [Tell(to=sender, body={"kind": "nack", "op": body["op"], "register": body["register"],
                                           "ballot": body.get("ballot", [0, ""]), "reason": "voters", "round": 0,
-                                          "voters": self.voters})]
+                                          "voters": [held.ballot, held.value] if held else []})]
         records, reply = self.acceptor.step(now=now, body=body)
         return self.ledger.step(records=records, replies=[Tell(to=sender, body=reply)])
 
@@ -164,7 +187,7 @@
         if not sound or self.identity not in members:
             return [answer_json(token=event.token, code=422, body={
                 "outcome": "refused", "error": "members", "detail": "give members: {identity: address}, this one among them"})]
-        value = {"number": 1, "mark": "founded", "trail": [], "text": json.dumps({"members": members}, sort_keys=True)}
+        value = {"number": 1, "mark": "founded", "trail": [], "text": json.dumps({"members": members, "size": len(members)}, sort_keys=True)}
         slot = self.acceptor.slots.get("voters")
         if slot is not None and slot.value != value:
             return [answer_json(token=event.token, code=409, body={
@@ -172,9 +195,10 @@
         record = {"k": "vote", "r": "voters", "b": [0, "founder"], "v": value}
         if slot is None:
             fold_record(slots=self.acceptor.slots, record=record, now=now)
+        self.ledger.copied = True
         self.held.step(name="voters", ballot=[0, "founder"], value=value)
         answer = answer_json(token=event.token, code=200, body={"outcome": "accepted", "number": 1})
-        return self.ledger.step(records=[record] if slot is None else [], replies=[answer])
+        return self.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer])
 
     def _page(self, *, now: float, event: Called | None) -> list:
         commands, whole = self.pager.step(now=now, event=event)
@@ -212,15 +236,16 @@
         commands = self.subscribers.step(now=now, event=None, news=self._news())
         if tell:
             body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
-            commands += [Tell(to=address, body=body) for identity, address in self.voters["members"].items()
-                         if identity != self.identity]
+            others = {*self.voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
+            commands += [Tell(to=address, body=body) for address in sorted(others - {self.place.post})]
         return [Log(event="in-force", fields={"register": name, "number": value["number"]}), *commands]
 
     def _look_at_alarms(self, *, now: float) -> list:
         commands, settled = self.proposer.step(now=now, voters=self.voters, event=None)
         commands += self._settle(now=now, settled=settled)
         commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
-        commands += self._read_what_is_due(now=now) + self._sweep(now=now)
+        commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self._mind_voters(now=now)
+        self.roster.fit = self.voting
         if now - self._judged >= 0.2:
             self._judged = now
             commands += self.subscribers.step(now=now, event=None, news=self._news())
@@ -230,8 +255,54 @@
             commands.append(self.ledger.rewrite())
         return commands
 
+    def _mind_voters(self, *, now: float) -> list:
+        cellars = self.roster.alive(kind="cellar")
+        if self.voting:
+            held = self.held.held.get("voters")
+            text = self.repair.step(now=now, own=self.identity, voters=self.voters, text=held.value["text"] if held else "",
+                                    cellars=[*cellars, self.roster.own_entry()])
+            if not text:
+                return []
+            self._ops += 1
+            begin = Begin(op=f"{self.proposer.identity}/repair{self._ops}", register="voters",
+                          expected=self.voters["number"], text=text)
+            log = Log(event="voters-change", fields={"from": self.voters["number"], "to": text})
+            return [log, *self._begin(now=now, begins=[begin])]
+        if self.identity in self.voters["members"] and not self.ledger.copied:
+            return self.copying.step(now=now, voters=self.held.held["voters"], event=None) if "voters" in self.held.held else []
+        if now - self._asked >= constants.REPAIR_EVERY:
+            self._asked = now
+            body = {"kind": "ask", "seq": 0, "have": self.held.have(), "report": {}, "daemon": self.roster.own_entry()}
+            return [Tell(to=one["post"], body=body) for one in cellars]
+        return []
+
+    def _tell_page(self, *, now: float, sender: str, body: dict) -> list:
+        commands = self._keep(now=now, name="voters", ballot=body["ballot"], value=body["value"], tell=False)
+        number = self.voters["number"]
+        if not self.voting or number != body["value"]["number"]:
+            return commands
+        if body["after"] == "" or not self._names:
+            self._names = sorted(self.acceptor.slots)
+        names = [name for name in self._names if name in self.acceptor.slots]
+        page = copy_page(slots=self.acceptor.slots, names=names, after=body["after"], number=number)
+        return commands + self.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
+
+    def _take_page(self, *, now: float, event: tuple) -> list:
+        if self.ledger.copied or "voters" not in self.held.held:
+            return []
+        commands = self.copying.step(now=now, voters=self.held.held["voters"], event=event)
+        if not self.copying.is_over():
+            return commands
+        self.ledger.copied = True
+        records: list = []
+        for name, slot in self.copying.slots.items():
+            self.acceptor.slots[name] = slot
+            records += slot_records(name=name, slot=slot)
+        log = Log(event="copied", fields={"slots": len(self.copying.slots), "under": self.copying.number})
+        return [*commands, log, *self.ledger.step(records=[*records, {"k": "copied"}], replies=[])]
+
     def _read_what_is_due(self, *, now: float) -> list:
-        if not self.voters["members"]:
+        if self.identity not in self.voters["members"]:
             return []
         begins = []
         for name in CONTROL:
--- a/sailward/house/ledger.py
+++ b/sailward/house/ledger.py
@@ -15,6 +15,7 @@
 
     identity: str
     slots: dict
+    copied: bool = False
     seq: int = 0
     synced: int = 0
     count: int = 0
@@ -39,7 +40,7 @@
 
     def rewrite(self) -> Rewrite:
         """Replace the file by what is live."""
-        records = [{"k": "identity", "id": self.identity}]
+        records = [{"k": "identity", "id": self.identity}, *([{"k": "copied"}] if self.copied else [])]
         for name, slot in self.slots.items():
             records += slot_records(name=name, slot=slot)
         self.seq += 1
--- a/sailward/roster/gossip.py
+++ b/sailward/roster/gossip.py
@@ -8,7 +8,7 @@
 from sailward.roster.rendezvous import choose_names
 
 ENTRY = {"id": str, "kind": str, "hall": str, "region": str, "post": str, "http": str,
-         "start": int, "beat": int, "fit": bool, "version": str}
+         "start": int, "beat": int, "fit": bool, "version": str, "identity": str}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,6 +41,7 @@
     place: Place
     start: int
     fit: bool = False
+    identity: str = ""
     beat: int = 0
     known: dict = field(default_factory=dict)
     told: float = -1e9
@@ -66,7 +67,7 @@
         place = self.place
         return {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region,
                 "post": place.post, "http": place.http, "start": self.start, "beat": self.beat,
-                "fit": self.fit, "version": place.version}
+                "fit": self.fit, "version": place.version, "identity": self.identity}
 
     def alive(self, *, kind: str) -> list[dict]:
         """The entries of the daemons of this kind that are not lost."""
--- a/tasting/sim/faults.py
+++ b/tasting/sim/faults.py
@@ -179,6 +179,11 @@
         for node in self._nodes(names):
             node.disk.is_full = False
 
+    def _do_machine_new(self, name: str, kind: str, hall: str, index: str) -> None:
+        """A new, empty machine at an address of its own."""
+        seeds = next(iter(self._world.nodes.values())).place.seeds
+        self._world.add_node(name=name, kind=kind, hall=hall, index=int(index), seeds=seeds).start()
+
     def _do_slow_disk(self, factor: str, *names: str) -> None:
         for node in self._nodes(names):
             node.disk.slow = float(factor)
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.cask import held, proposer
 from sailward.acts import DiskFailed, Synced
-from sailward.house import cellar, desk, ledger
+from sailward.house import cellar, copying, desk, ledger
 from sailward.label.check import Sound
 from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, status, tries, verify, world
 from sailward.roster import pages as pages_module
@@ -142,5 +142,7 @@
     "leaving": _method(workers.WorkerBook, "step", _never_leaving),
     "disk-votes": _method(ledger.Ledger, "hear", _failures_unheard),
     "last-resort": _method(choosing, "share_halls", _no_last_resort),
+    "copy": _method(copying.Copying, "is_over", lambda old: lambda self: self.slots.clear() is None),
+    "repair": _constant("REPLACE_AFTER", 1e9),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
