Divided services: slots owned by workers, closed for all before they open elsewhere

A service with slots is divided by key. slots/SERVICE is a register that proxies must hold to have a lease; the cellar that hashing names moves slots: close, wait a lease and the service's expiry, open with a new term.

--- a/sailward/cask/held.py
+++ b/sailward/cask/held.py
@@ -9,6 +9,11 @@
 CONTROL = ("config", "orders", "voters")
 
 
+def is_control(*, name: str) -> bool:
+    """Is this a register that proxies act on?"""
+    return name in CONTROL or name.startswith("slots/")
+
+
 @dataclass(kw_only=True)
 class Held:
     """A register's value that is known to have been chosen."""
@@ -22,6 +27,7 @@
     """Owner of the chosen values; `step` folds one, and an older one never replaces a newer."""
 
     held: dict = field(default_factory=dict)
+    _voters: dict = field(default_factory=lambda: {"number": 0, "members": {}})
 
     def step(self, *, name: str, ballot: list, value: dict) -> bool:
         """Hold this value; is it news?"""
@@ -30,6 +36,8 @@
             return False
         news = value["number"] > held.value["number"]
         self.held[name] = Held(ballot=max(ballot, held.ballot), value=value if news else held.value)
+        if news and name == "voters":
+            self._voters = read_voters(value=value)
         return news
 
     def number(self, *, name: str) -> int:
@@ -50,7 +58,7 @@
 
     def voters(self) -> dict:
         """The voters as a proposer needs them."""
-        return read_voters(value=self.held["voters"].value) if "voters" in self.held else {"number": 0, "members": {}}
+        return self._voters
 
 
 def read_voters(*, value: dict) -> dict:
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -70,6 +70,14 @@
 REPORT_LIFE = 2.0
 """s. A proxy's digest older than this has no voice in the standing view."""
 
+MOVES_AT_ONCE = 8
+"""slots of one service closed at a time for a move that nothing forces."""
+MOVE_MARGIN = 0.3
+"""s beyond a lease and an expiry before a closed slot opens: alarms and the owners' steps."""
+OWNER_GRACE = 1.5
+"""s that a slot's owner may be unwell before its slots move: a move closes them for longer."""
+ASSIGN_EVERY = 0.25
+"""s between looks at the slots."""
 MAX_OPEN = 128
 """exchanges a proxy has open at workers; more wait in line."""
 LINE_LENGTH = 64
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -7,16 +7,18 @@
 from sailward import constants
 from sailward.acts import Asked, Called, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
 from sailward.cask.acceptor import Acceptor, fold_record, slot_records
-from sailward.cask.held import CONTROL, HeldBook, read_voters
+from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.cask.proposer import Accepted, Begin, Proposer
 from sailward.house.copying import Copying, copy_page
 from sailward.house.desk import Desk
 from sailward.house.ledger import Ledger
+from sailward.house.moves import Moves
 from sailward.house.repair import Repair
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscribers
 from sailward.pour.exchange import answer_json
+from sailward.pour.plan import read_plan
 from sailward.roster.gossip import Place, Roster
 from sailward.roster.pages import Pager
 
@@ -55,6 +57,7 @@
         self.roster = Roster(place=place, start=start, identity=self.identity)
         self.repair = Repair()
         self.copying = Copying(identity=self.identity)
+        self.moves = Moves()
         self._names: list = []
         self._asked = -1e9
         self.pager = Pager(platform=platform)
@@ -112,7 +115,7 @@
             return commands + self._settle(now=now, settled=settled)
         if kind == "chosen":
             return self._keep(now=now, name=body["register"], ballot=body["ballot"], value=body["value"], tell=False)
-        if kind == "push" and body["name"] in CONTROL:
+        if kind == "push" and is_control(name=body["name"]):
             return self._keep(now=now, name=body["name"], ballot=body["ballot"], value=body["value"], tell=False)
         if kind in ("push", "grant"):
             return []
@@ -150,7 +153,7 @@
                 value = slot.value or {"number": 0, "mark": ""}
                 newest[name] = [value["number"], value["mark"], slot.ballot]
         for name, have in body["have"].items():
-            if name in CONTROL and isinstance(have, list) and have[0] > self.held.number(name=name):
+            if is_control(name=name) and isinstance(have, list) and have[0] > self.held.number(name=name):
                 self._behind.setdefault(name, now - constants.STALLED)
         warm = now - self.subscribers.members[sender].first < constants.WARM_TELL
         reply = {"kind": "grant", "seq": body["seq"], "newest": newest, "identity": self.identity,
@@ -221,7 +224,7 @@
         commands = []
         for one in settled:
             ballot, value = getattr(one.outcome, "ballot", [0, ""]), getattr(one.outcome, "value", None)
-            if one.register in CONTROL and value and value["number"]:
+            if is_control(name=one.register) and value and value["number"]:
                 commands += self._keep(now=now, name=one.register, ballot=ballot, value=value, tell=True)
             if self._reading.pop(one.op, None) is None:
                 more, begins = self.desk.step(event=one)
@@ -229,10 +232,11 @@
         return commands
 
     def _keep(self, *, now: float, name: str, ballot: list, value: dict, tell: bool) -> list:
-        if name not in CONTROL or not self.held.step(name=name, ballot=ballot, value=value):
+        if not is_control(name=name) or not self.held.step(name=name, ballot=ballot, value=value):
             return []
         if name == "config":
             self.desk.full = json.loads(value["text"])["full"]
+            self.moves.plan = read_plan(value=value)
         commands = self.subscribers.step(now=now, event=None, news=self._news())
         if tell:
             body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
@@ -244,6 +248,7 @@
         commands, settled = self.proposer.step(now=now, voters=self.voters, event=None)
         commands += self._settle(now=now, settled=settled)
         commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
+        commands += self._move_slots(now=now)
         commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self._mind_voters(now=now)
         self.roster.fit = self.voting
         if now - self._judged >= 0.2:
@@ -255,6 +260,19 @@
             commands.append(self.ledger.rewrite())
         return commands
 
+    def _move_slots(self, *, now: float) -> list:
+        if not self.voting:
+            return []
+        well = [one["identity"] for one in self.roster.alive(kind="cellar") if one["fit"]]
+        texts = self.moves.step(now=now, own=self.identity, well=[*well, self.identity], held=self.held,
+                                standing=self.standing, workers=self.workers[2], proxies=self.subscribers.proxies())
+        begins = []
+        for name, number, text in texts:
+            self._ops += 1
+            begins.append(Begin(op=f"{self.proposer.identity}/move{self._ops}", register=name, expected=number, text=text,
+                                wait=constants.ROUND_WAIT * 3))
+        return self._begin(now=now, begins=begins)
+
     def _mind_voters(self, *, now: float) -> list:
         cellars = self.roster.alive(kind="cellar")
         if self.voting:
@@ -305,7 +323,7 @@
         if self.identity not in self.voters["members"]:
             return []
         begins = []
-        for name in CONTROL:
+        for name in [*CONTROL, *(name for name in self.acceptor.slots if name.startswith("slots/"))]:
             slot = self.acceptor.slots.get(name)
             vote = [slot.value["number"], slot.value["mark"], slot.ballot] if slot and slot.value else [0, "", [0, ""]]
             if self.held.covers(name=name, newest=vote):
--- /dev/null
+++ b/sailward/house/moves.py
@@ -0,0 +1,62 @@
+"""The slot moves of all divided services, each minded by the one cellar that hashing names."""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.cask.held import HeldBook
+from sailward.house.assigning import Assigning, Scene
+from sailward.house.standing import Standing
+from sailward.house.subscribers import Subscriber
+from sailward.pour.plan import Plan
+from sailward.pour.slots import PREFIX
+from sailward.pour.world import read_orders
+from sailward.roster.rendezvous import choose_names
+from sailward.roster.workers import WorkerBook
+
+
+@dataclass(kw_only=True)
+class Moves:
+    """Owner of the moves. `step` gives the changes to begin as (register, expected number, text)."""
+
+    plan: Plan = field(default_factory=Plan)
+    book: WorkerBook = field(default_factory=WorkerBook)
+    assigning: dict = field(default_factory=dict)
+    looked: float = -1e9
+
+    def step(self, *, now: float, own: str, well: list[str], held: HeldBook, standing: Standing, workers: dict | None,
+             proxies: list[Subscriber]) -> list[tuple[str, int, str]]:
+        """Look at each divided service that this cellar minds."""
+        if now - self.looked < constants.ASSIGN_EVERY or workers is None:
+            return []
+        self.looked = now
+        divided = [service for service in self.plan.services.values() if service.slots]
+        if not divided:
+            return []
+        if (int(workers["mark"]), workers["number"]) > self.book.revision:
+            self.book.step(epoch=int(workers["mark"]), revision=workers["number"], workers=json.loads(workers["text"]))
+        scene = self._scene(held=held, standing=standing, proxies=proxies)
+        changes = []
+        for service in divided:
+            name = PREFIX + service.name
+            if choose_names(key=name, names=set(well), count=1) != [own]:
+                self.assigning.pop(name, None)
+                continue
+            value = held.held[name].value if name in held.held else {"number": 0, "text": ""}
+            assigning = self.assigning.setdefault(name, Assigning())
+            text = assigning.step(now=now, service=service, number=value["number"], text=value["text"], scene=scene)
+            if text:
+                changes.append((name, value["number"], text))
+        return changes
+
+    def _scene(self, *, held: HeldBook, standing: Standing, proxies: list[Subscriber]) -> Scene:
+        emptied = read_orders(value=held.held["orders"].value) if "orders" in held.held else frozenset()
+        drained = frozenset(place for place, hall in standing.book.halls.items() if hall.drained)
+        fresh = [one.report["warm"] for one in proxies if one.report.get("warm") is not None and not one.report.get("suspect")]
+        counts: dict[str, int] = {}
+        for warm in fresh:
+            for key in warm:
+                counts[key] = counts.get(key, 0) + 1
+        healthy = frozenset(key for key, count in counts.items() if 2 * count > len(fresh))
+        return Scene(plan=self.plan, emptied=emptied, drained=drained, workers=self.book.workers, healthy=healthy)
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -7,7 +7,7 @@
 
 from sailward import constants
 from sailward.acts import Asked, Call, Called, Heard, Log, Stop, StopAsked, Tell
-from sailward.cask.held import CONTROL, HeldBook
+from sailward.cask.held import CONTROL, HeldBook, is_control
 from sailward.cask.proposer import Accepted, Begin, Proposer
 from sailward.charts import Chart
 from sailward.pour.choosing import Chooser
@@ -16,6 +16,7 @@
 from sailward.pour.exchanges import Exchanges
 from sailward.pour.lease import Lease
 from sailward.pour.plan import read_plan
+from sailward.pour.slots import PREFIX as SLOTS
 from sailward.pour.status import Prober
 from sailward.pour.world import World, read_orders
 from sailward.roster.gossip import Place, Roster
@@ -119,7 +120,7 @@
         ack = Tell(to=sender, body={"kind": "ack", "seq": body["seq"], "name": name, "number": body["number"]})
         if name == "workers":
             return [*self._take_list(now=now, value=value), ack]
-        if name not in CONTROL:
+        if not is_control(name=name):
             return [Log(event="push-unexpected", fields={"name": name})]
         return [*self._keep(now=now, name=name, ballot=body["ballot"], value=value), ack]
 
@@ -141,6 +142,8 @@
             self.world.plan = read_plan(value=value)
         elif name == "orders":
             self.world.emptied = read_orders(value=value)
+        elif name.startswith(SLOTS):
+            self.world.slots.step(name=name, value=value)
         return [Log(event="in-force", fields={"register": name, "number": value["number"]})]
 
     def _begin(self, *, now: float, begins: list[Begin]) -> list:
@@ -178,7 +181,7 @@
     def _read_what_is_behind(self, *, now: float) -> list:
         begins = []
         for name, since in self.lease.behind.items():
-            if now - since >= constants.READ_WAIT and name not in self._reading.values() and name in CONTROL:
+            if now - since >= constants.READ_WAIT and name not in self._reading.values() and is_control(name=name):
                 self._ops += 1
                 op = f"{self.identity}/read{self._ops}"
                 self._reading[op] = name
--- a/sailward/label/check.py
+++ b/sailward/label/check.py
@@ -65,6 +65,7 @@
         return Unsound(faults=tuple(faults))
     full = Validator(CONFIG).normalized(full)
     faults = [*_check_pools(full=full), *_check_matches(full=full), *_check_homes(full=full)]
+    faults = faults or list(_check_shared_keys(full=full))
     if faults:
         return Unsound(faults=tuple(faults))
     return Sound(written=config, full=full, warnings=tuple(_warn_of_caps(full=full)))
@@ -115,6 +116,7 @@
 
 def _check_matches(*, full: dict):
     seen: dict = {}
+    divided: dict = {}
     for index, match in enumerate(full["matches"]):
         path = f"matches.{index}"
         if sum(share["weight"] for share in match["pools"]) <= 0:
@@ -125,6 +127,11 @@
                 yield Fault(path=f"{path}.pools.{at}.pool", reason=f"no pool {share['pool']!r}")
         if len({full["pools"][pool]["service"] for pool in known}) > 1:
             yield Fault(path=f"{path}.pools", reason="the pools are of different services")
+        service = full["services"].get(full["pools"][known[0]]["service"]) if known else None
+        if service and service["slots"]:
+            name = full["pools"][known[0]]["service"]
+            if divided.setdefault(name, match["pools"]) != match["pools"]:
+                yield Fault(path=f"{path}.pools", reason=f"{name!r} is divided: all its matches need the same pools")
         if len(set(known)) < len(known):
             yield Fault(path=f"{path}.pools", reason="a pool is listed twice")
         for tenant in match["tenants"]:
@@ -158,6 +165,17 @@
                                 reason=f"pool {share['pool']!r} has no hall at home for tenant {tenant!r}")
 
 
+def _check_shared_keys(*, full: dict):
+    for name, service in full["services"].items():
+        if not service["slots"] or service["keys"] != "shared":
+            continue
+        bound = [set(full["tenants"][tenant]["homes"]) for match in full["matches"]
+                 if full["pools"][match["pools"][0]["pool"]]["service"] == name
+                 for tenant in match["tenants"] or full["tenants"] if full["tenants"][tenant]["homes"]]
+        if bound and not set.intersection(*bound):
+            yield Fault(path=f"services.{name}.keys", reason="shared by tenants that have no home in common")
+
+
 def _warn_of_caps(*, full: dict):
     for name, pool in full["pools"].items():
         halls = [*pool["preferred"], *pool["fallback"]]
--- a/sailward/pour/choosing.py
+++ b/sailward/pour/choosing.py
@@ -7,6 +7,7 @@
 from sailward.pour.bounds import Bounds
 from sailward.pour.draw import draw_hall, draw_pool, share_halls
 from sailward.pour.exchange import Exchange, Refusal
+from sailward.pour.slots import pool_at, slot_of, space_of
 from sailward.pour.world import World
 from sailward.roster.workers import Worker
 
@@ -22,6 +23,8 @@
 
     def step(self, *, now: float, exchange: Exchange) -> Worker | Refusal:
         """The worker that is to run this exchange; takes its place in the bound."""
+        if exchange.service.slots:
+            return self._find_owner(now=now, exchange=exchange)
         if not exchange.pool:
             exchange.pool = draw_pool(match=exchange.match, rng=self.rng)
         pool = self.world.plan.pools[exchange.pool]
@@ -39,6 +42,27 @@
                 return worker
         return Refusal(code=503, reason="no-room", detail="every worker that may serve is at its bound")
 
+    def _find_owner(self, *, now: float, exchange: Exchange) -> Worker | Refusal:
+        world, service = self.world, exchange.service
+        exchange.slot = slot_of(key=exchange.part, slots=service.slots)
+        exchange.pool = pool_at(shares=exchange.match.shares, slot=exchange.slot, slots=service.slots)
+        homes = exchange.tenant.homes
+        exchange.space = space_of(homes=homes, service=service)
+        owned = world.slots.find(service=service.name, space=exchange.space, slot=exchange.slot)
+        if owned is None or not owned.owner:
+            return Refusal(code=503, reason="key-unowned", detail="no worker that may serve owns this key yet")
+        if not owned.is_open:
+            return Refusal(code=503, reason="key-moving", detail="this key is on its way to another worker")
+        worker, probed = world.book.workers.get(owned.owner), world.prober.probed.get(owned.owner)
+        if worker is None or worker.leaving or worker.hall in world.emptied or probed is None or not probed.healthy \
+                or (homes and world.plan.regions.get(worker.hall) not in homes) or owned.owner in exchange.tried:
+            return Refusal(code=503, reason="owner-lost", detail="this key's worker can't be used; it will move")
+        if not self.bounds.step(now=now, key=owned.owner, service=service, warm=now - probed.warm_since,
+                                proxies=world.proxies):
+            return Refusal(code=503, reason="no-room", detail="this key's worker is at its bound")
+        exchange.term = owned.term
+        return worker
+
     def took(self, *, key: str) -> None:
         """An exchange was sent on to this worker."""
         self.open[key] = self.open.get(key, 0) + 1
--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -52,6 +52,10 @@
     claim: int = 0
     answered: bool = False
     paid: str = ""
+    part: str = ""
+    slot: int = -1
+    space: str = ""
+    term: int = 0
 
     @property
     def unsafe(self) -> bool:
@@ -96,9 +100,13 @@
     if event.method not in SAFE and not key:
         return Refusal(code=428, reason="key-missing", detail="an unsafe exchange needs an Idempotency-Key")
     service = plan.services[plan.pools[match.shares[0][0]].service]
+    part = event.headers.get("sailward-key", "") or event.path[len(match.path.rstrip("/")):].strip("/").split("/")[0]
+    if service.slots and not part:
+        return Refusal(code=400, reason="part-missing", detail="this service is divided: give the key in the path")
     path = quote(event.path, safe="/%:@!$&'()*+,;=~-._") + ("?" + urlencode(event.query, doseq=True) if event.query else "")
     return Exchange(token=event.token, name=name, tenant=tenant, method=event.method, path=path,
                     headers=event.headers, body=event.body, match=match, service=service, key=key, turn=turn,
+                    part=part if service.slots else "",
                     arrived=now, expiry=now + constants.LINE_WAIT + service.expiry)
 
 
@@ -135,6 +143,8 @@
                if name not in HOP and not name.startswith("sailward-")}
     headers |= {"sailward-exchange": exchange.name, "sailward-worker": worker,
                 "sailward-tenant": exchange.tenant.name, "sailward-service": exchange.service.name}
+    if exchange.slot >= 0:
+        headers |= {"sailward-key": exchange.part, "sailward-slot": f"{exchange.space}/{exchange.slot}", "sailward-term": str(exchange.term)}
     return headers
 
 
--- /dev/null
+++ b/sailward/pour/slots.py
@@ -0,0 +1,78 @@
+"""Divided services: which slot a key is in, and who owns it now."""
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+
+from sailward.pour.plan import Plan, Service
+
+PREFIX = "slots/"
+OPEN, CLOSED = 1, 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Owned:
+    """One slot: its owner's key (empty if it has none), its term, and whether it is open."""
+
+    owner: str
+    term: int
+    is_open: bool
+
+
+@dataclass(kw_only=True)
+class SlotBook:
+    """Fold of the slot registers; `step` takes a chosen value of one."""
+
+    tables: dict = field(default_factory=dict)
+
+    def step(self, *, name: str, value: dict) -> None:
+        """Take the newest table of one service."""
+        self.tables[name.removeprefix(PREFIX)] = read_table(text=value["text"])
+
+    def find(self, *, service: str, space: str, slot: int) -> Owned | None:
+        """The slot as it is now, if it was ever given out."""
+        rows = self.tables.get(service, {}).get(space, ())
+        return rows[slot] if slot < len(rows) else None
+
+
+def read_table(*, text: str) -> dict[str, list[Owned]]:
+    """{space: slots in order} in a register's text."""
+    spaces = json.loads(text)["spaces"] if text else {}
+    return {space: [Owned(owner=owner, term=term, is_open=state == OPEN) for owner, term, state in rows]
+            for space, rows in spaces.items()}
+
+
+def write_table(*, spaces: dict[str, list[Owned]]) -> str:
+    """The register's text of a table."""
+    return json.dumps({"spaces": {space: [[one.owner, one.term, OPEN if one.is_open else CLOSED] for one in rows]
+                                  for space, rows in spaces.items()}}, separators=(",", ":"))
+
+
+def slot_of(*, key: str, slots: int) -> int:
+    """The slot of a key."""
+    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=8).digest(), "big") % slots
+
+
+def space_of(*, homes: frozenset, service: Service) -> str:
+    """Tenants bound to different homes have slots of their own, owned at home, unless the keys are shared."""
+    return "" if service.keys_shared else "+".join(sorted(homes))
+
+
+def common_homes(*, plan: Plan, service: str) -> set[str]:
+    """The regions that are home to every bound tenant of a service with shared keys; empty if none is bound."""
+    bound = [plan.tenants[name].homes for match in plan.matches
+             if plan.pools[match.shares[0][0]].service == service
+             for name in (match.tenants or plan.tenants) if plan.tenants[name].homes]
+    return set(frozenset.intersection(*bound)) if bound else set()
+
+
+def pool_at(*, shares: tuple, slot: int, slots: int) -> str:
+    """The pool that a slot belongs to: the weighted draw, by the slot's place instead of by chance."""
+    total = sum(weight for _, weight in shares)
+    at = (slot + 0.5) / slots * total
+    for name, weight in shares:
+        at -= weight
+        if at < 0:
+            return name
+    return shares[-1][0]
--- a/sailward/pour/world.py
+++ b/sailward/pour/world.py
@@ -8,6 +8,7 @@
 from sailward.pour.draw import HallView
 from sailward.pour.halls import HallBook
 from sailward.pour.plan import Plan, Tenant
+from sailward.pour.slots import SlotBook
 from sailward.pour.status import Prober
 from sailward.roster.workers import WorkerBook
 
@@ -23,6 +24,7 @@
     emptied: frozenset = frozenset()
     views: dict = field(default_factory=dict)
     proxies: int = 1
+    slots: SlotBook = field(default_factory=SlotBook)
 
     def counts(self) -> dict[tuple[str, str], tuple[int, int, int]]:
         """{(service, hall): (listed, healthy, known)}; a leaving worker is listed and unhealthy."""
--- a/tasting/checker.py
+++ b/tasting/checker.py
@@ -27,7 +27,7 @@
             *check_configs(history=history, runs=runs, halls=halls), *check_readbacks(history=history),
             *check_emptied(history=history, runs=runs), *check_homes(history=history, runs=runs, halls=halls),
             *check_retries(runs=runs), *check_flood(history=history, runs=runs),
-            *check_keys(runs=runs), *check_stops(history=history)]
+            *check_keys(history=history, runs=runs), *check_stops(history=history)]
 
 
 def check_runs_once(*, history: History, runs: list):
@@ -201,14 +201,15 @@
                          detail=f"{worker} got {count} in second {age}, its bound is {most:.1f}")
 
 
-def check_keys(*, runs: list):
-    """Two workers act on the same key of a divided service at once."""
+def check_keys(*, history: History, runs: list):
+    """Two workers act on the same key of a divided service at once; tenants of other homes have other keys."""
     open_runs: dict = {}
+    homes = (history.of(k="homes") or [{"homes": {}}])[-1]["homes"]
     for run in runs:
         slot = run.get("slot_key")
         if not slot:
             continue
-        name = (run["service"], slot)
+        name = (run["service"], tuple(homes.get(run["tenant"], ())), slot)
         for other in open_runs.get(name, []):
             if other["worker"] != run["worker"] and other["until"] > run["t"]:
                 yield Broken(rule="two-on-one-key", t=run["t"],
--- a/tasting/deployments.py
+++ b/tasting/deployments.py
@@ -27,6 +27,7 @@
     part: float
     region: str
     eager: bool = False
+    keys: int = 0
 
 
 def _halls(*regions: tuple) -> dict:
@@ -47,7 +48,8 @@
     return tuple(rows)
 
 
-def _config(*, halls: dict, services: tuple, tenants: dict, split: tuple, expiry: float = 2.0) -> dict:
+def _config(*, halls: dict, services: tuple, tenants: dict, split: tuple, expiry: float = 2.0,
+            divided: str = "") -> dict:
     first, second = list(dict.fromkeys(halls.values()))
     ours = [hall for hall, region in halls.items() if region == first]
     theirs = [hall for hall, region in halls.items() if region == second]
@@ -59,7 +61,7 @@
                                                         {"pool": f"{service}-{second}", "weight": split[1]}]})
     return {"halls": {hall: {"region": region} for hall, region in halls.items()},
             "services": {service: {"expiry_s": expiry, "rate": 100, "cold_rate": 10, "cold_ramp_s": 10}
-                         for service in services},
+                         | ({"slots": 32} if service == divided else {}) for service in services},
             "pools": pools, "tenants": tenants, "matches": matches}
 
 
@@ -72,11 +74,12 @@
                CallerKind(tenant="hotels", path="/notes", unsafe=False, part=0.20, region="ensenada"),
                CallerKind(tenant="restaurants", path="/orders", unsafe=True, part=0.15, region="guadalajara"),
                CallerKind(tenant="tapatia", path="/orders", unsafe=True, part=0.10, region="guadalajara"),
-               CallerKind(tenant="shops", path="/deliveries", unsafe=False, part=0.15, region="ensenada", eager=True),
+               CallerKind(tenant="shops", path="/deliveries", unsafe=False, part=0.15, region="ensenada", eager=True,
+                          keys=60),
                CallerKind(tenant="tapatia", path="/stock", unsafe=False, part=0.10, region="guadalajara"))
     return Deployment(name="arriaga", halls=halls, daemons=_daemons(halls=halls, sommeliers=5, concierges=2),
                       workers=_workers(halls=halls, services=services), callers=callers, rate=155.0,
-                      config=_config(halls=halls, services=services, tenants=tenants, split=(70, 30)))
+                      config=_config(halls=halls, services=services, tenants=tenants, split=(70, 30), divided="deliveries"))
 
 
 def make_peachtree() -> Deployment:
@@ -86,13 +89,13 @@
     tenants = {"brand-a": {"share": 1}, "brand-b": {"share": 1}, "brand-c": {"share": 1, "homes": ["savannah"]}}
     callers = (CallerKind(tenant="brand-a", path="/lookup", unsafe=False, part=0.30, region="atlanta"),
                CallerKind(tenant="brand-b", path="/lookup", unsafe=False, part=0.25, region="savannah"),
-               CallerKind(tenant="brand-a", path="/booking", unsafe=True, part=0.15, region="atlanta"),
-               CallerKind(tenant="brand-c", path="/booking", unsafe=True, part=0.10, region="savannah"),
+               CallerKind(tenant="brand-a", path="/booking", unsafe=True, part=0.15, region="atlanta", keys=40),
+               CallerKind(tenant="brand-c", path="/booking", unsafe=True, part=0.10, region="savannah", keys=40),
                CallerKind(tenant="brand-b", path="/usage", unsafe=False, part=0.10, region="savannah"),
                CallerKind(tenant="brand-c", path="/occupancy", unsafe=False, part=0.10, region="savannah"))
     return Deployment(name="peachtree", halls=halls, daemons=_daemons(halls=halls, sommeliers=6, concierges=2),
                       workers=_workers(halls=halls, services=services, extra=1), callers=callers, rate=225.0,
-                      config=_config(halls=halls, services=services, tenants=tenants, split=(60, 40)))
+                      config=_config(halls=halls, services=services, tenants=tenants, split=(60, 40), divided="booking"))
 
 
 def make_source() -> Deployment:
--- a/tasting/mind.py
+++ b/tasting/mind.py
@@ -32,6 +32,7 @@
     mode: str = "well"
     chance: float = 1.0
     runs: int = 0
+    terms: dict = field(default_factory=dict)
 
     @property
     def key(self) -> str:
@@ -49,6 +50,11 @@
             return Reply(code=503, headers={**own, "sailward-ran": "not-run"}, body=b"{}")
         if troubled and self.mode == "lose-unrun":
             return Reply(lost=True)
+        if "sailward-slot" in headers:
+            slot, term = headers["sailward-slot"], int(headers["sailward-term"])
+            if term < self.terms.get(slot, 0):
+                return Reply(code=503, headers={**own, "sailward-ran": "not-run"}, body=b"{}")
+            self.terms[slot] = term
         self.runs += 1
         if troubled and self.mode == "lose":
             return Reply(lost=True, ran=True)
--- a/tasting/real/callers.py
+++ b/tasting/real/callers.py
@@ -47,9 +47,10 @@
 
     def _order(self, kind) -> None:
         number = next(self._count)
+        part = f"part{number % kind.keys}" if kind.keys else ""
         nonce, key = f"n{number}", f"k{number}" if kind.unsafe else ""
         for turn in range(1, MOST_TRIES + 1):
-            wait = self._send(kind=kind, nonce=nonce, key=key, turn=turn)
+            wait = self._send(kind=kind, nonce=nonce, key=key, turn=turn, part=part)
             if wait is None:
                 return
             time.sleep(0.02 if kind.eager else wait * self._rng.uniform(1.0, 1.5))
@@ -76,7 +77,7 @@
             proxy = next((one for one in known if one != proxy and is_open(address=one)), proxy)
         return proxy
 
-    def _send(self, *, kind, nonce: str, key: str, turn: int) -> float | None:
+    def _send(self, *, kind, nonce: str, key: str, turn: int, part: str) -> float | None:
         known = self._proxies(region=kind.region)
         if not known:
             return 1.0
@@ -93,7 +94,7 @@
         held = fault = ""
         try:
             code, seen, body = ask(address=proxy, method="POST" if kind.unsafe else "GET", headers=headers,
-                                   path=f"{kind.path}/?n={nonce}", body=b'{"lot": 1}' if kind.unsafe else b"")
+                                   path=f"{kind.path}/{part}?n={nonce}", body=b'{"lot": 1}' if kind.unsafe else b"")
         except TimeoutError:
             held = "held"
         except (OSError, http.client.HTTPException) as error:
--- a/tasting/real/worker.py
+++ b/tasting/real/worker.py
@@ -80,7 +80,7 @@
                "region": self.server.place["region"], "asked": headers.get("sailward-service", ""),
                "key": headers.get("idempotency-key", ""), "tenant": headers.get("sailward-tenant", ""),
                "nonce": headers.get("x-caller", ""), "turn": int(headers.get("x-caller-try", "0")),
-               "path": self.path, "unsafe": self.command not in ("GET", "HEAD"), "proxy": "", "until": now}
+               "path": self.path, "unsafe": self.command not in ("GET", "HEAD"), "proxy": "", "until": now, "slot_key": headers.get("sailward-key", "")}
         self.server.rows.write(json.dumps(row) + "\n")
         self.server.rows.flush()
 
--- a/tasting/sim/callers.py
+++ b/tasting/sim/callers.py
@@ -51,7 +51,8 @@
               most: int | None = None) -> Order:
         """One order, at once."""
         number = next(self._count)
-        order = Order(kind=kind, nonce=nonce or f"n{number}", key=key or (f"k{number}" if kind.unsafe else ""), turn=turn)
+        order = Order(kind=kind, nonce=nonce or f"n{number}", key=key or (f"k{number}" if kind.unsafe else ""), turn=turn,
+                      hot=f"part{self._rng.randrange(kind.keys)}" if kind.keys else "")
         self._send(order=order, proxy=proxy, most=MOST_TRIES if most is None else most)
         return order
 
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.cask import held, proposer
 from sailward.acts import DiskFailed, Synced
-from sailward.house import cellar, copying, desk, ledger
+from sailward.house import assigning, cellar, copying, desk, ledger
 from sailward.label.check import Sound
 from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, status, tries, verify, world
 from sailward.roster import pages as pages_module
@@ -103,6 +103,13 @@
     return share
 
 
+def _opens_at_once(old):
+    def judge(self, *, service, space, slot, old, scene, **more):
+        best = self._best(service=service, space=space, slot=slot, scene=scene)
+        return old if best in ("", old.owner) else dataclasses.replace(old, owner=best, term=old.term + 1)
+    return judge
+
+
 def _bad_is_unsent(old):
     def judge(*, exchange, event):
         verdict = old(exchange=exchange, event=event)
@@ -144,5 +151,6 @@
     "last-resort": _method(choosing, "share_halls", _no_last_resort),
     "copy": _method(copying.Copying, "is_over", lambda old: lambda self: self.slots.clear() is None),
     "repair": _constant("REPLACE_AFTER", 1e9),
+    "closing": _method(assigning.Assigning, "_judge", _opens_at_once),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
--- a/tasting/sim/world.py
+++ b/tasting/sim/world.py
@@ -102,13 +102,15 @@
         near = caller.place.region == machine.region
         there = (0.0005 if near else 0.012) * self.network.slow * self.rng.uniform(0.7, 1.5)
         self.clock.after(there, lambda: self._arrive(caller=caller, machine=machine, command=command, end=end,
-                                                     fail=fail, back=there))
+                                                     fail=fail, back=there, ended=ended))
         return None
 
-    def _arrive(self, *, caller: Node, machine: Machine, command: Call, end, fail, back: float) -> None:
+    def _arrive(self, *, caller: Node, machine: Machine, command: Call, end, fail, back: float,
+                ended: list) -> None:
         if machine.frozen:
-            machine.thaws.append(lambda: self._arrive(caller=caller, machine=machine, command=command, end=end,
-                                                      fail=fail, back=back))
+            # a worker begins nothing whose connection was closed meanwhile
+            machine.thaws.append(lambda: None if ended else self._arrive(
+                caller=caller, machine=machine, command=command, end=end, fail=fail, back=back, ended=ended))
             return
         if not machine.up:
             fail(fault="connection-lost", sent=True, delay=back)
@@ -122,7 +124,8 @@
                              key=headers.get("idempotency-key", ""), tenant=headers.get("sailward-tenant", ""),
                              nonce=headers.get("x-caller", ""), turn=int(headers.get("x-caller-try", "0")),
                              path=command.path, unsafe=command.method not in ("GET", "HEAD"),
-                             proxy=caller.place.name, until=self.clock.now + busy)
+                             proxy=caller.place.name, until=self.clock.now + busy,
+                             slot_key=headers.get("sailward-key", ""))
 
         def come_back() -> None:
             if not machine.up or reply.lost or self.network.is_cut(a=caller.names, b=machine.names):
