A moving key opens as soon as every proxy is witnessed to be out of it

Cause: each move closed a key for lease + expiry + margin (4.3 s), though the proxies had known it closed and had nothing open in it within a second. Ruled out: the pushes (40 ms), the register (60 ms), the wait for an owner (the best one was known at once). Now cellars tell in their gossip which proxies asked them of late, proxies report the slots in which something sent on may still run, and a closing is clear when a majority of voters, in beats made after it, name no proxy that has not confirmed. Else the full wait. No two workers on one key in either.

--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -76,6 +76,10 @@
 """s beyond a lease and an expiry before a closed slot opens: alarms and the owners' steps."""
 OWNER_GRACE = 1.5
 """s that a slot's owner may be unwell before its slots move: a move closes them for longer."""
+ASKS_LIFE = 9.0
+"""s that a cellar tells of a proxy after its last asking: the longest expiry (5 s), a lease, and the telling."""
+ASKS_BEATS = 19
+"""beats (of GOSSIP) after its start before what a cellar tells of the proxies is whole: over ASKS_LIFE."""
 ASSIGN_EVERY = 0.25
 """s between looks at the slots."""
 MAX_OPEN = 128
--- a/sailward/house/assigning.py
+++ b/sailward/house/assigning.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from sailward import constants
+from sailward.house.witness import Closing, Witness
 from sailward.pour.plan import Plan, Pool, Service
 from sailward.pour.slots import Owned, common_homes, pool_at, read_table, space_of, write_table
 from sailward.roster.rendezvous import choose_names
@@ -25,21 +26,21 @@
 class Assigning:
     """Owner of one service's slot moves, on the cellar that hashing names. `step` gives the next text or "".
 
-    A closed slot opens after LEASE, by when no proxy can act without knowing it closed, and the service's
+    A closed slot opens when every proxy that could act is witnessed to know it closed and to have nothing
+    open in it; else after LEASE, by when no proxy can act without knowing it closed, and the service's
     expiry, by when what was sent before has ended, counted from when this cellar first held the closing.
     """
 
     closed: dict = field(default_factory=dict)
     missing: dict = field(default_factory=dict)
-    number: int = -1
 
-    def step(self, *, now: float, service: Service, number: int, text: str, scene: Scene) -> str:
+    def step(self, *, now: float, service: Service, text: str, scene: Scene, witness: Witness) -> str:
         """Judge all slots of a service against the moment."""
         spaces = read_table(text=text)
         fresh = {}
         changed = False
         moving = sum(not one.is_open for rows in spaces.values() for one in rows)
-        self._note_closed(now=now, spaces=spaces)
+        self._note_closed(now=now, spaces=spaces, witness=witness)
         for space in self._spaces(plan=scene.plan, service=service):
             rows = spaces.get(space, [])
             if len(rows) != service.slots:
@@ -57,15 +58,19 @@
     def _spaces(self, *, plan: Plan, service: Service) -> list[str]:
         return sorted({space_of(homes=tenant.homes, service=service) for tenant in plan.tenants.values()} | {""})
 
-    def _note_closed(self, *, now: float, spaces: dict) -> None:
+    def _note_closed(self, *, now: float, spaces: dict, witness: Witness) -> None:
         seen = {(space, slot, one.term) for space, rows in spaces.items() for slot, one in enumerate(rows) if not one.is_open}
-        self.closed = {name: self.closed.get(name, now) for name in seen}
+        self.closed = {name: self.closed.get(name) or Closing(since=now, number=witness.number, beats=witness.beats())
+                       for name in seen}
+        for (space, slot, _), closing in self.closed.items():
+            witness.look(closing=closing, slot=f"{space}/{slot}")
 
     def _judge(self, *, now: float, service: Service, space: str, slot: int, old: Owned, scene: Scene, room: int) -> Owned:
         best = self._best(service=service, space=space, slot=slot, scene=scene)
         if not old.is_open:
             wait = constants.LEASE + service.expiry + constants.MOVE_MARGIN
-            if best and now - self.closed.get((space, slot, old.term), now) >= wait:
+            closing = self.closed[(space, slot, old.term)]
+            if best and (closing.is_clear or now - closing.since >= wait):
                 return Owned(owner=best, term=old.term + 1, is_open=True)
             return old
         if old.owner == "":
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -250,7 +250,7 @@
         commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
         commands += self._move_slots(now=now)
         commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self._mind_voters(now=now)
-        self.roster.fit = self.voting
+        self.roster.fit, self.roster.asks = self.voting, self.subscribers.asks(now=now)
         if now - self._judged >= 0.2:
             self._judged = now
             commands += self.subscribers.step(now=now, event=None, news=self._news())
@@ -263,8 +263,8 @@
     def _move_slots(self, *, now: float) -> list:
         if not self.voting:
             return []
-        well = [one["identity"] for one in self.roster.alive(kind="cellar") if one["fit"]]
-        texts = self.moves.step(now=now, own=self.identity, well=[*well, self.identity], held=self.held,
+        cellars = [*self.roster.alive(kind="cellar"), self.roster.own_entry()]
+        texts = self.moves.step(now=now, own=self.identity, cellars=cellars, held=self.held,
                                 standing=self.standing, workers=self.workers[2], proxies=self.subscribers.proxies())
         begins = []
         for name, number, text in texts:
--- a/sailward/house/moves.py
+++ b/sailward/house/moves.py
@@ -7,6 +7,7 @@
 from sailward import constants
 from sailward.cask.held import HeldBook
 from sailward.house.assigning import Assigning, Scene
+from sailward.house.witness import Witness
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscriber
 from sailward.pour.plan import Plan
@@ -25,7 +26,7 @@
     assigning: dict = field(default_factory=dict)
     looked: float = -1e9
 
-    def step(self, *, now: float, own: str, well: list[str], held: HeldBook, standing: Standing, workers: dict | None,
+    def step(self, *, now: float, own: str, cellars: list[dict], held: HeldBook, standing: Standing, workers: dict | None,
              proxies: list[Subscriber]) -> list[tuple[str, int, str]]:
         """Look at each divided service that this cellar minds."""
         if now - self.looked < constants.ASSIGN_EVERY or workers is None:
@@ -36,16 +37,19 @@
             return []
         if (int(workers["mark"]), workers["number"]) > self.book.revision:
             self.book.step(epoch=int(workers["mark"]), revision=workers["number"], workers=json.loads(workers["text"]))
+        well = {one["identity"] for one in cellars if one["fit"]}
         scene = self._scene(held=held, standing=standing, proxies=proxies)
         changes = []
         for service in divided:
             name = PREFIX + service.name
-            if choose_names(key=name, names=set(well), count=1) != [own]:
+            if choose_names(key=name, names=well, count=1) != [own]:
                 self.assigning.pop(name, None)
                 continue
             value = held.held[name].value if name in held.held else {"number": 0, "text": ""}
             assigning = self.assigning.setdefault(name, Assigning())
-            text = assigning.step(now=now, service=service, number=value["number"], text=value["text"], scene=scene)
+            witness = Witness(service=service.name, number=value["number"], members=held.voters()["members"],
+                              cellars=cellars, proxies=proxies)
+            text = assigning.step(now=now, service=service, text=value["text"], scene=scene, witness=witness)
             if text:
                 changes.append((name, value["number"], text))
         return changes
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -111,7 +111,9 @@
         addresses = {*voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
         epoch, revision = self.world.book.revision
         have = {**self.held.have(), "workers": [revision, str(epoch), [epoch, ""]]}
-        report = self.world.report(now=now, suspect=self.suspect) if event is None else {}
+        report = {}
+        if event is None:
+            report = {**self.world.report(now=now, suspect=self.suspect), "busy": self.exchanges.busy(now=now)}
         return self.lease.step(now=now, event=event, voters=voters, addresses=sorted(addresses),
                                report=report, daemon=self.roster.own_entry(), have=have)
 
--- a/sailward/house/subscribers.py
+++ b/sailward/house/subscribers.py
@@ -26,6 +26,7 @@
 
     members: dict = field(default_factory=dict)
     seq: int = 0
+    asked: dict = field(default_factory=dict)
 
     def step(self, *, now: float, event: tuple | None, news: dict) -> list:
         """`news` is {name: (number, ballot, value)}; the event a (sender, ask or ack) or None."""
@@ -45,6 +46,11 @@
         """The proxies that have asked of late."""
         return [member for member in self.members.values() if member.entry.get("kind") == "sommelier"]
 
+    def asks(self, *, now: float) -> str:
+        """Every proxy start that asked within the longest time that what it sent on may run."""
+        self.asked = {name: at for name, at in self.asked.items() if now - at < constants.ASKS_LIFE}
+        return ",".join(sorted(self.asked))
+
     def _fold(self, *, now: float, sender: str, body: dict) -> None:
         member = self.members.get(sender)
         if body["kind"] == "ack":
@@ -55,6 +61,8 @@
         if member is None or member.entry.get("start") != start:
             member = self.members[sender] = Subscriber(entry=body["daemon"], first=now, seen=now)
         member.entry, member.seen = body["daemon"], now
+        if member.entry.get("kind") == "sommelier":
+            self.asked[f"{member.entry.get('id')}#{start}"] = now
         member.have, member.report = body["have"], body["report"]
 
     def _push(self, *, now: float, address: str, member: Subscriber, name: str, number: int,
--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -49,6 +49,7 @@
     tries: int = 0
     tried: set = field(default_factory=set)
     sent: bool = False
+    sent_at: float = 0.0
     claim: int = 0
     answered: bool = False
     paid: str = ""
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -30,6 +30,7 @@
     tally: Counter = field(default_factory=Counter)
     count: int = 0
     now: float = 0.0
+    lingering: dict = field(default_factory=dict)
 
     def step(self, *, now: float, event: object, acting: bool) -> tuple[list, list]:
         """Take an Asked, a Called, a Settled, a peek, or None; `acting` says whether the lease is held."""
@@ -48,6 +49,15 @@
         more, others = self._pump(now=now, acting=acting)
         return commands + more, begins + others
 
+    def busy(self, *, now: float) -> list[str]:
+        """The slots in which something sent on from here may still run."""
+        self.lingering = {place: end for place, end in self.lingering.items() if now < end}
+        sent = {self._place(exchange=one) for one in self.sent.values() if one.slot >= 0}
+        return sorted({*sent, *self.lingering})
+
+    def _place(self, *, exchange: Exchange) -> str:
+        return f"{exchange.service.name}|{exchange.space}/{exchange.slot}"
+
     def _arrive(self, *, now: float, event: Asked, acting: bool) -> tuple[list, list]:
         self.count += 1
         taken = take_exchange(event=event, plan=self.chooser.world.plan, now=now,
@@ -98,6 +108,7 @@
         self.sent[token] = exchange
         left = max(0.05, exchange.expiry - now)
         wait = left if exchange.unsafe or exchange.tries >= constants.MAX_TRIES else left / 2
+        exchange.sent_at = now
         self.calls[token] = now + wait + constants.LINE_WAIT
         return [Call(token=token, owner=worker.key, address=worker.address, method=exchange.method,
                      path=exchange.path, headers=headers_onward(exchange=exchange, worker=worker.key),
@@ -135,6 +146,9 @@
             return self._finish(exchange=exchange, verdict=verdict), []
         commands = [] if isinstance(verdict, Good) else self._mark_worker(now=now, exchange=exchange, verdict=verdict)
         ran = exchange.unsafe and isinstance(verdict, Bad)
+        if exchange.slot >= 0 and isinstance(verdict, Bad):
+            # its worker may run on, though nobody hears of it
+            self.lingering[self._place(exchange=exchange)] = exchange.sent_at + exchange.service.expiry
         if ran:
             memory = self.claims.kept.memories.get(exchange.digest)
             if memory is not None:
--- a/sailward/roster/gossip.py
+++ b/sailward/roster/gossip.py
@@ -8,7 +8,8 @@
 from sailward.roster.rendezvous import choose_names
 
 ENTRY = {"id": str, "kind": str, "hall": str, "region": str, "post": str, "http": str,
-         "start": int, "beat": int, "fit": bool, "version": str, "identity": str}
+         "start": int, "beat": int, "fit": bool, "version": str, "identity": str,
+         "asks": str}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -42,6 +43,7 @@
     start: int
     fit: bool = False
     identity: str = ""
+    asks: str = ""
     beat: int = 0
     known: dict = field(default_factory=dict)
     told: float = -1e9
@@ -67,7 +69,8 @@
         place = self.place
         return {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region,
                 "post": place.post, "http": place.http, "start": self.start, "beat": self.beat,
-                "fit": self.fit, "version": place.version, "identity": self.identity}
+                "fit": self.fit, "version": place.version, "identity": self.identity,
+                "asks": self.asks}
 
     def alive(self, *, kind: str) -> list[dict]:
         """The entries of the daemons of this kind that are not lost."""
--- a/tasting/sim/callers.py
+++ b/tasting/sim/callers.py
@@ -142,7 +142,7 @@
         headers = {name.lower(): value for name, value in answer.headers.items()} if answer else {}
         world.history.add(t=world.clock.now, k="got", nonce=order.nonce, key=order.key, turn=order.turn, code=code,
                           tenant=order.kind.tenant, path=order.kind.path, unsafe=order.kind.unsafe, proxy=proxy,
-                          ran=headers.get("sailward-ran", ""), verdict=verdict, reason=seen.get("error", ""), held=held,
+                          ran=headers.get("sailward-ran", ""), verdict=verdict, reason=seen.get("error", ""), held=held, part=order.hot,
                           retry_after=headers.get("retry-after", ""), worker=self._worker(answer=answer))
         if verdict == "good" or code in (400, 404, 405, 413, 422, 428):
             return
--- a/tasting/sim/expect.py
+++ b/tasting/sim/expect.py
@@ -11,7 +11,8 @@
     """(what is wrong or nothing, the figure) of one expectation."""
     head, rest = words[0], words[1:]
     judge = {"share": _judge_share, "good": _judge_good, "rows": _judge_rows, "runs": _judge_runs,
-             "answers": _judge_answers, "split": _judge_split}[head]
+             "answers": _judge_answers, "split": _judge_split,
+             "moving": _judge_moving}[head]
     return judge(words=rest, world=world, begin=begin)
 
 
@@ -84,6 +85,26 @@
     return _judge_rows(words=["run", *words], world=world, begin=begin)
 
 
+def _judge_moving(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """moving MEDIAN_MOST from A to B: s from a key's first refusal as moving to its last before a good result."""
+    words, low, high = _window(words=words, begin=begin)
+    began: dict = {}
+    spans = []
+    for row in _picked(rows=world.history.of(k="got"), low=low, high=high):
+        name = (row["tenant"], row["path"], row["part"])
+        if row["reason"] == "key-moving":
+            began.setdefault(name, [row["t"], row["t"]])[1] = row["t"]
+        elif row["verdict"] == "good" and name in began:
+            first, _ = began.pop(name)
+            spans.append(row["t"] - first)
+    if not spans:
+        return "moving: no key moved", None
+    spans.sort()
+    middle = spans[len(spans) // 2]
+    return ("" if middle <= float(words[0]) else f"moving: median {middle:.2f} s of {len(spans)}"), \
+        {"median": round(middle, 2), "most": round(spans[-1], 2), "keys": len(spans)}
+
+
 def _judge_answers(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
     """answers LEAST MOST [field=value ...] from A to B."""
     return _judge_rows(words=["got", *words], world=world, begin=begin)
--- a/tasting/sim/faults.py
+++ b/tasting/sim/faults.py
@@ -221,9 +221,19 @@
             raise ValueError(f"no worker is called {names}")
         return machines
 
+    def _end_runs(self, *, key: str) -> None:
+        """What a dead process was running has ended."""
+        now = self._world.clock.now
+        for row in reversed(self._world.history.rows):
+            if row["t"] < now - 10:
+                return
+            if row["k"] == "run" and row["worker"] == key:
+                row["until"] = min(row["until"], now)
+
     def _do_worker_down(self, *names: str) -> None:
         for machine in self._machines(names):
             machine.up = False
+            self._end_runs(key=machine.mind.key)
 
     def _do_worker_up(self, *names: str) -> None:
         """The process is back, of the same generation: cold all the same."""
@@ -254,6 +264,7 @@
             if machine in self._machines(names):
                 mind = machine.mind
                 machine.up = False
+                self._end_runs(key=mind.key)
                 world.add_worker(name=mind.name, service=mind.service, hall=mind.hall, address=address,
                                  generation=mind.generation + 1)
 
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.cask import held, proposer
 from sailward.acts import DiskFailed, Synced
-from sailward.house import assigning, cellar, copying, desk, ledger
+from sailward.house import assigning, cellar, copying, desk, ledger, witness
 from sailward.label.check import Sound
 from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, status, tries, verify, world
 from sailward.roster import pages as pages_module
@@ -152,5 +152,6 @@
     "copy": _method(copying.Copying, "is_over", lambda old: lambda self: self.slots.clear() is None),
     "repair": _constant("REPLACE_AFTER", 1e9),
     "closing": _method(assigning.Assigning, "_judge", _opens_at_once),
+    "witness": _method(witness.Witness, "look", lambda old: lambda self, *, closing, slot: None),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
