--- a/sailward/dock/web.py
+++ b/sailward/dock/web.py
@@ -42,6 +42,7 @@
         """Malformed requests: nothing of them ran."""
         body = json.dumps({"error": "malformed", "detail": message or "", "ran": "not-run"}).encode() + b"\n"
         self.close_connection = True
+        self.request_version = self.protocol_version  # else a request line without one gets no headers
         self.send_response(code)
         for name, value in (("Content-Type", "application/json"), ("Content-Length", str(len(body))),
                             ("Sailward-Ran", "not-run"), ("Connection", "close")):
--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,186 @@
+"""The edges on real sockets, files and the HTTP library."""
+from __future__ import annotations
+
+import queue
+import random
+import socket
+import struct
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from sailward.acts import Answer, Asked, Call, Called, Heard, Rewrite, Store, Synced
+from sailward.cask.messages import pack_message
+from sailward.dock.calls import Calls
+from sailward.dock.disk import Damaged, Disk, Read, Taken, pack_frame, read_frames
+from sailward.dock.post import GREETING, Post
+from sailward.dock.web import Web
+from sailward.pour.slots import slot_of
+from sailward.roster.rendezvous import choose_names
+from tasting.real.callers import ask
+from tasting.real.fleet import free_addresses
+
+WAIT = 10.0
+
+
+class Careless(threading.Thread):
+    """A server that answers one request on a connection, then reads the next and closes without a word."""
+
+    def __init__(self) -> None:
+        super().__init__(daemon=True)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.seen: list[bytes] = []
+
+    def run(self) -> None:
+        while True:
+            connection, _ = self.listener.accept()
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection: socket.socket) -> None:
+        self.seen.append(connection.recv(65536))
+        if len(self.seen) == 1:
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            self.seen.append(connection.recv(65536))
+        connection.close()
+
+
+def make_calls() -> tuple[Calls, queue.Queue]:
+    events: queue.Queue = queue.Queue()
+    calls = Calls(tell=events.put)
+    threading.Thread(target=calls.run, daemon=True).start()
+    return calls, events
+
+
+def make_call(*, address: str, method: str = "POST", fresh: bool = True, begin_by: float = float("inf")) -> Call:
+    return Call(token="x", owner="w/1", address=address, method=method, path="/", headers={}, body=b"{}" if method == "POST"
+                else b"", wait=2.0, fresh=fresh, begin_by=begin_by)
+
+
+def test_an_unsafe_call_is_sent_once_though_its_connection_dies() -> None:
+    server = Careless()
+    server.start()
+    calls, events = make_calls()
+    calls.give(call=make_call(address=server.address, method="GET", fresh=False))
+    assert events.get(timeout=WAIT).code == 200
+    calls.give(call=make_call(address=server.address))
+    called = events.get(timeout=WAIT)
+    assert (called.code, called.sent) == (0, True)
+    assert sum(one.startswith(b"POST") for one in server.seen) == 1
+
+
+def test_a_kept_connection_that_dies_is_tried_again_by_the_library() -> None:
+    """Why unsafe exchanges have connections of their own: without one the same exchange goes out twice."""
+    server = Careless()
+    server.start()
+    calls, events = make_calls()
+    calls.give(call=make_call(address=server.address, method="GET", fresh=False))
+    assert events.get(timeout=WAIT).code == 200
+    calls.give(call=make_call(address=server.address, fresh=False))
+    assert events.get(timeout=WAIT).code == 0
+    assert sum(one.startswith(b"POST") for one in server.seen) == 2
+
+
+def test_nothing_is_sent_where_nobody_listens_or_after_its_time() -> None:
+    calls, events = make_calls()
+    calls.give(call=make_call(address=free_addresses(count=1)[0]))
+    called: Called = events.get(timeout=WAIT)
+    assert (called.fault, called.sent) == ("no-connection", False)
+    server = Careless()
+    server.start()
+    calls.give(call=make_call(address=server.address, begin_by=time.monotonic() - 1))
+    called = events.get(timeout=WAIT)
+    assert (called.fault, called.sent, server.seen) == ("too-late", False, [])
+
+
+def test_ill_formed_messages_close_the_connection_and_change_nothing() -> None:
+    events: queue.Queue = queue.Queue()
+    address = free_addresses(count=1)[0]
+    post = Post(address=address, tell=events.put, threads=ThreadPoolExecutor(max_workers=16))
+    post.start()
+    host, port = address.split(":")
+    greeting = struct.pack(">I", len(GREETING) + 3) + GREETING + b"a:1"
+    good = pack_message(body={"kind": "ack", "seq": 1, "name": "config", "number": 2})
+    bads = (b"\x00\x01", pack_message(body={"kind": "ack", "seq": "one", "name": "config", "number": 2}),
+            pack_message(body={"kind": "nothing"}), pack_message(body={"kind": "chosen", "register": "x",
+                                                                       "ballot": [1], "value": {}}))
+    for count, bad in enumerate(bads, start=1):
+        with socket.create_connection((host, int(port)), timeout=WAIT) as peer:
+            peer.sendall(greeting + struct.pack(">I", len(good)) + good + struct.pack(">I", len(bad)) + bad
+                         + struct.pack(">I", len(good)) + good)
+            heard = events.get(timeout=WAIT)
+            assert isinstance(heard, Heard) and heard.body["number"] == 2
+            assert peer.recv(1) == b""
+        assert post.counts["bad"] == count
+    with socket.create_connection((host, int(port)), timeout=WAIT) as peer:
+        peer.sendall(b"GET / HTTP/1.1\r\n\r\n")
+        assert peer.recv(1) == b""
+    assert events.empty()
+
+
+def test_malformed_and_oversized_requests_get_json_and_reach_no_owner_whole() -> None:
+    asked: list[Asked] = []
+
+    def tell(event: Asked) -> None:
+        asked.append(event)
+        web.answer(command=Answer(token=event.token, code=413 if event.body is None else 200, body=b"{}"))
+    address = free_addresses(count=1)[0]
+    web = Web(address=address, limit=1000, tell=tell, threads=ThreadPoolExecutor(max_workers=8))
+    threading.Thread(target=web.run, daemon=True).start()
+    assert ask(address=address, method="POST", path="/a?b=c", body=b"x" * 1000)[0] == 200
+    assert (asked[0].path, asked[0].query, len(asked[0].body)) == ("/a", {"b": "c"}, 1000)
+    assert ask(address=address, method="POST", path="/a", body=b"x" * 1001)[0] == 413
+    assert asked[1].body is None
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=WAIT) as peer:
+        peer.sendall(b"NONSENSE\r\n\r\n")
+        reply = peer.makefile("rb").read()
+    assert reply.startswith(b"HTTP/1.1 400") and b'"ran": "not-run"' in reply and b"Sailward-Ran: not-run" in reply
+    with socket.create_connection((host, int(port)), timeout=WAIT) as peer:
+        peer.sendall(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nhalf")
+        peer.shutdown(socket.SHUT_WR)
+        peer.makefile("rb").read()
+    assert len(asked) == 2
+
+
+def test_the_file_keeps_what_was_synced_and_is_rewritten(tmp_path: Path) -> None:
+    events: queue.Queue = queue.Queue()
+    disk = Disk(folder=tmp_path, tell=events.put)
+    assert disk.open() == Read(records=[], length=0)
+    threading.Thread(target=disk.run, daemon=True).start()
+    for seq in range(1, 6):
+        disk.give(command=Store(seq=seq, records=({"n": seq},)))
+    while events.get(timeout=WAIT) != Synced(seq=5):
+        pass
+    assert [row["n"] for row in read_frames(data=(tmp_path / "registers").read_bytes()).records] == [1, 2, 3, 4, 5]
+    disk.give(command=Rewrite(seq=6, records=({"n": 9},)))
+    disk.give(command=Store(seq=7, records=({"n": 10},)))
+    while events.get(timeout=WAIT) != Synced(seq=7):
+        pass
+    assert [row["n"] for row in read_frames(data=(tmp_path / "registers").read_bytes()).records] == [9, 10]
+    assert isinstance(Disk(folder=tmp_path, tell=events.put).open(), Taken)
+
+
+def test_a_torn_end_is_cut_and_damage_before_it_is_refused() -> None:
+    frames = [pack_frame(records=[{"n": n, "text": "x" * 20}]) for n in range(3)]
+    whole = b"".join(frames)
+    for cut in range(len(frames[0]) + len(frames[1]), len(whole)):
+        found = read_frames(data=whole[:cut])
+        assert isinstance(found, Read) and [row["n"] for row in found.records] == [0, 1]
+    rng = random.Random(1)
+    for at in range(len(whole)):
+        found = read_frames(data=whole[:at] + bytes([whole[at] ^ rng.randrange(1, 256)]) + whole[at + 1:])
+        if at < len(frames[0]) + len(frames[1]):
+            assert isinstance(found, Damaged), at
+        else:
+            assert isinstance(found, Read) and len(found.records) == 2, at
+
+
+def test_hashing_moves_only_what_it_must() -> None:
+    names = [f"w{n}" for n in range(8)]
+    before = {key: choose_names(key=str(key), names=names, count=1)[0] for key in range(2000)}
+    after = {key: choose_names(key=str(key), names=names[:-1], count=1)[0] for key in range(2000)}
+    assert all(after[key] == owner for key, owner in before.items() if owner != "w7")
+    assert 150 < sum(owner == "w7" for owner in before.values()) < 350
+    assert len({slot_of(key=f"k{n}", slots=64) for n in range(2000)}) == 64
--- /dev/null
+++ b/tests/test_words.py
@@ -0,0 +1,118 @@
+"""What people read: help, faults and refusals, kept as snapshots."""
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from sailward.acts import Asked
+from sailward.dock.startup import CELLAR, COMMON, read_startup
+from sailward.label.check import check_config, read_config
+from sailward.pour.exchange import Refusal, answer_refusal, take_exchange
+from sailward.pour.plan import read_plan
+from tasting.deployments import make_arriaga
+from tasting.real.fleet import free_addresses
+
+CONFIG = make_arriaga().config
+GOOD = """name = "s-0"
+hall = "gdl-a"
+region = "guadalajara"
+post = "127.0.0.1:7000"
+http = "127.0.0.1:7100"
+seeds = ["127.0.0.1:7001"]
+"""
+
+
+def run(program: str, *words: str) -> tuple[int, str, str]:
+    done = subprocess.run([sys.executable, "-m", f"sailward.programs.{program}", *words], capture_output=True, text=True,
+                          timeout=60, check=False)
+    return done.returncode, done.stdout, done.stderr
+
+
+@pytest.mark.parametrize("program", ["cellar", "sommelier", "concierge", "steward"])
+def test_help_and_bad_flags(program: str, snapshot) -> None:
+    code, out, _ = run(program, "--help")
+    assert code == 0
+    assert out == snapshot
+    assert run(program, "--no-such-flag")[0] == 2
+
+
+@pytest.mark.parametrize(("name", "text"), [
+    ("unknown", GOOD + 'speed = 3\n'), ("ill-typed", GOOD.replace('"s-0"', "5")), ("missing", "name = 'x'\n"),
+    ("address", GOOD.replace("127.0.0.1:7100", "localhost:7100")), ("seeds", GOOD.replace('["127.0.0.1:7001"]', "[]")),
+    ("not-toml", "name = ")])
+def test_bad_settings_name_the_fault_and_end_with_2(name: str, text: str, snapshot, tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    code, _, err = run("sommelier", "--settings", str(path))
+    assert code == 2
+    assert err.replace(str(path), f"{name}.toml") == snapshot
+
+
+def test_flags_go_before_the_file(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD)
+    settings = read_startup(flags={"--settings": str(path), "--hall": "gdl-b"}, schema=COMMON)
+    assert (settings["hall"], settings["log_level"]) == ("gdl-b", "info")
+    assert len(read_startup(flags={"--settings": str(path)}, schema=CELLAR).faults) == 2
+
+
+@pytest.mark.parametrize("text", [
+    "{", "[]", '{"halls": {}, "halls": {}}', '{"speed": NaN}', "{}", json.dumps({**CONFIG, "speed": 1}),
+    json.dumps({**CONFIG, "pools": {"p": {"service": "none", "preferred": ["gdl-a", "gdl-a", "nowhere"]}}}),
+    json.dumps({**CONFIG, "matches": [{"path": "/x", "pools": [{"pool": "stock-guadalajara", "weight": 0}]}]}),
+    json.dumps({**CONFIG, "matches": [{"path": "stock", "pools": []}]}),
+    json.dumps({**CONFIG, "tenants": {"t": {"homes": ["atlantis"]}}}),
+    json.dumps({**CONFIG, "stamps": {"a": {"template": "none"}}}),
+    json.dumps({**CONFIG, "templates": {"t": {"parameters": {"n": {"type": "integer"}}, "shape": {
+        "tenants": {"${stamp}": {"share": "${n}"}}}}}, "stamps": {
+            "a": {"template": "t"}, "b": {"template": "t", "parameters": {"n": "3"}},
+            "c": {"template": "t", "parameters": {"n": 3, "m": 1}}}}),
+    "x" * (1 << 20) + "y"], ids=range(13))
+def test_unsound_configurations_list_every_fault(text: str, snapshot) -> None:
+    config = read_config(text=text)
+    faults = config.faults if not isinstance(config, dict) else check_config(config=config).faults
+    assert [f"{fault.path}: {fault.reason}" for fault in faults] == snapshot
+
+
+def test_a_template_is_stamped_out_and_changed_by_parameters_alone() -> None:
+    config = {**CONFIG, "templates": {"brand": {
+        "parameters": {"home": {"type": "list"}, "share": {"type": "integer", "default": 1}},
+        "shape": {"tenants": {"${stamp}": {"homes": "${home}", "share": "${share}"}}}}},
+        "stamps": {"azul": {"template": "brand", "parameters": {"home": ["ensenada"]}},
+                   "rojo": {"template": "brand", "parameters": {"home": ["guadalajara"], "share": 3},
+                            "overlay": {"tenants": {"rojo": {"share": 5}}}}}}
+    full = check_config(config=config).full
+    assert full["tenants"]["azul"] == {"homes": ["ensenada"], "share": 1}
+    assert full["tenants"]["rojo"] == {"homes": ["guadalajara"], "share": 5}
+
+
+@pytest.mark.parametrize(("method", "path", "headers", "body"), [
+    ("GET", "/stock/1", {}, b""), ("GET", "/stock/1", {"sailward-tenant": "nobody"}, b""),
+    ("GET", "/nothing", {"sailward-tenant": "hotels"}, b""), ("BREW", "/stock", {"sailward-tenant": "hotels"}, b""),
+    ("POST", "/orders", {"sailward-tenant": "hotels"}, b""), ("POST", "/orders", {"sailward-tenant": "hotels"}, None),
+    ("GET", "/stock", {"sailward-tenant": "hotels", "sailward-try": "zero"}, b""),
+    ("GET", "/deliveries", {"sailward-tenant": "hotels"}, b""),
+    ("POST", "/orders", {"sailward-tenant": "hotels", "idempotency-key": "k" * 300}, b"")], ids=range(9))
+def test_bad_requests_are_refused_with_json(method: str, path: str, headers: dict, body: bytes | None, snapshot) -> None:
+    full = check_config(config=CONFIG).full
+    plan = read_plan(value={"number": 1, "text": json.dumps({"written": CONFIG, "full": full})})
+    event = Asked(token="t", method=method, path=path, query={}, headers=headers, body=body)
+    refusal = take_exchange(event=event, plan=plan, now=0.0, name="x")
+    assert isinstance(refusal, Refusal)
+    answer = answer_refusal(token="t", refusal=refusal, not_run=True)
+    assert (answer.code, answer.headers, json.loads(answer.body)) == snapshot
+
+
+def test_steward_says_that_nobody_answers(tmp_path: Path) -> None:
+    cellars = ",".join(free_addresses(count=2))
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(CONFIG))
+    for words in (("status",), ("put", str(path)), ("found",), ("empty", "gdl-a")):
+        code, _, err = run("steward", "--cellars", cellars, *words)
+        assert code == 3 and "answer" in err
+    assert run("steward", "--cellars", cellars, "put", str(tmp_path / "none.json"))[0] == 2
+    assert run("steward", "--cellars", cellars, "put", str(path), "--if-match", "x")[0] == 2
