steward check tells what a configuration means for the fleet; explain tells why an exchange goes where

check compares the full form with the configuration in force, the platform's list, the proxies' statuses and loads: moved shares, bounds that are short without each hall or region, homes that stand empty, strangers. Exit code 1 on faults, 0 with warnings. explain asks one proxy what it would do, without doing it.

--- a/sailward/house/report.py
+++ b/sailward/house/report.py
@@ -22,4 +22,13 @@
             "voters": cellar.voters, "registers": registers, "daemons": sorted(daemons, key=lambda one: one["id"]),
             "halls": halls, "proxies": len(cellar.subscribers.proxies()),
             "list": {"epoch": cellar.workers[0], "revision": cellar.workers[1]},
-            "slots": len(cellar.acceptor.slots)}
+            "slots": len(cellar.acceptor.slots), "rates": _sum_rates(proxies=cellar.subscribers.proxies()),
+            "well": sorted(cellar.standing.warm)}
+
+
+def _sum_rates(*, proxies: list) -> dict:
+    rates: dict = {}
+    for proxy in proxies:
+        for service, rate in (proxy.report.get("rates") or {}).items():
+            rates[service] = round(rates.get(service, 0.0) + rate, 1)
+    return rates
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -14,6 +14,7 @@
 from sailward.pour.claims import PREFIX, Claims
 from sailward.pour.exchange import Refusal, answer_json, answer_refusal, is_promise_safe
 from sailward.pour.exchanges import Exchanges
+from sailward.pour.explain import explain
 from sailward.pour.lease import Lease
 from sailward.pour.plan import read_plan
 from sailward.pour.slots import PREFIX as SLOTS
@@ -70,6 +71,9 @@
     def _ask(self, *, now: float, event: Asked) -> list:
         if event.path == "/sailward/status" and event.method == "GET":
             return [answer_json(token=event.token, code=200, body=self._show(now=now))]
+        if event.path == "/sailward/explain" and event.method == "GET":
+            seen = explain(now=now, query=event.query, chooser=self.chooser, acting=self.acting(now=now))
+            return [answer_json(token=event.token, code=200, body=seen)]
         if self.stopping not in STOPPING.marks["taking"]:
             refusal = Refusal(code=503, reason="stopping", detail="this proxy is stopping: ask a concierge for another")
             return [answer_refusal(token=event.token, refusal=refusal, not_run=is_promise_safe(event=event))]
@@ -113,7 +117,8 @@
         have = {**self.held.have(), "workers": [revision, str(epoch), [epoch, ""]]}
         report = {}
         if event is None:
-            report = {**self.world.report(now=now, suspect=self.suspect), "busy": self.exchanges.busy(now=now)}
+            report = {**self.world.report(now=now, suspect=self.suspect), "busy": self.exchanges.busy(now=now),
+                      "rates": self.exchanges.rates(now=now)}
         return self.lease.step(now=now, event=event, voters=voters, addresses=sorted(addresses),
                                report=report, daemon=self.roster.own_entry(), have=have)
 
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -1,7 +1,7 @@
 """The exchanges under way in a proxy: allow, claim, send on, try again or give up at once."""
 from __future__ import annotations
 
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from sailward import constants
@@ -31,6 +31,7 @@
     count: int = 0
     now: float = 0.0
     lingering: dict = field(default_factory=dict)
+    loads: deque = field(default_factory=deque)
 
     def step(self, *, now: float, event: object, acting: bool) -> tuple[list, list]:
         """Take an Asked, a Called, a Settled, a peek, or None; `acting` says whether the lease is held."""
@@ -49,6 +50,13 @@
         more, others = self._pump(now=now, acting=acting)
         return commands + more, begins + others
 
+    def rates(self, *, now: float) -> dict[str, float]:
+        """Exchanges a second sent on for each service, over the last TRY_WINDOW."""
+        while self.loads and self.loads[0][0] < now - constants.TRY_WINDOW:
+            self.loads.popleft()
+        counts = Counter(service for _, service in self.loads)
+        return {service: round(count / constants.TRY_WINDOW, 1) for service, count in counts.items()}
+
     def busy(self, *, now: float) -> list[str]:
         """The slots in which something sent on from here may still run."""
         self.lingering = {place: end for place, end in self.lingering.items() if now < end}
@@ -109,6 +117,7 @@
         left = max(0.05, exchange.expiry - now)
         wait = left if exchange.unsafe or exchange.tries >= constants.MAX_TRIES else left / 2
         exchange.sent_at = now
+        self.loads.append((now, exchange.service.name))
         self.calls[token] = now + wait + constants.LINE_WAIT
         return [Call(token=token, owner=worker.key, address=worker.address, method=exchange.method,
                      path=exchange.path, headers=headers_onward(exchange=exchange, worker=worker.key),
--- a/sailward/programs/steward.py
+++ b/sailward/programs/steward.py
@@ -5,7 +5,8 @@
   steward [options] get
   steward [options] put FILE
   steward [options] patch FILE
-  steward [options] check FILE
+  steward [options] check FILE [--offline]
+  steward [options] explain TENANT METHOD PATH --proxy=ADDRESS
   steward [options] empty HALL [--confirm]
   steward [options] refill HALL
   steward [options] orders
@@ -17,6 +18,8 @@
   --cellars LIST   IP:port of the cellars' operators' interfaces, with commas
                    [default: 127.0.0.1:7100].
   --if-match N     Change only the configuration that has this number.
+  --offline        Check the file alone, not against the fleet as it is.
+  --proxy=ADDRESS  IP:port of a proxy, to explain what it would do with an exchange, and why.
   --confirm        Empty the hall though a bound tenant is left without any place.
   -h --help        Show this.
   --version        Show the version.
@@ -31,10 +34,11 @@
 import json
 import sys
 from pathlib import Path
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from sailward import constants
 from sailward.counter.client import Client, Reply, Unreachable, ask_once
+from sailward.counter.forecast import Finding, forecast
 from sailward.label.check import Unsound, check_config, read_config
 from sailward.programs.common import read_flags
 
@@ -51,7 +55,10 @@
     elif flags["put"] or flags["patch"]:
         _change(client=client, flags=flags)
     elif flags["check"]:
-        _check(text=_read(path=flags["FILE"]))
+        _check(text=_read(path=flags["FILE"]), client=None if flags["--offline"] else client)
+    elif flags["explain"]:
+        query = urlencode({"tenant": flags["TENANT"], "method": flags["METHOD"], "path": flags["PATH"]})
+        _show(reply=ask_once(address=flags["--proxy"], method="GET", path=f"/sailward/explain?{query}"))
     elif flags["empty"] or flags["refill"]:
         path = f"/halls/{quote(flags['HALL'], safe='')}/" + ("empty" if flags["empty"] else "refill")
         _show(reply=client.step(method="POST", path=path + ("?confirm=yes" if flags["--confirm"] else "")))
@@ -89,16 +96,39 @@
     _show(reply=client.step(method=method, path="/config", body=text, headers=headers))
 
 
-def _check(*, text: bytes) -> None:
+def _check(*, text: bytes, client: Client | None) -> None:
     config = read_config(text=text)
     sound = config if isinstance(config, Unsound) else check_config(config=config)
     if isinstance(sound, Unsound):
         for fault in sound.faults:
             print(f"fault: {fault.path or '(whole)'}: {fault.reason}")
         sys.exit(1)
-    for fault in sound.warnings:
-        print(f"warning: {fault.path}: {fault.reason}")
-    print(f"sound, {len(sound.warnings)} warnings")
+    findings = [Finding(kind="warning", path=fault.path, text=fault.reason) for fault in sound.warnings]
+    if client is not None:
+        findings += _ask_fleet(client=client, full=sound.full)
+    for kind in ("fault", "warning", "note"):
+        for finding in findings:
+            if finding.kind == kind:
+                print(f"{kind}: {finding.path}: {finding.text}")
+    faults = sum(finding.kind == "fault" for finding in findings)
+    print(f"{faults} faults, {sum(finding.kind == 'warning' for finding in findings)} warnings")
+    sys.exit(1 if faults else 0)
+
+
+def _ask_fleet(*, client: Client, full: dict) -> list[Finding]:
+    replies = [client.step(method="GET", path=path) for path in ("/config", "/workers", "/status")]
+    for reply in replies:
+        if isinstance(reply, Unreachable):
+            _show(reply=reply)
+        if reply.code not in (200, 404):
+            _end(code=constants.EXIT_REFUSED, message=f"{reply.cellar}: {reply.body.get('error')}: {reply.body.get('detail')}")
+    config, workers, status = (reply.body for reply in replies)
+    old = check_config(config=config["config"]) if config.get("config") else None
+    states = {key: True for key in status["well"]}
+    if status["well"]:
+        states = {f"{one['id']}/{one['generation']}": f"{one['id']}/{one['generation']}" in states for one in workers["workers"]}
+    return forecast(full=full, now_full=old.full if old is not None else {}, workers=workers["workers"],
+                    rates=status["rates"], states=states)
 
 
 def _read(*, path: str) -> bytes:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -48,5 +48,11 @@
         done = fleet.steward("get")
         assert done.returncode == 0 and json.loads(done.stdout)["config"] == fleet.deployment.config
         assert fleet.steward("put", "-", text=b'{"halls": 3}').returncode == 1
+        assert fleet.steward("check", "-", text=done.stdout).returncode == 1
+        done = fleet.steward("check", "-", text=json.dumps(fleet.deployment.config).encode())
+        assert done.returncode == 0 and b"0 faults" in done.stdout
+        proxy = f"--proxy={fleet.https['sommelier-0']}"
+        told = json.loads(fleet.steward("explain", "tapatia", "POST", "/orders/1", proxy).stdout)
+        assert told["halls"]["ens-b"]["allowed"] is False and told["pools"]["orders-ensenada"]["drawn"] == 0.3
     finally:
         fleet.end()
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -9,6 +9,7 @@
 import pytest
 
 from sailward.acts import Asked
+from sailward.counter.forecast import forecast
 from sailward.dock.startup import CELLAR, COMMON, read_startup
 from sailward.label.check import check_config, read_config
 from sailward.pour.exchange import Refusal, answer_refusal, take_exchange
@@ -107,6 +108,18 @@
     assert (answer.code, answer.headers, json.loads(answer.body)) == snapshot
 
 
+def test_a_check_against_the_fleet_tells_moves_shortages_and_empty_homes(snapshot) -> None:
+    full = check_config(config=CONFIG).full
+    new = json.loads(json.dumps(full))
+    new["matches"][0]["pools"][0]["weight"] = 10
+    new["halls"]["far"] = {"region": "far"}
+    workers = [{"id": name, "generation": 1, "service": service, "hall": hall, "address": "127.0.0.1:1", "leaving": False}
+               for name, service, hall in make_arriaga().workers if not (service == "orders" and hall.startswith("gdl"))]
+    workers.append({**workers[0], "id": "lost", "hall": "attic", "service": "wine"})
+    findings = forecast(full=new, now_full=full, workers=workers, rates={"stock": 450.0, "notes": 900.0}, states={})
+    assert [f"{one.kind}: {one.path}: {one.text}" for one in findings] == snapshot
+
+
 def test_steward_says_that_nobody_answers(tmp_path: Path) -> None:
     cellars = ",".join(free_addresses(count=2))
     path = tmp_path / "config.json"
