An exchange is matched again when the configuration changed while it was on its way

Cause: an exchange kept the match of its arrival through its claim and its second try. When a newer configuration had taken the pool away, the choosing failed and the proxy ended (KeyError in draw); where the pool was still there, it would have been sent on by an old rule. Ruled out: a stale plan in the proxy (it held the newest number), an unchecked configuration (pool names are checked). The simulator now records an owner's fault as the end of its process, and the checker calls it a breach.

--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -43,6 +43,8 @@
     turn: int
     arrived: float
     expiry: float
+    raw_path: str = ""
+    plan: int = 0
     pool: str = ""
     state: str = "arrived"
     worker: str = ""
@@ -107,10 +109,27 @@
     path = quote(event.path, safe="/%:@!$&'()*+,;=~-._") + ("?" + urlencode(event.query, doseq=True) if event.query else "")
     return Exchange(token=event.token, name=name, tenant=tenant, method=event.method, path=path,
                     headers=event.headers, body=event.body, match=match, service=service, key=key, turn=turn,
-                    part=part if service.slots else "",
+                    part=part if service.slots else "", raw_path=event.path, plan=plan.number,
                     arrived=now, expiry=now + constants.LINE_WAIT + service.expiry)
 
 
+def refit_exchange(*, exchange: Exchange, plan: Plan) -> Refusal | None:
+    """Match again under the configuration in force: a later one may be since the exchange was taken."""
+    if exchange.plan == plan.number:
+        return None
+    tenant = plan.tenants.get(exchange.tenant.name)
+    match = plan.match(path=exchange.raw_path, method=exchange.method, tenant=exchange.tenant.name)
+    if tenant is None or match is None:
+        return Refusal(code=404, reason="unmatched", detail="the configuration changed meanwhile")
+    service = plan.services[plan.pools[match.shares[0][0]].service]
+    if service.slots and not exchange.part:
+        return Refusal(code=400, reason="part-missing", detail="the service is divided now")
+    exchange.tenant, exchange.match, exchange.service, exchange.plan = tenant, match, service, plan.number
+    if exchange.pool not in {name for name, weight in match.shares if weight}:
+        exchange.pool = ""
+    return None
+
+
 def is_promise_safe(*, event: Asked) -> bool:
     """May `not-run` be said of an exchange that this proxy did not send on?
 
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -9,7 +9,7 @@
 from sailward.pour.choosing import Chooser
 from sailward.pour.claims import Claims, Lost, Replayed, Won
 from sailward.pour.exchange import (Exchange, Refusal, answer_refusal, headers_onward, is_promise_safe,
-                                    take_exchange)
+                                    refit_exchange, take_exchange)
 from sailward.pour.lines import Lines
 from sailward.pour.tries import Tries
 from sailward.pour.verify import Bad, Good, Unsent, WorkerRefused, judge_result
@@ -103,9 +103,10 @@
         return self._send_on(now=now, exchange=exchange), []
 
     def _send_on(self, *, now: float, exchange: Exchange) -> list:
-        worker = self.chooser.step(now=now, exchange=exchange)
+        refusal = refit_exchange(exchange=exchange, plan=self.chooser.world.plan)
+        worker = refusal or self.chooser.step(now=now, exchange=exchange)
         if isinstance(worker, Refusal):
-            return [self._refuse(exchange=exchange, reason=worker.reason, detail=worker.detail)]
+            return [self._refuse(exchange=exchange, refusal=worker)]
         if exchange.tries == 0:
             self.tally["sent-on"] += 1
         exchange.tries += 1
--- a/tasting/checker.py
+++ b/tasting/checker.py
@@ -27,7 +27,7 @@
             *check_configs(history=history, runs=runs, halls=halls), *check_readbacks(history=history),
             *check_emptied(history=history, runs=runs), *check_homes(history=history, runs=runs, halls=halls),
             *check_retries(runs=runs), *check_flood(history=history, runs=runs),
-            *check_keys(history=history, runs=runs), *check_stops(history=history)]
+            *check_keys(history=history, runs=runs), *check_crashes(history=history), *check_stops(history=history)]
 
 
 def check_runs_once(*, history: History, runs: list):
@@ -217,6 +217,12 @@
         open_runs[name] = [one for one in open_runs.get(name, []) if one["until"] > run["t"]] + [run]
 
 
+def check_crashes(*, history: History):
+    """A daemon ends by a fault of its own."""
+    for row in history.of(k="crash"):
+        yield Broken(rule="crash", t=row["t"], detail=f"{row['daemon']}: {row['fault']}")
+
+
 def check_stops(*, history: History):
     """A planned stop drops exchanges that were taken, or lasts over its grace."""
     stops = history.of(k="planned-stop")
--- a/tasting/sim/callers.py
+++ b/tasting/sim/callers.py
@@ -52,10 +52,16 @@
         """One order, at once."""
         number = next(self._count)
         order = Order(kind=kind, nonce=nonce or f"n{number}", key=key or (f"k{number}" if kind.unsafe else ""), turn=turn,
-                      hot=f"part{self._rng.randrange(kind.keys)}" if kind.keys else "")
+                      hot=self._part(kind=kind, key=key))
         self._send(order=order, proxy=proxy, most=MOST_TRIES if most is None else most)
         return order
 
+    def _part(self, *, kind: CallerKind, key: str) -> str:
+        if not kind.keys:
+            return ""
+        # repeats of one order are for one key
+        return f"part{(sum(key.encode()) if key else self._rng.randrange(10 ** 6)) % kind.keys}"
+
     def _next(self) -> None:
         if self.rate <= 0:
             return
--- a/tasting/sim/faults.py
+++ b/tasting/sim/faults.py
@@ -6,6 +6,7 @@
 
 from tasting.deployments import CallerKind
 from tasting.sim.callers import Callers
+from tasting.sim.chaos import Chaos
 from tasting.sim.operators import Operators
 
 if TYPE_CHECKING:
@@ -277,6 +278,15 @@
         for machine in self._machines(names):
             self._world.platform.unlist(name=machine.mind.name)
 
+    def _do_worker_gone_if(self, name: str) -> None:
+        if name in self._world.platform.names():
+            self._do_worker_gone(name)
+
+    def _do_chaos(self, seconds: str) -> None:
+        """Seeded faults of every kind for so long."""
+        chaos = Chaos(world=self._world, faults=self)
+        chaos.step(until=self._world.clock.now + float(seconds))
+
     def _do_worker_add(self, name: str, service: str, hall: str, index: str) -> None:
         self._world.add_worker(name=name, service=service, hall=hall, address=f"10.1.9.{index}:80")
 
@@ -294,6 +304,7 @@
 
     def _do_order(self, tenant: str, path: str, key: str, proxy: str, turn: str = "0") -> None:
         """One unsafe exchange with this key, sent once to this proxy."""
-        kind = CallerKind(tenant=tenant, path=path, unsafe=True, part=0.0, region="")
+        kinds = [one for one in self._world.deployment.callers if one.path == path]
+        kind = CallerKind(tenant=tenant, path=path, unsafe=True, part=0.0, region="", keys=kinds[0].keys if kinds else 0)
         address = self._world.nodes[proxy].place.http
         self.callers.order(kind=kind, key=key, proxy=address, turn=int(turn), nonce=f"by-{key}", most=1)
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -3,6 +3,7 @@
 
 import marshal
 import random
+import traceback
 from typing import TYPE_CHECKING
 
 from sailward import constants
@@ -102,7 +103,15 @@
             self.frozen.append(event)
             return
         life = self.life
-        for command in self.owner.step(now=self.now(), event=event):
+        try:
+            commands = self.owner.step(now=self.now(), event=event)
+        except Exception as fault:  # a real process would end with code 70
+            self.world.history.add(t=self.world.clock.now, k="crash", daemon=self.place.name,
+                                   fault="".join(traceback.format_exception(fault)[-2:]))
+            self.code = constants.EXIT_FAULT
+            self._end()
+            return
+        for command in commands:
             if self.life != life or self.owner is None:
                 return
             self._carry_out(command=command)
--- a/tasting/sim/platform.py
+++ b/tasting/sim/platform.py
@@ -27,6 +27,10 @@
                                  "address": address, "hall": mind.hall, "leaving": False}
         self.revision += 1
 
+    def names(self) -> set:
+        """Who is on the list."""
+        return set(self._rows)
+
     def mark_leaving(self, *, name: str) -> None:
         """Mark a worker as leaving."""
         row = self._rows[name]
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -153,5 +153,6 @@
     "repair": _constant("REPLACE_AFTER", 1e9),
     "closing": _method(assigning.Assigning, "_judge", _opens_at_once),
     "witness": _method(witness.Witness, "look", lambda old: lambda self, *, closing, slot: None),
+    "refit": _method(exchanges, "refit_exchange", lambda old: lambda *, exchange, plan: None),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
