A daemon that starts again after its clock was turned back is known again at once

Cause: a start is a wall time; the roster took a lower one for old news for 60 s, so concierges did not name the proxy and the core did not count the cellar as living. Ruled out: leases and registers (they use no wall time). A lost daemon's other start is believed, lower or not.

--- a/sailward/roster/gossip.py
+++ b/sailward/roster/gossip.py
@@ -95,7 +95,7 @@
             if not is_entry(given=entry) or entry["id"] == self.place.name:
                 continue
             known = self.known.get(entry["id"])
-            if known and (entry["start"], entry["beat"]) <= (known.entry["start"], known.entry["beat"]):
+            if known and not _is_newer(entry=entry, known=known):
                 continue
             if known is None or known.lost:
                 commands.append(Log(event="daemon-found", fields={"daemon": entry["id"], "at": entry["post"]}))
@@ -113,6 +113,13 @@
         return commands
 
 
+def _is_newer(*, entry: dict, known: Known) -> bool:
+    if known.lost and entry["start"] != known.entry["start"]:
+        # a start is a wall time: after the clock was turned back, the new one is the lower
+        return True
+    return (entry["start"], entry["beat"]) > (known.entry["start"], known.entry["beat"])
+
+
 def is_entry(*, given: object) -> bool:
     """Is it a daemon's entry, with all its fields?"""
     return isinstance(given, dict) and all(isinstance(given.get(name), kind) for name, kind in ENTRY.items())
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -50,7 +50,7 @@
             return
         self.life += 1
         nonce = f"{self.rng.getrandbits(48):012x}"
-        common = {"place": self.place, "start": int(self.world.clock.now * 1000), "rng": random.Random(nonce)}
+        common = {"place": self.place, "start": int((self.world.clock.now + self.skew) * 1000), "rng": random.Random(nonce)}
         self.code = None
         if self.place.kind == "cellar":
             found = self.disk.read()
