Fair lines by tenant and service, the worker chosen before the claim, a bound for a hot key

Cause: an exchange that found every worker at its bound was refused at once, so the bounds' places went to whoever asked most; a flooding brand took them from its rivals. Unsafe exchanges claimed their key before it was known that any worker had room, and then gave the claim up. Ruled out: MAX_OPEN (never reached), the tenants' lines (empty, as nothing waited for room). Exchanges of divided services do not wait in line, where a hot key would stand first.

--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -70,6 +70,10 @@
 REPORT_LIFE = 2.0
 """s. A proxy's digest older than this has no voice in the standing view."""
 
+COUNT_EVERY = 0.25
+"""s between two counts of the halls when nothing happens: a hold ends by time alone."""
+JUDGE_EVERY = 0.2
+"""s between two folds of the proxies' digests: half of their askings."""
 MOVES_AT_ONCE = 8
 """slots of one service closed at a time for a move that nothing forces."""
 MOVE_MARGIN = 0.3
@@ -112,8 +116,8 @@
 """of its part of a bound that a proxy uses, as counts of proxies lag."""
 RATE_BURST = 0.25
 """s of its rate that a worker's bound lets through at once."""
-HOT_KEY_OPEN = 32
-"""exchanges open for one key at one proxy: a hot key can't fill the line of others."""
+HOT_KEY_SHARE = 0.5
+"""of its worker's bound that one key of a divided service may take: the rest is for the worker's other keys."""
 
 BODY_BYTES = 1 << 20
 """bytes of a caller's body; over it 413."""
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -251,11 +251,11 @@
         commands += self._move_slots(now=now)
         commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self._mind_voters(now=now)
         self.roster.fit, self.roster.asks = self.voting, self.subscribers.asks(now=now)
-        if now - self._judged >= 0.2:
+        if now - self._judged >= constants.JUDGE_EVERY:
             self._judged = now
             commands += self.subscribers.step(now=now, event=None, news=self._news())
             commands += self.standing.step(now=now, proxies=self.subscribers.proxies())
-        if not self.ledger.usable and not self.ledger.rewriting and now - self._read_at.get("disk", -1e9) > 1.0:
+        if not self.ledger.usable and not self.ledger.rewriting and now - self._read_at.get("disk", -1e9) > constants.REPAIR_EVERY:
             self._read_at["disk"] = now
             commands.append(self.ledger.rewrite())
         return commands
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -135,7 +135,6 @@
         came, went = self.world.book.step(epoch=int(value["mark"]), revision=value["number"],
                                           workers=json.loads(value["text"]))
         commands = self.world.prober.follow(now=now, workers=self.world.book.workers, warm=self.world.warm())
-        self.chooser.bounds.forget(keep=set(self.world.book.workers))
         if came or went:
             commands.append(Log(event="workers", fields={"came": len(came), "went": len(went)}))
         return commands + self._count_halls(now=now)
@@ -178,8 +177,9 @@
         commands += self.roster.step(now=now, event=None)
         commands += self.world.prober.step(now=now, event=None)
         commands += self._give(now=now, event=None)
-        if now - self._counted >= 0.25:
+        if now - self._counted >= constants.COUNT_EVERY:
             commands += self._count_halls(now=now)
+            self.chooser.bounds.forget(now=now, keep=set(self.world.book.workers))
         heard = [count for at, count in self.cellars.values() if now - at < constants.SUBSCRIBER_LIFE]
         self.world.proxies = max([1, *heard])
         self.roster.fit = self.acting(now=now) and not self.suspect and self.stopping in STOPPING.marks["named"]
--- a/sailward/pour/choosing.py
+++ b/sailward/pour/choosing.py
@@ -2,8 +2,9 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from sailward import constants
 from sailward.pour.bounds import Bounds
 from sailward.pour.draw import draw_hall, draw_pool, share_halls
 from sailward.pour.exchange import Exchange, Refusal
@@ -57,12 +58,28 @@
         if worker is None or worker.leaving or worker.hall in world.emptied or probed is None or not probed.healthy \
                 or (homes and world.plan.regions.get(worker.hall) not in homes) or owned.owner in exchange.tried:
             return Refusal(code=503, reason="owner-lost", detail="this key's worker can't be used; it will move")
+        hot = replace(service, rate=service.rate * constants.HOT_KEY_SHARE)
+        if not self.bounds.step(now=now, key=f"key {service.name} {exchange.part}", service=hot, warm=service.cold_ramp,
+                                proxies=world.proxies):
+            return Refusal(code=503, reason="hot-key", detail="this key has taken its part of its worker's bound")
         if not self.bounds.step(now=now, key=owned.owner, service=service, warm=now - probed.warm_since,
                                 proxies=world.proxies):
-            return Refusal(code=503, reason="no-room", detail="this key's worker is at its bound")
+            return Refusal(code=503, reason="owner-full", detail="this key's worker is at its bound")
         exchange.term = owned.term
         return worker
 
+    def stands(self, *, exchange: Exchange) -> bool:
+        """May the worker chosen a moment ago still be sent this exchange?"""
+        world, worker = self.world, exchange.chosen
+        probed = world.prober.probed.get(worker.key)
+        if worker.key not in world.book.workers or world.book.workers[worker.key].leaving \
+                or worker.hall in world.emptied or probed is None or not probed.healthy:
+            return False
+        if exchange.slot < 0:
+            return True
+        owned = world.slots.find(service=exchange.service.name, space=exchange.space, slot=exchange.slot)
+        return owned is not None and owned.is_open and (owned.owner, owned.term) == (worker.key, exchange.term)
+
     def took(self, *, key: str) -> None:
         """An exchange was sent on to this worker."""
         self.open[key] = self.open.get(key, 0) + 1
--- a/sailward/pour/claims.py
+++ b/sailward/pour/claims.py
@@ -73,6 +73,11 @@
             return [Tell(to=sender, body=reply)], [], []
         return self._take_peeked(now=now, body=body)
 
+    def remembers(self, *, exchange: Exchange) -> bool:
+        """Is the key known here as sent on before, so that no worker is needed?"""
+        memory = self.kept.memories.get(exchange.digest) if exchange.unsafe else None
+        return memory is not None and memory.state != "unsent" and not exchange.claim
+
     def may_store(self, *, homes: frozenset) -> bool:
         """May a result of a tenant with these homes be kept here?"""
         return not homes or self.region in homes
--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -9,6 +9,7 @@
 from sailward import constants
 from sailward.acts import Answer, Asked
 from sailward.pour.plan import Match, Plan, Service, Tenant
+from sailward.roster.workers import Worker
 
 SAFE = frozenset({"GET", "HEAD", "OPTIONS"})
 KNOWN = SAFE | {"POST", "PUT", "PATCH", "DELETE"}
@@ -53,6 +54,7 @@
     sent: bool = False
     sent_at: float = 0.0
     claim: int = 0
+    chosen: Worker | None = None
     answered: bool = False
     paid: str = ""
     part: str = ""
@@ -65,6 +67,11 @@
         """Does running it twice do harm?"""
         return self.method not in SAFE
 
+    @property
+    def line(self) -> str:
+        """The line that it waits in."""
+        return f"{self.tenant.name}|{self.service.name}"
+
     @property
     def digest(self) -> str:
         """What the claim is written under: no tenant's data can be read from it."""
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -86,27 +86,43 @@
         if not replay and not taken.paid:
             return [self._refuse(exchange=taken, reason="too-many-repeats",
                                  detail="repeats are over their share of the traffic")], []
-        if len(self.sent) < constants.MAX_OPEN and not self.lines.count():
-            return self._dispatch(now=now, exchange=taken)
         self.live[taken.token] = taken
+        if replay or (len(self.sent) < constants.MAX_OPEN and not self.lines.waits(name=taken.line)):
+            dispatched = self._dispatch(now=now, exchange=taken)
+            if dispatched is not None:
+                return dispatched
         taken.state = "waiting"
-        if self.lines.step(tenant=taken.tenant.name, item=taken.token, share=taken.tenant.share) is None:
+        if not self.lines.step(name=taken.line, item=taken.token, share=taken.tenant.share):
             return [self._refuse(exchange=taken, reason="line-full", detail="this tenant's line is full")], []
         return [], []
 
-    def _dispatch(self, *, now: float, exchange: Exchange) -> tuple[list, list]:
-        self.live[exchange.token] = exchange
+    def _dispatch(self, *, now: float, exchange: Exchange) -> tuple[list, list] | None:
+        """Choose, claim if it must be, send on; None if it must wait for room at a worker."""
+        if not self.claims.remembers(exchange=exchange):
+            choice = self._choose(now=now, exchange=exchange)
+            if isinstance(choice, Refusal):
+                return None if choice.reason == "no-room" else ([self._refuse(exchange=exchange, refusal=choice)], [])
         if exchange.unsafe and not exchange.claim:
             exchange.state = "claiming"
             commands, begins, verdicts = self.claims.step(now=now, event=exchange)
             return commands + self._hear_verdicts(now=now, verdicts=verdicts, acting=True), begins
         return self._send_on(now=now, exchange=exchange), []
 
-    def _send_on(self, *, now: float, exchange: Exchange) -> list:
+    def _choose(self, *, now: float, exchange: Exchange) -> Refusal | None:
         refusal = refit_exchange(exchange=exchange, plan=self.chooser.world.plan)
-        worker = refusal or self.chooser.step(now=now, exchange=exchange)
-        if isinstance(worker, Refusal):
-            return [self._refuse(exchange=exchange, refusal=worker)]
+        choice = refusal or self.chooser.step(now=now, exchange=exchange)
+        if isinstance(choice, Refusal):
+            return choice
+        exchange.chosen = choice
+        return None
+
+    def _send_on(self, *, now: float, exchange: Exchange) -> list:
+        plan_moved = exchange.plan != self.chooser.world.plan.number
+        if exchange.chosen is None or plan_moved or not self.chooser.stands(exchange=exchange):
+            refusal = self._choose(now=now, exchange=exchange)
+            if refusal is not None:
+                return [self._refuse(exchange=exchange, refusal=refusal)]
+        worker, exchange.chosen = exchange.chosen, None
         if exchange.tries == 0:
             self.tally["sent-on"] += 1
         exchange.tries += 1
@@ -230,24 +246,29 @@
         self.tally[f"refused-{reason}"] += 1
 
     def _pump(self, *, now: float, acting: bool) -> tuple[list, list]:
-        commands, begins = [], []
+        commands, begins, blocked = [], [], set()
         while acting and len(self.sent) < constants.MAX_OPEN:
-            token = self.lines.step(tenant="")
-            if token is None:
+            turn = self.lines.take(blocked=blocked)
+            if turn is None:
                 break
-            exchange = self.live.get(token)
+            exchange = self.live.get(turn[1])
             if exchange is None:
                 continue
-            more, others = self._dispatch(now=now, exchange=exchange)
-            commands, begins = commands + more, begins + others
+            dispatched = self._dispatch(now=now, exchange=exchange)
+            if dispatched is None:
+                self.lines.put_back(name=turn[0], item=turn[1])
+                blocked.add(turn[0])
+                continue
+            commands, begins = commands + dispatched[0], begins + dispatched[1]
         return commands, begins
 
     def _look_at_alarms(self, *, now: float, acting: bool) -> list:
         commands = []
         for exchange in list(self.live.values()):
             if exchange.state == "waiting" and (not acting or now - exchange.arrived >= constants.LINE_WAIT):
-                reason = "waited-out" if acting else "no-lease"
-                commands.append(self._refuse(exchange=exchange, reason=reason))
+                reason = "no-room" if acting else "no-lease"
+                commands.append(self._refuse(exchange=exchange, reason=reason, detail="every worker that may serve is at its bound"
+                                             if acting else "this proxy is cut off from the core"))
             elif now >= exchange.expiry:
                 refusal = Refusal(code=504, reason="expired")
                 commands.append(self._refuse(exchange=exchange, refusal=refusal))
--- a/sailward/pour/lines.py
+++ b/sailward/pour/lines.py
@@ -1,56 +1,66 @@
-"""One bounded line per tenant, served in turn."""
+"""One bounded line for each tenant and service, served in turn."""
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from dataclasses import dataclass, field
 
 from sailward import constants
 
 
+@dataclass(kw_only=True)
+class Line:
+    """Those that wait, and how many of them go before the next line's turn."""
+
+    share: int
+    items: deque = field(default_factory=deque)
+    left: int = 0
+
+
 class Lines:
-    """Owner of the waiting. `step` adds one (or refuses it), or takes the next in turn."""
+    """Owner of the waiting. `step` adds one if its line has room; `take` gives the next in turn."""
 
     def __init__(self) -> None:
-        self._lines: OrderedDict[str, deque] = OrderedDict()
-        self._left: dict[str, int] = {}
+        self._lines: OrderedDict[str, Line] = OrderedDict()
 
-    def step(self, *, tenant: str, item: object | None = None, share: int = 1) -> object | None:
-        """With an item: the item if it may wait, else None. Without: the next one, or None."""
-        if item is not None:
-            return self._add(tenant=tenant, item=item, share=share)
-        return self._take()
+    def step(self, *, name: str, item: str, share: int = 1) -> bool:
+        """May it wait?"""
+        line = self._lines.setdefault(name, Line(share=share, left=share))
+        if len(line.items) >= constants.LINE_LENGTH:
+            return False
+        line.share = share
+        line.items.append(item)
+        return True
 
-    def drop(self, *, item: object) -> None:
-        """Take one out that has been given up."""
-        for line in self._lines.values():
-            for waiting in line:
-                if waiting[0] == item:
-                    line.remove(waiting)
-                    return
-
-    def count(self) -> int:
-        """How many wait."""
-        return sum(len(line) for line in self._lines.values())
-
-    def _add(self, *, tenant: str, item: object, share: int) -> object | None:
-        line = self._lines.setdefault(tenant, deque())
-        if len(line) >= constants.LINE_LENGTH:
-            return None
-        line.append((item, share))
-        return item
-
-    def _take(self) -> object | None:
-        for tenant in list(self._lines):
-            line = self._lines[tenant]
-            if not line:
-                del self._lines[tenant]
-                self._left.pop(tenant, None)
+    def take(self, *, blocked: set[str]) -> tuple[str, str] | None:
+        """(line, item) whose turn it is, passing over the blocked lines."""
+        for name in list(self._lines):
+            line = self._lines[name]
+            if not line.items:
+                del self._lines[name]
+                continue
+            if name in blocked:
                 continue
-            item, share = line.popleft()
-            left = self._left.get(tenant, share) - 1
-            if left <= 0:
-                self._left.pop(tenant, None)
-                self._lines.move_to_end(tenant)
-            else:
-                self._left[tenant] = left
-            return item
+            item = line.items.popleft()
+            line.left -= 1
+            if line.left <= 0:
+                line.left = line.share
+                self._lines.move_to_end(name)
+            return name, item
         return None
+
+    def put_back(self, *, name: str, item: str) -> None:
+        """It could not go: it stays the first of its line."""
+        line = self._lines.setdefault(name, Line(share=1))
+        line.items.appendleft(item)
+        line.left += 1
+
+    def drop(self, *, item: str) -> None:
+        """Take one out that has been given up."""
+        for line in self._lines.values():
+            if item in line.items:
+                line.items.remove(item)
+                return
+
+    def waits(self, *, name: str) -> bool:
+        """Does anyone wait in this line?"""
+        return name in self._lines and bool(self._lines[name].items)
--- a/tasting/sim/callers.py
+++ b/tasting/sim/callers.py
@@ -40,6 +40,7 @@
         self.rate = 0.0
         self.only: str = ""
         self.storm = 0.0
+        self.floods: dict = {}
 
     def set_rate(self, *, rate: float) -> None:
         """From now on this many orders a second; 0 for none."""
@@ -56,6 +57,23 @@
         self._send(order=order, proxy=proxy, most=MOST_TRIES if most is None else most)
         return order
 
+    def flood(self, *, kind: CallerKind, hot: str, rate: float) -> None:
+        """From now on one more stream of orders, none of them repeated; 0 ends it."""
+        name = (kind.tenant, kind.path)
+        begin, self.floods[name] = not self.floods.get(name) and rate > 0, rate
+        if begin:
+            self._pour(kind=kind, hot=hot)
+
+    def _pour(self, *, kind: CallerKind, hot: str) -> None:
+        rate = self.floods[(kind.tenant, kind.path)]
+        if rate <= 0:
+            return
+        number = next(self._count)
+        part = hot or (f"part{self._rng.randrange(kind.keys)}" if kind.keys else "")
+        order = Order(kind=kind, nonce=f"f{number}", key=f"f{number}" if kind.unsafe else "", hot=part)
+        self._send(order=order, proxy="", most=1)
+        self._world.clock.after(self._rng.expovariate(rate), lambda: self._pour(kind=kind, hot=hot))
+
     def _part(self, *, kind: CallerKind, key: str) -> str:
         if not kind.keys:
             return ""
@@ -148,7 +166,7 @@
         headers = {name.lower(): value for name, value in answer.headers.items()} if answer else {}
         world.history.add(t=world.clock.now, k="got", nonce=order.nonce, key=order.key, turn=order.turn, code=code,
                           tenant=order.kind.tenant, path=order.kind.path, unsafe=order.kind.unsafe, proxy=proxy,
-                          ran=headers.get("sailward-ran", ""), verdict=verdict, reason=seen.get("error", ""), held=held, part=order.hot,
+                          ran=headers.get("sailward-ran", ""), verdict=verdict, reason=seen.get("error", ""), held=held, part=order.hot, stream=order.nonce[0],
                           retry_after=headers.get("retry-after", ""), worker=self._worker(answer=answer))
         if verdict == "good" or code in (400, 404, 405, 413, 422, 428):
             return
--- a/tasting/sim/faults.py
+++ b/tasting/sim/faults.py
@@ -74,6 +74,13 @@
     def _do_load(self, rate: str) -> None:
         self.callers.set_rate(rate=float(rate))
 
+    def _do_flood(self, tenant: str, path: str, rate: str, hot: str = "") -> None:
+        kind = next(one for one in self._world.deployment.callers if (one.tenant, one.path) == (tenant, path))
+        self.callers.flood(kind=kind, hot=hot, rate=float(rate))
+
+    def _do_flood_key(self, tenant: str, path: str, hot: str, rate: str) -> None:
+        self._do_flood(tenant, path, rate, hot)
+
     def _do_storm(self, share: str) -> None:
         self.callers.storm = float(share)
 
@@ -185,6 +192,11 @@
         seeds = next(iter(self._world.nodes.values())).place.seeds
         self._world.add_node(name=name, kind=kind, hall=hall, index=int(index), seeds=seeds).start()
 
+    def _do_clock_jump(self, seconds: str, *names: str) -> None:
+        """The wall clocks jump; monotonic ones never do."""
+        for node in self._nodes(names):
+            node.skew += float(seconds)
+
     def _do_slow_disk(self, factor: str, *names: str) -> None:
         for node in self._nodes(names):
             node.disk.slow = float(factor)
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -10,7 +10,8 @@
 from sailward.acts import DiskFailed, Synced
 from sailward.house import assigning, cellar, copying, desk, ledger, witness
 from sailward.label.check import Sound
-from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, status, tries, verify, world
+from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, lines, status, tries, verify, world
+from sailward.roster import gossip
 from sailward.roster import pages as pages_module
 from sailward.roster import workers
 
@@ -110,6 +111,12 @@
     return judge
 
 
+def _one_line(old):
+    def step(self, *, name, item, share=1):
+        return old(self, name="", item=item, share=1)
+    return step
+
+
 def _bad_is_unsent(old):
     def judge(*, exchange, event):
         verdict = old(exchange=exchange, event=event)
@@ -154,5 +161,10 @@
     "closing": _method(assigning.Assigning, "_judge", _opens_at_once),
     "witness": _method(witness.Witness, "look", lambda old: lambda self, *, closing, slot: None),
     "refit": _method(exchanges, "refit_exchange", lambda old: lambda *, exchange, plan: None),
+    "lower-start": _method(gossip, "_is_newer", lambda old: lambda *, entry, known: (
+        entry["start"], entry["beat"]) > (known.entry["start"], known.entry["beat"])),
+    "self-doubt": _constant("SUSPECT_SELF", 2.0),
+    "fair-lines": _method(lines.Lines, "step", _one_line),
+    "hot-bound": _constant("HOT_KEY_SHARE", 1e9),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
