Large configurations are checked beside the cellar's owner, and their rounds are given time

Cause: a check of 755 KB held the cellar's owner for seconds, so the change that followed was timed from before it, and rounds of 0.3 s were begun again before so large a value had reached the voters. Ruled out: the size bound (1 MiB), the disk (one sync), the pushes (0.2 s). Before (eleven real daemons, put of 4500 tenants, 755 KB): refused, no-majority.

--- a/sailward/acts.py
+++ b/sailward/acts.py
@@ -60,6 +60,14 @@
     sent: bool
 
 
+@dataclass(frozen=True, kw_only=True)
+class Checked:
+    """A configuration was checked: Sound or Unsound."""
+
+    token: str
+    verdict: object
+
+
 @dataclass(frozen=True, kw_only=True)
 class StopAsked:
     """The platform wants this process to stop within its grace."""
@@ -118,6 +126,14 @@
     begin_by: float = float("inf")
 
 
+@dataclass(frozen=True, kw_only=True)
+class Check:
+    """Check a configuration, beside the owner: a large one takes seconds."""
+
+    token: str
+    config: dict
+
+
 @dataclass(frozen=True, kw_only=True)
 class HangUp:
     """Close every connection that belongs to `owner`."""
--- a/sailward/cask/proposer.py
+++ b/sailward/cask/proposer.py
@@ -118,7 +118,8 @@
         return self._open_round(now=now, work=work), []
 
     def _open_round(self, *, now: float, work: Operation) -> list:
-        work.answers, work.again = {}, now + constants.ROUND_WAIT
+        size = len(work.begin.text or "") + len(work.value.get("text", ""))
+        work.answers, work.again = {}, now + constants.ROUND_WAIT + size * constants.ROUND_PER_BYTE
         body = {"op": work.begin.op, "register": work.begin.register, "voters": work.number}
         if work.phase == "read":
             body["kind"] = "read"
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -12,6 +12,8 @@
 
 ROUND_WAIT = 0.3
 """s. A round at a majority that is not finished by then is sent again under a higher ballot."""
+ROUND_PER_BYTE = 1e-6
+"""s more for a round for each byte of the value: 1 MB takes about half of it between two regions here."""
 BACKOFF = 0.04
 """s, times a random factor and the tries so far. Lets one of two racing proposers through."""
 OPERATION_EXPIRY = 3.0
--- a/sailward/dock/loop.py
+++ b/sailward/dock/loop.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Call, HangUp, Log, Rewrite, Stop, StopAsked, Store, Tell, Ticked
+from sailward.acts import Answer, Call, Check, Checked, HangUp, Log, Rewrite, Stop, StopAsked, Store, Tell, Ticked
 from sailward.dock.logs import write_log
+from sailward.label.check import Fault, Unsound, check_config
 
 
 @dataclass(kw_only=True)
@@ -70,6 +71,7 @@
     web: object
     calls: object | None = None
     disk: object | None = None
+    checks: ThreadPoolExecutor | None = None
 
     def connect(self) -> None:
         """Tell the loop which edge carries out which command."""
@@ -77,11 +79,20 @@
             Tell: lambda one: self.post.send(to=one.to, body=one.body),
             Answer: lambda one: self.web.answer(command=one),
             Call: lambda one: self.calls.give(call=one),
+            Check: lambda one: self.checks.submit(self._check, one),
             HangUp: lambda one: None,
             Store: lambda one: self.disk.give(command=one),
             Rewrite: lambda one: self.disk.give(command=one),
         }
 
+    def _check(self, command: Check) -> None:
+        try:
+            verdict = check_config(config=command.config)
+        except Exception as fault:  # what can't be checked can't be accepted
+            write_log(event="check-fault", fields={"trace": traceback.format_exc()}, level="error")
+            verdict = Unsound(faults=(Fault(path="", reason=f"can't be checked: {fault}"),))
+        self.loop.tell(Checked(token=command.token, verdict=verdict))
+
 
 def run_guarded(*, threads: ThreadPoolExecutor, loop: Loop, name: str, run: Callable) -> None:
     """Run a task on a thread; if it ends by a fault, the process ends."""
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -5,7 +5,7 @@
 import random
 
 from sailward import constants
-from sailward.acts import Asked, Called, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
+from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
 from sailward.cask.acceptor import Acceptor, fold_record, slot_records
 from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.cask.proposer import Accepted, Begin, Proposer
@@ -84,6 +84,9 @@
             commands += self._page(now=now, event=event)
         elif isinstance(event, (Synced, DiskFailed)):
             commands += self.ledger.hear(event=event)
+        elif isinstance(event, Checked):
+            more, begins = self.desk.step(event=event)
+            commands += more + self._begin(now=now, begins=begins)
         elif isinstance(event, StopAsked):
             commands.append(Stop(code=0))
         else:
--- a/sailward/house/desk.py
+++ b/sailward/house/desk.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Log
+from sailward.acts import Answer, Asked, Check, Checked, Log
 from sailward.cask.proposer import Accepted, Begin, Refused, Settled, Unknown
 from sailward.house.homes import find_homeless
-from sailward.label.check import Unsound, check_config, read_config
+from sailward.label.check import Unsound, read_config
 from sailward.label.patch import merge_patch
 from sailward.pour.exchange import answer_json
 
@@ -24,6 +24,7 @@
     given: object = None
     confirmed: bool = False
     turns: int = 0
+    number: int = 0
     note: dict = field(default_factory=dict)
 
 
@@ -36,8 +37,11 @@
     count: int = 0
     full: dict = field(default_factory=dict)
 
-    def step(self, *, event: Asked | Settled) -> tuple[list, list]:
-        """Take an operator's exchange, or the end of an operation begun for one."""
+    def step(self, *, event: Asked | Settled | Checked) -> tuple[list, list]:
+        """Take an operator's exchange, the end of an operation begun for one, or of a check."""
+        if isinstance(event, Checked):
+            job = self.jobs.pop(event.token, None)
+            return self._after_check(job=job, verdict=event.verdict) if job else ([], [])
         if isinstance(event, Asked):
             job = self._read_job(event=event)
             return ([job], []) if isinstance(job, Answer) else ([], [self._begin_read(job=job)])
@@ -98,28 +102,34 @@
         if job.expected is not None and job.expected != value["number"]:
             return [_refuse(token=job.token, code=412, reason="number", number=value["number"],
                             detail=f"the current number is {value['number']}, not {job.expected}")], []
-        made = self._make(job=job, value=value)
-        if isinstance(made, Answer):
-            return [made], []
-        return [], [self._begin(job=job, kind="change", expected=value["number"], text=made)]
-
-    def _make(self, *, job: Job, value: dict) -> str | Answer:
+        job.number = value["number"]
         if job.register == "orders":
-            return self._make_orders(job=job, value=value)
+            made = self._make_orders(job=job, value=value)
+            return ([made], []) if isinstance(made, Answer) else ([], [self._begin_change(job=job, text=made)])
         given = job.given
         if job.kind == "patch":
             old = json.loads(value["text"])["written"] if value["text"] else {}
             given = merge_patch(target=old, patch=given)
-        sound = check_config(config=given)
-        if isinstance(sound, Unsound):
-            return _refuse_unsound(token=job.token, unsound=sound)
-        job.note["warnings"] = [{"path": one.path, "reason": one.reason} for one in sound.warnings]
+        self.count += 1
+        token = f"{self.identity}/desk{self.count}/check"
+        self.jobs[token] = job
+        return [Check(token=token, config=given)], []
+
+    def _begin_change(self, *, job: Job, text: str) -> Begin:
+        wait = constants.OPERATION_EXPIRY + len(text) * constants.ROUND_PER_BYTE
+        return self._begin(job=job, kind="change", expected=job.number, text=text, wait=wait)
+
+    def _after_check(self, *, job: Job, verdict: object) -> tuple[list, list]:
+        if isinstance(verdict, Unsound):
+            return [_refuse_unsound(token=job.token, unsound=verdict)], []
+        job.note["warnings"] = [{"path": one.path, "reason": one.reason} for one in verdict.warnings]
         if job.note.get("dry"):
-            return answer_json(token=job.token, code=200, body={"outcome": "sound", "number": value["number"], **job.note})
-        text = json.dumps({"written": sound.written, "full": sound.full}, separators=(",", ":"))
+            return [answer_json(token=job.token, code=200, body={"outcome": "sound", "number": job.number, **job.note})], []
+        text = json.dumps({"written": verdict.written, "full": verdict.full}, separators=(",", ":"))
         if len(text) > 2 * constants.CONFIG_BYTES:
-            return _refuse(token=job.token, code=413, reason="too-large", detail="too large with its templates stamped out")
-        return text
+            return [_refuse(token=job.token, code=413, reason="too-large",
+                            detail="too large with its templates stamped out")], []
+        return [], [self._begin_change(job=job, text=text)]
 
     def _make_orders(self, *, job: Job, value: dict) -> str | Answer:
         emptied = set(json.loads(value["text"])["emptied"]) if value["text"] else set()
--- a/sailward/pour/plan.py
+++ b/sailward/pour/plan.py
@@ -4,6 +4,8 @@
 import json
 from dataclasses import dataclass, field
 
+from toolz import groupby
+
 
 @dataclass(frozen=True, kw_only=True)
 class Pool:
@@ -59,10 +61,11 @@
     pools: dict = field(default_factory=dict)
     tenants: dict = field(default_factory=dict)
     matches: tuple = ()
+    index: dict = field(default_factory=dict)
 
     def match(self, *, path: str, method: str, tenant: str) -> Match | None:
         """The rule for this exchange: longest path first, then the one that names most."""
-        for match in self.matches:
+        for match in (*self.index.get(_first_part(path=path), ()), *self.index.get("", ())):
             if not (path == match.path or path.startswith(match.path.rstrip("/") + "/")):
                 continue
             if (not match.methods or method in match.methods) and (not match.tenants or tenant in match.tenants):
@@ -70,6 +73,10 @@
         return None
 
 
+def _first_part(*, path: str) -> str:
+    return path.split("/", 2)[1] if path.startswith("/") else ""
+
+
 def read_plan(*, value: dict) -> Plan:
     """The plan in a register's value."""
     if not value["text"]:
@@ -89,4 +96,5 @@
                for one in full["matches"]]
     matches.sort(key=lambda match: (-len(match.path), not match.tenants, not match.methods))
     return Plan(number=value["number"], services=services, pools=pools, tenants=tenants, matches=tuple(matches),
+                index=groupby(lambda match: _first_part(path=match.path), matches),
                 regions={name: hall["region"] for name, hall in full["halls"].items()})
--- a/sailward/programs/common.py
+++ b/sailward/programs/common.py
@@ -68,7 +68,8 @@
                                                  "reason": fault}, level="error")
         os._exit(constants.EXIT_TAKEN)
     calls = Calls(tell=loop.tell) if calling else None
-    edges = Edges(loop=loop, post=post, web=web, calls=calls, disk=disk)
+    edges = Edges(loop=loop, post=post, web=web, calls=calls, disk=disk,
+                  checks=ThreadPoolExecutor(max_workers=1))
     edges.connect()
     post.start()
     run_guarded(threads=threads, loop=loop, name="web", run=web.run)
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -7,13 +7,14 @@
 from typing import TYPE_CHECKING
 
 from sailward import constants
-from sailward.acts import (Answer, Asked, Call, Called, DiskFailed, Heard, Log, Rewrite, Stop, StopAsked, Store,
+from sailward.acts import (Answer, Asked, Call, Called, Check, Checked, DiskFailed, Heard, Log, Rewrite, Stop, StopAsked, Store,
                            Synced, Tell, Ticked)
 from sailward.cask.messages import BadMessage, check_message
 from sailward.dock.disk import Damaged
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
 from sailward.house.sommelier import Sommelier
+from sailward.label import check as check_module
 from sailward.roster.gossip import Place
 from tasting.sim.disk import Disk
 
@@ -149,6 +150,11 @@
             self._call(command=command)
         elif isinstance(command, (Store, Rewrite)):
             self._store(command=command)
+        elif isinstance(command, Check):
+            verdict = check_module.check_config(config=command.config)
+            life = self.life
+            self.world.clock.after(0.02, lambda: self.give(event=Checked(token=command.token, verdict=verdict))
+                                   if self.life == life else None)
         elif isinstance(command, Log):
             self.logs.append((self.world.clock.now, command.event, command.fields))
         elif isinstance(command, Stop):
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -8,7 +8,8 @@
 from sailward import constants
 from sailward.cask import held, proposer
 from sailward.acts import DiskFailed, Synced
-from sailward.house import assigning, cellar, copying, desk, ledger, witness
+from sailward.house import assigning, cellar, copying, ledger, witness
+from sailward.label import check as check_module
 from sailward.label.check import Sound
 from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, lines, status, tries, verify, world
 from sailward.roster import gossip
@@ -142,7 +143,7 @@
     "try-budget": _method(tries.Tries, "step", lambda old: lambda self, *, now, first, caller=False: "first"),
     "cold-bound": _method(bounds.Bounds, "step", lambda old: lambda self, **_: True),
     "promise": _method(exchanges, "is_promise_safe", lambda old: lambda *, event: True),
-    "check": _method(desk, "check_config", lambda old: lambda *, config: Sound(
+    "check": _method(check_module, "check_config", lambda old: lambda *, config: Sound(
         written=config, full={"halls": {}, "services": {}, "pools": {}, "tenants": {}, "matches": []}, warnings=())),
     "probes": _method(status.Prober, "_move", lambda old: lambda self, *, now, probed, event: old(
         self, now=now, probed=probed, event="pass")),
