--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -13,7 +13,7 @@
 from sailward.house.desk import Desk
 from sailward.house.ledger import Ledger
 from sailward.house.moves import Moves
-from sailward.house.repair import Repair
+from sailward.house.repair import Repair, count_core
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscribers
@@ -59,6 +59,7 @@
         self.copying = Copying(identity=self.identity)
         self.moves = Moves()
         self._names: list = []
+        self._short_since, self._short_said = now, False
         self._asked = -1e9
         self.pager = Pager(platform=platform)
         self.subscribers = Subscribers()
@@ -276,8 +277,24 @@
                                 wait=constants.ROUND_WAIT * 3))
         return self._begin(now=now, begins=begins)
 
+    def _note_core(self, *, now: float, cellars: list[dict]) -> list:
+        """Say so when too much is lost for any change, and when it is back."""
+        core = count_core(members=self.voters["members"], cellars=[*cellars, self.roster.own_entry()])
+        short = bool(self.voters["members"]) and core["voting"] < core["needed"]
+        if not short:
+            self._short_since = now
+        said, self._short_said = self._short_said, short and now - self._short_since > constants.SUSPECT
+        if said == self._short_said:
+            return []
+        return [Log(event="core-short" if not said else "core-whole", fields={
+            "voting": core["voting"], "needed": core["needed"], "missing": ",".join(core["missing"]) or "none"})]
+
     def _mind_voters(self, *, now: float) -> list:
         cellars = self.roster.alive(kind="cellar")
+        self.desk.cellars = {one["identity"]: one for one in [*cellars, self.roster.own_entry()]}
+        return [*self._note_core(now=now, cellars=cellars), *self._change_voters(now=now, cellars=cellars)]
+
+    def _change_voters(self, *, now: float, cellars: list[dict]) -> list:
         if self.voting:
             held = self.held.held.get("voters")
             text = self.repair.step(now=now, own=self.identity, voters=self.voters, text=held.value["text"] if held else "",
--- a/sailward/house/desk.py
+++ b/sailward/house/desk.py
@@ -8,6 +8,7 @@
 from sailward.acts import Answer, Asked, Check, Checked, Log
 from sailward.cask.proposer import Accepted, Begin, Refused, Settled, Unknown
 from sailward.house.homes import find_homeless
+from sailward.house.repair import change_members, keeps_majority
 from sailward.label.check import Unsound, read_config
 from sailward.label.patch import merge_patch
 from sailward.pour.exchange import answer_json
@@ -36,6 +37,7 @@
     jobs: dict = field(default_factory=dict)
     count: int = 0
     full: dict = field(default_factory=dict)
+    cellars: dict = field(default_factory=dict)
 
     def step(self, *, event: Asked | Settled | Checked) -> tuple[list, list]:
         """Take an operator's exchange, the end of an operation begun for one, or of a check."""
@@ -63,6 +65,8 @@
             return Job(token=event.token, kind="get", register="orders")
         if parts == ["voters"] and event.method == "GET":
             return Job(token=event.token, kind="get", register="voters")
+        if len(parts) == 3 and parts[0] == "voters" and parts[2] in ("join", "part") and event.method == "POST":
+            return Job(token=event.token, kind=parts[2], register="voters", given=parts[1])
         if len(parts) == 3 and parts[0] == "halls" and parts[2] in ("empty", "refill") and event.method == "POST":
             return Job(token=event.token, kind=parts[2], register="orders", given=parts[1],
                        confirmed=event.query.get("confirm") == "yes")
@@ -103,8 +107,8 @@
             return [_refuse(token=job.token, code=412, reason="number", number=value["number"],
                             detail=f"the current number is {value['number']}, not {job.expected}")], []
         job.number = value["number"]
-        if job.register == "orders":
-            made = self._make_orders(job=job, value=value)
+        if job.register in ("orders", "voters"):
+            made = (self._make_orders if job.register == "orders" else self._make_voters)(job=job, value=value)
             return ([made], []) if isinstance(made, Answer) else ([], [self._begin_change(job=job, text=made)])
         given = job.given
         if job.kind == "patch":
@@ -146,6 +150,26 @@
             emptied -= {hall}
         return json.dumps({"emptied": sorted(emptied)})
 
+    def _make_voters(self, *, job: Job, value: dict) -> str | Answer:
+        """One member more or less, by its identity or its name; never one that would cost the majority."""
+        members = json.loads(value["text"])["members"] if value["text"] else {}
+        names = {one.split("#")[0]: one for one in (members if job.kind == "part" else self.cellars)}
+        identity = names.get(job.given, job.given)
+        if job.kind == "join":
+            if identity in members or identity not in self.cellars:
+                return _refuse(token=job.token, code=409, reason="not-waiting", detail=f"no empty cellar {job.given!r} waits")
+            text = change_members(text=value["text"], add=(identity, self.cellars[identity]["post"]))
+        else:
+            if identity not in members:
+                return _refuse(token=job.token, code=404, reason="voter-unknown", detail=f"no voter {job.given!r}")
+            text = change_members(text=value["text"], drop=identity)
+        well = {name for name, entry in self.cellars.items() if entry["fit"]}
+        if len(members) + (1 if job.kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
+            return _refuse(token=job.token, code=409, reason="majority-lost",
+                           detail=f"only {sorted(well)} vote now: that set would have no majority")
+        size = len(json.loads(text)["members"])
+        return json.dumps({**json.loads(text), "size": size}, sort_keys=True)
+
     def _after_change(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
         if isinstance(outcome, Accepted):
             number = outcome.number
--- a/sailward/house/repair.py
+++ b/sailward/house/repair.py
@@ -61,6 +61,12 @@
     return json.dumps({**value, "members": members}, sort_keys=True)
 
 
+def count_core(*, members: dict, cellars: list[dict]) -> dict:
+    """How many voters are heard of as voting, how many a majority needs, and who is missing."""
+    well = {entry["identity"] for entry in cellars if entry["fit"]} & set(members)
+    return {"voting": len(well), "needed": majority_of(members=members), "missing": sorted(set(members) - well)}
+
+
 def keeps_majority(*, text: str, well: set) -> bool:
     """Would the members that are well be a majority of this set?"""
     members = json.loads(text)["members"]
--- a/sailward/house/report.py
+++ b/sailward/house/report.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import sailward
+from sailward.house.repair import count_core
 
 
 def show_status(*, cellar, now: float) -> dict:
@@ -17,7 +18,9 @@
     halls = {f"{service}|{hall}": {"state": state.state, "fraction": state.fraction,
                                    "for_s": round(now - state.since, 1)}
              for (service, hall), state in cellar.standing.book.halls.items()}
-    return {"id": cellar.place.name, "identity": cellar.identity, "version": sailward.__version__,
+    core = count_core(members=cellar.voters["members"],
+                      cellars=[*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()])
+    return {"id": cellar.place.name, "core": core, "identity": cellar.identity, "version": sailward.__version__,
             "post": cellar.place.post, "voting": cellar.voting, "disk_usable": cellar.ledger.usable,
             "voters": cellar.voters, "registers": registers, "daemons": sorted(daemons, key=lambda one: one["id"]),
             "halls": halls, "proxies": len(cellar.subscribers.proxies()),
--- a/sailward/programs/steward.py
+++ b/sailward/programs/steward.py
@@ -9,6 +9,9 @@
   steward [options] explain TENANT METHOD PATH --proxy=ADDRESS
   steward [options] empty HALL [--confirm]
   steward [options] refill HALL
+  steward [options] join CELLAR
+  steward [options] part CELLAR
+  steward [options] voters
   steward [options] orders
   steward [options] status
   steward [options] workers
@@ -24,7 +27,8 @@
   -h --help        Show this.
   --version        Show the version.
 
-FILE is JSON, or - for standard input. `found` joins the named cellars, all new, into a core.
+FILE is JSON, or - for standard input. `found` joins the named cellars, all new, into a core; `join` and
+`part` take a cellar, by name or identity, into the core or out of it, one at a time.
 
 Exit codes: 0 done; 1 the configuration has faults; 2 bad usage or file; 3 no cellar answered, nothing changed;
 4 refused, nothing changed; 6 unknown: the change may be in force, now or later, read it back.
@@ -59,11 +63,13 @@
     elif flags["explain"]:
         query = urlencode({"tenant": flags["TENANT"], "method": flags["METHOD"], "path": flags["PATH"]})
         _show(reply=ask_once(address=flags["--proxy"], method="GET", path=f"/sailward/explain?{query}"))
+    elif flags["join"] or flags["part"]:
+        _show(reply=client.step(method="POST", path=f"/voters/{quote(flags['CELLAR'], safe='')}/" + ("join" if flags["join"] else "part")))
     elif flags["empty"] or flags["refill"]:
         path = f"/halls/{quote(flags['HALL'], safe='')}/" + ("empty" if flags["empty"] else "refill")
         _show(reply=client.step(method="POST", path=path + ("?confirm=yes" if flags["--confirm"] else "")))
     else:
-        path = next(name for name in ("get", "orders", "status", "workers") if flags[name])
+        path = next(name for name in ("get", "orders", "voters", "status", "workers") if flags[name])
         _show(reply=client.step(method="GET", path="/config" if path == "get" else f"/{path}"))
 
 
--- a/tasting/run_fleet.py
+++ b/tasting/run_fleet.py
@@ -8,7 +8,7 @@
   --rate N         Orders a second; by default the deployment's own.
   --seed N         Seed of the callers and of the faults [default: 1].
   --faults WORDS   Steps as SECOND:VERB:NAME with commas; verbs are kill, start, stop, freeze, thaw, replace,
-                   leave, empty, refill, mode. For mode, NAME is WORKER/MODE/CHANCE.
+                   leave, empty, refill, mode. For mode, NAME is WORKER/MODE/CHANCE; all is every daemon.
   --folder DIR     Where settings, data, logs and histories are kept; a new one by default.
 """
 from __future__ import annotations
@@ -60,7 +60,10 @@
 
 def do_step(*, fleet: Fleet, verb: str, name: str) -> None:
     """Bring one fault about."""
-    if verb == "start":
+    if name == "all":
+        for one in fleet.kinds:
+            do_step(fleet=fleet, verb=verb, name=one)
+    elif verb == "start":
         fleet.start_daemon(name=name) if name in fleet.kinds else fleet.start_worker(name=name)
     elif verb == "stop":
         fleet.stop(name=name)
--- a/tasting/sim/expect.py
+++ b/tasting/sim/expect.py
@@ -12,7 +12,7 @@
     head, rest = words[0], words[1:]
     judge = {"share": _judge_share, "good": _judge_good, "rows": _judge_rows, "runs": _judge_runs,
              "answers": _judge_answers, "split": _judge_split,
-             "moving": _judge_moving}[head]
+             "moving": _judge_moving, "says": _judge_says}[head]
     return judge(words=rest, world=world, begin=begin)
 
 
@@ -85,6 +85,14 @@
     return _judge_rows(words=["run", *words], world=world, begin=begin)
 
 
+def _judge_says(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """says EVENT LEAST MOST from A to B: how many daemons told their operators so in their logs."""
+    words, low, high = _window(words=words, begin=begin)
+    told = [node.place.name for node in world.nodes.values()
+            if any(event == words[0] and low <= t < high for t, event, _ in node.logs)]
+    return ("" if float(words[1]) <= len(told) <= float(words[2]) else f"says {words[0]}: {told}"), len(told)
+
+
 def _judge_moving(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
     """moving MEDIAN_MOST from A to B: s from a key's first refusal as moving to its last before a good result."""
     words, low, high = _window(words=words, begin=begin)
--- a/tasting/sim/faults.py
+++ b/tasting/sim/faults.py
@@ -136,6 +136,18 @@
     def _do_refill(self, hall: str) -> None:
         self.operators.order(hall=hall, empty=False)
 
+    def _do_part(self, name: str) -> None:
+        self._change_voters(name=name, verb="part")
+
+    def _do_join(self, name: str) -> None:
+        self._change_voters(name=name, verb="join")
+
+    def _change_voters(self, *, name: str, verb: str) -> None:
+        def then(answer) -> None:
+            self._world.history.add(t=self._world.clock.now, k="voters", verb=verb, name=name,
+                                    code=answer.code if answer else 0)
+        self.operators.ask(method="POST", path=f"/voters/{name}/{verb}", then=then)
+
     def _do_start(self, *names: str) -> None:
         for node in self._nodes(names):
             node.start()
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.cask import held, proposer
 from sailward.acts import DiskFailed, Synced
-from sailward.house import assigning, cellar, copying, ledger, witness
+from sailward.house import assigning, cellar, copying, desk, ledger, witness
 from sailward.label import check as check_module
 from sailward.label.check import Sound
 from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, lines, status, tries, verify, world
@@ -167,5 +167,6 @@
     "fair-lines": _method(lines.Lines, "step", _one_line),
     "hot-bound": _constant("HOT_KEY_SHARE", 1e9),
     "first-quorum": _method(proposer, "fast_of", lambda old: lambda *, members: 2),
+    "majority-kept": _method(desk, "keeps_majority", lambda old: lambda *, text, well: True),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
