--- a/sailward/cask/acceptor.py
+++ b/sailward/cask/acceptor.py
@@ -53,7 +53,6 @@
         fold_record(slots=self.slots, record=record, now=now)
         return [record], reply
 
-
     def _vote_first(self, *, now: float, body: dict, slot: Slot) -> tuple[list[dict], dict]:
         name, op = body["register"], body["op"]
         voted = {"kind": "voted", "op": op, "register": name, "ballot": FIRST}
--- a/sailward/counter/forecast.py
+++ b/sailward/counter/forecast.py
@@ -4,6 +4,8 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
+from sailward.label.homes import find_home_halls
+
 
 @dataclass(frozen=True, kw_only=True)
 class Finding:
@@ -52,19 +54,11 @@
 
 
 def _find_empty_homes(*, full: dict, workers: list):
-    for name, tenant in full["tenants"].items():
-        if not tenant["homes"]:
-            continue
-        for match in full["matches"]:
-            if match["tenants"] and name not in match["tenants"]:
-                continue
-            for one in match["pools"]:
-                pool = full["pools"][one["pool"]]
-                halls = [hall for hall in (*pool["preferred"], *pool["fallback"])
-                         if full["halls"][hall]["region"] in tenant["homes"]]
-                if one["weight"] and not any(worker["service"] == pool["service"] and worker["hall"] in halls for worker in workers):
-                    yield Finding(kind="fault", path=f"tenants.{name}.homes",
-                                  text=f"no worker of {pool['service']!r} stands at home for pool {one['pool']!r} now")
+    for tenant, name, halls in find_home_halls(full=full):
+        service = full["pools"][name]["service"]
+        if not any(worker["service"] == service and worker["hall"] in halls for worker in workers):
+            yield Finding(kind="fault", path=f"tenants.{tenant}.homes",
+                          text=f"no worker of {service!r} stands at home for pool {name!r} now")
 
 
 def _find_short(*, full: dict, workers: list, rates: dict):
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -58,7 +58,6 @@
         self.repair = Repair()
         self.copying = Copying(identity=self.identity)
         self.moves = Moves()
-        self._names: list = []
         self._short_since, self._short_said = now, False
         self._asked = -1e9
         self.pager = Pager(platform=platform)
@@ -319,10 +318,7 @@
         number = self.voters["number"]
         if not self.voting or number != body["value"]["number"]:
             return commands
-        if body["after"] == "" or not self._names:
-            self._names = sorted(self.acceptor.slots)
-        names = [name for name in self._names if name in self.acceptor.slots]
-        page = copy_page(slots=self.acceptor.slots, names=names, after=body["after"], number=number)
+        page = copy_page(slots=self.acceptor.slots, after=body["after"], number=number)
         return commands + self.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
 
     def _take_page(self, *, now: float, event: tuple) -> list:
--- a/sailward/house/copying.py
+++ b/sailward/house/copying.py
@@ -1,6 +1,7 @@
 """How a new voter learns every register before it votes: from a majority of those before it."""
 from __future__ import annotations
 
+from bisect import bisect_right
 from dataclasses import dataclass, field
 
 from sailward import constants
@@ -76,9 +77,9 @@
         return [self._ask(to=sender, voters=voters)]
 
 
-def copy_page(*, slots: dict, names: list, after: str, number: int) -> dict:
-    """One page of this voter's votes; `names` are those of all slots in order."""
-    from bisect import bisect_right
+def copy_page(*, slots: dict, after: str, number: int) -> dict:
+    """One page of this voter's votes, by name."""
+    names = sorted(slots)
     at = bisect_right(names, after)
     page = names[at:at + constants.COPY_PAGE]
     rows = [[name, slots[name].ballot, slots[name].value] for name in page if slots[name].value is not None]
--- /dev/null
+++ b/sailward/label/homes.py
@@ -0,0 +1,18 @@
+"""Where bound tenants may be served."""
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+
+def find_home_halls(*, full: dict) -> Iterator[tuple[str, str, list[str]]]:
+    """(tenant, pool, the pool's halls at home) for each pool that a bound tenant may be drawn into."""
+    halls = full.get("halls", {})
+    for name, tenant in full.get("tenants", {}).items():
+        for match in full.get("matches", []):
+            if not tenant["homes"] or (match["tenants"] and name not in match["tenants"]):
+                continue
+            for share in match["pools"]:
+                pool = full["pools"][share["pool"]]
+                if share["weight"]:
+                    yield name, share["pool"], [hall for hall in (*pool["preferred"], *pool["fallback"])
+                                                if halls[hall]["region"] in tenant["homes"]]
--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -110,7 +110,7 @@
     if event.method not in SAFE and not key:
         return Refusal(code=428, reason="key-missing", detail="an unsafe exchange needs an Idempotency-Key")
     service = plan.services[plan.pools[match.shares[0][0]].service]
-    part = event.headers.get("sailward-key", "") or event.path[len(match.path.rstrip("/")):].strip("/").split("/")[0]
+    part = event.headers.get("sailward-key", "") or part_of(path=event.path, match=match)
     if service.slots and not part:
         return Refusal(code=400, reason="part-missing", detail="this service is divided: give the key in the path")
     path = quote(event.path, safe="/%:@!$&'()*+,;=~-._") + ("?" + urlencode(event.query, doseq=True) if event.query else "")
@@ -120,6 +120,11 @@
                     arrived=now, expiry=now + constants.LINE_WAIT + service.expiry)
 
 
+def part_of(*, path: str, match: Match) -> str:
+    """The key of a divided service in a path: its first part behind the matched one."""
+    return path[len(match.path.rstrip("/")):].strip("/").split("/")[0]
+
+
 def refit_exchange(*, exchange: Exchange, plan: Plan) -> Refusal | None:
     """Match again under the configuration in force: a later one may be since the exchange was taken."""
     if exchange.plan == plan.number:
--- a/sailward/pour/explain.py
+++ b/sailward/pour/explain.py
@@ -4,6 +4,7 @@
 from sailward.pour.bounds import rate_of
 from sailward.pour.choosing import Chooser
 from sailward.pour.draw import share_halls
+from sailward.pour.exchange import part_of
 from sailward.pour.slots import pool_at, slot_of, space_of
 
 
@@ -21,7 +22,7 @@
     service = world.plan.services[world.plan.pools[match.shares[0][0]].service]
     told |= {"match": match.path, "service": service.name, "homes": sorted(tenant.homes) or "anywhere"}
     if service.slots:
-        part = path[len(match.path.rstrip("/")):].strip("/").split("/")[0]
+        part = part_of(path=path, match=match)
         slot, space = slot_of(key=part, slots=service.slots), space_of(homes=tenant.homes, service=service)
         owned = world.slots.find(service=service.name, space=space, slot=slot)
         pool = pool_at(shares=match.shares, slot=slot, slots=service.slots)
--- a/sailward/programs/steward.py
+++ b/sailward/programs/steward.py
@@ -130,9 +130,8 @@
             _end(code=constants.EXIT_REFUSED, message=f"{reply.cellar}: {reply.body.get('error')}: {reply.body.get('detail')}")
     config, workers, status = (reply.body for reply in replies)
     old = check_config(config=config["config"]) if config.get("config") else None
-    states = {key: True for key in status["well"]}
-    if status["well"]:
-        states = {f"{one['id']}/{one['generation']}": f"{one['id']}/{one['generation']}" in states for one in workers["workers"]}
+    keys = [f"{one['id']}/{one['generation']}" for one in workers["workers"]]
+    states = {key: key in status["well"] for key in keys} if status["well"] else {}
     return forecast(full=full, now_full=old.full if old is not None else {}, workers=workers["workers"],
                     rates=status["rates"], states=states)
 
