--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -52,6 +52,7 @@
     tries: int = 0
     tried: set = field(default_factory=set)
     sent: bool = False
+    may_have_run: bool = False
     sent_at: float = 0.0
     claim: int = 0
     chosen: Worker | None = None
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -172,6 +172,7 @@
             return self._finish(exchange=exchange, verdict=verdict), []
         commands = [] if isinstance(verdict, Good) else self._mark_worker(now=now, exchange=exchange, verdict=verdict)
         ran = exchange.unsafe and isinstance(verdict, Bad)
+        exchange.may_have_run = exchange.may_have_run or isinstance(verdict, (Bad, Good))
         if exchange.slot >= 0 and isinstance(verdict, Bad):
             # its worker may run on, though nobody hears of it
             self.lingering[self._place(exchange=exchange)] = exchange.sent_at + exchange.service.expiry
@@ -180,7 +181,7 @@
             if memory is not None:
                 memory.state = "unknown"
         elif isinstance(verdict, (Unsent, WorkerRefused)):
-            exchange.sent = False
+            exchange.sent = exchange.may_have_run
         if exchange.answered:
             if exchange.unsafe and not ran:
                 self._unsend(exchange=exchange)
--- a/tasting/mind.py
+++ b/tasting/mind.py
@@ -32,6 +32,7 @@
     mode: str = "well"
     chance: float = 1.0
     runs: int = 0
+    born: float = 0.0
     terms: dict = field(default_factory=dict)
 
     @property
--- /dev/null
+++ b/tasting/rules/exchanges.py
@@ -0,0 +1,122 @@
+"""Callers' exchanges: run once, promises kept, results whole, answered at once, retries bounded, stops clean."""
+from __future__ import annotations
+
+import bisect
+import collections
+
+from tasting.history import History
+from tasting.rules import Broken
+
+HELD = 4.0
+"""s: longest wait of a line (0.5), longest expiry of the deployments (2), a claim (1), and the way."""
+GRACE = 6.0
+"""s of the platform's grace for a planned stop."""
+REFUSALS = (409, 429, 502, 503, 504)
+
+
+def check_runs_once(*, runs: list):
+    """An order, booking or cancellation runs twice."""
+    seen: dict = {}
+    for run in runs:
+        if not run["unsafe"]:
+            continue
+        name = (run["tenant"], run["key"])
+        if name in seen:
+            yield Broken(rule="runs-twice", t=run["t"], detail=f"{name} at {seen[name]['worker']} "
+                         f"(try {seen[name]['turn']}) and {run['worker']} (try {run['turn']})")
+        seen[name] = run
+
+
+def check_promises(*, history: History, runs: list):
+    """A refusal that promised `not run` turns out to have run, now or later."""
+    ran: dict = {}
+    for run in runs:
+        name = (run["tenant"], run["key"] if run["unsafe"] else run["nonce"])
+        ran[name] = min(run["turn"], ran.get(name, run["turn"]))
+    safe = {(run["tenant"], run["nonce"], run["turn"]) for run in runs if not run["unsafe"]}
+    for got in history.of(k="got"):
+        if got["ran"] != "not-run":
+            continue
+        name = (got["tenant"], got["key"] if got["unsafe"] else got["nonce"])
+        broken = name in ran and ran[name] <= got["turn"] if got["unsafe"] else (*name, got["turn"]) in safe
+        if broken:
+            yield Broken(rule="not-run-ran", t=got["t"], detail=f"{name}: try {got['turn']} was refused with "
+                         f"{got['reason']}, try {ran[name]} ran")
+
+
+def check_results(*, history: History):
+    """A result that is not the worker's own, not whole or another's; a refusal without its word or its time."""
+    for got in history.of(k="got"):
+        if got["verdict"] in ("not-json", "not-mine"):
+            yield Broken(rule="wrong-result", t=got["t"], detail=f"{got['nonce']} got {got['verdict']}")
+        if got["code"] in REFUSALS and (got["ran"] not in ("not-run", "unknown") or not got["retry_after"]):
+            yield Broken(rule="refusal-without-word", t=got["t"], detail=f"{got['nonce']} {got['code']} {got['reason']}")
+
+
+def check_answered(*, history: History):
+    """A caller is left without a final answer, or is held, by a proxy that was not lost or frozen meanwhile."""
+    gone: dict = collections.defaultdict(list)
+    for kind in ("daemon-down", "daemon-frozen", "daemon-thawed"):
+        for row in history.of(k=kind):
+            gone[row["daemon"]].append(row["t"])
+    begun = {(row["nonce"], row["turn"], row["proxy"]): row["t"] for row in history.of(k="sent")}
+    ended = set()
+    last = max((row["t"] for row in history.rows), default=0.0)
+    for got in history.of(k="got"):
+        name = (got["nonce"], got["turn"], got["proxy"])
+        ended.add(name)
+        since = begun.get(name, got["t"])
+        excused = any(since - 8.0 <= t <= got["t"] for t in gone[got["proxy"]])
+        if excused:
+            continue
+        if got["held"]:
+            yield Broken(rule="held", t=got["t"], detail=f"{got['nonce']} at {got['proxy']} was never answered")
+        elif got["code"] == 0:
+            if got.get("taken", True):
+                yield Broken(rule="unanswered", t=got["t"], detail=f"{got['nonce']} at {got['proxy']}, which was not lost")
+        elif got["t"] - since > HELD:
+            yield Broken(rule="held", t=got["t"], detail=f"{got['nonce']} at {got['proxy']} for {got['t'] - since:.2f} s: {got['code']} {got['reason']}")
+    for name, t in begun.items():
+        if name not in ended and t < last - 9.0:
+            yield Broken(rule="unanswered", t=t, detail=f"{name[0]} try {name[1]} at {name[2]}")
+
+
+def check_retries(*, history: History, runs: list, proxies: int):
+    """Retries swell past a fifth of the traffic over any 10 s: what reaches workers of what had reached one before.
+
+    In small traffic one more for each proxy, which must be able to try again at all.
+    """
+    seen, times, again = set(), [], []
+    for row in sorted([*runs, *history.of(k="reached")], key=lambda one: one["t"]):
+        times.append(row["t"])
+        if row["nonce"] in seen:
+            again.append(row["t"])
+        seen.add(row["nonce"])
+    for at, end in enumerate(again):
+        count = at + 1 - bisect.bisect_right(again, end - 10.0)
+        total = bisect.bisect_right(times, end) - bisect.bisect_right(times, end - 10.0)
+        if count > 0.2 * total + (proxies if total < 100 else 0):
+            yield Broken(rule="retries", t=end, detail=f"{count} of {total} that reached workers in 10 s were retries")
+            return
+
+
+def check_stops(*, history: History):
+    """A planned stop drops exchanges that were taken, or lasts over its grace."""
+    sent = {(row["nonce"], row["turn"]): row["t"] for row in history.of(k="sent")}
+    for stop in history.of(k="planned-stop"):
+        ended = next((row["t"] for row in history.of(k="stopped")
+                      if row["daemon"] == stop["daemon"] and row["t"] >= stop["t"]), None)
+        if ended is not None and ended - stop["t"] > GRACE:
+            yield Broken(rule="stop-too-long", t=ended, detail=f"{stop['daemon']} took {ended - stop['t']:.2f} s")
+        for got in history.of(k="got"):
+            begun = sent.get((got["nonce"], got["turn"]))
+            if got["proxy"] == stop["daemon"] and got["code"] == 0 and not got["held"] and got.get("taken", True) \
+                    and stop["t"] <= got["t"] <= stop["t"] + GRACE + 0.5 and begun is not None \
+                    and (ended is None or begun < ended - 0.02):
+                yield Broken(rule="stop-dropped", t=got["t"], detail=f"{got['nonce']} at {got['proxy']}")
+
+
+def check_crashes(*, history: History):
+    """A daemon ends by a fault of its own."""
+    for row in history.of(k="crash"):
+        yield Broken(rule="crash", t=row["t"], detail=f"{row['daemon']}: {row['fault']}")
--- /dev/null
+++ b/tasting/rules/service.py
@@ -0,0 +1,115 @@
+"""Service: losses borne at once, back in time after a major one, fair to rivals."""
+from __future__ import annotations
+
+import collections
+
+from tasting.history import History
+from tasting.rules import Broken
+
+BACK = 15.0
+"""s from the return of the machines until service must be back."""
+LOOK = 8.0
+"""s that are looked at, from then on or from a loss that must be borne."""
+BACK_GOOD = 0.90
+"""of first tries: workers are still within their cold ramps, and callers' backlog is being served."""
+CELLAR_GOOD = 0.97
+"""of first tries from the loss of a disk machine on: only claims under way wait for a round more."""
+HALL_GOOD = 0.90
+"""of first tries from the loss of a hall on: a quarter of proxies and workers are gone; what was open there is lost."""
+FEWEST = 40
+"""first tries from which a share means something."""
+TIDE = 4.0
+"""times a rival's load from which a tenant counts as flooding."""
+
+
+def check_recovery(*, history: History, daemons: list):
+    """After a major loss, service is not back 15 s after the machines returned."""
+    troubles = [row["t"] for row in history.of(k="trouble")]
+    for back in _find_returns(history=history, daemons=daemons):
+        low = back + BACK
+        high = min([low + LOOK, *[t for t in troubles if t > back + 0.6]])
+        good, total, reasons = _count(history=history, low=low, high=high)
+        if total >= FEWEST and good < BACK_GOOD * total:
+            yield Broken(rule="slow-recovery", t=low, detail=f"{good} of {total} first tries good from {BACK} s after the return on: {reasons}")
+
+
+def _find_returns(*, history: History, daemons: list) -> list[float]:
+    """When the machines of each major loss were back: two cellars, half the proxies, a region, or a cut of many."""
+    kinds = {name: kind for kind, name, _ in daemons}
+    cellars = {name for name, kind in kinds.items() if kind == "cellar"}
+    proxies = {name for name, kind in kinds.items() if kind == "sommelier"}
+    down: set = set()
+    returns, major = [], False
+    wiped = [row for row in history.of(k="trouble") if row["verb"] == "wipe"]
+    moves = sorted([*history.of(k="daemon-down"), *history.of(k="daemon-up")], key=lambda row: row["t"])
+    for row in moves:
+        if row["daemon"] not in kinds:
+            continue
+        (down.add if row["k"] == "daemon-down" else down.discard)(row["daemon"])
+        major = major or len(down & cellars) >= 2 or 2 * len(down & proxies) >= len(proxies)
+        if major and len(down & cellars) <= 1 and not down & proxies:
+            major = False
+            # a majority of the disks gone for good is for an operators' order, judged from there
+            if sum(row["t"] - 60 < one["t"] <= row["t"] for one in wiped) < 2:
+                returns.append(row["t"])
+    returns += [row["t"] for row in history.of(k="trouble") if row["verb"] == "heal"]
+    returns += [row["t"] for row in history.of(k="founded-anew")]
+    return returns
+
+
+def check_borne(*, history: History, daemons: list, halls: dict):
+    """The loss of one disk machine, or of one hall, with nothing else wrong, is not borne at once."""
+    troubles = history.of(k="trouble")
+    downs = history.of(k="daemon-down")
+    for at, row in enumerate(troubles):
+        if row["verb"] not in ("kill", "power-off") or (at and row["t"] - troubles[at - 1]["t"] < 20.0 and troubles[at - 1]["t"] != row["t"]):
+            continue
+        lost = {down["daemon"] for down in downs if abs(down["t"] - row["t"]) < 0.05}
+        kinds = {kind for kind, name, _ in daemons if name in lost}
+        places = {hall for _, name, hall in daemons if name in lost}
+        high = min([row["t"] + LOOK, *[other["t"] for other in troubles if other["t"] > row["t"] + 0.6]])
+        if len(places) != 1 or not lost:
+            continue
+        whole = {name for _, name, hall in daemons if hall in places} <= lost
+        least = HALL_GOOD if whole else CELLAR_GOOD if kinds == {"cellar"} and len(lost) == 1 else 0.0
+        good, total, reasons = _count(history=history, low=row["t"], high=high)
+        if total >= FEWEST and good < least * total:
+            yield Broken(rule="not-borne", t=row["t"], detail=f"{good} of {total} first tries good from the loss of {sorted(lost)} on: {reasons}")
+
+
+def _count(*, history: History, low: float, high: float) -> tuple[int, int, dict]:
+    """Good ones and all of the first tries sent in that time by tenants who have a place, and what became of the others."""
+    begun = {(row["nonce"], row["turn"]): row["t"] for row in history.of(k="sent") if row["turn"] == 1}
+    barred = _barred(history=history, low=low, high=high)
+    rows = [row for row in history.of(k="got") if row["turn"] == 1 and low <= begun.get((row["nonce"], 1), -1.0) < high
+            and row["tenant"] not in barred and row.get("stream", "n") == "n"]
+    bad = [row for row in rows if row["verdict"] != "good"]
+    reasons = collections.Counter(f"{row['code']}-{row['reason']}" for row in bad)
+    return len(rows) - len(bad), len(rows), dict(reasons.most_common(6))
+
+
+def _barred(*, history: History, low: float, high: float) -> set:
+    """Bound tenants while some hall is emptied by an operators' order: they may have no place."""
+    orders = [row["t"] for row in history.of(k="emptied") if row["t"] < high]
+    ends = [row["t"] for row in history.of(k="refilled") if row["t"] < low]
+    homes = (history.of(k="homes") or [{"homes": {}}])[-1]["homes"]
+    return set(homes) if len(orders) > len(ends) else set()
+
+
+def check_fairness(*, history: History):
+    """A rival of a flooding brand fares worse than the brand that floods."""
+    bins: dict = collections.defaultdict(lambda: collections.defaultdict(lambda: [0, 0]))
+    for row in history.of(k="got"):
+        if row["turn"] == 1:
+            count = bins[(row["path"], int(row["t"] // 5))][row["tenant"]]
+            count[0] += row["verdict"] == "good"
+            count[1] += 1
+    for (path, slot), tenants in bins.items():
+        for rival, (good, total) in tenants.items():
+            for other, (theirs, load) in tenants.items():
+                if total < FEWEST or load < TIDE * total:
+                    continue
+                share, their = good / total, theirs / load
+                # three deviations of so many draws
+                if share < their - 0.02 - 3 * (max(their * (1 - their), 0.01) / total) ** 0.5:
+                    yield Broken(rule="unfair", t=slot * 5.0, detail=f"{path}: {rival} {share:.2f} of {total} good, {other}, who floods, {their:.2f} of {load}")
--- a/tasting/run_fleet.py
+++ b/tasting/run_fleet.py
@@ -88,7 +88,7 @@
 def report(*, fleet: Fleet) -> list:
     """Print the figures; gives the broken rules."""
     history = fleet.whole_history()
-    broken = check_history(history=history, halls=fleet.deployment.halls)
+    broken = check_history(history=history, deployment=fleet.deployment)
     got = history.of(k="got")
     good = sum(row["verdict"] == "good" for row in got)
     kinds = collections.Counter(f"{row['code']}-{row['reason']}-{row['ran']}" for row in got if row["verdict"] != "good")
--- a/tasting/sim/callers.py
+++ b/tasting/sim/callers.py
@@ -132,15 +132,19 @@
         world.history.add(t=world.clock.now, k="sent", nonce=order.nonce, key=order.key, turn=order.turn,
                           tenant=order.kind.tenant, path=order.kind.path, unsafe=order.kind.unsafe,
                           proxy=node.place.name, region=order.kind.region)
-        ended = []
+        ended: list = []
+        refused: list = []
 
         def got(answer: Answer | None) -> None:
             if ended:
                 return
             ended.append(1)
-            world.clock.after(self._delay(), lambda: self._got(order=order, answer=answer, proxy=node.place.name, most=most))
+            world.clock.after(self._delay(), lambda: self._got(order=order, answer=answer, proxy=node.place.name, most=most,
+                                                               taken=not refused))
 
         def arrive() -> None:
+            if node.owner is None:
+                refused.append(1)
             node.ask(event=event, answer=got)
         world.clock.after(self._delay(), arrive)
 
@@ -153,7 +157,8 @@
     def _delay(self) -> float:
         return self._rng.uniform(0.0003, 0.003)
 
-    def _got(self, *, order: Order, answer: Answer | None, proxy: str, most: int, held: bool = False) -> None:
+    def _got(self, *, order: Order, answer: Answer | None, proxy: str, most: int, held: bool = False,
+             taken: bool = True) -> None:
         world = self._world
         code = answer.code if answer else 0
         verdict = judge_body(code=code, body=answer.body, nonce=order.nonce, path=order.kind.path) if answer else ""
@@ -166,7 +171,7 @@
         headers = {name.lower(): value for name, value in answer.headers.items()} if answer else {}
         world.history.add(t=world.clock.now, k="got", nonce=order.nonce, key=order.key, turn=order.turn, code=code,
                           tenant=order.kind.tenant, path=order.kind.path, unsafe=order.kind.unsafe, proxy=proxy,
-                          ran=headers.get("sailward-ran", ""), verdict=verdict, reason=seen.get("error", ""), held=held, part=order.hot, stream=order.nonce[0],
+                          ran=headers.get("sailward-ran", ""), verdict=verdict, reason=seen.get("error", ""), held=held, taken=taken, part=order.hot, stream=order.nonce[0],
                           retry_after=headers.get("retry-after", ""), worker=self._worker(answer=answer))
         if verdict == "good" or code in (400, 404, 405, 413, 422, 428):
             return
--- a/tasting/sim/chaos.py
+++ b/tasting/sim/chaos.py
@@ -2,10 +2,10 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tasting.sim.faults import Faults
     from tasting.sim.world import World
 
 MODES = ("lose", "lose-unrun", "wrong-bytes", "cut", "refuse", "other-exchange", "error")
@@ -14,8 +14,8 @@
 class Chaos:
     """Draws faults and their healing. `step` brings the next one about."""
 
-    def __init__(self, *, world: World, faults: Faults) -> None:
-        self._world, self._faults = world, faults
+    def __init__(self, *, world: World, step: Callable) -> None:
+        self._world, self._step = world, step
         self._rng = random.Random(f"{world.seed}/chaos")
         self._index = 50
         self._cellars_down = 0
@@ -30,7 +30,7 @@
         self._world.clock.after(self._rng.uniform(0.8, 4.0), lambda: self.step(until=until))
 
     def _do(self, verb: str, *words: str) -> None:
-        self._faults.step(verb=verb, words=list(words))
+        self._step(verb=verb, words=list(words))
 
     def _later(self, low: float, high: float, verb: str, *words: str) -> None:
         self._world.clock.after(self._rng.uniform(low, high), lambda: self._do(verb, *words))
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -64,6 +64,7 @@
             self.owner = Sommelier(nonce=nonce, now=self.now(), **common)
         else:
             self.owner = Concierge(**common)
+        self._note(k="daemon-up")
         self._tick(life=self.life)
 
     def stop(self) -> None:
@@ -85,9 +86,12 @@
         """The process stands still; what arrives waits."""
         if self.up:
             self.frozen = []
+            self._note(k="daemon-frozen")
 
     def thaw(self) -> None:
         """The process goes on."""
+        if self.frozen is not None:
+            self._note(k="daemon-thawed")
         held, self.frozen = self.frozen or [], None
         for event in held:
             self.give(event=event)
@@ -125,7 +129,12 @@
         self.waiting[event.token] = answer
         self.give(event=event)
 
+    def _note(self, *, k: str) -> None:
+        self.world.history.add(t=self.world.clock.now, k=k, daemon=self.place.name)
+
     def _end(self) -> None:
+        if self.owner is not None:
+            self._note(k="daemon-down")
         self.owner, self.frozen = None, None
         self.life += 1
         waiting, self.waiting = self.waiting, {}
--- a/tasting/sim/operators.py
+++ b/tasting/sim/operators.py
@@ -52,9 +52,16 @@
         for node in nodes:
             self.ask(method="POST", path="/found", body={"members": members}, cellar=node.place.name)
 
+    def note_bounds(self, *, config: dict, begun: float) -> None:
+        """Write down what each service's workers bear, as the operator wrote it."""
+        for name, one in (config.get("services") or {}).items():
+            if isinstance(one, dict) and "rate" in one:
+                self._world.history.add(t=self._world.clock.now, k="cold-bound", service=name, cold=one.get("cold_rate", 5.0),
+                                        rate=one["rate"], ramp=one.get("cold_ramp_s", 20.0), begun=begun)
+
     def put(self, *, config: object, cellar: str = "", if_match: str = "", invalid: bool = False,
-            patch: dict | None = None) -> None:
-        """Send a configuration, whole or as a patch (then `config` is what it makes)."""
+            is_patch: bool = False) -> None:
+        """Send a configuration, whole or as a patch."""
         world, begun = self._world, self._world.clock.now
         headers = {"if-match": f'"{if_match}"'} if if_match else {}
 
@@ -63,11 +70,13 @@
             outcome = seen.get("outcome", "unknown") if answer else "unknown"
             world.history.add(t=world.clock.now, k="put", begun=begun, outcome=outcome, number=seen.get("number", 0),
                               code=answer.code if answer else 0, invalid=invalid, digest=digest_of(config=config),
-                              allows=allows_of(config=config), error=seen.get("error", ""), cellar=cellar)
-            if outcome == "accepted" and self.on_accept:
-                self.on_accept.pop()()
-        self.ask(method="PATCH" if patch is not None else "PUT", path="/config",
-                 body=config if patch is None else patch, cellar=cellar, headers=headers, then=then)
+                              given=config, patch=is_patch, error=seen.get("error", ""), cellar=cellar)
+            if outcome == "accepted":
+                if isinstance(config, dict):
+                    self.note_bounds(config=config, begun=begun)
+                if self.on_accept:
+                    self.on_accept.pop()()
+        self.ask(method="PATCH" if is_patch else "PUT", path="/config", body=config, cellar=cellar, headers=headers, then=then)
 
     def read_back(self, *, cellar: str = "") -> None:
         """Read the configuration."""
@@ -79,7 +88,7 @@
                 return
             seen = json.loads(answer.body)
             world.history.add(t=world.clock.now, k="read-back", begun=begun, number=seen["number"],
-                              digest=digest_of(config=seen["config"]), cellar=cellar)
+                              digest=digest_of(config=seen["config"]), config=seen["config"], cellar=cellar)
         self.ask(method="GET", path="/config", cellar=cellar, then=then)
 
     def order(self, *, hall: str, empty: bool, confirm: bool = False, cellar: str = "") -> None:
@@ -101,18 +110,3 @@
     """The same for the same content."""
     return hashlib.blake2b(json.dumps(config, sort_keys=True, default=repr).encode(), digest_size=8).hexdigest()
 
-
-def allows_of(*, config: object) -> dict | None:
-    """{path: {tenant: halls that may serve it}}, read from the configuration as the operator wrote it."""
-    try:
-        allows: dict = {}
-        for match in config["matches"]:
-            for share in match["pools"]:
-                pool = config["pools"][share["pool"]]
-                for tenant in match.get("tenants") or ["*"]:
-                    halls = allows.setdefault(match["path"], {}).setdefault(tenant, [])
-                    if share["weight"]:
-                        halls += [*pool["preferred"], *pool.get("fallback", [])]
-        return allows
-    except (KeyError, TypeError):
-        return None
--- a/tasting/sim/platform.py
+++ b/tasting/sim/platform.py
@@ -22,10 +22,13 @@
         self.up = True
 
     def list_worker(self, *, mind: Mind, address: str) -> None:
-        """Put a worker on the list, or a new generation of it."""
+        """Put a worker on the list, or a new generation of it: the one before is gone."""
+        before = self._rows.get(mind.name)
         self._rows[mind.name] = {"id": mind.name, "generation": mind.generation, "service": mind.service,
                                  "address": address, "hall": mind.hall, "leaving": False}
         self.revision += 1
+        if before and before["generation"] < mind.generation:
+            self._note(row=before, k="gone")
 
     def names(self) -> set:
         """Who is on the list."""
--- a/tasting/sim/scenario.py
+++ b/tasting/sim/scenario.py
@@ -6,7 +6,7 @@
 from tasting.checker import Broken, check_history
 from tasting.deployments import DEPLOYMENTS
 from tasting.sim.expect import judge_expectation
-from tasting.sim.faults import Faults
+from tasting.sim.faults import Faults, find_fault
 from tasting.sim.sabotage import SABOTAGE
 from tasting.sim.world import World
 
@@ -38,7 +38,7 @@
 
 
 def read_scenario(*, text: str) -> Scenario:
-    """The scenario in a text."""
+    """The scenario in a text; a ValueError names the line and word that is wrong."""
     scenario = Scenario()
     for number, line in enumerate(text.splitlines(), start=1):
         words = line.split("#")[0].split()
@@ -54,10 +54,12 @@
             scenario.seeds = range(int(low), int(high or low) + 1)
         elif head == "at":
             scenario.steps.append((float(rest[0]), rest[1], rest[2:]))
+            _check_step(number=number, step=scenario.steps[-1])
         elif head == "every":
             step, begin, end = float(rest[0]), float(rest[2]), float(rest[4])
             count = int(round((end - begin) / step))
             scenario.steps += [(begin + step * i, rest[5], rest[6:]) for i in range(count)]
+            _check_step(number=number, step=scenario.steps[-1])
         elif head == "end":
             scenario.end = float(rest[0])
         elif head == "expect":
@@ -70,6 +72,12 @@
     return scenario
 
 
+def _check_step(*, number: int, step: tuple) -> None:
+    fault = find_fault(verb=step[1], words=step[2])
+    if fault:
+        raise ValueError(f"line {number}: {fault}")
+
+
 def run_scenario(*, scenario: Scenario, seed: int, without: str = "") -> Outcome:
     """Run once with this seed; `without` takes a safeguard out first."""
     if without:
@@ -85,7 +93,7 @@
         world.clock.at(BEGIN + when, lambda verb=verb, words=words: faults.step(verb=verb, words=words))
     world.clock.run(until=BEGIN + scenario.end)
     faults.note_stored()
-    broken: list[Broken] = check_history(history=world.history, halls=world.deployment.halls)
+    broken: list[Broken] = check_history(history=world.history, deployment=world.deployment)
     failed, figures = [], {}
     for words in scenario.expects:
         fault, figure = judge_expectation(words=words, world=world, begin=BEGIN)
--- /dev/null
+++ b/tasting/sim/verbs/__init__.py
@@ -0,0 +1,1 @@
+"""The verbs of scenarios, by whom they concern."""
--- /dev/null
+++ b/tasting/sim/verbs/callers.py
@@ -0,0 +1,37 @@
+"""What a scenario's steps do to the callers."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tasting.deployments import CallerKind
+from tasting.sim.callers import Callers
+
+if TYPE_CHECKING:
+    from tasting.sim.world import World
+
+
+class CallerVerbs:
+    """Steps that change what callers do."""
+
+    def __init__(self, *, world: World, callers: Callers) -> None:
+        self._world, self.callers = world, callers
+
+    def do_load(self, rate: str) -> None:
+        self.callers.set_rate(rate=float(rate))
+
+    def do_flood(self, tenant: str, path: str, rate: str, hot: str = "") -> None:
+        kind = next(one for one in self._world.deployment.callers if (one.tenant, one.path) == (tenant, path))
+        self.callers.flood(kind=kind, hot=hot, rate=float(rate))
+
+    def do_flood_key(self, tenant: str, path: str, hot: str, rate: str) -> None:
+        self.do_flood(tenant, path, rate, hot)
+
+    def do_storm(self, share: str) -> None:
+        self.callers.storm = float(share)
+
+    def do_order(self, tenant: str, path: str, key: str, proxy: str, turn: str = "0") -> None:
+        """One unsafe exchange with this key, sent once to this proxy."""
+        kinds = [one for one in self._world.deployment.callers if one.path == path]
+        kind = CallerKind(tenant=tenant, path=path, unsafe=True, part=0.0, region="", keys=kinds[0].keys if kinds else 0)
+        address = self._world.nodes[proxy].place.http
+        self.callers.order(kind=kind, key=key, proxy=address, turn=int(turn), nonce=f"by-{key}", most=1)
--- /dev/null
+++ b/tasting/sim/verbs/daemons.py
@@ -0,0 +1,121 @@
+"""What a scenario's steps do to the daemons, their machines, disks, clocks and network."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tasting.sim.node import Node
+    from tasting.sim.world import World
+
+
+class DaemonVerbs:
+    """Steps that trouble our own machines."""
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+        self._cut_at = 0.0
+
+    def _nodes(self, names: tuple) -> list[Node]:
+        nodes = [node for node in self._world.nodes.values() if "all" in names or node.names & set(names)]
+        if not nodes:
+            raise ValueError(f"no daemon is called {names}")
+        return nodes
+
+    def do_start(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.start()
+
+    def do_kill(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.kill()
+
+    def do_power_off(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.lose_power()
+
+    def do_freeze(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.freeze()
+
+    def do_thaw(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.thaw()
+
+    def do_stop(self, *names: str) -> None:
+        world = self._world
+        for node in self._nodes(names):
+            world.history.add(t=world.clock.now, k="planned-stop", daemon=node.place.name)
+            node.stop()
+            self._watch_stop(node=node)
+
+    def _watch_stop(self, *, node: Node) -> None:
+        if node.owner is None:
+            self._world.history.add(t=self._world.clock.now, k="stopped", daemon=node.place.name)
+        else:
+            self._world.clock.after(0.01, lambda: self._watch_stop(node=node))
+
+    def do_wipe(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.lose_power()
+            node.disk.wipe()
+
+    def do_damage(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.kill()
+            node.disk.damage()
+
+    def do_fill_disk(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.disk.is_full = True
+
+    def do_free_disk(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.disk.is_full = False
+
+    def do_machine_new(self, name: str, kind: str, hall: str, index: str) -> None:
+        """A new, empty machine at an address of its own."""
+        seeds = next(iter(self._world.nodes.values())).place.seeds
+        self._world.add_node(name=name, kind=kind, hall=hall, index=int(index), seeds=seeds).start()
+
+    def do_clock_jump(self, seconds: str, *names: str) -> None:
+        """The wall clocks jump; monotonic ones never do."""
+        for node in self._nodes(names):
+            node.skew += float(seconds)
+
+    def do_slow_disk(self, factor: str, *names: str) -> None:
+        for node in self._nodes(names):
+            node.disk.slow = float(factor)
+
+    def do_fail_sync(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.disk.sync_fails = True
+
+    def do_mend_sync(self, *names: str) -> None:
+        for node in self._nodes(names):
+            node.disk.sync_fails = False
+
+    def do_cut(self, *words: str) -> None:
+        """cut A B / C D: no message between the two sides."""
+        at = words.index("/")
+        cut = (frozenset(words[:at]), frozenset(words[at + 1:]))
+        self._world.network.cuts.append(cut)
+        self._cut_at = self._cut_at or self._world.clock.now
+
+    def do_heal(self) -> None:
+        world = self._world
+        for machine in world.machines.values():
+            cut = [node for node in world.nodes.values() if node.place.kind == "sommelier"
+                   and world.network.is_cut(a=node.names, b=machine.names)]
+            if cut:
+                # judged as come back only if no proxy could reach it
+                proxies = [node for node in world.nodes.values() if node.place.kind == "sommelier"]
+                away = world.clock.now - self._cut_at if len(cut) == len(proxies) else 0.0
+                world.history.add(t=world.clock.now, k="worker-back", worker=machine.mind.key, away=away)
+        world.network.cuts.clear()
+        self._cut_at = 0.0
+
+    def do_lossy(self, loss: str, double: str = "0") -> None:
+        self._world.network.loss, self._world.network.double = float(loss), float(double)
+
+    def do_slow(self, factor: str) -> None:
+        self._world.network.slow = float(factor)
--- /dev/null
+++ b/tasting/sim/verbs/operators.py
@@ -0,0 +1,116 @@
+"""What a scenario's operators do."""
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from tasting.sim.operators import Operators
+
+if TYPE_CHECKING:
+    from tasting.sim.world import World
+
+
+class OperatorVerbs:
+    """Steps of operators: configurations, orders, the core's members. `step` carries out another step."""
+
+    def __init__(self, *, world: World, operators: Operators, step: Callable) -> None:
+        self._world, self.operators, self.step = world, operators, step
+
+    def do_on_accept(self, verb: str, *words: str) -> None:
+        """The step is carried out at the very moment that a configuration is told to be accepted."""
+        self.operators.on_accept.append(lambda: self.step(verb=verb, words=list(words)))
+
+    def do_ready(self, rate: str = "0") -> None:
+        """Start all, found, configure; callers from 8 s later."""
+        world = self._world
+        for node in world.nodes.values():
+            world.clock.after(world.rng.uniform(0.0, 0.5), node.start)
+        cellars = [node.place.name for node in world.nodes.values() if node.place.kind == "cellar"]
+        world.clock.after(1.5, lambda: self.operators.found(cellars=cellars))
+        world.clock.after(2.5, lambda: self.do_put())
+        world.clock.after(8.0, lambda: self.step(verb="load", words=[rate]))
+        self._note_config()
+        self.operators.note_bounds(config=self.operators.config, begun=world.clock.now)
+
+    def _note_config(self) -> None:
+        world, config = self._world, self.operators.config
+        homes = {name: one["homes"] for name, one in config["tenants"].items() if one.get("homes")}
+        world.history.add(t=world.clock.now, k="homes", homes=homes)
+
+    def do_put(self, cellar: str = "", if_match: str = "") -> None:
+        self.operators.put(config=copy.deepcopy(self.operators.config), cellar=cellar, if_match=if_match)
+
+    def do_split(self, service: str, first: str, second: str, cellar: str = "", if_match: str = "") -> None:
+        """Change a service's weights and send the whole."""
+        for match in self.operators.config["matches"]:
+            if match["path"] == f"/{service}":
+                match["pools"][0]["weight"], match["pools"][1]["weight"] = int(first), int(second)
+        self.do_put(cellar, if_match)
+
+    def do_pin(self, service: str, region: str, cellar: str = "", if_match: str = "") -> None:
+        """Let a service run in one region only and send the whole: what ran elsewhere shows an older number."""
+        config, halls = copy.deepcopy(self.operators.config), self._world.deployment.halls
+        places = [hall for hall, one in halls.items() if one == region]
+        bound = [name for name, one in config["tenants"].items() if one.get("homes")]
+        free = [name for name in config["tenants"] if name not in bound]
+        config["pools"][f"{service}-pin"] = {"service": service, "preferred": places, "fallback": []}
+        for match in list(config["matches"]):
+            if match["path"] == f"/{service}":
+                match["tenants"] = bound
+                config["matches"].append({"path": match["path"], "tenants": free,
+                                          "pools": [{"pool": f"{service}-pin", "weight": 1}]})
+        config["tenants"].setdefault("pins", {"share": 1 + len(self._world.history.of(k="put")) % 90})
+        self.operators.put(config=config, cellar=cellar, if_match=if_match)
+
+    def do_patch(self, path: str, value: str, cellar: str = "", if_match: str = "") -> None:
+        """Send a small change: one field, by its path with dots, to a number, a word, a,list or null."""
+        patch: dict = {}
+        inner = patch
+        *names, last = path.split(".")
+        for name in names:
+            inner = inner.setdefault(name, {})
+        inner[last] = _read_value(text=value)
+        self.operators.put(config=patch, cellar=cellar, if_match=if_match, is_patch=True)
+
+    def do_put_invalid(self, kind: str, cellar: str = "") -> None:
+        config: object = copy.deepcopy(self.operators.config)
+        if kind == "weights":
+            for share in config["matches"][0]["pools"]:
+                share["weight"] = 0
+        elif kind == "hall":
+            next(iter(config["pools"].values()))["preferred"].append("nowhere")
+        elif kind == "field":
+            config["speed"] = 3
+        else:
+            config = [kind]
+        self.operators.put(config=config, cellar=cellar, invalid=True)
+
+    def do_read_back(self, cellar: str = "") -> None:
+        self.operators.read_back(cellar=cellar)
+
+    def do_empty(self, hall: str, confirm: str = "") -> None:
+        self.operators.order(hall=hall, empty=True, confirm=confirm == "confirm")
+
+    def do_refill(self, hall: str) -> None:
+        self.operators.order(hall=hall, empty=False)
+
+    def do_part(self, name: str) -> None:
+        self._change_voters(name=name, verb="part")
+
+    def do_join(self, name: str) -> None:
+        self._change_voters(name=name, verb="join")
+
+    def _change_voters(self, *, name: str, verb: str) -> None:
+        def then(answer) -> None:
+            self._world.history.add(t=self._world.clock.now, k="voters", verb=verb, name=name,
+                                    code=answer.code if answer else 0)
+        self.operators.ask(method="POST", path=f"/voters/{name}/{verb}", then=then)
+
+
+def _read_value(*, text: str) -> object:
+    if text == "null":
+        return None
+    if "," in text:
+        return [one for one in text.split(",") if one]
+    return int(text) if text.lstrip("-").isdigit() else text
--- /dev/null
+++ b/tasting/sim/verbs/workers.py
@@ -0,0 +1,113 @@
+"""What a scenario's steps do to the workers and the platform."""
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tasting.sim.world import World
+
+
+class WorkerVerbs:
+    """Steps that trouble workers and their list."""
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+
+    def do_service_time(self, low: str, high: str) -> None:
+        self._world.service_time = (float(low), float(high))
+
+    def _machines(self, names: tuple) -> list:
+        machines = [one for one in self._world.machines.values()
+                    if "all" in names or one.names & set(names) or one.mind.service in names]
+        if not machines:
+            raise ValueError(f"no worker is called {names}")
+        return machines
+
+    def _end_runs(self, *, key: str) -> None:
+        """What a dead process was running has ended."""
+        now = self._world.clock.now
+        for row in reversed(self._world.history.rows):
+            if row["t"] < now - 10:
+                return
+            if row["k"] == "run" and row["worker"] == key:
+                row["until"] = min(row["until"], now)
+
+    def do_worker_down(self, *names: str) -> None:
+        for machine in self._machines(names):
+            machine.up = False
+            self._end_runs(key=machine.mind.key)
+            self._note(machine=machine, k="worker-down")
+
+    def _note(self, *, machine, k: str) -> None:
+        self._world.history.add(t=self._world.clock.now, k=k, worker=machine.mind.key, service=machine.mind.service,
+                                hall=machine.mind.hall)
+
+    def do_worker_up(self, *names: str) -> None:
+        """The process is back, of the same generation: cold all the same."""
+        for machine in self._machines(names):
+            machine.up, machine.mind.born = True, self._world.clock.now
+            self._note(machine=machine, k="worker-started")
+
+    def do_worker_freeze(self, *names: str) -> None:
+        for machine in self._machines(names):
+            machine.frozen, machine.frozen_at = True, self._world.clock.now
+
+    def do_worker_thaw(self, *names: str) -> None:
+        for machine in self._machines(names):
+            if machine.frozen:
+                self._world.history.add(t=self._world.clock.now, k="worker-back", worker=machine.mind.key,
+                                        away=self._world.clock.now - machine.frozen_at)
+            machine.frozen = False
+            held, machine.thaws = machine.thaws, []
+            for act in held:
+                act()
+
+    def do_worker_mode(self, mode: str, chance: str, *names: str) -> None:
+        for machine in self._machines(names):
+            machine.mind.mode, machine.mind.chance = mode, float(chance)
+
+    def do_worker_replace(self, *names: str) -> None:
+        """The worker stops and a new generation of it starts at the same address, cold."""
+        world = self._world
+        for address, machine in list(world.machines.items()):
+            if machine in self._machines(names):
+                mind = machine.mind
+                machine.up = False
+                self._end_runs(key=mind.key)
+                world.add_worker(name=mind.name, service=mind.service, hall=mind.hall, address=address,
+                                 generation=mind.generation + 1)
+
+    def do_worker_leave(self, *names: str) -> None:
+        for machine in self._machines(names):
+            self._world.platform.mark_leaving(name=machine.mind.name)
+
+    def do_worker_gone(self, *names: str) -> None:
+        """Off the list, though it still answers: only the list can keep exchanges away."""
+        for machine in self._machines(names):
+            self._world.platform.unlist(name=machine.mind.name)
+
+    def do_worker_gone_if(self, name: str) -> None:
+        if name in self._world.platform.names():
+            self.do_worker_gone(name)
+
+    def do_worker_add(self, name: str, service: str, hall: str, index: str) -> None:
+        self._world.add_worker(name=name, service=service, hall=hall, address=f"10.1.9.{index}:80")
+
+    def do_readdress(self, name: str, service: str, hall: str) -> None:
+        """A worker is taken off, and its address passes to a new one of another service."""
+        address, _ = self._world.machine_of(name=name)
+        self._world.platform.unlist(name=name)
+        self._world.add_worker(name=f"{name}-heir", service=service, hall=hall, address=address)
+
+    def do_platform_down(self) -> None:
+        self._world.platform.up = False
+
+    def do_platform_up(self) -> None:
+        self._world.platform.up = True
+
+    def do_worker_move(self, name: str, index: str) -> None:
+        """A new generation at a new address; the old process goes on answering at the old one."""
+        _, machine = self._world.machine_of(name=name)
+        mind = machine.mind
+        self._world.add_worker(name=mind.name, service=mind.service, hall=mind.hall, address=f"10.1.9.{index}:80",
+                               generation=mind.generation + 1)
--- a/tasting/sim/world.py
+++ b/tasting/sim/world.py
@@ -23,6 +23,7 @@
         self.mind = mind
         self.up = True
         self.frozen = False
+        self.frozen_at = 0.0
         self.thaws: list = []
         self.names = frozenset({mind.name, mind.hall, region, "worker"})
         self.region = region
@@ -65,7 +66,8 @@
         machine = Machine(mind=mind, region=self.deployment.halls[hall])
         self.machines[address] = machine
         self.platform.list_worker(mind=mind, address=address)
-        self.history.add(t=self.clock.now, k="worker-started", worker=mind.key, hall=hall)
+        mind.born = self.clock.now
+        self.history.add(t=self.clock.now, k="worker-started", worker=mind.key, service=service, hall=hall)
         return machine
 
     def machine_of(self, *, name: str) -> tuple[str, Machine]:
@@ -126,6 +128,9 @@
                              path=command.path, unsafe=command.method not in ("GET", "HEAD"),
                              proxy=caller.place.name, until=self.clock.now + busy,
                              slot_key=headers.get("sailward-key", ""))
+        elif command.path != "/status":
+            self.history.add(t=self.clock.now, k="reached", worker=mind.key, nonce=headers.get("x-caller", ""),
+                             turn=int(headers.get("x-caller-try", "0")))
 
         def come_back() -> None:
             if not machine.up or reply.lost or self.network.is_cut(a=caller.names, b=machine.names):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -42,7 +42,7 @@
         do_step(fleet=fleet, verb="start", name="cellar-1")
         thread.join()
         history = fleet.whole_history()
-        assert not check_history(history=history, halls=fleet.deployment.halls)
+        assert not check_history(history=history, deployment=fleet.deployment)
         assert sum(row["verdict"] == "good" for row in history.of(k="got")) > 50
         assert len(history.of(k="emptied")) == 1
         done = fleet.steward("get")
