A cellar's tick and grant no longer grow with the claims it keeps

Ruled out: gossip and the standing view (their cost does not change with claims). Slots now keep the names that are not claims apart.

--- a/sailward/cask/acceptor.py
+++ b/sailward/cask/acceptor.py
@@ -3,6 +3,8 @@
 
 from dataclasses import dataclass, field
 
+CLAIM = "exchange/"
+"""What the name of a claim's register begins with."""
 NONE = [0, ""]
 FIRST = [0, "first"]
 """The ballot that every proposer shares for a register that has no vote yet."""
@@ -22,10 +24,23 @@
         return [list(self.ballot), self.value] if self.value is not None else []
 
 
+class Slots(dict):
+    """A voter's slots by register; `control` names those that are not claims, as claims are many."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.control: set[str] = set()
+
+    def __setitem__(self, name: str, slot: Slot) -> None:
+        if not name.startswith(CLAIM):
+            self.control.add(name)
+        super().__setitem__(name, slot)
+
+
 class Acceptor:
     """Owner of a voter's slots. `step` answers a message with (records to sync, reply)."""
 
-    def __init__(self, *, slots: dict[str, Slot]) -> None:
+    def __init__(self, *, slots: Slots) -> None:
         self.slots = slots
 
     def step(self, *, now: float, body: dict) -> tuple[list[dict], dict]:
@@ -71,7 +86,9 @@
     if record["k"] == "drop":
         slots.pop(record["r"], None)
         return
-    slot = slots.setdefault(record["r"], Slot())
+    slot = slots.get(record["r"])
+    if slot is None:
+        slot = slots[record["r"]] = Slot()
     slot.since = now
     slot.promised = max(slot.promised, record["b"])
     if record["k"] == "vote":
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
-from sailward.cask.acceptor import Acceptor, fold_record, slot_records
+from sailward.cask.acceptor import CLAIM, Acceptor, Slots, fold_record, slot_records
 from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.cask.proposer import Accepted, Begin, Proposer
 from sailward.house.copying import Copying, copy_page
@@ -36,7 +36,7 @@
 
     def __init__(self, *, place: Place, platform: str, nonce: str, start: int, rng: random.Random,
                  records: list[dict], now: float) -> None:
-        slots: dict = {}
+        slots = Slots()
         self.identity = ""
         copied = False
         for record in records:
@@ -151,10 +151,10 @@
     def _grant(self, *, now: float, sender: str, body: dict) -> list:
         commands = self.subscribers.step(now=now, event=(sender, body), news=self._news())
         newest = {}
-        for name, slot in self.acceptor.slots.items():
-            if not name.startswith("exchange/"):
-                value = slot.value or {"number": 0, "mark": ""}
-                newest[name] = [value["number"], value["mark"], slot.ballot]
+        for name in self.acceptor.slots.control:
+            slot = self.acceptor.slots[name]
+            value = slot.value or {"number": 0, "mark": ""}
+            newest[name] = [value["number"], value["mark"], slot.ballot]
         for name, have in body["have"].items():
             if is_control(name=name) and isinstance(have, list) and have[0] > self.held.number(name=name):
                 self._behind.setdefault(name, now - constants.STALLED)
@@ -340,7 +340,7 @@
         if self.identity not in self.voters["members"]:
             return []
         begins = []
-        for name in [*CONTROL, *(name for name in self.acceptor.slots if name.startswith("slots/"))]:
+        for name in sorted({*CONTROL, *self.acceptor.slots.control}):
             slot = self.acceptor.slots.get(name)
             vote = [slot.value["number"], slot.value["mark"], slot.ballot] if slot and slot.value else [0, "", [0, ""]]
             if self.held.covers(name=name, newest=vote):
@@ -363,7 +363,7 @@
             return []
         self._swept = now
         old = [name for name, slot in self.acceptor.slots.items()
-               if name.startswith("exchange/") and now - slot.since > constants.CLAIM_LIFE]
+               if name.startswith(CLAIM) and now - slot.since > constants.CLAIM_LIFE]
         for name in old:
             del self.acceptor.slots[name]
         return self.ledger.step(records=[{"k": "drop", "r": name} for name in old], replies=[])
--- a/sailward/pour/claims.py
+++ b/sailward/pour/claims.py
@@ -6,11 +6,11 @@
 
 from sailward import constants
 from sailward.acts import Tell
+from sailward.cask.acceptor import CLAIM as PREFIX
 from sailward.cask.proposer import Accepted, Begin, Refused, Settled
 from sailward.pour.exchange import Exchange, Refusal
 from sailward.pour.kept import Kept, Memory
 
-PREFIX = "exchange/"
 
 
 @dataclass(frozen=True, kw_only=True)
