An operator's order founds the core anew; drained halls own slots where no other may

Cause: with two of four disks gone for good no majority could ever be had again. The order names the survivors; each gathers what all of them voted for by highest ballot (any two of four hold every chosen value), keeps what proxies and other cellars were told where that is newer, waits until no lease of the old set can last, and then acts. A crash in its midst only delays it; a taken-out identity never acts again (its cellar waits as an empty one). With too few left, claims are in doubt for their life: what may be a repeat is refused as unknown, first sendings go on. Also found: a cellar taken out by hand and joined again voted on its old data without copying. Now it copies. Found by anew-alive: a slot whose halls are all in their hold got no owner for 60 s, the draw's last resort did not hold for slots. Refusals of the order: not-confirmed, survivor-unknown, not-a-survivor, member-alive, no-survivor, core-whole, each asserted.

--- a/sailward/cask/held.py
+++ b/sailward/cask/held.py
@@ -4,6 +4,7 @@
 import json
 from dataclasses import dataclass, field
 
+from sailward.acts import Tell
 from sailward.cask.proposer import EMPTY
 
 CONTROL = ("config", "orders", "voters")
@@ -44,6 +45,11 @@
         """The number held, 0 if none."""
         return self.held[name].value["number"] if name in self.held else 0
 
+    def tell(self, *, to: str, name: str) -> list:
+        """Give one who lost it what is held of a register."""
+        held = self.held.get(name)
+        return [Tell(to=to, body={"kind": "chosen", "register": name, "ballot": held.ballot, "value": held.value})] if held else []
+
     def have(self) -> dict:
         """Number, mark and ballot of each register held."""
         return {name: [held.value["number"], held.value["mark"], held.ballot] for name, held in self.held.items()}
--- a/sailward/cask/messages.py
+++ b/sailward/cask/messages.py
@@ -16,6 +16,7 @@
     "read": {"op": str, "register": str, "voters": int},
     "told": {"op": str, "register": str, "vote": list},
     "chosen": {"register": str, "ballot": BALLOT, "value": dict},
+    "want": {"register": str},
     "ask": {"seq": int, "have": dict, "report": dict, "daemon": dict},
     "grant": {"seq": int, "newest": dict, "identity": str, "voting": bool,
               "proxies": int, "view": dict},
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -164,6 +164,10 @@
 JOURNAL = 512
 """events that an owner's journal keeps after folding."""
 
+ANEW_GAP = 1_000_000
+"""numbers of the voters register that a founding anew leaves free: more than the old set can have made unseen."""
+ANEW_PLACES = 500
+"""places in that gap: two foundings on two sides of a cut get different numbers, 1000 changes apart."""
 REPLACE_AFTER = 20.0
 """s that a voter must be lost before a waiting empty cellar takes its place: longer than a roll of its machine."""
 COPY_AGAIN = 0.5
--- /dev/null
+++ b/sailward/house/anew.py
@@ -0,0 +1,146 @@
+"""Founding the core anew from its survivors, on an operator's order, when its majority is lost for good."""
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+
+from sailward import constants
+from sailward.acts import Log
+from sailward.cask.acceptor import CLAIM, FIRST, Slot
+from sailward.cask.held import Held
+from sailward.cask.proposer import blocking_of
+from sailward.house.copying import Copying
+
+
+@dataclass(frozen=True, kw_only=True)
+class Founding:
+    """What a voters register says of the last founding anew."""
+
+    number: int
+    survivors: tuple
+    doubt: bool
+    base: dict
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotFounded:
+    """Why the order is refused; nothing is changed."""
+
+    code: int
+    reason: str
+    detail: str
+
+
+def read_founding(*, value: dict) -> Founding:
+    """The last founding anew in a register's value: number 0 if there was none."""
+    said = json.loads(value["text"]).get("anew") if value["text"] else None
+    if not said:
+        return Founding(number=0, survivors=(), doubt=False, base={})
+    return Founding(number=said["number"], survivors=tuple(said["survivors"]), doubt=said["doubt"], base=said["base"])
+
+
+def make_founding(*, own: str, names: list, is_confirmed: bool, value: dict, opened: int, cellars: dict) -> dict | NotFounded:
+    """The value of the voters register with the named survivors as its only members.
+
+    `value` is the newest vote known, `opened` the last founding that acts here, `cellars` those heard of now.
+    """
+    members = json.loads(value["text"])["members"] if value["text"] else {}
+    by_name = {identity.split("#")[0]: identity for identity in members}
+    survivors = sorted({by_name.get(name, name) for name in names})
+    unknown = [name for name in survivors if name not in members]
+    lost = sorted(set(members) - set(survivors))
+    alive = {identity for identity in members if identity in cellars}
+    voting = [identity for identity in members if identity in cellars and cellars[identity]["fit"]]
+    if not members:
+        return NotFounded(code=409, reason="never-founded", detail="this cellar belongs to no core: `found` joins new ones")
+    if not survivors:
+        return NotFounded(code=422, reason="no-survivor", detail="name the cellars that still have their disks")
+    if unknown:
+        return NotFounded(code=404, reason="survivor-unknown", detail=f"not among the voters {sorted(by_name)}: {unknown}")
+    if own not in survivors:
+        return NotFounded(code=409, reason="not-a-survivor", detail="give this order to one of the survivors that it names")
+    if 2 * len(voting) > len(members):
+        return NotFounded(code=409, reason="core-whole", detail=f"{len(voting)} of {len(members)} voters act: take single ones out by `part`")
+    if not set(survivors) <= alive:
+        return NotFounded(code=409, reason="survivor-unreachable", detail=f"not heard of now: {sorted(set(survivors) - alive)}")
+    if set(lost) & alive:
+        return NotFounded(code=409, reason="member-alive", detail=f"heard of now, so not lost: {sorted(set(lost) & alive)}")
+    if not is_confirmed:
+        return NotFounded(code=409, reason="not-confirmed", detail=f"confirm that these are gone for good and stay switched off: {lost}")
+    last = read_founding(value=value)
+    if last.number > opened and list(last.survivors) == survivors:
+        return value
+    # the set whose choices the survivors hold: the last one that acted
+    base = last.base if last.number > opened else members
+    # a gap in the numbers, so that no change that the old set may have made can reach the new one; within it a
+    # place of its own, so that of two foundings on two sides of a cut one is the newer
+    place = int.from_bytes(hashlib.blake2b(" ".join(survivors).encode(), digest_size=4).digest(), "big") % constants.ANEW_PLACES
+    number = (value["number"] // constants.ANEW_GAP + 1) * constants.ANEW_GAP + place * (constants.ANEW_GAP // constants.ANEW_PLACES // 2)
+    doubt = len(set(survivors) & set(base)) < blocking_of(members=base)
+    text = {"members": {name: members[name] for name in survivors}, "size": json.loads(value["text"]).get("size", len(members)),
+            "anew": {"number": number, "survivors": survivors, "doubt": doubt, "base": base}}
+    return {"number": number, "mark": f"anew-{number}", "trail": [], "text": json.dumps(text, sort_keys=True)}
+
+
+@dataclass(kw_only=True)
+class Anew:
+    """Owner of one survivor's part. `step` asks the others for all they voted for, or folds a page of it.
+
+    It acts under the new set only when it has all that every survivor voted for, and when no proxy can hold a
+    lease under the old set any more. Until then it votes for nothing.
+    """
+
+    identity: str
+    copying: Copying
+    number: int = 0
+    since: float = -1e9
+
+    def step(self, *, now: float, voters: Held, event: tuple | None) -> list:
+        """Take a (sender, copied) or None for time going on."""
+        self.note(now=now, voters=voters)
+        return self.copying.step(now=now, voters=voters, event=event)
+
+    def note(self, *, now: float, voters: Held) -> None:
+        """Count the time from the first moment that a founding is held here."""
+        number = read_founding(value=voters.value).number
+        if number != self.number:
+            self.number, self.since = number, now
+
+    def is_over(self, *, now: float) -> bool:
+        """Has every survivor told everything, and have the old leases run out?"""
+        return len(self.copying.done) == len(self.copying.old) and now - self.since >= constants.LEASE + constants.MOVE_MARGIN
+
+    def doubts(self, *, now: float, voters: Held) -> bool:
+        """May claims have been lost whose life is not over?"""
+        return read_founding(value=voters.value).doubt and now - self.since < constants.CLAIM_LIFE
+
+
+def merge_survivors(*, slots: dict, told: list[dict], now: float) -> dict[str, Slot]:
+    """All that any survivor voted for: of each register the vote of the highest ballot.
+
+    Under the shared first ballot survivors may hold different claims of one key, and none can tell which was
+    chosen: the key stays claimed, by nobody who could call it unsent.
+    """
+    merged = {}
+    for name in sorted({*slots, *(name for rows in told for name in rows)}):
+        own = slots.get(name)
+        votes = [vote for vote in (own.vote() if own else [], *(rows.get(name, []) for rows in told)) if vote]
+        if not votes:
+            continue
+        ballot = max(vote[0] for vote in votes)
+        values = [vote[1] for vote in votes if vote[0] == ballot]
+        value = values[0]
+        if name.startswith(CLAIM) and ballot == FIRST and len({one["mark"] for one in values}) > 1:
+            claim = json.loads(value["text"])
+            value = {**value, "mark": "anew", "text": json.dumps({**claim, "o": "", "i": ""})}
+        promised = max(ballot, own.promised) if own else ballot
+        merged[name] = Slot(promised=promised, ballot=ballot, value=value, since=own.since if own else now)
+    return merged
+
+
+def log_founding(*, value: dict) -> Log:
+    """What the operators read of a founding."""
+    founding = read_founding(value=value)
+    return Log(event="founded-anew", fields={"number": founding.number, "survivors": ",".join(founding.survivors),
+                                             "claims": "in-doubt" if founding.doubt else "kept"})
--- a/sailward/house/assigning.py
+++ b/sailward/house/assigning.py
@@ -97,8 +97,8 @@
         homes = set(space.split("+")) if space else set()
         if service.keys_shared:
             homes = common_homes(plan=scene.plan, service=service.name)
-        for tier in (pool.preferred, pool.fallback):
-            halls = [hall for hall in tier if hall not in scene.emptied and (service.name, hall) not in scene.drained
+        for drained, tier in self._tiers(pool=pool):
+            halls = [hall for hall in tier if hall not in scene.emptied and ((service.name, hall) in scene.drained) == drained
                      and (not homes or scene.plan.regions.get(hall) in homes)]
             able = {worker.name: key for key, worker in scene.workers.items()
                     if _is_able(worker=worker, key=key, service=service, halls=halls, scene=scene)}
@@ -108,5 +108,10 @@
         return ""
 
 
+    def _tiers(self, *, pool: Pool) -> list[tuple[bool, tuple]]:
+        """(drained halls or the others, tier) in the order of choice: where only drained halls could serve, they do."""
+        return [(drained, tier) for drained in (False, True) for tier in (pool.preferred, pool.fallback)]
+
+
 def _is_able(*, worker: Worker, key: str, service: Service, halls: list, scene: Scene) -> bool:
     return worker.service == service.name and worker.hall in halls and not worker.leaving and key in scene.healthy
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -6,14 +6,13 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
-from sailward.cask.acceptor import CLAIM, Acceptor, Slots, fold_record, slot_records
+from sailward.cask.acceptor import CLAIM, Acceptor, Slots, fold_record
 from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.cask.proposer import Accepted, Begin, Proposer
-from sailward.house.copying import Copying, copy_page
 from sailward.house.desk import Desk
 from sailward.house.ledger import Ledger
 from sailward.house.moves import Moves
-from sailward.house.repair import Repair, count_core
+from sailward.house.membership import Membership
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscribers
@@ -38,28 +37,29 @@
                  records: list[dict], now: float) -> None:
         slots = Slots()
         self.identity = ""
-        copied = False
+        copied, opened = False, 0
         for record in records:
             if record["k"] == "identity":
                 self.identity = record["id"]
             elif record["k"] == "copied":
                 copied = True
+            elif record["k"] == "opened":
+                opened = record["n"]
+            elif record["k"] == "left":
+                self.identity, copied, opened, slots = record["id"], False, 0, Slots()
             else:
                 fold_record(slots=slots, record=record, now=now)
         new = not self.identity
         self.identity = self.identity or make_identity(name=place.name, nonce=nonce)
-        self.place, self.start = place, start
+        self.place, self.start, self._nonce, self._left = place, start, nonce, 0
         self.held = HeldBook()
         self.acceptor = Acceptor(slots=slots)
-        self.ledger = Ledger(identity=self.identity, slots=slots, copied=copied)
+        self.ledger = Ledger(identity=self.identity, slots=slots, copied=copied, opened=opened)
         self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
         self.desk = Desk(identity=f"{place.name}#{nonce}")
         self.roster = Roster(place=place, start=start, identity=self.identity)
-        self.repair = Repair()
-        self.copying = Copying(identity=self.identity)
+        self.membership = Membership(cellar=self, now=now)
         self.moves = Moves()
-        self._short_since, self._short_said = now, False
-        self._asked = -1e9
         self.pager = Pager(platform=platform)
         self.subscribers = Subscribers()
         self.standing = Standing()
@@ -86,7 +86,7 @@
             commands += self.ledger.hear(event=event)
         elif isinstance(event, Checked):
             more, begins = self.desk.step(event=event)
-            commands += more + self._begin(now=now, begins=begins)
+            commands += more + self.begin(now=now, begins=begins)
         elif isinstance(event, StopAsked):
             commands.append(Stop(code=0))
         else:
@@ -105,7 +105,13 @@
     @property
     def voting(self) -> bool:
         """May this cellar vote and grant?"""
-        return self.identity in self.voters["members"] and self.ledger.copied and self.ledger.usable
+        return self.identity in self.voters["members"] and self.ledger.copied and self.ledger.usable \
+            and not self.membership.is_opening()
+
+    def new_identity(self) -> str:
+        """A further identity of this start: the one before never acts again."""
+        self._left += 1
+        return make_identity(name=self.place.name, nonce=f"{self._nonce}.{self._left}")
 
     def _hear(self, *, now: float, sender: str, body: dict) -> list:
         kind = body["kind"]
@@ -113,19 +119,21 @@
             return self._vote(now=now, sender=sender, body=body)
         if kind in TOLD:
             if kind == "nack" and body["voters"]:
-                return self._keep(now=now, name="voters", ballot=body["voters"][0], value=body["voters"][1], tell=False)
+                return self.keep(now=now, name="voters", ballot=body["voters"][0], value=body["voters"][1], tell=False)
             commands, settled = self.proposer.step(now=now, voters=self.voters, event=(sender, body))
             return commands + self._settle(now=now, settled=settled)
         if kind == "chosen":
-            return self._keep(now=now, name=body["register"], ballot=body["ballot"], value=body["value"], tell=False)
+            return self.keep(now=now, name=body["register"], ballot=body["ballot"], value=body["value"], tell=False)
+        if kind == "want":
+            return self.held.tell(to=sender, name=body["register"])
         if kind == "push" and is_control(name=body["name"]):
-            return self._keep(now=now, name=body["name"], ballot=body["ballot"], value=body["value"], tell=False)
+            return self.keep(now=now, name=body["name"], ballot=body["ballot"], value=body["value"], tell=False)
         if kind in ("push", "grant"):
             return []
         if kind == "copy":
-            return self._tell_page(now=now, sender=sender, body=body)
+            return self.membership.tell_page(now=now, sender=sender, body=body)
         if kind == "copied":
-            return self._take_page(now=now, event=(sender, body))
+            return self.membership.take_page(now=now, event=(sender, body))
         if kind == "ask":
             return self._grant(now=now, sender=sender, body=body)
         if kind == "ack":
@@ -158,10 +166,12 @@
         for name, have in body["have"].items():
             if is_control(name=name) and isinstance(have, list) and have[0] > self.held.number(name=name):
                 self._behind.setdefault(name, now - constants.STALLED)
+                if self.membership.is_opening():
+                    commands.append(Tell(to=sender, body={"kind": "want", "register": name}))
         warm = now - self.subscribers.members[sender].first < constants.WARM_TELL
         reply = {"kind": "grant", "seq": body["seq"], "newest": newest, "identity": self.identity,
                  "voting": self.voting, "proxies": len(self.subscribers.proxies()),
-                 "view": self.standing.view(with_warm=warm)}
+                 "view": {**self.standing.view(with_warm=warm), "doubt": self.membership.doubts(now=now)}}
         return [*commands, Tell(to=sender, body=reply)]
 
     def _news(self) -> dict:
@@ -180,31 +190,11 @@
             rows = json.loads(value["text"]) if value else []
             return [answer_json(token=event.token, code=200, body={"epoch": epoch, "revision": revision, "workers": rows})]
         if event.path == "/found" and event.method == "POST":
-            return self._found(now=now, event=event)
+            return self.membership.found(now=now, event=event)
+        if event.path == "/found-anew" and event.method == "POST":
+            return self.membership.found_anew(now=now, event=event)
         commands, begins = self.desk.step(event=event)
-        return commands + self._begin(now=now, begins=begins)
-
-    def _found(self, *, now: float, event: Asked) -> list:
-        try:
-            members = json.loads(event.body or b"")["members"]
-            sound = bool(members) and all(isinstance(k, str) and isinstance(v, str) for k, v in members.items())
-        except (ValueError, KeyError, TypeError, AttributeError):
-            sound = False
-        if not sound or self.identity not in members:
-            return [answer_json(token=event.token, code=422, body={
-                "outcome": "refused", "error": "members", "detail": "give members: {identity: address}, this one among them"})]
-        value = {"number": 1, "mark": "founded", "trail": [], "text": json.dumps({"members": members, "size": len(members)}, sort_keys=True)}
-        slot = self.acceptor.slots.get("voters")
-        if slot is not None and slot.value != value:
-            return [answer_json(token=event.token, code=409, body={
-                "outcome": "refused", "error": "founded", "detail": "this cellar belongs to a core already"})]
-        record = {"k": "vote", "r": "voters", "b": [0, "founder"], "v": value}
-        if slot is None:
-            fold_record(slots=self.acceptor.slots, record=record, now=now)
-        self.ledger.copied = True
-        self.held.step(name="voters", ballot=[0, "founder"], value=value)
-        answer = answer_json(token=event.token, code=200, body={"outcome": "accepted", "number": 1})
-        return self.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer])
+        return commands + self.begin(now=now, begins=begins)
 
     def _page(self, *, now: float, event: Called | None) -> list:
         commands, whole = self.pager.step(now=now, event=event)
@@ -216,7 +206,8 @@
             commands += self.subscribers.step(now=now, event=None, news=self._news())
         return commands
 
-    def _begin(self, *, now: float, begins: list[Begin]) -> list:
+    def begin(self, *, now: float, begins: list[Begin]) -> list:
+        """Begin operations on registers."""
         commands = []
         for begin in begins:
             more, settled = self.proposer.step(now=now, voters=self.voters, event=begin)
@@ -228,15 +219,18 @@
         for one in settled:
             ballot, value = getattr(one.outcome, "ballot", [0, ""]), getattr(one.outcome, "value", None)
             if is_control(name=one.register) and value and value["number"]:
-                commands += self._keep(now=now, name=one.register, ballot=ballot, value=value, tell=True)
+                commands += self.keep(now=now, name=one.register, ballot=ballot, value=value, tell=True)
             if self._reading.pop(one.op, None) is None:
                 more, begins = self.desk.step(event=one)
-                commands += more + self._begin(now=now, begins=begins)
+                commands += more + self.begin(now=now, begins=begins)
         return commands
 
-    def _keep(self, *, now: float, name: str, ballot: list, value: dict, tell: bool) -> list:
+    def keep(self, *, now: float, name: str, ballot: list, value: dict, tell: bool) -> list:
+        """Hold a value that is known to have been chosen, push it on, and `tell` the other cellars."""
         if not is_control(name=name) or not self.held.step(name=name, ballot=ballot, value=value):
             return []
+        if name == "voters" and self.membership.is_out(value=value):
+            return [Log(event="in-force", fields={"register": name, "number": value["number"]}), *self.membership.leave()]
         if name == "config":
             self.desk.full = json.loads(value["text"])["full"]
             self.moves.plan = read_plan(value=value)
@@ -252,7 +246,7 @@
         commands += self._settle(now=now, settled=settled)
         commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
         commands += self._move_slots(now=now)
-        commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self._mind_voters(now=now)
+        commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self.membership.step(now=now)
         self.roster.fit, self.roster.asks = self.voting, self.subscribers.asks(now=now)
         if now - self._judged >= constants.JUDGE_EVERY:
             self._judged = now
@@ -274,67 +268,7 @@
             self._ops += 1
             begins.append(Begin(op=f"{self.proposer.identity}/move{self._ops}", register=name, expected=number, text=text,
                                 wait=constants.ROUND_WAIT * 3))
-        return self._begin(now=now, begins=begins)
-
-    def _note_core(self, *, now: float, cellars: list[dict]) -> list:
-        """Say so when too much is lost for any change, and when it is back."""
-        core = count_core(members=self.voters["members"], cellars=[*cellars, self.roster.own_entry()])
-        short = bool(self.voters["members"]) and core["voting"] < core["needed"]
-        if not short:
-            self._short_since = now
-        said, self._short_said = self._short_said, short and now - self._short_since > constants.SUSPECT
-        if said == self._short_said:
-            return []
-        return [Log(event="core-short" if not said else "core-whole", fields={
-            "voting": core["voting"], "needed": core["needed"], "missing": ",".join(core["missing"]) or "none"})]
-
-    def _mind_voters(self, *, now: float) -> list:
-        cellars = self.roster.alive(kind="cellar")
-        self.desk.cellars = {one["identity"]: one for one in [*cellars, self.roster.own_entry()]}
-        return [*self._note_core(now=now, cellars=cellars), *self._change_voters(now=now, cellars=cellars)]
-
-    def _change_voters(self, *, now: float, cellars: list[dict]) -> list:
-        if self.voting:
-            held = self.held.held.get("voters")
-            text = self.repair.step(now=now, own=self.identity, voters=self.voters, text=held.value["text"] if held else "",
-                                    cellars=[*cellars, self.roster.own_entry()])
-            if not text:
-                return []
-            self._ops += 1
-            begin = Begin(op=f"{self.proposer.identity}/repair{self._ops}", register="voters",
-                          expected=self.voters["number"], text=text)
-            log = Log(event="voters-change", fields={"from": self.voters["number"], "to": text})
-            return [log, *self._begin(now=now, begins=[begin])]
-        if self.identity in self.voters["members"] and not self.ledger.copied:
-            return self.copying.step(now=now, voters=self.held.held["voters"], event=None) if "voters" in self.held.held else []
-        if now - self._asked >= constants.REPAIR_EVERY:
-            self._asked = now
-            body = {"kind": "ask", "seq": 0, "have": self.held.have(), "report": {}, "daemon": self.roster.own_entry()}
-            return [Tell(to=one["post"], body=body) for one in cellars]
-        return []
-
-    def _tell_page(self, *, now: float, sender: str, body: dict) -> list:
-        commands = self._keep(now=now, name="voters", ballot=body["ballot"], value=body["value"], tell=False)
-        number = self.voters["number"]
-        if not self.voting or number != body["value"]["number"]:
-            return commands
-        page = copy_page(slots=self.acceptor.slots, after=body["after"], number=number)
-        return commands + self.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
-
-    def _take_page(self, *, now: float, event: tuple) -> list:
-        if self.ledger.copied or "voters" not in self.held.held:
-            return []
-        commands = self.copying.step(now=now, voters=self.held.held["voters"], event=event)
-        if not self.copying.is_over():
-            return commands
-        self.ledger.copied = True
-        records: list = []
-        slots = self.copying.slots(now=now)
-        for name, slot in slots.items():
-            self.acceptor.slots[name] = slot
-            records += slot_records(name=name, slot=slot)
-        log = Log(event="copied", fields={"slots": len(slots), "under": self.copying.number})
-        return [*commands, log, *self.ledger.step(records=[*records, {"k": "copied"}], replies=[])]
+        return self.begin(now=now, begins=begins)
 
     def _read_what_is_due(self, *, now: float) -> list:
         if self.identity not in self.voters["members"]:
@@ -356,7 +290,7 @@
                 op = f"{self.proposer.identity}/own{self._ops}"
                 self._reading[op] = name
                 begins.append(Begin(op=op, register=name))
-        return self._begin(now=now, begins=begins)
+        return self.begin(now=now, begins=begins)
 
     def _sweep(self, *, now: float) -> list:
         if now - self._swept < constants.CLAIM_SWEEP:
--- a/sailward/house/ledger.py
+++ b/sailward/house/ledger.py
@@ -16,6 +16,7 @@
     identity: str
     slots: dict
     copied: bool = False
+    opened: int = 0
     seq: int = 0
     synced: int = 0
     count: int = 0
@@ -40,7 +41,8 @@
 
     def rewrite(self) -> Rewrite:
         """Replace the file by what is live."""
-        records = [{"k": "identity", "id": self.identity}, *([{"k": "copied"}] if self.copied else [])]
+        records = [{"k": "identity", "id": self.identity}, *([{"k": "copied"}] if self.copied else []),
+                   *([{"k": "opened", "n": self.opened}] if self.opened else [])]
         for name, slot in self.slots.items():
             records += slot_records(name=name, slot=slot)
         self.seq += 1
--- a/sailward/house/repair.py
+++ b/sailward/house/repair.py
@@ -33,13 +33,16 @@
         gone = self._gone(now=now, members=members, alive=alive)
         joining = [name for name in members if name in alive and not alive[name]["fit"]]
         size = json.loads(text).get("size", len(members))
+        waiting = sorted(name for name in alive if name not in members)
+        if waiting and len(members) < size and not joining:
+            # a core founded anew is brought back to its size
+            return change_members(text=text, add=(waiting[0], alive[waiting[0]]["post"]))
         if not gone:
             return ""
         if len(members) > size:
             # the newcomer must have copied everything before the lost one's part in it may go
             text = change_members(text=text, drop=gone[0])
             return "" if joining or not keeps_majority(text=text, well=set(well)) else text
-        waiting = sorted(name for name in alive if name not in members)
         if waiting:
             return change_members(text=text, add=(waiting[0], alive[waiting[0]]["post"]))
         return ""
--- a/sailward/house/report.py
+++ b/sailward/house/report.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import sailward
+from sailward.house.anew import read_founding
 from sailward.house.repair import count_core
 
 
@@ -21,7 +22,7 @@
     core = count_core(members=cellar.voters["members"],
                       cellars=[*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()])
     return {"id": cellar.place.name, "core": core, "identity": cellar.identity, "version": sailward.__version__,
-            "post": cellar.place.post, "voting": cellar.voting, "disk_usable": cellar.ledger.usable,
+            "founding": _show_founding(cellar=cellar, now=now), "post": cellar.place.post, "voting": cellar.voting, "disk_usable": cellar.ledger.usable,
             "voters": cellar.voters, "registers": registers, "daemons": sorted(daemons, key=lambda one: one["id"]),
             "halls": halls, "proxies": len(cellar.subscribers.proxies()),
             "list": {"epoch": cellar.workers[0], "revision": cellar.workers[1]},
@@ -29,6 +30,14 @@
             "well": sorted(cellar.standing.warm)}
 
 
+def _show_founding(*, cellar, now: float) -> dict:
+    founding = read_founding(value=cellar.held.held["voters"].value) if "voters" in cellar.held.held else None
+    if founding is None or not founding.number:
+        return {}
+    return {"number": founding.number, "survivors": list(founding.survivors), "acts": not cellar.membership.is_opening(),
+            "claims": "in-doubt" if cellar.membership.doubts(now=now) else "kept"}
+
+
 def _sum_rates(*, proxies: list) -> dict:
     rates: dict = {}
     for proxy in proxies:
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -99,6 +99,8 @@
             return self._take_grant(now=now, sender=sender, body=body)
         if kind == "push":
             return self._take_push(now=now, sender=sender, body=body)
+        if kind == "want":
+            return self.held.tell(to=sender, name=body["register"])
         if kind in ("peek", "peeked"):
             return self._give(now=now, event=(sender, body))
         if kind == "gossip":
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -86,6 +86,9 @@
         if not replay and not taken.paid:
             return [self._refuse(exchange=taken, reason="too-many-repeats",
                                  detail="repeats are over their share of the traffic")], []
+        if taken.unsafe and memory is None and taken.turn != 1 and self.chooser.world.in_doubt(now=now):
+            return [self._refuse(exchange=taken, reason="claims-in-doubt", detail="the core lost claims: an exchange that may have been "
+                                 "sent before is not sent on until their life is over")], []
         self.live[taken.token] = taken
         if replay or (len(self.sent) < constants.MAX_OPEN and not self.lines.waits(name=taken.line)):
             dispatched = self._dispatch(now=now, exchange=taken)
--- a/sailward/pour/world.py
+++ b/sailward/pour/world.py
@@ -48,6 +48,11 @@
         name = f"{service}|{hall}"
         return bool(fresh) and 2 * sum(name in view.get("drained", ()) for view in fresh) > len(fresh)
 
+    def in_doubt(self, *, now: float) -> bool:
+        """Does every cellar heard of late say that claims may have been lost?"""
+        fresh = [view for at, view in self.views.values() if now - at < constants.REPORT_LIFE]
+        return bool(fresh) and all(view.get("doubt") for view in fresh)
+
     def warm(self) -> dict[str, float]:
         """How long others have seen each worker in good status."""
         warm: dict[str, float] = {}
--- a/sailward/programs/steward.py
+++ b/sailward/programs/steward.py
@@ -2,6 +2,7 @@
 
 Usage:
   steward [options] found
+  steward [options] found-anew CELLAR... [--confirm]
   steward [options] get
   steward [options] put FILE
   steward [options] patch FILE
@@ -23,12 +24,14 @@
   --if-match N     Change only the configuration that has this number.
   --offline        Check the file alone, not against the fleet as it is.
   --proxy=ADDRESS  IP:port of a proxy, to explain what it would do with an exchange, and why.
-  --confirm        Empty the hall though a bound tenant is left without any place.
+  --confirm        Empty the hall though a bound tenant is left without any place; or found the core anew: all
+                   voters that are not named are gone for good and stay switched off.
   -h --help        Show this.
   --version        Show the version.
 
 FILE is JSON, or - for standard input. `found` joins the named cellars, all new, into a core; `join` and
-`part` take a cellar, by name or identity, into the core or out of it, one at a time.
+`part` take a cellar, by name or identity, into the core or out of it, one at a time. `found-anew` goes on with the
+named cellars alone when a majority of the core is lost for good.
 
 Exit codes: 0 done; 1 the configuration has faults; 2 bad usage or file; 3 no cellar answered, nothing changed;
 4 refused, nothing changed; 6 unknown: the change may be in force, now or later, read it back.
@@ -56,6 +59,8 @@
     client = Client(cellars=cellars)
     if flags["found"]:
         _found(cellars=cellars)
+    elif flags["found-anew"]:
+        _found_anew(cellars=cellars, names=flags["CELLAR"], is_confirmed=flags["--confirm"])
     elif flags["put"] or flags["patch"]:
         _change(client=client, flags=flags)
     elif flags["check"]:
@@ -64,7 +69,7 @@
         query = urlencode({"tenant": flags["TENANT"], "method": flags["METHOD"], "path": flags["PATH"]})
         _show(reply=ask_once(address=flags["--proxy"], method="GET", path=f"/sailward/explain?{query}"))
     elif flags["join"] or flags["part"]:
-        _show(reply=client.step(method="POST", path=f"/voters/{quote(flags['CELLAR'], safe='')}/" + ("join" if flags["join"] else "part")))
+        _show(reply=client.step(method="POST", path=f"/voters/{quote(flags['CELLAR'][0], safe='')}/" + ("join" if flags["join"] else "part")))
     elif flags["empty"] or flags["refill"]:
         path = f"/halls/{quote(flags['HALL'], safe='')}/" + ("empty" if flags["empty"] else "refill")
         _show(reply=client.step(method="POST", path=path + ("?confirm=yes" if flags["--confirm"] else "")))
@@ -91,6 +96,21 @@
     print(json.dumps({"outcome": "founded", "members": members}, indent=2))
 
 
+def _found_anew(*, cellars: list[str], names: list[str], is_confirmed: bool) -> None:
+    """Each survivor must answer before any is told; one takes the order and tells the others."""
+    answering = {}
+    for cellar in cellars:
+        reply = ask_once(address=cellar, method="GET", path="/status")
+        if isinstance(reply, Reply) and "identity" in reply.body:
+            answering |= {reply.body["id"]: cellar, reply.body["identity"]: cellar}
+    missing = [name for name in names if name not in answering]
+    if missing:
+        _end(code=constants.EXIT_UNREACHABLE, message=f"no answer from {missing} at --cellars; nothing was changed")
+    body = json.dumps({"survivors": names}).encode()
+    _show(reply=ask_once(address=answering[names[0]], method="POST", body=body,
+                         path="/found-anew" + ("?confirm=yes" if is_confirmed else "")))
+
+
 def _change(*, client: Client, flags: dict) -> None:
     text = _read(path=flags["FILE"])
     headers = {}
--- a/tasting/sim/faults.py
+++ b/tasting/sim/faults.py
@@ -18,7 +18,7 @@
 
 PARTS = (CallerVerbs, OperatorVerbs, DaemonVerbs, WorkerVerbs)
 CALM = frozenset({"ready", "load", "put", "split", "pin", "patch", "put-invalid", "read-back", "order", "on-accept", "chaos",
-                  "empty", "refill", "join", "note", "worker-add", "start", "thaw", "mend-sync", "free-disk", "worker-up",
+                  "empty", "refill", "join", "found-anew", "worker-add", "start", "thaw", "mend-sync", "free-disk", "worker-up",
                   "worker-thaw", "worker-gone-if"})
 """Verbs that trouble nothing by themselves, or end a trouble."""
 
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.cask import held, proposer
 from sailward.acts import DiskFailed, Synced
-from sailward.house import assigning, cellar, copying, desk, ledger, witness
+from sailward.house import assigning, cellar, copying, desk, ledger, membership, witness
 from sailward.label import check as check_module
 from sailward.label.check import Sound
 from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, lines, status, tries, verify, world
@@ -168,5 +168,10 @@
     "hot-bound": _constant("HOT_KEY_SHARE", 1e9),
     "first-quorum": _method(proposer, "fast_of", lambda old: lambda *, members: 2),
     "majority-kept": _method(desk, "keeps_majority", lambda old: lambda *, text, well: True),
+    "merge": _method(membership, "merge_survivors", lambda old: lambda *, slots, told, now: old(slots=slots, told=[], now=now)),
+    "doubt": _method(world.World, "in_doubt", lambda old: lambda self, *, now: False),
+    "told-back": _method(held.HeldBook, "tell", lambda old: lambda self, *, to, name: []),
+    "fence": _method(membership.Membership, "is_out", lambda old: lambda self, *, value: False),
+    "slots-last-resort": _method(assigning.Assigning, "_tiers", lambda old: lambda self, **pool: old(self, **pool)[:2]),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
--- a/tasting/sim/verbs/operators.py
+++ b/tasting/sim/verbs/operators.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import copy
+import json
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -95,6 +96,19 @@
     def do_refill(self, hall: str) -> None:
         self.operators.order(hall=hall, empty=False)
 
+    def do_found_anew(self, *words: str) -> None:
+        """found-anew CELLAR SURVIVOR ... [confirm]: the order is given to that cellar."""
+        cellar, *names = [word for word in words if word != "confirm"]
+
+        def then(answer) -> None:
+            code = answer.code if answer else 0
+            seen = json.loads(answer.body) if answer else {}
+            self._world.history.add(t=self._world.clock.now, k="anew-order", code=code, error=seen.get("error", ""), claims=seen.get("claims", ""))
+            if code == 200:
+                self._world.history.add(t=self._world.clock.now, k="founded-anew")
+        self.operators.ask(method="POST", path="/found-anew", body={"survivors": names}, cellar=cellar, then=then,
+                           query={"confirm": "yes"} if "confirm" in words else {})
+
     def do_part(self, name: str) -> None:
         self._change_voters(name=name, verb="part")
 
