A result is kept by one proxy more, so that an order is known though its proxy is gone

Cause: kept results lived in one proxy's memory; after its death a repeat got state unknown. Now the result goes to the one proxy that rendezvous names, at home of its tenant and in another hall if there is one, within 64 MiB and 256 KiB each; a repeat asks the claim's proxy and the others at once. Ruled out: results in the registers (tenants' data would leave home). Left: what was at a worker when its proxy died.

--- a/sailward/__init__.py
+++ b/sailward/__init__.py
@@ -1,2 +1,2 @@
 """sailward: a place-keeping global load balancer."""
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/sailward/cask/messages.py
+++ b/sailward/cask/messages.py
@@ -25,6 +25,7 @@
     "gossip": {"entries": list, "reply": bool},
     "peek": {"token": str, "key": str, "number": int, "region": str},
     "peeked": {"token": str, "state": str, "code": int, "headers": dict, "body": bytes},
+    "keep": {"key": str, "number": int, "print": str, "homes": list, "code": int, "headers": dict, "body": bytes},
     "copy": {"after": str, "ballot": BALLOT, "value": dict},
     "copied": {"after": str, "voters": int, "slots": list, "next": str},
 }
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -129,6 +129,12 @@
 """bytes of a configuration; over it 413."""
 KEPT_BYTES = 64 << 20
 """bytes of results that a proxy keeps for repeats."""
+COPIES_BYTES = 64 << 20
+"""bytes of other proxies' results that a proxy keeps copies of: a brief's day of claims (900 s of 40/s of 1 kB) is 36 MB."""
+WITHOUT_COPIES = ("0.1.0",)
+"""versions of proxies that do not know the message of a copy, and would close the connection over it."""
+COPY_BYTES = 256 << 10
+"""bytes of a result of which a copy is given away; a larger one would hold up the messages behind it."""
 FRAME_BYTES = 8 << 20
 """bytes of one message between processes; a longer one closes the connection."""
 OUT_LINE = 2000
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -12,6 +12,7 @@
 from sailward.charts import Chart
 from sailward.pour.choosing import Chooser
 from sailward.pour.claims import PREFIX, Claims
+from sailward.pour.copies import Copies, Peer
 from sailward.pour.exchange import Refusal, answer_json, answer_refusal, is_promise_safe
 from sailward.pour.exchanges import Exchanges
 from sailward.pour.explain import explain
@@ -38,7 +39,8 @@
         self.roster = Roster(place=place, start=start)
         self.world = World(prober=Prober(rng=rng))
         self.chooser = Chooser(rng=rng, world=self.world)
-        self.claims = Claims(identity=self.identity, post=place.post, region=place.region)
+        self.claims = Claims(identity=self.identity, post=place.post, region=place.region, hall=place.hall,
+                             copies=Copies(region=place.region))
         self.exchanges = Exchanges(identity=self.identity, chooser=self.chooser, claims=self.claims)
         self.stopping = STOPPING.initial
         self.stop_by = 0.0
@@ -101,7 +103,7 @@
             return self._take_push(now=now, sender=sender, body=body)
         if kind == "want":
             return self.held.tell(to=sender, name=body["register"])
-        if kind in ("peek", "peeked"):
+        if kind in ("peek", "peeked", "keep"):
             return self._give(now=now, event=(sender, body))
         if kind == "gossip":
             return self.roster.step(now=now, event=(sender, body))
@@ -182,6 +184,8 @@
         if now - self._counted >= constants.COUNT_EVERY:
             commands += self._count_halls(now=now)
             self.chooser.bounds.forget(now=now, keep=set(self.world.book.workers))
+        self.claims.peers = [Peer(name=one["id"], post=one["post"], region=one["region"], hall=one["hall"])
+                             for one in self.roster.alive(kind="sommelier") if one["version"] not in constants.WITHOUT_COPIES]
         heard = [count for at, count in self.cellars.values() if now - at < constants.SUBSCRIBER_LIFE]
         self.world.proxies = max([1, *heard])
         self.roster.fit = self.acting(now=now) and not self.suspect and self.stopping in STOPPING.marks["named"]
--- a/sailward/pour/claims.py
+++ b/sailward/pour/claims.py
@@ -8,6 +8,7 @@
 from sailward.acts import Tell
 from sailward.cask.acceptor import CLAIM as PREFIX
 from sailward.cask.proposer import Accepted, Begin, Refused, Settled
+from sailward.pour.copies import Copies, Peer, may_keep, spread_copy
 from sailward.pour.exchange import Exchange, Refusal
 from sailward.pour.kept import Kept, Memory
 
@@ -45,6 +46,9 @@
     exchange: Exchange
     number: int
     expiry: float
+    owner: str
+    asked: set
+    state: str = "unknown"
 
 
 @dataclass(kw_only=True)
@@ -54,6 +58,9 @@
     identity: str
     post: str
     region: str
+    hall: str
+    copies: Copies
+    peers: list[Peer] = field(default_factory=list)
     kept: Kept = field(default_factory=Kept)
     claiming: dict = field(default_factory=dict)
     peeking: dict = field(default_factory=dict)
@@ -68,20 +75,28 @@
         if event is None:
             return [], [], self._look_at_alarms(now=now)
         sender, body = event
+        if body["kind"] == "keep":
+            self.copies.step(now=now, event=body)
+            return [], [], []
         if body["kind"] == "peek":
-            reply = self.kept.peeked(token=body["token"], digest=body["key"], region=body["region"])
+            copy = self.copies.find(digest=body["key"], number=body["number"])
+            reply = self.kept.peeked(token=body["token"], digest=body["key"], region=body["region"], copy=copy)
             return [Tell(to=sender, body=reply)], [], []
-        return self._take_peeked(now=now, body=body)
+        return self._take_peeked(now=now, sender=sender, body=body)
+
+    def finish(self, *, exchange: Exchange, code: int, headers: dict, body: bytes) -> list:
+        """Keep the result for repeats, here if this place may, and with one proxy more."""
+        memory = self.kept.memories.get(exchange.digest)
+        self.kept.finish(digest=exchange.digest, code=code, headers=headers, body=body,
+                         store=may_keep(region=self.region, homes=exchange.tenant.homes))
+        return spread_copy(exchange=exchange, number=memory.number, code=code, headers=headers, body=body, hall=self.hall,
+                           peers=self.peers) if memory else []
 
     def remembers(self, *, exchange: Exchange) -> bool:
         """Is the key known here as sent on before, so that no worker is needed?"""
         memory = self.kept.memories.get(exchange.digest) if exchange.unsafe else None
         return memory is not None and memory.state != "unsent" and not exchange.claim
 
-    def may_store(self, *, homes: frozenset) -> bool:
-        """May a result of a tenant with these homes be kept here?"""
-        return not homes or self.region in homes
-
     def _begin(self, *, now: float, exchange: Exchange) -> tuple[list, list[Begin], list]:
         memory = self.kept.memories.get(exchange.digest)
         if memory is None:
@@ -130,19 +145,31 @@
         self.kept.memories.pop(exchange.digest, None)
         if claim["f"] != exchange.fingerprint:
             return [], [], [_lost_to_other(exchange=exchange)]
+        copy = self.copies.find(digest=exchange.digest, number=value["number"])
+        if copy is not None:
+            return [], [], [Replayed(exchange=exchange, code=copy.code, headers=copy.headers, body=copy.body)]
         self.count += 1
         token = f"{self.identity}/peek{self.count}"
-        self.peeking[token] = Peeking(exchange=exchange, number=value["number"],
+        asked = {address for address in (claim["o"], *(peer.post for peer in self.peers)) if address not in ("", self.post)}
+        self.peeking[token] = Peeking(exchange=exchange, number=value["number"], owner=claim["o"], asked=asked,
                                       expiry=now + constants.ROUND_WAIT * 2)
         body = {"kind": "peek", "token": token, "key": exchange.digest, "number": value["number"],
                 "region": self.region}
-        return [Tell(to=claim["o"], body=body)], [], []
+        return [Tell(to=address, body=body) for address in sorted(asked)], [], []
 
-    def _take_peeked(self, *, now: float, body: dict) -> tuple[list, list[Begin], list]:
-        peeking = self.peeking.pop(body["token"], None)
+    def _take_peeked(self, *, now: float, sender: str, body: dict) -> tuple[list, list[Begin], list]:
+        peeking = self.peeking.get(body["token"])
         if peeking is None:
             return [], [], []
+        peeking.asked.discard(sender)
+        if sender == peeking.owner:
+            peeking.state = body["state"]
+        # the claim's own proxy knows; one that only lost its memory, or may not keep the result, leaves it to the others
+        if not body["code"] and peeking.asked and (sender != peeking.owner or body["state"] in ("unknown", "done")):
+            return [], [], []
+        del self.peeking[body["token"]]
         headers = body["headers"] if body["code"] else None
+        body = body if headers is not None else {**body, "state": peeking.state}
         return self._judge_state(now=now, exchange=peeking.exchange, state=body["state"], number=peeking.number,
                                  code=body["code"], headers=headers, body=bytes(body["body"]))
 
@@ -161,10 +188,11 @@
         for token, peeking in list(self.peeking.items()):
             if now >= peeking.expiry:
                 del self.peeking[token]
-                refusal = Refusal(code=409, reason="repeat", state="unknown",
-                                  detail="the proxy that claimed this key can't be reached")
+                refusal = Refusal(code=409, reason="repeat", state=peeking.state,
+                                  detail="no proxy that can be reached has this key's result")
                 verdicts.append(Lost(exchange=peeking.exchange, refusal=refusal))
         self.kept.step(now=now)
+        self.copies.step(now=now, event=None)
         return verdicts
 
 
--- /dev/null
+++ b/sailward/pour/copies.py
@@ -0,0 +1,82 @@
+"""Copies of results that other proxies gave: a patient caller learns of its order though its proxy is gone."""
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Tell
+from sailward.pour.exchange import Exchange
+from sailward.roster.rendezvous import choose_names
+
+
+@dataclass(frozen=True, kw_only=True)
+class Peer:
+    """Another proxy that is fit."""
+
+    name: str
+    post: str
+    region: str
+    hall: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Copy:
+    """One result of another proxy, by the number of its claim."""
+
+    at: float
+    number: int
+    fingerprint: str
+    homes: frozenset
+    code: int
+    headers: dict
+    body: bytes
+
+
+@dataclass(kw_only=True)
+class Copies:
+    """Owner of the copies, bounded by age and bytes. `step` takes a copy, or None for time going on."""
+
+    region: str
+    held: OrderedDict = field(default_factory=OrderedDict)
+    size: int = 0
+
+    def step(self, *, now: float, event: dict | None) -> None:
+        """Keep one if this place may, let old ones go."""
+        if event is not None and may_keep(region=self.region, homes=frozenset(event["homes"])):
+            self._drop(digest=event["key"])
+            self.held[event["key"]] = Copy(at=now, number=event["number"], fingerprint=event["print"], code=event["code"],
+                                           homes=frozenset(event["homes"]), headers=event["headers"], body=bytes(event["body"]))
+            self.size += len(event["body"])
+        while self.held:
+            digest, oldest = next(iter(self.held.items()))
+            if now - oldest.at < constants.CLAIM_LIFE and self.size <= constants.COPIES_BYTES:
+                break
+            self._drop(digest=digest)
+
+    def find(self, *, digest: str, number: int) -> Copy | None:
+        """The result of this very claim, if it is kept here."""
+        copy = self.held.get(digest)
+        return copy if copy is not None and copy.number == number else None
+
+    def _drop(self, *, digest: str) -> None:
+        old = self.held.pop(digest, None)
+        self.size -= len(old.body) if old else 0
+
+
+def may_keep(*, region: str, homes: frozenset) -> bool:
+    """May a result of a tenant with these homes be kept in this region?"""
+    return not homes or region in homes
+
+
+def spread_copy(*, exchange: Exchange, number: int, code: int, headers: dict, body: bytes, hall: str, peers: list[Peer]) -> list:
+    """Give the result to the one proxy that hashing names, at home, in another hall if there is one."""
+    homes = exchange.tenant.homes
+    able = [peer for peer in peers if may_keep(region=peer.region, homes=homes)]
+    able = [peer for peer in able if peer.hall != hall] or able
+    if not able or len(body) > constants.COPY_BYTES:
+        return []
+    posts = {peer.name: peer.post for peer in able}
+    name = choose_names(key=exchange.digest, names=posts, count=1)[0]
+    return [Tell(to=posts[name], body={"kind": "keep", "key": exchange.digest, "number": number, "print": exchange.fingerprint,
+                                       "homes": sorted(homes), "code": code, "headers": headers, "body": body})]
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -213,12 +213,11 @@
         return [*commands, Log(event="sending-on-failed", fields=fields)]
 
     def _finish(self, *, exchange: Exchange, verdict: Good) -> list:
-        if exchange.unsafe:
-            self.claims.kept.finish(digest=exchange.digest, code=verdict.code, headers=verdict.headers,
-                                    body=verdict.body, store=self.claims.may_store(homes=exchange.tenant.homes))
+        commands = self.claims.finish(exchange=exchange, code=verdict.code, headers=verdict.headers,
+                                      body=verdict.body) if exchange.unsafe else []
         if exchange.answered:
-            return []
-        return [self._answer(exchange=exchange, code=verdict.code, headers=verdict.headers, body=verdict.body)]
+            return commands
+        return [*commands, self._answer(exchange=exchange, code=verdict.code, headers=verdict.headers, body=verdict.body)]
 
     def _answer(self, *, exchange: Exchange, code: int, headers: dict, body: bytes) -> Answer:
         self.tally["answered"] += 1
--- a/sailward/pour/kept.py
+++ b/sailward/pour/kept.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from sailward import constants
+from sailward.pour.copies import Copy, may_keep
 
 
 @dataclass(kw_only=True)
@@ -64,12 +65,13 @@
             memory.headers, memory.body = headers, body
             self._bytes += len(body)
 
-    def peeked(self, *, token: str, digest: str, region: str) -> dict:
-        """The answer to another proxy in this region."""
+    def peeked(self, *, token: str, digest: str, region: str, copy: Copy | None) -> dict:
+        """The answer to another proxy in this region: of an own claim, or by a copy."""
         memory = self.memories.get(digest)
         state = memory.state if memory else "unknown"
         body = {"kind": "peeked", "token": token, "state": "running" if state == "claiming" else state,
                 "code": 0, "headers": {}, "body": b""}
-        if memory and memory.headers is not None and (not memory.homes or region in memory.homes):
-            body |= {"code": memory.code, "headers": memory.headers, "body": memory.body}
+        found = memory if memory and memory.headers is not None else copy
+        if found is not None and may_keep(region=region, homes=found.homes):
+            body |= {"state": "done", "code": found.code, "headers": found.headers, "body": found.body}
         return body
--- a/tasting/sim/callers.py
+++ b/tasting/sim/callers.py
@@ -40,6 +40,7 @@
         self.rate = 0.0
         self.only: str = ""
         self.storm = 0.0
+        self.losing = 0.0
         self.floods: dict = {}
 
     def set_rate(self, *, rate: float) -> None:
@@ -160,6 +161,8 @@
     def _got(self, *, order: Order, answer: Answer | None, proxy: str, most: int, held: bool = False,
              taken: bool = True) -> None:
         world = self._world
+        if answer and self._rng.random() < self.losing:
+            answer, taken = None, False
         code = answer.code if answer else 0
         verdict = judge_body(code=code, body=answer.body, nonce=order.nonce, path=order.kind.path) if answer else ""
         seen = {}
--- a/tasting/sim/expect.py
+++ b/tasting/sim/expect.py
@@ -12,7 +12,7 @@
     head, rest = words[0], words[1:]
     judge = {"share": _judge_share, "good": _judge_good, "rows": _judge_rows, "runs": _judge_runs,
              "answers": _judge_answers, "split": _judge_split,
-             "moving": _judge_moving, "says": _judge_says}[head]
+             "moving": _judge_moving, "unresolved": _judge_unresolved, "says": _judge_says}[head]
     return judge(words=rest, world=world, begin=begin)
 
 
@@ -85,6 +85,20 @@
     return _judge_rows(words=["run", *words], world=world, begin=begin)
 
 
+def _judge_unresolved(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
+    """unresolved MOST from A to B: the part of orders whose caller lost the answer and never learned what became of them."""
+    words, low, high = _window(words=words, begin=begin)
+    orders: dict = {}
+    for row in world.history.of(k="got"):
+        if row["unsafe"]:
+            orders.setdefault((row["tenant"], row["nonce"]), []).append(row)
+    lost = [rows for rows in orders.values() if low <= rows[0]["t"] < high and rows[0]["code"] == 0]
+    if not lost:
+        return "unresolved: no answer was lost", None
+    part = sum(not any(row["verdict"] == "good" for row in rows) for rows in lost) / len(lost)
+    return ("" if part <= float(words[0]) else f"unresolved is {part:.3f} of {len(lost)}, over {words[0]}"), (round(part, 4), len(lost))
+
+
 def _judge_says(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
     """says EVENT LEAST MOST from A to B: how many daemons told their operators so in their logs."""
     words, low, high = _window(words=words, begin=begin)
--- a/tasting/sim/faults.py
+++ b/tasting/sim/faults.py
@@ -51,7 +51,8 @@
         for node in world.nodes.values():
             if node.place.kind != "sommelier" or node.owner is None:
                 continue
-            for memory in node.owner.claims.kept.memories.values():
+            claims = node.owner.claims
+            for memory in [*claims.kept.memories.values(), *claims.copies.held.values()]:
                 tenant = tenants.get(_nonce_of(body=memory.body))
                 if tenant:
                     world.history.add(t=world.clock.now, k="stored", tenant=tenant, region=node.place.region,
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -11,7 +11,7 @@
 from sailward.house import assigning, cellar, copying, desk, ledger, membership, witness
 from sailward.label import check as check_module
 from sailward.label.check import Sound
-from sailward.pour import bounds, choosing, claims, draw, exchanges, lease, lines, status, tries, verify, world
+from sailward.pour import bounds, choosing, claims, copies, draw, exchanges, lease, lines, status, tries, verify, world
 from sailward.roster import gossip
 from sailward.roster import pages as pages_module
 from sailward.roster import workers
@@ -175,5 +175,7 @@
     "fence": _method(membership.Membership, "is_out", lambda old: lambda self, *, value: False),
     "slots-last-resort": _method(assigning.Assigning, "_tiers", lambda old: lambda self, **pool: old(self, **pool)[:2]),
     "abort": _method(network.Network, "delivers", lambda old: lambda self, *, given_up: True),
+    "copies": _method(claims, "spread_copy", lambda old: lambda **_: []),
+    "copies-home": _method(copies, "may_keep", lambda old: lambda *, region, homes: True),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
--- a/tasting/sim/verbs/callers.py
+++ b/tasting/sim/verbs/callers.py
@@ -26,6 +26,10 @@
     def do_flood_key(self, tenant: str, path: str, hot: str, rate: str) -> None:
         self.do_flood(tenant, path, rate, hot)
 
+    def do_lose_answers(self, share: str) -> None:
+        """This part of the answers is lost on the way back to the callers."""
+        self.callers.losing = float(share)
+
     def do_storm(self, share: str) -> None:
         self.callers.storm = float(share)
 
