A repeat may look up its claim without a place in the budget of tries

Now it is let through to its claim, as many as first tries, and pays when it must be sent on. Conclusion: the budget now bounds what reaches workers, and the core is bounded by its own.

--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -98,6 +98,8 @@
 """s, default for a service: the longest that an exchange may take at a worker."""
 TRY_SHARE = 0.15
 """of first tries may be tried again in TRY_WINDOW: with callers' own under the rules' fifth."""
+LOOK_SHARE = 1.0
+"""of first tries in TRY_WINDOW that repeats of unsafe exchanges may look up their claim: it reaches no worker, only the core."""
 TRY_WINDOW = 10.0
 """s. The window that the rules name."""
 TRY_FLOOR = 2
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -11,7 +11,7 @@
 from sailward.pour.exchange import (Exchange, Refusal, answer_refusal, headers_onward, is_promise_safe,
                                     refit_exchange, take_exchange)
 from sailward.pour.lines import Lines
-from sailward.pour.tries import Tries
+from sailward.pour.tries import LOOK, Tries
 from sailward.pour.verify import Bad, Good, Unsent, WorkerRefused, judge_result
 
 
@@ -82,7 +82,9 @@
         memory = self.claims.kept.memories.get(taken.digest) if taken.key else None
         repeat = taken.turn > 1 or (memory is not None and memory.state == "unsent")
         replay = memory is not None and memory.state != "unsent"
-        taken.paid = "" if replay else self.tries.step(now=now, first=not repeat, caller=True)
+        # a repeat whose claim is not known here swells nothing until it is sent on
+        taken.paid = "" if replay else self.tries.look(now=now) if taken.unsafe and repeat and memory is None \
+            else self.tries.step(now=now, first=not repeat, caller=True)
         if not replay and not taken.paid:
             return [self._refuse(exchange=taken, reason="too-many-repeats",
                                  detail="repeats are over their share of the traffic")], []
@@ -150,6 +152,12 @@
             exchange = verdict.exchange
             if isinstance(verdict, Won):
                 exchange.claim = 1
+                if exchange.paid == LOOK:
+                    exchange.paid = self.tries.step(now=now, first=False, caller=True)
+                    if not exchange.paid and not exchange.answered:
+                        commands.append(self._refuse(exchange=exchange, reason="too-many-repeats",
+                                                     detail="repeats are over their share of the traffic"))
+                        continue
                 if exchange.answered or not acting or now >= exchange.expiry:
                     self._unsend(exchange=exchange)
                     if not exchange.answered:
--- a/sailward/pour/tries.py
+++ b/sailward/pour/tries.py
@@ -5,7 +5,7 @@
 
 from sailward import constants
 
-FIRST, CREDIT, BUDGET = "first", "credit", "budget"
+FIRST, CREDIT, BUDGET, LOOK = "first", "credit", "budget", "look"
 
 
 class Tries:
@@ -20,6 +20,7 @@
         self._firsts: deque = deque()
         self._mores: deque = deque()
         self._credits: deque = deque()
+        self._looks: deque = deque()
 
     def step(self, *, now: float, first: bool, caller: bool = False) -> str:
         """What this sending-on was paid with."""
@@ -39,8 +40,19 @@
         self._mores.append(now)
         return BUDGET
 
+    def look(self, *, now: float) -> str:
+        """May a repeat look up its claim? It pays like any other when it must be sent on."""
+        while self._looks and self._looks[0] <= now - constants.TRY_WINDOW:
+            self._looks.popleft()
+        if len(self._looks) >= max(constants.TRY_FLOOR, constants.LOOK_SHARE * len(self._firsts)):
+            return ""
+        self._looks.append(now)
+        return LOOK
+
     def refund(self, *, now: float, paid: str, swells: bool) -> None:
         """What was paid for was refused and sent to no worker. `swells`: an earlier sending did reach one."""
+        if paid == LOOK:
+            return
         line = self._mores if paid == BUDGET else self._firsts
         if line:
             line.pop()
