--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -181,5 +181,6 @@
     "key-age": _method(exchange_module, "judge_key", lambda old: lambda **_: None),
     "clocks": _method(world.World, "clock", lambda old: lambda self, *, now: now + self.walls["cellar-1#" + next(
         name for name in self.walls if name.startswith("cellar-1")).split("#")[1]][1] if self.walls else None),
+    "known": _method(ledger.Ledger, "know", lambda old: lambda self, *, ballot, value: []),
     "cap": _constant("DRAIN_CAP", 1.0),
 }
--- a/tasting/sim/verbs/workers.py
+++ b/tasting/sim/verbs/workers.py
@@ -88,13 +88,13 @@
         self._world.is_careless = True
 
     def do_worker_leave(self, *names: str) -> None:
-        for machine in self._machines(names):
-            self._world.platform.mark_leaving(name=machine.mind.name)
+        for name in {machine.mind.name for machine in self._machines(names)} & self._world.platform.names():
+            self._world.platform.mark_leaving(name=name)
 
     def do_worker_gone(self, *names: str) -> None:
         """Off the list, though it still answers: only the list can keep exchanges away."""
-        for machine in self._machines(names):
-            self._world.platform.unlist(name=machine.mind.name)
+        for name in {machine.mind.name for machine in self._machines(names)} & self._world.platform.names():
+            self._world.platform.unlist(name=name)
 
     def do_worker_gone_if(self, name: str) -> None:
         if name in self._world.platform.names():
