Voters known to be chosen last on disk: a core whose views differed finds together

Two cellars had voted for set 3 and one knew set 2; known sets were kept in memory only, so after the start each acted under the set it had voted for, refused the others, and had nothing to tell them. Ruled out: the wiped disk (3 of 4 were there), the repair.

--- a/sailward/cask/acceptor.py
+++ b/sailward/cask/acceptor.py
@@ -5,6 +5,8 @@
 
 CLAIM = "exchange/"
 """What the name of a claim's register begins with."""
+KNOWN = "known/voters"
+"""What a record of the voters that are known to be chosen is written under: a promise, to versions that don't know it."""
 NONE = [0, ""]
 FIRST = [0, "first"]
 """The ballot that every proposer shares for a register that has no vote yet."""
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
-from sailward.cask.acceptor import CLAIM, Acceptor, Slots, fold_record
+from sailward.cask.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.cask.proposer import Accepted, Begin, Proposer
 from sailward.house.desk import Desk
@@ -37,7 +37,7 @@
                  records: list[dict], now: float) -> None:
         slots = Slots()
         self.identity = ""
-        copied, opened = False, 0
+        copied, opened, known = False, 0, None
         for record in records:
             if record["k"] == "identity":
                 self.identity = record["id"]
@@ -47,6 +47,8 @@
                 opened = record["n"]
             elif record["k"] == "left":
                 self.identity, copied, opened, slots = record["id"], False, 0, Slots()
+            elif record.get("r") == KNOWN:
+                known = record
             else:
                 fold_record(slots=slots, record=record, now=now)
         new = not self.identity
@@ -54,7 +56,9 @@
         self.place, self.start, self._nonce, self._left = place, start, nonce, 0
         self.held = HeldBook()
         self.acceptor = Acceptor(slots=slots)
-        self.ledger = Ledger(identity=self.identity, slots=slots, copied=copied, opened=opened)
+        self.ledger = Ledger(identity=self.identity, slots=slots, copied=copied, opened=opened, known=known)
+        if known is not None and "v" in known:
+            self.held.step(name="voters", ballot=known["b"], value=known["v"])
         self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
         self.desk = Desk(identity=f"{place.name}#{nonce}")
         self.roster = Roster(place=place, start=start, identity=self.identity)
@@ -237,7 +241,8 @@
         if name == "config":
             self.desk.full = json.loads(value["text"])["full"]
             self.moves.plan = read_plan(value=value)
-        commands = self.subscribers.step(now=now, event=None, news=self._news())
+        commands = self.ledger.know(ballot=ballot, value=value) if name == "voters" else []
+        commands += self.subscribers.step(now=now, event=None, news=self._news())
         if tell:
             body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
             others = {*self.voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
--- a/sailward/house/ledger.py
+++ b/sailward/house/ledger.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.acts import DiskFailed, Log, Rewrite, Stop, Store, Synced
-from sailward.cask.acceptor import slot_records
+from sailward.cask.acceptor import KNOWN, slot_records
 
 
 @dataclass(kw_only=True)
@@ -17,6 +17,7 @@
     slots: dict
     copied: bool = False
     opened: int = 0
+    known: dict | None = None
     seq: int = 0
     synced: int = 0
     count: int = 0
@@ -39,10 +40,15 @@
             commands.append(self.rewrite())
         return commands
 
+    def know(self, *, ballot: list, value: dict) -> list:
+        """Store the voters that are known to be chosen: after a start it is by them that the next set is found."""
+        self.known = {"k": "promise", "r": KNOWN, "b": ballot, "v": value}
+        return self.step(records=[self.known], replies=[]) if self.usable else []
+
     def rewrite(self) -> Rewrite:
         """Replace the file by what is live."""
         records = [{"k": "identity", "id": self.identity}, *([{"k": "copied"}] if self.copied else []),
-                   *([{"k": "opened", "n": self.opened}] if self.opened else [])]
+                   *([{"k": "opened", "n": self.opened}] if self.opened else []), *([self.known] if self.known else [])]
         for name, slot in self.slots.items():
             records += slot_records(name=name, slot=slot)
         self.seq += 1
--- a/sailward/house/membership.py
+++ b/sailward/house/membership.py
@@ -67,7 +67,8 @@
         cellar.ledger.copied = True
         cellar.held.step(name="voters", ballot=[0, "founder"], value=value)
         answer = answer_json(token=event.token, code=200, body={"outcome": "accepted", "number": 1})
-        return cellar.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer])
+        return [*cellar.ledger.know(ballot=[0, "founder"], value=value),
+                *cellar.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer])]
 
     def found_anew(self, *, now: float, event: Asked) -> list:
         """Take an operator's order to go on with the named survivors alone."""
