--- a/sailward/label/check.py
+++ b/sailward/label/check.py
@@ -54,16 +54,17 @@
 
 def check_config(*, config: dict) -> Sound | Unsound:
     """Every fault of a configuration, or its full form with warnings."""
-    faults = _check_shape(config=config)
+    faults, full = _check_shape(config=config)
     if faults:
         return Unsound(faults=tuple(faults))
-    full, faults = expand_stamps(config=config)
-    faults = [Fault(path=path, reason=reason) for path, reason in faults]
-    if not faults and config.get("stamps"):
-        faults = _check_shape(config=full)
-    if faults:
-        return Unsound(faults=tuple(faults))
-    full = Validator(CONFIG).normalized(full)
+    if config.get("stamps"):
+        full, wrong = expand_stamps(config=config)
+        faults = [Fault(path=path, reason=reason) for path, reason in wrong]
+        if not faults:
+            faults, full = _check_shape(config=full)
+        if faults:
+            return Unsound(faults=tuple(faults))
+    full = {name: part for name, part in full.items() if name not in ("templates", "stamps")}
     faults = [*_check_pools(full=full), *_check_matches(full=full), *_check_homes(full=full)]
     faults = faults or list(_check_shared_keys(full=full))
     if faults:
@@ -81,14 +82,15 @@
     raise ValueError(f"{name} is not JSON")
 
 
-def _check_shape(*, config: dict) -> list[Fault]:
+def _check_shape(*, config: dict) -> tuple[list[Fault], dict]:
+    """The faults of a shape, or the document with its defaults filled in: both come of one pass, which is slow."""
     validator = Validator(CONFIG)
     try:
         if validator.validate(config):
-            return []
+            return [], validator.document
     except Exception as fault:  # cerberus trips over some foreign shapes
-        return [Fault(path="", reason=f"unreadable shape: {fault}")]
-    return list(_flatten(errors=validator.errors, path=""))
+        return [Fault(path="", reason=f"unreadable shape: {fault}")], {}
+    return list(_flatten(errors=validator.errors, path="")), {}
 
 
 def _flatten(*, errors: object, path: str):
