--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -177,7 +177,7 @@
 RESERVE_BYTES = 8 << 20
 """bytes kept aside on the disk, given up to make room for a rewrite when it is full."""
 JOURNAL = 512
-"""events that an owner's journal keeps after folding."""
+"""events that a process keeps of those its owner was given; written out if the owner ends by a fault."""
 
 ANEW_GAP = 1_000_000
 """numbers of the voters register that a founding anew leaves free: more than the old set can have made unseen."""
--- a/sailward/dock/loop.py
+++ b/sailward/dock/loop.py
@@ -6,12 +6,13 @@
 import signal
 import time
 import traceback
+from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Call, Check, Checked, HangUp, Log, Rewrite, Stop, StopAsked, Store, Tell, Ticked
+from sailward.acts import Answer, Call, Check, Checked, HangUp, Heard, Log, Rewrite, Stop, StopAsked, Store, Tell, Ticked
 from sailward.dock.logs import write_log
 from sailward.label.check import Fault, Unsound, check_config
 
@@ -22,7 +23,7 @@
 
     handlers: dict[type, Callable] = field(default_factory=dict)
     line: queue.SimpleQueue = field(default_factory=queue.SimpleQueue)
-    on_stop: Callable | None = None
+    journal: deque = field(default_factory=lambda: deque(maxlen=constants.JOURNAL))
 
     def tell(self, event: object) -> None:
         """Put an event in the owner's line."""
@@ -43,6 +44,7 @@
                     event = self.line.get(timeout=tick_at - now)
                 except queue.Empty:
                     continue
+            self.journal.append((now, event))
             try:
                 commands = step(now=time.monotonic(), event=event)
                 for command in commands:
@@ -53,8 +55,17 @@
             except Exception:
                 write_log(event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()},
                           level="error")
+                self._write_journal()
                 return constants.EXIT_FAULT
 
+    def _write_journal(self) -> None:
+        """What the owner was given last, oldest first: kinds and names, nothing of a tenant's."""
+        for at, event in self.journal:
+            told = {"from": event.sender, "kind": event.body["kind"]} if isinstance(event, Heard) else {
+                name: getattr(event, name) for name in ("token", "method", "seq", "code", "fault") if hasattr(event, name)}
+            if not isinstance(event, Ticked):
+                write_log(event="journal", fields={"at": f"{at:.3f}", "event": type(event).__name__, **told}, level="error")
+
     def _carry_out(self, *, command: object) -> None:
         if isinstance(command, Log):
             write_log(event=command.event, fields=command.fields)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -12,9 +12,12 @@
 
 import pytest
 
+from sailward import constants
 from sailward.acts import Answer, Asked, Call, Called, Heard, Rewrite, Store, Synced
 from sailward.cask.messages import pack_message
 from sailward.dock.calls import Calls
+from sailward.dock.loop import Loop
+from sailward.dock.logs import start_logs
 from sailward.dock.disk import Damaged, Disk, Read, Taken, pack_frame, read_frames
 from sailward.dock.post import GREETING, Post
 from sailward.dock.web import Web
@@ -227,3 +230,17 @@
     assert all(after[key] == owner for key, owner in before.items() if owner != "w7")
     assert 150 < sum(owner == "w7" for owner in before.values()) < 350
     assert len({slot_of(key=f"k{n}", slots=64) for n in range(2000)}) == 64
+
+
+def test_an_owner_that_ends_by_a_fault_leaves_its_journal(capfd) -> None:
+    def step(*, now: float, event: object) -> list:
+        if isinstance(event, Heard) and event.body["kind"] == "last":
+            raise RuntimeError("by intent")
+        return []
+    loop = Loop()
+    start_logs(level="info", name="x")
+    for kind in ("first", "last"):
+        loop.tell(Heard(sender="a:1", body={"kind": kind}))
+    assert loop.run(step=step) == constants.EXIT_FAULT
+    lines = [line for line in capfd.readouterr().err.splitlines() if "event=journal" in line]
+    assert ["kind=first" in lines[0], "kind=last" in lines[-1]] == [True, True]
