--- a/tasting/real/fleet.py
+++ b/tasting/real/fleet.py
@@ -75,6 +75,7 @@
         path = self.folder / f"{name}.toml"
         path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in settings.items()), "utf-8")
         self._start(name=name, words=["-m", f"sailward.programs.{kind}", "--settings", str(path)])
+        self._note(name=name, k="daemon-up")
 
     def start_worker(self, *, name: str) -> None:
         """Start one worker and list it."""
@@ -94,6 +95,7 @@
     def kill(self, *, name: str) -> None:
         """End one process at once."""
         process = self.processes.pop(name)
+        self._note(name=name, k="daemon-down")
         process.kill()
         process.wait()
 
@@ -108,10 +110,12 @@
 
     def freeze(self, *, name: str) -> None:
         """Let a process stand still."""
+        self._note(name=name, k="daemon-frozen")
         os.kill(self.processes[name].pid, signal.SIGSTOP)
 
     def thaw(self, *, name: str) -> None:
         """Let it go on."""
+        self._note(name=name, k="daemon-thawed")
         os.kill(self.processes[name].pid, signal.SIGCONT)
 
     def end(self) -> None:
@@ -153,6 +157,11 @@
         whole.add(t=0.0, k="homes", homes=homes)
         return whole
 
+    def _note(self, *, name: str, k: str) -> None:
+        """Callers know a daemon by its address, the judge of losses by its name."""
+        if name in self.kinds:
+            self.history.add(t=time.monotonic(), k=k, daemon=self.https[name], name=name)
+
     def _answers(self, *, name: str) -> bool:
         return bool(self.status_of(name=name))
 
--- a/tasting/rules/service.py
+++ b/tasting/rules/service.py
@@ -43,9 +43,10 @@
     wiped = [row for row in history.of(k="trouble") if row["verb"] == "wipe"]
     moves = sorted([*history.of(k="daemon-down"), *history.of(k="daemon-up")], key=lambda row: row["t"])
     for row in moves:
-        if row["daemon"] not in kinds:
+        name = row.get("name", row["daemon"])
+        if name not in kinds:
             continue
-        (down.add if row["k"] == "daemon-down" else down.discard)(row["daemon"])
+        (down.add if row["k"] == "daemon-down" else down.discard)(name)
         major = major or len(down & cellars) >= 2 or 2 * len(down & proxies) >= len(proxies)
         if major and len(down & cellars) <= 1 and not down & proxies:
             major = False
--- a/tasting/run_fleet.py
+++ b/tasting/run_fleet.py
@@ -61,6 +61,8 @@
 
 def do_step(*, fleet: Fleet, verb: str, name: str) -> None:
     """Bring one fault about."""
+    if verb not in ("start", "thaw", "refill", "empty"):
+        fleet.history.add(t=time.monotonic(), k="trouble", verb=verb, words=[name])
     if name == "all":
         for one in fleet.kinds:
             do_step(fleet=fleet, verb=verb, name=one)
