One choice of a worker that can go; a field and an import that nothing read are gone

Two kinds of trouble chose their worker by the same lines; Anew carried an identity beside its copying's.

--- a/sailward/house/anew.py
+++ b/sailward/house/anew.py
@@ -91,7 +91,6 @@
     lease under the old set any more. Until then it votes for nothing.
     """
 
-    identity: str
     copying: Copying
     number: int = 0
     since: float = -1e9
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -8,7 +8,7 @@
 from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
 from sailward.cask.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
-from sailward.cask.proposer import Accepted, Begin, Proposer
+from sailward.cask.proposer import Begin, Proposer
 from sailward.house.desk import Desk
 from sailward.house.ledger import Ledger
 from sailward.house.moves import Moves
--- a/sailward/house/membership.py
+++ b/sailward/house/membership.py
@@ -25,7 +25,7 @@
         self._cellar = cellar
         self.repair = Repair()
         self.copying = Copying(identity=cellar.identity)
-        self.anew = Anew(identity=cellar.identity, copying=Copying(identity=cellar.identity))
+        self.anew = Anew(copying=Copying(identity=cellar.identity))
         self._asked = -1e9
         self._names: dict[str, list[str]] = {}
         self._short_since, self._short_said = now, False
@@ -108,7 +108,7 @@
         """Taken out of the core: what was voted for is void, and the old identity never acts again."""
         cellar = self._cellar
         old, cellar.identity = cellar.identity, cellar.new_identity()
-        for part in (cellar.ledger, cellar.roster, self.copying, self.anew, self.anew.copying):
+        for part in (cellar.ledger, cellar.roster, self.copying, self.anew.copying):
             part.identity = cellar.identity
         for name in list(cellar.acceptor.slots):
             del cellar.acceptor.slots[name]
--- a/tasting/sim/chaos_workers.py
+++ b/tasting/sim/chaos_workers.py
@@ -44,10 +44,16 @@
     return True
 
 
-def _worker_removed(scene: Scene) -> bool:
+def _find_spare(scene: Scene) -> str:
+    """A listed worker of the deployment's own that the fleet can do without, or nothing."""
     name = scene.worker()
     listed = scene.world.platform.names()
-    if name not in listed or len(listed) < 30 or name.count("-") > 3:
+    return "" if name not in listed or len(listed) < 30 or name.count("-") > 3 else name
+
+
+def _worker_removed(scene: Scene) -> bool:
+    name = _find_spare(scene)
+    if not name:
         return False
     scene.do("worker-leave", name)
     scene.later(2.0, 5.0, "worker-gone-if", name)
@@ -56,9 +62,8 @@
 
 def _worker_gone(scene: Scene) -> bool:
     """Off the list at once, though it still answers."""
-    name = scene.worker()
-    listed = scene.world.platform.names()
-    if name not in listed or len(listed) < 30 or name.count("-") > 3:
+    name = _find_spare(scene)
+    if not name:
         return False
     scene.do("worker-gone", name)
     return True
