--- a/sailward/acts.py
+++ b/sailward/acts.py
@@ -37,7 +37,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Asked:
-    """An HTTP exchange arrived; `body` is None if it is over the bound."""
+    """An HTTP exchange arrived; `body` is None if it is over the bound.
+
+    `target` is the request target as the caller wrote it, where the edge keeps it.
+    """
 
     token: str
     method: str
@@ -45,6 +48,14 @@
     query: dict
     headers: dict
     body: bytes | None
+    target: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerLeft:
+    """The caller's connection ended before this exchange's answer was given."""
+
+    token: str
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -101,12 +112,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Answer:
-    """Give an HTTP exchange its result."""
+    """Give an HTTP exchange its result; `close` ends its connection behind it."""
 
     token: str
     code: int
     body: bytes
     headers: dict = field(default_factory=dict)
+    close: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -128,6 +140,13 @@
     begin_by: float = float("inf")
 
 
+@dataclass(frozen=True, kw_only=True)
+class CancelCall:
+    """Give up a call: its connection is closed, and no Called follows."""
+
+    token: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class Check:
     """Check a configuration, beside the owner: a large one takes seconds."""
@@ -143,6 +162,13 @@
     owner: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class Leave:
+    """End each caller's connection behind its next answer; with `shut`, take no new connections either."""
+
+    shut: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class Log:
     """Write one line to the log."""
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -130,6 +130,10 @@
 HOT_KEY_SHARE = 0.5
 """of its worker's bound that one key of a divided service may take: the rest is for the worker's other keys."""
 
+HEAD_BYTES = 16 << 10
+"""bytes of a caller's request line and headers, where the operators' configuration does not say."""
+HEAD_WAIT = 3.0
+"""s in which a caller's request line and headers must be whole, where the operators' configuration does not say."""
 BODY_BYTES = 1 << 20
 """bytes of a caller's body; over it 413."""
 RESULT_BYTES = 4 << 20
@@ -216,3 +220,194 @@
 """exit code: an owner failed; the process ends rather than run on with broken state."""
 STEWARD_WAIT = 8.0
 """s that steward waits for a cellar: over OPERATION_EXPIRY for a read and a change."""
+
+COURIER_SWEEP = 0.25
+"""s between looks at message connections that do not get on."""
+COURIER_DIAL = 0.6
+"""s for a message connection to come up: three round trips between regions and a lost packet's pause."""
+COURIER_CHUNK = 65536
+"""bytes read or written at once on a message connection."""
+COURIER_ALIVE = 2
+"""s between probes of a message connection that is silent, and before the first."""
+COURIER_PACK = 400
+"""bytes from which a message is compressed: shorter ones gain little."""
+
+OUT_IDLE = 8
+"""idle connections kept for one worker: a burst's worth, far under what a worker accepts of all callers together."""
+OUT_IDLE_MARGIN = 1.0
+"""s before the end of a worker's own idle time from which a kept connection is no longer used: a request could cross its close."""
+OUT_IDLE_LEAST = 0.5
+"""s that a connection is kept idle at least, however short the worker's idle time in whole seconds."""
+OUT_HEAD_BYTES = 64 << 10
+"""bytes of an answer's status line and headers."""
+OUT_READ_BYTES = 128 << 10
+"""bytes read from a connection at once: most answers come in one read."""
+OUT_SWEEP = 0.1
+"""s between looks at the calls' and idle connections' ends: one alarm for all of them."""
+OUT_SHORT = 0.3
+"""s. A call that may take less has an alarm of its own: the sweep would be too coarse."""
+
+FULL_PAUSE = 0.15
+"""s that a worker which turned an exchange away as full is passed over: about one exchange's work."""
+PACE_WEIGHT = 0.2
+"""of the newest time in the mean of a worker's times: the last ten count."""
+PROBE_FIRST = 0.3
+"""s before the first probe of a worker in doubt, doubled with each miss."""
+PROBE_LONGEST = 1.5
+"""s between probes of a worker that stays down."""
+COLD_MARGIN = 0.5
+"""s that a worker counts as cold beyond what is told of it: the news is late by the list's lag."""
+RETRY_MARGIN = 0.7
+"""of its part of the retry budget that a proxy uses, as counts of proxies lag and windows slide."""
+
+FRONT_CONNECTIONS = 3000
+"""connections that one front holds; more are closed as they come, so that descriptors are left for workers."""
+FRONT_BACKLOG = 512
+"""connections that wait to be accepted: a burst of callers after a neighbour's loss."""
+FRONT_DEPTH = 16
+"""requests of one connection that are unanswered or unwritten; with more it is not read on."""
+FRONT_SWEEP = 0.25
+"""s between two looks at the connections' time limits: well under the shortest of them."""
+FRONT_BODY_IDLE = 10.0
+"""s between bytes of a request's body, or the limit of the head if that is longer."""
+FRONT_WRITE_IDLE = 15.0
+"""s without progress after which a caller that does not read its answer is dropped."""
+FRONT_LINGER = 0.5
+"""s that a closed connection is still drained, so that a reset does not overtake its last answer."""
+FRONT_FRESH = 1.0
+"""s that a leaving front leaves a new connection for its first request."""
+FRONT_ACCEPT_PAUSE = 0.1
+"""s without accepting when the process has no descriptors left."""
+FRONT_READ_BYTES = 64 << 10
+"""bytes read at once: one connection does not hold up the others."""
+FRONT_RETRY_AFTER = 0.2
+"""s that a request which came too slowly is asked to wait."""
+REQUEST_EXPIRY = 30.0
+"""s that a request is worked on where neither the caller nor its route says."""
+KEY_LAST = 65535
+"""The last key of a service that is divided by number."""
+PACE_START = 0.2
+"""s that a worker is taken to need before it has shown its pace."""
+WORKER_CAPACITY = 4
+"""requests that a worker is taken to work on at once where the list does not say."""
+QUEUE_DEPTH = 4
+"""times its capacity that a worker is given by all proxies together: itself and a few that queue."""
+COLD_SENDERS = 2
+"""proxies that may send to a cold worker: one may be lost, and views of the fleet may differ."""
+OWNER_PAUSE = 0.15
+"""s before a key's owner that turned a request away is asked again: a grant on its way takes one call."""
+
+GRANT_LEASE = 1.0
+"""s, from the moment of asking. How long a confirmation that a key table is the newest lets its granter act on it."""
+GRANT_WAIT = 0.6
+"""s that a grant may take: between regions a few round trips."""
+GRANT_FLIGHT = 0.5
+"""s that bytes of a call that was given up may still be under way."""
+GRANT_QUIET = GRANT_LEASE + GRANT_WAIT + GRANT_FLIGHT
+"""s after a newer key table was held, by when nothing sent on an older one can arrive any more."""
+GRANT_HOLD = 3.2
+"""s that a worker holds its keys after a grant: three renewals may be lost in a row."""
+GRANT_RENEW = 0.7
+"""s between two grants of the same range."""
+GRANT_AGAIN = 0.25
+"""s before a grant or a release that failed is sent again."""
+GRANT_SLOW = 1.03
+"""times a hold that a worker may hold by its own slow clock (2%) and ours."""
+GRANT_MARGIN = 0.1
+"""s more before a hold that ran out counts as ended: alarms and the owners' steps."""
+GRANT_RELEASE_WAIT = 5.0
+"""s that a release may take, as it ends with what ran: over the hold, by when the range is free anyway."""
+GRANT_REFUSED = 2
+"""connections refused in a row before a worker's process counts as ended."""
+GRANT_SILENT = 1.4
+"""s of failing grants (two that ran out), or of being called down, before a worker's ranges move."""
+GRANT_AVOID = 10.0
+"""s after its last failed grant in which a worker that was silent is given no ranges."""
+GRANT_LOOK = 0.1
+"""s between looks at whether the key table should change, when nothing happens."""
+GRANT_CHANGE_WAIT = 1.0
+"""s before a change of a key table that did not show is tried again."""
+GRANT_TAKEOVER = 2.0
+"""s that a granter named in the table is left in its place at least, so that two of differing views don't take turns."""
+GRANT_SUSTAINED = 2.0
+"""s that an imbalance must last before ranges move for it, and between two such moves."""
+GRANT_ROWS = 4
+"""ranges a worker, on the average, over which neighbouring ranges of one owner are joined."""
+GRANT_MOVES = 6
+"""ranges moved at once for balance alone: keys that change hands have their price."""
+GRANT_HOT = 1.35
+"""times its fair part from which a worker gives ranges away."""
+GRANT_IDLE = 0.5
+"""times its fair part below which a worker is given ranges."""
+GRANT_PIECE = 0.25
+"""of a fair part that the smallest piece given to a worker should have: keeps the number of ranges small."""
+GRANT_LOAD_LEAST = 20.0
+"""requests/s of a service under which its keys count as equally busy."""
+KEYS_IN_BUCKET = 256
+"""keys of a divided service that are counted together: 256 counts tell where the load lies."""
+LINE_SHARE = 0.2
+"""of a route's target that a request may wait before it is sent on: what is refused later than a quarter has been held."""
+LEAST_LEFT = 0.02
+"""s left below which nothing is sent on any more: no worker is as quick."""
+MAX_UNSENT = 3
+"""workers that could not be reached at all before a request is given up."""
+HEDGE_LEAST = 0.25
+"""s of silence before a second worker is asked, at the least."""
+HEDGE_SHARE = 0.6
+"""of a route's target that a worker may be silent before a second one is asked."""
+HEDGE_OF_BUDGET = 0.35
+"""of the retry budget's share that may go into asking a second worker: the rest is for what has failed."""
+COME_BACK = {"": 0.5, "no-room": 0.2, "key-moving": 0.2, "key-unowned": 0.3, "owner-lost": 0.4, "owner-cold": 0.3, "worker-full": 0.2,
+             "budget": 0.3}
+"""s after which a caller is asked to come back, by why it was refused."""
+ASK_EVERY = 0.5
+"""s between two askings of a cellar for news: pushes come at once, the asking finds what was lost and who is silent."""
+ASK_SILENT = 1.0
+"""s between askings of a cellar that does not answer."""
+ASKS_LOST = 2
+"""askings without an answer after which another cellar is asked in its place."""
+CELLAR_SILENT = 1.3
+"""s without an answer after which a cellar's lists are not waited for any more: two askings and a round trip."""
+CELLARS_ASKED = 2
+"""cellars that a proxy asks: one may be lost without a gap in the pushes."""
+JOURNAL_SHOWN = 60
+"""events that are written out when an owner ends by a fault: the last seconds of it."""
+OPERATOR_WAIT = 10.0
+"""s in which an operator's request line and headers must be whole."""
+
+LIST_SHARE = 0.45
+"""of the platform's rate of calls that all readers of its list together use: the rest is for starts and for others."""
+LIST_PAUSE = 2.0
+"""s between passes over the list at the longest while passes fail: its news must still come in time."""
+LIST_PAGES = 400
+"""pages of one pass: a list with more goes in circles."""
+GONE_LIFE = 5.0
+"""s that a worker which went from one teller's list is not believed to be back by another's: lists lag by a pass or two."""
+LEFT_LIFE = 600.0
+"""s that the leaving of a worker which is on no list any more is remembered."""
+COLD_RISE = 0.4
+"""s by which a worker's told cold time must be over the expected one to be news: it counts down by itself."""
+LABELS_KEPT = 32
+"""changes that a labelled configuration remembers, so that one which is sent again is known."""
+JOIN_WAIT = 6.0
+"""s that a new voter may take to copy before another one is brought in for it, where the core founded itself."""
+REPAIR_TURN = 0.6
+"""s that each voter leaves the ones named before it to begin a repair, where the core founded itself."""
+REPAIR_AGAIN = 1.0
+"""s before a change of the voters that did not show is tried again, where the core founded itself."""
+WAITING_ASK = 2.0
+"""s between askings for news of a cellar that waits and knows the voters, where the core founded itself."""
+CONFIRM_EVERY = 0.35
+"""s between two askings of the voters by a cellar that grants keys: two fit into GRANT_LEASE with a round trip between regions."""
+FLEET_EVERY = 1.0
+"""s between two tellings of a cellar's proxies to the others where nothing changed: their loads and what they call unreachable."""
+FLEET_LIFE = 4.0
+"""s that another cellar's word of its proxies counts: if it is lost, they ask another within that time."""
+PROXY_SILENT = 1.8
+"""s without an asking after which a proxy is not named to callers any more."""
+LOAD_SPAN = 4.0
+"""s over which the load of keys is counted: long enough for a mean, short enough for a rush."""
+LOAD_LEAST = 0.2
+"""requests/s under which a bucket of keys is not told of."""
+HOLD_SHORT = 5.0
+"""s of a hall's hold where a deployment asks for service within seconds of a return: twice its longest flap."""
--- /dev/null
+++ b/sailward/dock/courier.py
@@ -0,0 +1,241 @@
+"""Messages between our processes on the reactor: one held connection out for each peer that is told anything."""
+from __future__ import annotations
+
+import collections
+import socket
+import struct
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from flatbuffers import flexbuffers
+
+from sailward import constants
+from sailward.acts import Heard
+from sailward.cask.messages import FIELDS, BadMessage, check_message
+from sailward.dock.logs import write_log
+from sailward.dock.post import split_address
+from sailward.dock.reactor import Reactor
+
+LENGTH = struct.Struct(">IB")
+PLAIN, PACKED = 0, 1
+
+
+@dataclass(kw_only=True)
+class Peer:
+    """What goes out to one daemon."""
+
+    sock: socket.socket | None = None
+    is_up: bool = False
+    out: bytearray = field(default_factory=bytearray)
+    since: float = 0.0
+    not_before: float = 0.0
+
+
+class Courier:
+    """Task that owns the message sockets. `send` puts a message on its way, or loses it."""
+
+    def __init__(self, *, reactor: Reactor, address: str, tell: Callable[[object], None]) -> None:
+        self._reactor, self._address, self._tell = reactor, address, tell
+        self._peers: dict[str, Peer] = {}
+        self.counts: collections.Counter = collections.Counter()
+        host, port = split_address(address=address)
+        self._listener = socket.create_server((host, port), backlog=128)
+        self._listener.setblocking(False)
+        reactor.watch(sock=self._listener, readable=self._accept)
+        reactor.later(delay=constants.COURIER_SWEEP, call=self._sweep)
+
+    def send(self, *, to: str, body: dict) -> None:
+        """Send, or lose, a message."""
+        if to == self._address:
+            self._reactor.soon(call=lambda: self._tell(Heard(sender=to, body=body)))
+            return
+        peer = self._peers.setdefault(to, Peer())
+        if len(peer.out) > constants.FRAME_BYTES or self._reactor.clock() < peer.not_before:
+            self.counts["dropped"] += 1
+            return
+        if peer.sock is None and not self._dial(to=to, peer=peer):
+            return
+        payload = pack_body(body=body)
+        self.counts["sent"] += 1
+        self.counts["sent-bytes"] += len(payload) + LENGTH.size
+        self.counts[f"sent-{body['kind']}"] += len(payload) + LENGTH.size
+        was_empty = not peer.out
+        if was_empty:
+            peer.since = self._reactor.clock()
+        peer.out += payload
+        if peer.is_up and was_empty:
+            self._flush(to=to, peer=peer)
+
+    def _dial(self, *, to: str, peer: Peer) -> bool:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(constants.LEASE * 1000))
+        try:
+            sock.connect(split_address(address=to))
+        except BlockingIOError:
+            pass
+        except (OSError, ValueError):
+            sock.close()
+            self._pause(peer=peer)
+            return False
+        own = self._address.encode()
+        peer.sock, peer.is_up, peer.since = sock, False, self._reactor.clock()
+        peer.out = bytearray(LENGTH.pack(len(own), PLAIN) + own)
+        self._reactor.watch(sock=sock, readable=lambda: self._look(to=to, peer=peer, sock=sock),
+                            writable=lambda: self._flush(to=to, peer=peer))
+        return True
+
+    def _pause(self, *, peer: Peer) -> None:
+        peer.sock, peer.is_up = None, False
+        peer.out = bytearray()
+        # what waited is stale: the owners ask again by themselves
+        peer.not_before = self._reactor.clock() + constants.DIAL_PAUSE
+
+    def _drop(self, *, peer: Peer) -> None:
+        if peer.sock is not None:
+            self._reactor.watch(sock=peer.sock)
+            peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            peer.sock.close()
+        self._pause(peer=peer)
+
+    def _look(self, *, to: str, peer: Peer, sock: socket.socket) -> None:
+        # nothing is ever said on this side: what can be read is the end
+        try:
+            if sock.recv(4096):
+                return
+        except BlockingIOError:
+            return
+        except OSError:
+            pass
+        if peer.sock is sock:
+            self._drop(peer=peer)
+
+    def _flush(self, *, to: str, peer: Peer) -> None:
+        sock = peer.sock
+        if sock is None:
+            return
+        try:
+            if not peer.is_up:
+                fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if fault:
+                    return self._drop(peer=peer)
+                peer.is_up = True
+            while peer.out:
+                sent = sock.send(memoryview(peer.out)[:constants.COURIER_CHUNK])
+                peer.since = self._reactor.clock()
+                del peer.out[:sent]
+        except BlockingIOError:
+            pass
+        except OSError:
+            return self._drop(peer=peer)
+        self._reactor.watch(sock=sock, readable=lambda: self._look(to=to, peer=peer, sock=sock),
+                            writable=(lambda: self._flush(to=to, peer=peer)) if peer.out else None)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, constants.COURIER_ALIVE)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, constants.COURIER_ALIVE)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+            reader = Reader(sock=sock, courier=self)
+            self._reactor.watch(sock=sock, readable=reader.read)
+
+    def hear(self, *, sender: str, payload: bytes, form: int) -> bool:
+        """Take one message that came; False if its connection can't be believed any more."""
+        body = read_body(payload=payload, form=form)
+        if isinstance(body, BadMessage):
+            self.counts["bad"] += 1
+            write_log(event="bad-message", fields={"from": sender, "reason": body.reason, "count": self.counts["bad"]}, level="warning")
+            return False
+        self.counts["heard"] += 1
+        self._tell(Heard(sender=sender, body=body))
+        return True
+
+    def forget(self, *, sock: socket.socket) -> None:
+        """Close a connection that came in."""
+        self._reactor.watch(sock=sock)
+        sock.close()
+
+    def _sweep(self) -> None:
+        now = self._reactor.clock()
+        for peer in self._peers.values():
+            if peer.sock is None:
+                continue
+            wait = constants.LEASE if peer.is_up else constants.COURIER_DIAL
+            if (peer.out or not peer.is_up) and now - peer.since > wait:
+                self._drop(peer=peer)
+        self._reactor.later(delay=constants.COURIER_SWEEP, call=self._sweep)
+
+
+@dataclass(kw_only=True)
+class Reader:
+    """One connection that came in; the first frame names its sender."""
+
+    sock: socket.socket
+    courier: Courier
+    sender: str = ""
+    data: bytearray = field(default_factory=bytearray)
+
+    def read(self) -> None:
+        """Read what is there and tell whole messages."""
+        try:
+            chunk = self.sock.recv(constants.COURIER_CHUNK)
+        except BlockingIOError:
+            return
+        except OSError:
+            chunk = b""
+        if not chunk:
+            return self.courier.forget(sock=self.sock)
+        self.data += chunk
+        while len(self.data) >= LENGTH.size:
+            length, form = LENGTH.unpack_from(self.data)
+            if length > constants.FRAME_BYTES:
+                return self.courier.forget(sock=self.sock)
+            if len(self.data) < LENGTH.size + length:
+                return None
+            payload = bytes(memoryview(self.data)[LENGTH.size:LENGTH.size + length])
+            del self.data[:LENGTH.size + length]
+            if not self.sender:
+                self.sender = payload.decode("ascii", "replace")
+            elif not self.courier.hear(sender=self.sender, payload=payload, form=form):
+                return self.courier.forget(sock=self.sock)
+        return None
+
+
+def pack_body(*, body: dict) -> bytes:
+    """The frame of a message: its fields by place, not by name; long ones are compressed."""
+    kind = body["kind"]
+    rest = {name: value for name, value in body.items() if name != "kind" and name not in FIELDS[kind]}
+    row = [kind, *(body[name] for name in FIELDS[kind]), *([rest] if rest else [])]
+    payload, form = bytes(flexbuffers.Dumps(row)), PLAIN
+    if len(payload) > constants.COURIER_PACK:
+        packed = zlib.compress(payload, 6)
+        if len(packed) < len(payload):
+            payload, form = packed, PACKED
+    return LENGTH.pack(len(payload), form) + payload
+
+
+def read_body(*, payload: bytes, form: int) -> dict | BadMessage:
+    """The message in a frame, or what is wrong with it."""
+    try:
+        if form == PACKED:
+            unpack = zlib.decompressobj()
+            payload = unpack.decompress(payload, constants.FRAME_BYTES)
+            if unpack.unconsumed_tail:
+                return BadMessage(reason="too-long")
+        row = flexbuffers.Loads(payload)
+        kind = row[0]
+        names = list(FIELDS[kind])
+        body = {"kind": kind, **dict(zip(names, row[1:len(names) + 1], strict=True))}
+        if len(row) > len(names) + 1:
+            body |= row[len(names) + 1]
+    except Exception as fault:  # the decoder raises many kinds on foreign bytes
+        return BadMessage(reason=f"undecodable:{type(fault).__name__}")
+    return check_message(body=body)
--- /dev/null
+++ b/sailward/dock/front.py
@@ -0,0 +1,386 @@
+"""The HTTP/1.1 server edge of a process: callers' connections, read ahead and answered in order."""
+from __future__ import annotations
+
+import errno
+import functools
+import itertools
+import json
+import socket
+from collections.abc import Callable
+
+from sailward import constants
+from sailward.acts import Answer, Asked, CallerLeft
+from sailward.dock.front_head import HEAD_END, ChunkedBody, Refused, check_bytes, read_head, write_response
+from sailward.dock.front_state import Connection, Exchange
+from sailward.dock.reactor import Reactor
+from sailward.pour.plan import Limits
+
+_FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Front:
+    """Listens at `address` ("ip:port", port 0 for any), tells Asked and CallerLeft; all on the reactor's thread.
+
+    Raises OSError if the address can't be had. `limits` is asked for anew with each request.
+    """
+
+    def __init__(self, *, reactor: Reactor, address: str, name: str, tell: Callable[[object], None],
+                 limits: Callable[[], Limits]) -> None:
+        self._reactor = reactor
+        self._name = name
+        self._tell = tell
+        self._limits = limits
+        self._numbers = itertools.count(1)
+        self._connections: set[Connection] = set()
+        self._asked: dict[str, tuple[Connection, Exchange]] = {}
+        self._open = 0
+        self._is_leaving = False
+        host, _, port = address.rpartition(":")
+        self._listener: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._listener.setblocking(False)
+            self._listener.bind((host, int(port)))
+            self._listener.listen(constants.FRONT_BACKLOG)
+        except OSError:
+            self._listener.close()
+            raise
+        self.port = self._listener.getsockname()[1]
+        self._reactor.watch(sock=self._listener, readable=self._accept)
+        self._reactor.later(delay=constants.FRONT_SWEEP, call=self._sweep)
+
+    def answer(self, *, command: Answer) -> bool:
+        """Give a told request its answer; False if its connection is gone or it has one."""
+        connection, exchange = self._asked.pop(command.token, (None, None))
+        if connection is None:
+            return False
+        exchange.answer = command
+        if command.close or exchange.is_last:
+            exchange.is_last = connection.is_ending = True
+            self._drop_behind(connection=connection, exchange=exchange)
+        self._flush(connection=connection)
+        return not connection.is_gone
+
+    def leave(self) -> None:
+        """Let each connection end behind the requests that were told; idle ones end now. New ones are still accepted."""
+        self._is_leaving = True
+        for connection in list(self._connections):
+            told = [exchange for exchange in connection.exchanges if exchange is not connection.reading]
+            if told:
+                connection.is_ending = True
+                self._drop_reading(connection=connection)
+                self._update(connection=connection)
+            elif connection.reading is not None:
+                connection.reading.is_last = True
+            elif connection.is_idle() and connection.has_asked:
+                self._reactor.soon(call=functools.partial(self._close_idle, connection=connection))
+
+    def close_listener(self) -> None:
+        """Accept no more connections."""
+        if self._listener is not None:
+            self._reactor.watch(sock=self._listener)
+            self._listener.close()
+            self._listener = None
+
+    def open_count(self) -> int:
+        """Requests whose head is read and whose answer is not wholly written."""
+        return self._open
+
+    def connection_count(self) -> int:
+        """Connections held, those being drained included."""
+        return len(self._connections)
+
+    def _accept(self) -> None:
+        while self._listener is not None:
+            try:
+                sock, _ = self._listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno in _FULL:
+                    self._reactor.watch(sock=self._listener)
+                    self._reactor.later(delay=constants.FRONT_ACCEPT_PAUSE, call=self._accept_again)
+                    return
+                continue
+            if len(self._connections) >= constants.FRONT_CONNECTIONS:
+                sock.close()
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            now = self._reactor.clock()
+            connection = Connection(sock=sock, since=now, moved=now)
+            connection.readable = functools.partial(self._read, connection=connection)
+            connection.writable = functools.partial(self._write, connection=connection)
+            self._connections.add(connection)
+            self._update(connection=connection)
+
+    def _accept_again(self) -> None:
+        if self._listener is not None:
+            self._reactor.watch(sock=self._listener, readable=self._accept)
+
+    def _read(self, *, connection: Connection) -> None:
+        if connection.is_gone:
+            return
+        try:
+            data = connection.sock.recv(constants.FRONT_READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self._close(connection=connection)
+            return
+        if not data:
+            self._meet_eof(connection=connection)
+        elif not connection.is_ending:
+            if not connection.raw or connection.reading is not None:
+                connection.moved = self._reactor.clock()
+            connection.raw += data
+            self._advance(connection=connection)
+
+    def _meet_eof(self, *, connection: Connection) -> None:
+        connection.is_eof = connection.is_ending = True
+        if connection.linger is not None:
+            self._close(connection=connection)
+            return
+        self._drop_reading(connection=connection)
+        self._flush(connection=connection)
+
+    def _advance(self, *, connection: Connection) -> None:
+        if connection.is_busy or connection.is_gone:
+            return
+        connection.is_busy = True
+        try:
+            while connection.raw and not (connection.is_gone or connection.is_ending):
+                if connection.reading is None:
+                    if connection.is_full() or not self._take_head(connection=connection):
+                        break
+                elif not self._take_body(connection=connection):
+                    break
+        except Refused as refused:
+            self._refuse(connection=connection, refused=refused)
+        finally:
+            connection.is_busy = False
+        self._update(connection=connection)
+
+    def _take_head(self, *, connection: Connection) -> bool:
+        raw = connection.raw
+        if raw[:1] == b"\r" and not connection.scanned:
+            if connection.has_skipped or (len(raw) > 1 and raw[1:2] != b"\n"):
+                raise Refused(code=400, reason="malformed head")
+            if len(raw) > 1:
+                del raw[:2]
+                connection.has_skipped = True
+            return len(raw) > 1
+        limits = self._limits()
+        found = raw.find(HEAD_END, max(0, connection.scanned - 3))
+        end = len(raw) if found < 0 else found + len(HEAD_END)
+        check_bytes(raw=raw, start=connection.scanned, end=end)
+        if end > limits.head_bytes:
+            raise Refused(code=431, reason="head too long")
+        if found < 0:
+            connection.scanned = end
+            return False
+        head = read_head(raw=bytes(raw[:end]), head_bytes=limits.head_bytes)
+        del raw[:end]
+        connection.scanned, connection.has_skipped, connection.has_asked = 0, False, True
+        connection.moved = self._reactor.clock()
+        exchange = Exchange(head=head, is_last=head.is_last or self._is_leaving)
+        connection.exchanges.append(exchange)
+        connection.reading = exchange
+        self._open += 1
+        if head.length is None:
+            connection.chunks = ChunkedBody(parser=head.parser, bound=limits.body_bytes, tail_bytes=limits.head_bytes)
+        elif head.length > limits.body_bytes:
+            raise Refused(code=413, reason="body too long")
+        elif head.length == 0:
+            self._ask(connection=connection, body=b"")
+            return True
+        connection.may_continue = head.may_continue and not raw
+        self._continue(connection=connection)
+        self._write(connection=connection)
+        return True
+
+    def _take_body(self, *, connection: Connection) -> bool:
+        connection.may_continue = False
+        raw, length = connection.raw, connection.reading.head.length
+        if length is None:
+            data = bytes(raw)
+            raw.clear()
+            taken = connection.chunks.take(data=data)
+            if taken is None:
+                return False
+            body, rest = taken
+            raw += rest
+        elif len(raw) < length:
+            return False
+        else:
+            body = bytes(raw[:length])
+            del raw[:length]
+        self._ask(connection=connection, body=body)
+        return True
+
+    def _ask(self, *, connection: Connection, body: bytes) -> None:
+        exchange, connection.reading, connection.chunks = connection.reading, None, None
+        head, exchange.head.parser = exchange.head, None
+        exchange.token = f"{self._name} {next(self._numbers)}"
+        connection.moved = self._reactor.clock()
+        if exchange.is_last:
+            connection.is_ending = True
+            connection.raw.clear()
+        self._asked[exchange.token] = (connection, exchange)
+        self._tell(Asked(token=exchange.token, method=head.method, path=head.path, query=head.query, headers=head.headers,
+                         body=body, target=head.target))
+
+    def _refuse(self, *, connection: Connection, refused: Refused) -> None:
+        if connection.is_gone:
+            return
+        exchange, connection.reading, connection.chunks = connection.reading, None, None
+        if exchange is None:
+            exchange = Exchange()
+            connection.exchanges.append(exchange)
+            self._open += 1
+        headers = {"Content-Type": "application/json"}
+        if refused.code == 408:
+            headers["Retry-After"] = str(constants.FRONT_RETRY_AFTER)
+        exchange.answer = Answer(token="", code=refused.code, headers=headers, body=json.dumps({"error": refused.reason}).encode())
+        exchange.is_last = connection.is_ending = True
+        connection.may_continue = False
+        connection.raw.clear()
+        self._flush(connection=connection)
+
+    def _flush(self, *, connection: Connection) -> None:
+        exchanges = connection.exchanges
+        while exchanges and exchanges[0].answer is not None:
+            exchange = exchanges.popleft()
+            answer, head = exchange.answer, exchange.head
+            data = write_response(
+                code=answer.code, headers=answer.headers, body=answer.body,
+                is_closing=exchange.is_last or (connection.is_ending and not exchanges),
+                is_head=head is not None and head.method == "HEAD", idle_wait=self._limits().idle_wait)
+            self._send(connection=connection, data=data, count=1)
+        self._continue(connection=connection)
+        self._write(connection=connection)
+
+    def _continue(self, *, connection: Connection) -> None:
+        if connection.may_continue and connection.exchanges and connection.exchanges[0] is connection.reading:
+            connection.may_continue = False
+            self._send(connection=connection, data=_CONTINUE, count=0)
+
+    def _send(self, *, connection: Connection, data: bytes, count: int) -> None:
+        if not connection.out:
+            connection.wrote = self._reactor.clock()
+        connection.out.append((memoryview(data), count))
+
+    def _write(self, *, connection: Connection) -> None:
+        if connection.is_gone or connection.linger is not None:
+            return
+        out = connection.out
+        while out:
+            view, count = out[0]
+            try:
+                size = connection.sock.send(view)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:
+                self._close(connection=connection)
+                return
+            connection.wrote = self._reactor.clock()
+            if size < len(view):
+                out[0] = (view[size:], count)
+                continue
+            out.popleft()
+            self._open -= count
+            if not connection.raw:
+                connection.moved = connection.wrote
+        if connection.is_ending and not out and not connection.exchanges:
+            self._finish(connection=connection)
+        elif connection.raw and not connection.is_busy and not connection.is_ending and connection.reading is None:
+            self._reactor.soon(call=functools.partial(self._advance, connection=connection))
+        self._update(connection=connection)
+
+    def _finish(self, *, connection: Connection) -> None:
+        if connection.is_eof:
+            self._close(connection=connection)
+            return
+        try:
+            connection.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close(connection=connection)
+            return
+        connection.linger = self._reactor.clock() + constants.FRONT_LINGER
+
+    def _update(self, *, connection: Connection) -> None:
+        if connection.is_gone:
+            return
+        may_read = not connection.is_eof and (connection.is_ending or connection.reading is not None or not connection.is_full())
+        wanted = (may_read, bool(connection.out))
+        if wanted == connection.watched:
+            return
+        if may_read and not connection.watched[0]:
+            connection.moved = self._reactor.clock()
+        connection.watched = wanted
+        self._reactor.watch(sock=connection.sock, readable=connection.readable if wanted[0] else None,
+                            writable=connection.writable if wanted[1] else None)
+
+    def _drop_reading(self, *, connection: Connection) -> None:
+        connection.raw.clear()
+        connection.may_continue = False
+        if connection.reading is not None:
+            connection.exchanges.remove(connection.reading)
+            connection.reading = connection.chunks = None
+            self._open -= 1
+
+    def _drop_behind(self, *, connection: Connection, exchange: Exchange) -> None:
+        self._drop_reading(connection=connection)
+        while connection.exchanges[-1] is not exchange:
+            self._forget(exchange=connection.exchanges.pop())
+
+    def _forget(self, *, exchange: Exchange) -> None:
+        self._open -= 1
+        if self._asked.pop(exchange.token, None) is not None:
+            self._reactor.soon(call=functools.partial(self._tell, CallerLeft(token=exchange.token)))
+
+    def _close(self, *, connection: Connection) -> None:
+        if connection.is_gone:
+            return
+        connection.is_gone = True
+        self._connections.discard(connection)
+        self._reactor.watch(sock=connection.sock)
+        connection.sock.close()
+        for exchange in connection.exchanges:
+            self._forget(exchange=exchange)
+        self._open -= sum(count for _, count in connection.out)
+        connection.exchanges.clear()
+        connection.out.clear()
+
+    def _close_idle(self, *, connection: Connection) -> None:
+        if not connection.is_gone and connection.is_idle():
+            self._read(connection=connection)
+        if not connection.is_gone and connection.is_idle():
+            self._close(connection=connection)
+
+    def _sweep(self) -> None:
+        self._reactor.later(delay=constants.FRONT_SWEEP, call=self._sweep)
+        now, limits = self._reactor.clock(), self._limits()
+        for connection in list(self._connections):
+            try:
+                self._check_time(connection=connection, now=now, limits=limits)
+            except Refused as refused:
+                self._refuse(connection=connection, refused=refused)
+
+    def _check_time(self, *, connection: Connection, now: float, limits: Limits) -> None:
+        quiet = now - connection.moved
+        if connection.linger is not None:
+            if now >= connection.linger:
+                self._close(connection=connection)
+        elif connection.out and now - connection.wrote > constants.FRONT_WRITE_IDLE:
+            self._close(connection=connection)
+        elif connection.is_idle():
+            is_over = self._is_leaving and (connection.has_asked or now - connection.since > constants.FRONT_FRESH)
+            if is_over or quiet > limits.idle_wait:
+                self._close_idle(connection=connection)
+        elif connection.reading is not None:
+            if quiet > max(limits.head_wait, constants.FRONT_BODY_IDLE):
+                raise Refused(code=408, reason="body too slow")
+        elif connection.raw and connection.watched[0] and quiet > limits.head_wait:
+            raise Refused(code=408, reason="head too slow")
--- /dev/null
+++ b/sailward/dock/front_head.py
@@ -0,0 +1,164 @@
+"""Strict reading of an HTTP/1.1 request and writing of a response, without sockets."""
+from __future__ import annotations
+
+import http
+import re
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
+
+import h11
+
+HEAD_END = b"\r\n\r\n"
+"""What ends a request's head."""
+
+_BAD = re.compile(rb"(?<!\r)\n|\r(?!\n|\Z)|\r\n[ \t]|[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
+_FRAMING = re.compile(rb"\r\n(content-length|transfer-encoding|host)[ \t]*:[ \t]*([^\r]*)", re.IGNORECASE)
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_TARGET = re.compile(rb"[\x21-\x7e]+")
+_LAST_CHUNK = re.compile(rb"0+[ \t]*(;[^\r\n]*)?")
+_CONNECTION_ONLY = frozenset(("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te"))
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+
+
+class Refused(Exception):
+    """A request that is not taken: `code` is the answer's status, `reason` its text."""
+
+    def __init__(self, *, code: int, reason: str) -> None:
+        super().__init__(reason)
+        self.code = code
+        self.reason = reason
+
+
+@dataclass(kw_only=True, slots=True)
+class Head:
+    """A request's line and headers; `length` in bytes, None if it comes in chunks."""
+
+    method: str
+    target: str
+    path: str
+    query: dict
+    headers: dict
+    length: int | None
+    is_last: bool
+    may_continue: bool
+    parser: h11.Connection
+
+
+def check_bytes(*, raw: bytearray, start: int, end: int) -> None:
+    """Raise Refused for line ends, folds or characters that no head has, between the two places."""
+    if _BAD.search(raw, max(0, start - 2), end):
+        raise Refused(code=400, reason="malformed head")
+
+
+def read_head(*, raw: bytes, head_bytes: int) -> Head:
+    """The head that these bytes are, up to its empty line; raises Refused."""
+    parser = h11.Connection(h11.SERVER, max_incomplete_event_size=max(head_bytes, len(raw)))
+    try:
+        parser.receive_data(raw)
+        event = parser.next_event()
+    except h11.RemoteProtocolError as error:
+        raise Refused(code=400, reason="malformed head") from error
+    if type(event) is not h11.Request:
+        raise Refused(code=400, reason="malformed head")
+    version, target = event.http_version, event.target
+    if version not in (b"1.0", b"1.1"):
+        raise Refused(code=400, reason="unknown version")
+    if not _TARGET.fullmatch(target) or not (target[:1] == b"/" or (target == b"*" and event.method == b"OPTIONS")):
+        raise Refused(code=400, reason="malformed target")
+    length = _framing(raw=raw, version=version)
+    headers: dict = {}
+    for name, value in event.headers:
+        key, text = name.decode("latin-1"), value.decode("latin-1")
+        headers[key] = f"{headers[key]}, {text}" if key in headers else text
+    text = target.decode("ascii")
+    path, _, query = text.partition("?")
+    connection = headers.get("connection")
+    is_closing = connection is not None and "close" in [part.strip() for part in connection.lower().split(",")]
+    return Head(
+        method=event.method.decode("ascii"), target=text, path=path,
+        query=dict(parse_qsl(query, keep_blank_values=True)) if query else {},
+        headers=headers, length=length, is_last=version == b"1.0" or is_closing,
+        may_continue=version == b"1.1" and headers.get("expect", "").lower() == "100-continue", parser=parser)
+
+
+def _framing(*, raw: bytes, version: bytes) -> int | None:
+    lengths, codings, hosts = [], [], 0
+    for name, value in _FRAMING.findall(raw):
+        kind = name.lower()
+        if kind == b"host":
+            hosts += 1
+        else:
+            (lengths if kind == b"content-length" else codings).append(value.strip(b" \t"))
+    if hosts > 1 or (hosts == 0 and version == b"1.1"):
+        raise Refused(code=400, reason="not exactly one Host")
+    if codings:
+        if lengths or version == b"1.0" or len(codings) > 1 or codings[0].lower() != b"chunked":
+            raise Refused(code=400, reason="malformed Transfer-Encoding")
+        return None
+    if not lengths:
+        return 0
+    if len(lengths) > 1 or not _LENGTH.fullmatch(lengths[0]):
+        raise Refused(code=400, reason="malformed Content-Length")
+    return int(lengths[0])
+
+
+class ChunkedBody:
+    """A body that comes in chunks; at most `bound` bytes, else Refused with 413."""
+
+    def __init__(self, *, parser: h11.Connection, bound: int, tail_bytes: int) -> None:
+        self._parser = parser
+        self._bound = bound
+        self._tail_bytes = tail_bytes
+        self._tail = b""
+        self._parts: list = []
+        self._size = 0
+
+    def take(self, *, data: bytes) -> tuple[bytes, bytes] | None:
+        """Read on; the whole body and the bytes behind it, or None while some is missing. Raises Refused."""
+        self._tail = self._tail[-self._tail_bytes:] + data
+        try:
+            self._parser.receive_data(data)
+            while True:
+                event = self._parser.next_event()
+                if event is h11.NEED_DATA:
+                    return None
+                if type(event) is h11.Data:
+                    self._size += len(event.data)
+                    if self._size > self._bound:
+                        raise Refused(code=413, reason="body too long")
+                    self._parts.append(bytes(event.data))
+                    continue
+                rest = bytes(self._parser.trailing_data[0])
+                self._check_end(count=len(event.headers), behind=len(rest))
+                return b"".join(self._parts), rest
+        except h11.RemoteProtocolError as error:
+            raise Refused(code=400, reason="malformed chunk") from error
+
+    def _check_end(self, *, count: int, behind: int) -> None:
+        section = self._tail[:len(self._tail) - behind]
+        lines = section[:-len(HEAD_END)].split(b"\r\n")
+        trailers = lines[len(lines) - count:]
+        is_sound = section.endswith(HEAD_END) and len(lines) > count and _LAST_CHUNK.fullmatch(lines[-count - 1])
+        if not is_sound or any(_BAD.search(line) or line[:1] in b" \t" or line[-1:] == b"\r" for line in trailers):
+            raise Refused(code=400, reason="malformed trailer")
+
+
+def write_response(*, code: int, headers: dict, body: bytes, is_closing: bool, is_head: bool, idle_wait: float) -> bytes:
+    """A whole response; a code under 200, which ends no exchange, becomes 502."""
+    if code < 200:
+        code, headers, body = 502, {}, b""
+    has_body = code not in (204, 304)
+    lines = [f"HTTP/1.1 {code} {_REASONS.get(code, 'Unknown')}"]
+    for name, value in headers.items():
+        line = f"{name}: {value}"
+        if name.lower() not in _CONNECTION_ONLY and "\n" not in line and "\r" not in line:
+            lines.append(line)
+    if has_body:
+        lines.append(f"Content-Length: {len(body)}")
+    if is_closing:
+        lines.append("Connection: close")
+    elif idle_wait >= 2:
+        lines.append(f"Keep-Alive: timeout={max(1, int(idle_wait) - 1)}")
+    lines.append("\r\n")
+    head = "\r\n".join(lines).encode("latin-1", "replace")
+    return head + body if has_body and not is_head else head
--- /dev/null
+++ b/sailward/dock/outbound.py
@@ -0,0 +1,338 @@
+"""HTTP calls to workers and the platform, on a reactor: every connection belongs to one owner and bears one call at a time."""
+from __future__ import annotations
+
+import errno
+import functools
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sailward import constants
+from sailward.acts import Call, Called
+from sailward.dock.exchange import Broken, Exchange, Whole
+from sailward.dock.reactor import Alarm, Reactor
+from sailward.dock.wire_names import WireNames
+
+ABORT = struct.pack("ii", 1, 0)
+CLEAN, SURPLUS, GONE = "clean", "surplus", "gone"
+
+
+DIAL_FAULTS = {errno.ECONNREFUSED: "refused", errno.ETIMEDOUT: "connect-timeout"}
+"""What a connection that did not come up tells: `refused` is the answer of a machine on which nobody listens there."""
+
+@dataclass(kw_only=True, eq=False)
+class Connection:
+    """A connection of an owner's. `is_last` says that it is closed behind the call it bears."""
+
+    owner: str
+    address: str
+    sock: socket.socket
+    running: Running | None = None
+    is_open: bool = False
+    is_kept: bool = False
+    is_last: bool = False
+    idle_until: float = 0.0
+
+
+@dataclass(kw_only=True, eq=False)
+class Running:
+    """A call under way. `is_sent` says whether the system accepted a byte of it."""
+
+    call: Call
+    deadline: float
+    dial_by: float = float("inf")
+    exchange: Exchange | None = None
+    connection: Connection | None = None
+    unsent: memoryview = memoryview(b"")
+    is_sent: bool = False
+    is_broken: bool = False
+    alarm: Alarm | None = None
+
+
+class Outbound:
+    """Makes the calls on the reactor's thread. Tells one Called for each call that isn't cancelled, never from within `give`.
+
+    A request of which the system accepted a byte is never sent again by itself.
+    """
+
+    def __init__(self, *, reactor: Reactor, tell: Callable[[object], None], names: WireNames) -> None:
+        self._reactor = reactor
+        self._tell = tell
+        self._names = names
+        self._running: dict[str, Running] = {}
+        self._idle: dict[str, list[Connection]] = {}
+        self._alarm: Alarm | None = None
+        self._opened = 0
+        self._reused = 0
+        self._stale = 0
+        self._surplus = 0
+
+    def give(self, *, call: Call) -> None:
+        """Make a call; its token is none that is under way."""
+        running = Running(call=call, deadline=self._reactor.clock() + call.wait)
+        self._running[call.token] = running
+        if call.wait < constants.OUT_SHORT:
+            running.alarm = self._reactor.later(delay=call.wait, call=functools.partial(self._check, running=running))
+        self._arm()
+        self._reactor.soon(call=functools.partial(self._begin, running=running))
+
+    def cancel(self, *, token: str) -> None:
+        """Abort a call's connection; no Called follows. A call that has ended is none of its business."""
+        running = self._running.get(token)
+        if running is not None:
+            self._forget(running=running, is_aborted=True)
+
+    def hang_up(self, *, owner: str) -> None:
+        """Close the owner's idle connections now, its busy ones behind their answers."""
+        for connection in self._idle.pop(owner, []):
+            self._close(connection=connection, is_aborted=False)
+        for running in self._running.values():
+            if running.connection is not None and running.connection.owner == owner:
+                running.connection.is_last = True
+
+    def counts(self) -> dict:
+        """Connections opened, calls on kept ones, kept ones found dead, idle ones closed for surplus bytes; idle and busy now."""
+        return {"opened": self._opened, "reused": self._reused, "stale": self._stale, "surplus": self._surplus,
+                "idle": sum(len(pool) for pool in self._idle.values()),
+                "busy": sum(1 for running in self._running.values() if running.connection is not None),
+                "calls": len(self._running)}
+
+    def _is_running(self, *, running: Running) -> bool:
+        return self._running.get(running.call.token) is running
+
+    def _begin(self, *, running: Running) -> None:
+        if not self._is_running(running=running):
+            return
+        call, now = running.call, self._reactor.clock()
+        if now > call.begin_by:
+            self._fail(running=running, fault="too-late")
+            return
+        if now >= running.deadline:
+            self._fail(running=running, fault="timed-out")
+            return
+        try:
+            running.exchange = Exchange(call=call, exchange_name=self._names.exchange)
+        except ValueError:
+            self._fail(running=running, fault="malformed")
+            return
+        running.unsent = memoryview(running.exchange.request)
+        connection = None if call.fresh else self._take_idle(owner=call.owner, address=call.address)
+        if connection is None:
+            self._dial(running=running)
+            return
+        connection.running, running.connection = running, connection
+        self._reused += 1
+        self._send(running=running)
+
+    def _take_idle(self, *, owner: str, address: str) -> Connection | None:
+        now = self._reactor.clock()
+        for connection in reversed(self._idle.get(owner, [])[:]):
+            if connection.address != address:
+                continue
+            self._leave_pool(connection=connection)
+            state = _peek(sock=connection.sock)
+            if now < connection.idle_until and state == CLEAN:
+                return connection
+            self._count_dead(state=state)
+            self._close(connection=connection, is_aborted=False)
+        return None
+
+    def _count_dead(self, *, state: str) -> None:
+        self._stale += state == GONE
+        self._surplus += state == SURPLUS
+
+    def _dial(self, *, running: Running) -> None:
+        call = running.call
+        sock = None
+        try:
+            family, place = _resolve(address=call.address)
+            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(constants.LEASE * 1000))
+            code = sock.connect_ex(place)
+        except (OSError, ValueError, OverflowError):
+            code = errno.EADDRNOTAVAIL
+        if code not in (0, errno.EINPROGRESS):
+            if sock is not None:
+                sock.close()
+            self._fail(running=running, fault=DIAL_FAULTS.get(code, "no-connection"))
+            return
+        connection = Connection(owner=call.owner, address=call.address, sock=sock, running=running)
+        running.connection = connection
+        running.dial_by = self._reactor.clock() + constants.DIAL_WAIT
+        self._reactor.watch(sock=sock, writable=functools.partial(self._on_dialled, connection=connection))
+
+    def _on_dialled(self, *, connection: Connection) -> None:
+        running = connection.running
+        code = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(running=running, fault=DIAL_FAULTS.get(code, "no-connection"))
+            return
+        connection.is_open = True
+        self._opened += 1
+        self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection))
+        now = self._reactor.clock()
+        state = _peek(sock=connection.sock)
+        if state != CLEAN:
+            self._fail(running=running, fault="surplus" if state == SURPLUS else "connection-lost")
+        elif now > running.call.begin_by or now >= running.deadline:
+            running.connection = connection.running = None
+            self._keep(connection=connection, idle=constants.IDLE_CALL)
+            self._fail(running=running, fault="too-late" if now > running.call.begin_by else "timed-out")
+        else:
+            self._send(running=running)
+
+    def _send(self, *, running: Running) -> None:
+        connection = running.connection
+        try:
+            while running.unsent:
+                count = connection.sock.send(running.unsent)
+                running.is_sent = True
+                running.unsent = running.unsent[count:]
+        except BlockingIOError:
+            self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection),
+                                writable=functools.partial(self._on_writable, connection=connection))
+        except OSError:
+            self._on_send_failed(running=running)
+
+    def _on_writable(self, *, connection: Connection) -> None:
+        running = connection.running
+        self._send(running=running)
+        if running.connection is connection and not running.unsent:
+            self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection))
+
+    def _on_send_failed(self, *, running: Running) -> None:
+        connection = running.connection
+        if running.is_sent:
+            # an answer may have come before the connection ended: read on
+            running.is_broken = True
+            running.unsent = memoryview(b"")
+            self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection))
+        elif connection.is_kept:
+            self._stale += 1
+            running.connection = None
+            self._close(connection=connection, is_aborted=True)
+            self._dial(running=running)
+        else:
+            self._fail(running=running, fault="connection-lost")
+
+    def _on_readable(self, *, connection: Connection) -> None:
+        running = connection.running
+        if running is None:
+            state = _peek(sock=connection.sock)
+            if state != CLEAN:
+                self._count_dead(state=state)
+                self._leave_pool(connection=connection)
+                self._close(connection=connection, is_aborted=False)
+            return
+        try:
+            data = connection.sock.recv(constants.OUT_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if data and not running.is_sent:
+            self._fail(running=running, fault="surplus")
+            return
+        result = running.exchange.feed(data=data) if data else running.exchange.end()
+        if isinstance(result, Broken):
+            self._fail(running=running, fault=result.fault)
+        elif isinstance(result, Whole):
+            self._finish(running=running, whole=result)
+
+    def _finish(self, *, running: Running, whole: Whole) -> None:
+        connection = running.connection
+        if running.unsent or running.is_broken:
+            self._forget(running=running, is_aborted=True)
+        else:
+            running.connection = connection.running = None
+            self._forget(running=running, is_aborted=False)
+            self._keep(connection=connection, idle=whole.idle)
+        self._tell(Called(token=running.call.token, code=whole.code, headers=whole.headers, body=whole.body, fault="", sent=True))
+
+    def _fail(self, *, running: Running, fault: str) -> None:
+        self._forget(running=running, is_aborted=True)
+        self._tell(Called(token=running.call.token, code=0, headers={}, body=b"", fault=fault, sent=running.is_sent))
+
+    def _forget(self, *, running: Running, is_aborted: bool) -> None:
+        del self._running[running.call.token]
+        if running.alarm is not None:
+            running.alarm.cancel()
+        connection, running.connection = running.connection, None
+        if connection is not None:
+            connection.running = None
+            self._close(connection=connection, is_aborted=is_aborted)
+
+    def _keep(self, *, connection: Connection, idle: float) -> None:
+        if connection.is_last or idle <= 0:
+            self._close(connection=connection, is_aborted=False)
+            return
+        connection.is_kept = True
+        connection.idle_until = self._reactor.clock() + idle
+        pool = self._idle.setdefault(connection.owner, [])
+        pool.append(connection)
+        if len(pool) > constants.OUT_IDLE:
+            self._close(connection=pool.pop(0), is_aborted=False)
+        self._arm()
+
+    def _leave_pool(self, *, connection: Connection) -> None:
+        pool = self._idle[connection.owner]
+        pool.remove(connection)
+        if not pool:
+            del self._idle[connection.owner]
+
+    def _close(self, *, connection: Connection, is_aborted: bool) -> None:
+        """Close it. An aborted one takes along what the system still holds: it must not arrive after a cut heals."""
+        self._reactor.watch(sock=connection.sock)
+        if is_aborted:
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
+        connection.sock.close()
+
+    def _arm(self) -> None:
+        if self._alarm is None and (self._running or self._idle):
+            self._alarm = self._reactor.later(delay=constants.OUT_SWEEP, call=self._sweep)
+
+    def _sweep(self) -> None:
+        self._alarm = None
+        for running in list(self._running.values()):
+            self._check(running=running)
+        now = self._reactor.clock()
+        for connection in [each for pool in self._idle.values() for each in pool if each.idle_until <= now]:
+            self._leave_pool(connection=connection)
+            self._close(connection=connection, is_aborted=False)
+        self._arm()
+
+    def _check(self, *, running: Running) -> None:
+        if not self._is_running(running=running):
+            return
+        now, connection = self._reactor.clock(), running.connection
+        if connection is not None and connection.is_open:
+            if now >= running.deadline:
+                # an answer that waits to be read is worth more than none
+                self._on_readable(connection=connection)
+                if self._is_running(running=running):
+                    self._fail(running=running, fault="timed-out")
+        elif now > running.call.begin_by:
+            self._fail(running=running, fault="too-late")
+        elif now >= min(running.deadline, running.dial_by):
+            self._fail(running=running, fault="connect-timeout" if connection is not None else "timed-out")
+
+
+def _peek(*, sock: socket.socket) -> str:
+    try:
+        return SURPLUS if sock.recv(1, socket.MSG_PEEK) else GONE
+    except BlockingIOError:
+        return CLEAN
+    except OSError:
+        return GONE
+
+
+def _resolve(*, address: str) -> tuple[int, tuple]:
+    """The family and place of `host:port`. A name that is no number is looked up, which may wait."""
+    host, _, port = address.rpartition(":")
+    if not 0 < int(port) < 1 << 16:
+        raise ValueError(port)
+    family, _, _, _, place = socket.getaddrinfo(host.strip("[]"), int(port), type=socket.SOCK_STREAM)[0]
+    return family, place
--- /dev/null
+++ b/sailward/dock/reactor.py
@@ -0,0 +1,123 @@
+"""One thread that owns a process's sockets and alarms: callbacks, called when a socket or a moment is ready."""
+from __future__ import annotations
+
+import collections
+import heapq
+import itertools
+import selectors
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True)
+class Alarm:
+    """A callback at a moment; `cancel` takes it back."""
+
+    call: Callable | None
+
+    def cancel(self) -> None:
+        """Never call it."""
+        self.call = None
+
+
+@dataclass(kw_only=True)
+class Watch:
+    """The callbacks of one socket; the writable one is asked for only while it is set."""
+
+    readable: Callable | None = None
+    writable: Callable | None = None
+
+
+@dataclass(kw_only=True)
+class Reactor:
+    """Task that waits for sockets and alarms. All callbacks run on the thread that calls `run`."""
+
+    clock: Callable[[], float] = time.monotonic
+    _selector: selectors.BaseSelector = field(default_factory=selectors.DefaultSelector)
+    _alarms: list = field(default_factory=list)
+    _count: itertools.count = field(default_factory=itertools.count)
+    _given: collections.deque = field(default_factory=collections.deque)
+    _soon: collections.deque = field(default_factory=collections.deque)
+    _stopped: bool = False
+
+    def __post_init__(self) -> None:
+        self._wake_in, self._wake_out = socket.socketpair()
+        self._wake_in.setblocking(False)
+        self._wake_out.setblocking(False)
+        self.watch(sock=self._wake_in, readable=self._drain_wakes)
+
+    def watch(self, *, sock: socket.socket, readable: Callable | None = None, writable: Callable | None = None) -> None:
+        """Call `readable` and `writable` (no arguments) when the socket is so; both None forgets the socket."""
+        events = (selectors.EVENT_READ if readable else 0) | (selectors.EVENT_WRITE if writable else 0)
+        known = sock.fileno() >= 0 and sock in self._selector.get_map()
+        if not events:
+            if known:
+                self._selector.unregister(sock)
+            return
+        watch = Watch(readable=readable, writable=writable)
+        if known:
+            self._selector.modify(sock, events, watch)
+        else:
+            self._selector.register(sock, events, watch)
+
+    def later(self, *, delay: float, call: Callable) -> Alarm:
+        """Call it once, `delay` seconds from now."""
+        alarm = Alarm(call=call)
+        heapq.heappush(self._alarms, (self.clock() + delay, next(self._count), alarm))
+        return alarm
+
+    def soon(self, *, call: Callable) -> None:
+        """Call it before the next wait; only from the reactor's own thread."""
+        self._soon.append(call)
+
+    def give(self, *, call: Callable) -> None:
+        """Call it on the reactor's thread; may be used from any thread."""
+        self._given.append(call)
+        try:
+            self._wake_out.send(b"x")
+        except BlockingIOError:
+            pass
+
+    def stop(self) -> None:
+        """Let `run` return."""
+        self._stopped = True
+
+    def run(self) -> None:
+        """Call back for ever, until `stop`."""
+        while not self._stopped:
+            self._ring()
+            while self._soon:
+                self._soon.popleft()()
+            if self._stopped:
+                return
+            wait = max(0.0, self._alarms[0][0] - self.clock()) if self._alarms else 1.0
+            for key, events in self._selector.select(wait):
+                watch = key.data
+                # a callback before this one may have closed the socket
+                if events & selectors.EVENT_READ and self._is_watched(key=key):
+                    watch.readable()
+                if events & selectors.EVENT_WRITE and self._is_watched(key=key) and watch.writable:
+                    watch.writable()
+
+    def _is_watched(self, *, key: selectors.SelectorKey) -> bool:
+        current = self._selector.get_map().get(key.fd)
+        return current is not None and current.data is key.data
+
+    def _ring(self) -> None:
+        now = self.clock()
+        while self._alarms and self._alarms[0][0] <= now:
+            _, _, alarm = heapq.heappop(self._alarms)
+            call, alarm.call = alarm.call, None
+            if call is not None:
+                call()
+
+    def _drain_wakes(self) -> None:
+        try:
+            while self._wake_in.recv(4096):
+                pass
+        except BlockingIOError:
+            pass
+        while self._given:
+            self._given.popleft()()
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -9,15 +9,21 @@
 from sailward.cask.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.cask.proposer import Begin, Proposer
+from sailward.house.bootstrap import make_founder
 from sailward.house.desk import Desk
+from sailward.house.fleet import Fleet
 from sailward.house.ledger import Ledger
 from sailward.house.moves import Moves
+from sailward.house.lives import Lives
 from sailward.house.membership import Membership
+from sailward.house.minding import Minding
+from sailward.house.options import CellarOptions
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscribers
+from sailward.label.dialect import OwnDialect
 from sailward.pour.exchange import answer_json
-from sailward.pour.plan import read_plan
+from sailward.pour.plan import plan_of, read_full
 from sailward.roster.gossip import Place, Roster
 from sailward.roster.pages import Pager
 
@@ -34,7 +40,8 @@
     """Owner of a cellar process. `step` takes one event and gives commands."""
 
     def __init__(self, *, place: Place, platform: str, nonce: str, start: int, rng: random.Random,
-                 records: list[dict], now: float) -> None:
+                 records: list[dict], now: float, options: CellarOptions | None = None) -> None:
+        self.options = options = options or CellarOptions()
         slots = Slots()
         self.identity = ""
         copied, opened, known = False, 0, None
@@ -52,7 +59,8 @@
             else:
                 fold_record(slots=slots, record=record, now=now)
         new = not self.identity
-        self.identity = self.identity or make_identity(name=place.name, nonce=nonce)
+        founds = new and options.bootstrap is not None and options.bootstrap.is_founder(post=place.post)
+        self.identity = self.identity or (make_founder(post=place.post) if founds else make_identity(name=place.name, nonce=nonce))
         self.place, self.start, self._nonce, self._left = place, start, nonce, 0
         self.held = HeldBook()
         self.acceptor = Acceptor(slots=slots)
@@ -60,17 +68,22 @@
         if known is not None and "v" in known:
             self.held.step(name="voters", ballot=known["b"], value=known["v"])
         self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
-        self.desk = Desk(identity=f"{place.name}#{nonce}")
-        self.roster = Roster(place=place, start=start, identity=self.identity)
+        self.desk = Desk(identity=f"{place.name}#{nonce}", dialect=options.dialect or OwnDialect(), wait=options.operation_wait,
+                         halls=frozenset(hall for hall, _ in options.zones))
+        self.roster = Roster(place=place, start=start, identity=self.identity, every=options.gossip_every, suspect=options.suspect_after)
         self.membership = Membership(cellar=self, now=now)
         self.moves = Moves()
-        self.pager = Pager(platform=platform)
-        self.subscribers = Subscribers()
+        self.pager = Pager(platform=platform, reader=options.reader, rate=options.list_rate)
+        self.lives = Lives(post=place.post, number=start)
+        self.subscribers = Subscribers(post=place.post if options.reader else "")
         self.standing = Standing()
+        self.fleet = Fleet(post=place.post, hall=place.hall, region=place.region)
+        self.minding = Minding(cellar=self, codec=options.grants, hold_max=options.hold_max) if options.grants else None
         self.workers: tuple = (-1, -1, None)
         self.count = len(records)
         self._wall = 0.0
-        self._begun = self.ledger.step(records=[{"k": "identity", "id": self.identity}] if new else [], replies=[])
+        founding = self.membership.found_alone(now=now) if founds else []
+        self._begun = self.ledger.step(records=[{"k": "identity", "id": self.identity}, *founding] if new else [], replies=[])
         self._reading: dict[str, str] = {}
         self._read_at: dict[str, float] = {}
         self._behind: dict[str, float] = {}
@@ -86,7 +99,8 @@
         elif isinstance(event, Asked):
             commands += self._ask(now=now, event=event)
         elif isinstance(event, Called):
-            commands += self._page(now=now, event=event)
+            is_grant = event.token.startswith(("grant ", "release "))
+            commands += self.minding.step(now=now, event=event) if is_grant else self._page(now=now, event=event)
         elif isinstance(event, (Synced, DiskFailed)):
             commands += self.ledger.hear(event=event)
         elif isinstance(event, Checked):
@@ -136,6 +150,10 @@
             return self.keep(now=now, name=body["name"], ballot=body["ballot"], value=body["value"], tell=False)
         if kind in ("push", "grant"):
             return []
+        if kind == "fleet":
+            return self.fleet.step(now=now, event=(sender, body), proxies=[], cellars=[])
+        if kind in ("confirm", "confirmed"):
+            return self.minding.hear(now=now, sender=sender, body=body) if self.minding else []
         if kind == "copy":
             return self.membership.tell_page(now=now, sender=sender, body=body)
         if kind == "copied":
@@ -149,6 +167,7 @@
         return [Log(event="message-unexpected", fields={"kind": kind, "from": sender})]
 
     def _vote(self, *, now: float, sender: str, body: dict) -> list:
+        self._note_newer(now=now, number=body["voters"])
         if not self.voting:
             return []
         known, slot = self.voters["number"], self.acceptor.slots.get("voters")
@@ -162,6 +181,12 @@
         records, reply = self.acceptor.step(now=now, body=body)
         return self.ledger.step(records=records, replies=[Tell(to=sender, body=reply)])
 
+    def _note_newer(self, *, now: float, number: int) -> None:
+        """Who acts under a newer set shows that there is one: ask for it, or read it, soon."""
+        if self.options.bootstrap and number > self.voters["number"]:
+            self.membership.ask_soon()
+            self._behind.setdefault("voters", now - constants.STALLED)
+
     def _grant(self, *, now: float, sender: str, body: dict) -> list:
         commands = self.subscribers.step(now=now, event=(sender, body), news=self._news())
         newest = {}
@@ -169,6 +194,12 @@
             slot = self.acceptor.slots[name]
             value = slot.value or {"number": 0, "mark": ""}
             newest[name] = [value["number"], value["mark"], slot.ballot]
+        if self.options.bootstrap:
+            commands += self._hear_joiner(now=now, sender=sender, daemon=body["daemon"])
+            held = self.held.held.get("voters")
+            if held is not None and held.value["number"] > newest.get("voters", [0])[0]:
+                # a consent of one that knows the next set is none under the set before
+                newest["voters"] = [held.value["number"], held.value["mark"], held.ballot]
         for name, have in body["have"].items():
             if is_control(name=name) and isinstance(have, list) and have[0] > self.held.number(name=name):
                 self._behind.setdefault(name, now - constants.STALLED)
@@ -181,12 +212,20 @@
                          "wall": self._wall + now}}
         return [*commands, Tell(to=sender, body=reply)]
 
+    def _hear_joiner(self, *, now: float, sender: str, daemon: dict) -> list:
+        if daemon.get("kind") != "cellar":
+            return []
+        return self.roster.step(now=now, event=(sender, {"entries": [daemon], "reply": True}))
+
     def _news(self) -> dict:
         news = {name: (held.value["number"], held.ballot, held.value) for name, held in self.held.held.items()
                 if held.value["number"]}
         epoch, revision, value = self.workers
         if value is not None:
             news["workers"] = (revision, [epoch, ""], value)
+        fleet = self.fleet.value() if self.options.tells_fleet else None
+        if fleet is not None:
+            news["fleet"] = (fleet["number"], [0, ""], fleet)
         return news
 
     def _ask(self, *, now: float, event: Asked) -> list:
@@ -204,6 +243,8 @@
         return commands + self.begin(now=now, begins=begins)
 
     def _page(self, *, now: float, event: Called | None) -> list:
+        if self.options.reader is not None:
+            return self._page_lives(now=now, event=event)
         commands, whole = self.pager.step(now=now, event=event)
         if whole is not None and (whole.epoch, whole.revision) > self.workers[:2]:
             rows = sorted(whole.workers, key=lambda row: row["id"])
@@ -213,6 +254,23 @@
             commands += self.subscribers.step(now=now, event=None, news=self._news())
         return commands
 
+    def _page_lives(self, *, now: float, event: Called | None) -> list:
+        members = self.voters["members"]
+        fit = sum(one["fit"] for one in self.roster.alive(kind="cellar"))
+        self.pager.pollers = fit + 1
+        if event is None and members and not self.voting and not self.subscribers.has_followers():
+            # nobody would read it
+            return []
+        commands, whole = self.pager.step(now=now, event=event)
+        if whole is None:
+            return commands
+        news = self.lives.step(now=now, rows=whole.workers)
+        self.workers = (0, self.lives.number, self.lives.value)
+        if news:
+            commands.append(Log(event="list-news", fields={"revision": self.lives.number, "workers": len(whole.workers)}))
+            commands += self.subscribers.step(now=now, event=None, news=self._news())
+        return commands
+
     def begin(self, *, now: float, begins: list[Begin]) -> list:
         """Begin operations on registers."""
         commands = []
@@ -239,8 +297,8 @@
         if name == "voters" and self.membership.is_out(value=value):
             return [Log(event="in-force", fields={"register": name, "number": value["number"]}), *self.membership.leave()]
         if name == "config":
-            self.desk.full = json.loads(value["text"])["full"]
-            self.moves.plan = read_plan(value=value)
+            self.desk.full = read_full(value=value, expand=self.options.expand)
+            self.moves.plan = plan_of(full=self.desk.full, number=value["number"])
         commands = self.ledger.know(ballot=ballot, value=value) if name == "voters" else []
         commands += self.subscribers.step(now=now, event=None, news=self._news())
         if tell:
@@ -254,8 +312,17 @@
         commands += self._settle(now=now, settled=settled)
         commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
         commands += self._move_slots(now=now)
+        if self.options.tells_fleet:
+            cellars = [*self.roster.alive(kind="cellar"), self.roster.own_entry()]
+            commands += self.fleet.step(now=now, event=None, proxies=self.subscribers.proxies(), cellars=cellars)
+        if self.minding is not None:
+            commands += self.minding.step(now=now, event=None)
         commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self.membership.step(now=now)
         self.roster.fit, self.roster.asks = self.voting, self.subscribers.asks(now=now)
+        if self.options.bootstrap:
+            # one that waits and can't write is not brought in
+            may_act = self.ledger.usable or self.identity in self.voters["members"]
+            self.roster.identity = self.identity if may_act else ""
         if now - self._judged >= constants.JUDGE_EVERY:
             self._judged = now
             commands += self.subscribers.step(now=now, event=None, news=self._news())
@@ -291,7 +358,7 @@
             else:
                 self._behind.setdefault(name, now)
             stalled = name in self._behind and now - self._behind[name] >= constants.STALLED
-            due = now - self._read_at.get(name, -1e9) >= (constants.STALLED if stalled else constants.READ_EVERY)
+            due = now - self._read_at.get(name, -1e9) >= (constants.STALLED if stalled else self.options.read_every)
             if due and name not in self._reading.values():
                 self._ops, self._read_at[name] = self._ops + 1, now
                 self._behind.pop(name, None)
--- a/sailward/house/copying.py
+++ b/sailward/house/copying.py
@@ -26,6 +26,7 @@
     cursors: dict = field(default_factory=dict)
     done: set = field(default_factory=set)
     again: float = -1e9
+    pause: float = field(default_factory=lambda: constants.COPY_AGAIN)
 
     def step(self, *, now: float, voters: Held, event: tuple | None) -> list:
         """Take a (sender, copied) or None for time going on."""
@@ -36,7 +37,7 @@
             return self._fold(now=now, voters=voters, sender=event[0], body=event[1])
         if now < self.again:
             return []
-        self.again = now + constants.COPY_AGAIN
+        self.again = now + self.pause
         return [self._ask(to=address, voters=voters) for address in self.old.values() if address not in self.done]
 
     def is_over(self) -> bool:
--- a/sailward/house/desk.py
+++ b/sailward/house/desk.py
@@ -5,35 +5,40 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Check, Checked, Log
+from sailward.acts import Asked, Check, Checked, Log
 from sailward.cask.proposer import Accepted, Begin, Refused, Settled, Unknown
 from sailward.house.homes import find_homeless
 from sailward.house.repair import change_members, keeps_majority
-from sailward.label.check import Unsound, read_config
-from sailward.label.patch import merge_patch
-from sailward.pour.exchange import answer_json
+from sailward.label.check import Fault, Unsound
+from sailward.label.dialect import Dialect, Order, Outcome, OwnDialect, refused_unsound
+from sailward.label.history import Labelled, read_labelled, write_labelled
 
 
 @dataclass(kw_only=True)
 class Job:
-    """One operators' exchange under way."""
+    """One operators' exchange under way; `number` and `text` are the register's as read for it."""
 
     token: str
-    kind: str
-    register: str
-    expected: int | None = None
-    given: object = None
-    confirmed: bool = False
+    order: Order
+    dialect: Dialect
     turns: int = 0
     number: int = 0
-    note: dict = field(default_factory=dict)
+    text: str = ""
+    written: dict = field(default_factory=dict)
+    notes: dict = field(default_factory=dict)
 
 
 @dataclass(kw_only=True)
 class Desk:
-    """Owner of the operators' exchanges. `step` gives (commands, proposer's begins)."""
+    """Owner of the operators' exchanges. `step` gives (commands, proposer's begins).
+
+    What the `dialect` does not know is read as the product's own words. `halls` are known without a configuration.
+    """
 
     identity: str
+    dialect: Dialect = field(default_factory=OwnDialect)
+    halls: frozenset = frozenset()
+    wait: float = field(default_factory=lambda: constants.OPERATION_EXPIRY)
     jobs: dict = field(default_factory=dict)
     count: int = 0
     full: dict = field(default_factory=dict)
@@ -45,8 +50,7 @@
             job = self.jobs.pop(event.token, None)
             return self._after_check(job=job, verdict=event.verdict) if job else ([], [])
         if isinstance(event, Asked):
-            job = self._read_job(event=event)
-            return ([job], []) if isinstance(job, Answer) else ([], [self._begin_read(job=job)])
+            return self._take(event=event)
         job = self.jobs.pop(event.op, None)
         if job is None:
             return [], []
@@ -54,156 +58,157 @@
             return self._after_read(job=job, outcome=event.outcome)
         return self._after_change(job=job, outcome=event.outcome)
 
-    def _read_job(self, *, event: Asked) -> Job | Answer:
-        if event.body is None:
-            return _refuse(token=event.token, code=413, reason="too-large",
-                           detail=f"at most {constants.CONFIG_BYTES} bytes")
-        parts = event.path.strip("/").split("/")
-        if parts == ["config"] and event.method in ("GET", "PUT", "PATCH"):
-            return self._read_config_job(event=event)
-        if parts == ["orders"] and event.method == "GET":
-            return Job(token=event.token, kind="get", register="orders")
-        if parts == ["voters"] and event.method == "GET":
-            return Job(token=event.token, kind="get", register="voters")
-        if len(parts) == 3 and parts[0] == "voters" and parts[2] in ("join", "part") and event.method == "POST":
-            return Job(token=event.token, kind=parts[2], register="voters", given=parts[1])
-        if len(parts) == 3 and parts[0] == "halls" and parts[2] in ("empty", "refill") and event.method == "POST":
-            return Job(token=event.token, kind=parts[2], register="orders", given=parts[1],
-                       confirmed=event.query.get("confirm") == "yes")
-        return _refuse(token=event.token, code=404, reason="unknown", detail=f"{event.method} {event.path}"[:200])
-
-    def _read_config_job(self, *, event: Asked) -> Job | Answer:
-        if event.method == "GET":
-            return Job(token=event.token, kind="get", register="config")
-        expected = event.headers.get("if-match")
-        if expected is not None:
-            expected = expected.strip().strip('"')
-            if not (expected.isascii() and expected.isdigit() and len(expected) < 16):
-                return _refuse(token=event.token, code=400, reason="if-match", detail="If-Match is a number in quotes")
-        given = read_config(text=event.body)
-        if isinstance(given, Unsound):
-            return _refuse_unsound(token=event.token, unsound=given)
-        return Job(token=event.token, kind=event.method.lower(), register="config", given=given,
-                   expected=None if expected is None else int(expected),
-                   note={"dry": event.query.get("dry") == "yes"})
+    def _take(self, *, event: Asked) -> tuple[list, list]:
+        dialect, order = self.dialect, self.dialect.read(event=event)
+        if order is None:
+            dialect = OwnDialect()
+            order = dialect.read(event=event)
+        if isinstance(order, Order) and order.register == "config" and dialect.is_labelled != self.dialect.is_labelled:
+            order = Outcome(kind="refused", code=404, reason="unknown", detail="configurations are written in another dialect here")
+        if isinstance(order, Outcome):
+            return [dialect.answer(token=event.token, order=None, outcome=order)], []
+        return [], [self._begin_read(job=Job(token=event.token, order=order, dialect=dialect))]
 
     def _begin(self, *, job: Job, kind: str, **fields: object) -> Begin:
         self.count += 1
         op = f"{self.identity}/desk{self.count}/{kind}"
         self.jobs[op] = job
-        return Begin(op=op, register=job.register, **fields)
+        return Begin(op=op, register=job.order.register, **fields)
 
     def _begin_read(self, *, job: Job) -> Begin:
-        return self._begin(job=job, kind="read")
+        return self._begin(job=job, kind="read", wait=self.wait)
+
+    def _end(self, *, job: Job, outcome: Outcome) -> tuple[list, list]:
+        return [job.dialect.answer(token=job.token, order=job.order, outcome=outcome)], []
 
     def _after_read(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
         if not isinstance(outcome, Accepted):
-            return [_refuse(token=job.token, code=503, reason="no-majority",
-                            detail="the core can't be read now; nothing was changed")], []
-        value = outcome.value
-        if job.kind == "get":
-            return [_show(token=job.token, register=job.register, value=value)], []
-        if job.expected is not None and job.expected != value["number"]:
-            return [_refuse(token=job.token, code=412, reason="number", number=value["number"],
-                            detail=f"the current number is {value['number']}, not {job.expected}")], []
-        job.number = value["number"]
-        if job.register in ("orders", "voters"):
-            made = (self._make_orders if job.register == "orders" else self._make_voters)(job=job, value=value)
-            return ([made], []) if isinstance(made, Answer) else ([], [self._begin_change(job=job, text=made)])
-        given = job.given
-        if job.kind == "patch":
-            old = json.loads(value["text"])["written"] if value["text"] else {}
-            given = merge_patch(target=old, patch=given)
+            return self._end(job=job, outcome=Outcome(kind="unavailable", code=503, reason="no-majority",
+                                                      detail="the core can't be read now; nothing was changed"))
+        job.number, job.text = outcome.value["number"], outcome.value["text"]
+        if job.order.kind == "get":
+            return self._end(job=job, outcome=Outcome(kind="shown", value=outcome.value))
+        if job.order.register == "config" and job.dialect.is_labelled:
+            return self._weigh_labelled(job=job)
+        if job.order.expected is not None and job.order.expected != job.number:
+            detail = f"the current number is {job.number}, not {job.order.expected}"
+            return self._end(job=job, outcome=_stale(number=job.number, detail=detail))
+        if job.order.register in ("orders", "voters"):
+            made = (self._make_orders if job.order.register == "orders" else self._make_voters)(job=job)
+            return self._end(job=job, outcome=made) if isinstance(made, Outcome) else ([], [self._begin_change(job=job, text=made)])
+        written = json.loads(job.text)["written"] if job.text else {}
+        return self._begin_check(job=job, written=written)
+
+    def _weigh_labelled(self, *, job: Job) -> tuple[list, list]:
+        """Judge a change of a labelled configuration by the one that is current."""
+        order, current = job.order, read_labelled(text=job.text)
+        is_same = order.kind == "put" and current.written is not None and order.given == current.written
+        if current.has(digest=order.digest) or is_same:
+            # taken before, maybe by another cellar: what is sent again is answered again
+            return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
+        if order.expected != current.label:
+            return self._end(job=job, outcome=_stale(number=current.label, detail=f"the current version is {current.label}"))
+        return self._begin_check(job=job, written=current.written or {}, current=current)
+
+    def _begin_check(self, *, job: Job, written: dict, current: Labelled | None = None) -> tuple[list, list]:
+        given = job.order.given
+        if job.order.kind == "patch":
+            given = job.dialect.merge(written=written, patch=given)
+        config = given if isinstance(given, Unsound) else job.dialect.expand(written=given)
+        if isinstance(config, Unsound):
+            return self._end(job=job, outcome=refused_unsound(unsound=config))
+        if current is not None and job.dialect.label(written=given) <= current.label:
+            return self._end(job=job, outcome=refused_unsound(unsound=_not_newer(label=current.label)))
+        job.written = given
         self.count += 1
         token = f"{self.identity}/desk{self.count}/check"
         self.jobs[token] = job
-        return [Check(token=token, config=given)], []
+        return [Check(token=token, config=config)], []
 
     def _begin_change(self, *, job: Job, text: str) -> Begin:
-        wait = constants.OPERATION_EXPIRY + len(text) * constants.ROUND_PER_BYTE
-        return self._begin(job=job, kind="change", expected=job.number, text=text, wait=wait)
+        return self._begin(job=job, kind="change", expected=job.number, text=text, wait=self.wait + len(text) * constants.ROUND_PER_BYTE)
 
     def _after_check(self, *, job: Job, verdict: object) -> tuple[list, list]:
         if isinstance(verdict, Unsound):
-            return [_refuse_unsound(token=job.token, unsound=verdict)], []
-        job.note["warnings"] = [{"path": one.path, "reason": one.reason} for one in verdict.warnings]
-        if job.note.get("dry"):
-            return [answer_json(token=job.token, code=200, body={"outcome": "sound", "number": job.number, **job.note})], []
-        text = json.dumps({"written": verdict.written, "full": verdict.full}, separators=(",", ":"))
+            return self._end(job=job, outcome=refused_unsound(unsound=verdict))
+        job.notes = {"warnings": [{"path": one.path, "reason": one.reason} for one in verdict.warnings]}
+        if job.dialect.is_labelled:
+            text = write_labelled(before=read_labelled(text=job.text), written=job.written, label=job.dialect.label(written=job.written),
+                                  digest=job.order.digest)
+        else:
+            before = json.loads(job.text)["full"].get("label") if job.text else None
+            if before is not None and "label" in verdict.full and verdict.full["label"] <= before:
+                return self._end(job=job, outcome=refused_unsound(unsound=_not_newer(label=before)))
+            text = json.dumps({"written": verdict.written, "full": verdict.full}, separators=(",", ":"))
+        if job.order.is_dry:
+            return self._end(job=job, outcome=Outcome(kind="sound", number=job.number, notes={"dry": True, **job.notes}))
         if len(text) > 2 * constants.CONFIG_BYTES:
-            return [_refuse(token=job.token, code=413, reason="too-large",
-                            detail="too large with its templates stamped out")], []
+            return self._end(job=job, outcome=Outcome(kind="refused", code=413, reason="too-large",
+                                                      detail="too large with its templates stamped out"))
         return [], [self._begin_change(job=job, text=text)]
 
-    def _make_orders(self, *, job: Job, value: dict) -> str | Answer:
-        emptied = set(json.loads(value["text"])["emptied"]) if value["text"] else set()
-        hall = job.given
-        if hall not in self.full.get("halls", {}) and not (job.kind == "refill" and hall in emptied):
-            return _refuse(token=job.token, code=404, reason="hall-unknown", detail=f"no hall {hall!r} in the configuration")
-        if job.kind == "empty":
+    def _make_orders(self, *, job: Job) -> str | Outcome:
+        emptied = set(json.loads(job.text)["emptied"]) if job.text else set()
+        hall, kind = job.order.given, job.order.kind
+        if hall not in self.full.get("halls", {}) and hall not in self.halls and not (kind == "refill" and hall in emptied):
+            return Outcome(kind="refused", code=404, reason="hall-unknown", detail=f"no hall {hall!r} in the configuration")
+        if job.dialect.is_labelled and (hall in emptied) == (kind == "empty"):
+            # ordered before: a resent order needs no change
+            return Outcome(kind="accepted", number=job.number)
+        if kind == "empty":
             emptied |= {hall}
             homeless = find_homeless(full=self.full, emptied=emptied)
-            if homeless and not job.confirmed:
-                return _refuse(token=job.token, code=409, reason="homes-left-empty", tenants=homeless,
+            if homeless and not job.order.is_confirmed:
+                return Outcome(kind="refused", code=409, reason="homes-left-empty", notes={"tenants": homeless},
                                detail="these tenants would have no hall at home: confirm=yes empties it all the same")
         else:
             emptied -= {hall}
         return json.dumps({"emptied": sorted(emptied)})
 
-    def _make_voters(self, *, job: Job, value: dict) -> str | Answer:
+    def _make_voters(self, *, job: Job) -> str | Outcome:
         """One member more or less, by its identity or its name; never one that would cost the majority."""
-        members = json.loads(value["text"])["members"] if value["text"] else {}
-        names = {one.split("#")[0]: one for one in (members if job.kind == "part" else self.cellars)}
-        identity = names.get(job.given, job.given)
-        if job.kind == "join":
+        kind, given = job.order.kind, job.order.given
+        members = json.loads(job.text)["members"] if job.text else {}
+        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.cellars)}
+        identity = names.get(given, given)
+        if kind == "join":
             if identity in members or identity not in self.cellars:
-                return _refuse(token=job.token, code=409, reason="not-waiting", detail=f"no empty cellar {job.given!r} waits")
-            text = change_members(text=value["text"], add=(identity, self.cellars[identity]["post"]))
+                return Outcome(kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits")
+            text = change_members(text=job.text, add=(identity, self.cellars[identity]["post"]))
         else:
             if identity not in members:
-                return _refuse(token=job.token, code=404, reason="voter-unknown", detail=f"no voter {job.given!r}")
-            text = change_members(text=value["text"], drop=identity)
+                return Outcome(kind="refused", code=404, reason="voter-unknown", detail=f"no voter {given!r}")
+            text = change_members(text=job.text, drop=identity)
         well = {name for name, entry in self.cellars.items() if entry["fit"]}
-        if len(members) + (1 if job.kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
-            return _refuse(token=job.token, code=409, reason="majority-lost",
+        if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
+            return Outcome(kind="refused", code=409, reason="majority-lost",
                            detail=f"only {sorted(well)} vote now: that set would have no majority")
         size = len(json.loads(text)["members"])
         return json.dumps({**json.loads(text), "size": size}, sort_keys=True)
 
     def _after_change(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
         if isinstance(outcome, Accepted):
-            number = outcome.number
-            body = {"outcome": "accepted", "number": number, **{k: v for k, v in job.note.items() if k != "dry"}}
-            log = Log(event="accepted", fields={"register": job.register, "number": number, "by": job.kind})
-            return [log, answer_json(token=job.token, code=200, body=body, headers={"ETag": f'"{number}"'})], []
+            log = Log(event="accepted", fields={"register": job.order.register, "number": outcome.number, "by": job.order.kind})
+            commands, begins = self._end(job=job, outcome=Outcome(kind="accepted", number=outcome.number, notes=job.notes))
+            return [log, *commands], begins
         if isinstance(outcome, Unknown):
-            return [_refuse(token=job.token, code=504, reason=outcome.reason, outcome="unknown",
-                            detail="it may be in force, now or later: read it back")], []
+            return self._end(job=job, outcome=Outcome(kind="unknown", code=504, reason=outcome.reason,
+                                                      detail="it may be in force, now or later: read it back"))
         if outcome.reason != "number":
-            return [_refuse(token=job.token, code=503, reason=outcome.reason, detail="nothing was changed")], []
+            return self._end(job=job, outcome=Outcome(kind="unavailable", code=503, reason=outcome.reason, detail="nothing was changed"))
         job.turns += 1
-        if job.register == "orders" and job.turns < 5:
+        if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < 5:
             return [], [self._begin_read(job=job)]
-        return [_refuse(token=job.token, code=412, reason="number", number=outcome.value["number"],
-                        detail="another change was first")], []
-
-
-def _show(*, token: str, register: str, value: dict) -> Answer:
-    inner = json.loads(value["text"]) if value["text"] else {}
-    if register == "config":
-        body = {"number": value["number"], "config": inner.get("written")}
-    else:
-        body = {"number": value["number"], register: inner}
-    code = 200 if value["number"] or register == "orders" else 404
-    return answer_json(token=token, code=code, body=body, headers={"ETag": f'"{value["number"]}"'})
+        if job.dialect.is_labelled:
+            # who won may have been this very change, taken by another cellar: nothing definite can be said
+            return self._end(job=job, outcome=Outcome(kind="unavailable", code=503, reason="contended",
+                                                      detail="read it back, or send it again"))
+        return self._end(job=job, outcome=_stale(number=outcome.value["number"], detail="another change was first"))
 
 
-def _refuse(*, token: str, code: int, reason: str, detail: str, outcome: str = "refused", **more: object) -> Answer:
-    headers = {"Retry-After": str(constants.RETRY_AFTER)} if code >= 500 else {}
-    return answer_json(token=token, code=code, headers=headers,
-                       body={"outcome": outcome, "error": reason, "detail": detail, **more})
+def _stale(*, number: int, detail: str) -> Outcome:
+    return Outcome(kind="refused", code=412, reason="number", number=number, detail=detail)
 
 
-def _refuse_unsound(*, token: str, unsound: Unsound) -> Answer:
-    faults = [{"path": fault.path, "reason": fault.reason} for fault in unsound.faults]
-    return _refuse(token=token, code=422, reason="invalid", detail=f"{len(faults)} faults", faults=faults)
+def _not_newer(*, label: int) -> Unsound:
+    return Unsound(faults=(Fault(path="label", reason=f"must be over the current one, {label}"),))
--- /dev/null
+++ b/sailward/house/directory.py
@@ -0,0 +1,38 @@
+"""The directory: the addresses of proxies fit to serve, nearest first, as the core told them."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Answer, Asked
+from sailward.pour.exchange import answer_json
+from sailward.roster.gossip import Place
+
+
+@dataclass(kw_only=True)
+class Directory:
+    """Owner of the fleet as the directory tells it. `step` answers who asks for addresses."""
+
+    place: Place
+    rows: list = field(default_factory=list)
+    number: int = -1
+
+    def learn(self, *, rows: list) -> None:
+        """Take the proxies: [[name, address, hall, region, is_fit], ...]."""
+        self.rows = rows
+
+    def step(self, *, event: Asked, is_ready: bool) -> Answer:
+        """The proxies of the caller's region, or all if it has none."""
+        if event.method != "GET" or event.path != "/proxies":
+            return answer_json(token=event.token, code=404, body={"error": "unknown", "detail": "GET /proxies"})
+        hall, region = event.query.get("hall", self.place.hall), event.query.get("region", self.place.region)
+        fit = [row for row in self.rows if row[4] and row[0] != self.place.name]
+        if is_ready:
+            fit.append([self.place.name, self.place.http, self.place.hall, self.place.region, True])
+        near = [row for row in fit if row[3] == region] or fit
+        near.sort(key=lambda row: (row[2] != hall, row[0]))
+        proxies = [{"id": row[0], "address": row[1], "hall": row[2], "region": row[3]} for row in near]
+        if not proxies:
+            return answer_json(token=event.token, code=503, body={"error": "no-proxy", "proxies": []},
+                               headers={"Retry-After": str(constants.RETRY_AFTER)})
+        return answer_json(token=event.token, code=200, body={"proxies": proxies})
--- /dev/null
+++ b/sailward/house/fleet.py
@@ -0,0 +1,122 @@
+"""The fleet as the core tells it: the proxies that ask any cellar, where the cellars are, and what proxies report of workers."""
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Tell
+from sailward.house.subscribers import Subscriber
+
+
+@dataclass(kw_only=True)
+class Told:
+    """What one other cellar said last of its own proxies."""
+
+    at: float
+    rows: list
+    cellars: list
+    down: dict
+    loads: dict
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """Owner of the fleet's view. `step` folds another cellar's word, or tells the others what is new here."""
+
+    post: str
+    hall: str
+    region: str
+    others: dict = field(default_factory=dict)
+    last: dict = field(default_factory=dict)
+    seen: dict = field(default_factory=dict)
+    number: int = 0
+    text: str = ""
+    told_at: float = -1e9
+    told_rows: list = field(default_factory=list)
+    rates: dict = field(default_factory=dict)
+
+    def step(self, *, now: float, event: tuple | None, proxies: list[Subscriber], cellars: list[dict]) -> list:
+        """A (sender, body) of kind fleet, or None for time going on; `cellars` are those of the roster that are not lost."""
+        if event is not None:
+            sender, body = event
+            self.others[sender] = Told(at=now, rows=body["rows"], cellars=body["cellars"], down=body["down"], loads=body["loads"])
+            return []
+        self._note_loads(now=now, proxies=proxies)
+        own = self._own_rows(now=now, proxies=proxies)
+        self._compose(now=now, own=own, cellars=cellars)
+        changed = own != self.told_rows
+        if not changed and now - self.told_at < constants.FLEET_EVERY:
+            return []
+        self.told_at, self.told_rows = now, own
+        body = {"kind": "fleet", "number": self.number, "rows": own, "cellars": [], "loads": self._own_loads(), "down": self._own_down(proxies=proxies)}
+        return [Tell(to=one["post"], body=body) for one in cellars if one["post"] != self.post]
+
+    def value(self) -> dict | None:
+        """The fleet as a push carries it."""
+        return {"number": self.number, "mark": self.post, "trail": [], "text": self.text} if self.text else None
+
+    def down(self, *, now: float, proxies: list[Subscriber]) -> dict:
+        """{worker: (proxies that call it unreachable, proxies that report)}."""
+        counts = self._own_down(proxies=proxies)
+        voices = len(proxies)
+        for told in self._fresh(now=now):
+            for key, count in told.down.items():
+                counts[key] = counts.get(key, 0) + count
+            voices += len(told.rows)
+        return {key: (count, voices) for key, count in counts.items()}
+
+    def loads(self, *, now: float, service: str) -> dict:
+        """Requests/s by bucket of a divided service, over the whole fleet."""
+        whole = dict(self.rates.get(service, {}))
+        for told in self._fresh(now=now):
+            for bucket, rate in told.loads.get(service, {}).items():
+                whole[int(bucket)] = whole.get(int(bucket), 0.0) + rate
+        return whole
+
+    def _fresh(self, *, now: float) -> list[Told]:
+        return [told for told in self.others.values() if now - told.at < constants.FLEET_LIFE]
+
+    def _own_rows(self, *, now: float, proxies: list[Subscriber]) -> list:
+        return sorted([one.entry["id"], one.entry["http"], one.entry["hall"], one.entry["region"], bool(one.entry["fit"])]
+                      for one in proxies if now - one.seen < constants.PROXY_SILENT)
+
+    def _own_down(self, *, proxies: list[Subscriber]) -> dict:
+        counts: dict = {}
+        for one in proxies:
+            for key in one.report.get("down", ()):
+                counts[key] = counts.get(key, 0) + 1
+        return counts
+
+    def _own_loads(self) -> dict:
+        return {service: {str(bucket): round(rate, 2) for bucket, rate in rates.items() if rate >= constants.LOAD_LEAST}
+                for service, rates in self.rates.items()}
+
+    def _note_loads(self, *, now: float, proxies: list[Subscriber]) -> None:
+        for one in proxies:
+            key = (one.entry["id"], one.report.get("turn"))
+            if one.report.get("turn") is None or self.seen.get(one.entry["id"]) == key[1]:
+                continue
+            self.seen[one.entry["id"]] = key[1]
+            if one.report.get("lead") != self.post:
+                continue
+            for service, buckets in one.report.get("loads", {}).items():
+                rates = self.rates.setdefault(service, {})
+                for bucket, count in buckets.items():
+                    rates[int(bucket)] = rates.get(int(bucket), 0.0) + count / constants.LOAD_SPAN
+        elapsed = now - self.last.get("decay", now)
+        self.last["decay"] = now
+        keep = max(0.0, 1.0 - elapsed / constants.LOAD_SPAN)
+        for rates in self.rates.values():
+            for bucket in list(rates):
+                rates[bucket] *= keep
+                if rates[bucket] < constants.LOAD_LEAST / 4:
+                    del rates[bucket]
+
+    def _compose(self, *, now: float, own: list, cellars: list[dict]) -> None:
+        rows = {row[0]: row for told in self.others.values() if now - told.at < constants.FLEET_LIFE for row in told.rows}
+        rows |= {row[0]: row for row in own}
+        posts = sorted([one["post"], one["hall"], one["region"]] for one in cellars)
+        text = json.dumps({"proxies": [rows[name] for name in sorted(rows)], "cellars": posts}, separators=(",", ":"))
+        if text != self.text:
+            self.text, self.number = text, self.number + 1
--- /dev/null
+++ b/sailward/house/freshness.py
@@ -0,0 +1,77 @@
+"""How long a cellar may take what it holds of a register for the newest: a read lease from a blocking set of voters."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Tell
+from sailward.cask.acceptor import Slots
+from sailward.cask.held import HeldBook
+from sailward.cask.proposer import blocking_of
+
+NEVER = -1e9
+
+
+@dataclass(kw_only=True)
+class Confirmation:
+    """What one voter said last: when it was asked, and its newest vote of each register."""
+
+    asked: float
+    newest: dict
+
+
+@dataclass(kw_only=True)
+class Freshness:
+    """Owner of the confirmations. `step` folds one, or asks all other voters when it is time; `until` gives the lease's end.
+
+    A newer value can only be chosen by a majority, which has a voter in common with every blocking set: if each of one said
+    after a moment that it had voted for nothing newer than what is held here, nothing newer was chosen by that moment.
+    """
+
+    told: dict = field(default_factory=dict)
+    asked: dict = field(default_factory=dict)
+    seq: int = 0
+    next_at: float = NEVER
+
+    def step(self, *, now: float, body: dict | None, members: dict, own: str, registers: list) -> list:
+        """`members` are the voters, `own` this one's identity."""
+        if body is not None:
+            asked = self.asked.get(body["seq"])
+            known = self.told.get(body["identity"])
+            if asked is not None and (known is None or asked > known.asked):
+                self.told[body["identity"]] = Confirmation(asked=asked, newest=body["newest"])
+            return []
+        if now < self.next_at or not registers:
+            return []
+        self.seq, self.next_at = self.seq + 1, now + constants.CONFIRM_EVERY
+        self.asked = {seq: at for seq, at in self.asked.items() if now - at < constants.GRANT_LEASE}
+        self.asked[self.seq] = now
+        return [Tell(to=post, body={"kind": "confirm", "seq": self.seq, "registers": registers})
+                for name, post in sorted(members.items()) if name != own]
+
+    def until(self, *, now: float, register: str, held: HeldBook, members: dict, own: str, slots: Slots) -> float:
+        """The moment until which the value held of this register may be acted on as the newest."""
+        if not members:
+            return NEVER
+        ends = []
+        for name in members:
+            if name == own:
+                slot = slots.get(register)
+                if slot is None or slot.value is None or _covers(held=held, register=register, newest=newest_vote(slots=slots, name=register)):
+                    ends.append(now + constants.GRANT_LEASE)
+                continue
+            said = self.told.get(name)
+            if said is not None and register in said.newest and _covers(held=held, register=register, newest=said.newest[register]):
+                ends.append(said.asked + constants.GRANT_LEASE)
+        need = blocking_of(members=members)
+        return sorted(ends, reverse=True)[need - 1] if len(ends) >= need else NEVER
+
+
+def newest_vote(*, slots: Slots, name: str) -> list:
+    """Number, mark and ballot of a voter's newest vote of a register."""
+    slot = slots.get(name)
+    return [slot.value["number"], slot.value["mark"], slot.ballot] if slot is not None and slot.value is not None else [0, "", [0, ""]]
+
+
+def _covers(*, held: HeldBook, register: str, newest: list) -> bool:
+    return newest[0] <= held.number(name=register) and held.covers(name=register, newest=newest)
--- a/sailward/house/membership.py
+++ b/sailward/house/membership.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked, Log, Tell
-from sailward.cask.acceptor import Slot, fold_record, slot_records
+from sailward.cask.acceptor import KNOWN, Slot, fold_record, slot_records
 from sailward.cask.held import Held, is_control, read_voters
 from sailward.cask.proposer import Begin
 from sailward.house.anew import Anew, NotFounded, log_founding, make_founding, merge_survivors, read_founding
@@ -23,9 +23,10 @@
 
     def __init__(self, *, cellar: Cellar, now: float) -> None:
         self._cellar = cellar
-        self.repair = Repair()
-        self.copying = Copying(identity=cellar.identity)
-        self.anew = Anew(copying=Copying(identity=cellar.identity))
+        options = cellar.options
+        self.repair = Repair(replace_after=options.replace_after, every=options.repair_every, is_brisk=options.bootstrap is not None)
+        self.copying = Copying(identity=cellar.identity, pause=options.copy_again)
+        self.anew = Anew(copying=Copying(identity=cellar.identity, pause=options.copy_again))
         self._asked = -1e9
         self._names: dict[str, list[str]] = {}
         self._short_since, self._short_said = now, False
@@ -47,6 +48,20 @@
         self.anew.note(now=now, voters=self._voters())
         return self.anew.doubts(now=now, voters=self._voters())
 
+    def found_alone(self, *, now: float) -> list[dict]:
+        """Found the core without talk: the records, which must last before anything is told."""
+        cellar, value, ballot = self._cellar, self._cellar.options.bootstrap.value(), [0, "founder"]
+        record = {"k": "vote", "r": "voters", "b": ballot, "v": value}
+        fold_record(slots=cellar.acceptor.slots, record=record, now=now)
+        cellar.ledger.copied = True
+        cellar.ledger.known = {"k": "promise", "r": KNOWN, "b": ballot, "v": value}
+        cellar.held.step(name="voters", ballot=ballot, value=value)
+        return [record, {"k": "copied"}, cellar.ledger.known]
+
+    def ask_soon(self) -> None:
+        """Others know newer voters: ask for them at the next look."""
+        self._asked = -1e9
+
     def found(self, *, now: float, event: Asked) -> list:
         """Join new cellars into a core: the same value at each of them."""
         cellar = self._cellar
@@ -146,7 +161,15 @@
         cellar.ledger.copied, cellar.ledger.opened = True, read_founding(value=self._voters().value).number
         slots = self.copying.slots(now=now)
         log = Log(event="copied", fields={"slots": len(slots), "under": self.copying.number})
-        return [*commands, log, *cellar.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[])]
+        commands += [log, *cellar.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[])]
+        return commands + (self._announce() if cellar.options.bootstrap else [])
+
+    def _announce(self) -> list:
+        """Tell the other voters at once that this one acts: gossip would take its rounds."""
+        roster = self._cellar.roster
+        roster.fit, roster.beat = True, roster.beat + 1
+        body = {"kind": "gossip", "entries": [roster.own_entry()], "reply": True}
+        return [Tell(to=post, body=body) for post in sorted({*self._cellar.voters["members"].values()} - {roster.place.post})]
 
     def _put(self, *, slots: dict) -> list:
         records: list = []
@@ -202,12 +225,17 @@
                 return self.copying.step(now=now, voters=held, event=None)
             if self.is_opening():
                 commands = self._step_anew(now=now, event=None)
-        if now - self._asked >= constants.REPAIR_EVERY:
+        if now - self._asked >= self._ask_pause():
             self._asked = now
             body = {"kind": "ask", "seq": 0, "have": cellar.held.have(), "report": {}, "daemon": cellar.roster.own_entry()}
             commands += [Tell(to=one["post"], body=body) for one in cellars]
         return commands
 
+    def _ask_pause(self) -> float:
+        cellar = self._cellar
+        is_waiting = cellar.voters["number"] and cellar.identity not in cellar.voters["members"]
+        return constants.WAITING_ASK if cellar.options.bootstrap and is_waiting else cellar.options.repair_every
+
     def _note_core(self, *, now: float, cellars: list[dict]) -> list:
         """Say so when too much is lost for any change, and when it is back."""
         members = self._cellar.voters["members"]
--- /dev/null
+++ b/sailward/house/minding.py
@@ -0,0 +1,105 @@
+"""A cellar's part in the keys of services that are divided by number: who acts, how fresh it is, and what it grants from."""
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sailward import constants
+from sailward.acts import Called, Tell
+from sailward.cask.proposer import Begin
+from sailward.house.freshness import Freshness, newest_vote
+from sailward.house.granting import Granting, GrantScene
+from sailward.pour.slots import PREFIX
+from sailward.pour.world import read_orders
+from sailward.roster.rendezvous import choose_names
+from sailward.roster.workers import Worker
+
+if TYPE_CHECKING:
+    from sailward.house.cellar import Cellar
+
+
+class Minding:
+    """Owner of the grants of one cellar. `step` takes a call's end, or None for time going on; `hear` a message."""
+
+    def __init__(self, *, cellar: Cellar, codec: object, hold_max: float) -> None:
+        self._cellar, self._codec, self._hold_max = cellar, codec, hold_max
+        self.freshness = Freshness()
+        self.granting: dict[str, Granting] = {}
+        self._listed: object = None
+        self._workers: dict[str, Worker] = {}
+        self._cold: dict[str, float] = {}
+        self._emptied: frozenset = frozenset()
+        self._down: dict[str, float] = {}
+        self._ops = 0
+
+    def hear(self, *, now: float, sender: str, body: dict) -> list:
+        """Answer another cellar's asking, or fold an answer."""
+        cellar = self._cellar
+        if body["kind"] == "confirm":
+            if not cellar.voting:
+                return []
+            newest = {name: newest_vote(slots=cellar.acceptor.slots, name=name) for name in body["registers"] if isinstance(name, str)}
+            reply = Tell(to=sender, body={"kind": "confirmed", "seq": body["seq"], "identity": cellar.identity, "newest": newest})
+            # a vote that is not synced yet may be lost: it is told behind the disk
+            return cellar.ledger.step(records=[], replies=[reply])
+        return self.freshness.step(now=now, body=body, members=cellar.voters["members"], own=cellar.identity, registers=[])
+
+    def step(self, *, now: float, event: Called | None) -> list:
+        """Step the grants of each divided service."""
+        cellar = self._cellar
+        services = sorted(name for name, service in cellar.moves.plan.services.items() if service.ranged)
+        if event is not None:
+            services = [name for name in services if name in self.granting and self.granting[name].is_own(token=event.token)]
+        if not services or cellar.workers[2] is None:
+            return []
+        self._look(now=now)
+        well = {one["identity"] for one in [*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()] if one["fit"]}
+        acting = [name for name in services if cellar.voting and choose_names(key=PREFIX + name, names=well, count=1) == [cellar.identity]]
+        members = cellar.voters["members"]
+        commands = self.freshness.step(now=now, body=None, members=members, own=cellar.identity,
+                                       registers=[PREFIX + name for name in acting]) if event is None else []
+        begins = []
+        for name in services:
+            granting = self.granting.get(name)
+            if granting is None:
+                granting = self.granting[name] = Granting(service=name, own=cellar.proposer.identity, codec=self._codec)
+            held = cellar.held.held.get(PREFIX + name)
+            until = self.freshness.until(now=now, register=PREFIX + name, held=cellar.held, members=members, own=cellar.identity,
+                                         slots=cellar.acceptor.slots)
+            scene = GrantScene(value=held.value if held else {"number": 0, "text": ""}, workers=self._workers, fresh_until=until,
+                               is_acting=name in acting, emptied=self._emptied, down=self._down, hold_max=self._hold_max,
+                               loads=cellar.fleet.loads(now=now, service=name))
+            more, changes = granting.step(now=now, event=event, scene=scene)
+            commands += more
+            for register, expected, text in changes:
+                self._ops += 1
+                begins.append(Begin(op=f"{cellar.proposer.identity}/grant{self._ops}", register=register, expected=expected, text=text,
+                                    wait=constants.GRANT_LEASE))
+        return commands + cellar.begin(now=now, begins=begins)
+
+    def _look(self, *, now: float) -> None:
+        """Fold the list, the orders and what proxies call unreachable into what is granted from."""
+        cellar = self._cellar
+        orders = cellar.held.held.get("orders")
+        emptied = read_orders(value=orders.value) if orders else frozenset()
+        if cellar.workers[2] is not self._listed:
+            self._listed = cellar.workers[2]
+            self._workers = {}
+            for row in json.loads(self._listed["text"]):
+                self._workers[row["id"]] = Worker(name=row["id"], generation=0, service=row["service"], address=row["address"],
+                                                  hall=row["hall"], leaving=row["leaving"], capacity=row["capacity"],
+                                                  cold=row["cold_s"], is_life=True)
+                if row["cold_s"] > 0:
+                    self._cold.setdefault(row["id"], now + row["cold_s"])
+            self._cold = {key: at for key, at in self._cold.items() if key in self._workers}
+        for hall in self._emptied - emptied:
+            for key, worker in self._workers.items():
+                service = cellar.moves.plan.services.get(worker.service)
+                if worker.hall == hall and service is not None:
+                    self._cold[key] = max(self._cold.get(key, 0.0), now + service.cold + constants.COLD_MARGIN)
+        self._emptied = emptied
+        self._workers = {key: replace(worker, cold=max(0.0, self._cold.get(key, now) - now)) for key, worker in self._workers.items()}
+        said = cellar.fleet.down(now=now, proxies=cellar.subscribers.proxies())
+        down = {key for key, (count, voices) in said.items() if 2 * count > voices}
+        self._down = {key: self._down.get(key, now) for key in down}
--- /dev/null
+++ b/sailward/house/options.py
@@ -0,0 +1,43 @@
+"""How a cellar is set up: the defaults are the product's own ways."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from sailward import constants
+
+if TYPE_CHECKING:
+    from sailward.house.bootstrap import Bootstrap
+    from sailward.label.dialect import Dialect
+    from sailward.roster.pages import ListReader
+
+
+@dataclass(frozen=True, kw_only=True)
+class CellarOptions:
+    """What a deployment may set otherwise.
+
+    `dialect`: the operators' words; None for the product's own JSON. `expand`: written configuration -> full form, for a
+    dialect that keeps no full form in the register. `reader`: the words of the platform's list of workers; None for the
+    product's own. `bootstrap`: None where an operator founds the core. `list_rate`: calls/s that the platform bears from all
+    daemons together, 0 if no bound is known. `zones`: every hall known from the settings, with its region. `grants`: the words of
+    grants to workers, None where no service is divided by number. `tells_fleet`: proxies are told of each other for the directory.
+    All others in s.
+    """
+
+    dialect: Dialect | None = None
+    expand: Callable[[dict], dict] | None = None
+    reader: ListReader | None = None
+    bootstrap: Bootstrap | None = None
+    zones: tuple[tuple[str, str], ...] = ()
+    list_rate: float = 0.0
+    replace_after: float = field(default_factory=lambda: constants.REPLACE_AFTER)
+    repair_every: float = field(default_factory=lambda: constants.REPAIR_EVERY)
+    copy_again: float = field(default_factory=lambda: constants.COPY_AGAIN)
+    gossip_every: float = field(default_factory=lambda: constants.GOSSIP)
+    suspect_after: float = field(default_factory=lambda: constants.SUSPECT)
+    read_every: float = field(default_factory=lambda: constants.READ_EVERY)
+    operation_wait: float = field(default_factory=lambda: constants.OPERATION_EXPIRY)
+    grants: object = None
+    hold_max: float = field(default_factory=lambda: constants.GRANT_HOLD)
+    tells_fleet: bool = False
--- /dev/null
+++ b/sailward/house/proxy.py
@@ -0,0 +1,198 @@
+"""The whole of a proxy for routes by host: what the core tells, the evidence on workers, requests, the directory, stopping."""
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sailward import constants
+from sailward.acts import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
+from sailward.cask.held import HeldBook, is_control
+from sailward.charts import Chart
+from sailward.dock.wire_names import WireNames
+from sailward.house.directory import Directory
+from sailward.house.uplink import Uplink
+from sailward.pour.evidence import Evidence
+from sailward.pour.exchange import answer_json
+from sailward.pour.forwarding import Forwarder
+from sailward.pour.halls import HallBook
+from sailward.pour.placing import Placer, Scene
+from sailward.pour.plan import read_plan
+from sailward.pour.retry_budget import RetryBudget
+from sailward.pour.slots import PREFIX as SLOTS
+from sailward.pour.world import read_orders
+from sailward.roster.gossip import Place
+from sailward.roster.workers import WorkerBook
+
+STOPPING = Chart(name="stopping")
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProxyOptions:
+    """What a deployment sets: the words of its wire, its bounds (s), its regions."""
+
+    names: WireNames = WireNames()
+    regions: tuple = ()
+    expand: Callable | None = None
+    retry_ratio: float = constants.TRY_SHARE
+    retry_slack: float = constants.TRY_FLOOR
+    retry_window: float = constants.TRY_WINDOW
+    hold: float = constants.HOLD
+    leave_wait: float = constants.LEAVE_WAIT
+    stop_grace: float = constants.STOP_GRACE
+
+
+class Proxy:
+    """Owner of a proxy process. `step` takes one event and gives commands."""
+
+    def __init__(self, *, place: Place, start: int, rng: random.Random, options: ProxyOptions) -> None:
+        self.place, self.start, self.options = place, start, options
+        self.held = HeldBook()
+        self.book = WorkerBook()
+        self.uplink = Uplink(hall=place.hall, region=place.region, seeds=place.seeds)
+        self.evidence = Evidence(names=options.names, rng=rng)
+        self.scene = Scene(name=place.name, hall=place.hall, region=place.region, regions=dict(options.regions),
+                           evidence=self.evidence, halls=HallBook(hold=options.hold))
+        budget = RetryBudget(ratio=options.retry_ratio, slack=options.retry_slack, window=options.retry_window)
+        self.forwarder = Forwarder(placer=Placer(scene=self.scene, rng=rng), names=options.names, budget=budget)
+        self.directory = Directory(place=place)
+        self.stopping, self.stop_at = STOPPING.initial, 0.0
+        self.lists: dict = {"workers": ("", -1), "fleet": ("", -1)}
+        self._counted = -1e9
+        self._beat = 0
+
+    def step(self, *, now: float, event: object) -> list:
+        """Answer one event with commands."""
+        if isinstance(event, Asked):
+            return self._ask(now=now, event=event)
+        if isinstance(event, Called):
+            if event.token.startswith("probe "):
+                return self.evidence.step(now=now, event=event, plan=self.scene.plan)
+            return self.forwarder.step(now=now, event=event)
+        if isinstance(event, CallerLeft):
+            return self.forwarder.step(now=now, event=event)
+        if isinstance(event, Heard):
+            return self._hear(now=now, sender=event.sender, body=event.body)
+        if isinstance(event, StopAsked):
+            return self._begin_stop(now=now)
+        return self._look_at_alarms(now=now)
+
+    @property
+    def is_ready(self) -> bool:
+        """May callers be sent here?"""
+        return bool(self.scene.plan.number) and self.lists["workers"][1] >= 0 and self.stopping in STOPPING.marks["named"]
+
+    def _ask(self, *, now: float, event: Asked) -> list:
+        edge = event.token.split(" ", 1)[0]
+        if edge == "front":
+            return self.forwarder.step(now=now, event=event)
+        if edge == "ready":
+            code = 200 if self.is_ready else 503
+            return [answer_json(token=event.token, code=code, body={"ready": self.is_ready, "stopping": self.stopping})]
+        if event.path == "/status":
+            return [answer_json(token=event.token, code=200, body=self._show(now=now))]
+        return [self.directory.step(event=event, is_ready=self.is_ready)]
+
+    def _hear(self, *, now: float, sender: str, body: dict) -> list:
+        if body["kind"] == "grant":
+            return self.uplink.step(now=now, sender=sender, body=body)
+        if body["kind"] == "want":
+            return self.held.tell(to=sender, name=body["register"])
+        if body["kind"] != "push":
+            return [Log(event="message-unexpected", fields={"kind": body["kind"], "from": sender})]
+        name, value = body["name"], body["value"]
+        ack = Tell(to=sender, body={"kind": "ack", "seq": body["seq"], "name": name, "number": body["number"]})
+        if name in self.lists:
+            if sender != self.uplink.lead or self.lists[name] == (sender, value["number"]):
+                return [ack]
+            self.lists[name] = (sender, value["number"])
+            return [*(self._take_workers if name == "workers" else self._take_fleet)(now=now, value=value), ack]
+        if not is_control(name=name):
+            return [Log(event="push-unexpected", fields={"name": name})]
+        return [*self._keep(now=now, name=name, ballot=body["ballot"], value=value), ack]
+
+    def _take_workers(self, *, now: float, value: dict) -> list:
+        came, went = self.book.replace(now=now, workers=json.loads(value["text"]))
+        commands = self.evidence.follow(now=now, workers=self.book.workers)
+        self.scene.follow(workers=self.book.workers)
+        if came or went:
+            commands.append(Log(event="workers", fields={"came": len(came), "went": len(went), "all": len(self.book.workers)}))
+        return commands + self._count_halls(now=now)
+
+    def _take_fleet(self, *, now: float, value: dict) -> list:
+        told = json.loads(value["text"])
+        self.uplink.learn(cellars=told["cellars"])
+        self.directory.learn(rows=told["proxies"])
+        self.scene.peers = {name: region for name, _, _, region, is_fit in told["proxies"] if is_fit}
+        self.scene.proxies = max(1, len(self.scene.peers))
+        return []
+
+    def _keep(self, *, now: float, name: str, ballot: list, value: dict) -> list:
+        if not self.held.step(name=name, ballot=ballot, value=value):
+            return []
+        if name == "config":
+            self.scene.plan = read_plan(value=value, expand=self.options.expand)
+        elif name == "orders":
+            emptied = read_orders(value=value)
+            for hall in self.scene.emptied - emptied:
+                self.evidence.chill(now=now, hall=hall, plan=self.scene.plan)
+            self.scene.emptied = emptied
+        elif name.startswith(SLOTS):
+            self.scene.shards.step(name=name, value=value)
+        log = Log(event="in-force", fields={"register": name, "number": value["number"]})
+        return [log, *self.forwarder.step(now=now, event=None)]
+
+    def _look_at_alarms(self, *, now: float) -> list:
+        commands = self._ask_core(now=now)
+        commands += self.evidence.step(now=now, event=None, plan=self.scene.plan)
+        commands += self.forwarder.step(now=now, event=None)
+        if now - self._counted >= constants.COUNT_EVERY:
+            commands += self._count_halls(now=now)
+        return commands + self._look_at_stop(now=now)
+
+    def _ask_core(self, *, now: float) -> list:
+        if now < self.uplink.next_at:
+            return []
+        self._beat += 1
+        place = self.place
+        daemon = {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region, "post": place.post,
+                  "http": place.http, "start": self.start, "beat": self._beat, "fit": self.is_ready, "version": place.version,
+                  "identity": "", "asks": ""}
+        lead = self.uplink.lead
+        have = {**self.held.have(), **{name: [number if teller == lead else -1, lead, [0, ""]]
+                                       for name, (teller, number) in self.lists.items()}}
+        down = [key for key, shown in self.evidence.shown.items() if not shown.is_healthy]
+        report = {"down": down, "loads": self.forwarder.take_loads(), "turn": self._beat, "lead": lead}
+        return self.uplink.step(now=now, sender=None, body={"kind": "ask", "have": have, "report": report, "daemon": daemon})
+
+    def _count_halls(self, *, now: float) -> list:
+        self._counted = now
+        return self.scene.halls.step(now=now, counts=self.scene.counts())
+
+    def _begin_stop(self, *, now: float) -> list:
+        self.stopping, self.stop_at = STOPPING.step(state=self.stopping, event="stop_asked"), now
+        self.uplink.next_at = -1e9
+        return [Log(event="stopping", fields={"open": len(self.forwarder.live)}), Leave(), *self._ask_core(now=now)]
+
+    def _look_at_stop(self, *, now: float) -> list:
+        if self.stopping == STOPPING.initial:
+            return []
+        before, since = self.stopping, now - self.stop_at
+        if since >= self.options.leave_wait:
+            self.stopping = STOPPING.step(state=self.stopping, event="left")
+        is_over = since >= self.options.stop_grace
+        event = "grace_over" if is_over else "" if self.forwarder.live else "all_done"
+        self.stopping = STOPPING.step(state=self.stopping, event=event)
+        commands = [Leave(shut=True)] if before == "leaving" and self.stopping != "leaving" else []
+        return [*commands, Stop(code=0)] if self.stopping == "over" else commands
+
+    def _show(self, *, now: float) -> dict:
+        halls = {f"{service}|{hall}": [state.state, round(state.fraction, 3)]
+                 for (service, hall), state in self.scene.halls.halls.items()}
+        workers = {key: shown.state for key, shown in self.evidence.shown.items()}
+        registers = {name: held.value["number"] for name, held in self.held.held.items()}
+        return {"id": self.place.name, "ready": self.is_ready, "stopping": self.stopping, "registers": registers, "halls": halls,
+                "label": self.scene.plan.label, "lead": self.uplink.lead, "in_touch": self.uplink.answers(now=now),
+                "proxies": self.scene.proxies, "workers": workers, "tally": dict(self.forwarder.tally),
+                "open": len(self.forwarder.calls)}
--- a/sailward/house/repair.py
+++ b/sailward/house/repair.py
@@ -1,4 +1,11 @@
-"""Replacing a voter that is lost for good: first the new one in, then the old one out, one at a time."""
+"""Replacing a voter that is lost for good: first the new one in, then the old one out, one at a time.
+
+A core that founded itself exchanges the two in one change where its size is odd. It is safe because a newcomer acts only when it
+has copied from a majority of the set before, each of which keeps the new set before it tells. That leaves the old set no majority
+that could choose more, and the newcomer with all that it chose. A majority of the new set without the newcomer is one of the old
+set too, as the sizes are alike. And as the lost one's place is taken at once, a newcomer that dies before it has copied can be
+exchanged in its turn.
+"""
 from __future__ import annotations
 
 import json
@@ -11,18 +18,30 @@
 
 @dataclass(kw_only=True)
 class Repair:
-    """Owner of the decision. `step` gives the next text of the voters register, or nothing."""
+    """Owner of the decision. `step` gives the next text of the voters register, or nothing.
+
+    `is_brisk`: the core founded itself, and grows, exchanges voters and takes turns by itself.
+    """
 
     seen: dict = field(default_factory=dict)
     looked: float = -1e9
+    replace_after: float = field(default_factory=lambda: constants.REPLACE_AFTER)
+    every: float = field(default_factory=lambda: constants.REPAIR_EVERY)
+    is_brisk: bool = False
+    well_at: dict = field(default_factory=dict)
+    failed: dict = field(default_factory=dict)
+    due: tuple = (-1, 0.0)
+    tried: tuple = (-1, 0.0)
 
     def step(self, *, now: float, own: str, voters: dict, text: str, cellars: list[dict]) -> str:
         """Judge by the roster's living `cellars`; only one of the voters, named by hashing, acts."""
-        if now - self.looked < constants.REPAIR_EVERY or not text:
+        if now - self.looked < self.every or not text:
             return ""
         self.looked = now
         members = voters["members"]
         alive = {entry["identity"]: entry for entry in cellars}
+        if self.is_brisk:
+            return self._step_brisk(now=now, own=own, number=voters["number"], text=text, members=members, alive=alive)
         for name in members:
             if name in alive:
                 self.seen[name] = now
@@ -51,7 +70,63 @@
         """Voters whose machine is back without their data, or that have been lost for long."""
         names = {entry["id"]: name for name, entry in alive.items()}
         return sorted(name for name in members if name not in alive and (
-            names.get(name.split("#")[0], name) != name or now - self.seen[name] > constants.REPLACE_AFTER))
+            names.get(name.split("#")[0], name) != name or now - self.seen[name] > self.replace_after))
+
+    def _step_brisk(self, *, now: float, own: str, number: int, text: str, members: dict, alive: dict) -> str:
+        well = [name for name in members if name in alive and alive[name]["fit"]]
+        self.seen = {name: now if name in alive else self.seen.get(name, now) for name in members}
+        self.well_at = {name: now if name in well else self.well_at.get(name, now) for name in members}
+        change = self._choose(now=now, text=text, members=members, alive=alive, well=well) if own in well else ""
+        if not change:
+            self.due = (-1, now)
+            return ""
+        if self.due[0] != number:
+            self.due = (number, now)
+        turn = choose_names(key=f"repair{number}", names=well, count=len(well)).index(own)
+        is_tried = self.tried[0] == number and now - self.tried[1] < constants.REPAIR_AGAIN
+        if is_tried or now - self.due[1] < turn * constants.REPAIR_TURN:
+            return ""
+        self.tried = (number, now)
+        return change
+
+    def _choose(self, *, now: float, text: str, members: dict, alive: dict, well: list) -> str:
+        """The next change of the voters, one member added, dropped or exchanged; "" if there is none to make."""
+        size = json.loads(text).get("size", len(members))
+        gone = self._gone_brisk(now=now, members=members, alive=alive)
+        if any(name in alive and name not in well and name not in gone for name in members):
+            # one newcomer at a time: it copies now
+            return ""
+        rest = [name for name in members if name not in gone[:1]]
+        best = self._best(now=now, waiting=[name for name in alive if name and name not in members], rest=rest, alive=alive)
+        add = (best, alive[best]["post"]) if best else None
+        if gone and (add or len(members) > size):
+            grows = len(members) % 2 == 0 and len(members) < size
+            swaps = len(members) % 2 == 1 and add is not None
+            made = change_members(text=text, add=add if grows or swaps else None, drop="" if grows else gone[0])
+            if gone[0] in alive:
+                self.failed[gone[0]] = now
+            return made if keeps_majority(text=made, well=set(well)) else ""
+        if add and not gone and len(members) < size:
+            made = change_members(text=text, add=add)
+            return made if len(members) < 3 or keeps_majority(text=made, well=set(well)) else ""
+        return ""
+
+    def _gone_brisk(self, *, now: float, members: dict, alive: dict) -> list[str]:
+        """Voters that are lost, back on an empty disk, or that don't come to act; those whose disk is gone first."""
+        posts = {entry["post"]: name for name, entry in alive.items() if name}
+        wiped = {name for name in members if name not in alive and posts.get(members[name], name) != name}
+        lost = {name for name in members if name not in alive and now - self.seen[name] > self.replace_after}
+        stuck = {name for name in members if name in alive and now - self.well_at[name] > constants.JOIN_WAIT}
+        return [*sorted(wiped), *sorted((lost | stuck) - wiped)]
+
+    def _best(self, *, now: float, waiting: list, rest: list, alive: dict) -> str:
+        """The waiting cellar that spreads the voters most over halls and regions; of equal ones that which is up for longest."""
+        halls = [alive[name]["hall"] for name in rest if name in alive]
+        regions = [alive[name]["region"] for name in rest if name in alive]
+        self.failed = {name: at for name, at in self.failed.items() if now - at < constants.FORGET}
+        return min(waiting, default="", key=lambda name: (
+            name in self.failed, halls.count(alive[name]["hall"]), regions.count(alive[name]["region"]),
+            -min(alive[name]["beat"], 40), name))
 
 
 def change_members(*, text: str, add: tuple[str, str] | None = None, drop: str = "") -> str:
--- a/sailward/house/subscribers.py
+++ b/sailward/house/subscribers.py
@@ -7,6 +7,12 @@
 from sailward.acts import Tell
 
 
+OWN_LIST = "workers"
+"""The name under which the list of workers is pushed."""
+OWN_LISTS = (OWN_LIST, "fleet")
+"""What has numbers of each cellar's own."""
+
+
 @dataclass(kw_only=True)
 class Subscriber:
     """One daemon that asks this cellar for its lease."""
@@ -22,11 +28,16 @@
 
 @dataclass(kw_only=True)
 class Subscribers:
-    """Owner of the pushes. `step` folds an asking or an acknowledgement, or pushes what is due."""
+    """Owner of the pushes. `step` folds an asking or an acknowledgement, or pushes what is due.
+
+    With a `post` the lists of this cellar have numbers of its own: they are pushed only to those that name this post, or none, as
+    the teller of the list that they follow.
+    """
 
     members: dict = field(default_factory=dict)
     seq: int = 0
     asked: dict = field(default_factory=dict)
+    post: str = ""
 
     def step(self, *, now: float, event: tuple | None, news: dict) -> list:
         """`news` is {name: (number, ballot, value)}; the event a (sender, ask or ack) or None."""
@@ -42,6 +53,10 @@
                                        ballot=ballot, value=value)
         return commands
 
+    def has_followers(self) -> bool:
+        """Is there a proxy that follows this cellar's list of workers, or none yet?"""
+        return any((one.have.get(OWN_LIST) or [-1, ""])[1] in ("", self.post) for one in self.proxies())
+
     def proxies(self) -> list[Subscriber]:
         """The proxies that have asked of late."""
         return [member for member in self.members.values() if member.entry.get("kind") == "sommelier"]
@@ -68,15 +83,31 @@
     def _push(self, *, now: float, address: str, member: Subscriber, name: str, number: int,
               ballot: list, value: dict) -> list:
         given = member.have.get(name)
+        if self.post and name in OWN_LISTS:
+            return self._push_own(now=now, address=address, member=member, name=name, given=given, number=number, value=value)
         had = (given[2][0], given[0]) if name == "workers" and given else (0, given[0] if given else -1)
         at = (ballot[0], number) if name == "workers" else (0, number)
         acked = name != "workers" and member.acked.get(name, -1) >= number
         if had >= at or acked:
             return []
+        return self._send(now=now, address=address, member=member, name=name, at=at, ballot=ballot, value=value)
+
+    def _push_own(self, *, now: float, address: str, member: Subscriber, name: str, given: list | None, number: int,
+                  value: dict) -> list:
+        teller = given[1] if given else ""
+        if teller not in ("", self.post) or (teller == self.post and given[0] == number):
+            return []
+        pushed = member.pushed.get(name)
+        if pushed and pushed[0] == (0, number) and member.seen - pushed[1] < constants.PUSH_AGAIN:
+            # no asking since then has shown that it was lost
+            return []
+        return self._send(now=now, address=address, member=member, name=name, at=(0, number), ballot=[0, ""], value=value)
+
+    def _send(self, *, now: float, address: str, member: Subscriber, name: str, at: tuple, ballot: list, value: dict) -> list:
         pushed = member.pushed.get(name)
         if pushed and pushed[0] == at and now - pushed[1] < constants.PUSH_AGAIN:
             return []
         self.seq += 1
         member.pushed[name] = (at, now)
-        body = {"kind": "push", "seq": self.seq, "name": name, "number": number, "ballot": ballot, "value": value}
+        body = {"kind": "push", "seq": self.seq, "name": name, "number": at[1], "ballot": ballot, "value": value}
         return [Tell(to=address, body=body)]
--- /dev/null
+++ b/sailward/house/uplink.py
@@ -0,0 +1,90 @@
+"""A proxy's way to the core: the two nearest cellars that answer, asked for news in turn."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Log, Tell
+
+
+@dataclass(kw_only=True)
+class Known:
+    """One cellar as this proxy knows it."""
+
+    post: str
+    hall: str = ""
+    region: str = ""
+    asked: float = -1e9
+    unanswered: int = 0
+    heard: float = -1e9
+
+
+@dataclass(kw_only=True)
+class Uplink:
+    """Owner of the askings. `step` takes an answer's sender, or None for time going on; `lead` is whose lists are believed."""
+
+    hall: str
+    region: str
+    seeds: tuple
+    known: dict = field(default_factory=dict)
+    lead: str = ""
+    seq: int = 0
+    next_at: float = -1e9
+
+    def step(self, *, now: float, sender: str | None, body: dict) -> list:
+        """Note who answered, or ask those whose turn it is with this body."""
+        if sender is not None:
+            known = self.known.setdefault(sender, Known(post=sender))
+            known.heard, known.unanswered = now, 0
+            return self._choose_lead(now=now)
+        if now < self.next_at:
+            return []
+        self.next_at = now + constants.ASK_EVERY
+        for seed in self.seeds:
+            self.known.setdefault(seed, Known(post=seed))
+        commands = self._choose_lead(now=now)
+        for known in self._to_ask(now=now):
+            self.seq += 1
+            known.asked, known.unanswered = now, known.unanswered + 1
+            commands.append(Tell(to=known.post, body={**body, "seq": self.seq}))
+        return commands
+
+    def learn(self, *, cellars: list) -> None:
+        """Take the core as a cellar tells it: [[post, hall, region], ...]. Those it does not name go, unless they answer or are seeds."""
+        told = {post: (hall, region) for post, hall, region in cellars}
+        for post, (hall, region) in told.items():
+            known = self.known.setdefault(post, Known(post=post))
+            known.hall, known.region = hall, region
+        self.known = {post: known for post, known in self.known.items()
+                      if post in told or post in self.seeds or known.unanswered < constants.ASKS_LOST}
+
+    def answers(self, *, now: float) -> bool:
+        """Has any cellar answered of late?"""
+        return any(now - known.heard < constants.CELLAR_SILENT for known in self.known.values())
+
+    def _rank(self, known: Known) -> tuple:
+        return (known.hall != self.hall, known.region != self.region, known.hall == "", known.post)
+
+    def _is_silent(self, *, known: Known, now: float) -> bool:
+        return known.unanswered >= constants.ASKS_LOST and now - known.heard > constants.CELLAR_SILENT
+
+    def _choose_lead(self, *, now: float) -> list:
+        able = [known for known in self.known.values() if now - known.heard < constants.CELLAR_SILENT]
+        lead = self.known.get(self.lead)
+        best = min(able, key=self._rank, default=None)
+        if best is None or best.post == self.lead:
+            return []
+        if lead is not None and lead in able and self._rank(lead)[:2] <= self._rank(best)[:2]:
+            return []
+        self.lead = best.post
+        return [Log(event="leads", fields={"cellar": best.post, "hall": best.hall or "unknown"})]
+
+    def _to_ask(self, *, now: float) -> list[Known]:
+        able = sorted((known for known in self.known.values() if not self._is_silent(known=known, now=now)), key=self._rank)
+        chosen = able[:constants.CELLARS_ASKED]
+        # who is silent is tried now and then, the nearest and the longest unasked first
+        silent = sorted((known for known in self.known.values() if self._is_silent(known=known, now=now)
+                         and now - known.asked >= constants.ASK_SILENT), key=lambda known: (known.asked, self._rank(known)))
+        if len(able) < constants.CELLARS_ASKED:
+            return chosen + silent
+        return chosen + silent[:1]
--- a/sailward/label/check.py
+++ b/sailward/label/check.py
@@ -7,6 +7,8 @@
 from cerberus import Validator
 
 from sailward import constants
+from sailward.label.homes import list_halls
+from sailward.label.matches import sort_matches
 from sailward.label.schema import CONFIG
 from sailward.label.stamps import expand_stamps
 
@@ -65,11 +67,11 @@
         if faults:
             return Unsound(faults=tuple(faults))
     full = {name: part for name, part in full.items() if name not in ("templates", "stamps")}
-    faults = [*_check_pools(full=full), *_check_matches(full=full), *_check_homes(full=full)]
+    faults = [*_check_pools(full=full), *_check_matches(full=full), *_check_homes(full=full), *_check_ranged(full=full)]
     faults = faults or list(_check_shared_keys(full=full))
     if faults:
         return Unsound(faults=tuple(faults))
-    return Sound(written=config, full=full, warnings=tuple(_warn_of_caps(full=full)))
+    return Sound(written=config, full=full, warnings=(*_warn_of_caps(full=full), *_warn_of_homes(full=full)))
 
 
 def _no_name_twice(*, pairs: list, twice: list) -> dict:
@@ -83,14 +85,46 @@
 
 
 def _check_shape(*, config: dict) -> tuple[list[Fault], dict]:
-    """The faults of a shape, or the document with its defaults filled in: both come of one pass, which is slow."""
+    """The faults of a shape, or the document with its defaults filled in: both come of one pass, which is slow.
+
+    So matches that are plainly sound don't take part in it: there may be hundreds.
+    """
     validator = Validator(CONFIG)
+    plain, odd = sort_matches(matches=config.get("matches"))
+    given = {**config, "matches": [config["matches"][at] for at in odd]} if plain else config
     try:
-        if validator.validate(config):
-            return [], validator.document
+        is_sound = validator.validate(_without_near(config=given))
     except Exception as fault:  # cerberus trips over some foreign shapes
         return [Fault(path="", reason=f"unreadable shape: {fault}")], {}
-    return list(_flatten(errors=validator.errors, path="")), {}
+    if not is_sound:
+        errors = validator.errors
+        if plain:
+            errors = {name: _place(errors=inner, odd=odd) if name == "matches" else inner for name, inner in errors.items()}
+        return list(_flatten(errors=errors, path="")), {}
+    full = validator.document
+    if plain:
+        rest = dict(zip(odd, full["matches"], strict=True))
+        full["matches"] = [plain[at] if at in plain else rest[at] for at in range(len(config["matches"]))]
+    for name, pool in full["pools"].items():
+        if pool.get("tiers") == "near":
+            pool["preferred"] = list(config["pools"][name].get("preferred", []))
+    return [], full
+
+
+def _place(*, errors: object, odd: list) -> object:
+    """The errors of the matches that took part, under the places that they were written at."""
+    return [{odd[at] if isinstance(at, int) else at: inner for at, inner in one.items()} if isinstance(one, dict) else one
+            for one in errors]
+
+
+def _without_near(*, config: dict) -> dict:
+    """Pools whose tiers follow the proxy need no list of halls."""
+    pools = config.get("pools")
+    if not isinstance(pools, dict):
+        return config
+    near = {name: {**pool, "preferred": pool.get("preferred") or ["near"]} for name, pool in pools.items()
+            if isinstance(pool, dict) and pool.get("tiers") == "near"}
+    return {**config, "pools": {**pools, **near}} if near else config
 
 
 def _flatten(*, errors: object, path: str):
@@ -127,7 +161,7 @@
         for at, share in enumerate(match["pools"]):
             if share["pool"] not in full["pools"]:
                 yield Fault(path=f"{path}.pools.{at}.pool", reason=f"no pool {share['pool']!r}")
-        if len({full["pools"][pool]["service"] for pool in known}) > 1:
+        if not match.get("across") and len({full["pools"][pool]["service"] for pool in known}) > 1:
             yield Fault(path=f"{path}.pools", reason="the pools are of different services")
         service = full["services"].get(full["pools"][known[0]]["service"]) if known else None
         if service and service["slots"]:
@@ -141,7 +175,7 @@
                 yield Fault(path=f"{path}.tenants", reason=f"no tenant {tenant!r}")
         for tenant in match["tenants"] or [""]:
             for method in match["methods"] or [""]:
-                first = seen.setdefault((match["path"], tenant, method), index)
+                first = seen.setdefault((match.get("host", ""), match["path"], tenant, method), index)
                 if first != index:
                     yield Fault(path=path, reason=f"the same as matches.{first}: it could never be used")
 
@@ -161,12 +195,18 @@
                 pool = full["pools"].get(share["pool"])
                 if pool is None or share["weight"] == 0:
                     continue
-                halls = [*pool["preferred"], *pool["fallback"]]
+                halls = list_halls(full=full, pool=pool)
                 if not any(full["halls"].get(hall, {}).get("region") in homes for hall in halls):
                     yield Fault(path=f"matches.{index}.pools",
                                 reason=f"pool {share['pool']!r} has no hall at home for tenant {tenant!r}")
 
 
+def _check_ranged(*, full: dict):
+    for name, service in full["services"].items():
+        if service["keys"] == "ranged" and service["slots"]:
+            yield Fault(path=f"services.{name}.slots", reason="keys in ranges know no slots: leave them at 0")
+
+
 def _check_shared_keys(*, full: dict):
     for name, service in full["services"].items():
         if not service["slots"] or service["keys"] != "shared":
@@ -178,8 +218,18 @@
             yield Fault(path=f"services.{name}.keys", reason="shared by tenants that have no home in common")
 
 
+def _warn_of_homes(*, full: dict):
+    regions = {hall["region"] for hall in full["halls"].values()}
+    for index, match in enumerate(full["matches"]):
+        for home in match.get("homes", ()):
+            if home not in regions:
+                yield Fault(path=f"matches.{index}.homes", reason=f"no hall stands in region {home!r}")
+
+
 def _warn_of_caps(*, full: dict):
     for name, pool in full["pools"].items():
+        if pool.get("tiers") == "near":
+            continue
         halls = [*pool["preferred"], *pool["fallback"]]
         room = int(constants.DRAIN_CAP * len(halls))
         if len(pool["preferred"]) > room:
--- a/sailward/label/homes.py
+++ b/sailward/label/homes.py
@@ -4,6 +4,13 @@
 from collections.abc import Iterator
 
 
+def list_halls(*, full: dict, pool: dict) -> list[str]:
+    """The halls that a pool may be served in: all of them if its tiers follow the proxy."""
+    if pool.get("tiers") == "near":
+        return list(full["halls"])
+    return [*pool["preferred"], *pool["fallback"]]
+
+
 def find_home_halls(*, full: dict) -> Iterator[tuple[str, str, list[str]]]:
     """(tenant, pool, the pool's halls at home) for each pool that a bound tenant may be drawn into."""
     halls = full.get("halls", {})
@@ -14,5 +21,5 @@
             for share in match["pools"]:
                 pool = full["pools"][share["pool"]]
                 if share["weight"]:
-                    yield name, share["pool"], [hall for hall in (*pool["preferred"], *pool["fallback"])
+                    yield name, share["pool"], [hall for hall in list_halls(full=full, pool=pool)
                                                 if halls[hall]["region"] in tenant["homes"]]
--- /dev/null
+++ b/sailward/label/matches.py
@@ -0,0 +1,58 @@
+"""Matches that are plainly sound, told from the rest without the slow pass over the shape."""
+from __future__ import annotations
+
+import math
+import re
+
+from sailward.label.schema import HOST, KINDS, MATCH, METHOD, NAME, PATH
+
+_IS_PATH, _IS_HOST, _IS_METHOD, _IS_NAME = (re.compile(shape).match for shape in (PATH, HOST, METHOD, NAME["regex"]))
+_POOL_FIELDS = {"pool", "weight"}
+
+
+def sort_matches(*, matches: object) -> tuple[dict[int, dict], list[int]]:
+    """({place: match with its defaults} of those that are plainly sound, the places of all others)."""
+    if not isinstance(matches, list):
+        return {}, []
+    plain = {at: {**match, "methods": match.get("methods", []), "tenants": match.get("tenants", [])}
+             for at, match in enumerate(matches) if _is_plain(match=match)}
+    return plain, [at for at in range(len(matches)) if at not in plain]
+
+
+def _is_plain(*, match: object) -> bool:
+    return type(match) is dict and MATCH.keys() >= match.keys() and _is_text(given=match.get("path"), like=_IS_PATH) \
+        and _are_pools(pools=match.get("pools")) and all(_FITS[name](match[name]) for name in match if name in _FITS)
+
+
+def _are_pools(*, pools: object) -> bool:
+    return type(pools) is list and 0 < len(pools) <= MATCH["pools"]["maxlength"] and all(
+        type(one) is dict and one.keys() == _POOL_FIELDS and _is_text(given=one["pool"], like=_IS_NAME)
+        and type(one["weight"]) is int and 0 <= one["weight"] <= 1000000 for one in pools)
+
+
+def _is_text(*, given: object, like) -> bool:
+    # a newline at the end is told apart by the slow pass
+    return type(given) is str and not given.endswith("\n") and like(given) is not None
+
+
+def _are_texts(*, given: object, like) -> bool:
+    return type(given) is list and all(_is_text(given=one, like=like) for one in given)
+
+
+def _is_number(*, given: object, low: float, high: float) -> bool:
+    return type(given) in (int, float) and math.isfinite(given) and low <= given <= high
+
+
+_FITS = {
+    "methods": lambda given: _are_texts(given=given, like=_IS_METHOD),
+    "tenants": lambda given: _are_texts(given=given, like=_IS_NAME),
+    "homes": lambda given: _are_texts(given=given, like=_IS_NAME),
+    "host": lambda given: _is_text(given=given, like=_IS_HOST),
+    "name": lambda given: type(given) is str and len(given) <= MATCH["name"]["maxlength"],
+    "kind": lambda given: type(given) is str and given in KINDS,
+    "expiry_s": lambda given: _is_number(given=given, low=0.05, high=3600),
+    "target_s": lambda given: _is_number(given=given, low=0, high=1e6),
+    "tries": lambda given: type(given) is int and 1 <= given <= 10,
+    "rank": lambda given: type(given) is int and given >= 0,
+    "across": lambda given: type(given) is bool,
+}
--- a/sailward/label/schema.py
+++ b/sailward/label/schema.py
@@ -17,20 +17,38 @@
     "digest_required": {"type": "boolean", "default": False},
     "timed_keys": {"type": "boolean", "default": False},
     "slots": {"type": "integer", "min": 0, "max": 1024, "default": 0},
-    "keys": {"type": "string", "allowed": ["by-home", "shared"], "default": "by-home"},
+    "keys": {"type": "string", "allowed": ["by-home", "shared", "ranged"], "default": "by-home"},
+    "health_path": {"type": "string", "regex": r"^/[^?#\s]*$"},
+    "connections": {"type": "integer", "min": 0, "max": 1000000},
+    "cold_s": {"type": "number", "min": 0, "max": 86400},
+    "warm_s": {"type": "number", "min": 0, "max": 86400},
 }
 POOL = {
     "service": {**NAME, "required": True},
     "preferred": {**HALLS, "required": True, "minlength": 1},
     "fallback": HALLS,
+    "tiers": {"type": "string", "allowed": ["listed", "near"]},
 }
+PATH = r"^/[^?#\s]*$"
+HOST = r"^[^\s/]{0,253}$"
+METHOD = "^[A-Z]{1,16}$"
+KINDS = ["", "repeatable", "once"]
 MATCH = {
-    "path": {"type": "string", "regex": r"^/[^?#\s]*$", "required": True},
-    "methods": {"type": "list", "schema": {"type": "string", "regex": "^[A-Z]{1,16}$"}, "default": []},
+    "path": {"type": "string", "regex": PATH, "required": True},
+    "methods": {"type": "list", "schema": {"type": "string", "regex": METHOD}, "default": []},
     "tenants": {"type": "list", "schema": NAME, "default": []},
     "pools": {"type": "list", "minlength": 1, "maxlength": 32, "required": True, "schema": {
         "type": "dict", "schema": {"pool": {**NAME, "required": True},
                                    "weight": {"type": "integer", "min": 0, "max": 1000000, "required": True}}}},
+    "name": {"type": "string", "maxlength": 1000},
+    "host": {"type": "string", "regex": HOST},
+    "kind": {"type": "string", "allowed": KINDS},
+    "expiry_s": {"type": "number", "min": 0.05, "max": 3600},
+    "tries": {"type": "integer", "min": 1, "max": 10},
+    "target_s": {"type": "number", "min": 0, "max": 1e6},
+    "rank": {"type": "integer", "min": 0},
+    "homes": {"type": "list", "schema": NAME},
+    "across": {"type": "boolean"},
 }
 TENANT = {
     "homes": {"type": "list", "schema": NAME, "default": []},
@@ -54,6 +72,12 @@
     "parameters": {"type": "dict", "default": {}},
     "overlay": {"type": "dict", "default": {}},
 }
+LIMITS = {
+    "head_bytes": {"type": "integer", "min": 1, "max": 1 << 30},
+    "body_bytes": {"type": "integer", "min": 0, "max": 1 << 40},
+    "head_wait": {"type": "number", "min": 0.001, "max": 86400},
+    "idle_wait": {"type": "number", "min": 0.001, "max": 86400},
+}
 CONFIG = {
     "halls": {"type": "dict", "keysrules": NAME, "required": True, "minlength": 1,
               "valuesrules": {"type": "dict", "schema": {"region": {**NAME, "required": True}}}},
@@ -63,4 +87,7 @@
     "matches": {"type": "list", "default": [], "schema": {"type": "dict", "schema": MATCH}},
     "templates": _by_name(shape=TEMPLATE),
     "stamps": _by_name(shape=STAMP),
+    "limits": {"type": "dict", "schema": LIMITS},
+    "label": {"type": "integer", "min": 0},
+    "origin": {"type": "dict"},
 }
--- a/sailward/pour/draw.py
+++ b/sailward/pour/draw.py
@@ -10,13 +10,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class HallView:
-    """A hall of the pool's service as the draw sees it: overrides are already applied by `allowed`."""
+    """A hall of the pool's service as the draw sees it: overrides are already applied by `allowed`.
+
+    `weight` is its part of the spray beside its tier's other halls: even by default.
+    """
 
     fraction: float
     healthy: int
     listed: int
     drained: bool
     allowed: bool
+    weight: float = 1.0
 
 
 def draw_pool(*, match: Match, rng: random.Random) -> str:
@@ -51,11 +55,12 @@
     if not any(keeps[hall] for hall in preferred) or not any(keeps[hall] for hall in fallback):
         preferred, fallback = [hall for hall in standing if keeps[hall]], []
     if not fallback:
-        return _normalize(shares={hall: keeps[hall] for hall in preferred})
-    shares = {hall: keeps[hall] / len(preferred) for hall in preferred}
+        return _normalize(shares={hall: keeps[hall] * views[hall].weight for hall in preferred})
+    whole = sum(views[hall].weight for hall in preferred)
+    shares = {hall: keeps[hall] * views[hall].weight / whole for hall in preferred}
     spill = 1.0 - sum(shares.values())
     if spill > 1e-9:
-        taken = _normalize(shares={hall: keeps[hall] for hall in fallback})
+        taken = _normalize(shares={hall: keeps[hall] * views[hall].weight for hall in fallback})
         shares.update({hall: spill * part for hall, part in taken.items()})
     return shares
 
--- /dev/null
+++ b/sailward/pour/evidence.py
@@ -0,0 +1,127 @@
+"""Condition of workers by what exchanges show; only those in doubt are probed."""
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from sailward import constants
+from sailward.acts import Call, Called, HangUp, Log
+from sailward.charts import Chart
+from sailward.dock.wire_names import WireNames
+from sailward.pour.plan import Plan
+from sailward.roster.workers import Worker
+
+CHART = Chart(name="instance")
+EVENTS = {"refused": "refused", "no-connection": "dark", "connect-timeout": "dark"}
+
+
+@dataclass(kw_only=True)
+class Shown:
+    """What is known of one worker."""
+
+    worker: Worker
+    state: str = CHART.initial
+    since: float = 0.0
+    cold_until: float = 0.0
+    pace: float = 0.0
+    busy_until: float = 0.0
+    probe_at: float = 0.0
+    probe: str = ""
+    count: int = 0
+    missed: int = 0
+
+    @property
+    def is_healthy(self) -> bool:
+        """May it be sent exchanges?"""
+        return self.state in CHART.marks["healthy"]
+
+
+class Evidence:
+    """Owner of the workers' conditions. `step` takes a probe's end, or None for time going on."""
+
+    def __init__(self, *, names: WireNames, rng: random.Random) -> None:
+        self._names, self._rng = names, rng
+        self.shown: dict[str, Shown] = {}
+
+    def step(self, *, now: float, event: Called | None, plan: Plan) -> list:
+        """Judge one probe, or begin those that are due."""
+        if event is not None:
+            return self._judge(now=now, event=event)
+        commands = []
+        for key, shown in self.shown.items():
+            if shown.state in CHART.marks["probed"] and not shown.probe and now >= shown.probe_at:
+                commands.append(self._probe(now=now, key=key, shown=shown, plan=plan))
+        return commands
+
+    def follow(self, *, now: float, workers: dict[str, Worker]) -> list:
+        """Take the newest list."""
+        commands = [HangUp(owner=key) for key in self.shown if key not in workers]
+        self.shown = {key: shown for key, shown in self.shown.items() if key in workers}
+        for key, worker in workers.items():
+            shown = self.shown.setdefault(key, Shown(worker=worker, since=now))
+            if worker.cold > 0 and shown.worker.cold != worker.cold or (worker.cold > 0 and shown.since == now):
+                shown.cold_until = max(shown.cold_until, now + worker.cold)
+            shown.worker = worker
+        return commands
+
+    def chill(self, *, now: float, hall: str, plan: Plan) -> None:
+        """The workers of this hall may have gone cold: its emptying has ended."""
+        for shown in self.shown.values():
+            service = plan.services.get(shown.worker.service)
+            if shown.worker.hall == hall and service is not None:
+                shown.cold_until = max(shown.cold_until, now + service.cold + constants.COLD_MARGIN)
+
+    def note(self, *, now: float, key: str, event: str, took: float = 0.0) -> list:
+        """Fold what an exchange showed: pass (in `took` s), fail, refused, dark, stranger or full."""
+        shown = self.shown.get(key)
+        if shown is None:
+            return []
+        if event == "full":
+            shown.busy_until = now + constants.FULL_PAUSE
+            return []
+        if event == "pass":
+            shown.pace = took if not shown.pace else shown.pace + constants.PACE_WEIGHT * (took - shown.pace)
+        return self._move(now=now, key=key, shown=shown, event=event)
+
+    def _probe(self, *, now: float, key: str, shown: Shown, plan: Plan) -> Call:
+        shown.count += 1
+        shown.probe = f"probe {key} {shown.count}"
+        service = plan.services.get(shown.worker.service)
+        return Call(token=shown.probe, owner=key, address=shown.worker.address, method="GET",
+                    path=service.health_path if service else "/status", headers={self._names.expect: key}, body=b"",
+                    wait=constants.PROBE_WAIT, fresh=False)
+
+    def _judge(self, *, now: float, event: Called) -> list:
+        key = event.token.split(" ")[1]
+        shown = self.shown.get(key)
+        if shown is None or shown.probe != event.token:
+            return []
+        shown.probe = ""
+        told = event.headers.get(self._names.told, key)
+        verdict = "pass" if event.code == 200 and told == key else "stranger" if told != key else "fail"
+        shown.missed = 0 if verdict == "pass" else shown.missed + 1
+        pause = min(constants.PROBE_LONGEST, constants.PROBE_FIRST * 2 ** min(shown.missed, 4))
+        shown.probe_at = now + pause * (0.8 + 0.4 * self._rng.random())
+        cold = event.headers.get(self._names.cold, "")
+        if verdict == "pass" and _is_seconds(text=cold):
+            shown.cold_until = max(shown.cold_until, now + float(cold))
+        return self._move(now=now, key=key, shown=shown, event=verdict)
+
+    def _move(self, *, now: float, key: str, shown: Shown, event: str) -> list:
+        before = shown.state
+        shown.state = CHART.step(state=before, event=event)
+        if before == shown.state:
+            return []
+        shown.since = now
+        if shown.state == "wary" or (shown.state == "down" and before != "wary"):
+            shown.probe_at, shown.missed = now + constants.PROBE_FIRST * self._rng.random(), 0
+        if {before, shown.state} <= {"good", "doubt", "wary"}:
+            return []
+        return [Log(event="worker-status", fields={"worker": key, "from": before, "to": shown.state, "by": event})]
+
+
+def _is_seconds(*, text: str) -> bool:
+    try:
+        return 0 <= float(text) < 1e6
+    except ValueError:
+        return False
--- /dev/null
+++ b/sailward/pour/forwarding.py
@@ -0,0 +1,230 @@
+"""The requests under way in a proxy: place, send on, try again within the budget, or give up at once."""
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Answer, Asked, Call, Called, CallerLeft, CancelCall, Log
+from sailward.dock.wire_names import WireNames
+from sailward.pour.evidence import EVENTS
+from sailward.pour.exchange import Refusal, answer_json
+from sailward.pour.placing import Placer
+from sailward.pour.reply import Broken, NotSent, TurnedAway, Whole, judge_reply
+from sailward.pour.request import Attempt, Request, headers_to_caller, headers_to_worker, take_request
+from sailward.pour.retry_budget import RetryBudget
+
+SHORT = frozenset({"no-room", "key-moving", "key-unowned", "owner-lost", "owner-cold", "no-worker"})
+"""Refusals that may be over in a moment: the request waits for that long."""
+
+
+@dataclass(kw_only=True)
+class Forwarder:
+    """Owner of the requests of this proxy. `step` takes an Asked, a Called, a CallerLeft, or None for time going on."""
+
+    placer: Placer
+    names: WireNames
+    budget: RetryBudget
+    live: dict = field(default_factory=dict)
+    calls: dict = field(default_factory=dict)
+    waiting: dict = field(default_factory=dict)
+    loads: dict = field(default_factory=dict)
+    tally: Counter = field(default_factory=Counter)
+    count: int = 0
+
+    def step(self, *, now: float, event: object) -> list:
+        """Answer one event with commands."""
+        if isinstance(event, Asked):
+            return self._arrive(now=now, event=event)
+        if isinstance(event, Called):
+            return self._return(now=now, event=event) + self._pump(now=now)
+        if isinstance(event, CallerLeft):
+            return self._leave(token=event.token)
+        return self._look_at_alarms(now=now)
+
+    def take_loads(self) -> dict:
+        """{service: {bucket: requests}} for divided services since it was asked last."""
+        loads, self.loads = self.loads, {}
+        return {service: {str(bucket): count for bucket, count in buckets.items()} for service, buckets in loads.items()}
+
+    def _arrive(self, *, now: float, event: Asked) -> list:
+        taken = take_request(event=event, plan=self.placer.scene.plan, now=now, names=self.names)
+        if isinstance(taken, Refusal):
+            return [self._refusal(token=event.token, refusal=taken)]
+        self.live[taken.token] = taken
+        self.tally["taken"] += 1
+        if taken.service.ranged and taken.key >= 0:
+            buckets = self.loads.setdefault(taken.service.name, Counter())
+            buckets[taken.key // constants.KEYS_IN_BUCKET] += 1
+        return self._place(now=now, request=taken)
+
+    def _place(self, *, now: float, request: Request) -> list:
+        """Send it on now, let it wait for a moment, or refuse it."""
+        choice = self.placer.step(now=now, request=request)
+        if not isinstance(choice, Refusal):
+            self.waiting.pop(request.token, None)
+            return self._send_on(now=now, request=request, worker=choice)
+        if request.waits_since < 0:
+            request.waits_since = now
+        if choice.reason in SHORT and now - request.waits_since < self._patience(request=request):
+            self.waiting[request.token] = request
+            return []
+        return self._give_up(now=now, request=request, refusal=choice)
+
+    def _patience(self, *, request: Request) -> float:
+        """s that a request may wait for room or for its key: a small part of what its answer may take."""
+        return min(constants.LINE_WAIT, constants.LINE_SHARE * (request.match.target or constants.LINE_WAIT))
+
+    def _send_on(self, *, now: float, request: Request, worker) -> list:
+        left = request.expiry - now
+        if left <= constants.LEAST_LEFT:
+            return self._give_up(now=now, request=request, refusal=Refusal(code=503 if not request.sent else 504, reason="expired"))
+        scene = self.placer.scene
+        if request.sent and not self.budget.step(now=now, service=request.service.name, first=False, proxies=scene.proxies):
+            return self._give_up(now=now, request=request, refusal=Refusal(code=503, reason="budget"))
+        if not request.sent and not request.unsent:
+            self.budget.step(now=now, service=request.service.name, first=True, proxies=scene.proxies)
+        self.count += 1
+        token = f"x {self.count}"
+        request.sent, request.waits_since = request.sent + 1, -1.0
+        request.attempts[token] = Attempt(worker=worker.key, at=now)
+        if not request.service.ranged:
+            request.tried.add(worker.key)
+        may_hedge = request.match.is_repeatable and not request.service.ranged and request.sent < request.tries
+        request.hedge_at = now + self._hedge_after(request=request) if may_hedge else float("inf")
+        self.calls[token] = request
+        self.placer.took(key=worker.key)
+        self.tally["sent"] += 1
+        headers = headers_to_worker(request=request, worker=worker.key, within=left, names=self.names)
+        return [Call(token=token, owner=worker.key, address=worker.address, method=request.method, path=request.target,
+                     headers=headers, body=request.body, wait=left, fresh=not request.match.is_repeatable)]
+
+    def _hedge_after(self, *, request: Request) -> float:
+        return max(constants.HEDGE_LEAST, constants.HEDGE_SHARE * (request.match.target or constants.HEDGE_LEAST))
+
+    def _return(self, *, now: float, event: Called) -> list:
+        request = self.calls.pop(event.token, None)
+        if request is None:
+            return []
+        attempt = request.attempts.pop(event.token)
+        self.placer.left(key=attempt.worker)
+        verdict = judge_reply(request=request, worker=attempt.worker, event=event, names=self.names)
+        commands = self._note(now=now, attempt=attempt, verdict=verdict)
+        if request.token not in self.live:
+            return commands
+        if isinstance(verdict, Whole) and not verdict.is_failure:
+            return commands + self._answer(request=request, verdict=verdict)
+        if isinstance(verdict, NotSent):
+            request.sent, request.unsent = request.sent - 1, request.unsent + 1
+        elif isinstance(verdict, (Broken, Whole)):
+            request.ran = True
+        elif verdict.why == "not-owner":
+            request.turned_away.add(attempt.worker)
+        if request.attempts:
+            return commands
+        if self._may_try_again(now=now, request=request, verdict=verdict):
+            return commands + self._place(now=now, request=request)
+        if isinstance(verdict, Whole):
+            return commands + self._answer(request=request, verdict=verdict)
+        return commands + self._give_up(now=now, request=request, refusal=_refusal_of(verdict=verdict))
+
+    def _may_try_again(self, *, now: float, request: Request, verdict: object) -> bool:
+        if now >= request.expiry - constants.LEAST_LEFT:
+            return False
+        if isinstance(verdict, NotSent):
+            return request.unsent <= constants.MAX_UNSENT
+        if request.sent >= request.tries or (request.ran and not request.match.is_repeatable):
+            return False
+        return not (isinstance(verdict, TurnedAway) and verdict.why == "refused")
+
+    def _note(self, *, now: float, attempt: Attempt, verdict: object) -> list:
+        if isinstance(verdict, Whole):
+            event = "pass"
+        elif isinstance(verdict, TurnedAway):
+            event = verdict.why if verdict.why in ("full", "stranger") else ""
+        else:
+            event = EVENTS.get(verdict.reason, "" if verdict.reason == "too-late" else "fail")
+        if isinstance(verdict, (Broken, NotSent, TurnedAway)):
+            self.tally[f"{type(verdict).__name__}-{getattr(verdict, 'reason', getattr(verdict, 'why', ''))}"] += 1
+        return self.placer.scene.evidence.note(now=now, key=attempt.worker, event=event, took=now - attempt.at) if event else []
+
+    def _answer(self, *, request: Request, verdict: Whole) -> list:
+        commands = self._end(request=request)
+        self.tally["answered"] += 1
+        return [Answer(token=request.token, code=verdict.code, headers=headers_to_caller(headers=verdict.headers),
+                       body=verdict.body), *commands]
+
+    def _give_up(self, *, now: float, request: Request, refusal: Refusal) -> list:
+        commands = self._end(request=request)
+        code = refusal.code
+        if request.ran and code in (503, 429, 408, 421):
+            # it may have run: no promise may be made
+            code = 502
+        self.tally[f"refused-{refusal.reason}"] += 1
+        log = Log(event="given-up", fields={"reason": refusal.reason, "code": code, "route": request.match.path,
+                                            "took": round(now - request.arrived, 3)})
+        return [self._refusal(token=request.token, refusal=Refusal(code=code, reason=refusal.reason)), log, *commands]
+
+    def _end(self, *, request: Request) -> list:
+        """It has its answer: what is still under way for it is given up, unless it may not run twice and so goes on unheard."""
+        self.live.pop(request.token, None)
+        self.waiting.pop(request.token, None)
+        commands = []
+        for token, attempt in list(request.attempts.items()):
+            if request.match.is_repeatable:
+                del request.attempts[token]
+                self.calls.pop(token, None)
+                self.placer.left(key=attempt.worker)
+                commands.append(CancelCall(token=token))
+        return commands
+
+    def _leave(self, *, token: str) -> list:
+        request = self.live.get(token)
+        if request is None:
+            return []
+        self.tally["left"] += 1
+        return self._end(request=request)
+
+    def _refusal(self, *, token: str, refusal: Refusal) -> Answer:
+        headers = {"Retry-After": str(constants.COME_BACK.get(refusal.reason, constants.COME_BACK[""]))} \
+            if refusal.code in (429, 503) else {}
+        return answer_json(token=token, code=refusal.code, body={"error": refusal.reason, "detail": refusal.detail}, headers=headers)
+
+    def _pump(self, *, now: float) -> list:
+        commands = []
+        for request in sorted(self.waiting.values(), key=lambda one: (one.match.rank, one.arrived)):
+            if request.token in self.waiting:
+                commands += self._place(now=now, request=request)
+        return commands
+
+    def _look_at_alarms(self, *, now: float) -> list:
+        commands = self._pump(now=now)
+        for request in list(self.live.values()):
+            if now >= request.expiry:
+                code = 504 if request.sent else 503
+                commands += self._give_up(now=now, request=request, refusal=Refusal(code=code, reason="expired"))
+            elif now >= request.hedge_at:
+                commands += self._hedge(now=now, request=request)
+        return commands
+
+    def _hedge(self, *, now: float, request: Request) -> list:
+        """A second worker is asked, as the first is silent for long; the first good answer counts."""
+        request.hedge_at = float("inf")
+        choice = self.placer.step(now=now, request=request)
+        if isinstance(choice, Refusal) or not self._has_budget(now=now, request=request):
+            return []
+        self.tally["hedged"] += 1
+        return self._send_on(now=now, request=request, worker=choice)
+
+    def _has_budget(self, *, now: float, request: Request) -> bool:
+        account = self.budget.accounts.get(request.service.name)
+        room = constants.HEDGE_OF_BUDGET * self.budget.ratio * len(account.firsts) if account else 0
+        return account is not None and len(account.mores) < room
+
+
+def _refusal_of(*, verdict: object) -> Refusal:
+    if isinstance(verdict, TurnedAway):
+        return Refusal(code=verdict.code if verdict.why == "refused" else 503, reason=f"worker-{verdict.why}")
+    if isinstance(verdict, NotSent):
+        return Refusal(code=503, reason="unreachable")
+    return Refusal(code=504 if verdict.reason == "timed-out" else 502, reason=f"worker-{verdict.reason}")
--- a/sailward/pour/halls.py
+++ b/sailward/pour/halls.py
@@ -29,8 +29,9 @@
 class HallBook:
     """Owner of the halls' states. `step` folds the counts of one moment."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, hold: float = constants.HOLD) -> None:
         self.halls: dict[tuple[str, str], HallState] = {}
+        self._hold = hold
 
     def step(self, *, now: float, counts: dict[tuple[str, str], tuple[int, int, int]]) -> list:
         """Fold {(service, hall): (listed, healthy, known)}; halls with no worker listed are forgotten."""
@@ -63,6 +64,6 @@
             return ["under_drain"]
         if hall.fraction < constants.RESTORE:
             return ["under_restore"]
-        if hall.state == "holding" and now - hall.since >= constants.HOLD:
+        if hall.state == "holding" and now - hall.since >= self._hold:
             return ["held"]
         return ["at_restore"]
--- a/sailward/pour/plan.py
+++ b/sailward/pour/plan.py
@@ -2,19 +2,29 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from toolz import groupby
 
+from sailward import constants
+
+REPEATABLE, ONCE = "repeatable", "once"
+
 
 @dataclass(frozen=True, kw_only=True)
 class Pool:
-    """One weighted pool: a service, and its halls in two tiers."""
+    """One weighted pool: a service, and its halls in two tiers.
+
+    The tiers of a pool that is `near` follow the proxy: the halls of its own region are preferred, all others are
+    its fallback.
+    """
 
     name: str
     service: str
     preferred: tuple
     fallback: tuple
+    near: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,6 +41,11 @@
     timed_keys: bool
     slots: int
     keys_shared: bool
+    ranged: bool = False
+    health_path: str = "/status"
+    connections: int = 0
+    cold: float = 0.0
+    warm_up: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -50,6 +65,28 @@
     methods: frozenset
     tenants: frozenset
     shares: tuple
+    host: str = ""
+    kind: str = ""
+    expiry: float = 0.0
+    tries: int = 0
+    target: float = 0.0
+    rank: int = 0
+    homes: frozenset = frozenset()
+
+    @property
+    def is_repeatable(self) -> bool:
+        """May its exchanges run more than once, by the operators' word?"""
+        return self.kind == REPEATABLE
+
+
+@dataclass(frozen=True, kw_only=True)
+class Limits:
+    """What a caller may send, in bytes, and how long it may take or stay idle, in s."""
+
+    head_bytes: int = constants.HEAD_BYTES
+    body_bytes: int = constants.BODY_BYTES
+    head_wait: float = constants.HEAD_WAIT
+    idle_wait: float = constants.HTTP_IDLE
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,10 +100,12 @@
     tenants: dict = field(default_factory=dict)
     matches: tuple = ()
     index: dict = field(default_factory=dict)
+    limits: Limits = Limits()
+    label: int = 0
 
-    def match(self, *, path: str, method: str, tenant: str) -> Match | None:
+    def match(self, *, path: str, method: str, tenant: str, host: str = "") -> Match | None:
         """The rule for this exchange: longest path first, then the one that names most."""
-        for match in (*self.index.get(_first_part(path=path), ()), *self.index.get("", ())):
+        for match in (*self.index.get((host, _first_part(path=path)), ()), *self.index.get((host, ""), ())):
             if not (path == match.path or path.startswith(match.path.rstrip("/") + "/")):
                 continue
             if (not match.methods or method in match.methods) and (not match.tenants or tenant in match.tenants):
@@ -78,24 +117,39 @@
     return path.split("/", 2)[1] if path.startswith("/") else ""
 
 
-def read_plan(*, value: dict) -> Plan:
-    """The plan in a register's value."""
-    if not value["text"]:
-        return Plan()
-    full = json.loads(value["text"])["full"]
+def read_plan(*, value: dict, expand: Callable[[dict], dict] | None = None) -> Plan:
+    """The plan in a register's value; `expand` makes the full form of one that holds only what was written."""
+    return plan_of(full=read_full(value=value, expand=expand), number=value["number"]) if value["text"] else Plan()
+
+
+def read_full(*, value: dict, expand: Callable[[dict], dict] | None = None) -> dict:
+    """The full form of the configuration in a register's value, empty if there is none."""
+    inner = json.loads(value["text"]) if value["text"] else {}
+    return expand(inner["written"]) if expand and "written" in inner and "full" not in inner else inner.get("full", {})
+
+
+def plan_of(*, full: dict, number: int) -> Plan:
+    """The plan in a configuration's full form."""
     services = {name: Service(name=name, expiry=one["expiry_s"], rate=one["rate"], cold_rate=one["cold_rate"],
                               cold_ramp=one["cold_ramp_s"], result_bytes=one["result_bytes"],
                               digest_required=one["digest_required"], timed_keys=one.get("timed_keys", False), slots=one["slots"],
-                              keys_shared=one["keys"] == "shared")
+                              keys_shared=one["keys"] == "shared", ranged=one["keys"] == "ranged",
+                              health_path=one.get("health_path", "/status"), connections=one.get("connections", 0),
+                              cold=one.get("cold_s", 0.0), warm_up=one.get("warm_s", 0.0))
                 for name, one in full["services"].items()}
     pools = {name: Pool(name=name, service=one["service"], preferred=tuple(one["preferred"]),
-                        fallback=tuple(one["fallback"])) for name, one in full["pools"].items()}
+                        fallback=tuple(one["fallback"]), near=one.get("tiers") == "near")
+             for name, one in full["pools"].items()}
     tenants = {name: Tenant(name=name, homes=frozenset(one["homes"]), share=one["share"])
                for name, one in full["tenants"].items()}
     matches = [Match(path=one["path"], methods=frozenset(one["methods"]), tenants=frozenset(one["tenants"]),
-                     shares=tuple((share["pool"], share["weight"]) for share in one["pools"]))
+                     shares=tuple((share["pool"], share["weight"]) for share in one["pools"]),
+                     host=one.get("host", ""), kind=one.get("kind", ""), expiry=one.get("expiry_s", 0.0),
+                     tries=one.get("tries", 0), target=one.get("target_s", 0.0), rank=one.get("rank", 0),
+                     homes=frozenset(one.get("homes", ())))
                for one in full["matches"]]
     matches.sort(key=lambda match: (-len(match.path), not match.tenants, not match.methods))
-    return Plan(number=value["number"], services=services, pools=pools, tenants=tenants, matches=tuple(matches),
-                index=groupby(lambda match: _first_part(path=match.path), matches),
+    return Plan(number=number, services=services, pools=pools, tenants=tenants, matches=tuple(matches),
+                index=groupby(lambda match: (match.host, _first_part(path=match.path)), matches),
+                limits=Limits(**full.get("limits", {})), label=full.get("label", 0),
                 regions={name: hall["region"] for name, hall in full["halls"].items()})
--- /dev/null
+++ b/sailward/pour/reply.py
@@ -0,0 +1,65 @@
+"""Is a worker's answer whole, its own, and this request's? By what the edge and the headers tell."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sailward.acts import Called
+from sailward.dock.wire_names import WireNames
+from sailward.pour.request import Request
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Codes that tell a caller: it did not run and never will."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Whole:
+    """The worker's own answer, whole; it may be given to the caller. `is_failure`: another worker may do better."""
+
+    code: int
+    headers: dict
+    body: bytes
+    is_failure: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class TurnedAway:
+    """The worker says that it did not run it: `full`, `stranger` (not the worker that was meant), `not-owner`, `refused`."""
+
+    code: int
+    why: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotSent:
+    """No byte of it left."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Broken:
+    """Nothing that may be given to a caller; it may have run."""
+
+    reason: str
+
+
+def judge_reply(*, request: Request, worker: str, event: Called, names: WireNames) -> Whole | TurnedAway | NotSent | Broken:
+    """Judge the end of one sending-on."""
+    if event.code == 0:
+        return Broken(reason=event.fault) if event.sent else NotSent(reason=event.fault)
+    headers = event.headers
+    if names.not_run in headers and names.not_run_value in ("", headers[names.not_run]):
+        if event.code == 421:
+            is_other = headers.get(names.told, worker) != worker
+            return TurnedAway(code=421, why="stranger" if is_other or not request.service.ranged else "not-owner")
+        return TurnedAway(code=event.code, why="full" if event.code in (429, 503) else "refused")
+    if event.code == 421 and headers.get(names.told, worker) != worker:
+        return TurnedAway(code=421, why="stranger")
+    if headers.get(names.exchange, "") != request.name:
+        return Broken(reason="another-exchange")
+    if 200 <= event.code < 300 and names.seal and names.seal not in headers:
+        return Broken(reason="unsealed")
+    if event.code in PROMISES:
+        # without its mark the worker promises nothing, so neither may we
+        return Broken(reason=f"code:{event.code}")
+    return Whole(code=event.code, headers=headers, body=event.body, is_failure=event.code >= 500)
--- /dev/null
+++ b/sailward/pour/request.py
@@ -0,0 +1,82 @@
+"""One request of a caller on its way through a proxy, by the route that it matched."""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.acts import Asked
+from sailward.dock.wire_names import WireNames
+from sailward.pour.exchange import Refusal
+from sailward.pour.plan import Match, Plan, Service
+
+HOP = frozenset({"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
+                 "transfer-encoding", "upgrade", "content-length", "expect", "accept-encoding"})
+
+
+@dataclass(kw_only=True)
+class Attempt:
+    """One sending-on of a request."""
+
+    worker: str
+    at: float
+
+
+@dataclass(kw_only=True)
+class Request:
+    """One request under way; all times in s of the owner's clock."""
+
+    token: str
+    name: str
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+    match: Match
+    service: Service
+    arrived: float
+    expiry: float
+    key: int = -1
+    sent: int = 0
+    unsent: int = 0
+    ran: bool = False
+    is_left: bool = False
+    is_drawn: bool = False
+    waits_since: float = -1.0
+    hedge_at: float = float("inf")
+    attempts: dict = field(default_factory=dict)
+    tried: set = field(default_factory=set)
+    turned_away: set = field(default_factory=set)
+
+    @property
+    def tries(self) -> int:
+        """Workers to which it may be sent at the most."""
+        return self.match.tries or constants.MAX_TRIES
+
+
+def take_request(*, event: Asked, plan: Plan, now: float, names: WireNames) -> Request | Refusal:
+    """The request that a caller made, or why it can't be one."""
+    if not plan.number:
+        return Refusal(code=503, reason="no-configuration")
+    host = event.headers.get("host", "").rsplit(":", 1)[0].lower()
+    match = plan.match(path=event.path, method=event.method, tenant="", host=host)
+    if match is None:
+        return Refusal(code=404, reason="unmatched")
+    service = plan.services[plan.pools[match.shares[0][0]].service]
+    given = event.headers.get(names.within, "")
+    within = int(given) / 1000 if given.isascii() and given.isdigit() and len(given) < 10 else constants.REQUEST_EXPIRY
+    key = event.headers.get(names.part, "")
+    number = int(key) if key.isascii() and key.isdigit() and len(key) < 6 and int(key) <= constants.KEY_LAST else -1
+    return Request(token=event.token, name=event.headers.get(names.exchange, ""), method=event.method, target=event.target,
+                   headers=event.headers, body=event.body or b"", match=match, service=service, arrived=now, key=number,
+                   expiry=now + max(0.0, min(within, match.expiry or constants.REQUEST_EXPIRY)))
+
+
+def headers_to_worker(*, request: Request, worker: str, within: float, names: WireNames) -> dict:
+    """The caller's headers but those of one connection, with the time left and the worker that is meant."""
+    headers = {name: value for name, value in request.headers.items() if name not in HOP}
+    return {**headers, names.within: str(max(1, int(within * 1000))), names.expect: worker}
+
+
+def headers_to_caller(*, headers: dict) -> dict:
+    """The worker's headers but those of one connection."""
+    return {name: value for name, value in headers.items() if name not in HOP}
