--- a/sailward/roster/gossip.py
+++ b/sailward/roster/gossip.py
@@ -47,6 +47,8 @@
     beat: int = 0
     known: dict = field(default_factory=dict)
     told: float = -1e9
+    every: float = field(default_factory=lambda: constants.GOSSIP)
+    suspect: float = field(default_factory=lambda: constants.SUSPECT)
 
     def step(self, *, now: float, event: tuple | None) -> list:
         """Fold a (sender, body) or tell the watched."""
@@ -58,7 +60,7 @@
                 commands.append(Tell(to=sender, body=reply))
             return commands
         commands = self._judge(now=now)
-        if now - self.told >= constants.GOSSIP:
+        if now - self.told >= self.every:
             self.told, self.beat = now, self.beat + 1
             body = {"kind": "gossip", "entries": self._entries(now=now), "reply": False}
             commands += [Tell(to=address, body=body) for address in self._watched()]
@@ -105,7 +107,7 @@
     def _judge(self, *, now: float) -> list:
         commands = []
         for name, known in list(self.known.items()):
-            if not known.lost and now - known.seen > constants.SUSPECT:
+            if not known.lost and now - known.seen > self.suspect:
                 known.lost = True
                 commands.append(Log(event="daemon-lost", fields={"daemon": name}))
             if now - known.seen > constants.FORGET:
--- a/sailward/roster/pages.py
+++ b/sailward/roster/pages.py
@@ -3,10 +3,13 @@
 
 import json
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from sailward import constants
 from sailward.acts import Call, Called, Log
 
+LIFE = {"id": str, "generation": int, "service": str, "address": str, "hall": str, "leaving": bool, "capacity": int, "cold_s": float}
+"""What a row of a reader's page has; `generation` is 0, as each start of a worker has an id of its own."""
 WORKER = {"id": str, "generation": int, "service": str, "address": str, "hall": str, "leaving": bool}
 
 
@@ -26,9 +29,31 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class ListPage:
+    """One page as a reader understands it: rows of LIFE's fields, and the token of the next page, "" on the last."""
+
+    rows: list
+    next: str
+
+
+class ListReader(Protocol):
+    """The words of a platform whose list has no numbers."""
+
+    def path(self, *, token: str) -> str:
+        """The path and query of a page: of the first one if the token is empty."""
+
+    def read(self, *, body: bytes) -> ListPage | BrokenPass:
+        """The page in these bytes."""
+
+
 @dataclass(kw_only=True)
 class Pager:
-    """Owner of the passes. `step` gives (commands, WholeList or None)."""
+    """Owner of the passes. `step` gives (commands, WholeList or None).
+
+    With a `reader` lists have no numbers of the platform's: each WholeList has the next number of this pager, also if nothing changed.
+    `rate`: calls/s that the platform bears from all together, 0 if no bound is known; `pollers`: how many daemons poll now.
+    """
 
     platform: str
     passes: int = 0
@@ -36,19 +61,60 @@
     token: str = ""
     pages: list = field(default_factory=list)
     failing: bool = False
+    reader: ListReader | None = None
+    rate: float = 0.0
+    pollers: int = 1
+    broken: int = 0
+    _page_count: int = 1
+    rows: dict = field(default_factory=dict)
+    missed: set = field(default_factory=set)
 
     def step(self, *, now: float, event: Called | None) -> tuple[list, WholeList | None]:
         """Take a page, or None for time going on."""
         if event is not None:
-            return self._take_page(event=event) if event.token == self.token else ([], None)
+            if event.token != self.token:
+                return [], None
+            return self._take_words(now=now, event=event) if self.reader else self._take_page(event=event)
         if not self.platform or self.token or now < self.next_at:
             return [], None
-        self.passes, self.pages, self.next_at = self.passes + 1, [], now + constants.LIST_EVERY
+        every = self._pause() if self.reader else constants.LIST_EVERY
+        self.passes, self.pages, self.next_at = self.passes + 1, [], now + every
         return [self._ask(after="")], None
 
+    def _pause(self) -> float:
+        """The time between passes: all pollers together stay under LIST_SHARE of the platform's rate."""
+        calls = max(1, self._page_count) * max(1, self.pollers)
+        return max(constants.LIST_EVERY, calls / (constants.LIST_SHARE * self.rate) if self.rate > 0 else 0.0)
+
+    def _take_words(self, *, now: float, event: Called) -> tuple[list, WholeList | None]:
+        page = BrokenPass(reason=event.fault or f"code:{event.code}") if event.code != 200 else self.reader.read(body=event.body)
+        if isinstance(page, BrokenPass):
+            self.broken += 1
+            # each further broken pass doubles the pause, to a bound
+            self.next_at = now + min(self._pause() * 2 ** min(self.broken - 1, 8), constants.LIST_PAUSE)
+            return self._break_off(fault=page)
+        self.pages.append(page)
+        if page.next:
+            if len(self.pages) >= constants.LIST_PAGES:
+                return self._break_off(fault=BrokenPass(reason="endless"))
+            return [self._ask(after=page.next)], None
+        self.token, self.broken, self._page_count = "", 0, len(self.pages)
+        commands = [Log(event="list-read-again")] if self.failing else []
+        self.failing = False
+        return commands, WholeList(epoch=0, revision=self.passes, workers=self._join())
+
+    def _join(self) -> list:
+        """The rows of a pass: a later one wins; in a list of many pages one that is missing once is kept."""
+        rows = {row["id"]: row for page in self.pages for row in page.rows}
+        missing = set(self.rows) - set(rows)
+        kept = missing - self.missed if len(self.pages) > 1 else set()
+        self.rows = {**rows, **{name: self.rows[name] for name in kept}}
+        self.missed = kept
+        return [self.rows[name] for name in sorted(self.rows)]
+
     def _ask(self, *, after: str) -> Call:
         self.token = f"list.{self.passes}.{len(self.pages)}"
-        path = f"/workers?limit={constants.LIST_PAGE}&after={after}"
+        path = self.reader.path(token=after) if self.reader else f"/workers?limit={constants.LIST_PAGE}&after={after}"
         return Call(token=self.token, owner="platform", address=self.platform, method="GET", path=path,
                     headers={}, body=b"", wait=constants.LIST_WAIT, fresh=False)
 
--- a/sailward/roster/workers.py
+++ b/sailward/roster/workers.py
@@ -3,10 +3,16 @@
 
 from dataclasses import dataclass, field
 
+from sailward import constants
+
 
 @dataclass(frozen=True, kw_only=True)
 class Worker:
-    """One worker of one generation."""
+    """One worker of one generation.
+
+    `is_life`: its name is of one start alone, and no generation is told. `capacity`: exchanges it works on at once, 0 if unknown.
+    `cold`: s that it stays cold, counted from the telling.
+    """
 
     name: str
     generation: int
@@ -14,11 +20,14 @@
     address: str
     hall: str
     leaving: bool
+    capacity: int = 0
+    cold: float = 0.0
+    is_life: bool = False
 
     @property
     def key(self) -> str:
         """Its identity: what connections and results belong to."""
-        return f"{self.name}/{self.generation}"
+        return self.name if self.is_life else f"{self.name}/{self.generation}"
 
 
 @dataclass(kw_only=True)
@@ -29,6 +38,35 @@
     newest: dict = field(default_factory=dict)
     over: dict = field(default_factory=dict)
     revision: tuple = (-1, -1)
+    came: dict = field(default_factory=dict)
+    gone: dict = field(default_factory=dict)
+    left: dict = field(default_factory=dict)
+
+    def replace(self, *, now: float, workers: list) -> tuple[set, set]:
+        """Take a list of lives whose number can't be compared with that of the one before: (came, went).
+
+        Another teller's list may be a little older or newer. So leaving stays; what is gone stays so for GONE_LIFE, unless
+        it had come as lately; after that a list that has it is believed.
+        """
+        before = set(self.workers)
+        self.gone = {name: at for name, at in self.gone.items() if now - at < constants.GONE_LIFE}
+        book = {}
+        for row in workers:
+            name = row["id"]
+            if name in self.gone:
+                continue
+            if row["leaving"]:
+                self.left[name] = now
+            book[name] = Worker(name=name, generation=0, service=row["service"], address=row["address"], hall=row["hall"],
+                                leaving=name in self.left, capacity=row["capacity"], cold=row["cold_s"], is_life=True)
+            self.came.setdefault(name, now)
+        for name in before - set(book):
+            if now - self.came.pop(name, now) >= constants.GONE_LIFE:
+                self.gone[name] = now
+        self.left = {name: now if name in book else at for name, at in self.left.items()
+                     if name in book or now - at < constants.LEFT_LIFE}
+        self.workers = book
+        return set(book) - before, before - set(book)
 
     def step(self, *, epoch: int, revision: int, workers: list) -> tuple[set, set]:
         """Fold a list: (came, went). A list older than one heard is not believed."""
--- /dev/null
+++ b/tests/outbound_peer.py
@@ -0,0 +1,152 @@
+"""A loopback peer written by hand, and an Outbound on a reactor of its own thread, for the tests of the client edge."""
+from __future__ import annotations
+
+import queue
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+
+from sailward.acts import Call, Called
+from sailward.dock.outbound import Outbound
+from sailward.dock.reactor import Reactor
+from sailward.dock.wire_names import WireNames
+
+WAIT = 8.0
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+class Line:
+    """One connection as the peer sees it."""
+
+    def __init__(self, *, sock: socket.socket, number: int) -> None:
+        self.sock = sock
+        self.number = number
+        self.left = b""
+
+    def read(self) -> bytes:
+        """One request, head and body; b"" at the end, b"reset" at a reset."""
+        try:
+            while b"\r\n\r\n" not in self.left:
+                if not self._more():
+                    return b""
+            head, _, _ = self.left.partition(b"\r\n\r\n")
+            length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length")), 0)
+            size = len(head) + 4 + length
+            while len(self.left) < size:
+                if not self._more():
+                    return b""
+        except ConnectionResetError:
+            return b"reset"
+        request, self.left = self.left[:size], self.left[size:]
+        return request
+
+    def say(self, answer: bytes) -> None:
+        self.sock.sendall(answer)
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+    def _more(self) -> bool:
+        data = self.sock.recv(1 << 20)
+        self.left += data
+        return bool(data)
+
+
+class Peer:
+    """A listener that lets `serve` have each connection, on a thread of its own."""
+
+    def __init__(self, *, serve: Callable[[Line], None]) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.seen: queue.Queue = queue.Queue()
+        self.lines: list[Line] = []
+        self._serve = serve
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            line = Line(sock=sock, number=len(self.lines))
+            self.lines.append(line)
+            threading.Thread(target=self._hand, args=(line,), daemon=True).start()
+
+    def _hand(self, line: Line) -> None:
+        try:
+            self._serve(line)
+        except OSError:
+            pass
+
+    def get(self) -> object:
+        return self.seen.get(timeout=WAIT)
+
+
+class Edge:
+    """An Outbound on a reactor of its own thread."""
+
+    def __init__(self) -> None:
+        self.told: queue.Queue = queue.Queue()
+        self.reactor = Reactor()
+        self.outbound = Outbound(reactor=self.reactor, tell=self.told.put, names=WireNames())
+        self._peers: list[Peer] = []
+        self._count = 0
+        self._thread = threading.Thread(target=self.reactor.run, daemon=True)
+        self._thread.start()
+
+    def peer(self, *, serve: Callable[[Line], None]) -> Peer:
+        self._peers.append(Peer(serve=serve))
+        return self._peers[-1]
+
+    def speaker(self, *answers: bytes) -> Peer:
+        """A peer that gives the answers in order, on all connections together, then the last for ever; tells (line, request)."""
+        left = list(answers)
+
+        def serve(line: Line) -> None:
+            while (request := line.read()) not in (b"", b"reset"):
+                answer = left.pop(0) if len(left) > 1 else left[0]
+                peer.seen.put((line.number, request))
+                line.say(answer)
+            peer.seen.put((line.number, request))
+
+        peer = self.peer(serve=serve)
+        return peer
+
+    def do(self, function: Callable) -> object:
+        done: queue.Queue = queue.Queue()
+        self.reactor.give(call=lambda: done.put(function()))
+        return done.get(timeout=WAIT)
+
+    def give(self, *, address: str, owner: str = "w", method: str = "GET", path: str = "/a", headers: dict | None = None,
+             body: bytes = b"", wait: float = 5.0, fresh: bool = False, begin_by: float = float("inf")) -> str:
+        self._count += 1
+        token = f"t{self._count}"
+        call = Call(token=token, owner=owner, address=address, method=method, path=path, headers=headers or {}, body=body, wait=wait,
+                    fresh=fresh, begin_by=begin_by)
+        self.do(lambda: self.outbound.give(call=call))
+        return token
+
+    def ask(self, **given: object) -> Called:
+        token = self.give(**given)
+        called = self.told.get(timeout=WAIT)
+        assert called.token == token
+        return called
+
+    def counts(self) -> dict:
+        return self.do(self.outbound.counts)
+
+    def until(self, **wanted: int) -> None:
+        end = time.monotonic() + WAIT
+        while not wanted.items() <= self.counts().items():
+            assert time.monotonic() < end, (wanted, self.counts())
+            time.sleep(0.01)
+
+    def stop(self) -> None:
+        self.reactor.give(call=self.reactor.stop)
+        self._thread.join(timeout=WAIT)
+        for peer in self._peers:
+            peer.listener.close()
--- /dev/null
+++ b/tests/test_granting.py
@@ -0,0 +1,507 @@
+"""Grants of key ranges in virtual time: never two holders, and every key back in bounds."""
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import random
+from dataclasses import dataclass, field
+
+import pytest
+
+from sailward import constants
+from sailward.acts import Call, Called
+from sailward.house.granting import Granting, GrantScene
+from sailward.pour.shards import KEYS, read_shards
+
+SLOW = 1 / 0.98
+SERVICE = "cart"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Listed:
+    name: str
+    service: str
+    address: str
+    hall: str
+    leaving: bool = False
+    cold: float = 0.0
+
+
+class Codec:
+    def grant(self, *, start: int, end: int, fence: int, hold: float, handover: str, owner: str) -> tuple:
+        body = {"start": start, "end": end, "fence": fence, "hold": hold, "handover": handover}
+        return "POST", "/hold", {"owner": owner}, json.dumps(body).encode()
+
+    def release(self, *, start: int, end: int, fence: int, owner: str) -> tuple:
+        return "POST", "/let-go", {"owner": owner}, json.dumps({"start": start, "end": end, "fence": fence}).encode()
+
+    def handover(self, *, headers: dict) -> str:
+        return headers.get("passed-on", "")
+
+
+@dataclass(kw_only=True)
+class Hold:
+    start: int
+    end: int
+    until: float
+    fence: int
+
+
+@dataclass(kw_only=True)
+class FakeWorker:
+    """A worker's process: holds by a slow clock, refuses lower fences, ends what runs before it answers a release."""
+
+    key: str
+    address: str
+    hall: str
+    alive: bool = True
+    is_leaving: bool = False
+    cold: float = 0.0
+    listed: bool = True
+    is_unreachable: bool = False
+    silent_to: set = field(default_factory=set)
+    holds: list = field(default_factory=list)
+    seen: list = field(default_factory=list)
+    handovers: list = field(default_factory=list)
+
+    def held(self, *, now: float) -> list[Hold]:
+        return [one for one in self.holds if one.until > now] if self.alive else []
+
+    def take(self, *, now: float, body: dict) -> int:
+        start, end, fence = body["start"], body["end"], body["fence"]
+        if any(a <= end and start <= b and f > fence for a, b, f in self.seen):
+            return 409
+        self.seen.append((start, end, fence))
+        self.drop(start=start, end=end)
+        self.holds.append(Hold(start=start, end=end, until=now + body["hold"] * SLOW, fence=fence))
+        self.handovers.append(body["handover"])
+        return 200
+
+    def drop(self, *, start: int, end: int) -> None:
+        kept = []
+        for one in self.holds:
+            if one.end < start or end < one.start:
+                kept.append(one)
+                continue
+            if one.start < start:
+                kept.append(Hold(start=one.start, end=start - 1, until=one.until, fence=one.fence))
+            if end < one.end:
+                kept.append(Hold(start=end + 1, end=one.end, until=one.until, fence=one.fence))
+        self.holds = kept
+
+
+@dataclass(kw_only=True)
+class Granter:
+    """One life of one cellar: what it holds of the register, and how fresh that is."""
+
+    name: str
+    life: int
+    granting: Granting
+    value: dict = field(default_factory=lambda: {"number": 0, "text": ""})
+    fresh: dict = field(default_factory=dict)
+    is_up: bool = True
+    is_cut: bool = False
+    is_acting: bool = False
+    blind: frozenset = frozenset()
+    down: dict = field(default_factory=dict)
+
+
+class World:
+    """A register with compare-and-swap and read leases, granters, workers and a network, all in virtual time."""
+
+    def __init__(self, *, seed: int, granters: int = 3, workers: int = 4, halls: int = 2, slowest: float = 0.5) -> None:
+        self.rng = random.Random(seed)
+        self.now, self.slowest = 0.0, slowest
+        self.register = {"number": 0, "text": ""}
+        self.ids, self.events = itertools.count(1), []
+        self.granters = [self.start_granter(name=f"c{at}") for at in range(granters)]
+        self.granters[0].is_acting = True
+        self.workers: list[FakeWorker] = []
+        self.halls = [f"h{at}" for at in range(halls)]
+        for at in range(workers):
+            self.start_worker(address=f"w{at}", hall=self.halls[at % halls])
+        self.emptied: frozenset = frozenset()
+        self.loads: dict = {}
+        self.overlaps: list = []
+        self.changes = 0
+        self.calls: list = []
+
+    def start_granter(self, *, name: str) -> Granter:
+        life = next(self.ids)
+        return Granter(name=name, life=life, granting=Granting(service=SERVICE, own=f"{name}#{life}", codec=Codec()))
+
+    def start_worker(self, *, address: str, hall: str) -> FakeWorker:
+        worker = FakeWorker(key=f"{address}/{next(self.ids)}", address=address, hall=hall)
+        self.workers.append(worker)
+        return worker
+
+    def at(self, *, delay: float, act: object) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.ids), act))
+
+    def delay(self) -> float:
+        return self.rng.uniform(0.0, self.slowest) if self.rng.random() < 0.2 else self.rng.uniform(0.001, 0.03)
+
+    def run(self, *, seconds: float) -> None:
+        """Go on with a tick each 0.05 s and what falls between the ticks."""
+        until = self.now + seconds
+        while self.now < until:
+            tick = self.now + constants.TICK
+            while self.events and self.events[0][0] <= tick:
+                self.now, _, act = heapq.heappop(self.events)
+                act()
+            self.now = tick
+            for granter in self.granters:
+                if granter.is_up:
+                    if round(self.now / constants.TICK) % 5 == 0:
+                        self.ask(granter=granter)
+                    self.step(granter=granter, event=None)
+
+    def ask(self, *, granter: Granter) -> None:
+        asked = self.now
+        if granter.is_cut:
+            return
+
+        def arrive() -> None:
+            number, value = self.register["number"], self.register
+            if not granter.is_cut:
+                self.at(delay=self.delay(), act=lambda: self.confirm(granter=granter, asked=asked, number=number, value=value))
+
+        self.at(delay=self.delay(), act=arrive)
+
+    def confirm(self, *, granter: Granter, asked: float, number: int, value: dict) -> None:
+        if granter.is_cut:
+            return
+        granter.fresh[number] = max(granter.fresh.get(number, -1e9), asked + constants.GRANT_LEASE)
+        if number > granter.value["number"] and self.rng.random() < 0.7:
+            granter.value = value
+
+    def step(self, *, granter: Granter, event: Called | None) -> None:
+        listed = {one.key: Listed(name=one.key, service=SERVICE, address=one.address, hall=one.hall, leaving=one.is_leaving,
+                                  cold=one.cold)
+                  for one in self.workers if one.listed and one.key not in granter.blind}
+        scene = GrantScene(value=granter.value, workers=listed, fresh_until=granter.fresh.get(granter.value["number"], -1e9),
+                           is_acting=granter.is_acting, emptied=self.emptied, down=granter.down, loads=self.loads)
+        commands, changes = granter.granting.step(now=self.now, event=event, scene=scene)
+        for command in commands:
+            if isinstance(command, Call):
+                self.call(granter=granter, call=command)
+        for _, number, text in changes:
+            self.changes += 1
+            if not granter.is_cut:
+                self.at(delay=self.delay(), act=lambda number=number, text=text: self.swap(granter=granter, number=number, text=text))
+
+    def swap(self, *, granter: Granter, number: int, text: str) -> None:
+        if self.register["number"] != number:
+            return
+        value = self.register = {"number": number + 1, "text": text}
+        asked = self.now
+        for other in self.granters:
+            if not other.is_cut and (other is granter or self.rng.random() < 0.8):
+                self.at(delay=self.delay(), act=lambda other=other: self.learn(granter=other, value=value, asked=asked))
+
+    def learn(self, *, granter: Granter, value: dict, asked: float) -> None:
+        if not granter.is_cut and value["number"] > granter.value["number"]:
+            granter.value = value
+            granter.fresh[value["number"]] = max(granter.fresh.get(value["number"], -1e9), asked + constants.GRANT_LEASE)
+
+    def call(self, *, granter: Granter, call: Call) -> None:
+        self.calls.append((self.now, call))
+        state = {"ended": False}
+
+        def end(*, code: int, fault: str = "", headers: dict | None = None, sent: bool = True) -> None:
+            if state["ended"] or not granter.is_up:
+                return
+            state["ended"] = True
+            self.step(granter=granter, event=Called(token=call.token, code=code, headers=headers or {}, body=b"", fault=fault, sent=sent))
+
+        def begin() -> None:
+            if not granter.is_up:
+                return
+            if self.now > call.begin_by:
+                end(code=0, fault="too-late", sent=False)
+                return
+            flight = self.delay()
+            if flight > 0.4 and self.slowest >= 0.5:
+                flight = self.rng.uniform(0.0, call.wait + constants.GRANT_FLIGHT - 0.01) if call.path == "/hold" else flight
+            self.at(delay=flight, act=arrive)
+            self.at(delay=call.wait, act=lambda: end(code=0, fault="timed-out"))
+
+        def answer(*, worker: FakeWorker, code: int, headers: dict | None = None, fault: str = "") -> None:
+            if granter.name in worker.silent_to:
+                return
+            self.at(delay=self.delay(), act=lambda: end(code=code, headers=headers, fault=fault, sent=not fault))
+
+        def arrive() -> None:
+            here = [one for one in self.workers if one.address == call.address]
+            alive = [one for one in here if one.alive]
+            worker = alive[-1] if alive else here[-1]
+            if granter.name in worker.silent_to:
+                return
+            if not alive:
+                answer(worker=worker, code=0, fault="refused")
+            elif worker.is_unreachable:
+                answer(worker=worker, code=0, fault="no-connection")
+            elif worker.key != call.headers["owner"]:
+                answer(worker=worker, code=421)
+            else:
+                self.serve(worker=worker, call=call, answer=answer)
+
+        self.at(delay=self.rng.choice((0.0, 0.0, 0.1)), act=begin)
+
+    def serve(self, *, worker: FakeWorker, call: Call, answer: object) -> None:
+        body = json.loads(call.body)
+        if call.path == "/hold":
+            code = worker.take(now=self.now, body=body)
+            if code == 200:
+                self.check(worker=worker)
+            answer(worker=worker, code=code)
+            return
+
+        def done() -> None:
+            worker.drop(start=body["start"], end=body["end"])
+            answer(worker=worker, code=200, headers={"passed-on": f"from {worker.key}"})
+
+        # what runs still counts as held until the answer
+        self.at(delay=self.rng.choice((0.0, 0.02, 0.3)), act=done)
+
+    def check(self, *, worker: FakeWorker) -> None:
+        for other in self.workers:
+            if other is not worker:
+                for one in worker.held(now=self.now):
+                    self.overlaps += [(self.now, worker.key, other.key, one, two) for two in other.held(now=self.now)
+                                      if one.start <= two.end and two.start <= one.end]
+
+    def held_keys(self) -> int:
+        """How many keys some living worker holds (never two, or `overlaps` tells)."""
+        return sum(one.end - one.start + 1 for worker in self.workers for one in worker.held(now=self.now))
+
+    def run_until_whole(self, *, within: float) -> float:
+        """Seconds until every key is held."""
+        start = self.now
+        while self.held_keys() < KEYS and self.now - start <= within:
+            self.run(seconds=constants.TICK)
+        return self.now - start
+
+    def keys_of(self, *, worker: FakeWorker) -> int:
+        return sum(one.end - one.start + 1 for one in worker.held(now=self.now))
+
+
+def make_settled(**settings: object) -> World:
+    world = World(seed=1, slowest=0.03, **settings)
+    world.run(seconds=5.0)
+    assert world.held_keys() == KEYS
+    return world
+
+
+def crash(*, world: World, worker: FakeWorker, unlist_after: float = 1.0, again_after: float = 1.5) -> None:
+    worker.alive = False
+
+    def vanish() -> None:
+        worker.listed = False
+
+    world.at(delay=unlist_after, act=vanish)
+    world.at(delay=again_after, act=lambda: world.start_worker(address=worker.address, hall=worker.hall))
+
+
+def test_first_grants_come_at_once_and_are_renewed_without_a_gap() -> None:
+    world = World(seed=1, slowest=0.03)
+    assert world.run_until_whole(within=2.0) < 1.0
+    changes = world.changes
+    for _ in range(100):
+        world.run(seconds=0.1)
+        assert world.held_keys() == KEYS
+    assert world.changes == changes and not world.overlaps
+
+
+def test_leaving_worker_is_empty_soon_and_keys_are_without_a_holder_for_moments() -> None:
+    world = make_settled()
+    worker = world.workers[1]
+    worker.is_leaving = True
+    gap, start = 0.0, world.now
+    while world.keys_of(worker=worker) and world.now - start < 3.0:
+        world.run(seconds=constants.TICK)
+        gap += constants.TICK if world.held_keys() < KEYS else 0.0
+    assert world.now - start < 1.5
+    assert gap + world.run_until_whole(within=2.0) < 1.0
+    assert f"from {worker.key}" in [one for other in world.workers for one in other.handovers]
+    assert not world.overlaps
+
+
+def test_evacuated_hall_is_left_and_taken_again() -> None:
+    world = make_settled()
+    world.emptied = frozenset({"h0"})
+    world.run(seconds=3.0)
+    assert world.held_keys() == KEYS
+    assert not any(world.keys_of(worker=worker) for worker in world.workers if worker.hall == "h0")
+    world.emptied = frozenset()
+    world.run(seconds=20.0)
+    assert all(world.keys_of(worker=worker) for worker in world.workers)
+    assert world.held_keys() == KEYS and not world.overlaps
+
+
+def test_no_able_worker_leaves_the_keys_unowned_until_one_comes() -> None:
+    world = make_settled()
+    world.emptied = frozenset(world.halls)
+    world.run(seconds=4.0)
+    assert world.held_keys() == 0 and {one.owner for one in read_shards(text=world.register["text"]).shards} == {""}
+    world.emptied = frozenset()
+    assert world.run_until_whole(within=3.0) < 2.0 and not world.overlaps
+
+
+def test_cold_worker_is_given_keys_only_where_there_is_no_other() -> None:
+    world = World(seed=1, slowest=0.03, workers=2)
+    world.workers[0].cold = 3.0
+    world.run(seconds=3.0)
+    assert world.keys_of(worker=world.workers[1]) == KEYS
+    world.workers[1].is_leaving = True
+    world.run(seconds=3.0)
+    assert world.keys_of(worker=world.workers[0]) == KEYS and not world.overlaps
+
+
+def test_crashed_worker_is_replaced_without_waiting_for_its_hold() -> None:
+    world = make_settled()
+    crash(world=world, worker=world.workers[0])
+    assert world.run_until_whole(within=10.0) < 2.6
+    assert not world.overlaps
+
+
+def test_silent_worker_is_replaced_after_its_hold() -> None:
+    world = make_settled()
+    world.workers[0].silent_to = {"c0", "c1", "c2"}
+    start = world.now
+    world.run(seconds=4.0)
+    world.run_until_whole(within=10.0)
+    assert constants.GRANT_HOLD < world.now - start < 7.0
+    assert not world.overlaps
+    world.workers[0].silent_to = set()
+    world.run(seconds=20.0)
+    assert world.keys_of(worker=world.workers[0]) and world.held_keys() == KEYS and not world.overlaps
+
+
+def test_worker_that_cannot_be_reached_may_still_hold() -> None:
+    world = make_settled()
+    world.workers[0].is_unreachable = True
+    world.run(seconds=1.5)
+    world.workers[0].listed = False
+    world.run(seconds=8.0)
+    assert world.held_keys() == KEYS and not world.keys_of(worker=world.workers[0]) and not world.overlaps
+
+
+def test_granter_that_is_lost_is_followed_by_the_next() -> None:
+    world = make_settled()
+    world.granters[0].is_up = world.granters[0].is_acting = False
+    world.run(seconds=1.0)
+    world.granters[1].is_acting = True
+    for _ in range(60):
+        world.run(seconds=0.1)
+        assert world.held_keys() == KEYS
+    world.workers[0].is_leaving = True
+    world.run(seconds=3.0)
+    assert not world.keys_of(worker=world.workers[0]) and world.held_keys() == KEYS and not world.overlaps
+
+
+def test_granter_that_is_not_fresh_sends_nothing() -> None:
+    world = make_settled()
+    world.granters[0].is_cut = True
+    world.run(seconds=constants.GRANT_LEASE)
+    sent = len(world.calls)
+    world.run(seconds=3.0)
+    assert len(world.calls) == sent
+
+
+def test_higher_fence_seen_is_overtaken() -> None:
+    world = make_settled()
+    worker = world.workers[0]
+    worker.seen.append((0, KEYS - 1, 5000))
+    worker.holds = []
+    assert world.run_until_whole(within=12.0) < 10.0
+    assert max(one.fence for one in read_shards(text=world.register["text"]).shards) >= 5000
+
+
+def test_hot_keys_move_once_and_then_rest() -> None:
+    world = make_settled()
+    world.loads = {at: 100.0 if 10 <= at < 18 else 1.0 for at in range(256)}
+    world.run(seconds=25.0)
+    hot = [worker for worker in world.workers
+           if any(one.start < 18 * 256 and one.end >= 10 * 256 for one in worker.held(now=world.now))]
+    assert len(hot) >= 3
+    changes = world.changes
+    world.run(seconds=10.0)
+    assert world.changes == changes and not world.overlaps
+    shards = read_shards(text=world.register["text"]).shards
+    assert len(shards) <= constants.GRANT_ROWS * len(world.workers)
+
+
+def test_two_cellars_that_both_think_they_act_do_no_harm() -> None:
+    world = make_settled()
+    world.granters[1].is_acting = True
+    world.run(seconds=2.0)
+    world.workers[0].is_leaving = True
+    world.run(seconds=10.0)
+    assert world.held_keys() == KEYS and not world.overlaps
+
+
+def stir(*, world: World) -> None:
+    """One fault, change of view or repair, by chance."""
+    rng = world.rng
+    granter = rng.choice(world.granters)
+    living = [one for one in world.workers if one.alive and one.listed]
+    worker = rng.choice(living)
+    kind = rng.randrange(9)
+    if kind == 0:
+        for one in world.granters:
+            one.is_acting = rng.random() < 0.5
+    elif kind == 1:
+        granter.is_cut = not granter.is_cut
+    elif kind == 2:
+        granter.is_up = False
+        fresh = world.start_granter(name=granter.name)
+        fresh.is_acting = granter.is_acting
+        world.granters[world.granters.index(granter)] = fresh
+    elif kind == 3 and len(living) > 2:
+        crash(world=world, worker=worker, unlist_after=rng.uniform(0.3, 2.0), again_after=rng.uniform(0.2, 2.0))
+    elif kind == 4:
+        worker.silent_to = rng.choice((set(), {"c0"}, {"c0", "c1"}, {"c0", "c1", "c2"}))
+    elif kind == 5:
+        granter.down = {one.key: world.now - 2.0 for one in living if rng.random() < 0.3}
+    elif kind == 6:
+        world.emptied = frozenset(rng.sample(world.halls, k=rng.randrange(2)))
+    elif kind == 7:
+        granter.blind = frozenset(one.key for one in living if rng.random() < 0.2)
+    else:
+        worker.is_leaving = rng.random() < 0.5
+        world.loads = {at: rng.choice((1.0, 1.0, 1.0, 60.0)) for at in range(256)}
+
+
+def settle(*, world: World) -> None:
+    """All faults end; one cellar acts."""
+    world.emptied = frozenset()
+    for granter in world.granters:
+        granter.is_cut, granter.is_acting, granter.blind, granter.down = False, granter.name == "c0", frozenset(), {}
+    for worker in world.workers:
+        worker.silent_to, worker.is_leaving = set(), False
+
+
+def run_stirred(*, seed: int, rounds: int) -> World:
+    world = World(seed=seed)
+    world.run(seconds=3.0)
+    for _ in range(rounds):
+        stir(world=world)
+        world.run(seconds=world.rng.choice((0.1, 0.5, 1.0, 2.5)))
+    return world
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_two_workers_never_hold_a_key_and_every_key_comes_back(seed: int) -> None:
+    world = run_stirred(seed=seed, rounds=25)
+    assert not world.overlaps
+    settle(world=world)
+    assert world.run_until_whole(within=25.0) < 20.0
+    assert not world.overlaps
+
+
+@pytest.mark.parametrize("name", ["GRANT_QUIET", "GRANT_SLOW"])
+def test_each_wait_is_needed(monkeypatch: pytest.MonkeyPatch, name: str) -> None:
+    monkeypatch.setattr(constants, name, 0.0)
+    assert any(run_stirred(seed=seed, rounds=25).overlaps for seed in range(12))
--- /dev/null
+++ b/tests/test_outbound.py
@@ -0,0 +1,312 @@
+"""The client edge on real sockets: connections, their owners and their ends."""
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from sailward import constants
+from sailward.acts import Call
+from tests.outbound_peer import OK, WAIT, Edge, Line
+
+QUIET = 0.3
+
+
+@pytest.fixture
+def edge() -> Iterator[Edge]:
+    edge = Edge()
+    yield edge
+    assert edge.told.empty()
+    edge.stop()
+
+
+def test_a_call_arrives_as_given_and_its_answer_comes_back(edge: Edge) -> None:
+    peer = edge.speaker(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Made\r\nX-A: 1\r\nx-a: 2\r\nContent-Length: 3\r\n\r\nabc")
+    called = edge.ask(address=peer.address, method="POST", path="/p?q=%20", headers={"x-one": "1", "x-none": ""}, body=b"hello")
+    assert (called.code, called.body, called.fault, called.sent) == (201, b"abc", "", True)
+    assert called.headers == {"x-a": "1, 2", "content-length": "3"}
+    head, _, body = peer.get()[1].partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /p?q=%20 HTTP/1.1" and body == b"hello"
+    assert sorted(lines[1:]) == sorted([b"host: " + peer.address.encode(), b"x-one: 1", b"content-length: 5"])
+
+
+@pytest.mark.parametrize(("method", "body", "length"), [("GET", b"", None), ("DELETE", b"", None), ("DELETE", b"x", b"1"),
+                                                         ("POST", b"", b"0"), ("PUT", b"", b"0")])
+def test_length_is_told_where_a_body_is_due(edge: Edge, method: str, body: bytes, length: bytes | None) -> None:
+    peer = edge.speaker(OK)
+    edge.ask(address=peer.address, method=method, body=body, headers={"host": "h.example", "transfer-encoding": "chunked"})
+    head = peer.get()[1].partition(b"\r\n\r\n")[0]
+    assert b"\r\nhost: h.example" in head and b"transfer-encoding" not in head
+    assert (b"content-length: " + length in head) if length else (b"content-length" not in head)
+
+
+def test_an_owners_connection_is_used_again_and_never_anothers(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+    for _ in range(3):
+        assert edge.ask(address=peer.address, owner="a").code == 200
+    assert edge.ask(address=peer.address, owner="b").code == 200
+    assert [peer.get()[0] for _ in range(4)] == [0, 0, 0, 1]
+    assert edge.counts() == {"opened": 2, "reused": 2, "stale": 0, "surplus": 0, "idle": 2, "busy": 0, "calls": 0}
+
+
+def test_the_last_used_connection_goes_first_and_the_idle_are_bounded(edge: Edge) -> None:
+    gates = [threading.Event() for _ in range(constants.OUT_IDLE + 2)]
+
+    def serve(line: Line) -> None:
+        while line.read() not in (b"", b"reset"):
+            peer.seen.put(line.number)
+            gates[line.number].wait(WAIT)
+            line.say(OK)
+
+    peer = edge.peer(serve=serve)
+    for _ in gates:
+        edge.give(address=peer.address)
+    assert sorted(peer.get() for _ in gates) == list(range(len(gates)))
+    for gate in [*gates[1:], gates[0]]:
+        gate.set()
+        assert edge.told.get(timeout=WAIT).code == 200
+    assert edge.counts()["idle"] == constants.OUT_IDLE
+    assert edge.ask(address=peer.address).code == 200
+    assert peer.get() == 0
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_a_dead_kept_connection_is_found_before_it_is_used(edge: Edge, is_reset: bool) -> None:
+    gate = threading.Event()
+
+    def serve(line: Line) -> None:
+        line.read()
+        line.say(OK)
+        gate.wait(WAIT)
+        if line.number == 0 and is_reset:
+            line.reset()
+        elif line.number == 0:
+            line.sock.close()
+
+    peer = edge.peer(serve=serve)
+    edge.ask(address=peer.address)
+    assert edge.counts()["idle"] == 1
+    gate.set()
+    edge.until(idle=0, stale=1)
+    assert edge.ask(address=peer.address).code == 200
+    assert edge.counts()["opened"] == 2
+
+
+def test_a_kept_connection_that_ends_unseen_is_found_by_the_look_before_its_use(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+    edge.ask(address=peer.address)
+
+    def end_and_give() -> None:
+        peer.lines[0].sock.shutdown(socket.SHUT_RDWR)
+        time.sleep(0.05)
+        edge.outbound.give(call=Call(token="late", owner="w", address=peer.address, method="POST", path="/", headers={}, body=b"x",
+                                     wait=5.0, fresh=False))
+
+    edge.do(end_and_give)
+    assert edge.told.get(timeout=WAIT).code == 200
+    assert edge.counts()["opened"] == 2 and edge.counts()["reused"] == 0
+
+
+def test_a_kept_connection_that_refuses_every_byte_is_replaced_once(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+    edge.ask(address=peer.address)
+
+    class Deaf:
+        """The kept socket, whose sending side ended between the look and the send."""
+
+        def __init__(self, sock: socket.socket) -> None:
+            self._sock = sock
+
+        def send(self, _: object) -> int:
+            raise BrokenPipeError
+
+        def __getattr__(self, name: str) -> object:
+            return getattr(self._sock, name)
+
+    def deafen() -> None:
+        kept = edge.outbound._idle["w"][0]
+        kept.sock = Deaf(kept.sock)
+
+    edge.do(deafen)
+    called = edge.ask(address=peer.address, method="POST", body=b"x")
+    assert (called.code, called.sent) == (200, True)
+    assert edge.counts()["opened"] == 2
+
+
+def test_a_request_taken_by_a_kept_connection_is_never_sent_again(edge: Edge) -> None:
+    def serve(line: Line) -> None:
+        peer.seen.put(line.read())
+        line.say(OK)
+        peer.seen.put(line.read())
+        line.sock.close()
+
+    peer = edge.peer(serve=serve)
+    assert edge.ask(address=peer.address).code == 200
+    called = edge.ask(address=peer.address, method="POST", path="/once", body=b"x")
+    assert (called.code, called.fault, called.sent) == (0, "connection-lost", True)
+    assert peer.get().startswith(b"GET /a") and peer.get().startswith(b"POST /once")
+    time.sleep(QUIET)
+    assert peer.seen.empty() and len(peer.lines) == 1
+
+
+def test_a_refused_connection_has_sent_nothing(edge: Edge) -> None:
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        called = edge.ask(address=f"127.0.0.1:{closed.getsockname()[1]}")
+    assert (called.code, called.fault, called.sent) == (0, "refused", False)
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1", "127.0.0.1:x", "127.0.0.1:99999"])
+def test_an_address_that_is_none_is_no_connection(edge: Edge, address: str) -> None:
+    called = edge.ask(address=address)
+    assert (called.fault, called.sent) == ("no-connection", False)
+
+
+def test_a_listener_with_a_full_backlog_times_the_connecting_out(edge: Edge) -> None:
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+            fillers.append(filler)
+        time.sleep(0.05)
+        called = edge.ask(address=f"127.0.0.1:{listener.getsockname()[1]}")
+        assert (called.code, called.fault, called.sent) == (0, "connect-timeout", False)
+        soon = time.monotonic() + 0.05
+        called = edge.ask(address=f"127.0.0.1:{listener.getsockname()[1]}", begin_by=soon)
+        assert (called.code, called.fault, called.sent) == (0, "too-late", False)
+        for filler in fillers:
+            filler.close()
+
+
+def test_a_call_whose_time_to_begin_has_passed_opens_nothing(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+    called = edge.ask(address=peer.address, begin_by=time.monotonic() - 1)
+    assert (called.code, called.fault, called.sent) == (0, "too-late", False)
+    assert edge.counts()["opened"] == 0
+
+
+@pytest.mark.parametrize("answer", [b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+                                    b"HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+                                    b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n"])
+def test_a_connection_that_closes_is_not_kept(edge: Edge, answer: bytes) -> None:
+    peer = edge.speaker(answer)
+    assert edge.ask(address=peer.address).code == 200
+    assert edge.counts()["idle"] == 0
+    assert [peer.get() for _ in range(2)][1] == (0, b"")
+
+
+def test_the_workers_own_idle_time_is_kept(edge: Edge) -> None:
+    peer = edge.speaker(b"HTTP/1.1 200 OK\r\nKeep-Alive: max=9, timeout=1\r\nContent-Length: 0\r\n\r\n", OK)
+    edge.ask(address=peer.address)
+    assert edge.counts()["idle"] == 1
+    edge.until(idle=0)
+    assert edge.counts()["stale"] == 0
+    edge.ask(address=peer.address)
+    time.sleep(2 * constants.OUT_IDLE_LEAST)
+    assert edge.counts()["idle"] == 1
+
+
+def test_a_cancelled_call_resets_its_connection_and_tells_nothing(edge: Edge) -> None:
+    def serve(line: Line) -> None:
+        peer.seen.put(line.read())
+        peer.seen.put(line.read())
+
+    peer = edge.peer(serve=serve)
+    token = edge.give(address=peer.address)
+    assert peer.get().startswith(b"GET")
+    edge.do(lambda: edge.outbound.cancel(token=token))
+    assert peer.get() == b"reset"
+    edge.do(lambda: edge.outbound.cancel(token=token))
+    assert edge.counts()["calls"] == 0
+
+
+def test_a_call_cancelled_at_once_is_never_begun(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+
+    def give_and_cancel() -> None:
+        edge.outbound.give(call=Call(token="x", owner="w", address=peer.address, method="GET", path="/", headers={}, body=b"", wait=5.0,
+                                     fresh=False))
+        edge.outbound.cancel(token="x")
+
+    edge.do(give_and_cancel)
+    assert edge.counts()["calls"] == 0
+    assert edge.ask(address=peer.address, path="/next").code == 200
+    assert peer.get()[1].startswith(b"GET /next")
+
+
+@pytest.mark.parametrize("wait", [0.1, 0.4])
+def test_a_call_that_takes_too_long_is_aborted(edge: Edge, wait: float) -> None:
+    def serve(line: Line) -> None:
+        line.read()
+        line.say(b"HTTP/1.1 200 OK\r\n")
+        peer.seen.put(line.read())
+
+    peer = edge.peer(serve=serve)
+    called = edge.ask(address=peer.address, wait=wait)
+    assert (called.code, called.fault, called.sent) == (0, "timed-out", True)
+    assert peer.get() == b"reset"
+
+
+def test_a_fresh_call_takes_no_kept_connection_but_may_leave_one(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+    edge.ask(address=peer.address)
+    edge.ask(address=peer.address, fresh=True)
+    edge.ask(address=peer.address, fresh=True)
+    edge.ask(address=peer.address)
+    assert [peer.get()[0] for _ in range(4)] == [0, 1, 2, 2]
+
+
+def test_hanging_up_closes_the_idle_now_and_the_busy_behind_their_answers(edge: Edge) -> None:
+    gate = threading.Event()
+
+    def serve(line: Line) -> None:
+        while (request := line.read()) not in (b"", b"reset"):
+            peer.seen.put((line.number, request[:6]))
+            if line.number == 1:
+                gate.wait(WAIT)
+            line.say(OK)
+        peer.seen.put((line.number, request))
+
+    peer = edge.peer(serve=serve)
+    edge.ask(address=peer.address)
+    assert peer.get() == (0, b"GET /a")
+    edge.give(address=peer.address, fresh=True)
+    assert peer.get() == (1, b"GET /a")
+    edge.do(lambda: edge.outbound.hang_up(owner="w"))
+    assert peer.get() == (0, b"")
+    gate.set()
+    assert edge.told.get(timeout=WAIT).code == 200
+    assert peer.get() == (1, b"")
+    assert edge.counts()["idle"] == 0
+
+
+@pytest.mark.parametrize("given", [{"path": "/a b"}, {"path": "/\u20ac"}, {"headers": {"x": "a\r\nb: c"}}, {"headers": {"x y": "1"}}])
+def test_a_call_that_can_be_no_request_is_not_sent(edge: Edge, given: dict) -> None:
+    peer = edge.speaker(OK)
+    called = edge.ask(address=peer.address, **given)
+    assert (called.code, called.fault, called.sent) == (0, "malformed", False)
+    assert edge.counts()["opened"] == 0
+
+
+def test_many_calls_run_at_once(edge: Edge) -> None:
+    barrier = threading.Barrier(50)
+
+    def serve(line: Line) -> None:
+        line.read()
+        barrier.wait(WAIT)
+        line.say(OK)
+        line.read()
+
+    peer = edge.peer(serve=serve)
+    tokens = {edge.give(address=peer.address) for _ in range(50)}
+    called = [edge.told.get(timeout=WAIT) for _ in range(50)]
+    assert {each.token for each in called} == tokens and {each.code for each in called} == {200}
+    assert edge.counts()["idle"] == constants.OUT_IDLE
--- /dev/null
+++ b/tests/test_outbound_answers.py
@@ -0,0 +1,160 @@
+"""The client edge on real sockets: answers whole, cut, wrong, late and too many."""
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from sailward import constants
+from sailward.acts import Call
+from tests.outbound_peer import OK, WAIT, Edge, Line
+
+
+@pytest.fixture
+def edge() -> Iterator[Edge]:
+    edge = Edge()
+    yield edge
+    assert edge.told.empty()
+    edge.stop()
+
+
+@pytest.mark.parametrize(("answer", "fault"), [
+    (b"", "connection-lost"),
+    (b"HTTP/1.1 200 OK\r\nConte", "cut-short"),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", "cut-short"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc", "cut-short"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "cut-short"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", "cut-short"),
+    (b"HTTP/1.1 200 OK\r\n\r\nabc", "cut-short"),
+    (b"HTTP/1.0 200 OK\r\n\r\nabc", "cut-short"),
+    (b"nonsense\r\n\r\n", "malformed"),
+    (b"\x00\x01\x02\x03", "malformed"),
+    (b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "malformed"),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nabcde", "malformed"),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "malformed"),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "malformed"),
+    (b"HTTP/1.1 200 OK\r\nX: " + b"y" * constants.OUT_HEAD_BYTES + b"\r\nContent-Length: 0\r\n\r\n", "malformed"),
+    (b"HTTP/1.1 200 OK\r\nSailward-Exchange: other\r\nContent-Length: 2\r\n\r\n{}", "another-exchange"),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (constants.RESULT_BYTES + 1), "too-large"),
+])
+def test_an_answer_that_is_not_whole_counts_for_nothing(edge: Edge, answer: bytes, fault: str) -> None:
+    def serve(line: Line) -> None:
+        line.read()
+        line.say(answer)
+        line.sock.shutdown(socket.SHUT_WR)
+
+    peer = edge.peer(serve=serve)
+    called = edge.ask(address=peer.address, headers={"sailward-exchange": "mine"})
+    assert (called.code, called.headers, called.body, called.fault, called.sent) == (0, {}, b"", fault, True)
+    assert edge.counts()["idle"] == 0
+
+
+def test_an_answer_too_large_in_chunks_is_given_up(edge: Edge) -> None:
+    piece = b"x" * (1 << 20)
+
+    def serve(line: Line) -> None:
+        line.read()
+        line.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        while True:
+            line.say(b"100000\r\n" + piece + b"\r\n")
+
+    called = edge.ask(address=edge.peer(serve=serve).address)
+    assert (called.code, called.fault) == (0, "too-large")
+
+
+def test_large_bodies_go_both_ways_whole(edge: Edge) -> None:
+    answer = b"y" * constants.RESULT_BYTES
+    peer = edge.speaker(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
+    body = b"z" * (3 << 20)
+    called = edge.ask(address=peer.address, method="PUT", body=body)
+    assert called.code == 200 and called.body == answer
+    assert peer.get()[1].endswith(b"\r\n\r\n" + body)
+    assert edge.counts()["idle"] == 1
+
+
+def test_an_answer_in_chunks_and_pieces_is_whole(edge: Edge) -> None:
+    answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n"
+
+    def serve(line: Line) -> None:
+        line.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        while line.read() not in (b"", b"reset"):
+            for at in range(0, len(answer), 7):
+                line.say(answer[at:at + 7])
+                time.sleep(0.001)
+
+    peer = edge.peer(serve=serve)
+    for _ in range(2):
+        called = edge.ask(address=peer.address, headers={"sailward-exchange": "mine"})
+        assert (called.code, called.body, called.fault) == (200, b"abcde", "")
+    assert len(peer.lines) == 1
+
+
+@pytest.mark.parametrize(("method", "answer"), [("HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"),
+                                                 ("GET", b"HTTP/1.1 204 None\r\n\r\n"), ("GET", b"HTTP/1.1 304 Same\r\n\r\n")])
+def test_answers_without_bodies_are_whole(edge: Edge, method: str, answer: bytes) -> None:
+    peer = edge.speaker(answer)
+    for _ in range(2):
+        called = edge.ask(address=peer.address, method=method)
+        assert called.code == int(answer[9:12]) and called.body == b""
+    assert len(peer.lines) == 1
+
+
+def test_surplus_bytes_behind_an_answer_close_its_connection(edge: Edge) -> None:
+    peer = edge.speaker(OK + OK)
+    for _ in range(2):
+        called = edge.ask(address=peer.address)
+        assert (called.code, called.body) == (200, b"{}")
+    assert len(peer.lines) == 2 and edge.counts()["idle"] == 0
+
+
+def test_a_late_answer_on_an_idle_connection_closes_it(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+    edge.ask(address=peer.address)
+    peer.lines[0].say(OK)
+    edge.until(idle=0, surplus=1)
+    assert edge.ask(address=peer.address).code == 200
+    assert len(peer.lines) == 2
+
+
+def test_bytes_that_come_before_a_request_belong_to_none(edge: Edge) -> None:
+    def serve(line: Line) -> None:
+        peer.seen.put(line.read())
+        line.say(OK)
+        line.read()
+
+    peer = edge.peer(serve=serve)
+    edge.ask(address=peer.address)
+    peer.get()
+
+    def speak_and_give() -> None:
+        peer.lines[0].say(b"HTTP/1.1 500 Late\r\nContent-Length: 0\r\n\r\n")
+        time.sleep(0.05)
+        edge.outbound.give(call=Call(token="next", owner="w", address=peer.address, method="GET", path="/", headers={}, body=b"",
+                                     wait=5.0, fresh=False))
+
+    edge.do(speak_and_give)
+    assert edge.told.get(timeout=WAIT).code == 200
+    assert edge.counts()["surplus"] == 1
+
+
+def test_an_echoed_id_is_good_and_a_wrong_one_ends_the_connection(edge: Edge) -> None:
+    peer = edge.speaker(b"HTTP/1.1 200 OK\r\nSailward-Exchange: e1\r\nContent-Length: 0\r\n\r\n")
+    assert edge.ask(address=peer.address, headers={"sailward-exchange": "e1"}).code == 200
+    called = edge.ask(address=peer.address, headers={"sailward-exchange": "e2"})
+    assert (called.code, called.fault, called.sent) == (0, "another-exchange", True)
+    assert edge.counts()["idle"] == 0
+
+
+def test_an_early_answer_is_good_but_its_connection_is_not(edge: Edge) -> None:
+    def serve(line: Line) -> None:
+        line.sock.recv(1000)
+        line.say(b"HTTP/1.1 413 Large\r\nContent-Length: 0\r\n\r\n")
+        peer.seen.get(timeout=WAIT)
+
+    peer = edge.peer(serve=serve)
+    called = edge.ask(address=peer.address, method="POST", body=b"x" * (32 << 20))
+    assert (called.code, called.sent) == (413, True)
+    assert edge.counts()["idle"] == 0
+    peer.seen.put("end")
