A stopping proxy answers what no worker has answered before it ends

A request taken 2.4 s after SIGTERM was shed in silence by a full worker; at the end of the grace the process ended and its connection closed without an answer. Ruled out: the front edge (answers given are flushed), the worker (it says nothing when it sheds).

--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -423,3 +423,25 @@
 """s after its start that a proxy waits for a cellar of its own hall before it follows another's lists: a few round trips."""
 KEY_SHARE = 0.6
 """of a route's target that a request may wait for its key, which is on its way to another worker or about to be."""
+WINDOW_FIRST = 4.0
+"""requests that a proxy has open at a worker at the most before it has shown its pace."""
+WINDOW_MOST = 6.0
+"""requests that a proxy ever has open at a worker at once."""
+WINDOW_LEAST = 2
+"""requests that a proxy may have open at a worker that is not queueing, however many proxies there are."""
+WINDOW_PARTS = 3
+"""times its even part that a proxy may have open at a worker: its callers come in clumps, those of others at other moments."""
+WINDOW_MORE = 0.5
+"""requests more for each answer at a calm pace."""
+WINDOW_LESS = 0.7
+"""of the window that is left after an answer at the pace of a queue."""
+PACE_QUEUED = 2.2
+"""times its calm pace from which a worker is taken to be queueing."""
+CALM_DRIFT = 1.02
+"""times its calm pace that a worker's calm may rise with each answer: it may have become slower for good."""
+ASK_AGAIN_SHARE = 1.5
+"""of a route's target after which a key's owner that is silent is asked once more."""
+REUSE_PAUSE = 10.0
+"""s after a kept connection was lost under a call in which what may not be sent twice uses none."""
+SPEED_SPAN = 3.0
+"""times slower or faster than its service's mean that a worker is taken to be at the most."""
--- a/sailward/dock/outbound.py
+++ b/sailward/dock/outbound.py
@@ -46,6 +46,7 @@
     connection: Connection | None = None
     unsent: memoryview = memoryview(b"")
     is_sent: bool = False
+    is_reused: bool = False
     is_broken: bool = False
     alarm: Alarm | None = None
 
@@ -122,6 +123,7 @@
             self._dial(running=running)
             return
         connection.running, running.connection = running, connection
+        running.is_reused = True
         self._reused += 1
         self._send(running=running)
 
@@ -212,7 +214,7 @@
             self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection))
         elif connection.is_kept:
             self._stale += 1
-            running.connection = None
+            running.connection, running.is_reused = None, False
             self._close(connection=connection, is_aborted=True)
             self._dial(running=running)
         else:
@@ -254,7 +256,8 @@
 
     def _fail(self, *, running: Running, fault: str) -> None:
         self._forget(running=running, is_aborted=True)
-        self._tell(Called(token=running.call.token, code=0, headers={}, body=b"", fault=fault, sent=running.is_sent))
+        self._tell(Called(token=running.call.token, code=0, headers={}, body=b"", fault=fault, sent=running.is_sent,
+                          reused=running.is_reused))
 
     def _forget(self, *, running: Running, is_aborted: bool) -> None:
         del self._running[running.call.token]
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -185,7 +185,10 @@
         event = "grace_over" if is_over else "" if self.forwarder.live else "all_done"
         self.stopping = STOPPING.step(state=self.stopping, event=event)
         commands = [Leave(shut=True)] if before == "leaving" and self.stopping != "leaving" else []
-        return [*commands, Stop(code=0)] if self.stopping == "over" else commands
+        if self.stopping != "over":
+            return commands
+        # what no worker has answered by now gets its answer from here: a closed connection would say nothing
+        return [*commands, *self.forwarder.end_all(now=now), Stop(code=0)]
 
     def _show(self, *, now: float) -> dict:
         halls = {f"{service}|{hall}": [state.state, round(state.fraction, 3)]
--- a/sailward/pour/evidence.py
+++ b/sailward/pour/evidence.py
@@ -12,7 +12,7 @@
 from sailward.roster.workers import Worker
 
 CHART = Chart(name="instance")
-EVENTS = {"refused": "refused", "no-connection": "dark", "connect-timeout": "dark"}
+EVENTS = {"timed-out": "late", "refused": "refused", "no-connection": "dark", "connect-timeout": "dark"}
 
 
 @dataclass(kw_only=True)
@@ -24,12 +24,20 @@
     since: float = 0.0
     cold_until: float = 0.0
     pace: float = 0.0
+    calm: float = 0.0
+    window: float = constants.WINDOW_FIRST
     busy_until: float = 0.0
     probe_at: float = 0.0
     probe: str = ""
     count: int = 0
     missed: int = 0
 
+    def speed(self, *, mean: float) -> float:
+        """How fast it is beside its service's mean time when calm: 1.0 until it has shown it."""
+        if not self.calm or not mean:
+            return 1.0
+        return min(constants.SPEED_SPAN, max(1 / constants.SPEED_SPAN, mean / self.calm))
+
     @property
     def is_healthy(self) -> bool:
         """May it be sent exchanges?"""
@@ -72,7 +80,7 @@
                 shown.cold_until = max(shown.cold_until, now + service.cold + constants.COLD_MARGIN)
 
     def note(self, *, now: float, key: str, event: str, took: float = 0.0) -> list:
-        """Fold what an exchange showed: pass (in `took` s), fail, refused, dark, stranger or full."""
+        """Fold what an exchange showed: pass (in `took` s), fail, late, refused, dark, stranger or full."""
         shown = self.shown.get(key)
         if shown is None:
             return []
@@ -80,9 +88,21 @@
             shown.busy_until = now + constants.FULL_PAUSE
             return []
         if event == "pass":
-            shown.pace = took if not shown.pace else shown.pace + constants.PACE_WEIGHT * (took - shown.pace)
+            self._note_pace(shown=shown, took=took)
+        elif event == "late":
+            shown.window = max(1.0, shown.window / 2)
+            event = "fail"
         return self._move(now=now, key=key, shown=shown, event=event)
 
+    def _note_pace(self, *, shown: Shown, took: float) -> None:
+        """The mean of its times, its calm mean, and how many requests it may be given from here at once: fewer while it queues."""
+        shown.pace = took if not shown.pace else shown.pace + constants.PACE_WEIGHT * (took - shown.pace)
+        shown.calm = min(shown.pace, shown.calm * constants.CALM_DRIFT) if shown.calm else shown.pace
+        if shown.pace > constants.PACE_QUEUED * shown.calm:
+            shown.window = max(1.0, shown.window * constants.WINDOW_LESS)
+        else:
+            shown.window = min(constants.WINDOW_MOST, shown.window + constants.WINDOW_MORE)
+
     def _probe(self, *, now: float, key: str, shown: Shown, plan: Plan) -> Call:
         shown.count += 1
         shown.probe = f"probe {key} {shown.count}"
--- a/sailward/pour/forwarding.py
+++ b/sailward/pour/forwarding.py
@@ -31,6 +31,7 @@
     loads: dict = field(default_factory=dict)
     tally: Counter = field(default_factory=Counter)
     count: int = 0
+    reuse_after: float = -1e9
 
     def step(self, *, now: float, event: object) -> list:
         """Answer one event with commands."""
@@ -47,6 +48,11 @@
         loads, self.loads = self.loads, {}
         return {service: {str(bucket): count for bucket, count in buckets.items()} for service, buckets in loads.items()}
 
+    def end_all(self, *, now: float) -> list:
+        """Give up everything under way, as the process ends."""
+        return [command for request in list(self.live.values())
+                for command in self._give_up(now=now, request=request, refusal=Refusal(code=504 if request.sent else 503, reason="stopping"))]
+
     def _arrive(self, *, now: float, event: Asked) -> list:
         taken = take_request(event=event, plan=self.placer.scene.plan, now=now, names=self.names)
         if isinstance(taken, Refusal):
@@ -91,17 +97,26 @@
         request.attempts[token] = Attempt(worker=worker.key, at=now)
         if not request.service.ranged:
             request.tried.add(worker.key)
-        may_hedge = request.match.is_repeatable and not request.service.ranged and request.sent < request.tries
+        may_hedge = request.match.is_repeatable and request.sent < request.tries
         request.hedge_at = now + self._hedge_after(request=request) if may_hedge else float("inf")
         self.calls[token] = request
         self.placer.took(key=worker.key)
         self.tally["sent"] += 1
         headers = headers_to_worker(request=request, worker=worker.key, within=left, names=self.names)
         return [Call(token=token, owner=worker.key, address=worker.address, method=request.method, path=request.target,
-                     headers=headers, body=request.body, wait=left, fresh=not request.match.is_repeatable)]
+                     headers=headers, body=request.body, wait=left, fresh=self._needs_fresh(now=now, request=request, worker=worker))]
+
+    def _needs_fresh(self, *, now: float, request: Request, worker) -> bool:
+        """One that may not be sent twice goes on a connection of its own, but between regions, where opening one costs as much as the
+        work: there on a kept one, unless such have been lost of late."""
+        scene = self.placer.scene
+        is_far = scene.regions.get(worker.hall) != scene.region
+        return not request.match.is_repeatable and (not is_far or now < self.reuse_after)
 
     def _hedge_after(self, *, request: Request) -> float:
-        return max(constants.HEDGE_LEAST, constants.HEDGE_SHARE * (request.match.target or constants.HEDGE_LEAST))
+        # a key has one owner: it is asked again only when its answer has most likely been lost
+        share = constants.ASK_AGAIN_SHARE if request.service.ranged else constants.HEDGE_SHARE
+        return max(constants.HEDGE_LEAST, share * (request.match.target or constants.HEDGE_LEAST))
 
     def _return(self, *, now: float, event: Called) -> list:
         request = self.calls.pop(event.token, None)
@@ -110,6 +125,8 @@
         attempt = request.attempts.pop(event.token)
         self.placer.left(key=attempt.worker)
         verdict = judge_reply(request=request, worker=attempt.worker, event=event, names=self.names)
+        if event.reused and event.fault:
+            self.reuse_after = now + constants.REUSE_PAUSE
         commands = self._note(now=now, attempt=attempt, verdict=verdict)
         if request.token not in self.live:
             return commands
--- a/sailward/pour/placing.py
+++ b/sailward/pour/placing.py
@@ -125,12 +125,19 @@
                                        allowed=self._may_serve(hall=hall, homes=homes), weight=max(0.1, warm.get(hall, 0)))
         return views
 
-    def _warm(self, *, now: float, service: str) -> dict[str, int]:
-        warm: dict[str, int] = {}
+    def _mean(self, *, service: str) -> float:
+        shown = [self.scene.evidence.shown.get(worker.key) for worker in self.scene.by_service.get(service, ())]
+        calms = [one.calm for one in shown if one is not None and one.calm]
+        return sum(calms) / len(calms) if calms else 0.0
+
+    def _warm(self, *, now: float, service: str) -> dict[str, float]:
+        """What the warm workers of each hall bear beside each other: their number, by their speeds."""
+        warm: dict[str, float] = {}
+        mean = self._mean(service=service)
         for worker in self.scene.by_service.get(service, ()):
             shown = self.scene.evidence.shown.get(worker.key)
             if shown is not None and shown.is_healthy and not worker.leaving and now >= shown.cold_until:
-                warm[worker.hall] = warm.get(worker.hall, 0) + 1
+                warm[worker.hall] = warm.get(worker.hall, 0.0) + shown.speed(mean=mean)
         return warm
 
     def _able(self, *, now: float, request: Request) -> dict[str, list[Shown]]:
@@ -143,12 +150,14 @@
         return able
 
     def _choose(self, *, now: float, request: Request, able: list[Shown]) -> Worker | None:
-        free = [shown for shown in able if self.open.get(shown.worker.key, 0) < self._bound(worker=shown.worker)
-                and now >= shown.busy_until]
+        free = [shown for shown in able if now >= shown.busy_until and self._has_room(shown=shown)]
         warm = [shown for shown in free if now >= shown.cold_until]
-        while warm:
-            picks = self.rng.sample(warm, min(2, len(warm)))
-            return min(picks, key=self._load).worker
+        if warm:
+            mean = self._mean(service=request.service.name)
+            first = self.rng.choices(warm, weights=[shown.speed(mean=mean) for shown in warm])[0]
+            others = [shown for shown in warm if shown is not first]
+            second = self.rng.choices(others, weights=[shown.speed(mean=mean) for shown in others])[0] if others else first
+            return min((first, second), key=self._load).worker
         cold = [shown for shown in free if now < shown.cold_until]
         self.rng.shuffle(cold)
         for shown in cold:
@@ -159,10 +168,12 @@
     def _load(self, shown: Shown) -> float:
         return (self.open.get(shown.worker.key, 0) + 1) * (shown.pace or constants.PACE_START)
 
-    def _bound(self, *, worker: Worker) -> int:
-        """Requests that this proxy may have open at a worker: its part of what all may, which is a few times its capacity."""
-        whole = (worker.capacity or constants.WORKER_CAPACITY) * constants.QUEUE_DEPTH
-        return max(1, -(-whole // max(1, self.scene.proxies)))
+    def _has_room(self, *, shown: Shown) -> bool:
+        """May this proxy have one more open at the worker? Its even part of what all may, or the window that the worker's pace allows."""
+        whole = (shown.worker.capacity or constants.WORKER_CAPACITY) * constants.QUEUE_DEPTH
+        part = -(-whole // max(1, self.scene.proxies))
+        most = min(max(constants.WINDOW_LEAST, constants.WINDOW_PARTS * part), shown.window)
+        return self.open.get(shown.worker.key, 0) < max(1.0, most)
 
     def _bears(self, *, now: float, shown: Shown, request: Request) -> bool:
         """Has the cold worker's bound room for one from here? Only the few proxies that hashing names send to it."""
@@ -195,7 +206,7 @@
         worker = shown.worker
         if request.turned_away and worker.key in request.turned_away and now - request.waits_since < constants.OWNER_PAUSE:
             return Refusal(code=503, reason="key-moving")
-        if self.open.get(worker.key, 0) >= self._bound(worker=worker) or now < shown.busy_until:
+        if not self._has_room(shown=shown) or now < shown.busy_until:
             return Refusal(code=503, reason="no-room")
         if now < shown.cold_until and not self._bears(now=now, shown=shown, request=request):
             return Refusal(code=503, reason="owner-cold")
