--- a/sailward/acts.py
+++ b/sailward/acts.py
@@ -126,7 +126,7 @@
 class Call:
     """Make an HTTP call. `owner` names whose connection it is; `fresh` asks for one of its own.
 
-    It is not begun after `begin_by`.
+    It is not begun after `begin_by`. `dial` is how long its connection may take to come up, in s; 0 for the usual bound.
     """
 
     token: str
@@ -139,6 +139,7 @@
     wait: float
     fresh: bool
     begin_by: float = float("inf")
+    dial: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -423,7 +423,7 @@
 """s after its start that a proxy waits for a cellar of its own hall before it follows another's lists: a few round trips."""
 KEY_SHARE = 0.6
 """of a route's target that a request may wait for its key, which is on its way to another worker or about to be."""
-WINDOW_FIRST = 4.0
+WINDOW_FIRST = 3.0
 """requests that a proxy has open at a worker at the most before it has shown its pace."""
 WINDOW_MOST = 6.0
 """requests that a proxy ever has open at a worker at once."""
@@ -445,3 +445,19 @@
 """s after a kept connection was lost under a call in which what may not be sent twice uses none."""
 SPEED_SPAN = 3.0
 """times slower or faster than its service's mean that a worker is taken to be at the most."""
+OVERTAKEN = 4
+"""answers to requests sent later to the same worker after which one is taken to be lost there: as many as it works on at once."""
+OVERTAKEN_PACES = 3.0
+"""times its worker's calm pace that a request must have been out before it counts as lost."""
+DIAL_NEAR = 0.25
+"""s for a connection within the region to come up: a hundred round trips."""
+REUSE_ALIVE = 0.5
+"""s since a hall's last answer in which its kept connections are trusted with what may not be sent twice."""
+HINT_LIFE = 1.2
+"""s that a worker is passed over because others call it unreachable."""
+HINT_DOUBT = 0.3
+"""s since a worker's own answer in which others' word of it is not believed."""
+DOWN_LEAST = 2
+"""proxies that must call a worker unreachable before others are told."""
+DOWN_SHARE = 0.1
+"""of all proxies that must call a worker unreachable before others are told."""
--- a/sailward/dock/outbound.py
+++ b/sailward/dock/outbound.py
@@ -163,7 +163,7 @@
             return
         connection = Connection(owner=call.owner, address=call.address, sock=sock, running=running)
         running.connection = connection
-        running.dial_by = self._reactor.clock() + constants.DIAL_WAIT
+        running.dial_by = self._reactor.clock() + (call.dial or constants.DIAL_WAIT)
         self._reactor.watch(sock=sock, writable=functools.partial(self._on_dialled, connection=connection))
 
     def _on_dialled(self, *, connection: Connection) -> None:
--- a/sailward/house/fleet.py
+++ b/sailward/house/fleet.py
@@ -50,7 +50,7 @@
             return []
         self._note_loads(now=now, proxies=proxies)
         own = self._own_rows(now=now, proxies=proxies)
-        self._compose(now=now, own=own, cellars=cellars)
+        self._compose(now=now, own=own, cellars=cellars, down=self._agreed(now=now, proxies=proxies))
         down = self._own_down(proxies=proxies)
         changed = own != self.own or down != self.own_down
         if now - self.told_at < (constants.FLEET_LEAST if changed else constants.FLEET_EVERY):
@@ -134,10 +134,18 @@
                 if rates[bucket] < constants.LOAD_LEAST / 4:
                     del rates[bucket]
 
-    def _compose(self, *, now: float, own: list, cellars: list[dict]) -> None:
+    def _agreed(self, *, now: float, proxies: list[Subscriber]) -> list:
+        """The workers that several proxies call unreachable, and so many that one alone can't be wrong for all."""
+        return sorted(key for key, (count, voices) in self.down(now=now, proxies=proxies).items()
+                      if count >= max(constants.DOWN_LEAST, constants.DOWN_SHARE * voices))
+
+    def _compose(self, *, now: float, own: list, cellars: list[dict], down: list) -> None:
         rows = {row[0]: row for told in self.others.values() if now - told.at < constants.FLEET_LIFE for row in told.rows}
         rows |= {row[0]: row for row in own}
         posts = sorted([one["post"], one["hall"], one["region"]] for one in cellars)
-        text = json.dumps({"proxies": [rows[name] for name in sorted(rows)], "cellars": posts}, separators=(",", ":"))
-        if text != self.text:
+        text = json.dumps({"proxies": [rows[name] for name in sorted(rows)], "cellars": posts, "down": down}, separators=(",", ":"))
+        # what is down is told again while it lasts, as it is believed for a moment only
+        is_due = bool(down) and now - self.last.get("composed", now) >= constants.HINT_LIFE / 2
+        if text != self.text or is_due:
+            self.last["composed"] = now
             self.text, self.number = text, self.number + 1
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -126,6 +126,7 @@
         self.directory.learn(rows=told["proxies"])
         self.scene.peers = {name: region for name, _, _, region, is_fit in told["proxies"] if is_fit}
         self.scene.proxies = max(1, len(self.scene.peers))
+        self.evidence.hint(now=now, down=told.get("down", []))
         return []
 
     def _keep(self, *, now: float, name: str, ballot: list, value: dict) -> list:
--- a/sailward/pour/evidence.py
+++ b/sailward/pour/evidence.py
@@ -28,6 +28,8 @@
     window: float = constants.WINDOW_FIRST
     busy_until: float = 0.0
     probe_at: float = 0.0
+    shunned_until: float = 0.0
+    answered: float = -1e9
     probe: str = ""
     count: int = 0
     missed: int = 0
@@ -50,6 +52,7 @@
     def __init__(self, *, names: WireNames, rng: random.Random) -> None:
         self._names, self._rng = names, rng
         self.shown: dict[str, Shown] = {}
+        self.alive: dict[str, float] = {}
 
     def step(self, *, now: float, event: Called | None, plan: Plan) -> list:
         """Judge one probe, or begin those that are due."""
@@ -79,8 +82,15 @@
             if shown.worker.hall == hall and service is not None:
                 shown.cold_until = max(shown.cold_until, now + service.cold + constants.COLD_MARGIN)
 
+    def hint(self, *, now: float, down: list) -> None:
+        """Others call these workers unreachable: they are passed over for a while, unless one has just answered here."""
+        for key in down:
+            shown = self.shown.get(key)
+            if shown is not None and now - shown.answered > constants.HINT_DOUBT:
+                shown.shunned_until = now + constants.HINT_LIFE
+
     def note(self, *, now: float, key: str, event: str, took: float = 0.0) -> list:
-        """Fold what an exchange showed: pass (in `took` s), fail, late, refused, dark, stranger or full."""
+        """Fold what an exchange showed: pass (in `took` s), fail, late, lost, refused, dark, stranger or full."""
         shown = self.shown.get(key)
         if shown is None:
             return []
@@ -88,7 +98,12 @@
             shown.busy_until = now + constants.FULL_PAUSE
             return []
         if event == "pass":
+            shown.answered, shown.shunned_until = now, 0.0
+            self.alive[shown.worker.hall] = now
             self._note_pace(shown=shown, took=took)
+        elif event == "lost":
+            shown.window = max(1.0, shown.window / 2)
+            return []
         elif event == "late":
             shown.window = max(1.0, shown.window / 2)
             event = "fail"
--- a/sailward/pour/forwarding.py
+++ b/sailward/pour/forwarding.py
@@ -27,6 +27,7 @@
     budget: RetryBudget
     live: dict = field(default_factory=dict)
     calls: dict = field(default_factory=dict)
+    by_worker: dict = field(default_factory=dict)
     waiting: dict = field(default_factory=dict)
     loads: dict = field(default_factory=dict)
     tally: Counter = field(default_factory=Counter)
@@ -100,18 +101,21 @@
         may_hedge = request.match.is_repeatable and request.sent < request.tries
         request.hedge_at = now + self._hedge_after(request=request) if may_hedge else float("inf")
         self.calls[token] = request
+        self.by_worker.setdefault(worker.key, {})[token] = None
         self.placer.took(key=worker.key)
         self.tally["sent"] += 1
         headers = headers_to_worker(request=request, worker=worker.key, within=left, names=self.names)
         return [Call(token=token, owner=worker.key, address=worker.address, method=request.method, path=request.target,
-                     headers=headers, body=request.body, wait=left, fresh=self._needs_fresh(now=now, request=request, worker=worker))]
+                     headers=headers, body=request.body, wait=left, fresh=self._needs_fresh(now=now, request=request, worker=worker),
+                     dial=constants.DIAL_NEAR if scene.regions.get(worker.hall) == scene.region else 0.0)]
 
     def _needs_fresh(self, *, now: float, request: Request, worker) -> bool:
-        """One that may not be sent twice goes on a connection of its own, but between regions, where opening one costs as much as the
-        work: there on a kept one, unless such have been lost of late."""
+        """One that may not be sent twice goes on a connection of its own, which shows that its worker is there, but between regions, where
+        opening one costs as much as the work: there on a kept one, if its hall has just answered and none such was lost of late."""
         scene = self.placer.scene
         is_far = scene.regions.get(worker.hall) != scene.region
-        return not request.match.is_repeatable and (not is_far or now < self.reuse_after)
+        is_alive = now - scene.evidence.alive.get(worker.hall, -1e9) < constants.REUSE_ALIVE
+        return not request.match.is_repeatable and (not is_far or not is_alive or now < self.reuse_after)
 
     def _hedge_after(self, *, request: Request) -> float:
         # a key has one owner: it is asked again only when its answer has most likely been lost
@@ -123,11 +127,13 @@
         if request is None:
             return []
         attempt = request.attempts.pop(event.token)
-        self.placer.left(key=attempt.worker)
+        self._forget(token=event.token, worker=attempt.worker)
         verdict = judge_reply(request=request, worker=attempt.worker, event=event, names=self.names)
         if event.reused and event.fault:
             self.reuse_after = now + constants.REUSE_PAUSE
         commands = self._note(now=now, attempt=attempt, verdict=verdict)
+        if isinstance(verdict, Whole):
+            self._note_overtaken(now=now, attempt=attempt)
         if request.token not in self.live:
             return commands
         if isinstance(verdict, Whole) and not verdict.is_failure:
@@ -146,6 +152,13 @@
             return commands + self._answer(request=request, verdict=verdict)
         return commands + self._give_up(now=now, request=request, refusal=_refusal_of(verdict=verdict))
 
+    def _forget(self, *, token: str, worker: str) -> None:
+        self.placer.left(key=worker)
+        tokens = self.by_worker.get(worker, {})
+        tokens.pop(token, None)
+        if not tokens:
+            self.by_worker.pop(worker, None)
+
     def _may_try_again(self, *, now: float, request: Request, verdict: object) -> bool:
         if now >= request.expiry - constants.LEAST_LEFT:
             return False
@@ -155,6 +168,21 @@
             return False
         return not (isinstance(verdict, TurnedAway) and verdict.why == "refused")
 
+    def _note_overtaken(self, *, now: float, attempt: Attempt) -> None:
+        """Requests that were sent to this worker before the one that it answered: one that many overtake is likely lost there."""
+        shown = self.placer.scene.evidence.shown.get(attempt.worker)
+        for token in self.by_worker.get(attempt.worker, ()):
+            request = self.calls.get(token)
+            other = request.attempts.get(token) if request is not None else None
+            if other is None or other.at >= attempt.at:
+                continue
+            other.overtaken += 1
+            if other.overtaken == constants.OVERTAKEN and shown is not None:
+                self.tally["overtaken"] += 1
+                self.placer.scene.evidence.note(now=now, key=attempt.worker, event="lost")
+                if request.hedge_at < float("inf"):
+                    request.hedge_at = min(request.hedge_at, max(now, other.at + constants.OVERTAKEN_PACES * shown.calm))
+
     def _note(self, *, now: float, attempt: Attempt, verdict: object) -> list:
         if isinstance(verdict, Whole):
             event = "pass"
@@ -192,7 +220,7 @@
             if request.match.is_repeatable:
                 del request.attempts[token]
                 self.calls.pop(token, None)
-                self.placer.left(key=attempt.worker)
+                self._forget(token=token, worker=attempt.worker)
                 commands.append(CancelCall(token=token))
         return commands
 
--- a/sailward/pour/placing.py
+++ b/sailward/pour/placing.py
@@ -136,7 +136,7 @@
         mean = self._mean(service=service)
         for worker in self.scene.by_service.get(service, ()):
             shown = self.scene.evidence.shown.get(worker.key)
-            if shown is not None and shown.is_healthy and not worker.leaving and now >= shown.cold_until:
+            if shown is not None and shown.is_healthy and not worker.leaving and now >= max(shown.cold_until, shown.shunned_until):
                 warm[worker.hall] = warm.get(worker.hall, 0.0) + shown.speed(mean=mean)
         return warm
 
@@ -152,6 +152,7 @@
     def _choose(self, *, now: float, request: Request, able: list[Shown]) -> Worker | None:
         free = [shown for shown in able if now >= shown.busy_until and self._has_room(shown=shown)]
         warm = [shown for shown in free if now >= shown.cold_until]
+        warm = [shown for shown in warm if now >= shown.shunned_until] or warm
         if warm:
             mean = self._mean(service=request.service.name)
             first = self.rng.choices(warm, weights=[shown.speed(mean=mean) for shown in warm])[0]
--- a/sailward/pour/request.py
+++ b/sailward/pour/request.py
@@ -19,6 +19,7 @@
 
     worker: str
     at: float
+    overtaken: int = 0
 
 
 @dataclass(kw_only=True)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -134,7 +134,12 @@
     [second] = calls(bench.back(call=first, code=421, x_not_run="1", x_who="someone-else"))
     assert second.owner != first.owner
     bench.back(call=second)
-    assert {calls(bench.ask())[0].owner for _ in range(6)} == {second.owner}
+    owners = set()
+    for _ in range(6):
+        [call] = calls(bench.ask())
+        owners.add(call.owner)
+        bench.back(call=call)
+    assert owners == {second.owner}
 
 
 def test_the_budget_bounds_further_tries() -> None:
