--- a/sailward/charts/__init__.py
+++ b/sailward/charts/__init__.py
@@ -2,14 +2,16 @@
 from __future__ import annotations
 
 import json
-from importlib import resources
+from pathlib import Path
+
+FOLDER = Path(__file__).parent
 
 
 class Chart:
     """A state chart read from a data file."""
 
     def __init__(self, *, name: str) -> None:
-        chart = json.loads(resources.files(__package__).joinpath(f"{name}.json").read_text("utf-8"))
+        chart = json.loads((FOLDER / f"{name}.json").read_text("utf-8"))
         self.initial: str = chart["initial"]
         self.marks: dict = chart.get("marks", {})
         self._moves: dict = chart["moves"]
--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -461,3 +461,5 @@
 """proxies that must call a worker unreachable before others are told."""
 DOWN_SHARE = 0.1
 """of all proxies that must call a worker unreachable before others are told."""
+ASK_FIRST = 0.12
+"""s between askings of a proxy that follows no cellar yet: it serves nothing before."""
--- a/sailward/house/uplink.py
+++ b/sailward/house/uplink.py
@@ -49,7 +49,7 @@
             return commands
         if now < self.next_at:
             return []
-        self.next_at = now + constants.ASK_EVERY
+        self.next_at = now + (constants.ASK_EVERY if self.lead else constants.ASK_FIRST)
         self.began = self.began if self.began != NEVER else now
         for seed in self.seeds:
             self.known.setdefault(seed, Known(post=seed))
--- /dev/null
+++ b/sailward/programs/hosted_cellar.py
@@ -0,0 +1,57 @@
+"""The cellar as a hosted daemon."""
+from __future__ import annotations
+
+import os
+import random
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from pathlib import Path
+
+from sailward import constants
+from sailward.acts import Check, Checked, Rewrite, Store
+from sailward.dock.disk import Damaged, Disk, Newer, Taken
+from sailward.dock.host import Host
+from sailward.dock.logs import write_log
+from sailward.house.cellar import Cellar
+from sailward.label.check import check_config
+from sailward.pour.plan import Limits
+from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
+
+
+def run_cellar(*, hosted: Hosted) -> None:
+    """Run a cellar until it is told to stop."""
+    reactor, host = begin_host(hosted=hosted)
+    disk = Disk(folder=Path(hosted.data), tell=host.tell_from_thread)
+    records = _open_disk(hosted=hosted, disk=disk)
+    nonce = os.urandom(constants.NONCE_BYTES).hex()
+    owner = Cellar(place=hosted.place, platform=hosted.platform, nonce=nonce, start=start_number(), rng=random.Random(nonce),
+                   records=records, now=reactor.clock(), options=hosted.options)
+    limits = replace(Limits(), body_bytes=constants.CONFIG_BYTES, head_wait=constants.OPERATOR_WAIT)
+    fronts = {edge: open_front(hosted=hosted, edge=edge, reactor=reactor, host=host, limits=lambda: limits) for edge in hosted.listen}
+    checks = ThreadPoolExecutor(max_workers=2)
+    checks.submit(disk.run)
+    handlers = {Store: lambda one: disk.give(command=one), Rewrite: lambda one: disk.give(command=one),
+                Check: lambda one: checks.submit(_check, host, one), **answer_handlers(hosted=hosted, fronts=fronts)}
+    serve_owner(hosted=hosted, reactor=reactor, host=host, step=owner.step, handlers=handlers)
+
+
+def _open_disk(*, hosted: Hosted, disk: Disk) -> list:
+    try:
+        found = disk.open()
+    except OSError as fault:
+        write_log(event="disk-failed", fields={"reason": fault}, level="error")
+        sys.exit(constants.EXIT_DISK)
+    if isinstance(found, (Damaged, Newer)):
+        write_log(event="disk-damaged" if isinstance(found, Damaged) else "disk-newer", fields={"folder": hosted.data, "what": found,
+                  "todo": "move the folder away and bring this cellar in anew"}, level="error")
+        sys.exit(constants.EXIT_DISK)
+    if isinstance(found, Taken):
+        write_log(event="folder-taken", fields={"folder": found.folder}, level="error")
+        sys.exit(constants.EXIT_TAKEN)
+    return found.records
+
+
+def _check(host: Host, command: Check) -> None:
+    verdict = check_config(config=command.config)
+    host.tell_from_thread(Checked(token=command.token, verdict=verdict))
--- /dev/null
+++ b/sailward/programs/hosted_proxy.py
@@ -0,0 +1,26 @@
+"""The proxy with its directory as a hosted daemon."""
+from __future__ import annotations
+
+import random
+
+from sailward.acts import Leave
+from sailward.house.proxy import Proxy
+from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
+
+
+def run_proxy(*, hosted: Hosted) -> None:
+    """Run a proxy with its directory until it is told to stop."""
+    reactor, host = begin_host(hosted=hosted)
+    owner = Proxy(place=hosted.place, start=start_number(), rng=random.Random(), options=hosted.options)
+    fronts = {edge: open_front(hosted=hosted, edge=edge, reactor=reactor, host=host, limits=lambda: owner.scene.plan.limits)
+              for edge in hosted.listen}
+
+    def leave(command: Leave) -> None:
+        for front in fronts.values():
+            front.leave()
+            if command.shut:
+                front.close_listener()
+
+    if hosted.changed:
+        host.changed = lambda: setattr(owner.uplink, "seeds", hosted.changed())
+    serve_owner(hosted=hosted, reactor=reactor, host=host, step=owner.step, handlers={Leave: leave, **answer_handlers(hosted=hosted, fronts=fronts)})
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,8 +54,11 @@
     assert hosted.place.post == f"10.1.0.13:{7620 if role == 'cellar' else 7621}"
     assert hosted.place.seeds == ("10.1.0.13:7620", "10.2.0.18:7620", "10.3.0.34:7620")
     assert set(hosted.listen) == ({"desk"} if role == "cellar" else {"front", "ready", "directory"})
-    assert hosted.platform == "10.200.0.146:8642" and hosted.proxy.retry_slack == 62 and hosted.cellar.hold_max == 10
-    assert hosted.proxy.leave_wait < hosted.proxy.stop_grace < 6
+    assert hosted.platform == "10.200.0.146:8642"
+    if role == "cellar":
+        assert hosted.options.hold_max == 10
+    else:
+        assert hosted.options.retry_slack == 62 and hosted.options.leave_wait < hosted.options.stop_grace < 6
 
 
 def test_unknown_fields_are_ignored_and_bounds_have_defaults(tmp_path: Path) -> None:
