--- a/sailward/constants.py
+++ b/sailward/constants.py
@@ -460,4 +460,10 @@
 ASK_FIRST = 0.12
 """s between askings of a proxy that follows no cellar yet: it serves nothing before."""
 LIST_SILENT = 1.4
-"""s without a word of the region's reader of the list after which a cellar reads it itself: two passes and a margin."""
+"""s without a word of the reader of the list after which a cellar reads it itself: two passes and a margin."""
+LIST_READERS = 2
+"""cellars that may read the platform's list at a time: the one that hashing names, and one that has just not heard of it."""
+LIST_PACE = 0.08
+"""s more between passes for each page beyond the first: a long list costs its calls, and its news are pushed at once all the same."""
+LEAVING_MARGIN = 1.3
+"""s of a leaving worker's time that may be over before a proxy hears of it: a pass, its pages, the push."""
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -76,7 +76,7 @@
         self.membership = Membership(cellar=self, now=now)
         self.moves = Moves()
         self.pager = Pager(platform=platform, reader=options.reader, rate=options.list_rate)
-        self.listing = Listing(post=place.post, region=place.region, pager=self.pager, lives=Lives(post=place.post, number=start))
+        self.listing = Listing(pager=self.pager, lives=Lives(post=place.post, number=start))
         self.subscribers = Subscribers(post=place.post if options.reader else "")
         self.standing = Standing()
         self.fleet = Fleet(post=place.post, hall=place.hall, region=place.region)
--- a/sailward/house/listing.py
+++ b/sailward/house/listing.py
@@ -1,4 +1,4 @@
-"""The platform's list of workers in a cellar: read by one cellar of each region, told to the others there."""
+"""The platform's list of workers in a cellar: read by one cellar, told to all others."""
 from __future__ import annotations
 
 import json
@@ -15,12 +15,10 @@
 class Listing:
     """Owner of the list as this cellar tells it. `step` takes a page, or None for time going on; `hear` another's list.
 
-    The one of the region's cellars that hashing names reads the platform's list. It tells the others of each pass, with rows
-    only where they are new; who hears of none for LIST_SILENT reads the list itself. So no news is waited for but theirs.
+    The one of the living cellars that hashing names reads the platform's list. It tells the others of each pass, with rows
+    only where they are new; who hears of none for LIST_SILENT, as after a cut, reads the list itself.
     """
 
-    post: str
-    region: str
     pager: Pager
     lives: Lives
     heard: float = -1e9
@@ -28,12 +26,11 @@
 
     def step(self, *, now: float, event: Called | None, cellars: list[dict], own: dict, is_wanted: bool) -> tuple[list, bool]:
         """(commands, is the list news). `cellars` are the others that live; `is_wanted`: does anyone read it here?"""
-        near = [one for one in cellars if one["region"] == self.region]
-        names = [own["id"], *(one["id"] for one in near)]
-        is_reader = choose_names(key=f"list {self.region}", names=names, count=1) == [own["id"]]
+        names = [own["id"], *(one["id"] for one in cellars)]
+        is_reader = choose_names(key="list", names=names, count=1) == [own["id"]]
         if event is None and (not is_wanted or (not is_reader and now - self.heard < constants.LIST_SILENT)):
             return [], False
-        self.pager.pollers = len({one["region"] for one in [*cellars, own]}) + 1
+        self.pager.pollers = constants.LIST_READERS
         commands, whole = self.pager.step(now=now, event=event)
         if whole is None:
             return commands, False
@@ -41,11 +38,11 @@
         if is_news:
             commands.append(Log(event="list-news", fields={"revision": self.lives.number, "workers": len(whole.workers)}))
         if is_reader:
-            commands += [self._tell(to=one, rows=whole.workers) for one in near]
+            commands += [self._tell(to=one, rows=whole.workers) for one in cellars]
         return commands, is_news
 
     def hear(self, *, now: float, body: dict) -> tuple[list, bool]:
-        """Take the list of the region's reader."""
+        """Take the reader's list."""
         self.heard = now
         if not body["rows"]:
             return [], False
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -39,6 +39,7 @@
     retry_slack: float = constants.TRY_FLOOR
     retry_window: float = constants.TRY_WINDOW
     hold: float = constants.HOLD
+    leave_after: float = constants.LEASE
     leave_wait: float = constants.LEAVE_WAIT
     stop_grace: float = constants.STOP_GRACE
 
@@ -53,7 +54,7 @@
         self.uplink = Uplink(hall=place.hall, region=place.region, seeds=place.seeds)
         self.evidence = Evidence(names=options.names, rng=rng)
         self.scene = Scene(name=place.name, hall=place.hall, region=place.region, regions=dict(options.regions),
-                           evidence=self.evidence, halls=HallBook(hold=options.hold))
+                           evidence=self.evidence, halls=HallBook(hold=options.hold), leave_after=options.leave_after)
         budget = RetryBudget(ratio=options.retry_ratio, slack=options.retry_slack, window=options.retry_window)
         self.forwarder = Forwarder(placer=Placer(scene=self.scene, rng=rng), names=options.names, budget=budget)
         self.directory = Directory(place=place)
--- a/sailward/pour/evidence.py
+++ b/sailward/pour/evidence.py
@@ -29,6 +29,7 @@
     busy_until: float = 0.0
     probe_at: float = 0.0
     shunned_until: float = 0.0
+    leaving_since: float = float("inf")
     answered: float = -1e9
     probe: str = ""
     count: int = 0
@@ -71,6 +72,8 @@
             shown = self.shown.setdefault(key, Shown(worker=worker, since=now))
             if worker.cold > 0 and shown.worker.cold != worker.cold or (worker.cold > 0 and shown.since == now):
                 shown.cold_until = max(shown.cold_until, now + worker.cold)
+            if worker.leaving:
+                shown.leaving_since = min(shown.leaving_since, now)
             shown.worker = worker
         return commands
 
--- a/sailward/pour/placing.py
+++ b/sailward/pour/placing.py
@@ -35,6 +35,7 @@
     by_service: dict = field(default_factory=dict)
     peers: dict = field(default_factory=dict)
     proxies: int = 1
+    leave_after: float = constants.LEASE
 
     def follow(self, *, workers: dict[str, Worker]) -> None:
         """Take the newest list."""
@@ -205,6 +206,9 @@
         if shown is None or not shown.is_healthy or not self._may_serve(hall=shown.worker.hall, homes=request.match.homes):
             return Refusal(code=503, reason="owner-lost")
         worker = shown.worker
+        if now - shown.leaving_since > scene.leave_after:
+            # its keys should have moved by now: it must not be sent anything any more
+            return Refusal(code=503, reason="owner-lost")
         if request.turned_away and worker.key in request.turned_away and now - request.waits_since < constants.OWNER_PAUSE:
             return Refusal(code=503, reason="key-moving")
         if not self._has_room(shown=shown) or now < shown.busy_until:
--- a/sailward/roster/pages.py
+++ b/sailward/roster/pages.py
@@ -84,7 +84,8 @@
     def _pause(self) -> float:
         """The time between passes: all pollers together stay under LIST_SHARE of the platform's rate."""
         calls = max(1, self._page_count) * max(1, self.pollers)
-        return max(constants.LIST_EVERY, calls / (constants.LIST_SHARE * self.rate) if self.rate > 0 else 0.0)
+        every = constants.LIST_EVERY + constants.LIST_PACE * (max(1, self._page_count) - 1)
+        return max(every, calls / (constants.LIST_SHARE * self.rate) if self.rate > 0 else 0.0)
 
     def _take_words(self, *, now: float, event: Called) -> tuple[list, WholeList | None]:
         page = BrokenPass(reason=event.fault or f"code:{event.code}") if event.code != 200 else self.reader.read(body=event.body)
