--- a/tasting/hollow.py
+++ b/tasting/hollow.py
@@ -21,7 +21,12 @@
   --zone-down S     s that a zone is lost; 0 for not at all [default: 4].
   --cut S           s that a region is cut off; 0 for not at all [default: 0].
   --seconds S       s of the quiet span [default: 10].
+  --spread S        s over which the proxies start [default: 2].
   --parts LIST      Measure single owners at sizes up to the two-year one instead: all, or names of parts.
+  --real            Run the base size with real processes on loopback as well, and say by how much the hollow ones differ.
+  --added           Measure what a proxy adds to a request instead, with the workers, services and routes given.
+  --requests N      Requests of each kind for --added [default: 3000].
+  --rate N          Requests/s that come at random for --added [default: 267].
   --largest N       Leave out the parts' sizes over this [default: 1000000].
   --seed N          Seed [default: 1].
   --note TEXT       Kept with the results, as the commit that was measured.
@@ -41,16 +46,22 @@
 from docopt import docopt
 
 from sailward import constants
+from tasting.hollow_fleet.added import measure_added
 from tasting.hollow_fleet.deployment import PAGE, Size, make_document
 from tasting.hollow_fleet.fit import fit_line, fit_power, plot_points
 from tasting.hollow_fleet.fleet import HollowFleet, Plan
 from tasting.hollow_fleet.parts import NAMED, measure_part
+from tasting.hollow_fleet.real import measure_real
 
-SWEPT = {"daemons": (1, 20000), "workers": (0, PAGE * constants.LIST_PAGES), "services": (1, 5000), "divided": (0, 100),
+SWEPT = {"daemons": (1, 20000), "workers": (0, 100000), "services": (1, 5000), "divided": (0, 100),
          "routes": (1, 100000), "zones": (1, 250), "regions": (1, 100)}
 """{size: (least, most)}"""
 HELD = {"base": 120e3, "worker": 1100.0, "daemon": 700.0, "route": 4500.0}
 """bytes that each hollow proxy holds: by itself, and for each worker, daemon and route."""
+MOST_REAL = 60
+"""real processes at once."""
+CALLERS = 16
+"""callers at once that press a proxy."""
 EXIT_USAGE = 2
 
 
@@ -90,8 +101,8 @@
     return [(name, Size(cellars=cellars, list_rate=list_rate, **one)) for name, one in runs]
 
 
-def check_size(*, size: Size, memory: float) -> BadInput | None:
-    """Why this size can't be run, with what would fit."""
+def check_size(*, size: Size, memory: float, is_fleet: bool = True) -> BadInput | None:
+    """Why this size can't be run, with what would fit; a fleet also reads the platform's list and takes memory."""
     if size.regions > size.zones:
         return BadInput(reason=f"{size.regions} regions in {size.zones} zones: at most as many regions as zones")
     if size.divided > size.services:
@@ -101,8 +112,13 @@
     length = _document_bytes(size=size)
     if length > constants.CONFIG_BYTES:
         fits = int(size.routes * constants.CONFIG_BYTES / length * 0.98)
-        return BadInput(reason=f"{size.routes} routes and {size.services} services make {length} bytes; the product takes {constants.CONFIG_BYTES}: "
-                               f"about {fits} routes fit")
+        return BadInput(reason=f"{size.routes} routes and {size.services} services make {length} bytes; the product takes "
+                               f"{constants.CONFIG_BYTES}: about {fits} routes fit")
+    if not is_fleet:
+        return None
+    if size.workers > PAGE * constants.LIST_PAGES:
+        return BadInput(reason=f"{size.workers} workers make more than the {constants.LIST_PAGES} pages of {PAGE} that the product reads: "
+                               f"{PAGE * constants.LIST_PAGES} fit")
     each = HELD["base"] + HELD["worker"] * size.workers + HELD["route"] * size.routes
     needed = size.daemons * (each + HELD["daemon"] * size.daemons)
     if needed > memory:
@@ -130,9 +146,10 @@
             continue
         folder = Path(flags[name]).parent if name == "--out" else Path(flags[name])
         is_bad = name == "--out" and Path(flags[name]).is_dir()
-        if is_bad or not folder.is_dir() or not os.access(folder, os.W_OK) or (Path(flags[name]).exists() and not os.access(flags[name], os.W_OK)):
-            return BadInput(reason=f"{name} {flags[name]}: can't be written; give a {'file' if name == '--out' else 'folder'} in a folder that exists "
-                                   "and may be written")
+        is_kept = Path(flags[name]).exists() and not os.access(flags[name], os.W_OK)
+        if is_bad or is_kept or not folder.is_dir() or not os.access(folder, os.W_OK):
+            what = "file" if name == "--out" else "folder"
+            return BadInput(reason=f"{name} {flags[name]}: can't be written; give a {what} in a folder that exists and may be written")
     return None
 
 
@@ -188,7 +205,8 @@
     for name, rows in points.items():
         told = " ".join(f"{row[0]}:{row[1]:.5g}" for row in rows)
         fit = fits.get(name)
-        line = f"  = {fit['base']:.4g} + {fit['slope']:.4g} x (+-{fit['error']:.2g}), R2 {fit['fit']}, exponent {fit['exponent']}" if fit else ""
+        line = (f"  = {fit['base']:.4g} + {fit['slope']:.4g} x (+-{fit['error']:.2g}), R2 {fit['fit']}, "
+                f"exponent {fit['exponent']}") if fit else ""
         print(f"  {name:28} {told}{line}")
 
 
@@ -203,6 +221,13 @@
     print(f"{time.strftime('%H:%M:%S')} {text}", file=sys.stderr, flush=True)
 
 
+def name_command(*, words: list[str]) -> str:
+    """The command without the places of its results, which are of one machine."""
+    places = ("--out", "--plot")
+    kept = [word for at, word in enumerate(words) if word not in places and (at == 0 or words[at - 1] not in places)]
+    return " ".join(["hollow", *(word for word in kept if not word.startswith(("--out=", "--plot=")))])
+
+
 def run_parts(*, chosen: dict, flags: dict) -> dict:
     """Measure the parts."""
     results = {}
@@ -215,13 +240,45 @@
     return results
 
 
+def run_real(*, size: Size, plan: Plan) -> dict:
+    """The same quiet span with real processes and with hollow ones on links as short."""
+    real = measure_real(size=size, seconds=plan.seconds, say=say)
+    short = Plan(seconds=plan.seconds, changes=0, failures=0, zone_down=0.0, delays=(0.0001, 0.0001, 0.0001), seed=plan.seed)
+    hollow = HollowFleet(size=size, plan=short, say=say).step()["quiet"]["roles"]
+    told = {}
+    print(f"\nreal processes beside hollow ones, {size.daemons} proxies and {size.core} cellars")
+    for role, row in real.items():
+        for name in ("cpu", "out", "messages_out"):
+            other = hollow[role][name] if name == "messages_out" else hollow[role][name][0]
+            told[f"{role} {name}"] = {"real": row[name], "hollow": other, "real_by_hollow": round(row[name] / other, 3)}
+            print(f"  {role + ' ' + name:24} real {row[name]:.6g}  hollow {other:.6g}  real/hollow {row[name] / other:.3f}")
+        told[f"{role} rss_bytes"] = {"real": row["rss_bytes"]}
+        print(f"  {role + ' rss_bytes':24} real {row['rss_bytes']:.6g}")
+    return told
+
+
+def run_added(*, runs: list, count: int, rate: float) -> list:
+    """What a proxy adds, for each size."""
+    results = []
+    for _, size in runs:
+        figures = measure_added(size=size, count=count, callers=CALLERS, rate=rate)
+        results.append({"size": vars(size), **figures})
+        print(f"\nadded with {size.workers} workers in {size.services} services, {size.routes} routes, {size.zones} zones")
+        for name, value in figures.items():
+            print(f"  {name:20} {value:.6g}")
+    return results
+
+
 def run_fleets(*, runs: list, plan: Plan, flags: dict) -> dict:
     """Play all sizes."""
     results, base, swept = [], None, {}
-    for name, size in runs:
+    for at, (name, size) in enumerate(runs):
         say(f"{name}: " + " ".join(f"{key}={value}" for key, value in vars(size).items()))
         result = HollowFleet(size=size, plan=plan, say=say).step()
         results.append({"swept": name, **result})
+        if flags["--out"] and at + 1 < len(runs):
+            # a long sweep that is broken off leaves what it has measured
+            Path(flags["--out"]).write_text(json.dumps({"unfinished": True, "fleets": results}, indent=1) + "\n", "utf-8")
         base = base or result
         if name != "base":
             points = swept.setdefault(name, {})
@@ -242,7 +299,7 @@
     flags = docopt(__doc__, argv=argv)
     numbers = {name: read_number(flags=flags, name=name, least=least, most=most) for name, least, most in (
         ("cellars", 0, 1000), ("list-rate", 0, 1e6), ("changes", 0, 1000), ("failures", 0, 1000), ("zone-down", 0, 600),
-        ("cut", 0, 3600), ("seconds", 0.1, 3600), ("seed", 0, 1e9))}
+        ("cut", 0, 3600), ("seconds", 0.1, 3600), ("spread", 0, 600), ("seed", 0, 1e9), ("requests", 100, 1e6), ("rate", 1, 1e4))}
     sizes = read_sizes(flags=flags)
     chosen = choose_parts(flags=flags) if flags["--parts"] else {}
     for bad in (sizes, chosen, *numbers.values(), check_output(flags=flags)):
@@ -250,14 +307,25 @@
             refuse(bad=bad)
     runs = list_sizes(sizes=sizes, cellars=int(numbers["cellars"]), list_rate=numbers["list-rate"])
     for _, size in runs:
-        bad = check_size(size=size, memory=half_of_memory())
+        bad = check_size(size=size, memory=half_of_memory(), is_fleet=not flags["--added"])
         if bad is not None:
             refuse(bad=bad)
+    base = runs[0][1]
+    if flags["--real"] and (base.daemons + base.core > MOST_REAL or base.daemons > 250):
+        refuse(bad=BadInput(reason=f"{base.daemons} daemons and {base.core} cellars are too many real processes: {MOST_REAL} fit"))
     plan = Plan(seconds=numbers["seconds"], changes=int(numbers["changes"]), failures=int(numbers["failures"]),
-                zone_down=numbers["zone-down"], cut=numbers["cut"], seed=int(numbers["seed"]))
-    told = {"command": "hollow " + " ".join(argv if argv is not None else sys.argv[1:]), "note": flags["--note"] or "",
+                zone_down=numbers["zone-down"], cut=numbers["cut"], spread=numbers["spread"], seed=int(numbers["seed"]))
+    words = argv if argv is not None else sys.argv[1:]
+    told = {"command": name_command(words=words), "note": flags["--note"] or "",
             "python": platform.python_version(), "plan": vars(plan)}
-    told |= {"parts": run_parts(chosen=chosen, flags=flags)} if chosen else run_fleets(runs=runs, plan=plan, flags=flags)
+    if chosen:
+        told["parts"] = run_parts(chosen=chosen, flags=flags)
+    elif flags["--added"]:
+        told["added"] = run_added(runs=runs, count=int(numbers["requests"]), rate=numbers["rate"])
+    elif flags["--real"]:
+        told["real"] = run_real(size=base, plan=plan)
+    else:
+        told |= run_fleets(runs=runs, plan=plan, flags=flags)
     if flags["--out"]:
         Path(flags["--out"]).write_text(json.dumps(told, indent=1) + "\n", "utf-8")
         say(f"written: {flags['--out']}")
--- /dev/null
+++ b/tasting/hollow_fleet/added.py
@@ -0,0 +1,218 @@
+"""What a proxy adds to a request: the real front, owner and client edge in a process of their own, before a stand-in worker."""
+from __future__ import annotations
+
+import multiprocessing
+import random
+import re
+import selectors
+import socket
+import statistics
+import time
+
+from sailward.acts import Answer, Call, CancelCall, HangUp, Heard, Tell
+from sailward.dock.front import Front
+from sailward.dock.host import Host
+from sailward.dock.outbound import Outbound
+from sailward.dock.reactor import Reactor
+from sailward.house.proxy import Proxy
+
+from .deployment import Size, hosted_of, told_fleet, told_rows, zones_of
+from .parts import LEAD, config_text, free_route, push_of
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nInstance-Id: %s\r\n\r\n" + b"x" * 64
+HEAD_END = b"\r\n\r\n"
+OK = b"HTTP/1.1 200"
+
+
+def measure_added(*, size: Size, count: int, callers: int, rate: float) -> dict:
+    """Percentiles in s of what is added: to one request after the other, and to requests that come at random, `rate` a second.
+
+    Then the processor time a request with many callers at once.
+    """
+    method = multiprocessing.get_context("fork")
+    worker_at, worker_end = method.Pipe()
+    worker = method.Process(target=_serve_worker, kwargs={"pipe": worker_end}, daemon=True)
+    worker.start()
+    worker_port = worker_at.recv()
+    proxy_at, proxy_end = method.Pipe()
+    proxy = method.Process(target=_serve_proxy, kwargs={"pipe": proxy_end, "size": size, "worker_port": worker_port}, daemon=True)
+    proxy.start()
+    proxy_port = proxy_at.recv()
+    path, headers = free_route(size=size)
+    try:
+        request = _request_of(path=path, headers=headers)
+        figures = _call_both(ports=(worker_port, proxy_port), request=request, count=count)
+        (direct, _), (through, refused) = (_pace(port=port, request=request, count=count, rate=rate) for port in (worker_port, proxy_port))
+        figures |= {f"paced_p{part}_s": _at(values=through, part=part) - _at(values=direct, part=part) for part in (50, 90, 99)}
+        figures |= {"rate": rate, "paced_not_served": refused}
+        return figures | _press(port=proxy_port, request=request, count=count, callers=callers, proxy=proxy_at)
+    finally:
+        proxy.terminate()
+        worker.terminate()
+
+
+def _call_both(*, ports: tuple, request: bytes, count: int) -> dict:
+    socks = [socket.create_connection(("127.0.0.1", port)) for port in ports]
+    times: tuple[list, list] = ([], [])
+    for at in range(count + 50):
+        for one, sock in enumerate(socks):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            begun = time.perf_counter()
+            _exchange(sock=sock, request=request)
+            if at >= 50:
+                times[one].append(time.perf_counter() - begun)
+    direct, through = (sorted(one) for one in times)
+    added = {f"added_p{part}_s": _at(values=through, part=part) - _at(values=direct, part=part) for part in (50, 90, 99)}
+    pairs = sorted(b - a for a, b in zip(*times, strict=True))
+    return {**added, "direct_p50_s": _at(values=direct, part=50), "direct_p99_s": _at(values=direct, part=99),
+            "pair_p50_s": _at(values=pairs, part=50), "pair_p99_s": _at(values=pairs, part=99)}
+
+
+def _pace(*, port: int, request: bytes, count: int, rate: float) -> tuple[list[float], float]:
+    """s of requests that come at random, whether the ones before are done or not, sorted; and the part not served."""
+    rng, selector = random.Random(1), selectors.DefaultSelector()
+    free, since, times, got, refused = [], {}, [], {}, 0
+    begun = time.perf_counter()
+    due = [begun + rng.random() * 0.001]
+    while len(due) < count:
+        due.append(due[-1] + rng.expovariate(rate))
+    due.reverse()
+    while len(times) < count:
+        now = time.perf_counter()
+        while due and now >= due[-1]:
+            sock = free.pop() if free else _connect(port=port, selector=selector)
+            since[sock] = due.pop()
+            sock.sendall(request)
+        for key, _ in selector.select(max(0.0, due[-1] - time.perf_counter()) if due else 1.0):
+            data = got.pop(key.fileobj, b"") + key.fileobj.recv(65536)
+            if not _is_whole(data=data):
+                got[key.fileobj] = data
+                continue
+            refused += not data.startswith(OK)
+            times.append(time.perf_counter() - since.pop(key.fileobj))
+            free.append(key.fileobj)
+    for key in list(selector.get_map().values()):
+        key.fileobj.close()
+    return sorted(times), refused / count
+
+
+def _connect(*, port: int, selector) -> socket.socket:
+    sock = socket.create_connection(("127.0.0.1", port))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    selector.register(sock, selectors.EVENT_READ)
+    return sock
+
+
+def _press(*, port: int, request: bytes, count: int, callers: int, proxy) -> dict:
+    """Many callers, each with its next request as soon as it has its answer."""
+    selector = selectors.DefaultSelector()
+    for _ in range(callers):
+        sock = socket.create_connection(("127.0.0.1", port))
+        selector.register(sock, selectors.EVENT_READ)
+        sock.sendall(request)
+    proxy.send("cpu")
+    cpu, begun, done = proxy.recv(), time.perf_counter(), 0
+    times, got, refused = [], {}, 0
+    sent = {key.fileobj: begun for key in selector.get_map().values()}
+    while done < count:
+        for key, _ in selector.select():
+            data = got.pop(key.fileobj, b"") + key.fileobj.recv(65536)
+            if not _is_whole(data=data):
+                got[key.fileobj] = data
+                continue
+            refused += not data.startswith(OK)
+            now = time.perf_counter()
+            times.append(now - sent[key.fileobj])
+            sent[key.fileobj] = now
+            done += 1
+            key.fileobj.sendall(request)
+    took = time.perf_counter() - begun
+    proxy.send("cpu")
+    used = proxy.recv() - cpu
+    return {"callers": callers, "requests_s": done / took, "pressed_not_served": refused / done,
+            "cpu_s_a_request": used / done, "busy": used / took, "requests_a_core_s": done / used,
+            "pressed_p50_s": statistics.median(times)}
+
+
+def _exchange(*, sock: socket.socket, request: bytes) -> bool:
+    """Was it served?"""
+    sock.sendall(request)
+    data = b""
+    while not _is_whole(data=data):
+        chunk = sock.recv(65536)
+        if not chunk:
+            raise RuntimeError("the connection ended")
+        data += chunk
+    return data.startswith(OK)
+
+
+def _is_whole(*, data: bytes) -> bool:
+    head, end, body = data.lower().partition(HEAD_END)
+    length = re.search(rb"content-length: *(\d+)", head)
+    return bool(end) and len(body) >= (int(length.group(1)) if length else 0)
+
+
+def _request_of(*, path: str, headers: dict) -> bytes:
+    lines = [f"GET {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items()), "expect-instance: w", "", ""]
+    return "\r\n".join(lines).encode()
+
+
+def _at(*, values: list, part: int) -> float:
+    return values[min(len(values) - 1, len(values) * part // 100)]
+
+
+def _serve_worker(*, pipe) -> None:
+    """Answer every request at once, with what a worker's answer must have."""
+    selector, listener = selectors.DefaultSelector(), socket.create_server(("127.0.0.1", 0), backlog=256)
+    selector.register(listener, selectors.EVENT_READ)
+    pipe.send(listener.getsockname()[1])
+    held: dict = {}
+    while True:
+        for key, _ in selector.select():
+            if key.fileobj is listener:
+                sock, _ = listener.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                selector.register(sock, selectors.EVENT_READ)
+                held[sock] = b""
+                continue
+            sock, data = key.fileobj, b""
+            try:
+                data = sock.recv(65536)
+            except OSError:
+                pass
+            if not data:
+                selector.unregister(sock)
+                sock.close()
+                continue
+            held[sock] += data
+            while HEAD_END in held[sock]:
+                head, _, held[sock] = held[sock].partition(HEAD_END)
+                given = dict(line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:])
+                sock.sendall(ANSWER % (given.get(b"attempt-id", b""), given.get(b"expect-instance", b"")))
+
+
+def _serve_proxy(*, pipe, size: Size, worker_port: int) -> None:
+    """A proxy as `run_proxy` makes it, told its state at once instead of by a cellar."""
+    reactor = Reactor()
+    host = Host(reactor=reactor)
+    hosted = hosted_of(size=size, role="sommelier", index=0, zones=zones_of(size=size))
+    owner = Proxy(place=hosted.place, start=1, rng=random.Random(1), options=hosted.options)
+    owner.uplink.lead = LEAD
+    rows = told_rows(size=size)
+    for row in {part.split('"')[0] for part in rows.split('"address":"')[1:]}:
+        rows = rows.replace(f'"{row}"', f'"127.0.0.1:{worker_port}"')
+    for name, text in (("config", config_text(size=size)), ("workers", rows), ("fleet", told_fleet(size=size, zones=zones_of(size=size)))):
+        owner.step(now=reactor.clock(), event=Heard(sender=LEAD, body=push_of(name=name, number=1, text=text)))
+    front = Front(reactor=reactor, address="127.0.0.1:0", name="front", tell=host.tell, limits=lambda: owner.scene.plan.limits)
+    outbound = Outbound(reactor=reactor, tell=host.tell, names=hosted.names)
+    host.handlers = {Answer: lambda one: front.answer(command=one), Call: lambda one: outbound.give(call=one), Tell: lambda one: None,
+                     CancelCall: lambda one: outbound.cancel(token=one.token), HangUp: lambda one: outbound.hang_up(owner=one.owner)}
+
+    def tell_cpu() -> None:
+        while pipe.poll():
+            pipe.recv()
+            pipe.send(time.process_time())
+        reactor.later(delay=0.02, call=tell_cpu)
+    tell_cpu()
+    pipe.send(front.port)
+    host.run(step=owner.step)
--- a/tasting/hollow_fleet/deployment.py
+++ b/tasting/hollow_fleet/deployment.py
@@ -1,14 +1,20 @@
 """A made-up deployment of any size: places, settings, a configuration and a list of workers in the platform's words."""
 from __future__ import annotations
 
+import hashlib
 import json
 from dataclasses import dataclass
+from functools import lru_cache
 from pathlib import Path
 
+from cerberus import Validator
+
 from sailward.dock.adapter import load_part
 
 FOLDER = Path(__file__).parent.parent.parent / "platform"
 HOSTING = load_part(folder=FOLDER, name="hosting")
+merge_patch = load_part(folder=FOLDER, name="config").merge
+"""The adapter's way to lay a change over a configuration."""
 PAGE = 50
 """workers in a page of the platform's list, as on the sites."""
 VOTERS_SEEDED = 3
@@ -35,6 +41,12 @@
         return self.cellars or self.zones
 
 
+@lru_cache(maxsize=200000)
+def word(*, kind: str, index: int) -> str:
+    """A name that packs no better than names of people's own choice."""
+    return f"{kind}-{hashlib.blake2s(f'{kind}{index}'.encode(), digest_size=4).hexdigest()}"
+
+
 def zone_name(*, index: int) -> str:
     """The name of a zone."""
     return f"zone-{index}"
@@ -50,15 +62,22 @@
     return f"10.{1 if role == 'cellar' else 2}.{index // 250}.{index % 250 + 1}"
 
 
+@lru_cache(maxsize=1)
+def _bounds() -> dict:
+    """The bounds of the settings, with the adapter's own defaults for those not named here."""
+    shape = {"bounds": load_part(folder=FOLDER, name="settings").SHAPE["bounds"]}
+    return Validator(shape).normalized({"bounds": {"retry_ratio": 0.2, "retry_slack": 3, "grace_s": 6}})["bounds"]
+
+
 def settings_of(*, size: Size, role: str, index: int, zones: dict[str, str]) -> dict:
     """The settings of one daemon, as its file would say."""
     zone = zone_name(index=index % size.zones)
     seeds = [f"{ip_of(role='cellar', index=at)}:7000" for at in range(min(VOTERS_SEEDED, size.core))]
     ip = ip_of(role=role, index=index)
-    return {"node_name": f"{role}-{index}", "ip": ip, "zone": zone, "region": zones[zone], "zones": zones,
+    return {"node_name": word(kind=role, index=index), "ip": ip, "zone": zone, "region": zones[zone], "zones": zones,
             "listen": {"front": f"{ip}:8000", "readiness": f"{ip}:8001", "directory": f"{ip}:8002", "control_plane": f"{ip}:8003"},
             "inner_port_range": [7000, 7009], "seed_nodes": seeds, "bootstrap": True, "data_dir": "data", "fault_budget": {"machines": 1},
-            "bounds": {"retry_ratio": 0.2, "retry_slack": 3, "retry_window_s": 10, "grace_s": 6, "hold_max_s": 10},
+            "bounds": _bounds(),
             "cloud_api": {"address": "10.0.0.1:80", "rate_per_s": size.list_rate}}
 
 
@@ -69,35 +88,37 @@
 
 def service_name(*, size: Size, index: int) -> str:
     """The name of a service; the first ones are divided by number."""
-    return f"divided-{index}" if index < size.divided else f"service-{index}"
+    return word(kind="divided" if index < size.divided else "service", index=index)
 
 
 def make_document(*, size: Size, version: int) -> dict:
     """A whole configuration in the platform's words."""
     def rule(index: int) -> dict:
-        return {"name": f"route-{index}", "route_kind": "idempotent" if index % 2 else "nonidempotent", "target_s": 0.4,
-                "priority": index % 3, "matcher": {"path_prefix": f"/part-{index}/"}, "verdict": {
+        return {"name": word(kind="route", index=index), "route_kind": "idempotent" if index % 2 else "nonidempotent", "target_s": 0.4,
+                "priority": index % 3, "matcher": {"path_prefix": f"/{word(kind='part', index=index)}/"}, "verdict": {
                     "split_to": [{"service": service_name(size=size, index=index % size.services), "weight": 100}],
                     "deadline_s": 2.5, "max_tries": 2, "home_regions": [f"region-{index % size.regions}"] if index % 4 == 0 else []}}
     hosts = max(1, size.routes // 40)
     return {"generation": f"r{version}",
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_s": 3, "idle_timeout_s": 15},
-            "listeners": [{"hostname": f"host-{at}.example", "ruleset": [rule(index) for index in range(at, size.routes, hosts)]}
-                          for at in range(hosts)],
+            "listeners": [{"hostname": f"{word(kind='host', index=at)}.example",
+                           "ruleset": [rule(index) for index in range(at, size.routes, hosts)]} for at in range(hosts)],
             "pools": [{"name": service_name(size=size, index=index), "health_path": "/health", "max_conns": 130, "cold_s": 3.0,
                        "cold_rate_s": 6.0, "sharded": index < size.divided, "warm_s": 3.0} for index in range(size.services)]}
 
 
 def make_patch(*, size: Size, version: int) -> dict:
     """A change of one route's deadline."""
-    listener = make_document(size=Size(routes=1, services=size.services, regions=size.regions, divided=size.divided), version=version)["listeners"][0]
+    one = Size(routes=1, services=size.services, regions=size.regions, divided=size.divided)
+    listener = make_document(size=one, version=version)["listeners"][0]
     listener["ruleset"][0]["verdict"]["deadline_s"] = 2.0 + version % 10 / 10
     return {"generation": f"r{version}", "upsert": {"listeners": [listener]}}
 
 
 def worker_rows(*, size: Size) -> list[dict]:
     """The platform's rows of all workers, zone by zone."""
-    return [{"id": f"i-{index:08x}", "service": service_name(size=size, index=index % size.services), "zone": zone_name(index=index % size.zones),
+    return [{"id": word(kind="i", index=index), "service": service_name(size=size, index=index % size.services),
+             "zone": zone_name(index=index % size.zones),
              "address": f"10.{100 + index // 62500}.{index // 250 % 250}.{index % 250 + 1}:9000", "state": "admitted", "capacity": 4,
              "cold_left_s": 0.0} for index in range(size.workers)]
 
@@ -112,15 +133,16 @@
 
 def told_rows(*, size: Size) -> str:
     """The workers as a cellar's push tells them."""
-    return json.dumps([{"id": row["id"], "generation": 0, "service": row["service"], "address": row["address"], "hall": row["zone"],
-                        "leaving": False, "capacity": row["capacity"], "cold_s": 0.0} for row in worker_rows(size=size)], separators=(",", ":"))
+    told = [{"id": row["id"], "generation": 0, "service": row["service"], "address": row["address"], "hall": row["zone"],
+             "leaving": False, "capacity": row["capacity"], "cold_s": 0.0} for row in worker_rows(size=size)]
+    return json.dumps(told, separators=(",", ":"))
 
 
 def told_fleet(*, size: Size, zones: dict[str, str]) -> str:
     """The fleet as a cellar's push tells it."""
     def row(index: int) -> list:
         zone = zone_name(index=index % size.zones)
-        return [f"sommelier-{index}", f"{ip_of(role='sommelier', index=index)}:8000", zone, zones[zone], True]
+        return [word(kind="sommelier", index=index), f"{ip_of(role='sommelier', index=index)}:8000", zone, zones[zone], True]
     cellars = [[f"{ip_of(role='cellar', index=at)}:7000", zone_name(index=at % size.zones), zones[zone_name(index=at % size.zones)]]
                for at in range(size.core)]
     return json.dumps({"proxies": [row(index) for index in range(size.daemons)], "cellars": cellars}, separators=(",", ":"))
--- a/tasting/hollow_fleet/fit.py
+++ b/tasting/hollow_fleet/fit.py
@@ -45,7 +45,7 @@
     """Points and their lines, a panel for each figure: {name: points}."""
     import matplotlib
     matplotlib.use("svg")
-    matplotlib.rcParams["svg.hashsalt"] = "sailward"
+    matplotlib.rcParams |= {"svg.hashsalt": "sailward", "svg.fonttype": "none"}
     from matplotlib import pyplot
     shown = {name: points for name, points in figures.items() if len(points) > 1}
     wide = min(3, max(1, len(shown)))
--- a/tasting/hollow_fleet/fleet.py
+++ b/tasting/hollow_fleet/fleet.py
@@ -91,12 +91,13 @@
             start, nonce = int(1e12 + now * 1e6), f"{rng.getrandbits(48):012x}"
             if member.role == "cellar":
                 return Cellar(place=hosted.place, platform=hosted.platform, nonce=nonce, start=start, rng=random.Random(nonce),
-                              records=list(member.records), now=now, options=hosted.cellar)
-            return Proxy(place=hosted.place, start=start, rng=random.Random(nonce), options=hosted.proxy)
+                              records=list(member.records), now=now, options=hosted.options)
+            return Proxy(place=hosted.place, start=start, rng=random.Random(nonce), options=hosted.options)
         for role, count, members in (("cellar", size.core, self.cellars), ("sommelier", size.daemons, self.proxies)):
             for index in range(count):
                 hosted = hosted_of(size=size, role=role, index=index, zones=zones)
-                member = Member(name=hosted.place.name, role=role, zone=hosted.place.hall, region=hosted.place.region, post=hosted.place.post,
+                place = hosted.place
+                member = Member(name=place.name, role=role, zone=place.hall, region=place.region, post=place.post,
                                 make=lambda member, now, hosted=hosted: make(member, now, hosted))
                 self.network.add(member=member)
                 members.append(member)
@@ -109,7 +110,7 @@
         network = self.network
         for member in self.cellars:
             network.start(member=member, delay=rng.random() * 0.2)
-        is_core_up = network.run(seconds=PATIENCE, until=lambda: sum(one.owner is not None and one.owner.voting for one in self.cellars) >= min(3, len(self.cellars)))
+        is_core_up = network.run(seconds=PATIENCE, until=self._is_core_up)
         core_s = network.now
         network.run(seconds=1.0)
         accepted = self._operate(method="PUT", document=make_document(size=self.size, version=1), if_match="0")
@@ -134,7 +135,8 @@
         for _ in range(self.plan.changes):
             number = max((number for number, _ in self.in_force.values()), default=0)
             begun = self.network.now
-            accepted.append(self._operate(method="PATCH", document=make_patch(size=self.size, version=self.version + 1), if_match=f"r{self.version}"))
+            patch = make_patch(size=self.size, version=self.version + 1)
+            accepted.append(self._operate(method="PATCH", document=patch, if_match=f"r{self.version}"))
             is_done = self.network.run(seconds=PATIENCE, until=lambda number=number: self._all_hold(number=number + 1))
             took.append(round(max((at for _, at in self.in_force.values()), default=begun) - begun, 3) if is_done else None)
             self.network.run(seconds=max(0.0, 2.0 - (self.network.now - begun)))
@@ -192,7 +194,8 @@
         begun, body = self.network.now, json.dumps(document, separators=(",", ":")).encode()
         for turn in range(5):
             token = f"desk {method} {self.version + 1} {turn} {begun}"
-            ask_operator(network=self.network, member=self.cellars[0], token=token, method=method, path="/config", body=body, if_match=if_match)
+            ask_operator(network=self.network, member=self.cellars[0], token=token, method=method, path="/config", body=body,
+                         if_match=if_match)
             self.network.run(seconds=12.0, until=lambda token=token: token in self.network.answers)
             answer = self.network.answers.pop(token, None)
             if answer is not None and answer.code == 200:
@@ -203,6 +206,9 @@
                 return None
         return None
 
+    def _is_core_up(self) -> bool:
+        return sum(one.owner is not None and one.owner.voting for one in self.cellars) >= min(3, len(self.cellars))
+
     def _all_ready(self) -> bool:
         return all(one.owner is not None and one.owner.is_ready for one in self.proxies)
 
@@ -237,11 +243,13 @@
             into = [(after.heard[one.post]["bytes"] - before.heard[one.post]["bytes"]) / span for one in members]
             parts = {part: sum(after.costs[one.post][part] - before.costs[one.post][part] for one in members) / span / len(members)
                      for part in ("step", "pack", "unpack", "check")}
+            told = sum(after.sent[one.post]["messages"] - before.sent[one.post]["messages"] for one in members)
             roles[role] = {"cpu": _spread(values=cpu), "out": _spread(values=out), "in": _spread(values=into),
                            "cpu_parts": {name: round(value, 6) for name, value in parts.items()},
-                           "messages_out": round(sum(after.sent[one.post]["messages"] - before.sent[one.post]["messages"] for one in members) / span / len(members), 2)}
-        return {"span_s": round(span, 2), "roles": roles, "links": links, "kinds": kinds, "steps": steps, "lost": dict(after.lost - before.lost),
-                "syncs": round((after.disk["syncs"] - before.disk["syncs"]) / span, 3), "disk_bytes": round((after.disk["bytes"] - before.disk["bytes"]) / span, 1),
+                           "messages_out": round(told / span / len(members), 2)}
+        return {"span_s": round(span, 2), "roles": roles, "links": links, "kinds": kinds, "steps": steps,
+                "lost": dict(after.lost - before.lost), "syncs": round((after.disk["syncs"] - before.disk["syncs"]) / span, 3),
+                "disk_bytes": round((after.disk["bytes"] - before.disk["bytes"]) / span, 1),
                 "calls": {name: round(count / span, 2) for name, count in (after.calls - before.calls).items()}}
 
 
--- a/tasting/hollow_fleet/network.py
+++ b/tasting/hollow_fleet/network.py
@@ -282,7 +282,8 @@
         else:
             body = b"{}"
         headers = {} if is_list else {"instance-id": command.owner}
-        self.give(member=member, event=Called(token=command.token, code=200, headers=headers, body=body, fault="", sent=True), delay=ready + API)
+        called = Called(token=command.token, code=200, headers=headers, body=body, fault="", sent=True)
+        self.give(member=member, event=called, delay=ready + API)
 
 
 def _rows_in(*, pages: list[bytes]) -> int:
--- a/tasting/hollow_fleet/parts.py
+++ b/tasting/hollow_fleet/parts.py
@@ -17,13 +17,15 @@
 from sailward.house.proxy import Proxy
 from sailward.label.check import check_config
 
-from .deployment import Size, hosted_of, make_document, told_fleet, told_rows, zones_of
+from .deployment import (
+    Size, hosted_of, make_document, make_patch, merge_patch, service_name, told_fleet, told_rows, word, zones_of)
 
 LEAD = "10.1.0.1:7000"
 REPEATS = 3
 NAMED = {"list": ("workers", (500, 1000, 2000, 4000, 8000, 16000, 32000, 63000)),
          "fleet": ("daemons", (100, 300, 1000, 3000, 6000, 12000)),
          "config": ("routes", (100, 300, 1000, 2500, 5000, 10000, 31000)),
+         "tenants": ("tenants", (1000, 3000, 10000, 30000, 100000)),
          "place": ("workers of the service", (8, 32, 128, 512, 1024)),
          "halls": ("services x zones", (100, 1000, 10000, 50000, 176000)),
          "core": ("daemons", (272, 1000, 3000, 6000, 12000)),
@@ -33,7 +35,8 @@
 
 def measure_part(*, name: str, sizes: tuple, say: Callable[[str], None]) -> dict:
     """All points of one part: {figure: [[size, value], ...]}, each the middle of REPEATS runs, with the least and greatest."""
-    measure = {"list": _list, "fleet": _fleet, "config": _config, "place": _place, "halls": _halls, "core": _core, "askers": _askers}[name]
+    measure = {"list": _list, "fleet": _fleet, "config": _config, "tenants": _tenants, "place": _place, "halls": _halls,
+               "core": _core, "askers": _askers}[name]
     points: dict = {}
     for size in sizes:
         runs = []
@@ -52,7 +55,7 @@
 def make_proxy(*, size: Size) -> Proxy:
     """A proxy that has heard a cellar."""
     hosted = hosted_of(size=size, role="sommelier", index=0, zones=zones_of(size=size))
-    proxy = Proxy(place=hosted.place, start=1, rng=random.Random(1), options=hosted.proxy)
+    proxy = Proxy(place=hosted.place, start=1, rng=random.Random(1), options=hosted.options)
     proxy.uplink.lead = LEAD
     return proxy
 
@@ -118,7 +121,9 @@
 def _fleet(*, size: int) -> dict:
     shape = Size(daemons=size, zones=max(4, size // 136), regions=4)
     text = told_fleet(size=shape, zones=zones_of(size=shape))
-    figures, _ = _push_figures(size=shape, name="fleet", texts=(text, text))
+    figures, proxy = _push_figures(size=shape, name="fleet", texts=(text, text))
+    asked = Asked(token="directory 1", method="GET", path="/proxies", query={}, headers={}, body=b"", target="/proxies")
+    figures["resolve_s"] = _seconds(lambda: [proxy.step(now=9.0, event=asked) for _ in range(20)]) / 20
     return {**figures, "held_bytes": _held_bytes(size=shape, name="fleet", text=text)}
 
 
@@ -127,10 +132,39 @@
     texts = (config_text(size=shape), config_text(size=shape, version=2))
     figures, proxy = _push_figures(size=shape, name="config", texts=texts)
     full = proxy.options.expand(make_document(size=shape, version=2))
-    check = _seconds(lambda: check_config(config=full)) if size <= 5000 else 0.0
+    check = _seconds(lambda: check_config(config=full))
+    written = make_document(size=shape, version=2)
+    expand = _seconds(lambda: proxy.options.expand(written))
+    merge = _seconds(lambda: merge_patch(written, make_patch(size=shape, version=3)))
+    delta = json.dumps(make_patch(size=shape, version=3), separators=(",", ":"))
+    frame = pack_body(body=push_of(name="config", number=3, text=delta))
+    figures |= {"expand_s": expand, "merge_s": merge, "delta_frame_bytes": len(frame)}
     return {**figures, "check_s": check, "held_bytes": _held_bytes(size=shape, name="config", text=texts[0])}
 
 
+def _tenants(*, size: int) -> dict:
+    """Tenants are not in the platform's words: the product's own full form holds them."""
+    shape = Size(routes=4, services=2, divided=0)
+    proxy = make_proxy(size=shape)
+    full = proxy.options.expand(make_document(size=shape, version=1))
+    full["tenants"] = {word(kind="tenant", index=index): {"homes": [f"region-{index % 37}"], "share": 1} for index in range(size)}
+    text = json.dumps({"full": full}, separators=(",", ":"))
+    body = push_of(name="config", number=1, text=text)
+    frames: list[bytes] = []
+    pack = _seconds(lambda: frames.append(pack_body(body=body)))
+    take = _seconds(lambda: _give(proxy=proxy, body=body, now=1.0))
+    return {"text_bytes": len(text), "frame_bytes": len(frames[0]), "pack_s": pack, "take_s": take,
+            "held_bytes": _held_bytes(size=shape, name="config", text=text)}
+
+
+def free_route(*, size: Size) -> tuple[str, dict]:
+    """A path and headers that match a repeatable route of a service that is not divided."""
+    divided = {service_name(size=size, index=index) for index in range(size.divided)}
+    listener, rule = next((listener, rule) for listener in make_document(size=size, version=1)["listeners"] for rule in listener["ruleset"]
+                          if rule["route_kind"] == "idempotent" and rule["verdict"]["split_to"][0]["service"] not in divided)
+    return rule["matcher"]["path_prefix"] + "x", {"host": listener["hostname"], "attempt-id": "a", "time-budget": "2000"}
+
+
 def _request_seconds(*, size: Size, count: int) -> dict:
     """Processor time of the owner a request: one Asked and one Called; and of the placing alone with ticks apart."""
     proxy = make_proxy(size=size)
@@ -138,8 +172,7 @@
                        ("fleet", told_fleet(size=size, zones=zones_of(size=size)))):
         _give(proxy=proxy, body=push_of(name=name, number=1, text=text), now=1.0)
     proxy.step(now=1.1, event=Ticked(wall=1.0))
-    headers = {"host": "host-0.example", "attempt-id": "a", "time-budget": "2000"}
-    path = f"/part-{size.divided + (1 if size.divided % 2 == 0 else 0)}/x"
+    path, headers = free_route(size=size)
 
     def one(at: int) -> None:
         asked = Asked(token=f"front {at}", method="GET", path=path, query={}, headers=headers, body=b"", target=path)
@@ -164,17 +197,19 @@
     zones = min(88, size // 2)
     shape = Size(workers=services * zones, services=services, routes=8, zones=zones, regions=min(37, zones), divided=0, daemons=4)
     proxy = make_proxy(size=shape)
-    rows = [{"id": f"w{service}.{zone}", "generation": 0, "service": f"service-{service}", "address": "10.0.0.9:1", "hall": f"zone-{zone}",
-             "leaving": False, "capacity": 4, "cold_s": 0.0} for service in range(services) for zone in range(zones)]
+    rows = [{"id": f"w{service}.{zone}", "generation": 0, "service": service_name(size=shape, index=service), "address": "10.0.0.9:1",
+             "hall": f"zone-{zone}", "leaving": False, "capacity": 4, "cold_s": 0.0}
+            for service in range(services) for zone in range(zones)]
     for name, text in (("config", config_text(size=shape)), ("workers", json.dumps(rows))):
         _give(proxy=proxy, body=push_of(name=name, number=1, text=text), now=1.0)
     proxy.step(now=1.1, event=Ticked(wall=1.0))
-    headers = {"host": "host-0.example", "attempt-id": "a", "time-budget": "2000"}
+    path, headers = free_route(size=shape)
 
     def one(at: int) -> None:
-        asked = Asked(token=f"front {at}", method="GET", path="/part-1/x", query={}, headers=headers, body=b"", target="/part-1/x")
+        asked = Asked(token=f"front {at}", method="GET", path=path, query={}, headers=headers, body=b"", target=path)
         call = next(command for command in proxy.step(now=1.2, event=asked) if isinstance(command, Call))
-        proxy.step(now=1.25, event=Called(token=call.token, code=200, headers={"attempt-id": "a", "server-seal": "s"}, body=b"{}", fault="", sent=True))
+        answered = {"attempt-id": "a", "server-seal": "s"}
+        proxy.step(now=1.25, event=Called(token=call.token, code=200, headers=answered, body=b"{}", fault="", sent=True))
     one(0)
     took = _seconds(lambda: [one(at + 1) for at in range(10)])
     count = _seconds(lambda: proxy.step(now=1.3, event=Ticked(wall=1.0)))
@@ -186,13 +221,14 @@
     one = Size(**{**vars(size), "cellars": 1})
     zones = zones_of(size=size)
     hosted = hosted_of(size=one, role="cellar", index=0, zones=zones)
-    cellar = Cellar(place=hosted.place, platform="", nonce="n", start=1, rng=random.Random(1), records=[], now=0.0, options=hosted.cellar)
+    cellar = Cellar(place=hosted.place, platform="", nonce="n", start=1, rng=random.Random(1), records=[], now=0.0, options=hosted.options)
     asks = []
     for index in range(askers):
         place = hosted_of(size=one, role="sommelier", index=index, zones=zones).place
-        daemon = {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region, "post": place.post, "http": place.http,
-                  "start": 1, "beat": 1, "fit": True, "version": "", "identity": "", "asks": ""}
-        asks.append(Heard(sender=place.post, body={"kind": "ask", "seq": 1, "have": {"workers": [-1, "", [0, ""]], "fleet": [1, "elsewhere", [0, ""]]},
+        daemon = {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region, "http": place.http,
+                  "start": 1, "fit": True, "version": ""}
+        have = {"workers": [-1, "elsewhere"], "fleet": [1, "elsewhere"]}
+        asks.append(Heard(sender=place.post, body={"kind": "ask", "seq": 1, "have": have,
                                                    "report": {"down": [], "loads": {}, "turn": 1, "lead": ""}, "daemon": daemon}))
     return cellar, asks
 
@@ -207,7 +243,7 @@
     share = -(-len(rows) // others)
     frames = []
     for at in range(others):
-        body = {"kind": "fleet", "number": 1, "rows": rows[at * share:(at + 1) * share], "cellars": [], "loads": {}, "down": {}}
+        body = {"kind": "fleet", "number": 1, "rows": rows[at * share:(at + 1) * share], "loads": {}, "down": {}}
         frames.append(len(pack_body(body=body)))
         cellar.step(now=1.0, event=Heard(sender=f"10.9.{at}.1:7000", body=body))
     for ask in asks:
@@ -215,7 +251,8 @@
     cellar.step(now=1.05, event=Ticked(wall=1.0))
     ticks = [_seconds(lambda at=at: cellar.step(now=1.1 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(10)]
     ask = _seconds(lambda: [cellar.step(now=1.7, event=one) for one in asks]) / len(asks)
-    return {"tick_s": statistics.fmean(ticks), "ask_s": ask, "fleet_text_bytes": len(cellar.fleet.text), "fleet_message_bytes": statistics.fmean(frames)}
+    return {"tick_s": statistics.fmean(ticks), "ask_s": ask, "fleet_text_bytes": len(cellar.fleet.text),
+            "fleet_message_bytes": statistics.fmean(frames)}
 
 
 def _askers(*, size: int) -> dict:
--- /dev/null
+++ b/tasting/hollow_fleet/real.py
@@ -0,0 +1,165 @@
+"""A few real processes on loopback, to say by how much the hollow ones' figures differ.
+
+Also the program of one such process: real ROLE COUNTS_FILE, with the settings as the platform gives them.
+"""
+from __future__ import annotations
+
+import http.client
+import http.server
+import importlib
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import yaml
+
+from sailward.dock import courier as courier_module
+from sailward.programs import hosted as hosted_module
+
+from .deployment import FOLDER, HOSTING, Size, list_pages, make_document, settings_of, zones_of
+
+COUNT_EVERY = 0.2
+PATIENCE = 30.0
+
+
+class CountedCourier(courier_module.Courier):
+    """A courier that writes its counts into a file now and then."""
+
+    file = ""
+
+    def __init__(self, *, reactor, **given) -> None:
+        super().__init__(reactor=reactor, **given)
+        self._write(reactor=reactor)
+
+    def _write(self, *, reactor) -> None:
+        told = {"at": time.monotonic(), "cpu": time.process_time(), **self.counts}
+        Path(self.file + ".new").write_text(json.dumps(told), "utf-8")
+        os.replace(self.file + ".new", self.file)
+        reactor.later(delay=COUNT_EVERY, call=lambda: self._write(reactor=reactor))
+
+
+def measure_real(*, size: Size, seconds: float, say: Callable[[str], None]) -> dict:
+    """Figures a second of each role in a quiet span of a real fleet of this size; one thread serves the platform's list."""
+    pages = list_pages(size=size)
+
+    class List(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def do_GET(self) -> None:  # noqa: N802
+            token = self.path.rpartition("=")[2] if "=" in self.path else "0"
+            body = pages[int(token) // len(json.loads(pages[0])["instances"])]
+            self.send_response(200)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *given) -> None:
+            return None
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), List)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    with tempfile.TemporaryDirectory() as folder:
+        processes: list = []
+        try:
+            return _play(size=size, seconds=seconds, folder=Path(folder), api=f"127.0.0.1:{server.server_port}",
+                         processes=processes, say=say)
+        finally:
+            for _, process, _ in processes:
+                process.send_signal(signal.SIGKILL)
+                process.wait()
+            server.shutdown()
+
+
+def _play(*, size: Size, seconds: float, folder: Path, api: str, processes: list, say: Callable[[str], None]) -> dict:
+    zones, port, net = zones_of(size=size), random.randrange(20000, 30000, 16), random.randrange(1, 250)
+    settings: list[tuple[str, dict]] = []
+    for role, count in (("cellar", size.core), ("sommelier", size.daemons)):
+        for index in range(count):
+            text = json.dumps(settings_of(size=size, role=role, index=index, zones=zones))
+            text = text.replace('"10.0.0.1:80"', f'"{api}"').replace('"10.1.0.', f'"127.{net}.1.').replace('"10.2.0.', f'"127.{net}.2.')
+            given = json.loads(text)
+            given["inner_port_range"] = [port, port + 9]
+            given["seed_nodes"] = [seed.rpartition(":")[0] + f":{port}" for seed in given["seed_nodes"]]
+            given["listen"] = {name: f"{given['ip']}:{port + 10 + at}" for at, name in enumerate(sorted(given["listen"]))}
+            given["data_dir"] = str(folder / given["node_name"])
+            settings.append((role, given))
+    begun = time.monotonic()
+    for role, given in settings:
+        processes.append((role, _start(role=role, given=given, folder=folder), str(folder / f"{given['node_name']}.counts")))
+    _configure(size=size, address=settings[0][1]["listen"]["control_plane"])
+    for role, given in settings:
+        while role == "sommelier" and not _is_ready(address=given["listen"]["readiness"]):
+            if time.monotonic() - begun > PATIENCE:
+                raise RuntimeError("the real fleet did not come up")
+            time.sleep(0.05)
+    say(f"real: {len(settings)} processes ready after {time.monotonic() - begun:.1f} s")
+    time.sleep(4.0)
+    before = [json.loads(Path(file).read_text("utf-8")) for _, _, file in processes]
+    time.sleep(seconds)
+    after = [json.loads(Path(file).read_text("utf-8")) for _, _, file in processes]
+    roles: dict = {}
+    for (role, process, _), one, other in zip(processes, before, after, strict=True):
+        span = other["at"] - one["at"]
+        row = roles.setdefault("proxy" if role == "sommelier" else role, [])
+        row.append({"cpu": (other["cpu"] - one["cpu"]) / span, "out": (other["sent-bytes"] - one["sent-bytes"]) / span,
+                    "messages_out": (other["sent"] - one["sent"]) / span, "rss_bytes": _rss_of(pid=process.pid)})
+    return {role: {name: round(sum(one[name] for one in rows) / len(rows), 6) for name in rows[0]} for role, rows in roles.items()}
+
+
+def _start(*, role: str, given: dict, folder: Path) -> subprocess.Popen:
+    file = folder / f"{given['node_name']}.yaml"
+    file.write_text(yaml.safe_dump(given), "utf-8")
+    root = str(FOLDER.parent)
+    env = {**os.environ, "SAILWARD_NODE_FILE": str(file), "PYTHONPATH": root}
+    with (folder / f"{given['node_name']}.log").open("wb") as log:
+        return subprocess.Popen([sys.executable, "-m", "tasting.hollow_fleet.real", role, str(folder / f"{given['node_name']}.counts")],
+                                cwd=root, env=env, stdout=log, stderr=log)
+
+
+def _configure(*, size: Size, address: str) -> None:
+    body, begun = json.dumps(make_document(size=size, version=1)), time.monotonic()
+    while time.monotonic() - begun < PATIENCE:
+        try:
+            connection = http.client.HTTPConnection(address, timeout=5)
+            connection.request("PUT", "/config", body=body, headers={"If-Match": "0"})
+            if connection.getresponse().status == 200:
+                return
+        except OSError:
+            pass
+        time.sleep(0.1)
+    raise RuntimeError("the configuration was not accepted")
+
+
+def _is_ready(*, address: str) -> bool:
+    try:
+        connection = http.client.HTTPConnection(address, timeout=2)
+        connection.request("GET", "/")
+        return connection.getresponse().status == 200
+    except OSError:
+        return False
+
+
+def _rss_of(*, pid: int) -> int:
+    text = Path(f"/proc/{pid}/statm").read_text("ascii")
+    return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def main() -> None:
+    """Run one daemon with counted messages."""
+    role, CountedCourier.file = sys.argv[1:]
+    hosted_module.Courier = CountedCourier
+    settings = yaml.safe_load(Path(os.environ["SAILWARD_NODE_FILE"]).read_text("utf-8"))
+    hosted = HOSTING.host_of(settings=settings, role=role)
+    kind = "proxy" if role == "sommelier" else role
+    getattr(importlib.import_module(f"sailward.programs.hosted_{kind}"), f"run_{kind}")(hosted=hosted)
+
+
+if __name__ == "__main__":
+    main()
