A refused connection proves nothing of a worker's end: its keys move when its hold is over

Ruled out: releases (the old owner's hold was never ended), the read lease and the wait after a takeover (the gap to its last renewal was 1.75 s, less than either). Test first: a worker behind a cut that refuses, seen to overlap. Now only another worker's answer at its address (421) proves an end; else the hold is waited out: a crashed owner's keys are back after 3.3 s more.

--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -97,8 +97,6 @@
 """s more before a hold that ran out counts as ended: alarms and the owners' steps."""
 GRANT_RELEASE_WAIT = 5.0
 """s that a release may take, as it ends with what ran: over the hold, by when the range is free anyway."""
-GRANT_REFUSED = 2
-"""connections refused in a row before a worker's process counts as ended."""
 GRANT_SILENT = 1.4
 """s of failing grants (two that ran out), or of being called down, before a worker's ranges move."""
 GRANT_AVOID = 10.0
--- a/sailward/house/granting.py
+++ b/sailward/house/granting.py
@@ -14,8 +14,8 @@
 3. A shard that has a living owner first becomes moving, and what is moving is never granted. It opens for another
    owner, under a new fence, when the old one has certainly let go: (a) it answered a release that was sent when the
    granter was the only one and none of its own grants of these keys was under way; or (b) its process has ended:
-   GRANT_REFUSED connections refused in a row (nobody listens: not a path or a socket that is missing), or another worker
-   answered at its address; or (c) its hold has run out:
+   another worker answered at its address (a connection that is refused proves nothing: a cut may refuse too, while the worker
+   lives and holds); or (c) its hold has run out:
    GRANT_HOLD by the slowest clock after the last moment at which a grant can have arrived. That moment is GRANT_QUIET
    after the shard was first seen moving here, or, for the only granter, the later of `_sole_at` and the last of its own.
 4. Each of these stays true as long as the table does not change, and the change is conditional on its number.
@@ -33,7 +33,6 @@
 from sailward.pour.slots import PREFIX
 
 NEVER = -1e9
-REFUSED = "refused"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -105,7 +104,6 @@
         self._moving: list[Releasing] = []
         self._sent: dict[str, Sent] = {}
         self._arrived: dict[str, float] = {}
-        self._refusals: dict[str, int] = {}
         self._failing: dict[str, tuple[float, float]] = {}
         self._outrun: set[Shard] = set()
         self._handovers: dict[Shard, str] = {}
@@ -165,11 +163,7 @@
         if sent is None:
             return []
         owner, self._look_at = sent.shard.owner, NEVER
-        if event.fault != REFUSED:
-            self._refusals.pop(owner, None)
-        else:
-            self._refusals[owner] = self._refusals.get(owner, 0) + 1
-        if self._refusals.get(owner, 0) >= constants.GRANT_REFUSED or event.code == 421:
+        if event.code == 421:
             self._ended.add(owner)
         if event.code in (200, 409):
             self._failing.pop(owner, None)
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -60,6 +60,7 @@
     cold: float = 0.0
     listed: bool = True
     is_unreachable: bool = False
+    is_refusing: bool = False
     silent_to: set = field(default_factory=set)
     holds: list = field(default_factory=list)
     seen: list = field(default_factory=list)
@@ -240,8 +241,8 @@
                 return
             if not alive:
                 answer(worker=worker, code=0, fault="refused")
-            elif worker.is_unreachable:
-                answer(worker=worker, code=0, fault="no-connection")
+            elif worker.is_unreachable or worker.is_refusing:
+                answer(worker=worker, code=0, fault="refused" if worker.is_refusing else "no-connection")
             elif worker.key != call.headers["owner"]:
                 answer(worker=worker, code=421)
             else:
@@ -394,6 +395,16 @@
     assert world.held_keys() == KEYS and not world.keys_of(worker=world.workers[0]) and not world.overlaps
 
 
+def test_worker_behind_a_cut_that_refuses_may_still_hold() -> None:
+    world = make_settled()
+    world.workers[0].is_refusing = True
+    world.run(seconds=10.0)
+    assert world.held_keys() == KEYS and not world.keys_of(worker=world.workers[0]) and not world.overlaps
+    world.workers[0].is_refusing = False
+    world.run(seconds=20.0)
+    assert world.held_keys() == KEYS and not world.overlaps
+
+
 def test_granter_that_is_lost_is_followed_by_the_next() -> None:
     world = make_settled()
     world.granters[0].is_up = world.granters[0].is_acting = False
