--- a/sailward/__init__.py
+++ b/sailward/__init__.py
@@ -1,2 +1,3 @@
 """sailward: a place-keeping global load balancer."""
+
 __version__ = "0.2.0"
--- a/sailward/acts.py
+++ b/sailward/acts.py
@@ -1,4 +1,5 @@
 """Events that owners are given and commands that they answer with."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
--- a/sailward/cask/acceptor.py
+++ b/sailward/cask/acceptor.py
@@ -1,4 +1,5 @@
 """The voter: promises and votes, to be synced before they are told."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -73,8 +74,12 @@
     def _vote_first(self, *, now: float, body: dict, slot: Slot) -> tuple[list[dict], dict]:
         name, op = body["register"], body["op"]
         voted = {"kind": "voted", "op": op, "register": name, "ballot": FIRST}
-        if slot.value is not None and slot.ballot == FIRST and slot.value["mark"] == body["value"]["mark"] \
-                and slot.promised == FIRST:
+        if (
+            slot.value is not None
+            and slot.ballot == FIRST
+            and slot.value["mark"] == body["value"]["mark"]
+            and slot.promised == FIRST
+        ):
             return [], voted
         if slot.value is not None or slot.promised != NONE:
             return [], _nack(op=op, name=name, ballot=FIRST, reason="taken", seen=slot.promised[0])
@@ -108,5 +113,4 @@
 
 
 def _nack(*, op: str, name: str, ballot: list, reason: str, seen: int) -> dict:
-    return {"kind": "nack", "op": op, "register": name, "ballot": ballot, "reason": reason,
-            "round": seen, "voters": []}
+    return {"kind": "nack", "op": op, "register": name, "ballot": ballot, "reason": reason, "round": seen, "voters": []}
--- a/sailward/cask/held.py
+++ b/sailward/cask/held.py
@@ -1,4 +1,5 @@
 """Values of registers that are known to have been chosen."""
+
 from __future__ import annotations
 
 import json
@@ -48,7 +49,11 @@
     def tell(self, *, to: str, name: str) -> list:
         """Give one who lost it what is held of a register."""
         held = self.held.get(name)
-        return [Tell(to=to, body={"kind": "chosen", "register": name, "ballot": held.ballot, "value": held.value})] if held else []
+        return (
+            [Tell(to=to, body={"kind": "chosen", "register": name, "ballot": held.ballot, "value": held.value})]
+            if held
+            else []
+        )
 
     def have(self) -> dict:
         """Number, mark and ballot of each register held."""
--- a/sailward/cask/messages.py
+++ b/sailward/cask/messages.py
@@ -1,4 +1,5 @@
 """The messages between sailward's processes: their fields, encoding and check."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -18,8 +19,7 @@
     "chosen": {"register": str, "ballot": BALLOT, "value": dict},
     "want": {"register": str},
     "ask": {"seq": int, "have": dict, "report": dict, "daemon": dict},
-    "grant": {"seq": int, "newest": dict, "identity": str, "voting": bool,
-              "proxies": int, "view": dict},
+    "grant": {"seq": int, "newest": dict, "identity": str, "voting": bool, "proxies": int, "view": dict},
     "push": {"seq": int, "name": str, "number": int, "ballot": BALLOT, "value": dict},
     "ack": {"seq": int, "name": str, "number": int},
     "gossip": {"entries": list, "reply": bool},
@@ -84,8 +84,7 @@
 
 def is_ballot(*, given: object) -> bool:
     """Is it [round, proposer]?"""
-    return (isinstance(given, list) and len(given) == 2
-            and _fits(given=given[0], kind=int) and isinstance(given[1], str))
+    return isinstance(given, list) and len(given) == 2 and _fits(given=given[0], kind=int) and isinstance(given[1], str)
 
 
 def is_value(*, given: object) -> bool:
@@ -95,8 +94,7 @@
 
 def is_vote(*, given: object) -> bool:
     """Is it [ballot, value]?"""
-    return (isinstance(given, list) and len(given) == 2
-            and is_ballot(given=given[0]) and is_value(given=given[1]))
+    return isinstance(given, list) and len(given) == 2 and is_ballot(given=given[0]) and is_value(given=given[1])
 
 
 def _fits(*, given: object, kind: type) -> bool:
--- a/sailward/cask/proposer.py
+++ b/sailward/cask/proposer.py
@@ -1,4 +1,5 @@
 """The proposer: changes and reads of registers in two rounds at a majority."""
+
 from __future__ import annotations
 
 import random
@@ -108,8 +109,14 @@
             outcome = Refused(reason="no-voters", value=EMPTY, ballot=[0, ""])
             return [], [Settled(op=begin.op, register=begin.register, outcome=outcome)]
         self._count += 1
-        work = Operation(begin=begin, mark=f"{self.identity}.{self._count}", expiry=now + begin.wait,
-                         voters=voters["members"], number=voters["number"], seen=self._round)
+        work = Operation(
+            begin=begin,
+            mark=f"{self.identity}.{self._count}",
+            expiry=now + begin.wait,
+            voters=voters["members"],
+            number=voters["number"],
+            seen=self._round,
+        )
         self._live[begin.op] = work
         work.phase = "read" if begin.text is None else "prepare"
         if begin.first and begin.expected == 0 and begin.text is not None:
@@ -206,14 +213,17 @@
         if begin.text is None or work.mark in (value["mark"], *value["trail"]):
             work.value = value
         elif value["number"] == begin.expected:
-            trail = [value["mark"], *value["trail"]][:constants.TRAIL]
+            trail = [value["mark"], *value["trail"]][: constants.TRAIL]
             work.value = {"number": value["number"] + 1, "mark": work.mark, "trail": trail, "text": begin.text}
             work.offered = True
         else:
             work.value = value
         if work.value["number"] == 0:
-            return [], [self._settle(work=work, outcome=_read(ballot=[0, ""], value=EMPTY))
-                        if begin.text is None else self._refuse(work=work)]
+            return [], [
+                self._settle(work=work, outcome=_read(ballot=[0, ""], value=EMPTY))
+                if begin.text is None
+                else self._refuse(work=work)
+            ]
         work.phase = "accept"
         return self._open_round(now=now, work=work), []
 
--- a/sailward/charts/__init__.py
+++ b/sailward/charts/__init__.py
@@ -1,4 +1,5 @@
 """State charts as data files, and their interpreter."""
+
 from __future__ import annotations
 
 import json
--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -1,4 +1,5 @@
 """Constants of the daemons on the users' platform and of the edges that they use, each with its unit and reason."""
+
 from sailward.constants.base import *  # noqa: F403
 
 COURIER_SWEEP = 0.25
@@ -141,8 +142,16 @@
 """of a route's target that a worker may be silent before a second one is asked."""
 HEDGE_OF_BUDGET = 0.35
 """of the retry budget's share that may go into asking a second worker: the rest is for what has failed."""
-COME_BACK = {"": 0.5, "no-room": 0.2, "key-moving": 0.2, "key-unowned": 0.3, "owner-lost": 0.4, "owner-cold": 0.3, "worker-full": 0.2,
-             "budget": 0.3}
+COME_BACK = {
+    "": 0.5,
+    "no-room": 0.2,
+    "key-moving": 0.2,
+    "key-unowned": 0.3,
+    "owner-lost": 0.4,
+    "owner-cold": 0.3,
+    "worker-full": 0.2,
+    "budget": 0.3,
+}
 """s after which a caller is asked to come back, by why it was refused."""
 ASK_EVERY = 0.5
 """s between two askings of a cellar for news: pushes come at once, the asking finds what was lost and who is silent."""
--- a/sailward/counter/client.py
+++ b/sailward/counter/client.py
@@ -1,4 +1,5 @@
 """One exchange with the core: the first cellar that answers."""
+
 from __future__ import annotations
 
 import io
@@ -47,7 +48,9 @@
         return Unreachable(reasons=tuple(reasons), sent=False)
 
 
-def ask_once(*, address: str, method: str, path: str, body: bytes = b"", headers: dict | None = None) -> Reply | Unreachable:
+def ask_once(
+    *, address: str, method: str, path: str, body: bytes = b"", headers: dict | None = None
+) -> Reply | Unreachable:
     """One exchange with one daemon."""
     handle, out = pycurl.Curl(), io.BytesIO()
     handle.setopt(pycurl.URL, f"http://{address}{path}")
--- a/sailward/counter/forecast.py
+++ b/sailward/counter/forecast.py
@@ -1,4 +1,5 @@
 """What a configuration would mean for the fleet as it is."""
+
 from __future__ import annotations
 
 from collections import defaultdict
@@ -19,8 +20,12 @@
 def forecast(*, full: dict, now_full: dict, workers: list, rates: dict, states: dict) -> list[Finding]:
     """Findings for the full form of a new configuration against the one in force, workers, loads and statuses."""
     well = [one for one in workers if not one["leaving"] and states.get(f"{one['id']}/{one['generation']}", True)]
-    return [*_find_moves(full=full, old=now_full), *_find_strangers(full=full, workers=workers),
-            *_find_empty_homes(full=full, workers=well), *_find_short(full=full, workers=well, rates=rates)]
+    return [
+        *_find_moves(full=full, old=now_full),
+        *_find_strangers(full=full, workers=workers),
+        *_find_empty_homes(full=full, workers=well),
+        *_find_short(full=full, workers=well, rates=rates),
+    ]
 
 
 def shares_of(*, full: dict) -> dict:
@@ -40,7 +45,9 @@
     for place in sorted({*before, *after}):
         left, right = before.get(place, 0.0), after.get(place, 0.0)
         if abs(left - right) > 1e-9:
-            yield Finding(kind="note", path=f"matches {place[0]}", text=f"hall {place[1]} goes from {left:.1%} to {right:.1%}")
+            yield Finding(
+                kind="note", path=f"matches {place[0]}", text=f"hall {place[1]} goes from {left:.1%} to {right:.1%}"
+            )
 
 
 def _find_strangers(*, full: dict, workers: list):
@@ -48,34 +55,54 @@
         if not any(one["service"] == service for one in workers):
             yield Finding(kind="warning", path=f"services.{service}", text="no worker of this service is listed")
     for hall in sorted({one["hall"] for one in workers} - set(full["halls"])):
-        yield Finding(kind="warning", path="halls", text=f"workers are listed in {hall!r}, which is not in the configuration")
+        yield Finding(
+            kind="warning", path="halls", text=f"workers are listed in {hall!r}, which is not in the configuration"
+        )
     for service in sorted({one["service"] for one in workers} - set(full["services"])):
-        yield Finding(kind="warning", path="services", text=f"workers of {service!r} are listed, which is not in the configuration")
+        yield Finding(
+            kind="warning",
+            path="services",
+            text=f"workers of {service!r} are listed, which is not in the configuration",
+        )
 
 
 def _find_empty_homes(*, full: dict, workers: list):
     for tenant, name, halls in find_home_halls(full=full):
         service = full["pools"][name]["service"]
         if not any(worker["service"] == service and worker["hall"] in halls for worker in workers):
-            yield Finding(kind="fault", path=f"tenants.{tenant}.homes",
-                          text=f"no worker of {service!r} stands at home for pool {name!r} now")
+            yield Finding(
+                kind="fault",
+                path=f"tenants.{tenant}.homes",
+                text=f"no worker of {service!r} stands at home for pool {name!r} now",
+            )
 
 
 def _find_short(*, full: dict, workers: list, rates: dict):
     losses = [("hall", hall, {hall}) for hall in full["halls"]]
-    losses += [("region", region, {hall for hall, one in full["halls"].items() if one["region"] == region})
-               for region in sorted({one["region"] for one in full["halls"].values()})]
+    losses += [
+        ("region", region, {hall for hall, one in full["halls"].items() if one["region"] == region})
+        for region in sorted({one["region"] for one in full["halls"].values()})
+    ]
     for service, one in full["services"].items():
         load = rates.get(service, 0.0)
         room = sum(one["rate"] for worker in workers if worker["service"] == service)
         if load > room:
-            yield Finding(kind="fault", path=f"services.{service}.rate", text=f"bounds of {room:g}/s for a load of {load:.0f}/s")
+            yield Finding(
+                kind="fault", path=f"services.{service}.rate", text=f"bounds of {room:g}/s for a load of {load:.0f}/s"
+            )
         for kind, name, halls in losses:
-            left = sum(one["rate"] for worker in workers if worker["service"] == service and worker["hall"] not in halls)
+            left = sum(
+                one["rate"] for worker in workers if worker["service"] == service and worker["hall"] not in halls
+            )
             if load > left:
-                yield Finding(kind="warning", path=f"services.{service}", text=f"without {kind} {name}: bounds of {left:g}/s "
-                                                                              f"for a load of {load:.0f}/s")
+                yield Finding(
+                    kind="warning",
+                    path=f"services.{service}",
+                    text=f"without {kind} {name}: bounds of {left:g}/s for a load of {load:.0f}/s",
+                )
     for name, pool in full["pools"].items():
         regions = {full["halls"][hall]["region"] for hall in (*pool["preferred"], *pool["fallback"])}
         if len(regions) == 1:
-            yield Finding(kind="warning", path=f"pools.{name}", text=f"stands in region {regions.pop()} only: lost with it")
+            yield Finding(
+                kind="warning", path=f"pools.{name}", text=f"stands in region {regions.pop()} only: lost with it"
+            )
--- a/sailward/dock/adapter.py
+++ b/sailward/dock/adapter.py
@@ -2,6 +2,7 @@
 
 The folder has no `__init__.py`: with one, `python -m` at the root of the repository would find it in that module's place.
 """
+
 from __future__ import annotations
 
 import importlib
--- a/sailward/dock/calls.py
+++ b/sailward/dock/calls.py
@@ -1,4 +1,5 @@
 """HTTP calls to workers and the platform: one task that owns all their sockets."""
+
 from __future__ import annotations
 
 import collections
@@ -19,10 +20,15 @@
 from sailward.acts import Call, Called
 
 ABORT = struct.pack("ii", 1, 0)
-FAULTS = {pycurl.E_COULDNT_CONNECT: "no-connection", pycurl.E_OPERATION_TIMEDOUT: "timed-out",
-          pycurl.E_PARTIAL_FILE: "cut-short", pycurl.E_GOT_NOTHING: "connection-lost",
-          pycurl.E_RECV_ERROR: "connection-lost", pycurl.E_SEND_ERROR: "connection-lost",
-          pycurl.E_WRITE_ERROR: "too-large"}
+FAULTS = {
+    pycurl.E_COULDNT_CONNECT: "no-connection",
+    pycurl.E_OPERATION_TIMEDOUT: "timed-out",
+    pycurl.E_PARTIAL_FILE: "cut-short",
+    pycurl.E_GOT_NOTHING: "connection-lost",
+    pycurl.E_RECV_ERROR: "connection-lost",
+    pycurl.E_SEND_ERROR: "connection-lost",
+    pycurl.E_WRITE_ERROR: "too-large",
+}
 
 
 @dataclass(kw_only=True)
@@ -70,7 +76,9 @@
                 continue
             reads, writes, others = self._multi.fdset()
             wait = min(1.0, max(0.0, self._multi.timeout() / 1000)) if self._live else 1.0
-            ready, _, _ = select.select([self._wake_in, *reads], writes, others, wait if self._multi.timeout() >= 0 else 1.0)
+            ready, _, _ = select.select(
+                [self._wake_in, *reads], writes, others, wait if self._multi.timeout() >= 0 else 1.0
+            )
             if self._wake_in in ready:
                 self._wake_in.recv(4096)
 
@@ -99,8 +107,14 @@
             # a kept connection that dies is tried again by the library: never for an unsafe exchange
             handle.setopt(pycurl.FRESH_CONNECT, 1)
             handle.setopt(pycurl.FORBID_REUSE, 1)
-        headers = {"host": call.address, "expect": "", "accept": "", "user-agent": "sailward", "content-type": "",
-                   **call.headers}
+        headers = {
+            "host": call.address,
+            "expect": "",
+            "accept": "",
+            "user-agent": "sailward",
+            "content-type": "",
+            **call.headers,
+        }
         handle.setopt(pycurl.HTTPHEADER, [f"{n}: {v}" if v != "" else f"{n}:" for n, v in headers.items()])
         if call.method == "HEAD":
             handle.setopt(pycurl.NOBODY, 1)
@@ -122,7 +136,9 @@
     def _close_socket(self, *, fd: int) -> int:
         """A call given up takes its bytes along: what the socket still holds must not arrive after a cut heals."""
         opener = self._openers.pop(fd, None)
-        is_clean = self._clean.pop(fd, None) is not None or (opener is not None and opener.call.fresh and bool(opener.headers))
+        is_clean = self._clean.pop(fd, None) is not None or (
+            opener is not None and opener.call.fresh and bool(opener.headers)
+        )
         if not is_clean:
             with _borrow(fd=fd) as connection:
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
@@ -144,14 +160,22 @@
         token = live.call.token
         if errno:
             unsent = errno == pycurl.E_COULDNT_CONNECT or (
-                errno == pycurl.E_OPERATION_TIMEDOUT and handle.getinfo(pycurl.CONNECT_TIME) == 0)
-            called = Called(token=token, code=0, headers={}, body=b"", sent=not unsent,
-                            fault=FAULTS.get(errno, f"call:{errno}"))
+                errno == pycurl.E_OPERATION_TIMEDOUT and handle.getinfo(pycurl.CONNECT_TIME) == 0
+            )
+            called = Called(
+                token=token, code=0, headers={}, body=b"", sent=not unsent, fault=FAULTS.get(errno, f"call:{errno}")
+            )
         else:
             if not live.call.fresh:
                 self._clean[handle.getinfo(pycurl.LASTSOCKET)] = live.call.owner
-            called = Called(token=token, code=handle.getinfo(pycurl.RESPONSE_CODE), headers=live.headers,
-                            body=live.body.getvalue(), fault="", sent=True)
+            called = Called(
+                token=token,
+                code=handle.getinfo(pycurl.RESPONSE_CODE),
+                headers=live.headers,
+                body=live.body.getvalue(),
+                fault="",
+                sent=True,
+            )
         self._multi.remove_handle(handle)
         handle.reset()
         if len(self._spare) < constants.CALL_THREADS:
--- a/sailward/dock/courier.py
+++ b/sailward/dock/courier.py
@@ -1,4 +1,5 @@
 """Messages between our processes on the reactor: one held connection out for each peer that is told anything."""
+
 from __future__ import annotations
 
 import collections
@@ -83,8 +84,11 @@
         own = self._address.encode()
         peer.sock, peer.is_up, peer.since = sock, False, self._reactor.clock()
         peer.out = bytearray(LENGTH.pack(len(own), PLAIN) + own)
-        self._reactor.watch(sock=sock, readable=lambda: self._look(to=to, peer=peer, sock=sock),
-                            writable=lambda: self._flush(to=to, peer=peer))
+        self._reactor.watch(
+            sock=sock,
+            readable=lambda: self._look(to=to, peer=peer, sock=sock),
+            writable=lambda: self._flush(to=to, peer=peer),
+        )
         return True
 
     def _pause(self, *, peer: Peer) -> None:
@@ -123,15 +127,18 @@
                     return self._drop(peer=peer)
                 peer.is_up = True
             while peer.out:
-                sent = sock.send(memoryview(peer.out)[:constants.COURIER_CHUNK])
+                sent = sock.send(memoryview(peer.out)[: constants.COURIER_CHUNK])
                 peer.since = self._reactor.clock()
                 del peer.out[:sent]
         except BlockingIOError:
             pass
         except OSError:
             return self._drop(peer=peer)
-        self._reactor.watch(sock=sock, readable=lambda: self._look(to=to, peer=peer, sock=sock),
-                            writable=(lambda: self._flush(to=to, peer=peer)) if peer.out else None)
+        self._reactor.watch(
+            sock=sock,
+            readable=lambda: self._look(to=to, peer=peer, sock=sock),
+            writable=(lambda: self._flush(to=to, peer=peer)) if peer.out else None,
+        )
 
     def _accept(self) -> None:
         while True:
@@ -152,7 +159,11 @@
         body = read_body(payload=payload, form=form)
         if isinstance(body, BadMessage):
             self.counts["bad"] += 1
-            write_log(event="bad-message", fields={"from": sender, "reason": body.reason, "count": self.counts["bad"]}, level="warning")
+            write_log(
+                event="bad-message",
+                fields={"from": sender, "reason": body.reason, "count": self.counts["bad"]},
+                level="warning",
+            )
             return False
         self.counts["heard"] += 1
         self._tell(Heard(sender=sender, body=body))
@@ -200,8 +211,8 @@
                 return self.courier.forget(sock=self.sock)
             if len(self.data) < LENGTH.size + length:
                 return None
-            payload = bytes(memoryview(self.data)[LENGTH.size:LENGTH.size + length])
-            del self.data[:LENGTH.size + length]
+            payload = bytes(memoryview(self.data)[LENGTH.size : LENGTH.size + length])
+            del self.data[: LENGTH.size + length]
             if not self.sender:
                 self.sender = payload.decode("ascii", "replace")
             elif not self.courier.hear(sender=self.sender, payload=payload, form=form):
@@ -233,7 +244,7 @@
         row = flexbuffers.Loads(payload)
         kind = row[0]
         names = list(FIELDS[kind])
-        body = {"kind": kind, **dict(zip(names, row[1:len(names) + 1], strict=True))}
+        body = {"kind": kind, **dict(zip(names, row[1 : len(names) + 1], strict=True))}
         if len(row) > len(names) + 1:
             body |= row[len(names) + 1]
     except Exception as fault:  # the decoder raises many kinds on foreign bytes
--- a/sailward/dock/disk.py
+++ b/sailward/dock/disk.py
@@ -1,4 +1,5 @@
 """The cellar's disk: one append-only file of checksummed frames, synced, rewritten when long."""
+
 from __future__ import annotations
 
 import contextlib
@@ -63,7 +64,7 @@
         body = _body_at(data=data, at=at)
         if body is None:
             if _is_newer(data=data, at=at):
-                return Newer(what=f"form {data[at:at + len(MAGIC)].decode('ascii')}")
+                return Newer(what=f"form {data[at : at + len(MAGIC)].decode('ascii')}")
             follows = data.find(MAGIC, at + 1)
             while follows >= 0:
                 if _body_at(data=data, at=follows) is not None:
@@ -80,16 +81,16 @@
 
 def _is_newer(*, data: bytes, at: int) -> bool:
     """Does a frame of another form stand here? In the middle only if it is whole: a torn one may look like anything."""
-    magic = data[at:at + len(MAGIC)]
+    magic = data[at : at + len(MAGIC)]
     is_other = len(magic) == len(MAGIC) and magic != MAGIC and magic[:3] == MAGIC[:3] and magic[3:].isdigit()
-    return is_other and (at == 0 or _body_at(data=MAGIC + data[at + len(MAGIC):], at=0) is not None)
+    return is_other and (at == 0 or _body_at(data=MAGIC + data[at + len(MAGIC) :], at=0) is not None)
 
 
 def _body_at(*, data: bytes, at: int) -> bytes | None:
     if at + HEAD.size > len(data):
         return None
     magic, length, check = HEAD.unpack_from(data, at)
-    body = data[at + HEAD.size:at + HEAD.size + length]
+    body = data[at + HEAD.size : at + HEAD.size + length]
     return body if magic == MAGIC and len(body) == length and zlib.crc32(body) == check else None
 
 
@@ -147,7 +148,7 @@
         try:
             view = memoryview(frame)
             while view:
-                view = view[os.write(self._file, view):]
+                view = view[os.write(self._file, view) :]
         except OSError as fault:
             with contextlib.suppress(OSError):
                 os.ftruncate(self._file, self._length)
@@ -170,7 +171,7 @@
             file = os.open(fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
             view = memoryview(frame)
             while view:
-                view = view[os.write(file, view):]
+                view = view[os.write(file, view) :]
         except OSError as fault:
             return self._tell(DiskFailed(seq=command.seq, full=True, reason=str(fault)))
         try:
--- a/sailward/dock/exchange.py
+++ b/sailward/dock/exchange.py
@@ -1,4 +1,5 @@
 """One HTTP/1.1 exchange as a client sees it: the request as bytes, and the answer read strictly. No sockets here."""
+
 from __future__ import annotations
 
 import re
@@ -50,8 +51,13 @@
         if call.body or call.method in BODY_METHODS:
             headers.append(("content-length", str(len(call.body))))
         try:
-            head = self._parser.send(h11.Request(
-                method=call.method, target=call.path, headers=[(name, value.encode("latin-1")) for name, value in headers]))
+            head = self._parser.send(
+                h11.Request(
+                    method=call.method,
+                    target=call.path,
+                    headers=[(name, value.encode("latin-1")) for name, value in headers],
+                )
+            )
             body = self._parser.send(h11.Data(data=call.body)) if call.body else b""
             self._parser.send(h11.EndOfMessage())
         except (h11.LocalProtocolError, UnicodeError) as error:
@@ -114,9 +120,17 @@
         return "too-large" if self._size > constants.RESULT_BYTES else ""
 
     def _finish(self) -> Whole:
-        is_kept = self._parser.their_state is h11.DONE and self._parser.our_state is h11.DONE and not self._parser.trailing_data[0]
-        return Whole(code=self._code, headers=self._headers, body=b"".join(self._parts),
-                     idle=_read_idle(keep_alive=self._headers.get("keep-alive", "")) if is_kept else 0.0)
+        is_kept = (
+            self._parser.their_state is h11.DONE
+            and self._parser.our_state is h11.DONE
+            and not self._parser.trailing_data[0]
+        )
+        return Whole(
+            code=self._code,
+            headers=self._headers,
+            body=b"".join(self._parts),
+            idle=_read_idle(keep_alive=self._headers.get("keep-alive", "")) if is_kept else 0.0,
+        )
 
 
 def _read_idle(*, keep_alive: str) -> float:
--- a/sailward/dock/front.py
+++ b/sailward/dock/front.py
@@ -1,4 +1,5 @@
 """The HTTP/1.1 server edge of a process: callers' connections, read ahead and answered in order."""
+
 from __future__ import annotations
 
 import errno
@@ -25,8 +26,9 @@
     Raises OSError if the address can't be had. `limits` is asked for anew with each request.
     """
 
-    def __init__(self, *, reactor: Reactor, address: str, name: str, tell: Callable[[object], None],
-                 limits: Callable[[], Limits]) -> None:
+    def __init__(
+        self, *, reactor: Reactor, address: str, name: str, tell: Callable[[object], None], limits: Callable[[], Limits]
+    ) -> None:
         self._reactor = reactor
         self._name = name
         self._tell = tell
@@ -228,8 +230,17 @@
             connection.is_ending = True
             connection.raw.clear()
         self._asked[exchange.token] = (connection, exchange)
-        self._tell(Asked(token=exchange.token, method=head.method, path=head.path, query=head.query, headers=head.headers,
-                         body=body, target=head.target))
+        self._tell(
+            Asked(
+                token=exchange.token,
+                method=head.method,
+                path=head.path,
+                query=head.query,
+                headers=head.headers,
+                body=body,
+                target=head.target,
+            )
+        )
 
     def _refuse(self, *, connection: Connection, refused: Refused) -> None:
         if connection.is_gone:
@@ -242,7 +253,9 @@
         headers = {"Content-Type": "application/json"}
         if refused.code == 408:
             headers["Retry-After"] = str(constants.FRONT_RETRY_AFTER)
-        exchange.answer = Answer(token="", code=refused.code, headers=headers, body=json.dumps({"error": refused.reason}).encode())
+        exchange.answer = Answer(
+            token="", code=refused.code, headers=headers, body=json.dumps({"error": refused.reason}).encode()
+        )
         exchange.is_last = connection.is_ending = True
         connection.may_continue = False
         connection.raw.clear()
@@ -254,9 +267,13 @@
             exchange = exchanges.popleft()
             answer, head = exchange.answer, exchange.head
             data = write_response(
-                code=answer.code, headers=answer.headers, body=answer.body,
+                code=answer.code,
+                headers=answer.headers,
+                body=answer.body,
                 is_closing=exchange.is_last or (connection.is_ending and not exchanges),
-                is_head=head is not None and head.method == "HEAD", idle_wait=self._limits().idle_wait)
+                is_head=head is not None and head.method == "HEAD",
+                idle_wait=self._limits().idle_wait,
+            )
             self._send(connection=connection, data=data, count=1)
         self._continue(connection=connection)
         self._write(connection=connection)
@@ -312,15 +329,20 @@
     def _update(self, *, connection: Connection) -> None:
         if connection.is_gone:
             return
-        may_read = not connection.is_eof and (connection.is_ending or connection.reading is not None or not connection.is_full())
+        may_read = not connection.is_eof and (
+            connection.is_ending or connection.reading is not None or not connection.is_full()
+        )
         wanted = (may_read, bool(connection.out))
         if wanted == connection.watched:
             return
         if may_read and not connection.watched[0]:
             connection.moved = self._reactor.clock()
         connection.watched = wanted
-        self._reactor.watch(sock=connection.sock, readable=connection.readable if wanted[0] else None,
-                            writable=connection.writable if wanted[1] else None)
+        self._reactor.watch(
+            sock=connection.sock,
+            readable=connection.readable if wanted[0] else None,
+            writable=connection.writable if wanted[1] else None,
+        )
 
     def _drop_reading(self, *, connection: Connection) -> None:
         connection.raw.clear()
--- a/sailward/dock/front_head.py
+++ b/sailward/dock/front_head.py
@@ -1,4 +1,5 @@
 """Strict reading of an HTTP/1.1 request and writing of a response, without sockets."""
+
 from __future__ import annotations
 
 import http
@@ -16,7 +17,9 @@
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 _TARGET = re.compile(rb"[\x21-\x7e]+")
 _LAST_CHUNK = re.compile(rb"0+[ \t]*(;[^\r\n]*)?")
-_CONNECTION_ONLY = frozenset(("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te"))
+_CONNECTION_ONLY = frozenset(
+    ("connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "trailer", "te")
+)
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
 
@@ -75,10 +78,16 @@
     connection = headers.get("connection")
     is_closing = connection is not None and "close" in [part.strip() for part in connection.lower().split(",")]
     return Head(
-        method=event.method.decode("ascii"), target=text, path=path,
+        method=event.method.decode("ascii"),
+        target=text,
+        path=path,
         query=dict(parse_qsl(query, keep_blank_values=True)) if query else {},
-        headers=headers, length=length, is_last=version == b"1.0" or is_closing,
-        may_continue=version == b"1.1" and headers.get("expect", "").lower() == "100-continue", parser=parser)
+        headers=headers,
+        length=length,
+        is_last=version == b"1.0" or is_closing,
+        may_continue=version == b"1.1" and headers.get("expect", "").lower() == "100-continue",
+        parser=parser,
+    )
 
 
 def _framing(*, raw: bytes, version: bytes) -> int | None:
@@ -115,7 +124,7 @@
 
     def take(self, *, data: bytes) -> tuple[bytes, bytes] | None:
         """Read on; the whole body and the bytes behind it, or None while some is missing. Raises Refused."""
-        self._tail = self._tail[-self._tail_bytes:] + data
+        self._tail = self._tail[-self._tail_bytes :] + data
         try:
             self._parser.receive_data(data)
             while True:
@@ -135,15 +144,17 @@
             raise Refused(code=400, reason="malformed chunk") from error
 
     def _check_end(self, *, count: int, behind: int) -> None:
-        section = self._tail[:len(self._tail) - behind]
-        lines = section[:-len(HEAD_END)].split(b"\r\n")
-        trailers = lines[len(lines) - count:]
+        section = self._tail[: len(self._tail) - behind]
+        lines = section[: -len(HEAD_END)].split(b"\r\n")
+        trailers = lines[len(lines) - count :]
         is_sound = section.endswith(HEAD_END) and len(lines) > count and _LAST_CHUNK.fullmatch(lines[-count - 1])
         if not is_sound or any(_BAD.search(line) or line[:1] in b" \t" or line[-1:] == b"\r" for line in trailers):
             raise Refused(code=400, reason="malformed trailer")
 
 
-def write_response(*, code: int, headers: dict, body: bytes, is_closing: bool, is_head: bool, idle_wait: float) -> bytes:
+def write_response(
+    *, code: int, headers: dict, body: bytes, is_closing: bool, is_head: bool, idle_wait: float
+) -> bytes:
     """A whole response; a code under 200, which ends no exchange, becomes 502."""
     if code < 200:
         code, headers, body = 502, {}, b""
--- a/sailward/dock/front_state.py
+++ b/sailward/dock/front_state.py
@@ -1,4 +1,5 @@
 """What the front knows of each caller's connection and its requests."""
+
 from __future__ import annotations
 
 import collections
--- a/sailward/dock/host.py
+++ b/sailward/dock/host.py
@@ -1,4 +1,5 @@
 """The host of one owner on the reactor: events to its step, its commands to the edges."""
+
 from __future__ import annotations
 
 import signal
@@ -48,7 +49,9 @@
         self.step = step
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.tell_from_thread(StopAsked()))
-        signal.signal(signal.SIGHUP, lambda *_: self.reactor.give(call=lambda: self.changed() if self.changed else None))
+        signal.signal(
+            signal.SIGHUP, lambda *_: self.reactor.give(call=lambda: self.changed() if self.changed else None)
+        )
         self._tick()
         self.reactor.run()
         return self.code
@@ -74,15 +77,26 @@
                 else:
                     self.handlers[type(command)](command)
         except Exception:
-            write_log(event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error")
+            write_log(
+                event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error"
+            )
             self._write_journal()
             self.code = constants.EXIT_FAULT
             self.reactor.stop()
 
     def _write_journal(self) -> None:
         """What the owner was given last, oldest first: kinds and names, nothing of a caller's."""
-        for at, event in list(self._journal)[-constants.JOURNAL_SHOWN:]:
-            told = {"from": event.sender, "kind": event.body["kind"]} if isinstance(event, Heard) else {
-                name: getattr(event, name) for name in ("token", "method", "seq", "code", "fault") if hasattr(event, name)}
+        for at, event in list(self._journal)[-constants.JOURNAL_SHOWN :]:
+            told = (
+                {"from": event.sender, "kind": event.body["kind"]}
+                if isinstance(event, Heard)
+                else {
+                    name: getattr(event, name)
+                    for name in ("token", "method", "seq", "code", "fault")
+                    if hasattr(event, name)
+                }
+            )
             if not isinstance(event, Ticked):
-                write_log(event="journal", fields={"at": f"{at:.3f}", "event": type(event).__name__, **told}, level="error")
+                write_log(
+                    event="journal", fields={"at": f"{at:.3f}", "event": type(event).__name__, **told}, level="error"
+                )
--- a/sailward/dock/logs.py
+++ b/sailward/dock/logs.py
@@ -1,4 +1,5 @@
 """Logs: one line of key=value pairs for each event."""
+
 from __future__ import annotations
 
 import sys
@@ -11,8 +12,9 @@
 def start_logs(*, level: str, name: str) -> None:
     """Write the log to standard error."""
     handler = logbook.StreamHandler(sys.stderr, level=level.upper(), bubble=False)
-    handler.format_string = "time={record.time:%Y-%m-%dT%H:%M:%S.%fZ} level={record.level_name} who=" \
-                            + name + " {record.message}"
+    handler.format_string = (
+        "time={record.time:%Y-%m-%dT%H:%M:%S.%fZ} level={record.level_name} who=" + name + " {record.message}"
+    )
     handler.push_application()
 
 
--- a/sailward/dock/loop.py
+++ b/sailward/dock/loop.py
@@ -1,4 +1,5 @@
 """The loop of a process: events to its owner, the owner's commands to the edges."""
+
 from __future__ import annotations
 
 import os
@@ -12,7 +13,21 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Call, Check, Checked, HangUp, Heard, Log, Rewrite, Stop, StopAsked, Store, Tell, Ticked
+from sailward.acts import (
+    Answer,
+    Call,
+    Check,
+    Checked,
+    HangUp,
+    Heard,
+    Log,
+    Rewrite,
+    Stop,
+    StopAsked,
+    Store,
+    Tell,
+    Ticked,
+)
 from sailward.dock.logs import write_log
 from sailward.label.check import Fault, Unsound, check_config
 
@@ -53,18 +68,28 @@
                         return command.code
                     self._carry_out(command=command)
             except Exception:
-                write_log(event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()},
-                          level="error")
+                write_log(
+                    event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error"
+                )
                 self._write_journal()
                 return constants.EXIT_FAULT
 
     def _write_journal(self) -> None:
         """What the owner was given last, oldest first: kinds and names, nothing of a tenant's."""
         for at, event in self.journal:
-            told = {"from": event.sender, "kind": event.body["kind"]} if isinstance(event, Heard) else {
-                name: getattr(event, name) for name in ("token", "method", "seq", "code", "fault") if hasattr(event, name)}
+            told = (
+                {"from": event.sender, "kind": event.body["kind"]}
+                if isinstance(event, Heard)
+                else {
+                    name: getattr(event, name)
+                    for name in ("token", "method", "seq", "code", "fault")
+                    if hasattr(event, name)
+                }
+            )
             if not isinstance(event, Ticked):
-                write_log(event="journal", fields={"at": f"{at:.3f}", "event": type(event).__name__, **told}, level="error")
+                write_log(
+                    event="journal", fields={"at": f"{at:.3f}", "event": type(event).__name__, **told}, level="error"
+                )
 
     def _carry_out(self, *, command: object) -> None:
         if isinstance(command, Log):
@@ -107,12 +132,14 @@
 
 def run_guarded(*, threads: ThreadPoolExecutor, loop: Loop, name: str, run: Callable) -> None:
     """Run a task on a thread; if it ends by a fault, the process ends."""
+
     def guard() -> None:
         try:
             run()
         except Exception:
             write_log(event="task-fault", fields={"task": name, "trace": traceback.format_exc()}, level="error")
             os._exit(constants.EXIT_FAULT)
+
     threads.submit(guard)
 
 
--- a/sailward/dock/outbound.py
+++ b/sailward/dock/outbound.py
@@ -1,4 +1,5 @@
 """HTTP calls to workers and the platform, on a reactor: every connection belongs to one owner and bears one call at a time."""
+
 from __future__ import annotations
 
 import errno
@@ -21,6 +22,7 @@
 DIAL_FAULTS = {errno.ECONNREFUSED: "refused", errno.ETIMEDOUT: "connect-timeout"}
 """What a connection that did not come up tells: `refused` is the answer of a machine on which nobody listens there."""
 
+
 @dataclass(kw_only=True, eq=False)
 class Connection:
     """A connection of an owner's. `is_last` says that it is closed behind the call it bears."""
@@ -94,10 +96,15 @@
 
     def counts(self) -> dict:
         """Connections opened, calls on kept ones, kept ones found dead, idle ones closed for surplus bytes; idle and busy now."""
-        return {"opened": self._opened, "reused": self._reused, "stale": self._stale, "surplus": self._surplus,
-                "idle": sum(len(pool) for pool in self._idle.values()),
-                "busy": sum(1 for running in self._running.values() if running.connection is not None),
-                "calls": len(self._running)}
+        return {
+            "opened": self._opened,
+            "reused": self._reused,
+            "stale": self._stale,
+            "surplus": self._surplus,
+            "idle": sum(len(pool) for pool in self._idle.values()),
+            "busy": sum(1 for running in self._running.values() if running.connection is not None),
+            "calls": len(self._running),
+        }
 
     def _is_running(self, *, running: Running) -> bool:
         return self._running.get(running.call.token) is running
@@ -194,8 +201,11 @@
                 running.is_sent = True
                 running.unsent = running.unsent[count:]
         except BlockingIOError:
-            self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection),
-                                writable=functools.partial(self._on_writable, connection=connection))
+            self._reactor.watch(
+                sock=connection.sock,
+                readable=functools.partial(self._on_readable, connection=connection),
+                writable=functools.partial(self._on_writable, connection=connection),
+            )
         except OSError:
             self._on_send_failed(running=running)
 
@@ -203,7 +213,9 @@
         running = connection.running
         self._send(running=running)
         if running.connection is connection and not running.unsent:
-            self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection))
+            self._reactor.watch(
+                sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection)
+            )
 
     def _on_send_failed(self, *, running: Running) -> None:
         connection = running.connection
@@ -211,7 +223,9 @@
             # an answer may have come before the connection ended: read on
             running.is_broken = True
             running.unsent = memoryview(b"")
-            self._reactor.watch(sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection))
+            self._reactor.watch(
+                sock=connection.sock, readable=functools.partial(self._on_readable, connection=connection)
+            )
         elif connection.is_kept:
             self._stale += 1
             running.connection, running.is_reused = None, False
@@ -252,12 +266,25 @@
             running.connection = connection.running = None
             self._forget(running=running, is_aborted=False)
             self._keep(connection=connection, idle=whole.idle)
-        self._tell(Called(token=running.call.token, code=whole.code, headers=whole.headers, body=whole.body, fault="", sent=True))
+        self._tell(
+            Called(
+                token=running.call.token, code=whole.code, headers=whole.headers, body=whole.body, fault="", sent=True
+            )
+        )
 
     def _fail(self, *, running: Running, fault: str) -> None:
         self._forget(running=running, is_aborted=True)
-        self._tell(Called(token=running.call.token, code=0, headers={}, body=b"", fault=fault, sent=running.is_sent,
-                          reused=running.is_reused))
+        self._tell(
+            Called(
+                token=running.call.token,
+                code=0,
+                headers={},
+                body=b"",
+                fault=fault,
+                sent=running.is_sent,
+                reused=running.is_reused,
+            )
+        )
 
     def _forget(self, *, running: Running, is_aborted: bool) -> None:
         del self._running[running.call.token]
--- a/sailward/dock/post.py
+++ b/sailward/dock/post.py
@@ -1,4 +1,5 @@
 """Held TCP connections between our processes, one out and one in for each pair that talks."""
+
 from __future__ import annotations
 
 import collections
@@ -83,8 +84,9 @@
 
     def _complain(self, *, sender: str, reason: str) -> None:
         self.counts["bad"] += 1
-        write_log(event="bad-message", fields={"from": sender, "reason": reason, "count": self.counts["bad"]},
-                  level="warning")
+        write_log(
+            event="bad-message", fields={"from": sender, "reason": reason, "count": self.counts["bad"]}, level="warning"
+        )
 
     def _deliver(self, to: str, line: queue.Queue) -> None:
         connection = None
@@ -139,7 +141,7 @@
     greeting = stream.read(length) if length < 200 else b""
     if not greeting.startswith(GREETING):
         return None
-    return greeting[len(GREETING):].decode("ascii", "replace")
+    return greeting[len(GREETING) :].decode("ascii", "replace")
 
 
 def _is_closed(*, connection: socket.socket) -> bool:
--- a/sailward/dock/reactor.py
+++ b/sailward/dock/reactor.py
@@ -1,4 +1,5 @@
 """One thread that owns a process's sockets and alarms: callbacks, called when a socket or a moment is ready."""
+
 from __future__ import annotations
 
 import collections
--- a/sailward/dock/startup.py
+++ b/sailward/dock/startup.py
@@ -1,4 +1,5 @@
 """Startup settings: a TOML file and flags, checked."""
+
 from __future__ import annotations
 
 import ipaddress
@@ -34,8 +35,11 @@
     "seeds": {"type": "list", "schema": ADDRESS, "required": True, "minlength": 1, "maxlength": 3},
     "log_level": {"type": "string", "allowed": ["debug", "info", "warning", "error"], "default": "info"},
 }
-CELLAR = {**COMMON, "data": {"type": "string", "minlength": 1, "required": True},
-          "platform": {**ADDRESS, "required": True}}
+CELLAR = {
+    **COMMON,
+    "data": {"type": "string", "minlength": 1, "required": True},
+    "platform": {**ADDRESS, "required": True},
+}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,8 +67,11 @@
     validator = Validator(schema)
     if validator.validate(settings):
         return validator.document
-    return BadStartup(faults=tuple(f"{path or 'flags'}: {where}: {reason}"
-                                   for where, reason in _flatten(errors=validator.errors, path="")))
+    return BadStartup(
+        faults=tuple(
+            f"{path or 'flags'}: {where}: {reason}" for where, reason in _flatten(errors=validator.errors, path="")
+        )
+    )
 
 
 def _flatten(*, errors: object, path: str):
--- a/sailward/dock/web.py
+++ b/sailward/dock/web.py
@@ -1,4 +1,5 @@
 """HTTP towards callers and operators: threads that wait for the owner's answer."""
+
 from __future__ import annotations
 
 import itertools
@@ -44,8 +45,12 @@
         self.close_connection = True
         self.request_version = self.protocol_version  # else a request line without one gets no headers
         self.send_response(code)
-        for name, value in (("Content-Type", "application/json"), ("Content-Length", str(len(body))),
-                            ("Sailward-Ran", "not-run"), ("Connection", "close")):
+        for name, value in (
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            ("Sailward-Ran", "not-run"),
+            ("Connection", "close"),
+        ):
             self.send_header(name, value)
         self.end_headers()
         if self.command != "HEAD":
@@ -84,8 +89,9 @@
 class Web:
     """Task that owns the HTTP listener. Each request is told to the owner and waits for its answer."""
 
-    def __init__(self, *, address: str, limit: int, tell: Callable[[object], None],
-                 threads: ThreadPoolExecutor) -> None:
+    def __init__(
+        self, *, address: str, limit: int, tell: Callable[[object], None], threads: ThreadPoolExecutor
+    ) -> None:
         self._tell, self._limit = tell, limit
         self._waiting: dict[str, Future] = {}
         self._count = itertools.count(1)
@@ -124,8 +130,16 @@
         future: Future = Future()
         self._waiting[token] = future
         headers = {name.lower(): value for name, value in request.headers.items()}
-        self._tell(Asked(token=token, method=request.method, path=request.path,
-                         query=request.args.to_dict(), headers=headers, body=body))
+        self._tell(
+            Asked(
+                token=token,
+                method=request.method,
+                path=request.path,
+                query=request.args.to_dict(),
+                headers=headers,
+                body=body,
+            )
+        )
         try:
             answer = future.result(timeout=constants.ANSWER_WAIT)
         except WaitedOut:
@@ -142,6 +156,7 @@
 
 def _phrase(*, code: int) -> str:
     from http import HTTPStatus
+
     try:
         return HTTPStatus(code).phrase
     except ValueError:
--- a/sailward/dock/wire_names.py
+++ b/sailward/dock/wire_names.py
@@ -1,4 +1,5 @@
 """Names of the headers that say things about an exchange: the product's own by default, a platform's if it hands in others."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
--- a/sailward/house/anew.py
+++ b/sailward/house/anew.py
@@ -1,4 +1,5 @@
 """Founding the core anew from its survivors, on an operator's order, when its majority is lost for good."""
+
 from __future__ import annotations
 
 import hashlib
@@ -40,7 +41,9 @@
     return Founding(number=said["number"], survivors=tuple(said["survivors"]), doubt=said["doubt"], base=said["base"])
 
 
-def make_founding(*, own: str, names: list, is_confirmed: bool, value: dict, opened: int, cellars: dict) -> dict | NotFounded:
+def make_founding(
+    *, own: str, names: list, is_confirmed: bool, value: dict, opened: int, cellars: dict
+) -> dict | NotFounded:
     """The value of the voters register with the named survivors as its only members.
 
     `value` is the newest vote known, `opened` the last founding that acts here, `cellars` those heard of now.
@@ -53,21 +56,39 @@
     alive = {identity for identity in members if identity in cellars}
     voting = [identity for identity in members if identity in cellars and cellars[identity]["fit"]]
     if not members:
-        return NotFounded(code=409, reason="never-founded", detail="this cellar belongs to no core: `found` joins new ones")
+        return NotFounded(
+            code=409, reason="never-founded", detail="this cellar belongs to no core: `found` joins new ones"
+        )
     if not survivors:
         return NotFounded(code=422, reason="no-survivor", detail="name the cellars that still have their disks")
     if unknown:
-        return NotFounded(code=404, reason="survivor-unknown", detail=f"not among the voters {sorted(by_name)}: {unknown}")
+        return NotFounded(
+            code=404, reason="survivor-unknown", detail=f"not among the voters {sorted(by_name)}: {unknown}"
+        )
     if own not in survivors:
-        return NotFounded(code=409, reason="not-a-survivor", detail="give this order to one of the survivors that it names")
+        return NotFounded(
+            code=409, reason="not-a-survivor", detail="give this order to one of the survivors that it names"
+        )
     if 2 * len(voting) > len(members):
-        return NotFounded(code=409, reason="core-whole", detail=f"{len(voting)} of {len(members)} voters act: take single ones out by `part`")
+        return NotFounded(
+            code=409,
+            reason="core-whole",
+            detail=f"{len(voting)} of {len(members)} voters act: take single ones out by `part`",
+        )
     if not set(survivors) <= alive:
-        return NotFounded(code=409, reason="survivor-unreachable", detail=f"not heard of now: {sorted(set(survivors) - alive)}")
+        return NotFounded(
+            code=409, reason="survivor-unreachable", detail=f"not heard of now: {sorted(set(survivors) - alive)}"
+        )
     if set(lost) & alive:
-        return NotFounded(code=409, reason="member-alive", detail=f"heard of now, so not lost: {sorted(set(lost) & alive)}")
+        return NotFounded(
+            code=409, reason="member-alive", detail=f"heard of now, so not lost: {sorted(set(lost) & alive)}"
+        )
     if not is_confirmed:
-        return NotFounded(code=409, reason="not-confirmed", detail=f"confirm that these are gone for good and stay switched off: {lost}")
+        return NotFounded(
+            code=409,
+            reason="not-confirmed",
+            detail=f"confirm that these are gone for good and stay switched off: {lost}",
+        )
     last = read_founding(value=value)
     if last.number > opened and list(last.survivors) == survivors:
         return value
@@ -75,11 +96,19 @@
     base = last.base if last.number > opened else members
     # a gap in the numbers, so that no change that the old set may have made can reach the new one; within it a
     # place of its own, so that of two foundings on two sides of a cut one is the newer
-    place = int.from_bytes(hashlib.blake2b(" ".join(survivors).encode(), digest_size=4).digest(), "big") % constants.ANEW_PLACES
-    number = (value["number"] // constants.ANEW_GAP + 1) * constants.ANEW_GAP + place * (constants.ANEW_GAP // constants.ANEW_PLACES // 2)
+    place = (
+        int.from_bytes(hashlib.blake2b(" ".join(survivors).encode(), digest_size=4).digest(), "big")
+        % constants.ANEW_PLACES
+    )
+    number = (value["number"] // constants.ANEW_GAP + 1) * constants.ANEW_GAP + place * (
+        constants.ANEW_GAP // constants.ANEW_PLACES // 2
+    )
     doubt = len(set(survivors) & set(base)) < blocking_of(members=base)
-    text = {"members": {name: members[name] for name in survivors}, "size": json.loads(value["text"]).get("size", len(members)),
-            "anew": {"number": number, "survivors": survivors, "doubt": doubt, "base": base}}
+    text = {
+        "members": {name: members[name] for name in survivors},
+        "size": json.loads(value["text"]).get("size", len(members)),
+        "anew": {"number": number, "survivors": survivors, "doubt": doubt, "base": base},
+    }
     return {"number": number, "mark": f"anew-{number}", "trail": [], "text": json.dumps(text, sort_keys=True)}
 
 
@@ -108,7 +137,10 @@
 
     def is_over(self, *, now: float) -> bool:
         """Has every survivor told everything, and have the old leases run out?"""
-        return len(self.copying.done) == len(self.copying.old) and now - self.since >= constants.LEASE + constants.MOVE_MARGIN
+        return (
+            len(self.copying.done) == len(self.copying.old)
+            and now - self.since >= constants.LEASE + constants.MOVE_MARGIN
+        )
 
     def doubts(self, *, now: float, voters: Held) -> bool:
         """May claims have been lost whose life is not over?"""
@@ -141,5 +173,11 @@
 def log_founding(*, value: dict) -> Log:
     """What the operators read of a founding."""
     founding = read_founding(value=value)
-    return Log(event="founded-anew", fields={"number": founding.number, "survivors": ",".join(founding.survivors),
-                                             "claims": "in-doubt" if founding.doubt else "kept"})
+    return Log(
+        event="founded-anew",
+        fields={
+            "number": founding.number,
+            "survivors": ",".join(founding.survivors),
+            "claims": "in-doubt" if founding.doubt else "kept",
+        },
+    )
--- a/sailward/house/assigning.py
+++ b/sailward/house/assigning.py
@@ -1,4 +1,5 @@
 """Who owns which slot: close for all, wait until nothing can be under way, open for the new owner."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
@@ -44,12 +45,21 @@
         for space in self._spaces(plan=scene.plan, service=service):
             rows = spaces.get(space, [])
             if len(rows) != service.slots:
-                rows = [rows[at] if at < len(rows) else Owned(owner="", term=0, is_open=True) for at in range(service.slots)]
+                rows = [
+                    rows[at] if at < len(rows) else Owned(owner="", term=0, is_open=True) for at in range(service.slots)
+                ]
                 changed = True
             fresh[space] = []
             for slot, old in enumerate(rows):
-                new = self._judge(now=now, service=service, space=space, slot=slot, old=old, scene=scene,
-                                  room=constants.MOVES_AT_ONCE - moving)
+                new = self._judge(
+                    now=now,
+                    service=service,
+                    space=space,
+                    slot=slot,
+                    old=old,
+                    scene=scene,
+                    room=constants.MOVES_AT_ONCE - moving,
+                )
                 moving += old.is_open and not new.is_open
                 changed = changed or new != old
                 fresh[space].append(new)
@@ -59,13 +69,22 @@
         return sorted({space_of(homes=tenant.homes, service=service) for tenant in plan.tenants.values()} | {""})
 
     def _note_closed(self, *, now: float, spaces: dict, witness: Witness) -> None:
-        seen = {(space, slot, one.term) for space, rows in spaces.items() for slot, one in enumerate(rows) if not one.is_open}
-        self.closed = {name: self.closed.get(name) or Closing(since=now, number=witness.number, beats=witness.beats())
-                       for name in seen}
+        seen = {
+            (space, slot, one.term)
+            for space, rows in spaces.items()
+            for slot, one in enumerate(rows)
+            if not one.is_open
+        }
+        self.closed = {
+            name: self.closed.get(name) or Closing(since=now, number=witness.number, beats=witness.beats())
+            for name in seen
+        }
         for (space, slot, _), closing in self.closed.items():
             witness.look(closing=closing, slot=f"{space}/{slot}")
 
-    def _judge(self, *, now: float, service: Service, space: str, slot: int, old: Owned, scene: Scene, room: int) -> Owned:
+    def _judge(
+        self, *, now: float, service: Service, space: str, slot: int, old: Owned, scene: Scene, room: int
+    ) -> Owned:
         best = self._best(service=service, space=space, slot=slot, scene=scene)
         if not old.is_open:
             wait = constants.LEASE + service.expiry + constants.MOVE_MARGIN
@@ -76,8 +95,12 @@
         if old.owner == "":
             return Owned(owner=best, term=old.term + 1, is_open=True) if best else old
         place = (space, slot)
-        if old.owner in scene.healthy and old.owner in scene.workers and not scene.workers[old.owner].leaving \
-                and scene.workers[old.owner].hall not in scene.emptied:
+        if (
+            old.owner in scene.healthy
+            and old.owner in scene.workers
+            and not scene.workers[old.owner].leaving
+            and scene.workers[old.owner].hall not in scene.emptied
+        ):
             self.missing.pop(place, None)
             return replace(old, is_open=False) if best and best != old.owner and room > 0 else old
         since = self.missing.setdefault(place, now)
@@ -89,8 +112,14 @@
         return old
 
     def _best(self, *, service: Service, space: str, slot: int, scene: Scene) -> str:
-        shares = next((match.shares for match in scene.plan.matches
-                       if scene.plan.pools[match.shares[0][0]].service == service.name), ())
+        shares = next(
+            (
+                match.shares
+                for match in scene.plan.matches
+                if scene.plan.pools[match.shares[0][0]].service == service.name
+            ),
+            (),
+        )
         if not shares:
             return ""
         pool: Pool = scene.plan.pools[pool_at(shares=shares, slot=slot, slots=service.slots)]
@@ -98,16 +127,23 @@
         if service.keys_shared:
             homes = common_homes(plan=scene.plan, service=service.name)
         for drained, tier in self._tiers(pool=pool):
-            halls = [hall for hall in tier if hall not in scene.emptied and ((service.name, hall) in scene.drained) == drained
-                     and (not homes or scene.plan.regions.get(hall) in homes)]
-            able = {worker.name: key for key, worker in scene.workers.items()
-                    if _is_able(worker=worker, key=key, service=service, halls=halls, scene=scene)}
+            halls = [
+                hall
+                for hall in tier
+                if hall not in scene.emptied
+                and ((service.name, hall) in scene.drained) == drained
+                and (not homes or scene.plan.regions.get(hall) in homes)
+            ]
+            able = {
+                worker.name: key
+                for key, worker in scene.workers.items()
+                if _is_able(worker=worker, key=key, service=service, halls=halls, scene=scene)
+            }
             if able:
                 name = choose_names(key=f"{service.name}/{space}/{slot}", names=able, count=1)[0]
                 return able[name]
         return ""
 
-
     def _tiers(self, *, pool: Pool) -> list[tuple[bool, tuple]]:
         """(drained halls or the others, tier) in the order of choice: where only drained halls could serve, they do."""
         return [(drained, tier) for drained in (False, True) for tier in (pool.preferred, pool.fallback)]
--- a/sailward/house/bootstrap.py
+++ b/sailward/house/bootstrap.py
@@ -1,4 +1,5 @@
 """Founding a core without an operator: the seeds that all daemons are told alike found it, each by itself."""
+
 from __future__ import annotations
 
 import json
@@ -27,7 +28,7 @@
 
     def founders(self) -> tuple[str, ...]:
         """The posts that found the core."""
-        return tuple(dict.fromkeys(self.posts))[:self.target]
+        return tuple(dict.fromkeys(self.posts))[: self.target]
 
     def is_founder(self, *, post: str) -> bool:
         """Does the daemon at this post found the core on an empty disk?"""
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -1,4 +1,5 @@
 """The whole of a cellar: voter, proposer, desk, worker list, standing view, pushes."""
+
 from __future__ import annotations
 
 import json
@@ -40,8 +41,18 @@
 class Cellar:
     """Owner of a cellar process. `step` takes one event and gives commands."""
 
-    def __init__(self, *, place: Place, platform: str, nonce: str, start: int, rng: random.Random,
-                 records: list[dict], now: float, options: CellarOptions | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        place: Place,
+        platform: str,
+        nonce: str,
+        start: int,
+        rng: random.Random,
+        records: list[dict],
+        now: float,
+        options: CellarOptions | None = None,
+    ) -> None:
         self.options = options = options or CellarOptions()
         slots = Slots()
         self.identity = ""
@@ -61,7 +72,9 @@
                 fold_record(slots=slots, record=record, now=now)
         new = not self.identity
         founds = new and options.bootstrap is not None and options.bootstrap.is_founder(post=place.post)
-        self.identity = self.identity or (make_founder(post=place.post) if founds else make_identity(name=place.name, nonce=nonce))
+        self.identity = self.identity or (
+            make_founder(post=place.post) if founds else make_identity(name=place.name, nonce=nonce)
+        )
         self.place, self.start, self._nonce, self._left = place, start, nonce, 0
         self.held = HeldBook()
         self.acceptor = Acceptor(slots=slots)
@@ -69,10 +82,21 @@
         if known is not None and "v" in known:
             self.held.step(name="voters", ballot=known["b"], value=known["v"])
         self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
-        self.desk = Desk(identity=f"{place.name}#{nonce}", dialect=options.dialect or OwnDialect(), wait=options.operation_wait,
-                         halls=frozenset(hall for hall, _ in options.zones))
-        self.roster = Roster(place=place, start=start, identity=self.identity, every=options.gossip_every, suspect=options.suspect_after,
-                             is_mesh=options.is_mesh, has_disk=options.has_disk)
+        self.desk = Desk(
+            identity=f"{place.name}#{nonce}",
+            dialect=options.dialect or OwnDialect(),
+            wait=options.operation_wait,
+            halls=frozenset(hall for hall, _ in options.zones),
+        )
+        self.roster = Roster(
+            place=place,
+            start=start,
+            identity=self.identity,
+            every=options.gossip_every,
+            suspect=options.suspect_after,
+            is_mesh=options.is_mesh,
+            has_disk=options.has_disk,
+        )
         self.membership = Membership(cellar=self, now=now)
         self.moves = Moves()
         self.pager = Pager(platform=platform, reader=options.reader, rate=options.list_rate)
@@ -85,7 +109,9 @@
         self.count = len(records)
         self._wall = 0.0
         founding = self.membership.found_alone(now=now) if founds else []
-        self._begun = self.ledger.step(records=[{"k": "identity", "id": self.identity}, *founding] if new else [], replies=[])
+        self._begun = self.ledger.step(
+            records=[{"k": "identity", "id": self.identity}, *founding] if new else [], replies=[]
+        )
         self._reading: dict[str, str] = {}
         self._read_at: dict[str, float] = {}
         self._behind: dict[str, float] = {}
@@ -127,8 +153,12 @@
     @property
     def voting(self) -> bool:
         """May this cellar vote and grant?"""
-        return self.identity in self.voters["members"] and self.ledger.copied and self.ledger.usable \
+        return (
+            self.identity in self.voters["members"]
+            and self.ledger.copied
+            and self.ledger.usable
             and not self.membership.is_opening()
+        )
 
     def new_identity(self) -> str:
         """A further identity of this start: the one before never acts again."""
@@ -185,9 +215,20 @@
         if body["voters"] != known or body["voters"] < floor:
             # a voter acts under one set at a time, and under none older than one that it voted for
             held = self.held.held.get("voters")
-            return [Tell(to=sender, body={"kind": "nack", "op": body["op"], "register": body["register"],
-                                          "ballot": body.get("ballot", [0, ""]), "reason": "voters", "round": 0,
-                                          "voters": [held.ballot, held.value] if held else []})]
+            return [
+                Tell(
+                    to=sender,
+                    body={
+                        "kind": "nack",
+                        "op": body["op"],
+                        "register": body["register"],
+                        "ballot": body.get("ballot", [0, ""]),
+                        "reason": "voters",
+                        "round": 0,
+                        "voters": [held.ballot, held.value] if held else [],
+                    },
+                )
+            ]
         records, reply = self.acceptor.step(now=now, body=body)
         return self.ledger.step(records=records, replies=[Tell(to=sender, body=reply)])
 
@@ -202,9 +243,21 @@
         if self.options.tells_fleet and body["daemon"].get("kind") != "cellar":
             commands += self._note_have(now=now, sender=sender, have=body["have"])
             # no lease is asked for: only that this cellar is there, and where it stands
-            return [*commands, Tell(to=sender, body={"kind": "grant", "seq": body["seq"], "newest": {}, "identity": self.identity,
-                                                     "voting": self.voting, "proxies": 0,
-                                                     "view": {"place": [self.place.hall, self.place.region]}})]
+            return [
+                *commands,
+                Tell(
+                    to=sender,
+                    body={
+                        "kind": "grant",
+                        "seq": body["seq"],
+                        "newest": {},
+                        "identity": self.identity,
+                        "voting": self.voting,
+                        "proxies": 0,
+                        "view": {"place": [self.place.hall, self.place.region]},
+                    },
+                ),
+            ]
         newest = {}
         for name in self.acceptor.slots.control:
             slot = self.acceptor.slots[name]
@@ -218,10 +271,19 @@
                 newest["voters"] = [held.value["number"], held.value["mark"], held.ballot]
         commands += self._note_have(now=now, sender=sender, have=body["have"])
         warm = now - self.subscribers.members[sender].first < constants.WARM_TELL
-        reply = {"kind": "grant", "seq": body["seq"], "newest": newest, "identity": self.identity,
-                 "voting": self.voting, "proxies": len(self.subscribers.proxies()),
-                 "view": {**self.standing.view(with_warm=warm), "doubt": self.membership.doubts(now=now),
-                         "wall": self._wall + now}}
+        reply = {
+            "kind": "grant",
+            "seq": body["seq"],
+            "newest": newest,
+            "identity": self.identity,
+            "voting": self.voting,
+            "proxies": len(self.subscribers.proxies()),
+            "view": {
+                **self.standing.view(with_warm=warm),
+                "doubt": self.membership.doubts(now=now),
+                "wall": self._wall + now,
+            },
+        }
         return [*commands, Tell(to=sender, body=reply)]
 
     def _note_have(self, *, now: float, sender: str, have: dict) -> list:
@@ -244,8 +306,11 @@
         return self.roster.step(now=now, event=(sender, {"entries": [daemon], "reply": True}))
 
     def _news(self) -> dict:
-        news = {name: (held.value["number"], held.ballot, held.value) for name, held in self.held.held.items()
-                if held.value["number"]}
+        news = {
+            name: (held.value["number"], held.ballot, held.value)
+            for name, held in self.held.held.items()
+            if held.value["number"]
+        }
         epoch, revision, value = self.workers
         if value is not None:
             news["workers"] = (revision, [epoch, ""], value)
@@ -260,7 +325,9 @@
         if event.path == "/workers" and event.method == "GET":
             epoch, revision, value = self.workers
             rows = json.loads(value["text"]) if value else []
-            return [answer_json(token=event.token, code=200, body={"epoch": epoch, "revision": revision, "workers": rows})]
+            return [
+                answer_json(token=event.token, code=200, body={"epoch": epoch, "revision": revision, "workers": rows})
+            ]
         if event.path == "/found" and event.method == "POST":
             return self.membership.found(now=now, event=event)
         if event.path == "/found-anew" and event.method == "POST":
@@ -283,8 +350,13 @@
     def _page_lives(self, *, now: float, event: Called | None) -> list:
         # a cellar outside the core reads the list only for proxies that follow it
         is_wanted = not self.voters["members"] or self.voting or self.subscribers.has_followers()
-        commands, is_news = self.listing.step(now=now, event=event, cellars=self.roster.alive(kind="cellar"), own=self.roster.own_entry(),
-                                              is_wanted=is_wanted)
+        commands, is_news = self.listing.step(
+            now=now,
+            event=event,
+            cellars=self.roster.alive(kind="cellar"),
+            own=self.roster.own_entry(),
+            is_wanted=is_wanted,
+        )
         return commands + self._take_lives(now=now, is_news=is_news)
 
     def _take_lives(self, *, now: float, is_news: bool) -> list:
@@ -315,7 +387,10 @@
         if not is_control(name=name) or not self.held.step(name=name, ballot=ballot, value=value):
             return []
         if name == "voters" and self.membership.is_out(value=value):
-            return [Log(event="in-force", fields={"register": name, "number": value["number"]}), *self.membership.leave()]
+            return [
+                Log(event="in-force", fields={"register": name, "number": value["number"]}),
+                *self.membership.leave(),
+            ]
         if name == "config":
             self.desk.full = read_full(value=value, expand=self.options.expand)
             self.moves.plan = plan_of(full=self.desk.full, number=value["number"])
@@ -349,7 +424,11 @@
             self._judged = now
             commands += self.subscribers.step(now=now, event=None, news=self._news())
             commands += self.standing.step(now=now, proxies=self.subscribers.proxies())
-        if not self.ledger.usable and not self.ledger.rewriting and now - self._read_at.get("disk", -1e9) > constants.REPAIR_EVERY:
+        if (
+            not self.ledger.usable
+            and not self.ledger.rewriting
+            and now - self._read_at.get("disk", -1e9) > constants.REPAIR_EVERY
+        ):
             self._read_at["disk"] = now
             commands.append(self.ledger.rewrite())
         return commands
@@ -358,13 +437,27 @@
         if not self.voting:
             return []
         cellars = [*self.roster.alive(kind="cellar"), self.roster.own_entry()]
-        texts = self.moves.step(now=now, own=self.identity, cellars=cellars, held=self.held,
-                                standing=self.standing, workers=self.workers[2], proxies=self.subscribers.proxies())
+        texts = self.moves.step(
+            now=now,
+            own=self.identity,
+            cellars=cellars,
+            held=self.held,
+            standing=self.standing,
+            workers=self.workers[2],
+            proxies=self.subscribers.proxies(),
+        )
         begins = []
         for name, number, text in texts:
             self._ops += 1
-            begins.append(Begin(op=f"{self.proposer.identity}/move{self._ops}", register=name, expected=number, text=text,
-                                wait=constants.ROUND_WAIT * 3))
+            begins.append(
+                Begin(
+                    op=f"{self.proposer.identity}/move{self._ops}",
+                    register=name,
+                    expected=number,
+                    text=text,
+                    wait=constants.ROUND_WAIT * 3,
+                )
+            )
         return self.begin(now=now, begins=begins)
 
     def _read_what_is_due(self, *, now: float) -> list:
@@ -393,8 +486,11 @@
         if now - self._swept < constants.CLAIM_SWEEP:
             return []
         self._swept = now
-        old = [name for name, slot in self.acceptor.slots.items()
-               if name.startswith(CLAIM) and now - slot.since > constants.CLAIM_LIFE]
+        old = [
+            name
+            for name, slot in self.acceptor.slots.items()
+            if name.startswith(CLAIM) and now - slot.since > constants.CLAIM_LIFE
+        ]
         for name in old:
             del self.acceptor.slots[name]
         return self.ledger.step(records=[{"k": "drop", "r": name} for name in old], replies=[])
--- a/sailward/house/concierge.py
+++ b/sailward/house/concierge.py
@@ -1,4 +1,5 @@
 """The whole of a directory: the addresses of proxies fit to serve, nearest first."""
+
 from __future__ import annotations
 
 import random
@@ -41,11 +42,18 @@
         fit = [entry for entry in self.roster.alive(kind="sommelier") if entry["fit"]]
         # nearest first; among the equally near, one caller keeps its order and callers differ
         who = event.query.get("caller", event.token)
-        fit.sort(key=lambda entry: (entry["hall"] != hall, entry["region"] != region,
-                                    score_pair(key=who, name=entry["id"])))
-        proxies = [{"id": entry["id"], "address": entry["http"], "hall": entry["hall"], "region": entry["region"]}
-                   for entry in fit]
+        fit.sort(
+            key=lambda entry: (entry["hall"] != hall, entry["region"] != region, score_pair(key=who, name=entry["id"]))
+        )
+        proxies = [
+            {"id": entry["id"], "address": entry["http"], "hall": entry["hall"], "region": entry["region"]}
+            for entry in fit
+        ]
         if not proxies:
-            return answer_json(token=event.token, code=503, body={"error": "no-proxy", "proxies": []},
-                               headers={"Retry-After": str(constants.RETRY_AFTER)})
+            return answer_json(
+                token=event.token,
+                code=503,
+                body={"error": "no-proxy", "proxies": []},
+                headers={"Retry-After": str(constants.RETRY_AFTER)},
+            )
         return answer_json(token=event.token, code=200, body={"proxies": proxies})
--- a/sailward/house/copying.py
+++ b/sailward/house/copying.py
@@ -1,4 +1,5 @@
 """How a new voter learns every register before it votes: from a majority of those before it."""
+
 from __future__ import annotations
 
 from bisect import bisect_right
@@ -62,12 +63,18 @@
         self.told, self.cursors, self.done = {}, {}, set()
 
     def _ask(self, *, to: str, voters: Held) -> Tell:
-        return Tell(to=to, body={"kind": "copy", "after": self.cursors.get(to, ""), "ballot": voters.ballot,
-                                 "value": voters.value})
+        return Tell(
+            to=to,
+            body={"kind": "copy", "after": self.cursors.get(to, ""), "ballot": voters.ballot, "value": voters.value},
+        )
 
     def _fold(self, *, now: float, voters: Held, sender: str, body: dict) -> list:
-        if body["voters"] != self.number or sender not in self.old.values() or sender in self.done \
-                or body["after"] != self.cursors.get(sender, ""):
+        if (
+            body["voters"] != self.number
+            or sender not in self.old.values()
+            or sender in self.done
+            or body["after"] != self.cursors.get(sender, "")
+        ):
             return []
         told = self.told.setdefault(sender, {})
         told.update({name: [ballot, value] for name, ballot, value in body["slots"]})
@@ -81,7 +88,16 @@
 def copy_page(*, slots: dict, names: list[str], after: str, number: int) -> dict:
     """One page of this voter's votes, by the sorted names."""
     at = bisect_right(names, after)
-    page = names[at:at + constants.COPY_PAGE]
-    rows = [[name, slots[name].ballot, slots[name].value] for name in page if name in slots and slots[name].value is not None]
-    return {"kind": "copied", "after": after, "voters": number, "slots": rows,
-            "next": page[-1] if at + len(page) < len(names) else ""}
+    page = names[at : at + constants.COPY_PAGE]
+    rows = [
+        [name, slots[name].ballot, slots[name].value]
+        for name in page
+        if name in slots and slots[name].value is not None
+    ]
+    return {
+        "kind": "copied",
+        "after": after,
+        "voters": number,
+        "slots": rows,
+        "next": page[-1] if at + len(page) < len(names) else "",
+    }
--- a/sailward/house/desk.py
+++ b/sailward/house/desk.py
@@ -1,4 +1,5 @@
 """The operators' interface of a cellar: configurations and hall orders."""
+
 from __future__ import annotations
 
 import json
@@ -64,7 +65,9 @@
             dialect = OwnDialect()
             order = dialect.read(event=event)
         if isinstance(order, Order) and order.register == "config" and dialect.is_labelled != self.dialect.is_labelled:
-            order = Outcome(kind="refused", code=404, reason="unknown", detail="configurations are written in another dialect here")
+            order = Outcome(
+                kind="refused", code=404, reason="unknown", detail="configurations are written in another dialect here"
+            )
         if isinstance(order, Outcome):
             return [dialect.answer(token=event.token, order=None, outcome=order)], []
         return [], [self._begin_read(job=Job(token=event.token, order=order, dialect=dialect))]
@@ -83,8 +86,15 @@
 
     def _after_read(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
         if not isinstance(outcome, Accepted):
-            return self._end(job=job, outcome=Outcome(kind="unavailable", code=503, reason="no-majority",
-                                                      detail="the core can't be read now; nothing was changed"))
+            return self._end(
+                job=job,
+                outcome=Outcome(
+                    kind="unavailable",
+                    code=503,
+                    reason="no-majority",
+                    detail="the core can't be read now; nothing was changed",
+                ),
+            )
         job.number, job.text = outcome.value["number"], outcome.value["text"]
         if job.order.kind == "get":
             return self._end(job=job, outcome=Outcome(kind="shown", value=outcome.value))
@@ -95,7 +105,11 @@
             return self._end(job=job, outcome=_stale(number=job.number, detail=detail))
         if job.order.register in ("orders", "voters"):
             made = (self._make_orders if job.order.register == "orders" else self._make_voters)(job=job)
-            return self._end(job=job, outcome=made) if isinstance(made, Outcome) else ([], [self._begin_change(job=job, text=made)])
+            return (
+                self._end(job=job, outcome=made)
+                if isinstance(made, Outcome)
+                else ([], [self._begin_change(job=job, text=made)])
+            )
         written = json.loads(job.text)["written"] if job.text else {}
         return self._begin_check(job=job, written=written)
 
@@ -107,7 +121,9 @@
             # taken before, maybe by another cellar: what is sent again is answered again
             return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
         if order.expected != current.label:
-            return self._end(job=job, outcome=_stale(number=current.label, detail=f"the current version is {current.label}"))
+            return self._end(
+                job=job, outcome=_stale(number=current.label, detail=f"the current version is {current.label}")
+            )
         return self._begin_check(job=job, written=current.written or {}, current=current)
 
     def _begin_check(self, *, job: Job, written: dict, current: Labelled | None = None) -> tuple[list, list]:
@@ -126,32 +142,54 @@
         return [Check(token=token, config=config)], []
 
     def _begin_change(self, *, job: Job, text: str) -> Begin:
-        return self._begin(job=job, kind="change", expected=job.number, text=text, wait=self.wait + len(text) * constants.ROUND_PER_BYTE)
+        return self._begin(
+            job=job,
+            kind="change",
+            expected=job.number,
+            text=text,
+            wait=self.wait + len(text) * constants.ROUND_PER_BYTE,
+        )
 
     def _after_check(self, *, job: Job, verdict: object) -> tuple[list, list]:
         if isinstance(verdict, Unsound):
             return self._end(job=job, outcome=refused_unsound(unsound=verdict))
         job.notes = {"warnings": [{"path": one.path, "reason": one.reason} for one in verdict.warnings]}
         if job.dialect.is_labelled:
-            text = write_labelled(before=read_labelled(text=job.text), written=job.written, label=job.dialect.label(written=job.written),
-                                  digest=job.order.digest)
+            text = write_labelled(
+                before=read_labelled(text=job.text),
+                written=job.written,
+                label=job.dialect.label(written=job.written),
+                digest=job.order.digest,
+            )
         else:
             before = json.loads(job.text)["full"].get("label") if job.text else None
             if before is not None and "label" in verdict.full and verdict.full["label"] <= before:
                 return self._end(job=job, outcome=refused_unsound(unsound=_not_newer(label=before)))
             text = json.dumps({"written": verdict.written, "full": verdict.full}, separators=(",", ":"))
         if job.order.is_dry:
-            return self._end(job=job, outcome=Outcome(kind="sound", number=job.number, notes={"dry": True, **job.notes}))
+            return self._end(
+                job=job, outcome=Outcome(kind="sound", number=job.number, notes={"dry": True, **job.notes})
+            )
         if len(text) > 2 * constants.CONFIG_BYTES:
-            return self._end(job=job, outcome=Outcome(kind="refused", code=413, reason="too-large",
-                                                      detail="too large with its templates stamped out"))
+            return self._end(
+                job=job,
+                outcome=Outcome(
+                    kind="refused", code=413, reason="too-large", detail="too large with its templates stamped out"
+                ),
+            )
         return [], [self._begin_change(job=job, text=text)]
 
     def _make_orders(self, *, job: Job) -> str | Outcome:
         emptied = set(json.loads(job.text)["emptied"]) if job.text else set()
         hall, kind = job.order.given, job.order.kind
-        if hall not in self.full.get("halls", {}) and hall not in self.halls and not (kind == "refill" and hall in emptied):
-            return Outcome(kind="refused", code=404, reason="hall-unknown", detail=f"no hall {hall!r} in the configuration")
+        if (
+            hall not in self.full.get("halls", {})
+            and hall not in self.halls
+            and not (kind == "refill" and hall in emptied)
+        ):
+            return Outcome(
+                kind="refused", code=404, reason="hall-unknown", detail=f"no hall {hall!r} in the configuration"
+            )
         if job.dialect.is_labelled and (hall in emptied) == (kind == "empty"):
             # ordered before: a resent order needs no change
             return Outcome(kind="accepted", number=job.number)
@@ -159,8 +197,13 @@
             emptied |= {hall}
             homeless = find_homeless(full=self.full, emptied=emptied)
             if homeless and not job.order.is_confirmed:
-                return Outcome(kind="refused", code=409, reason="homes-left-empty", notes={"tenants": homeless},
-                               detail="these tenants would have no hall at home: confirm=yes empties it all the same")
+                return Outcome(
+                    kind="refused",
+                    code=409,
+                    reason="homes-left-empty",
+                    notes={"tenants": homeless},
+                    detail="these tenants would have no hall at home: confirm=yes empties it all the same",
+                )
         else:
             emptied -= {hall}
         return json.dumps({"emptied": sorted(emptied)})
@@ -173,7 +216,9 @@
         identity = names.get(given, given)
         if kind == "join":
             if identity in members or identity not in self.cellars:
-                return Outcome(kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits")
+                return Outcome(
+                    kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits"
+                )
             text = change_members(text=job.text, add=(identity, self.cellars[identity]["post"]))
         else:
             if identity not in members:
@@ -181,28 +226,51 @@
             text = change_members(text=job.text, drop=identity)
         well = {name for name, entry in self.cellars.items() if entry["fit"]}
         if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
-            return Outcome(kind="refused", code=409, reason="majority-lost",
-                           detail=f"only {sorted(well)} vote now: that set would have no majority")
+            return Outcome(
+                kind="refused",
+                code=409,
+                reason="majority-lost",
+                detail=f"only {sorted(well)} vote now: that set would have no majority",
+            )
         size = len(json.loads(text)["members"])
         return json.dumps({**json.loads(text), "size": size}, sort_keys=True)
 
     def _after_change(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
         if isinstance(outcome, Accepted):
-            log = Log(event="accepted", fields={"register": job.order.register, "number": outcome.number, "by": job.order.kind})
-            commands, begins = self._end(job=job, outcome=Outcome(kind="accepted", number=outcome.number, notes=job.notes))
+            log = Log(
+                event="accepted",
+                fields={"register": job.order.register, "number": outcome.number, "by": job.order.kind},
+            )
+            commands, begins = self._end(
+                job=job, outcome=Outcome(kind="accepted", number=outcome.number, notes=job.notes)
+            )
             return [log, *commands], begins
         if isinstance(outcome, Unknown):
-            return self._end(job=job, outcome=Outcome(kind="unknown", code=504, reason=outcome.reason,
-                                                      detail="it may be in force, now or later: read it back"))
+            return self._end(
+                job=job,
+                outcome=Outcome(
+                    kind="unknown",
+                    code=504,
+                    reason=outcome.reason,
+                    detail="it may be in force, now or later: read it back",
+                ),
+            )
         if outcome.reason != "number":
-            return self._end(job=job, outcome=Outcome(kind="unavailable", code=503, reason=outcome.reason, detail="nothing was changed"))
+            return self._end(
+                job=job,
+                outcome=Outcome(kind="unavailable", code=503, reason=outcome.reason, detail="nothing was changed"),
+            )
         job.turns += 1
         if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < 5:
             return [], [self._begin_read(job=job)]
         if job.dialect.is_labelled:
             # who won may have been this very change, taken by another cellar: nothing definite can be said
-            return self._end(job=job, outcome=Outcome(kind="unavailable", code=503, reason="contended",
-                                                      detail="read it back, or send it again"))
+            return self._end(
+                job=job,
+                outcome=Outcome(
+                    kind="unavailable", code=503, reason="contended", detail="read it back, or send it again"
+                ),
+            )
         return self._end(job=job, outcome=_stale(number=outcome.value["number"], detail="another change was first"))
 
 
--- a/sailward/house/directory.py
+++ b/sailward/house/directory.py
@@ -1,4 +1,5 @@
 """The directory: the addresses of proxies fit to serve, nearest first, as the core told them."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -33,6 +34,10 @@
         near.sort(key=lambda row: (row[2] != hall, row[0]))
         proxies = [{"id": row[0], "address": row[1], "hall": row[2], "region": row[3]} for row in near]
         if not proxies:
-            return answer_json(token=event.token, code=503, body={"error": "no-proxy", "proxies": []},
-                               headers={"Retry-After": str(constants.RETRY_AFTER)})
+            return answer_json(
+                token=event.token,
+                code=503,
+                body={"error": "no-proxy", "proxies": []},
+                headers={"Retry-After": str(constants.RETRY_AFTER)},
+            )
         return answer_json(token=event.token, code=200, body={"proxies": proxies})
--- a/sailward/house/fleet.py
+++ b/sailward/house/fleet.py
@@ -1,4 +1,5 @@
 """The fleet as the core tells it: the proxies that ask any cellar, where the cellars are, and what proxies report of workers."""
+
 from __future__ import annotations
 
 import json
@@ -61,7 +62,9 @@
             is_same, is_known = body["rows"] == SAME, old is not None and old.number == body["number"]
             rows = body["rows"] if not is_same else old.rows if old is not None else []
             number = body["number"] if is_known or not is_same else -1
-            self.others[sender] = Told(at=now, number=number, rows=rows, down=body["down"], loads=read_loads(told=body["loads"]))
+            self.others[sender] = Told(
+                at=now, number=number, rows=rows, down=body["down"], loads=read_loads(told=body["loads"])
+            )
             # a telling was lost: the rows are wanted, and the old ones stand until they come
             return [Tell(to=sender, body={"kind": "want", "register": "fleet"})] if is_same and not is_known else []
         self._note_loads(now=now, proxies=proxies)
@@ -89,7 +92,9 @@
             return False
         return since >= constants.LOADS_EVERY or any(
             has_shifted(before=self.rates_told.get(service, {}), after=rates)
-            for service, rates in self.rates.items() if self.rates is not self.rates_told)
+            for service, rates in self.rates.items()
+            if self.rates is not self.rates_told
+        )
 
     def _tell_all(self, *, now: float, to: list[dict]) -> list:
         loads = self._own_loads(now=now)
@@ -100,14 +105,33 @@
         version = (to["start"], self.own_number)
         is_known = self.told_to.get(to["post"]) == version
         self.told_to[to["post"]] = version
-        return Tell(to=to["post"], body={"kind": "fleet", "number": self.own_number, "rows": SAME if is_known else self.own, "loads": loads,
-                                         "down": self.own_down})
+        return Tell(
+            to=to["post"],
+            body={
+                "kind": "fleet",
+                "number": self.own_number,
+                "rows": SAME if is_known else self.own,
+                "loads": loads,
+                "down": self.own_down,
+            },
+        )
 
     def _tell_again(self, *, now: float, to: str) -> list:
         """Tell the rows to a cellar that lacks them."""
         self.told_to.pop(to, None)
         loads = self._own_loads(now=now) if self._reads(to={"post": to}) else {}
-        return [Tell(to=to, body={"kind": "fleet", "number": self.own_number, "rows": self.own, "loads": loads, "down": self.own_down})]
+        return [
+            Tell(
+                to=to,
+                body={
+                    "kind": "fleet",
+                    "number": self.own_number,
+                    "rows": self.own,
+                    "loads": loads,
+                    "down": self.own_down,
+                },
+            )
+        ]
 
     def value(self) -> dict | None:
         """The fleet as a push carries it."""
@@ -134,7 +158,10 @@
     def paces(self, *, now: float) -> dict:
         """{worker: (pace in s, number of times behind it)} of the workers of divided services, over the whole fleet."""
         whole: dict = {}
-        for paces in [self.worker_paces.paces(now=now), *(told.loads.get("paces", {}) for told in self._fresh(now=now))]:
+        for paces in [
+            self.worker_paces.paces(now=now),
+            *(told.loads.get("paces", {}) for told in self._fresh(now=now)),
+        ]:
             for key, (pace, count) in paces.items():
                 before, counted = whole.get(key, (0.0, 0))
                 whole[key] = (before * counted + pace / 1000 * count) / (counted + count), counted + count
@@ -144,8 +171,11 @@
         return [told for told in self.others.values() if now - told.at < constants.FLEET_LIFE]
 
     def _own_rows(self, *, now: float, proxies: list[Subscriber]) -> list:
-        return sorted([one.entry["id"], one.entry["http"], one.entry["hall"], one.entry["region"], bool(one.entry["fit"])]
-                      for one in proxies if now - one.seen < constants.PROXY_SILENT)
+        return sorted(
+            [one.entry["id"], one.entry["http"], one.entry["hall"], one.entry["region"], bool(one.entry["fit"])]
+            for one in proxies
+            if now - one.seen < constants.PROXY_SILENT
+        )
 
     def _own_down(self, *, proxies: list[Subscriber]) -> dict:
         counts: dict = {}
@@ -157,8 +187,10 @@
     def _own_loads(self, *, now: float) -> dict:
         if not self.rates:
             return {}
-        return {"rates": {service: tell_rates(rates=rates) for service, rates in self.rates.items()},
-                "paces": self.worker_paces.paces(now=now)}
+        return {
+            "rates": {service: tell_rates(rates=rates) for service, rates in self.rates.items()},
+            "paces": self.worker_paces.paces(now=now),
+        }
 
     def _note_loads(self, *, now: float, proxies: list[Subscriber]) -> None:
         is_new = False
@@ -180,14 +212,21 @@
 
     def _agreed(self, *, now: float, proxies: list[Subscriber]) -> list:
         """The workers that several proxies call unreachable, and so many that one alone can't be wrong for all."""
-        return sorted(key for key, (count, voices) in self.down(now=now, proxies=proxies).items()
-                      if count >= max(constants.DOWN_LEAST, constants.DOWN_SHARE * voices))
+        return sorted(
+            key
+            for key, (count, voices) in self.down(now=now, proxies=proxies).items()
+            if count >= max(constants.DOWN_LEAST, constants.DOWN_SHARE * voices)
+        )
 
     def _compose(self, *, now: float, own: list, cellars: list[dict], down: list) -> None:
-        rows = {row[0]: row for told in self.others.values() if now - told.at < constants.FLEET_LIFE for row in told.rows}
+        rows = {
+            row[0]: row for told in self.others.values() if now - told.at < constants.FLEET_LIFE for row in told.rows
+        }
         rows |= {row[0]: row for row in own}
         posts = sorted([one["post"], one["hall"], one["region"]] for one in cellars)
-        text = json.dumps({"proxies": [rows[name] for name in sorted(rows)], "cellars": posts, "down": down}, separators=(",", ":"))
+        text = json.dumps(
+            {"proxies": [rows[name] for name in sorted(rows)], "cellars": posts, "down": down}, separators=(",", ":")
+        )
         # what is down is told again while it lasts, as it is believed for a moment only
         is_due = bool(down) and now - self.last.get("composed", now) >= constants.HINT_LIFE / 2
         if text != self.text or is_due:
@@ -197,4 +236,7 @@
 
 def read_loads(*, told: dict) -> dict:
     """What another cellar told of the loads of keys, and of the paces of workers."""
-    return {"rates": {service: read_rates(told=rates) for service, rates in told.get("rates", {}).items()}, "paces": told.get("paces", {})}
+    return {
+        "rates": {service: read_rates(told=rates) for service, rates in told.get("rates", {}).items()},
+        "paces": told.get("paces", {}),
+    }
--- a/sailward/house/freshness.py
+++ b/sailward/house/freshness.py
@@ -1,4 +1,5 @@
 """How long a cellar may take what it holds of a register for the newest: a read lease from a blocking set of voters."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -47,8 +48,11 @@
         self.seq, self.next_at = self.seq + 1, now + constants.CONFIRM_EVERY
         self.asked = {seq: at for seq, at in self.asked.items() if now - at < constants.GRANT_LEASE}
         self.asked[self.seq] = now
-        return [Tell(to=post, body={"kind": "confirm", "seq": self.seq, "voters": number, "registers": registers})
-                for name, post in sorted(members.items()) if name != own]
+        return [
+            Tell(to=post, body={"kind": "confirm", "seq": self.seq, "voters": number, "registers": registers})
+            for name, post in sorted(members.items())
+            if name != own
+        ]
 
     def until(self, *, now: float, register: str, held: HeldBook, members: dict, own: str, slots: Slots) -> float:
         """The moment until which the value held of this register may be acted on as the newest."""
@@ -58,11 +62,19 @@
         for name in members:
             if name == own:
                 slot = slots.get(register)
-                if slot is None or slot.value is None or _covers(held=held, register=register, newest=newest_vote(slots=slots, name=register)):
+                if (
+                    slot is None
+                    or slot.value is None
+                    or _covers(held=held, register=register, newest=newest_vote(slots=slots, name=register))
+                ):
                     ends.append(now + constants.GRANT_LEASE)
                 continue
             said = self.told.get(name)
-            if said is not None and register in said.newest and _covers(held=held, register=register, newest=said.newest[register]):
+            if (
+                said is not None
+                and register in said.newest
+                and _covers(held=held, register=register, newest=said.newest[register])
+            ):
                 ends.append(said.asked + constants.GRANT_LEASE)
         need = blocking_of(members=members)
         return sorted(ends, reverse=True)[need - 1] if len(ends) >= need else NEVER
@@ -71,7 +83,11 @@
 def newest_vote(*, slots: Slots, name: str) -> list:
     """Number, mark and ballot of a voter's newest vote of a register."""
     slot = slots.get(name)
-    return [slot.value["number"], slot.value["mark"], slot.ballot] if slot is not None and slot.value is not None else [0, "", [0, ""]]
+    return (
+        [slot.value["number"], slot.value["mark"], slot.ballot]
+        if slot is not None and slot.value is not None
+        else [0, "", [0, ""]]
+    )
 
 
 def _covers(*, held: HeldBook, register: str, newest: list) -> bool:
--- a/sailward/house/granting.py
+++ b/sailward/house/granting.py
@@ -22,6 +22,7 @@
 
 Fences are in the table, grow with each opening, and are never used again.
 """
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field, replace
@@ -147,16 +148,28 @@
             self._named_at = now if self._is_named() else float("inf")
             self._granter_at = NEVER if before is None else now
             self._renewing = {}
-        self._renewing = {shard: self._renewing.get(shard) or Renewing(handover=self._handovers.get(shard, ""))
-                          for shard in shards if shard.is_open and shard.owner}
-        self._moving = [self._known(shard=shard) or Releasing(shard=shard, since=now) for shard in shards if not shard.is_open]
+        self._renewing = {
+            shard: self._renewing.get(shard) or Renewing(handover=self._handovers.get(shard, ""))
+            for shard in shards
+            if shard.is_open and shard.owner
+        }
+        self._moving = [
+            self._known(shard=shard) or Releasing(shard=shard, since=now) for shard in shards if not shard.is_open
+        ]
         self._outrun &= set(self._renewing)
         self._look_at = NEVER
 
     def _known(self, *, shard: Shard) -> Releasing | None:
-        return next((replace(one, shard=shard) for one in self._moving
-                     if (one.shard.owner, one.shard.fence) == (shard.owner, shard.fence)
-                     and one.shard.start <= shard.start and shard.end <= one.shard.end), None)
+        return next(
+            (
+                replace(one, shard=shard)
+                for one in self._moving
+                if (one.shard.owner, one.shard.fence) == (shard.owner, shard.fence)
+                and one.shard.start <= shard.start
+                and shard.end <= one.shard.end
+            ),
+            None,
+        )
 
     def _take_result(self, *, now: float, event: Called) -> list:
         sent = self._sent.pop(event.token, None)
@@ -196,8 +209,17 @@
         return [self._complain(shard=shard, event=event, name="grant-failed")]
 
     def _complain(self, *, shard: Shard, event: Called, name: str) -> Log:
-        return Log(event=name, fields={"service": self._service, "worker": shard.owner, "start": shard.start, "end": shard.end,
-                                       "fence": shard.fence, "reason": event.fault or f"code:{event.code}"})
+        return Log(
+            event=name,
+            fields={
+                "service": self._service,
+                "worker": shard.owner,
+                "start": shard.start,
+                "end": shard.end,
+                "fence": shard.fence,
+                "reason": event.fault or f"code:{event.code}",
+            },
+        )
 
     def _grant(self, *, now: float, scene: GrantScene) -> list:
         commands = []
@@ -205,37 +227,82 @@
             if renewing.token or now < renewing.due or shard.owner in self._ended or shard.owner not in self._addresses:
                 continue
             hold = min(constants.GRANT_HOLD, scene.hold_max)
-            made = self._codec.grant(start=shard.start, end=shard.end, fence=shard.fence, hold=hold,
-                                     handover=renewing.handover, owner=shard.owner)
+            made = self._codec.grant(
+                start=shard.start,
+                end=shard.end,
+                fence=shard.fence,
+                hold=hold,
+                handover=renewing.handover,
+                owner=shard.owner,
+            )
             renewing.due = now + constants.GRANT_RENEW
-            renewing.token = self._call(now=now, kind="grant", shard=shard, made=made, wait=constants.GRANT_WAIT,
-                                        begin_by=scene.fresh_until, commands=commands)
+            renewing.token = self._call(
+                now=now,
+                kind="grant",
+                shard=shard,
+                made=made,
+                wait=constants.GRANT_WAIT,
+                begin_by=scene.fresh_until,
+                commands=commands,
+            )
         return commands
 
     def _release(self, *, now: float, scene: GrantScene) -> list:
         commands = []
         for one in self._moving:
             shard = one.shard
-            if one.token or one.is_released or now < max(one.due, self._sole_at()) or shard.owner in self._ended \
-                    or shard.owner not in self._addresses or self._may_arrive(now=now, shard=shard):
+            if (
+                one.token
+                or one.is_released
+                or now < max(one.due, self._sole_at())
+                or shard.owner in self._ended
+                or shard.owner not in self._addresses
+                or self._may_arrive(now=now, shard=shard)
+            ):
                 continue
             made = self._codec.release(start=shard.start, end=shard.end, fence=shard.fence, owner=shard.owner)
-            one.token = self._call(now=now, kind="release", shard=shard, made=made, wait=constants.GRANT_RELEASE_WAIT,
-                                   begin_by=scene.fresh_until, commands=commands)
+            one.token = self._call(
+                now=now,
+                kind="release",
+                shard=shard,
+                made=made,
+                wait=constants.GRANT_RELEASE_WAIT,
+                begin_by=scene.fresh_until,
+                commands=commands,
+            )
         return commands
 
     def _may_arrive(self, *, now: float, shard: Shard) -> bool:
         """May a grant of ours of these keys still be under way to their owner?"""
         return self._arrived.get(shard.owner, NEVER) > now or any(
-            sent.is_grant and sent.shard.owner == shard.owner and sent.shard.start <= shard.end
-            and shard.start <= sent.shard.end and now < sent.until + constants.GRANT_FLIGHT for sent in self._sent.values())
-
-    def _call(self, *, now: float, kind: str, shard: Shard, made: tuple, wait: float, begin_by: float, commands: list) -> str:
+            sent.is_grant
+            and sent.shard.owner == shard.owner
+            and sent.shard.start <= shard.end
+            and shard.start <= sent.shard.end
+            and now < sent.until + constants.GRANT_FLIGHT
+            for sent in self._sent.values()
+        )
+
+    def _call(
+        self, *, now: float, kind: str, shard: Shard, made: tuple, wait: float, begin_by: float, commands: list
+    ) -> str:
         self._count += 1
         token = f"{kind} {self._service} {self._count}"
         method, path, headers, body = made
-        commands.append(Call(token=token, owner=shard.owner, address=self._addresses[shard.owner], method=method, path=path,
-                             headers=headers, body=body, wait=wait, fresh=False, begin_by=begin_by))
+        commands.append(
+            Call(
+                token=token,
+                owner=shard.owner,
+                address=self._addresses[shard.owner],
+                method=method,
+                path=path,
+                headers=headers,
+                body=body,
+                wait=wait,
+                fresh=False,
+                begin_by=begin_by,
+            )
+        )
         self._sent[token] = Sent(shard=shard, is_grant=kind == "grant", since=now, until=begin_by + wait)
         return token
 
@@ -255,9 +322,15 @@
             able = self._able(now=now, scene=scene)
             spans = [Span(start=0, end=KEYS - 1, owner="")]
             spans = place(spans=spans, able=able, loads=scene.loads, is_balancing=False) if able else []
-            shards = tuple(Shard(start=one.start, end=one.end, owner=one.owner, fence=at + 1, state=OPEN)
-                           for at, one in enumerate(spans))
-            return ShardTable(granter=self._own, since=self._number + 1, fence=len(shards) + 1, shards=shards) if shards else None
+            shards = tuple(
+                Shard(start=one.start, end=one.end, owner=one.owner, fence=at + 1, state=OPEN)
+                for at, one in enumerate(spans)
+            )
+            return (
+                ShardTable(granter=self._own, since=self._number + 1, fence=len(shards) + 1, shards=shards)
+                if shards
+                else None
+            )
         if not self._is_named():
             if now - self._granter_at < constants.GRANT_TAKEOVER:
                 return None
@@ -265,8 +338,11 @@
         shards, fence, is_sole = [], self._table.fence, now >= self._sole_at()
         wanted = self._wanted(now=now, scene=scene)
         for shard in self._table.shards:
-            parts = [replace(one, start=max(one.start, shard.start), end=min(one.end, shard.end)) for one in wanted
-                     if one.start <= shard.end and shard.start <= one.end]
+            parts = [
+                replace(one, start=max(one.start, shard.start), end=min(one.end, shard.end))
+                for one in wanted
+                if one.start <= shard.end and shard.start <= one.end
+            ]
             for one in self._redraw(now=now, shard=shard, parts=parts, is_sole=is_sole):
                 if one.fence == 0:
                     # where a worker knows a higher fence than we do, doubling soon steps over it
@@ -274,7 +350,9 @@
                     self._handovers[one] = self._handover_of(shard=shard) if one.owner != shard.owner else ""
                     fence = one.fence + 1
                 shards.append(one)
-        if shards != list(self._table.shards) or len(shards) > constants.GRANT_ROWS * max(1, len(self._able(now=now, scene=scene))):
+        if shards != list(self._table.shards) or len(shards) > constants.GRANT_ROWS * max(
+            1, len(self._able(now=now, scene=scene))
+        ):
             shards, fence = self._join(shards=shards, fence=fence)
         return replace(self._table, shards=tuple(shards), fence=fence)
 
@@ -292,15 +370,26 @@
             return fresh if any(one.owner != shard.owner for one in parts) else [shard]
         if not is_sole or all(one.owner == shard.owner for one in parts):
             return [shard]
-        return [replace(shard, start=one.start, end=one.end, **({} if one.owner == shard.owner else
-                                                                {"state": MOVING, "next_owner": one.owner})) for one in parts]
+        return [
+            replace(
+                shard,
+                start=one.start,
+                end=one.end,
+                **({} if one.owner == shard.owner else {"state": MOVING, "next_owner": one.owner}),
+            )
+            for one in parts
+        ]
 
     def _is_free(self, *, now: float, shard: Shard) -> bool:
         """Has the owner of a moving shard certainly let go?"""
         one = self._known(shard=shard)
         if one.is_released or shard.owner in self._ended:
             return True
-        ends = [sent.until + constants.GRANT_FLIGHT for sent in self._sent.values() if sent.is_grant and sent.shard.owner == shard.owner]
+        ends = [
+            sent.until + constants.GRANT_FLIGHT
+            for sent in self._sent.values()
+            if sent.is_grant and sent.shard.owner == shard.owner
+        ]
         last = max([self._sole_at(), self._arrived.get(shard.owner, NEVER), *ends])
         last = min(last, one.since + constants.GRANT_QUIET)
         return now >= last + constants.GRANT_HOLD * constants.GRANT_SLOW + constants.GRANT_MARGIN
@@ -311,12 +400,17 @@
 
     def _wanted(self, *, now: float, scene: GrantScene) -> list[Span]:
         """Where all keys should be; what is moving counts as where it goes."""
-        spans = [Span(start=one.start, end=one.end, owner=one.owner if one.is_open else one.next_owner) for one in self._table.shards]
+        spans = [
+            Span(start=one.start, end=one.end, owner=one.owner if one.is_open else one.next_owner)
+            for one in self._table.shards
+        ]
         able = self._able(now=now, scene=scene)
         if not able:
             listed = self._listed(scene=scene)
-            return [one if one.owner in listed and self._may_stay(key=one.owner, scene=scene) else replace(one, owner="")
-                    for one in spans]
+            return [
+                one if one.owner in listed and self._may_stay(key=one.owner, scene=scene) else replace(one, owner="")
+                for one in spans
+            ]
         wanted = place(spans=spans, able=able, loads=scene.loads, is_balancing=False)
         if any(not one.is_open for one in self._table.shards) or now < self._sole_at():
             self._uneven_since = None
@@ -327,7 +421,9 @@
             return wanted
         self._uneven_since = now if self._uneven_since is None else self._uneven_since
         is_urgent = strain(spans=wanted, able=able, loads=scene.loads) > constants.GRANT_BLAZING
-        if now - max(self._uneven_since, self._balanced) < (constants.GRANT_URGENT if is_urgent else constants.GRANT_SUSTAINED):
+        if now - max(self._uneven_since, self._balanced) < (
+            constants.GRANT_URGENT if is_urgent else constants.GRANT_SUSTAINED
+        ):
             return wanted
         self._uneven_since, self._balanced = None, now
         return even
@@ -341,12 +437,21 @@
 
     def _able(self, *, now: float, scene: GrantScene) -> dict:
         """The requests/s that each worker which may own keys can do; cold ones only where there are no others."""
-        well = {key: worker for key, worker in self._listed(scene=scene).items() if self._may_stay(key=key, scene=scene)
-                and now - scene.down.get(key, now) < constants.GRANT_SILENT
-                and not self._is_failing(now=now, key=key)}
+        well = {
+            key: worker
+            for key, worker in self._listed(scene=scene).items()
+            if self._may_stay(key=key, scene=scene)
+            and now - scene.down.get(key, now) < constants.GRANT_SILENT
+            and not self._is_failing(now=now, key=key)
+        }
         warm = {key: worker for key, worker in well.items() if getattr(worker, "cold", 0.0) <= 0}
-        return weigh(capacities={key: getattr(worker, "capacity", 0) or constants.WORKER_CAPACITY
-                                 for key, worker in (warm or well).items()}, paces=scene.paces)
+        return weigh(
+            capacities={
+                key: getattr(worker, "capacity", 0) or constants.WORKER_CAPACITY
+                for key, worker in (warm or well).items()
+            },
+            paces=scene.paces,
+        )
 
     def _is_failing(self, *, now: float, key: str) -> bool:
         since, last = self._failing.get(key, (now, now))
@@ -357,8 +462,12 @@
         joined: list[Shard] = []
         for one in shards:
             last = joined[-1] if joined else None
-            if last and last.owner == one.owner and self._is_granted(shard=one) and (last.fence == fence - 1 and last not in shards
-                                                                                 or self._is_granted(shard=last)):
+            if (
+                last
+                and last.owner == one.owner
+                and self._is_granted(shard=one)
+                and (last.fence == fence - 1 and last not in shards or self._is_granted(shard=last))
+            ):
                 if last in shards:
                     fence += 1
                 joined[-1] = replace(last, end=one.end, fence=fence - 1)
--- a/sailward/house/homes.py
+++ b/sailward/house/homes.py
@@ -1,4 +1,5 @@
 """Which tenants would have no hall at home."""
+
 from __future__ import annotations
 
 from sailward.label.homes import find_home_halls
--- a/sailward/house/key_loads.py
+++ b/sailward/house/key_loads.py
@@ -1,4 +1,5 @@
 """How busy the keys of divided services are, and how quick their workers: counted by one cellar, told in few bytes, added up."""
+
 from __future__ import annotations
 
 import math
@@ -50,7 +51,9 @@
     def _age(self, *, now: float, counts: Counts) -> None:
         scale = math.exp(-(now - counts.base) / constants.LOAD_SPAN)
         counts.base = now
-        counts.masses = {bucket: mass * scale for bucket, mass in counts.masses.items() if mass * scale >= constants.LOAD_LEAST}
+        counts.masses = {
+            bucket: mass * scale for bucket, mass in counts.masses.items() if mass * scale >= constants.LOAD_LEAST
+        }
 
 
 class WorkerPaces:
@@ -72,7 +75,7 @@
             del self._times[key], self._at[key]
         paces = {}
         for key, times in self._times.items():
-            lower = sorted(times)[:(len(times) + 1) // 2]
+            lower = sorted(times)[: (len(times) + 1) // 2]
             paces[key] = [round(sum(lower) / len(lower)), len(times)]
         return paces
 
--- a/sailward/house/ledger.py
+++ b/sailward/house/ledger.py
@@ -1,4 +1,5 @@
 """A cellar's place on the disk: records synced in order, and what waits for them."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -47,8 +48,12 @@
 
     def rewrite(self) -> Rewrite:
         """Replace the file by what is live."""
-        records = [{"k": "identity", "id": self.identity}, *([{"k": "copied"}] if self.copied else []),
-                   *([{"k": "opened", "n": self.opened}] if self.opened else []), *([self.known] if self.known else [])]
+        records = [
+            {"k": "identity", "id": self.identity},
+            *([{"k": "copied"}] if self.copied else []),
+            *([{"k": "opened", "n": self.opened}] if self.opened else []),
+            *([self.known] if self.known else []),
+        ]
         for name, slot in self.slots.items():
             records += slot_records(name=name, slot=slot)
         self.seq += 1
--- a/sailward/house/listing.py
+++ b/sailward/house/listing.py
@@ -1,4 +1,5 @@
 """The platform's list of workers in a cellar: read by one cellar, told to all others."""
+
 from __future__ import annotations
 
 import json
@@ -24,7 +25,9 @@
     heard: float = -1e9
     told: dict = field(default_factory=dict)
 
-    def step(self, *, now: float, event: Called | None, cellars: list[dict], own: dict, is_wanted: bool) -> tuple[list, bool]:
+    def step(
+        self, *, now: float, event: Called | None, cellars: list[dict], own: dict, is_wanted: bool
+    ) -> tuple[list, bool]:
         """(commands, is the list news). `cellars` are the others that live; `is_wanted`: does anyone read it here?"""
         names = [own["id"], *(one["id"] for one in cellars)]
         is_reader = choose_names(key="list", names=names, count=1) == [own["id"]]
@@ -36,7 +39,9 @@
             return commands, False
         is_news = self.lives.step(now=now, rows=whole.workers)
         if is_news:
-            commands.append(Log(event="list-news", fields={"revision": self.lives.number, "workers": len(whole.workers)}))
+            commands.append(
+                Log(event="list-news", fields={"revision": self.lives.number, "workers": len(whole.workers)})
+            )
         if is_reader:
             commands += [self._tell(to=one, rows=whole.workers) for one in cellars]
         return commands, is_news
@@ -48,7 +53,9 @@
             return [], False
         rows = json.loads(body["rows"])
         is_news = self.lives.step(now=now, rows=rows)
-        return ([Log(event="list-news", fields={"revision": self.lives.number, "workers": len(rows)})] if is_news else []), is_news
+        return (
+            [Log(event="list-news", fields={"revision": self.lives.number, "workers": len(rows)})] if is_news else []
+        ), is_news
 
     def _tell(self, *, to: dict, rows: list) -> Tell:
         version = (to["start"], self.lives.number)
--- a/sailward/house/lives.py
+++ b/sailward/house/lives.py
@@ -1,4 +1,5 @@
 """The list of workers as a cellar tells it where the platform's has no numbers."""
+
 from __future__ import annotations
 
 import json
@@ -23,7 +24,9 @@
     def step(self, *, now: float, rows: list) -> bool:
         """Take the rows of a pass; is something new?"""
         fresh = {row["id"]: {**row, "cold_s": 0.0} for row in rows}
-        risen = any(row["cold_s"] > max(0.0, self.cold_until.get(row["id"], now) - now) + constants.COLD_RISE for row in rows)
+        risen = any(
+            row["cold_s"] > max(0.0, self.cold_until.get(row["id"], now) - now) + constants.COLD_RISE for row in rows
+        )
         news = self.value is None or fresh != self.rows or risen
         if news:
             self.number, self.rows = self.number + 1, fresh
@@ -31,5 +34,10 @@
         if news or was_cold:
             self.cold_until = {row["id"]: now + row["cold_s"] for row in rows if row["cold_s"] > 0}
             told = [{**row, "cold_s": round(row["cold_s"], 2)} for row in sorted(rows, key=lambda row: row["id"])]
-            self.value = {"number": self.number, "mark": self.post, "trail": [], "text": json.dumps(told, separators=(",", ":"))}
+            self.value = {
+                "number": self.number,
+                "mark": self.post,
+                "trail": [],
+                "text": json.dumps(told, separators=(",", ":")),
+            }
         return news
--- a/sailward/house/membership.py
+++ b/sailward/house/membership.py
@@ -1,4 +1,5 @@
 """A cellar's place in the core: founding, joining, copying, founding anew, and being taken out."""
+
 from __future__ import annotations
 
 import json
@@ -24,7 +25,9 @@
     def __init__(self, *, cellar: Cellar, now: float) -> None:
         self._cellar = cellar
         options = cellar.options
-        self.repair = Repair(replace_after=options.replace_after, every=options.repair_every, is_brisk=options.bootstrap is not None)
+        self.repair = Repair(
+            replace_after=options.replace_after, every=options.repair_every, is_brisk=options.bootstrap is not None
+        )
         self.copying = Copying(identity=cellar.identity, pause=options.copy_again)
         self.anew = Anew(copying=Copying(identity=cellar.identity, pause=options.copy_again))
         self._asked = -1e9
@@ -71,8 +74,20 @@
         except (ValueError, KeyError, TypeError, AttributeError):
             sound = False
         if not sound or cellar.identity not in members:
-            return [_refuse(event=event, code=422, reason="members", detail="give members: {identity: address}, this one among them")]
-        value = {"number": 1, "mark": "founded", "trail": [], "text": json.dumps({"members": members, "size": len(members)}, sort_keys=True)}
+            return [
+                _refuse(
+                    event=event,
+                    code=422,
+                    reason="members",
+                    detail="give members: {identity: address}, this one among them",
+                )
+            ]
+        value = {
+            "number": 1,
+            "mark": "founded",
+            "trail": [],
+            "text": json.dumps({"members": members, "size": len(members)}, sort_keys=True),
+        }
         slot = cellar.acceptor.slots.get("voters")
         if slot is not None and slot.value != value:
             return [_refuse(event=event, code=409, reason="founded", detail="this cellar belongs to a core already")]
@@ -82,8 +97,10 @@
         cellar.ledger.copied = True
         cellar.held.step(name="voters", ballot=[0, "founder"], value=value)
         answer = answer_json(token=event.token, code=200, body={"outcome": "accepted", "number": 1})
-        return [*cellar.ledger.know(ballot=[0, "founder"], value=value),
-                *cellar.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer])]
+        return [
+            *cellar.ledger.know(ballot=[0, "founder"], value=value),
+            *cellar.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer]),
+        ]
 
     def found_anew(self, *, now: float, event: Asked) -> list:
         """Take an operator's order to go on with the named survivors alone."""
@@ -94,21 +111,43 @@
         except (ValueError, KeyError, TypeError):
             sound = False
         if not sound:
-            return [_refuse(event=event, code=422, reason="survivors", detail="give survivors: a list of cellars' names")]
+            return [
+                _refuse(event=event, code=422, reason="survivors", detail="give survivors: a list of cellars' names")
+            ]
         newest = max((self._voters().value, self._voted()), key=lambda value: value["number"])
-        made = make_founding(own=cellar.identity, names=names, is_confirmed=event.query.get("confirm") == "yes", value=newest,
-                             opened=cellar.ledger.opened, cellars=cellar.desk.cellars)
+        made = make_founding(
+            own=cellar.identity,
+            names=names,
+            is_confirmed=event.query.get("confirm") == "yes",
+            value=newest,
+            opened=cellar.ledger.opened,
+            cellars=cellar.desk.cellars,
+        )
         if isinstance(made, NotFounded):
             return [_refuse(event=event, code=made.code, reason=made.reason, detail=made.detail)]
         if not cellar.ledger.usable or not cellar.ledger.copied:
-            return [_refuse(event=event, code=503, reason="not-usable", detail="this cellar can't write, or never had the core's registers")]
+            return [
+                _refuse(
+                    event=event,
+                    code=503,
+                    reason="not-usable",
+                    detail="this cellar can't write, or never had the core's registers",
+                )
+            ]
         number = made["number"]
         record = {"k": "vote", "r": "voters", "b": [number, "founder"], "v": made}
         fold_record(slots=cellar.acceptor.slots, record=record, now=now)
         founding = read_founding(value=made)
-        answer = answer_json(token=event.token, code=200, body={
-            "outcome": "accepted", "number": number, "survivors": list(founding.survivors),
-            "claims": "in-doubt" if founding.doubt else "kept"})
+        answer = answer_json(
+            token=event.token,
+            code=200,
+            body={
+                "outcome": "accepted",
+                "number": number,
+                "survivors": list(founding.survivors),
+                "claims": "in-doubt" if founding.doubt else "kept",
+            },
+        )
         commands = cellar.keep(now=now, name="voters", ballot=[number, "founder"], value=made, tell=True)
         # told only when it lasts
         return cellar.ledger.step(records=[record], replies=[log_founding(value=made), *commands, answer])
@@ -116,8 +155,11 @@
     def is_out(self, *, value: dict) -> bool:
         """Does this chosen set of voters take this cellar out? An older one, told late, does not."""
         cellar = self._cellar
-        return cellar.ledger.copied and cellar.identity not in read_voters(value=value)["members"] \
+        return (
+            cellar.ledger.copied
+            and cellar.identity not in read_voters(value=value)["members"]
             and value["number"] >= self._voted()["number"]
+        )
 
     def leave(self) -> list:
         """Taken out of the core: what was voted for is void, and the old identity never acts again."""
@@ -129,8 +171,10 @@
             del cellar.acceptor.slots[name]
         cellar.acceptor.slots.control.clear()
         cellar.ledger.copied, cellar.ledger.opened = False, 0
-        return [Log(event="taken-out", fields={"was": old, "waits-as": cellar.identity}),
-                *cellar.ledger.step(records=[{"k": "left", "id": cellar.identity}], replies=[])]
+        return [
+            Log(event="taken-out", fields={"was": old, "waits-as": cellar.identity}),
+            *cellar.ledger.step(records=[{"k": "left", "id": cellar.identity}], replies=[]),
+        ]
 
     def tell_page(self, *, now: float, sender: str, body: dict) -> list:
         """A page of all this voter has voted for, to one that copies under the same set."""
@@ -161,7 +205,10 @@
         cellar.ledger.copied, cellar.ledger.opened = True, read_founding(value=self._voters().value).number
         slots = self.copying.slots(now=now)
         log = Log(event="copied", fields={"slots": len(slots), "under": self.copying.number})
-        commands += [log, *cellar.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[])]
+        commands += [
+            log,
+            *cellar.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[]),
+        ]
         return commands + (self._announce() if cellar.options.bootstrap else [])
 
     def _announce(self) -> list:
@@ -169,7 +216,10 @@
         roster = self._cellar.roster
         roster.fit, roster.beat = True, roster.beat + 1
         body = {"kind": "gossip", "entries": [roster.own_entry()], "reply": True}
-        return [Tell(to=post, body=body) for post in sorted({*self._cellar.voters["members"].values()} - {roster.place.post})]
+        return [
+            Tell(to=post, body=body)
+            for post in sorted({*self._cellar.voters["members"].values()} - {roster.place.post})
+        ]
 
     def _put(self, *, slots: dict) -> list:
         records: list = []
@@ -199,24 +249,41 @@
         for name, held in cellar.held.held.items():
             # what proxies and other cellars were told, if no survivor's vote is as new
             slot = slots.get(name)
-            if is_control(name=name) and (slot is None or slot.value is None or slot.value["number"] < held.value["number"]):
+            if is_control(name=name) and (
+                slot is None or slot.value is None or slot.value["number"] < held.value["number"]
+            ):
                 ballot = max(held.ballot, slot.promised) if slot else held.ballot
                 slots[name] = Slot(promised=ballot, ballot=ballot, value=held.value, since=now)
         cellar.ledger.opened = read_founding(value=self._voters().value).number
-        log = Log(event="opened-anew", fields={"number": cellar.ledger.opened, "slots": len(slots),
-                                               "claims": "in-doubt" if self.doubts(now=now) else "kept"})
+        log = Log(
+            event="opened-anew",
+            fields={
+                "number": cellar.ledger.opened,
+                "slots": len(slots),
+                "claims": "in-doubt" if self.doubts(now=now) else "kept",
+            },
+        )
         return [*commands, log, *cellar.ledger.step(records=[*self._put(slots=slots), *self._opened()], replies=[])]
 
     def _mind(self, *, now: float, cellars: list[dict]) -> list:
         cellar, held = self._cellar, self._voters()
         if cellar.voting:
-            text = self.repair.step(now=now, own=cellar.identity, voters=cellar.voters, text=held.value["text"],
-                                    cellars=[*cellars, cellar.roster.own_entry()])
+            text = self.repair.step(
+                now=now,
+                own=cellar.identity,
+                voters=cellar.voters,
+                text=held.value["text"],
+                cellars=[*cellars, cellar.roster.own_entry()],
+            )
             if not text:
                 return []
             self._ops += 1
-            begin = Begin(op=f"{cellar.proposer.identity}/repair{self._ops}", register="voters",
-                          expected=cellar.voters["number"], text=text)
+            begin = Begin(
+                op=f"{cellar.proposer.identity}/repair{self._ops}",
+                register="voters",
+                expected=cellar.voters["number"],
+                text=text,
+            )
             log = Log(event="voters-change", fields={"from": cellar.voters["number"], "to": text})
             return [log, *cellar.begin(now=now, begins=[begin])]
         commands = []
@@ -227,7 +294,13 @@
                 commands = self._step_anew(now=now, event=None)
         if now - self._asked >= self._ask_pause():
             self._asked = now
-            body = {"kind": "ask", "seq": 0, "have": cellar.held.have(), "report": {}, "daemon": cellar.roster.own_entry()}
+            body = {
+                "kind": "ask",
+                "seq": 0,
+                "have": cellar.held.have(),
+                "report": {},
+                "daemon": cellar.roster.own_entry(),
+            }
             commands += [Tell(to=one["post"], body=body) for one in cellars]
         return commands
 
@@ -246,8 +319,16 @@
         said, self._short_said = self._short_said, short and now - self._short_since > constants.SUSPECT
         if said == self._short_said:
             return []
-        return [Log(event="core-short" if not said else "core-whole", fields={
-            "voting": core["voting"], "needed": core["needed"], "missing": ",".join(core["missing"]) or "none"})]
+        return [
+            Log(
+                event="core-short" if not said else "core-whole",
+                fields={
+                    "voting": core["voting"],
+                    "needed": core["needed"],
+                    "missing": ",".join(core["missing"]) or "none",
+                },
+            )
+        ]
 
 
 def _refuse(*, event: Asked, code: int, reason: str, detail: str) -> Answer:
--- a/sailward/house/minding.py
+++ b/sailward/house/minding.py
@@ -1,4 +1,5 @@
 """A cellar's part in the keys of services that are divided by number: who acts, how fresh it is, and what it grants from."""
+
 from __future__ import annotations
 
 import json
@@ -40,54 +41,109 @@
         if body["kind"] == "confirm":
             known, held = cellar.voters["number"], cellar.held.held.get("voters")
             if cellar.voting and body["voters"] < known and held is not None:
-                return [Tell(to=sender, body={"kind": "chosen", "register": "voters", "ballot": held.ballot, "value": held.value})]
+                return [
+                    Tell(
+                        to=sender,
+                        body={"kind": "chosen", "register": "voters", "ballot": held.ballot, "value": held.value},
+                    )
+                ]
             if not cellar.voting or body["voters"] != known:
                 return []
-            newest = {name: newest_vote(slots=cellar.acceptor.slots, name=name) for name in body["registers"] if isinstance(name, str)}
-            reply = Tell(to=sender, body={"kind": "confirmed", "seq": body["seq"], "identity": cellar.identity, "newest": newest})
+            newest = {
+                name: newest_vote(slots=cellar.acceptor.slots, name=name)
+                for name in body["registers"]
+                if isinstance(name, str)
+            }
+            reply = Tell(
+                to=sender, body={"kind": "confirmed", "seq": body["seq"], "identity": cellar.identity, "newest": newest}
+            )
             # a vote that is not synced yet may be lost: it is told behind the disk
             return cellar.ledger.step(records=[], replies=[reply])
         for name, newest in body["newest"].items():
             if isinstance(newest, list) and newest and newest[0] > cellar.held.number(name=name):
                 # chosen or not, it is newer than what would be granted from
                 cellar.note_behind(now=now, name=name)
-        return self.freshness.step(now=now, body=body, members=cellar.voters["members"], number=cellar.voters["number"],
-                                   own=cellar.identity, registers=[])
+        return self.freshness.step(
+            now=now,
+            body=body,
+            members=cellar.voters["members"],
+            number=cellar.voters["number"],
+            own=cellar.identity,
+            registers=[],
+        )
 
     def step(self, *, now: float, event: Called | None) -> list:
         """Step the grants of each divided service."""
         cellar = self._cellar
         services = sorted(name for name, service in cellar.moves.plan.services.items() if service.ranged)
         if event is not None:
-            services = [name for name in services if name in self.granting and self.granting[name].is_own(token=event.token)]
+            services = [
+                name for name in services if name in self.granting and self.granting[name].is_own(token=event.token)
+            ]
         if not services or cellar.workers[2] is None:
             return []
         self._look(now=now)
-        well = {one["identity"]: one["post"] for one in [*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()] if one["fit"]}
-        leads = {name: choose_names(key=PREFIX + name, names=set(well), count=1)[0] for name in services} if well else {}
+        well = {
+            one["identity"]: one["post"]
+            for one in [*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()]
+            if one["fit"]
+        }
+        leads = (
+            {name: choose_names(key=PREFIX + name, names=set(well), count=1)[0] for name in services} if well else {}
+        )
         acting = [name for name, lead in leads.items() if cellar.voting and lead == cellar.identity]
         if event is None:
             cellar.fleet.readers = frozenset(well[lead] for lead in leads.values())
         members = cellar.voters["members"]
-        commands = self.freshness.step(now=now, body=None, members=members, number=cellar.voters["number"], own=cellar.identity,
-                                       registers=[PREFIX + name for name in acting]) if event is None else []
+        commands = (
+            self.freshness.step(
+                now=now,
+                body=None,
+                members=members,
+                number=cellar.voters["number"],
+                own=cellar.identity,
+                registers=[PREFIX + name for name in acting],
+            )
+            if event is None
+            else []
+        )
         begins = []
         for name in services:
             granting = self.granting.get(name)
             if granting is None:
                 granting = self.granting[name] = Granting(service=name, own=cellar.proposer.identity, codec=self._codec)
             held = cellar.held.held.get(PREFIX + name)
-            until = self.freshness.until(now=now, register=PREFIX + name, held=cellar.held, members=members, own=cellar.identity,
-                                         slots=cellar.acceptor.slots)
-            scene = GrantScene(value=held.value if held else {"number": 0, "text": ""}, workers=self._workers, fresh_until=until,
-                               is_acting=name in acting, emptied=self._emptied, down=self._down, hold_max=self._hold_max,
-                               **self._loads_of(now=now, service=name, is_acting=name in acting))
+            until = self.freshness.until(
+                now=now,
+                register=PREFIX + name,
+                held=cellar.held,
+                members=members,
+                own=cellar.identity,
+                slots=cellar.acceptor.slots,
+            )
+            scene = GrantScene(
+                value=held.value if held else {"number": 0, "text": ""},
+                workers=self._workers,
+                fresh_until=until,
+                is_acting=name in acting,
+                emptied=self._emptied,
+                down=self._down,
+                hold_max=self._hold_max,
+                **self._loads_of(now=now, service=name, is_acting=name in acting),
+            )
             more, changes = granting.step(now=now, event=event, scene=scene)
             commands += more
             for register, expected, text in changes:
                 self._ops += 1
-                begins.append(Begin(op=f"{cellar.proposer.identity}/grant{self._ops}", register=register, expected=expected, text=text,
-                                    wait=constants.GRANT_LEASE))
+                begins.append(
+                    Begin(
+                        op=f"{cellar.proposer.identity}/grant{self._ops}",
+                        register=register,
+                        expected=expected,
+                        text=text,
+                        wait=constants.GRANT_LEASE,
+                    )
+                )
         return commands + cellar.begin(now=now, begins=begins)
 
     def _loads_of(self, *, now: float, service: str, is_acting: bool) -> dict:
@@ -97,8 +153,11 @@
             return {}
         at, found = self._loads.get(service, (-1e9, {}))
         if now - at >= constants.GRANT_LOOK:
-            paces = {key: pace for key, pace in self._cellar.fleet.paces(now=now).items()
-                     if key in self._workers and self._workers[key].service == service}
+            paces = {
+                key: pace
+                for key, pace in self._cellar.fleet.paces(now=now).items()
+                if key in self._workers and self._workers[key].service == service
+            }
             found = {"loads": self._cellar.fleet.loads(now=now, service=service), "paces": paces}
             self._loads[service] = now, found
         return found
@@ -112,9 +171,17 @@
             self._listed = cellar.workers[2]
             self._workers = {}
             for row in json.loads(self._listed["text"]):
-                self._workers[row["id"]] = Worker(name=row["id"], generation=0, service=row["service"], address=row["address"],
-                                                  hall=row["hall"], leaving=row["leaving"], capacity=row["capacity"],
-                                                  cold=row["cold_s"], is_life=True)
+                self._workers[row["id"]] = Worker(
+                    name=row["id"],
+                    generation=0,
+                    service=row["service"],
+                    address=row["address"],
+                    hall=row["hall"],
+                    leaving=row["leaving"],
+                    capacity=row["capacity"],
+                    cold=row["cold_s"],
+                    is_life=True,
+                )
                 if row["cold_s"] > 0:
                     self._cold.setdefault(row["id"], now + row["cold_s"])
             self._cold = {key: at for key, at in self._cold.items() if key in self._workers}
@@ -124,7 +191,9 @@
                 if worker.hall == hall and service is not None:
                     self._cold[key] = max(self._cold.get(key, 0.0), now + service.cold + constants.COLD_MARGIN)
         self._emptied = emptied
-        self._workers = {key: replace(worker, cold=max(0.0, self._cold.get(key, now) - now)) for key, worker in self._workers.items()}
+        self._workers = {
+            key: replace(worker, cold=max(0.0, self._cold.get(key, now) - now)) for key, worker in self._workers.items()
+        }
         said = cellar.fleet.down(now=now, proxies=cellar.subscribers.proxies())
         down = {key for key, (count, voices) in said.items() if 2 * count > voices}
         self._down = {key: self._down.get(key, now) for key in down}
--- a/sailward/house/moves.py
+++ b/sailward/house/moves.py
@@ -1,4 +1,5 @@
 """The slot moves of all divided services, each minded by the one cellar that hashing names."""
+
 from __future__ import annotations
 
 import json
@@ -26,8 +27,17 @@
     assigning: dict = field(default_factory=dict)
     looked: float = -1e9
 
-    def step(self, *, now: float, own: str, cellars: list[dict], held: HeldBook, standing: Standing, workers: dict | None,
-             proxies: list[Subscriber]) -> list[tuple[str, int, str]]:
+    def step(
+        self,
+        *,
+        now: float,
+        own: str,
+        cellars: list[dict],
+        held: HeldBook,
+        standing: Standing,
+        workers: dict | None,
+        proxies: list[Subscriber],
+    ) -> list[tuple[str, int, str]]:
         """Look at each divided service that this cellar minds."""
         if now - self.looked < constants.ASSIGN_EVERY or workers is None:
             return []
@@ -47,8 +57,13 @@
                 continue
             value = held.held[name].value if name in held.held else {"number": 0, "text": ""}
             assigning = self.assigning.setdefault(name, Assigning())
-            witness = Witness(service=service.name, number=value["number"], members=held.voters()["members"],
-                              cellars=cellars, proxies=proxies)
+            witness = Witness(
+                service=service.name,
+                number=value["number"],
+                members=held.voters()["members"],
+                cellars=cellars,
+                proxies=proxies,
+            )
             text = assigning.step(now=now, service=service, text=value["text"], scene=scene, witness=witness)
             if text:
                 changes.append((name, value["number"], text))
@@ -57,7 +72,11 @@
     def _scene(self, *, held: HeldBook, standing: Standing, proxies: list[Subscriber]) -> Scene:
         emptied = read_orders(value=held.held["orders"].value) if "orders" in held.held else frozenset()
         drained = frozenset(place for place, hall in standing.book.halls.items() if hall.drained)
-        fresh = [one.report["warm"] for one in proxies if one.report.get("warm") is not None and not one.report.get("suspect")]
+        fresh = [
+            one.report["warm"]
+            for one in proxies
+            if one.report.get("warm") is not None and not one.report.get("suspect")
+        ]
         counts: dict[str, int] = {}
         for warm in fresh:
             for key in warm:
--- a/sailward/house/options.py
+++ b/sailward/house/options.py
@@ -1,4 +1,5 @@
 """How a cellar is set up: the defaults are the product's own ways."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -1,4 +1,5 @@
 """The whole of a proxy for routes by host: what the core tells, the evidence on workers, requests, the directory, stopping."""
+
 from __future__ import annotations
 
 import json
@@ -53,8 +54,15 @@
         self.book = WorkerBook()
         self.uplink = Uplink(hall=place.hall, region=place.region, seeds=place.seeds)
         self.evidence = Evidence(names=options.names, rng=rng)
-        self.scene = Scene(name=place.name, hall=place.hall, region=place.region, regions=dict(options.regions),
-                           evidence=self.evidence, halls=HallBook(hold=options.hold), leave_after=options.leave_after)
+        self.scene = Scene(
+            name=place.name,
+            hall=place.hall,
+            region=place.region,
+            regions=dict(options.regions),
+            evidence=self.evidence,
+            halls=HallBook(hold=options.hold),
+            leave_after=options.leave_after,
+        )
         budget = RetryBudget(ratio=options.retry_ratio, slack=options.retry_slack, window=options.retry_window)
         self.forwarder = Forwarder(placer=Placer(scene=self.scene, rng=rng), names=options.names, budget=budget)
         self.directory = Directory(place=place)
@@ -82,7 +90,9 @@
     @property
     def is_ready(self) -> bool:
         """May callers be sent here?"""
-        return bool(self.scene.plan.number) and self.lists["workers"][1] >= 0 and self.stopping in STOPPING.marks["named"]
+        return (
+            bool(self.scene.plan.number) and self.lists["workers"][1] >= 0 and self.stopping in STOPPING.marks["named"]
+        )
 
     def _ask(self, *, now: float, event: Asked) -> list:
         edge = event.token.split(" ", 1)[0]
@@ -118,7 +128,9 @@
         commands = self.evidence.follow(now=now, workers=self.book.workers)
         self.scene.follow(workers=self.book.workers)
         if came or went:
-            commands.append(Log(event="workers", fields={"came": len(came), "went": len(went), "all": len(self.book.workers)}))
+            commands.append(
+                Log(event="workers", fields={"came": len(came), "went": len(went), "all": len(self.book.workers)})
+            )
         return commands + self._count_halls(now=now)
 
     def _take_fleet(self, *, now: float, value: dict) -> list:
@@ -158,22 +170,45 @@
             return []
         self._beat += 1
         place = self.place
-        daemon = {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region, "http": place.http,
-                  "start": self.start, "fit": self.is_ready, "version": place.version}
+        daemon = {
+            "id": place.name,
+            "kind": place.kind,
+            "hall": place.hall,
+            "region": place.region,
+            "http": place.http,
+            "start": self.start,
+            "fit": self.is_ready,
+            "version": place.version,
+        }
         lead = self.uplink.lead
         have = {name: [held.value["number"]] for name, held in self.held.held.items()}
         # lists have numbers of each cellar's own: only the leading one's are wanted, and none before there is one
-        have |= {name: [number if teller == lead else -1, lead or "none"] for name, (teller, number) in self.lists.items()}
+        have |= {
+            name: [number if teller == lead else -1, lead or "none"] for name, (teller, number) in self.lists.items()
+        }
         down = [key for key, shown in self.evidence.shown.items() if not shown.is_healthy]
-        report = {"down": down, "loads": self.forwarder.take_loads(), "turn": self._beat, "lead": lead, "paces": self._take_paces()}
-        return self.uplink.step(now=now, sender=None, body={"kind": "ask", "have": have, "report": report, "daemon": daemon})
+        report = {
+            "down": down,
+            "loads": self.forwarder.take_loads(),
+            "turn": self._beat,
+            "lead": lead,
+            "paces": self._take_paces(),
+        }
+        return self.uplink.step(
+            now=now, sender=None, body={"kind": "ask", "have": have, "report": report, "daemon": daemon}
+        )
 
     def _take_paces(self) -> dict:
         """{worker: [ms, ...]} for divided services: only of this region's workers, as others' times hold the way there."""
         workers = {key: self.evidence.shown[key].worker for key in self.evidence.shown}
         divided = {name for name, service in self.scene.plan.services.items() if service.ranged}
-        return {key: times[-constants.PACES_SENT:] for key, times in self.evidence.take_times().items() if key in workers
-                and workers[key].service in divided and self.scene.regions.get(workers[key].hall) == self.place.region}
+        return {
+            key: times[-constants.PACES_SENT :]
+            for key, times in self.evidence.take_times().items()
+            if key in workers
+            and workers[key].service in divided
+            and self.scene.regions.get(workers[key].hall) == self.place.region
+        }
 
     def _count_halls(self, *, now: float) -> list:
         self._counted = now
@@ -200,11 +235,23 @@
         return [*commands, *self.forwarder.end_all(now=now), Stop(code=0)]
 
     def _show(self, *, now: float) -> dict:
-        halls = {f"{service}|{hall}": [state.state, round(state.fraction, 3)]
-                 for (service, hall), state in self.scene.halls.halls.items()}
+        halls = {
+            f"{service}|{hall}": [state.state, round(state.fraction, 3)]
+            for (service, hall), state in self.scene.halls.halls.items()
+        }
         workers = {key: shown.state for key, shown in self.evidence.shown.items()}
         registers = {name: held.value["number"] for name, held in self.held.held.items()}
-        return {"id": self.place.name, "ready": self.is_ready, "stopping": self.stopping, "registers": registers, "halls": halls,
-                "label": self.scene.plan.label, "lead": self.uplink.lead, "in_touch": self.uplink.answers(now=now),
-                "proxies": self.scene.proxies, "workers": workers, "tally": dict(self.forwarder.tally),
-                "open": len(self.forwarder.calls)}
+        return {
+            "id": self.place.name,
+            "ready": self.is_ready,
+            "stopping": self.stopping,
+            "registers": registers,
+            "halls": halls,
+            "label": self.scene.plan.label,
+            "lead": self.uplink.lead,
+            "in_touch": self.uplink.answers(now=now),
+            "proxies": self.scene.proxies,
+            "workers": workers,
+            "tally": dict(self.forwarder.tally),
+            "open": len(self.forwarder.calls),
+        }
--- a/sailward/house/repair.py
+++ b/sailward/house/repair.py
@@ -6,6 +6,7 @@
 set too, as the sizes are alike. And as the lost one's place is taken at once, a newcomer that dies before it has copied can be
 exchanged in its turn.
 """
+
 from __future__ import annotations
 
 import json
@@ -69,8 +70,12 @@
     def _gone(self, *, now: float, members: dict, alive: dict) -> list[str]:
         """Voters whose machine is back without their data, or that have been lost for long."""
         names = {entry["id"]: name for name, entry in alive.items()}
-        return sorted(name for name in members if name not in alive and (
-            names.get(name.split("#")[0], name) != name or now - self.seen[name] > self.replace_after))
+        return sorted(
+            name
+            for name in members
+            if name not in alive
+            and (names.get(name.split("#")[0], name) != name or now - self.seen[name] > self.replace_after)
+        )
 
     def _step_brisk(self, *, now: float, own: str, number: int, text: str, members: dict, alive: dict) -> str:
         well = [name for name in members if name in alive and alive[name]["fit"]]
@@ -97,7 +102,9 @@
             # one newcomer at a time: it copies now
             return ""
         rest = [name for name in members if name not in gone[:1]]
-        best = self._best(now=now, waiting=[name for name in alive if name and name not in members], rest=rest, alive=alive)
+        best = self._best(
+            now=now, waiting=[name for name in alive if name and name not in members], rest=rest, alive=alive
+        )
         add = (best, alive[best]["post"]) if best else None
         if gone and (add or len(members) > size):
             grows = len(members) % 2 == 0 and len(members) < size
@@ -125,9 +132,17 @@
         halls = [alive[name]["hall"] for name in rest if name in alive]
         regions = [alive[name]["region"] for name in rest if name in alive]
         self.failed = {name: at for name, at in self.failed.items() if now - at < constants.FORGET}
-        return min(waiting, default="", key=lambda name: (
-            name in self.failed, halls.count(alive[name]["hall"]), regions.count(alive[name]["region"]),
-            -min(alive[name]["beat"], 40), name))
+        return min(
+            waiting,
+            default="",
+            key=lambda name: (
+                name in self.failed,
+                halls.count(alive[name]["hall"]),
+                regions.count(alive[name]["region"]),
+                -min(alive[name]["beat"], 40),
+                name,
+            ),
+        )
 
 
 def change_members(*, text: str, add: tuple[str, str] | None = None, drop: str = "") -> str:
--- a/sailward/house/shard_plan.py
+++ b/sailward/house/shard_plan.py
@@ -1,4 +1,5 @@
 """Which worker should own which keys: few moves, cut by load."""
+
 from __future__ import annotations
 
 import bisect
@@ -66,7 +67,9 @@
         return _divide(spread=parts.spread, fair=parts.fair)
     placed: list[Span] = []
     for span in spans:
-        placed += [span] if span.owner in able else _give(span=span, spread=parts.spread, fair=parts.fair, held=parts.held)
+        placed += (
+            [span] if span.owner in able else _give(span=span, spread=parts.spread, fair=parts.fair, held=parts.held)
+        )
     if is_balancing:
         for _ in range(constants.GRANT_MOVES):
             fresh = _balance(spans=placed, parts=parts)
@@ -112,12 +115,20 @@
     def is_over(self, *, name: str) -> bool:
         """Should it give keys away?"""
         ratio, use = self.ratio(name=name), self.held[name] * self.spread.total / self.able[name]
-        is_slow = self.held[name] - self.fair[name] > constants.GRANT_SLOW_PART * self.even[name] and self.fair[name] < self.even[name]
-        return ratio > constants.GRANT_BLAZING or (ratio > constants.GRANT_HOT and use > constants.GRANT_CALM) or is_slow
+        is_slow = (
+            self.held[name] - self.fair[name] > constants.GRANT_SLOW_PART * self.even[name]
+            and self.fair[name] < self.even[name]
+        )
+        return (
+            ratio > constants.GRANT_BLAZING or (ratio > constants.GRANT_HOT and use > constants.GRANT_CALM) or is_slow
+        )
 
     def is_under(self, *, name: str) -> bool:
         """Is it idle though it should not be?"""
-        return self.held[name] < constants.GRANT_IDLE * min(self.fair[name], self.even[name]) and self.fair[name] > 0.5 * self.even[name]
+        return (
+            self.held[name] < constants.GRANT_IDLE * min(self.fair[name], self.even[name])
+            and self.fair[name] > 0.5 * self.even[name]
+        )
 
 
 def _parts_of(*, spans: list[Span], able: dict, loads: dict) -> Parts:
@@ -126,15 +137,14 @@
         if span.owner in held:
             held[span.owner] += spread.of(span=span)
     even = {name: weight / whole for name, weight in able.items()}
-    return Parts(able=able, spread=spread, even=even, held=held,
-                 fair=_share(able=able, total=spread.total))
+    return Parts(able=able, spread=spread, even=even, held=held, fair=_share(able=able, total=spread.total))
 
 
 def _share(*, able: dict, total: float) -> dict:
     """The part of the load that each worker should have: the less there is to do, the more of it goes to the quick ones."""
     whole = sum(able.values())
     lean = 1 + constants.GRANT_LEAN * max(0.0, 1 - total / whole / constants.GRANT_FULL) if total else 1.0
-    leaning = {name: weight ** lean for name, weight in able.items()}
+    leaning = {name: weight**lean for name, weight in able.items()}
     return {name: weight / sum(leaning.values()) for name, weight in leaning.items()}
 
 
@@ -170,7 +180,12 @@
     """One piece moved, from the first of the busiest that can be relieved; None if nothing needs to move."""
     fair, held = parts.fair, parts.held
     names = sorted(fair)
-    taker = min(names, key=lambda name: held[name] / fair[name] if fair[name] > 0.5 * parts.even[name] else held[name] / parts.even[name] + 0.5)
+    taker = min(
+        names,
+        key=lambda name: (
+            held[name] / fair[name] if fair[name] > 0.5 * parts.even[name] else held[name] / parts.even[name] + 0.5
+        ),
+    )
     is_idle = parts.is_under(name=taker)
     givers = sorted(names, key=lambda name: -max(parts.ratio(name=name), (held[name] - fair[name]) / parts.even[name]))
     for giver in givers:
@@ -179,7 +194,11 @@
         part = min(held[giver] - fair[giver], fair[taker] - held[taker])
         if is_idle:
             part = min(max(part, constants.GRANT_PIECE * fair[taker]), held[giver] - 0.7 * fair[giver])
-        fresh = _move(spans=spans, spread=parts.spread, giver=giver, taker=taker, part=part, held=held) if part >= 0.1 / len(fair) else None
+        fresh = (
+            _move(spans=spans, spread=parts.spread, giver=giver, taker=taker, part=part, held=held)
+            if part >= 0.1 / len(fair)
+            else None
+        )
         if fresh is not None:
             return fresh
     return None
@@ -200,9 +219,12 @@
     held[giver] -= mass
     held[taker] += mass
     at = spans.index(span)
-    parts = [Span(start=span.start, end=piece.start - 1, owner=giver), replace(piece, owner=taker),
-             Span(start=piece.end + 1, end=span.end, owner=giver)]
-    return [*spans[:at], *(one for one in parts if one.start <= one.end), *spans[at + 1:]]
+    parts = [
+        Span(start=span.start, end=piece.start - 1, owner=giver),
+        replace(piece, owner=taker),
+        Span(start=piece.end + 1, end=span.end, owner=giver),
+    ]
+    return [*spans[:at], *(one for one in parts if one.start <= one.end), *spans[at + 1 :]]
 
 
 def _edges(*, span: Span, spread: Spread, part: float) -> list[Span]:
@@ -211,7 +233,10 @@
         return [span]
     left = spread.cut(start=span.start, part=part)
     right = spread.cut(start=span.start, part=mass - part)
-    return [replace(span, end=min(max(left - 1, span.start), span.end)), replace(span, start=min(max(right, span.start), span.end))]
+    return [
+        replace(span, end=min(max(left - 1, span.start), span.end)),
+        replace(span, start=min(max(right, span.start), span.end)),
+    ]
 
 
 def _join(*, spans: list[Span]) -> list[Span]:
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -1,4 +1,5 @@
 """The whole of a proxy: lease, worker status, draw, exchanges."""
+
 from __future__ import annotations
 
 import json
@@ -39,8 +40,13 @@
         self.roster = Roster(place=place, start=start)
         self.world = World(prober=Prober(rng=rng))
         self.chooser = Chooser(rng=rng, world=self.world)
-        self.claims = Claims(identity=self.identity, post=place.post, region=place.region, hall=place.hall,
-                             copies=Copies(region=place.region))
+        self.claims = Claims(
+            identity=self.identity,
+            post=place.post,
+            region=place.region,
+            hall=place.hall,
+            copies=Copies(region=place.region),
+        )
         self.exchanges = Exchanges(identity=self.identity, chooser=self.chooser, claims=self.claims)
         self.stopping = STOPPING.initial
         self.stop_by = 0.0
@@ -59,12 +65,19 @@
         elif isinstance(event, Called):
             commands = self._called(now=now, event=event)
         elif isinstance(event, StopAsked):
-            self.stopping, self.stop_by = STOPPING.step(state=self.stopping, event="stop_asked"), now + constants.STOP_GRACE
+            self.stopping, self.stop_by = (
+                STOPPING.step(state=self.stopping, event="stop_asked"),
+                now + constants.STOP_GRACE,
+            )
             commands = [Log(event="stopping", fields={"open": len(self.exchanges.live)})]
         else:
             commands = self._look_at_alarms(now=now)
-        return [replace(one, begin_by=self.lease.until(voters=self.held.voters()))
-                if isinstance(one, Call) and one.token.startswith("x ") else one for one in commands]
+        return [
+            replace(one, begin_by=self.lease.until(voters=self.held.voters()))
+            if isinstance(one, Call) and one.token.startswith("x ")
+            else one
+            for one in commands
+        ]
 
     def acting(self, *, now: float) -> bool:
         """May this proxy act on what it holds?"""
@@ -121,10 +134,20 @@
         have = {**self.held.have(), "workers": [revision, str(epoch), [epoch, ""]]}
         report = {}
         if event is None:
-            report = {**self.world.report(now=now, suspect=self.suspect), "busy": self.exchanges.busy(now=now),
-                      "rates": self.exchanges.rates(now=now)}
-        return self.lease.step(now=now, event=event, voters=voters, addresses=sorted(addresses),
-                               report=report, daemon=self.roster.own_entry(), have=have)
+            report = {
+                **self.world.report(now=now, suspect=self.suspect),
+                "busy": self.exchanges.busy(now=now),
+                "rates": self.exchanges.rates(now=now),
+            }
+        return self.lease.step(
+            now=now,
+            event=event,
+            voters=voters,
+            addresses=sorted(addresses),
+            report=report,
+            daemon=self.roster.own_entry(),
+            have=have,
+        )
 
     def _take_push(self, *, now: float, sender: str, body: dict) -> list:
         name, value = body["name"], body["value"]
@@ -136,8 +159,9 @@
         return [*self._keep(now=now, name=name, ballot=body["ballot"], value=value), ack]
 
     def _take_list(self, *, now: float, value: dict) -> list:
-        came, went = self.world.book.step(epoch=int(value["mark"]), revision=value["number"],
-                                          workers=json.loads(value["text"]))
+        came, went = self.world.book.step(
+            epoch=int(value["mark"]), revision=value["number"], workers=json.loads(value["text"])
+        )
         commands = self.world.prober.follow(now=now, workers=self.world.book.workers, warm=self.world.warm())
         if came or went:
             commands.append(Log(event="workers", fields={"came": len(came), "went": len(went)}))
@@ -184,8 +208,11 @@
         if now - self._counted >= constants.COUNT_EVERY:
             commands += self._count_halls(now=now)
             self.chooser.bounds.forget(now=now, keep=set(self.world.book.workers))
-        self.claims.peers = [Peer(name=one["id"], post=one["post"], region=one["region"], hall=one["hall"])
-                             for one in self.roster.alive(kind="sommelier") if one["version"] not in constants.WITHOUT_COPIES]
+        self.claims.peers = [
+            Peer(name=one["id"], post=one["post"], region=one["region"], hall=one["hall"])
+            for one in self.roster.alive(kind="sommelier")
+            if one["version"] not in constants.WITHOUT_COPIES
+        ]
         heard = [count for at, count in self.cellars.values() if now - at < constants.SUBSCRIBER_LIFE]
         self.world.proxies = max([1, *heard])
         self.roster.fit = self.acting(now=now) and not self.suspect and self.stopping in STOPPING.marks["named"]
@@ -205,11 +232,20 @@
         self._counted = now
         commands = self.world.halls.step(now=now, counts=self.world.counts())
         halls = {hall for _, hall in self.world.halls.halls}
-        down = {hall for hall in halls
-                if all(state.healthy == 0 for (_, name), state in self.world.halls.halls.items() if name == hall)}
-        stood = {hall for hall in down if not all(
-            self.world.standing_drained(now=now, service=service, hall=hall)
-            for service, name in self.world.halls.halls if name == hall)}
+        down = {
+            hall
+            for hall in halls
+            if all(state.healthy == 0 for (_, name), state in self.world.halls.halls.items() if name == hall)
+        }
+        stood = {
+            hall
+            for hall in down
+            if not all(
+                self.world.standing_drained(now=now, service=service, hall=hall)
+                for service, name in self.world.halls.halls
+                if name == hall
+            )
+        }
         suspect = len(stood) > constants.SUSPECT_SELF * len(halls) and len(self.cellars) > 0
         if suspect != self.suspect:
             self.suspect = suspect
@@ -227,8 +263,19 @@
 
     def _show(self, *, now: float) -> dict:
         workers = {key: probed.state for key, probed in self.world.prober.probed.items()}
-        halls = {f"{service}|{hall}": [state.state, round(state.fraction, 3)]
-                 for (service, hall), state in self.world.halls.halls.items()}
-        return {"id": self.place.name, "fit": self.roster.fit, "acting": self.acting(now=now), "suspect": self.suspect,
-                "registers": {name: self.held.number(name=name) for name in CONTROL}, "proxies": self.world.proxies,
-                "halls": halls, "workers": workers, "tally": dict(self.exchanges.tally), "open": len(self.exchanges.sent)}
+        halls = {
+            f"{service}|{hall}": [state.state, round(state.fraction, 3)]
+            for (service, hall), state in self.world.halls.halls.items()
+        }
+        return {
+            "id": self.place.name,
+            "fit": self.roster.fit,
+            "acting": self.acting(now=now),
+            "suspect": self.suspect,
+            "registers": {name: self.held.number(name=name) for name in CONTROL},
+            "proxies": self.world.proxies,
+            "halls": halls,
+            "workers": workers,
+            "tally": dict(self.exchanges.tally),
+            "open": len(self.exchanges.sent),
+        }
--- a/sailward/house/standing.py
+++ b/sailward/house/standing.py
@@ -1,4 +1,5 @@
 """The standing view of halls: what most proxies say, held before it changes."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -20,8 +21,11 @@
 
     def step(self, *, now: float, proxies: list[Subscriber]) -> list:
         """Fold the digests; a proxy that suspects itself has no voice."""
-        fresh = [one.report for one in proxies
-                 if now - one.seen < constants.REPORT_LIFE and one.report.get("halls") is not None]
+        fresh = [
+            one.report
+            for one in proxies
+            if now - one.seen < constants.REPORT_LIFE and one.report.get("halls") is not None
+        ]
         voices = [report for report in fresh if not report.get("suspect")] or fresh
         said: dict = {}
         marks: dict = {}
--- a/sailward/house/subscribers.py
+++ b/sailward/house/subscribers.py
@@ -1,4 +1,5 @@
 """The proxies that a cellar pushes to, and what each has acknowledged."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -54,8 +55,16 @@
         for address, member in self.members.items():
             if not (self.post and event is not None and address != asker):
                 for name, (number, ballot, value) in news.items():
-                    commands += self._push(now=now, address=address, member=member, name=name, number=number,
-                                           ballot=ballot, value=value, is_asked=address == asker)
+                    commands += self._push(
+                        now=now,
+                        address=address,
+                        member=member,
+                        name=name,
+                        number=number,
+                        ballot=ballot,
+                        value=value,
+                        is_asked=address == asker,
+                    )
         return commands
 
     def has_followers(self) -> bool:
@@ -85,8 +94,18 @@
             self.asked[f"{member.entry.get('id')}#{start}"] = now
         member.have, member.report = body["have"], body["report"]
 
-    def _push(self, *, now: float, address: str, member: Subscriber, name: str, number: int,
-              ballot: list, value: dict, is_asked: bool = False) -> list:
+    def _push(
+        self,
+        *,
+        now: float,
+        address: str,
+        member: Subscriber,
+        name: str,
+        number: int,
+        ballot: list,
+        value: dict,
+        is_asked: bool = False,
+    ) -> list:
         given = member.have.get(name)
         if self.post and member.entry.get("kind") == "cellar" and name in OWN_LISTS:
             # a cellar follows nobody's lists
@@ -95,7 +114,9 @@
             # the one that leads it pushes this; what is small comes from both it asks, as one may be gone
             return []
         if self.post and name in OWN_LISTS:
-            return self._push_own(now=now, address=address, member=member, name=name, given=given, number=number, value=value)
+            return self._push_own(
+                now=now, address=address, member=member, name=name, given=given, number=number, value=value
+            )
         had = (given[2][0], given[0]) if name == "workers" and given else (0, given[0] if given else -1)
         at = (ballot[0], number) if name == "workers" else (0, number)
         acked = name != "workers" and member.acked.get(name, -1) >= number
@@ -103,8 +124,9 @@
             return []
         return self._send(now=now, address=address, member=member, name=name, at=at, ballot=ballot, value=value)
 
-    def _push_own(self, *, now: float, address: str, member: Subscriber, name: str, given: list | None, number: int,
-                  value: dict) -> list:
+    def _push_own(
+        self, *, now: float, address: str, member: Subscriber, name: str, given: list | None, number: int, value: dict
+    ) -> list:
         teller = given[1] if given else ""
         if teller not in ("", self.post) or (teller == self.post and given[0] == number):
             return []
@@ -112,9 +134,13 @@
         if pushed and pushed[0] == (0, number) and member.seen - pushed[1] < constants.PUSH_AGAIN:
             # no asking since then has shown that it was lost
             return []
-        return self._send(now=now, address=address, member=member, name=name, at=(0, number), ballot=[0, ""], value=value)
+        return self._send(
+            now=now, address=address, member=member, name=name, at=(0, number), ballot=[0, ""], value=value
+        )
 
-    def _send(self, *, now: float, address: str, member: Subscriber, name: str, at: tuple, ballot: list, value: dict) -> list:
+    def _send(
+        self, *, now: float, address: str, member: Subscriber, name: str, at: tuple, ballot: list, value: dict
+    ) -> list:
         pushed = member.pushed.get(name)
         if pushed and pushed[0] == at and now - pushed[1] < constants.PUSH_AGAIN:
             return []
--- a/sailward/house/uplink.py
+++ b/sailward/house/uplink.py
@@ -1,4 +1,5 @@
 """A proxy's way to the core: the two nearest cellars that answer, asked for news in turn."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -66,8 +67,11 @@
         for post, (hall, region) in told.items():
             known = self.known.setdefault(post, Known(post=post))
             known.hall, known.region = hall, region
-        self.known = {post: known for post, known in self.known.items()
-                      if post in told or post in self.seeds or known.unanswered < constants.ASKS_LOST}
+        self.known = {
+            post: known
+            for post, known in self.known.items()
+            if post in told or post in self.seeds or known.unanswered < constants.ASKS_LOST
+        }
 
     def answers(self, *, now: float) -> bool:
         """Has any cellar answered of late?"""
@@ -94,11 +98,19 @@
         return [Log(event="leads", fields={"cellar": best.post, "hall": best.hall or "unknown"})]
 
     def _to_ask(self, *, now: float) -> list[Known]:
-        able = sorted((known for known in self.known.values() if not self._is_silent(known=known, now=now)), key=self._rank)
-        chosen = able[:constants.CELLARS_ASKED]
+        able = sorted(
+            (known for known in self.known.values() if not self._is_silent(known=known, now=now)), key=self._rank
+        )
+        chosen = able[: constants.CELLARS_ASKED]
         # who is silent is tried now and then, the nearest and the longest unasked first
-        silent = sorted((known for known in self.known.values() if self._is_silent(known=known, now=now)
-                         and now - known.asked >= constants.ASK_SILENT), key=lambda known: (known.asked, self._rank(known)))
+        silent = sorted(
+            (
+                known
+                for known in self.known.values()
+                if self._is_silent(known=known, now=now) and now - known.asked >= constants.ASK_SILENT
+            ),
+            key=lambda known: (known.asked, self._rank(known)),
+        )
         if len(able) < constants.CELLARS_ASKED:
             return chosen + silent
         return chosen + silent[:1]
--- a/sailward/house/witness.py
+++ b/sailward/house/witness.py
@@ -1,4 +1,5 @@
 """Proof that every proxy that could act knows a slot closed, and has nothing open in it."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -46,8 +47,9 @@
         if closing.is_clear or len(told) < majority_of(members=self.members):
             return
         known = {f"{one.entry.get('id')}#{one.entry.get('start')}": one for one in self.proxies}
-        closing.is_clear = all(name in known and self._has_left(proxy=known[name], closing=closing, slot=slot)
-                               for name in closing.asked)
+        closing.is_clear = all(
+            name in known and self._has_left(proxy=known[name], closing=closing, slot=slot) for name in closing.asked
+        )
 
     def _voters(self) -> list[dict]:
         return [one for one in self.cellars if one["identity"] in self.members]
--- a/sailward/label/check.py
+++ b/sailward/label/check.py
@@ -1,4 +1,5 @@
 """Checking a configuration: the shape first, then the rules across its fields."""
+
 from __future__ import annotations
 
 import json
@@ -43,8 +44,9 @@
         return Unsound(faults=(Fault(path="", reason=f"longer than {constants.CONFIG_BYTES} bytes"),))
     twice: list[str] = []
     try:
-        config = json.loads(text, object_pairs_hook=lambda pairs: _no_name_twice(pairs=pairs, twice=twice),
-                            parse_constant=_no_constant)
+        config = json.loads(
+            text, object_pairs_hook=lambda pairs: _no_name_twice(pairs=pairs, twice=twice), parse_constant=_no_constant
+        )
     except (ValueError, RecursionError) as fault:
         return Unsound(faults=(Fault(path="", reason=f"not JSON: {fault}"),))
     if twice:
@@ -99,7 +101,9 @@
     if not is_sound:
         errors = validator.errors
         if plain:
-            errors = {name: _place(errors=inner, odd=odd) if name == "matches" else inner for name, inner in errors.items()}
+            errors = {
+                name: _place(errors=inner, odd=odd) if name == "matches" else inner for name, inner in errors.items()
+            }
         return list(_flatten(errors=errors, path="")), {}
     full = validator.document
     if plain:
@@ -113,8 +117,10 @@
 
 def _place(*, errors: object, odd: list) -> object:
     """The errors of the matches that took part, under the places that they were written at."""
-    return [{odd[at] if isinstance(at, int) else at: inner for at, inner in one.items()} if isinstance(one, dict) else one
-            for one in errors]
+    return [
+        {odd[at] if isinstance(at, int) else at: inner for at, inner in one.items()} if isinstance(one, dict) else one
+        for one in errors
+    ]
 
 
 def _without_near(*, config: dict) -> dict:
@@ -122,8 +128,11 @@
     pools = config.get("pools")
     if not isinstance(pools, dict):
         return config
-    near = {name: {**pool, "preferred": pool.get("preferred") or ["near"]} for name, pool in pools.items()
-            if isinstance(pool, dict) and pool.get("tiers") == "near"}
+    near = {
+        name: {**pool, "preferred": pool.get("preferred") or ["near"]}
+        for name, pool in pools.items()
+        if isinstance(pool, dict) and pool.get("tiers") == "near"
+    }
     return {**config, "pools": {**pools, **near}} if near else config
 
 
@@ -197,8 +206,10 @@
                     continue
                 halls = list_halls(full=full, pool=pool)
                 if not any(full["halls"].get(hall, {}).get("region") in homes for hall in halls):
-                    yield Fault(path=f"matches.{index}.pools",
-                                reason=f"pool {share['pool']!r} has no hall at home for tenant {tenant!r}")
+                    yield Fault(
+                        path=f"matches.{index}.pools",
+                        reason=f"pool {share['pool']!r} has no hall at home for tenant {tenant!r}",
+                    )
 
 
 def _check_ranged(*, full: dict):
@@ -211,9 +222,13 @@
     for name, service in full["services"].items():
         if not service["slots"] or service["keys"] != "shared":
             continue
-        bound = [set(full["tenants"][tenant]["homes"]) for match in full["matches"]
-                 if full["pools"][match["pools"][0]["pool"]]["service"] == name
-                 for tenant in match["tenants"] or full["tenants"] if full["tenants"][tenant]["homes"]]
+        bound = [
+            set(full["tenants"][tenant]["homes"])
+            for match in full["matches"]
+            if full["pools"][match["pools"][0]["pool"]]["service"] == name
+            for tenant in match["tenants"] or full["tenants"]
+            if full["tenants"][tenant]["homes"]
+        ]
         if bound and not set.intersection(*bound):
             yield Fault(path=f"services.{name}.keys", reason="shared by tenants that have no home in common")
 
@@ -233,7 +248,10 @@
         halls = [*pool["preferred"], *pool["fallback"]]
         room = int(constants.DRAIN_CAP * len(halls))
         if len(pool["preferred"]) > room:
-            yield Fault(path=f"pools.{name}", reason=f"the drain cap covers {room} of {len(pool['preferred'])} "
-                                                     "preferred halls: losing all would leave one marked")
+            yield Fault(
+                path=f"pools.{name}",
+                reason=f"the drain cap covers {room} of {len(pool['preferred'])} "
+                "preferred halls: losing all would leave one marked",
+            )
         if not pool["fallback"]:
             yield Fault(path=f"pools.{name}.fallback", reason="no fallback: a lost tier is refused")
--- a/sailward/label/dialect.py
+++ b/sailward/label/dialect.py
@@ -1,4 +1,5 @@
 """What operators ask and are answered, in the product's terms; and the product's own words for it."""
+
 from __future__ import annotations
 
 import json
@@ -90,7 +91,9 @@
         if len(parts) == 3 and parts[0] == "voters" and parts[2] in ("join", "part") and event.method == "POST":
             return Order(kind=parts[2], register="voters", given=parts[1])
         if len(parts) == 3 and parts[0] == "halls" and parts[2] in ("empty", "refill") and event.method == "POST":
-            return Order(kind=parts[2], register="orders", given=parts[1], is_confirmed=event.query.get("confirm") == "yes")
+            return Order(
+                kind=parts[2], register="orders", given=parts[1], is_confirmed=event.query.get("confirm") == "yes"
+            )
         return _refused(code=404, reason="unknown", detail=f"{event.method} {event.path}"[:200])
 
     def answer(self, *, token: str, order: Order | None, outcome: Outcome) -> Answer:
@@ -98,11 +101,17 @@
         if outcome.kind == "shown":
             return _show(token=token, register=order.register, value=outcome.value)
         if outcome.kind == "sound":
-            return answer_json(token=token, code=200, body={"outcome": "sound", "number": outcome.number, **outcome.notes})
+            return answer_json(
+                token=token, code=200, body={"outcome": "sound", "number": outcome.number, **outcome.notes}
+            )
         if outcome.kind == "accepted":
             body = {"outcome": "accepted", "number": outcome.number, **outcome.notes}
             return answer_json(token=token, code=200, body=body, headers={"ETag": f'"{outcome.number}"'})
-        body = {"outcome": "unknown" if outcome.kind == "unknown" else "refused", "error": outcome.reason, "detail": outcome.detail}
+        body = {
+            "outcome": "unknown" if outcome.kind == "unknown" else "refused",
+            "error": outcome.reason,
+            "detail": outcome.detail,
+        }
         if outcome.faults:
             body["faults"] = [{"path": fault.path, "reason": fault.reason} for fault in outcome.faults]
         if outcome.number is not None:
@@ -134,13 +143,20 @@
         given = read_config(text=event.body)
         if isinstance(given, Unsound):
             return refused_unsound(unsound=given)
-        return Order(kind=event.method.lower(), register="config", given=given, is_dry=event.query.get("dry") == "yes",
-                     expected=None if expected is None else int(expected))
+        return Order(
+            kind=event.method.lower(),
+            register="config",
+            given=given,
+            is_dry=event.query.get("dry") == "yes",
+            expected=None if expected is None else int(expected),
+        )
 
 
 def refused_unsound(*, unsound: Unsound) -> Outcome:
     """The refusal of a configuration with faults."""
-    return Outcome(kind="refused", code=422, reason="invalid", detail=f"{len(unsound.faults)} faults", faults=unsound.faults)
+    return Outcome(
+        kind="refused", code=422, reason="invalid", detail=f"{len(unsound.faults)} faults", faults=unsound.faults
+    )
 
 
 def _refused(*, code: int, reason: str, detail: str) -> Outcome:
@@ -149,7 +165,10 @@
 
 def _show(*, token: str, register: str, value: dict) -> Answer:
     inner = json.loads(value["text"]) if value["text"] else {}
-    body = {"number": value["number"], "config": inner.get("written")} if register == "config" else {
-        "number": value["number"], register: inner}
+    body = (
+        {"number": value["number"], "config": inner.get("written")}
+        if register == "config"
+        else {"number": value["number"], register: inner}
+    )
     code = 200 if value["number"] or register == "orders" else 404
     return answer_json(token=token, code=code, body=body, headers={"ETag": f'"{value["number"]}"'})
--- a/sailward/label/history.py
+++ b/sailward/label/history.py
@@ -1,4 +1,5 @@
 """The register's text of a labelled configuration: what was written, its label, and the changes that made it."""
+
 from __future__ import annotations
 
 import hashlib
@@ -32,10 +33,12 @@
     if not text:
         return Labelled()
     inner = json.loads(text)
-    return Labelled(written=inner["written"], label=inner["label"], history=tuple(tuple(one) for one in inner["history"]))
+    return Labelled(
+        written=inner["written"], label=inner["label"], history=tuple(tuple(one) for one in inner["history"])
+    )
 
 
 def write_labelled(*, before: Labelled, written: dict, label: int, digest: str) -> str:
     """The text with one change more."""
-    history = [*before.history, (label, digest)][-constants.LABELS_KEPT:]
+    history = [*before.history, (label, digest)][-constants.LABELS_KEPT :]
     return json.dumps({"written": written, "label": label, "history": history}, separators=(",", ":"))
--- a/sailward/label/homes.py
+++ b/sailward/label/homes.py
@@ -1,4 +1,5 @@
 """Where bound tenants may be served."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -21,5 +22,8 @@
             for share in match["pools"]:
                 pool = full["pools"][share["pool"]]
                 if share["weight"]:
-                    yield name, share["pool"], [hall for hall in list_halls(full=full, pool=pool)
-                                                if halls[hall]["region"] in tenant["homes"]]
+                    yield (
+                        name,
+                        share["pool"],
+                        [hall for hall in list_halls(full=full, pool=pool) if halls[hall]["region"] in tenant["homes"]],
+                    )
--- a/sailward/label/matches.py
+++ b/sailward/label/matches.py
@@ -1,4 +1,5 @@
 """Matches that are plainly sound, told from the rest without the slow pass over the shape."""
+
 from __future__ import annotations
 
 import math
@@ -14,20 +15,37 @@
     """({place: match with its defaults} of those that are plainly sound, the places of all others)."""
     if not isinstance(matches, list):
         return {}, []
-    plain = {at: {**match, "methods": match.get("methods", []), "tenants": match.get("tenants", [])}
-             for at, match in enumerate(matches) if _is_plain(match=match)}
+    plain = {
+        at: {**match, "methods": match.get("methods", []), "tenants": match.get("tenants", [])}
+        for at, match in enumerate(matches)
+        if _is_plain(match=match)
+    }
     return plain, [at for at in range(len(matches)) if at not in plain]
 
 
 def _is_plain(*, match: object) -> bool:
-    return type(match) is dict and MATCH.keys() >= match.keys() and _is_text(given=match.get("path"), like=_IS_PATH) \
-        and _are_pools(pools=match.get("pools")) and all(_FITS[name](match[name]) for name in match if name in _FITS)
+    return (
+        type(match) is dict
+        and MATCH.keys() >= match.keys()
+        and _is_text(given=match.get("path"), like=_IS_PATH)
+        and _are_pools(pools=match.get("pools"))
+        and all(_FITS[name](match[name]) for name in match if name in _FITS)
+    )
 
 
 def _are_pools(*, pools: object) -> bool:
-    return type(pools) is list and 0 < len(pools) <= MATCH["pools"]["maxlength"] and all(
-        type(one) is dict and one.keys() == _POOL_FIELDS and _is_text(given=one["pool"], like=_IS_NAME)
-        and type(one["weight"]) is int and 0 <= one["weight"] <= 1000000 for one in pools)
+    return (
+        type(pools) is list
+        and 0 < len(pools) <= MATCH["pools"]["maxlength"]
+        and all(
+            type(one) is dict
+            and one.keys() == _POOL_FIELDS
+            and _is_text(given=one["pool"], like=_IS_NAME)
+            and type(one["weight"]) is int
+            and 0 <= one["weight"] <= 1000000
+            for one in pools
+        )
+    )
 
 
 def _is_text(*, given: object, like) -> bool:
--- a/sailward/label/patch.py
+++ b/sailward/label/patch.py
@@ -1,4 +1,5 @@
 """Small changes: a JSON merge patch (RFC 7396)."""
+
 from __future__ import annotations
 
 
--- a/sailward/label/schema.py
+++ b/sailward/label/schema.py
@@ -1,4 +1,5 @@
 """The shape of a configuration, for cerberus."""
+
 from __future__ import annotations
 
 from sailward import constants
@@ -12,8 +13,7 @@
     "rate": {**AMOUNT, "default": constants.WORKER_RATE},
     "cold_rate": {**AMOUNT, "default": constants.COLD_RATE},
     "cold_ramp_s": {"type": "number", "min": 0, "max": 3600, "default": constants.COLD_RAMP},
-    "result_bytes": {"type": "integer", "min": 1, "max": constants.RESULT_BYTES,
-                     "default": constants.RESULT_BYTES},
+    "result_bytes": {"type": "integer", "min": 1, "max": constants.RESULT_BYTES, "default": constants.RESULT_BYTES},
     "digest_required": {"type": "boolean", "default": False},
     "timed_keys": {"type": "boolean", "default": False},
     "slots": {"type": "integer", "min": 0, "max": 1024, "default": 0},
@@ -37,9 +37,19 @@
     "path": {"type": "string", "regex": PATH, "required": True},
     "methods": {"type": "list", "schema": {"type": "string", "regex": METHOD}, "default": []},
     "tenants": {"type": "list", "schema": NAME, "default": []},
-    "pools": {"type": "list", "minlength": 1, "maxlength": 32, "required": True, "schema": {
-        "type": "dict", "schema": {"pool": {**NAME, "required": True},
-                                   "weight": {"type": "integer", "min": 0, "max": 1000000, "required": True}}}},
+    "pools": {
+        "type": "list",
+        "minlength": 1,
+        "maxlength": 32,
+        "required": True,
+        "schema": {
+            "type": "dict",
+            "schema": {
+                "pool": {**NAME, "required": True},
+                "weight": {"type": "integer", "min": 0, "max": 1000000, "required": True},
+            },
+        },
+    },
     "name": {"type": "string", "maxlength": 1000},
     "host": {"type": "string", "regex": HOST},
     "kind": {"type": "string", "allowed": KINDS},
@@ -61,10 +71,18 @@
 
 
 TEMPLATE = {
-    "parameters": {"type": "dict", "keysrules": {"type": "string", "regex": "^[a-z][a-z0-9_]{0,30}$"},
-                   "valuesrules": {"type": "dict", "schema": {
-                       "type": {"type": "string", "allowed": ["string", "integer", "list"], "required": True},
-                       "default": {"nullable": True}}}, "default": {}},
+    "parameters": {
+        "type": "dict",
+        "keysrules": {"type": "string", "regex": "^[a-z][a-z0-9_]{0,30}$"},
+        "valuesrules": {
+            "type": "dict",
+            "schema": {
+                "type": {"type": "string", "allowed": ["string", "integer", "list"], "required": True},
+                "default": {"nullable": True},
+            },
+        },
+        "default": {},
+    },
     "shape": {"type": "dict", "required": True},
 }
 STAMP = {
@@ -79,8 +97,13 @@
     "idle_wait": {"type": "number", "min": 0.001, "max": 86400},
 }
 CONFIG = {
-    "halls": {"type": "dict", "keysrules": NAME, "required": True, "minlength": 1,
-              "valuesrules": {"type": "dict", "schema": {"region": {**NAME, "required": True}}}},
+    "halls": {
+        "type": "dict",
+        "keysrules": NAME,
+        "required": True,
+        "minlength": 1,
+        "valuesrules": {"type": "dict", "schema": {"region": {**NAME, "required": True}}},
+    },
     "services": {**_by_name(shape=SERVICE), "required": True, "minlength": 1},
     "pools": _by_name(shape=POOL),
     "tenants": _by_name(shape=TENANT),
--- a/sailward/label/stamps.py
+++ b/sailward/label/stamps.py
@@ -1,4 +1,5 @@
 """Templates with parameters and overlays, stamped out into a full configuration."""
+
 from __future__ import annotations
 
 import copy
@@ -56,8 +57,12 @@
 
 def _fill(*, shape: object, given: dict, path: str, faults: list) -> object:
     if isinstance(shape, dict):
-        return {_fill(shape=name, given=given, path=path, faults=faults):
-                _fill(shape=inner, given=given, path=path, faults=faults) for name, inner in shape.items()}
+        return {
+            _fill(shape=name, given=given, path=path, faults=faults): _fill(
+                shape=inner, given=given, path=path, faults=faults
+            )
+            for name, inner in shape.items()
+        }
     if isinstance(shape, list):
         return [_fill(shape=inner, given=given, path=path, faults=faults) for inner in shape]
     if not isinstance(shape, str) or "$" not in shape:
--- a/sailward/pour/bounds.py
+++ b/sailward/pour/bounds.py
@@ -1,4 +1,5 @@
 """Rate bounds of workers, counted over all pools; cold workers rise from a small bound."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -31,8 +32,11 @@
 
     def forget(self, *, now: float, keep: set[str]) -> None:
         """Drop the workers that are no longer listed, and the keys that have gone quiet."""
-        self._buckets = {key: bucket for key, bucket in self._buckets.items()
-                         if key in keep or (key.startswith("key ") and now - bucket.at < constants.TRY_WINDOW)}
+        self._buckets = {
+            key: bucket
+            for key, bucket in self._buckets.items()
+            if key in keep or (key.startswith("key ") and now - bucket.at < constants.TRY_WINDOW)
+        }
 
     def _fill(self, *, now: float, key: str, service: Service, warm: float, proxies: int) -> Bucket:
         rate = rate_of(service=service, warm=warm) * constants.RATE_MARGIN / max(1, proxies)
