--- a/sailward/pour/choosing.py
+++ b/sailward/pour/choosing.py
@@ -1,4 +1,5 @@
 """Choosing the worker: pool by weight, hall by share, worker by two random choices."""
+
 from __future__ import annotations
 
 import random
@@ -34,8 +35,11 @@
         if not shares:
             return Refusal(code=503, reason="no-hall", detail="no hall that may serve this tenant has a healthy worker")
         first = draw_hall(shares=shares, rng=self.rng)
-        others = [hall for hall in (*pool.preferred, *pool.fallback)
-                  if hall != first and hall in views and views[hall].allowed and views[hall].healthy]
+        others = [
+            hall
+            for hall in (*pool.preferred, *pool.fallback)
+            if hall != first and hall in views and views[hall].allowed and views[hall].healthy
+        ]
         others.sort(key=lambda hall: (hall not in shares, views[hall].drained))
         for hall in (first, *others):
             worker = self._choose(now=now, exchange=exchange, hall=hall)
@@ -55,15 +59,28 @@
         if not owned.is_open:
             return Refusal(code=503, reason="key-moving", detail="this key is on its way to another worker")
         worker, probed = world.book.workers.get(owned.owner), world.prober.probed.get(owned.owner)
-        if worker is None or worker.leaving or worker.hall in world.emptied or probed is None or not probed.healthy \
-                or (homes and world.plan.regions.get(worker.hall) not in homes) or owned.owner in exchange.tried:
+        if (
+            worker is None
+            or worker.leaving
+            or worker.hall in world.emptied
+            or probed is None
+            or not probed.healthy
+            or (homes and world.plan.regions.get(worker.hall) not in homes)
+            or owned.owner in exchange.tried
+        ):
             return Refusal(code=503, reason="owner-lost", detail="this key's worker can't be used; it will move")
         hot = replace(service, rate=service.rate * constants.HOT_KEY_SHARE)
-        if not self.bounds.step(now=now, key=f"key {service.name} {exchange.part}", service=hot, warm=service.cold_ramp,
-                                proxies=world.proxies):
+        if not self.bounds.step(
+            now=now,
+            key=f"key {service.name} {exchange.part}",
+            service=hot,
+            warm=service.cold_ramp,
+            proxies=world.proxies,
+        ):
             return Refusal(code=503, reason="hot-key", detail="this key has taken its part of its worker's bound")
-        if not self.bounds.step(now=now, key=owned.owner, service=service, warm=now - probed.warm_since,
-                                proxies=world.proxies):
+        if not self.bounds.step(
+            now=now, key=owned.owner, service=service, warm=now - probed.warm_since, proxies=world.proxies
+        ):
             return Refusal(code=503, reason="owner-full", detail="this key's worker is at its bound")
         exchange.term = owned.term
         return worker
@@ -72,8 +89,13 @@
         """May the worker chosen a moment ago still be sent this exchange?"""
         world, worker = self.world, exchange.chosen
         probed = world.prober.probed.get(worker.key)
-        if worker.key not in world.book.workers or world.book.workers[worker.key].leaving \
-                or worker.hall in world.emptied or probed is None or not probed.healthy:
+        if (
+            worker.key not in world.book.workers
+            or world.book.workers[worker.key].leaving
+            or worker.hall in world.emptied
+            or probed is None
+            or not probed.healthy
+        ):
             return False
         if exchange.slot < 0:
             return True
@@ -96,8 +118,12 @@
         world, service = self.world, exchange.service
         able = []
         for key, worker in world.book.workers.items():
-            if worker.service == service.name and worker.hall == hall and not worker.leaving \
-                    and key not in exchange.tried:
+            if (
+                worker.service == service.name
+                and worker.hall == hall
+                and not worker.leaving
+                and key not in exchange.tried
+            ):
                 probed = world.prober.probed.get(key)
                 if probed is not None and probed.healthy:
                     able.append((worker, now - probed.warm_since))
--- a/sailward/pour/claims.py
+++ b/sailward/pour/claims.py
@@ -1,4 +1,5 @@
 """The claim on an unsafe exchange: won at a majority before a byte is sent on."""
+
 from __future__ import annotations
 
 import json
@@ -13,7 +14,6 @@
 from sailward.pour.kept import Kept, Memory
 
 
-
 @dataclass(frozen=True, kw_only=True)
 class Won:
     """The claim is this exchange's: it may be sent on, once."""
@@ -87,10 +87,26 @@
     def finish(self, *, exchange: Exchange, code: int, headers: dict, body: bytes) -> list:
         """Keep the result for repeats, here if this place may, and with one proxy more."""
         memory = self.kept.memories.get(exchange.digest)
-        self.kept.finish(digest=exchange.digest, code=code, headers=headers, body=body,
-                         store=may_keep(region=self.region, homes=exchange.tenant.homes))
-        return spread_copy(exchange=exchange, number=memory.number, code=code, headers=headers, body=body, hall=self.hall,
-                           peers=self.peers) if memory else []
+        self.kept.finish(
+            digest=exchange.digest,
+            code=code,
+            headers=headers,
+            body=body,
+            store=may_keep(region=self.region, homes=exchange.tenant.homes),
+        )
+        return (
+            spread_copy(
+                exchange=exchange,
+                number=memory.number,
+                code=code,
+                headers=headers,
+                body=body,
+                hall=self.hall,
+                peers=self.peers,
+            )
+            if memory
+            else []
+        )
 
     def remembers(self, *, exchange: Exchange) -> bool:
         """Is the key known here as sent on before, so that no worker is needed?"""
@@ -103,19 +119,32 @@
             return [], [self._claim(now=now, exchange=exchange, expected=0)], []
         if memory.fingerprint != exchange.fingerprint:
             return [], [], [_lost_to_other(exchange=exchange)]
-        return self._judge_state(now=now, exchange=exchange, state=memory.state, number=memory.number,
-                                 code=memory.code, headers=memory.headers, body=memory.body)
+        return self._judge_state(
+            now=now,
+            exchange=exchange,
+            state=memory.state,
+            number=memory.number,
+            code=memory.code,
+            headers=memory.headers,
+            body=memory.body,
+        )
 
     def _claim(self, *, now: float, exchange: Exchange, expected: int) -> Begin:
         self.count += 1
-        self.kept.begin(now=now, digest=exchange.digest, fingerprint=exchange.fingerprint,
-                        homes=exchange.tenant.homes, count=self.count)
+        self.kept.begin(
+            now=now,
+            digest=exchange.digest,
+            fingerprint=exchange.fingerprint,
+            homes=exchange.tenant.homes,
+            count=self.count,
+        )
         op = f"{self.identity}/claim{self.count}"
         self.claiming[op] = exchange
         text = json.dumps({"o": self.post, "i": self.identity, "f": exchange.fingerprint, "n": self.count})
         wait = min(constants.CLAIM_EXPIRY, max(0.05, exchange.expiry - now))
-        return Begin(op=op, register=PREFIX + exchange.digest, expected=expected, text=text,
-                     first=expected == 0, wait=wait)
+        return Begin(
+            op=op, register=PREFIX + exchange.digest, expected=expected, text=text, first=expected == 0, wait=wait
+        )
 
     def _settle(self, *, now: float, event: Settled) -> tuple[list, list[Begin], list]:
         exchange = self.claiming.pop(event.op, None)
@@ -134,14 +163,16 @@
         refusal = Refusal(code=503, reason="claim-uncertain", detail="no majority of the core answered in time")
         return [], [], [Lost(exchange=exchange, refusal=refusal)]
 
-    def _take_other(self, *, now: float, exchange: Exchange, value: dict,
-                    memory: Memory | None) -> tuple[list, list[Begin], list]:
+    def _take_other(
+        self, *, now: float, exchange: Exchange, value: dict, memory: Memory | None
+    ) -> tuple[list, list[Begin], list]:
         claim = json.loads(value["text"])
         if claim["i"] == self.identity:
             # ours: unsent if it is no older than what is remembered, else it may have run
             known = memory is not None and claim["n"] >= memory.first and claim["f"] == exchange.fingerprint
-            return self._judge_state(now=now, exchange=exchange, state="unsent" if known else "unknown",
-                                     number=value["number"])
+            return self._judge_state(
+                now=now, exchange=exchange, state="unsent" if known else "unknown", number=value["number"]
+            )
         self.kept.memories.pop(exchange.digest, None)
         if claim["f"] != exchange.fingerprint:
             return [], [], [_lost_to_other(exchange=exchange)]
@@ -150,11 +181,23 @@
             return [], [], [Replayed(exchange=exchange, code=copy.code, headers=copy.headers, body=copy.body)]
         self.count += 1
         token = f"{self.identity}/peek{self.count}"
-        asked = {address for address in (claim["o"], *(peer.post for peer in self.peers)) if address not in ("", self.post)}
-        self.peeking[token] = Peeking(exchange=exchange, number=value["number"], owner=claim["o"], asked=asked,
-                                      expiry=now + constants.ROUND_WAIT * 2)
-        body = {"kind": "peek", "token": token, "key": exchange.digest, "number": value["number"],
-                "region": self.region}
+        asked = {
+            address for address in (claim["o"], *(peer.post for peer in self.peers)) if address not in ("", self.post)
+        }
+        self.peeking[token] = Peeking(
+            exchange=exchange,
+            number=value["number"],
+            owner=claim["o"],
+            asked=asked,
+            expiry=now + constants.ROUND_WAIT * 2,
+        )
+        body = {
+            "kind": "peek",
+            "token": token,
+            "key": exchange.digest,
+            "number": value["number"],
+            "region": self.region,
+        }
         return [Tell(to=address, body=body) for address in sorted(asked)], [], []
 
     def _take_peeked(self, *, now: float, sender: str, body: dict) -> tuple[list, list[Begin], list]:
@@ -170,11 +213,27 @@
         del self.peeking[body["token"]]
         headers = body["headers"] if body["code"] else None
         body = body if headers is not None else {**body, "state": peeking.state}
-        return self._judge_state(now=now, exchange=peeking.exchange, state=body["state"], number=peeking.number,
-                                 code=body["code"], headers=headers, body=bytes(body["body"]))
+        return self._judge_state(
+            now=now,
+            exchange=peeking.exchange,
+            state=body["state"],
+            number=peeking.number,
+            code=body["code"],
+            headers=headers,
+            body=bytes(body["body"]),
+        )
 
-    def _judge_state(self, *, now: float, exchange: Exchange, state: str, number: int, code: int = 0,
-                     headers: dict | None = None, body: bytes = b"") -> tuple[list, list[Begin], list]:
+    def _judge_state(
+        self,
+        *,
+        now: float,
+        exchange: Exchange,
+        state: str,
+        number: int,
+        code: int = 0,
+        headers: dict | None = None,
+        body: bytes = b"",
+    ) -> tuple[list, list[Begin], list]:
         if state == "unsent":
             return [], [self._claim(now=now, exchange=exchange, expected=number)], []
         if state == "done" and headers is not None:
@@ -188,8 +247,12 @@
         for token, peeking in list(self.peeking.items()):
             if now >= peeking.expiry:
                 del self.peeking[token]
-                refusal = Refusal(code=409, reason="repeat", state=peeking.state,
-                                  detail="no proxy that can be reached has this key's result")
+                refusal = Refusal(
+                    code=409,
+                    reason="repeat",
+                    state=peeking.state,
+                    detail="no proxy that can be reached has this key's result",
+                )
                 verdicts.append(Lost(exchange=peeking.exchange, refusal=refusal))
         self.kept.step(now=now)
         self.copies.step(now=now, event=None)
@@ -197,5 +260,7 @@
 
 
 def _lost_to_other(*, exchange: Exchange) -> Lost:
-    return Lost(exchange=exchange, refusal=Refusal(code=422, reason="key-reused",
-                                                   detail="this key was given with another request"))
+    return Lost(
+        exchange=exchange,
+        refusal=Refusal(code=422, reason="key-reused", detail="this key was given with another request"),
+    )
--- a/sailward/pour/copies.py
+++ b/sailward/pour/copies.py
@@ -1,4 +1,5 @@
 """Copies of results that other proxies gave: a patient caller learns of its order though its proxy is gone."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -45,8 +46,15 @@
         """Keep one if this place may, let old ones go."""
         if event is not None and may_keep(region=self.region, homes=frozenset(event["homes"])):
             self._drop(digest=event["key"])
-            self.held[event["key"]] = Copy(at=now, number=event["number"], fingerprint=event["print"], code=event["code"],
-                                           homes=frozenset(event["homes"]), headers=event["headers"], body=bytes(event["body"]))
+            self.held[event["key"]] = Copy(
+                at=now,
+                number=event["number"],
+                fingerprint=event["print"],
+                code=event["code"],
+                homes=frozenset(event["homes"]),
+                headers=event["headers"],
+                body=bytes(event["body"]),
+            )
             self.size += len(event["body"])
         while self.held:
             digest, oldest = next(iter(self.held.items()))
@@ -69,7 +77,9 @@
     return not homes or region in homes
 
 
-def spread_copy(*, exchange: Exchange, number: int, code: int, headers: dict, body: bytes, hall: str, peers: list[Peer]) -> list:
+def spread_copy(
+    *, exchange: Exchange, number: int, code: int, headers: dict, body: bytes, hall: str, peers: list[Peer]
+) -> list:
     """Give the result to the one proxy that hashing names, at home, in another hall if there is one."""
     homes = exchange.tenant.homes
     able = [peer for peer in peers if may_keep(region=peer.region, homes=homes)]
@@ -78,5 +88,18 @@
         return []
     posts = {peer.name: peer.post for peer in able}
     name = choose_names(key=exchange.digest, names=posts, count=1)[0]
-    return [Tell(to=posts[name], body={"kind": "keep", "key": exchange.digest, "number": number, "print": exchange.fingerprint,
-                                       "homes": sorted(homes), "code": code, "headers": headers, "body": body})]
+    return [
+        Tell(
+            to=posts[name],
+            body={
+                "kind": "keep",
+                "key": exchange.digest,
+                "number": number,
+                "print": exchange.fingerprint,
+                "homes": sorted(homes),
+                "code": code,
+                "headers": headers,
+                "body": body,
+            },
+        )
+    ]
--- a/sailward/pour/draw.py
+++ b/sailward/pour/draw.py
@@ -1,4 +1,5 @@
 """The source's design: the pool is drawn by weight, before any status; then halls by status."""
+
 from __future__ import annotations
 
 import random
@@ -43,15 +44,19 @@
     flapping, not against serving.
     """
     marked = _marked(pool=pool, views=views)
-    usable = [hall for hall in (*pool.preferred, *pool.fallback)
-              if hall in views and views[hall].allowed and views[hall].listed]
+    usable = [
+        hall
+        for hall in (*pool.preferred, *pool.fallback)
+        if hall in views and views[hall].allowed and views[hall].listed
+    ]
     standing = [hall for hall in usable if hall not in marked]
     if not any(views[hall].healthy for hall in standing):
         standing = [hall for hall in usable if views[hall].healthy]
     preferred = [hall for hall in pool.preferred if hall in standing]
     fallback = [hall for hall in pool.fallback if hall in standing]
-    keeps = {hall: min(1.0, views[hall].fraction / constants.SPILL) if views[hall].healthy else 0.0
-             for hall in standing}
+    keeps = {
+        hall: min(1.0, views[hall].fraction / constants.SPILL) if views[hall].healthy else 0.0 for hall in standing
+    }
     if not any(keeps[hall] for hall in preferred) or not any(keeps[hall] for hall in fallback):
         preferred, fallback = [hall for hall in standing if keeps[hall]], []
     if not fallback:
--- a/sailward/pour/evidence.py
+++ b/sailward/pour/evidence.py
@@ -1,4 +1,5 @@
 """Condition of workers by what exchanges show; only those in doubt are probed."""
+
 from __future__ import annotations
 
 import random
@@ -130,9 +131,17 @@
         shown.count += 1
         shown.probe = f"probe {key} {shown.count}"
         service = plan.services.get(shown.worker.service)
-        return Call(token=shown.probe, owner=key, address=shown.worker.address, method="GET",
-                    path=service.health_path if service else "/status", headers={self._names.expect: key}, body=b"",
-                    wait=constants.PROBE_WAIT, fresh=False)
+        return Call(
+            token=shown.probe,
+            owner=key,
+            address=shown.worker.address,
+            method="GET",
+            path=service.health_path if service else "/status",
+            headers={self._names.expect: key},
+            body=b"",
+            wait=constants.PROBE_WAIT,
+            fresh=False,
+        )
 
     def _judge(self, *, now: float, event: Called) -> list:
         key = event.token.split(" ")[1]
--- a/sailward/pour/exchange.py
+++ b/sailward/pour/exchange.py
@@ -1,4 +1,5 @@
 """One caller's exchange: taking it in, and refusing it with a word that holds."""
+
 from __future__ import annotations
 
 import hashlib
@@ -14,8 +15,21 @@
 
 SAFE = frozenset({"GET", "HEAD", "OPTIONS"})
 KNOWN = SAFE | {"POST", "PUT", "PATCH", "DELETE"}
-HOP = frozenset({"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-                 "transfer-encoding", "upgrade", "host", "content-length", "expect"})
+HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "expect",
+    }
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -118,16 +132,32 @@
     part = event.headers.get("sailward-key", "") or part_of(path=event.path, match=match)
     if service.slots and not part:
         return Refusal(code=400, reason="part-missing", detail="this service is divided: give the key in the path")
-    path = quote(event.path, safe="/%:@!$&'()*+,;=~-._") + ("?" + urlencode(event.query, doseq=True) if event.query else "")
-    return Exchange(token=event.token, name=name, tenant=tenant, method=event.method, path=path,
-                    headers=event.headers, body=event.body, match=match, service=service, key=key, turn=turn,
-                    part=part if service.slots else "", raw_path=event.path, plan=plan.number,
-                    arrived=now, expiry=now + constants.LINE_WAIT + service.expiry)
+    path = quote(event.path, safe="/%:@!$&'()*+,;=~-._") + (
+        "?" + urlencode(event.query, doseq=True) if event.query else ""
+    )
+    return Exchange(
+        token=event.token,
+        name=name,
+        tenant=tenant,
+        method=event.method,
+        path=path,
+        headers=event.headers,
+        body=event.body,
+        match=match,
+        service=service,
+        key=key,
+        turn=turn,
+        part=part if service.slots else "",
+        raw_path=event.path,
+        plan=plan.number,
+        arrived=now,
+        expiry=now + constants.LINE_WAIT + service.expiry,
+    )
 
 
 def part_of(*, path: str, match: Match) -> str:
     """The key of a divided service in a path: its first part behind the matched one."""
-    return path[len(match.path.rstrip("/")):].strip("/").split("/")[0]
+    return path[len(match.path.rstrip("/")) :].strip("/").split("/")[0]
 
 
 def refit_exchange(*, exchange: Exchange, plan: Plan) -> Refusal | None:
@@ -153,8 +183,11 @@
     Of a safe one always. Of an unsafe one only if the caller says that it is the first sending:
     an earlier one may run, or have run, elsewhere.
     """
-    return event.method in SAFE or event.headers.get("sailward-try", "") == "1" \
+    return (
+        event.method in SAFE
+        or event.headers.get("sailward-try", "") == "1"
         or not event.headers.get("idempotency-key", "")
+    )
 
 
 def answer_refusal(*, token: str, refusal: Refusal, not_run: bool) -> Answer:
@@ -170,19 +203,32 @@
 
 def answer_json(*, token: str, code: int, body: object, headers: dict | None = None) -> Answer:
     """A result in JSON."""
-    return Answer(token=token, code=code, body=json.dumps(body).encode() + b"\n",
-                  headers={"Content-Type": "application/json", **(headers or {})})
+    return Answer(
+        token=token,
+        code=code,
+        body=json.dumps(body).encode() + b"\n",
+        headers={"Content-Type": "application/json", **(headers or {})},
+    )
 
 
 def headers_onward(*, exchange: Exchange, worker: str, wait: float) -> dict:
     """The headers that go to the worker, which has `wait` seconds to begin and end."""
-    headers = {name: value for name, value in exchange.headers.items()
-               if name not in HOP and not name.startswith("sailward-")}
-    headers |= {"sailward-exchange": exchange.name, "sailward-worker": worker,
-                "sailward-tenant": exchange.tenant.name, "sailward-service": exchange.service.name,
-                "sailward-within": str(int(wait * 1000))}
+    headers = {
+        name: value for name, value in exchange.headers.items() if name not in HOP and not name.startswith("sailward-")
+    }
+    headers |= {
+        "sailward-exchange": exchange.name,
+        "sailward-worker": worker,
+        "sailward-tenant": exchange.tenant.name,
+        "sailward-service": exchange.service.name,
+        "sailward-within": str(int(wait * 1000)),
+    }
     if exchange.slot >= 0:
-        headers |= {"sailward-key": exchange.part, "sailward-slot": f"{exchange.space}/{exchange.slot}", "sailward-term": str(exchange.term)}
+        headers |= {
+            "sailward-key": exchange.part,
+            "sailward-slot": f"{exchange.space}/{exchange.slot}",
+            "sailward-term": str(exchange.term),
+        }
     return headers
 
 
--- a/sailward/pour/exchanges.py
+++ b/sailward/pour/exchanges.py
@@ -1,4 +1,5 @@
 """The exchanges under way in a proxy: allow, claim, send on, try again or give up at once."""
+
 from __future__ import annotations
 
 from collections import Counter, deque
@@ -8,8 +9,15 @@
 from sailward.acts import Answer, Asked, Call, Called, Log
 from sailward.pour.choosing import Chooser
 from sailward.pour.claims import Claims, Lost, Replayed, Won
-from sailward.pour.exchange import (Exchange, Refusal, answer_refusal, headers_onward, is_promise_safe,
-                                    refit_exchange, take_exchange)
+from sailward.pour.exchange import (
+    Exchange,
+    Refusal,
+    answer_refusal,
+    headers_onward,
+    is_promise_safe,
+    refit_exchange,
+    take_exchange,
+)
 from sailward.pour.lines import Lines
 from sailward.pour.tries import LOOK, Tries
 from sailward.pour.verify import Bad, Good, Unsent, WorkerRefused, judge_result
@@ -68,8 +76,13 @@
 
     def _arrive(self, *, now: float, event: Asked, acting: bool) -> tuple[list, list]:
         self.count += 1
-        taken = take_exchange(event=event, plan=self.chooser.world.plan, now=now,
-                              name=f"{self.identity}.{self.count}", clock=self.chooser.world.clock(now=now))
+        taken = take_exchange(
+            event=event,
+            plan=self.chooser.world.plan,
+            now=now,
+            name=f"{self.identity}.{self.count}",
+            clock=self.chooser.world.clock(now=now),
+        )
         promise = is_promise_safe(event=event)
         if not acting and not (isinstance(taken, Refusal) and taken.code == 413):
             # without a lease even "no such tenant" could be stale news
@@ -83,14 +96,28 @@
         repeat = taken.turn > 1 or (memory is not None and memory.state == "unsent")
         replay = memory is not None and memory.state != "unsent"
         # a repeat whose claim is not known here swells nothing until it is sent on
-        taken.paid = "" if replay else self.tries.look(now=now) if taken.unsafe and repeat and memory is None \
+        taken.paid = (
+            ""
+            if replay
+            else self.tries.look(now=now)
+            if taken.unsafe and repeat and memory is None
             else self.tries.step(now=now, first=not repeat, caller=True)
+        )
         if not replay and not taken.paid:
-            return [self._refuse(exchange=taken, reason="too-many-repeats",
-                                 detail="repeats are over their share of the traffic")], []
+            return [
+                self._refuse(
+                    exchange=taken, reason="too-many-repeats", detail="repeats are over their share of the traffic"
+                )
+            ], []
         if taken.unsafe and memory is None and taken.turn != 1 and self.chooser.world.in_doubt(now=now):
-            return [self._refuse(exchange=taken, reason="claims-in-doubt", detail="the core lost claims: an exchange that may have been "
-                                 "sent before is not sent on until their life is over")], []
+            return [
+                self._refuse(
+                    exchange=taken,
+                    reason="claims-in-doubt",
+                    detail="the core lost claims: an exchange that may have been "
+                    "sent before is not sent on until their life is over",
+                )
+            ], []
         self.live[taken.token] = taken
         if replay or (len(self.sent) < constants.MAX_OPEN and not self.lines.waits(name=taken.line)):
             dispatched = self._dispatch(now=now, exchange=taken)
@@ -142,9 +169,19 @@
         self.loads.append((now, exchange.service.name))
         self.calls[token] = now + wait + constants.LINE_WAIT
         most = min(wait, exchange.service.expiry)
-        return [Call(token=token, owner=worker.key, address=worker.address, method=exchange.method,
-                     path=exchange.path, headers=headers_onward(exchange=exchange, worker=worker.key, wait=most),
-                     body=exchange.body, wait=most, fresh=exchange.unsafe)]
+        return [
+            Call(
+                token=token,
+                owner=worker.key,
+                address=worker.address,
+                method=exchange.method,
+                path=exchange.path,
+                headers=headers_onward(exchange=exchange, worker=worker.key, wait=most),
+                body=exchange.body,
+                wait=most,
+                fresh=exchange.unsafe,
+            )
+        ]
 
     def _hear_verdicts(self, *, now: float, verdicts: list, acting: bool) -> list:
         commands = []
@@ -155,20 +192,33 @@
                 if exchange.paid == LOOK:
                     exchange.paid = self.tries.step(now=now, first=False, caller=True)
                     if not exchange.paid and not exchange.answered:
-                        commands.append(self._refuse(exchange=exchange, reason="too-many-repeats",
-                                                     detail="repeats are over their share of the traffic"))
+                        commands.append(
+                            self._refuse(
+                                exchange=exchange,
+                                reason="too-many-repeats",
+                                detail="repeats are over their share of the traffic",
+                            )
+                        )
                         continue
                 if exchange.answered or not acting or now >= exchange.expiry:
                     self._unsend(exchange=exchange)
                     if not exchange.answered:
-                        commands.append(self._refuse(exchange=exchange, reason="no-lease", detail="lost while claiming"))
+                        commands.append(
+                            self._refuse(exchange=exchange, reason="no-lease", detail="lost while claiming")
+                        )
                 else:
                     commands += self._send_on(now=now, exchange=exchange)
             elif exchange.answered:
                 continue
             elif isinstance(verdict, Replayed):
-                commands.append(self._answer(exchange=exchange, code=verdict.code, body=verdict.body,
-                                             headers={**verdict.headers, "Sailward-Repeat": "kept"}))
+                commands.append(
+                    self._answer(
+                        exchange=exchange,
+                        code=verdict.code,
+                        body=verdict.body,
+                        headers={**verdict.headers, "Sailward-Repeat": "kept"},
+                    )
+                )
             elif isinstance(verdict, Lost):
                 commands.append(self._refuse(exchange=exchange, refusal=verdict.refusal))
         return commands
@@ -209,8 +259,12 @@
         return commands + [self._refuse(exchange=exchange, refusal=refusal)], []
 
     def _try_better(self, *, exchange: Exchange, verdict: Good) -> bool:
-        return not exchange.unsafe and verdict.code in (502, 503, 504) and not exchange.answered \
+        return (
+            not exchange.unsafe
+            and verdict.code in (502, 503, 504)
+            and not exchange.answered
             and exchange.tries < constants.MAX_TRIES
+        )
 
     def _mark_worker(self, *, now: float, exchange: Exchange, verdict: object) -> list:
         event = {"Unsent": "refused"}.get(type(verdict).__name__, "")
@@ -221,11 +275,17 @@
         return [*commands, Log(event="sending-on-failed", fields=fields)]
 
     def _finish(self, *, exchange: Exchange, verdict: Good) -> list:
-        commands = self.claims.finish(exchange=exchange, code=verdict.code, headers=verdict.headers,
-                                      body=verdict.body) if exchange.unsafe else []
+        commands = (
+            self.claims.finish(exchange=exchange, code=verdict.code, headers=verdict.headers, body=verdict.body)
+            if exchange.unsafe
+            else []
+        )
         if exchange.answered:
             return commands
-        return [*commands, self._answer(exchange=exchange, code=verdict.code, headers=verdict.headers, body=verdict.body)]
+        return [
+            *commands,
+            self._answer(exchange=exchange, code=verdict.code, headers=verdict.headers, body=verdict.body),
+        ]
 
     def _answer(self, *, exchange: Exchange, code: int, headers: dict, body: bytes) -> Answer:
         self.tally["answered"] += 1
@@ -233,8 +293,9 @@
         self.live.pop(exchange.token, None)
         return Answer(token=exchange.token, code=code, body=body, headers=headers)
 
-    def _refuse(self, *, exchange: Exchange, reason: str = "", detail: str = "",
-                refusal: Refusal | None = None) -> Answer:
+    def _refuse(
+        self, *, exchange: Exchange, reason: str = "", detail: str = "", refusal: Refusal | None = None
+    ) -> Answer:
         refusal = refusal or Refusal(code=503, reason=reason, detail=detail)
         self._count_refusal(reason=refusal.reason)
         if exchange.paid and exchange.tries == 0:
@@ -279,8 +340,15 @@
         for exchange in list(self.live.values()):
             if exchange.state == "waiting" and (not acting or now - exchange.arrived >= constants.LINE_WAIT):
                 reason = "no-room" if acting else "no-lease"
-                commands.append(self._refuse(exchange=exchange, reason=reason, detail="every worker that may serve is at its bound"
-                                             if acting else "this proxy is cut off from the core"))
+                commands.append(
+                    self._refuse(
+                        exchange=exchange,
+                        reason=reason,
+                        detail="every worker that may serve is at its bound"
+                        if acting
+                        else "this proxy is cut off from the core",
+                    )
+                )
             elif now >= exchange.expiry:
                 refusal = Refusal(code=504, reason="expired")
                 commands.append(self._refuse(exchange=exchange, refusal=refusal))
--- a/sailward/pour/forwarding.py
+++ b/sailward/pour/forwarding.py
@@ -1,4 +1,5 @@
 """The requests under way in a proxy: place, send on, try again within the budget, or give up at once."""
+
 from __future__ import annotations
 
 from collections import Counter
@@ -46,12 +47,19 @@
     def take_loads(self) -> dict:
         """{service: {bucket: requests}} for divided services since it was asked last."""
         loads, self.loads = self.loads, {}
-        return {service: {str(bucket): count for bucket, count in buckets.items()} for service, buckets in loads.items()}
+        return {
+            service: {str(bucket): count for bucket, count in buckets.items()} for service, buckets in loads.items()
+        }
 
     def end_all(self, *, now: float) -> list:
         """Give up everything under way, as the process ends."""
-        return [command for request in list(self.live.values())
-                for command in self._give_up(now=now, request=request, refusal=Refusal(code=504 if request.sent else 503, reason="stopping"))]
+        return [
+            command
+            for request in list(self.live.values())
+            for command in self._give_up(
+                now=now, request=request, refusal=Refusal(code=504 if request.sent else 503, reason="stopping")
+            )
+        ]
 
     def _arrive(self, *, now: float, event: Asked) -> list:
         taken = take_request(event=event, plan=self.placer.scene.plan, now=now, names=self.names)
@@ -72,7 +80,9 @@
             return self._send_on(now=now, request=request, worker=choice)
         if request.waits_since < 0:
             request.waits_since = now
-        if choice.reason in SHORT and now + constants.TICK - request.waits_since <= self._patience(request=request, reason=choice.reason):
+        if choice.reason in SHORT and now + constants.TICK - request.waits_since <= self._patience(
+            request=request, reason=choice.reason
+        ):
             self.waiting[request.token] = request
             return []
         return self._give_up(now=now, request=request, refusal=choice)
@@ -85,9 +95,13 @@
     def _send_on(self, *, now: float, request: Request, worker) -> list:
         left = request.expiry - now
         if left <= constants.LEAST_LEFT:
-            return self._give_up(now=now, request=request, refusal=Refusal(code=503 if not request.sent else 504, reason="expired"))
+            return self._give_up(
+                now=now, request=request, refusal=Refusal(code=503 if not request.sent else 504, reason="expired")
+            )
         scene = self.placer.scene
-        if request.sent and not self.budget.step(now=now, service=request.service.name, first=False, proxies=scene.proxies):
+        if request.sent and not self.budget.step(
+            now=now, service=request.service.name, first=False, proxies=scene.proxies
+        ):
             return self._give_up(now=now, request=request, refusal=Refusal(code=503, reason="budget"))
         if not request.sent and not request.unsent:
             self.budget.step(now=now, service=request.service.name, first=True, proxies=scene.proxies)
@@ -104,9 +118,20 @@
         self.placer.took(key=worker.key)
         self.tally["sent"] += 1
         headers = headers_to_worker(request=request, worker=worker.key, within=left, names=self.names)
-        return [Call(token=token, owner=worker.key, address=worker.address, method=request.method, path=request.target,
-                     headers=headers, body=request.body, wait=left, fresh=not request.match.is_repeatable,
-                     dial=constants.DIAL_NEAR if scene.regions.get(worker.hall) == scene.region else 0.0)]
+        return [
+            Call(
+                token=token,
+                owner=worker.key,
+                address=worker.address,
+                method=request.method,
+                path=request.target,
+                headers=headers,
+                body=request.body,
+                wait=left,
+                fresh=not request.match.is_repeatable,
+                dial=constants.DIAL_NEAR if scene.regions.get(worker.hall) == scene.region else 0.0,
+            )
+        ]
 
     def _hedge_after(self, *, request: Request) -> float:
         # a key has one owner: it is asked again only when its answer has most likely been lost
@@ -170,7 +195,9 @@
                 self.tally["overtaken"] += 1
                 self.placer.scene.evidence.note(now=now, key=attempt.worker, event="lost")
                 if request.hedge_at < float("inf"):
-                    request.hedge_at = min(request.hedge_at, max(now, other.at + constants.OVERTAKEN_PACES * shown.calm))
+                    request.hedge_at = min(
+                        request.hedge_at, max(now, other.at + constants.OVERTAKEN_PACES * shown.calm)
+                    )
 
     def _note(self, *, now: float, attempt: Attempt, verdict: object) -> list:
         if isinstance(verdict, Whole):
@@ -181,13 +208,24 @@
             event = EVENTS.get(verdict.reason, "" if verdict.reason == "too-late" else "fail")
         if isinstance(verdict, (Broken, NotSent, TurnedAway)):
             self.tally[f"{type(verdict).__name__}-{getattr(verdict, 'reason', getattr(verdict, 'why', ''))}"] += 1
-        return self.placer.scene.evidence.note(now=now, key=attempt.worker, event=event, took=now - attempt.at) if event else []
+        return (
+            self.placer.scene.evidence.note(now=now, key=attempt.worker, event=event, took=now - attempt.at)
+            if event
+            else []
+        )
 
     def _answer(self, *, request: Request, verdict: Whole) -> list:
         commands = self._end(request=request)
         self.tally["answered"] += 1
-        return [Answer(token=request.token, code=verdict.code, headers=headers_to_caller(headers=verdict.headers),
-                       body=verdict.body), *commands]
+        return [
+            Answer(
+                token=request.token,
+                code=verdict.code,
+                headers=headers_to_caller(headers=verdict.headers),
+                body=verdict.body,
+            ),
+            *commands,
+        ]
 
     def _give_up(self, *, now: float, request: Request, refusal: Refusal) -> list:
         commands = self._end(request=request)
@@ -196,8 +234,15 @@
             # it may have run: no promise may be made
             code = 502
         self.tally[f"refused-{refusal.reason}"] += 1
-        log = Log(event="given-up", fields={"reason": refusal.reason, "code": code, "route": request.match.path,
-                                            "took": round(now - request.arrived, 3)})
+        log = Log(
+            event="given-up",
+            fields={
+                "reason": refusal.reason,
+                "code": code,
+                "route": request.match.path,
+                "took": round(now - request.arrived, 3),
+            },
+        )
         return [self._refusal(token=request.token, refusal=Refusal(code=code, reason=refusal.reason)), log, *commands]
 
     def _end(self, *, request: Request) -> list:
@@ -221,9 +266,14 @@
         return self._end(request=request)
 
     def _refusal(self, *, token: str, refusal: Refusal) -> Answer:
-        headers = {"Retry-After": str(constants.COME_BACK.get(refusal.reason, constants.COME_BACK[""]))} \
-            if refusal.code in (429, 503) else {}
-        return answer_json(token=token, code=refusal.code, body={"error": refusal.reason, "detail": refusal.detail}, headers=headers)
+        headers = (
+            {"Retry-After": str(constants.COME_BACK.get(refusal.reason, constants.COME_BACK[""]))}
+            if refusal.code in (429, 503)
+            else {}
+        )
+        return answer_json(
+            token=token, code=refusal.code, body={"error": refusal.reason, "detail": refusal.detail}, headers=headers
+        )
 
     def _pump(self, *, now: float) -> list:
         commands = []
--- a/sailward/pour/halls.py
+++ b/sailward/pour/halls.py
@@ -1,4 +1,5 @@
 """Halls of one service: healthy fraction, drained or open, with a hold before the return."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -56,8 +57,18 @@
                 hall.state, hall.since = after, now
         if before == hall.state:
             return []
-        return [Log(event="hall-state", fields={"service": key[0], "hall": key[1], "from": before,
-                                                "to": hall.state, "fraction": round(hall.fraction, 2)})]
+        return [
+            Log(
+                event="hall-state",
+                fields={
+                    "service": key[0],
+                    "hall": key[1],
+                    "from": before,
+                    "to": hall.state,
+                    "fraction": round(hall.fraction, 2),
+                },
+            )
+        ]
 
     def _events(self, *, now: float, hall: HallState) -> list[str]:
         if hall.fraction < constants.DRAIN:
--- a/sailward/pour/kept.py
+++ b/sailward/pour/kept.py
@@ -1,4 +1,5 @@
 """What a proxy remembers of the unsafe exchanges that it claimed."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -44,12 +45,12 @@
             self._bytes -= len(memory.body)
             memory.body, memory.headers = b"", None
 
-    def begin(self, *, now: float, digest: str, fingerprint: str, homes: frozenset,
-              count: int) -> Memory:
+    def begin(self, *, now: float, digest: str, fingerprint: str, homes: frozenset, count: int) -> Memory:
         """Remember that the claim with this count is being made here; `first` is the first one remembered."""
         old = self.memories.pop(digest, None)
-        memory = Memory(state="claiming", fingerprint=fingerprint, at=now, homes=homes,
-                        first=old.first if old else count)
+        memory = Memory(
+            state="claiming", fingerprint=fingerprint, at=now, homes=homes, first=old.first if old else count
+        )
         if old is not None:
             self._bytes -= len(old.body)
         self.memories[digest] = memory
@@ -69,8 +70,14 @@
         """The answer to another proxy in this region: of an own claim, or by a copy."""
         memory = self.memories.get(digest)
         state = memory.state if memory else "unknown"
-        body = {"kind": "peeked", "token": token, "state": "running" if state == "claiming" else state,
-                "code": 0, "headers": {}, "body": b""}
+        body = {
+            "kind": "peeked",
+            "token": token,
+            "state": "running" if state == "claiming" else state,
+            "code": 0,
+            "headers": {},
+            "body": b"",
+        }
         found = memory if memory and memory.headers is not None else copy
         if found is not None and may_keep(region=region, homes=found.homes):
             body |= {"state": "done", "code": found.code, "headers": found.headers, "body": found.body}
--- a/sailward/pour/keytime.py
+++ b/sailward/pour/keytime.py
@@ -1,4 +1,5 @@
 """Keys that carry their time (UUIDv7, RFC 9562): a repeat that comes after its claim's life is known as one."""
+
 from __future__ import annotations
 
 import re
--- a/sailward/pour/lease.py
+++ b/sailward/pour/lease.py
@@ -1,4 +1,5 @@
 """The lease of a proxy on the control state that it holds."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -33,8 +34,9 @@
         self._seq = 0
         self._next = -1e9
 
-    def step(self, *, now: float, event: tuple | None, voters: dict, addresses: list,
-             report: dict, daemon: dict, have: dict) -> list:
+    def step(
+        self, *, now: float, event: tuple | None, voters: dict, addresses: list, report: dict, daemon: dict, have: dict
+    ) -> list:
         """Fold what came, judge the lease, ask again when it is time."""
         if event is not None:
             self._take_grant(body=event[1], voters=voters)
--- a/sailward/pour/lines.py
+++ b/sailward/pour/lines.py
@@ -1,4 +1,5 @@
 """One bounded line for each tenant and service, served in turn."""
+
 from __future__ import annotations
 
 from collections import OrderedDict, deque
--- a/sailward/pour/placing.py
+++ b/sailward/pour/placing.py
@@ -1,4 +1,5 @@
 """Which worker serves a request: pool by weight, hall by tier and health, worker by two random choices."""
+
 from __future__ import annotations
 
 import random
@@ -68,8 +69,11 @@
             request.service, request.is_drawn = self._draw_service(request=request), True
         if request.service.ranged:
             return self._find_owner(now=now, request=request)
-        pool = next(pool for pool in (scene.plan.pools.get(name) for name, _ in request.match.shares)
-                    if pool is not None and pool.service == request.service.name)
+        pool = next(
+            pool
+            for pool in (scene.plan.pools.get(name) for name, _ in request.match.shares)
+            if pool is not None and pool.service == request.service.name
+        )
         pool = self._near(pool=pool, homes=request.match.homes)
         able = self._able(now=now, request=request)
         views = self._views(now=now, service=request.service.name, homes=request.match.homes)
@@ -77,8 +81,10 @@
         if not shares:
             return Refusal(code=503, reason="no-worker")
         first = draw_hall(shares=shares, rng=self.rng)
-        others = sorted((hall for hall in views if hall != first and views[hall].allowed),
-                        key=lambda hall: (hall not in shares, hall not in pool.preferred, hall))
+        others = sorted(
+            (hall for hall in views if hall != first and views[hall].allowed),
+            key=lambda hall: (hall not in shares, hall not in pool.preferred, hall),
+        )
         for hall in (first, *others):
             worker = self._choose(now=now, request=request, able=able.get(hall, []))
             if worker is not None:
@@ -110,9 +116,13 @@
             return pool
         region = self.scene.region if not homes or self.scene.region in homes else sorted(homes)[0]
         halls = sorted(self.scene.regions)
-        return Pool(name=pool.name, service=pool.service, near=True,
-                    preferred=tuple(hall for hall in halls if self.scene.regions[hall] == region),
-                    fallback=tuple(hall for hall in halls if self.scene.regions[hall] != region))
+        return Pool(
+            name=pool.name,
+            service=pool.service,
+            near=True,
+            preferred=tuple(hall for hall in halls if self.scene.regions[hall] == region),
+            fallback=tuple(hall for hall in halls if self.scene.regions[hall] != region),
+        )
 
     def _may_serve(self, *, hall: str, homes: frozenset) -> bool:
         return hall not in self.scene.emptied and (not homes or self.scene.regions.get(hall) in homes)
@@ -122,8 +132,14 @@
         warm = self._warm(now=now, service=service)
         for (name, hall), state in self.scene.halls.halls.items():
             if name == service:
-                views[hall] = HallView(fraction=state.fraction, healthy=state.healthy, listed=state.listed, drained=state.drained,
-                                       allowed=self._may_serve(hall=hall, homes=homes), weight=max(0.1, warm.get(hall, 0)))
+                views[hall] = HallView(
+                    fraction=state.fraction,
+                    healthy=state.healthy,
+                    listed=state.listed,
+                    drained=state.drained,
+                    allowed=self._may_serve(hall=hall, homes=homes),
+                    weight=max(0.1, warm.get(hall, 0)),
+                )
         return views
 
     def _mean(self, *, service: str) -> float:
@@ -137,7 +153,12 @@
         mean = self._mean(service=service)
         for worker in self.scene.by_service.get(service, ()):
             shown = self.scene.evidence.shown.get(worker.key)
-            if shown is not None and shown.is_healthy and not worker.leaving and now >= max(shown.cold_until, shown.shunned_until):
+            if (
+                shown is not None
+                and shown.is_healthy
+                and not worker.leaving
+                and now >= max(shown.cold_until, shown.shunned_until)
+            ):
                 warm[worker.hall] = warm.get(worker.hall, 0.0) + shown.speed(mean=mean)
         return warm
 
@@ -145,8 +166,13 @@
         able: dict[str, list[Shown]] = {}
         for worker in self.scene.by_service.get(request.service.name, ()):
             shown = self.scene.evidence.shown.get(worker.key)
-            if shown is not None and shown.is_healthy and not worker.leaving and worker.key not in request.tried \
-                    and self._may_serve(hall=worker.hall, homes=request.match.homes):
+            if (
+                shown is not None
+                and shown.is_healthy
+                and not worker.leaving
+                and worker.key not in request.tried
+                and self._may_serve(hall=worker.hall, homes=request.match.homes)
+            ):
                 able.setdefault(worker.hall, []).append(shown)
         return able
 
@@ -158,7 +184,9 @@
             mean = self._mean(service=request.service.name)
             first = self.rng.choices(warm, weights=[shown.speed(mean=mean) for shown in warm])[0]
             others = [shown for shown in warm if shown is not first]
-            second = self.rng.choices(others, weights=[shown.speed(mean=mean) for shown in others])[0] if others else first
+            second = (
+                self.rng.choices(others, weights=[shown.speed(mean=mean) for shown in others])[0] if others else first
+            )
             return min((first, second), key=self._load).worker
         cold = [shown for shown in free if now < shown.cold_until]
         self.rng.shuffle(cold)
@@ -180,7 +208,9 @@
     def _bears(self, *, now: float, shown: Shown, request: Request) -> bool:
         """Has the cold worker's bound room for one from here? Only the few proxies that hashing names send to it."""
         scene, key = self.scene, shown.worker.key
-        names = [name for name, region in scene.peers.items() if region == scene.regions.get(shown.worker.hall)] or list(scene.peers)
+        names = [
+            name for name, region in scene.peers.items() if region == scene.regions.get(shown.worker.hall)
+        ] or list(scene.peers)
         if names and scene.name not in choose_names(key=key, names=names, count=constants.COLD_SENDERS):
             return False
         rate = request.service.cold_rate / constants.COLD_SENDERS
@@ -203,13 +233,21 @@
         if shard.state != "open":
             return Refusal(code=503, reason="key-moving")
         shown = scene.evidence.shown.get(shard.owner)
-        if shown is None or not shown.is_healthy or not self._may_serve(hall=shown.worker.hall, homes=request.match.homes):
+        if (
+            shown is None
+            or not shown.is_healthy
+            or not self._may_serve(hall=shown.worker.hall, homes=request.match.homes)
+        ):
             return Refusal(code=503, reason="owner-lost")
         worker = shown.worker
         if now - shown.leaving_since > scene.leave_after:
             # its keys should have moved by now: it must not be sent anything any more
             return Refusal(code=503, reason="owner-lost")
-        if request.turned_away and worker.key in request.turned_away and now - request.waits_since < constants.OWNER_PAUSE:
+        if (
+            request.turned_away
+            and worker.key in request.turned_away
+            and now - request.waits_since < constants.OWNER_PAUSE
+        ):
             return Refusal(code=503, reason="key-moving")
         if not self._has_room(shown=shown) or now < shown.busy_until:
             return Refusal(code=503, reason="no-room")
--- a/sailward/pour/plan.py
+++ b/sailward/pour/plan.py
@@ -1,4 +1,5 @@
 """The configuration in force, made ready for matching."""
+
 from __future__ import annotations
 
 import json
@@ -130,26 +131,65 @@
 
 def plan_of(*, full: dict, number: int) -> Plan:
     """The plan in a configuration's full form."""
-    services = {name: Service(name=name, expiry=one["expiry_s"], rate=one["rate"], cold_rate=one["cold_rate"],
-                              cold_ramp=one["cold_ramp_s"], result_bytes=one["result_bytes"],
-                              digest_required=one["digest_required"], timed_keys=one.get("timed_keys", False), slots=one["slots"],
-                              keys_shared=one["keys"] == "shared", ranged=one["keys"] == "ranged",
-                              health_path=one.get("health_path", "/status"), connections=one.get("connections", 0),
-                              cold=one.get("cold_s", 0.0), warm_up=one.get("warm_s", 0.0))
-                for name, one in full["services"].items()}
-    pools = {name: Pool(name=name, service=one["service"], preferred=tuple(one["preferred"]),
-                        fallback=tuple(one["fallback"]), near=one.get("tiers") == "near")
-             for name, one in full["pools"].items()}
-    tenants = {name: Tenant(name=name, homes=frozenset(one["homes"]), share=one["share"])
-               for name, one in full["tenants"].items()}
-    matches = [Match(path=one["path"], methods=frozenset(one["methods"]), tenants=frozenset(one["tenants"]),
-                     shares=tuple((share["pool"], share["weight"]) for share in one["pools"]),
-                     host=one.get("host", ""), kind=one.get("kind", ""), expiry=one.get("expiry_s", 0.0),
-                     tries=one.get("tries", 0), target=one.get("target_s", 0.0), rank=one.get("rank", 0),
-                     homes=frozenset(one.get("homes", ())))
-               for one in full["matches"]]
+    services = {
+        name: Service(
+            name=name,
+            expiry=one["expiry_s"],
+            rate=one["rate"],
+            cold_rate=one["cold_rate"],
+            cold_ramp=one["cold_ramp_s"],
+            result_bytes=one["result_bytes"],
+            digest_required=one["digest_required"],
+            timed_keys=one.get("timed_keys", False),
+            slots=one["slots"],
+            keys_shared=one["keys"] == "shared",
+            ranged=one["keys"] == "ranged",
+            health_path=one.get("health_path", "/status"),
+            connections=one.get("connections", 0),
+            cold=one.get("cold_s", 0.0),
+            warm_up=one.get("warm_s", 0.0),
+        )
+        for name, one in full["services"].items()
+    }
+    pools = {
+        name: Pool(
+            name=name,
+            service=one["service"],
+            preferred=tuple(one["preferred"]),
+            fallback=tuple(one["fallback"]),
+            near=one.get("tiers") == "near",
+        )
+        for name, one in full["pools"].items()
+    }
+    tenants = {
+        name: Tenant(name=name, homes=frozenset(one["homes"]), share=one["share"])
+        for name, one in full["tenants"].items()
+    }
+    matches = [
+        Match(
+            path=one["path"],
+            methods=frozenset(one["methods"]),
+            tenants=frozenset(one["tenants"]),
+            shares=tuple((share["pool"], share["weight"]) for share in one["pools"]),
+            host=one.get("host", ""),
+            kind=one.get("kind", ""),
+            expiry=one.get("expiry_s", 0.0),
+            tries=one.get("tries", 0),
+            target=one.get("target_s", 0.0),
+            rank=one.get("rank", 0),
+            homes=frozenset(one.get("homes", ())),
+        )
+        for one in full["matches"]
+    ]
     matches.sort(key=lambda match: (-len(match.path), not match.tenants, not match.methods))
-    return Plan(number=number, services=services, pools=pools, tenants=tenants, matches=tuple(matches),
-                index=groupby(lambda match: (match.host, _first_part(path=match.path)), matches),
-                limits=Limits(**full.get("limits", {})), label=full.get("label", 0),
-                regions={name: hall["region"] for name, hall in full["halls"].items()})
+    return Plan(
+        number=number,
+        services=services,
+        pools=pools,
+        tenants=tenants,
+        matches=tuple(matches),
+        index=groupby(lambda match: (match.host, _first_part(path=match.path)), matches),
+        limits=Limits(**full.get("limits", {})),
+        label=full.get("label", 0),
+        regions={name: hall["region"] for name, hall in full["halls"].items()},
+    )
--- a/sailward/pour/reply.py
+++ b/sailward/pour/reply.py
@@ -1,4 +1,5 @@
 """Is a worker's answer whole, its own, and this request's? By what the edge and the headers tell."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -43,7 +44,9 @@
     reason: str
 
 
-def judge_reply(*, request: Request, worker: str, event: Called, names: WireNames) -> Whole | TurnedAway | NotSent | Broken:
+def judge_reply(
+    *, request: Request, worker: str, event: Called, names: WireNames
+) -> Whole | TurnedAway | NotSent | Broken:
     """Judge the end of one sending-on."""
     if event.code == 0:
         return Broken(reason=event.fault) if event.sent else NotSent(reason=event.fault)
--- a/sailward/pour/request.py
+++ b/sailward/pour/request.py
@@ -1,4 +1,5 @@
 """One request of a caller on its way through a proxy, by the route that it matched."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -9,8 +10,22 @@
 from sailward.pour.exchange import Refusal
 from sailward.pour.plan import Match, Plan, Service
 
-HOP = frozenset({"connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
-                 "transfer-encoding", "upgrade", "content-length", "expect", "accept-encoding"})
+HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        "accept-encoding",
+    }
+)
 
 
 @dataclass(kw_only=True)
@@ -67,9 +82,19 @@
     within = int(given) / 1000 if given.isascii() and given.isdigit() and len(given) < 10 else constants.REQUEST_EXPIRY
     key = event.headers.get(names.part, "")
     number = int(key) if key.isascii() and key.isdigit() and len(key) < 6 and int(key) <= constants.KEY_LAST else -1
-    return Request(token=event.token, name=event.headers.get(names.exchange, ""), method=event.method, target=event.target,
-                   headers=event.headers, body=event.body or b"", match=match, service=service, arrived=now, key=number,
-                   expiry=now + max(0.0, min(within, match.expiry or constants.REQUEST_EXPIRY)))
+    return Request(
+        token=event.token,
+        name=event.headers.get(names.exchange, ""),
+        method=event.method,
+        target=event.target,
+        headers=event.headers,
+        body=event.body or b"",
+        match=match,
+        service=service,
+        arrived=now,
+        key=number,
+        expiry=now + max(0.0, min(within, match.expiry or constants.REQUEST_EXPIRY)),
+    )
 
 
 def headers_to_worker(*, request: Request, worker: str, within: float, names: WireNames) -> dict:
--- a/sailward/pour/retry_budget.py
+++ b/sailward/pour/retry_budget.py
@@ -1,4 +1,5 @@
 """The retry budget of a service, of which each proxy has its part: a share of first tries in a sliding window, and a small floor."""
+
 from __future__ import annotations
 
 from collections import deque
--- a/sailward/pour/shards.py
+++ b/sailward/pour/shards.py
@@ -1,4 +1,5 @@
 """Services divided into key ranges: who owns which range now, as the register's text and as proxies find it."""
+
 from __future__ import annotations
 
 import bisect
@@ -68,14 +69,26 @@
     body = json.loads(text) if text else {}
     if "ranges" not in body:
         return None
-    shards = tuple(Shard(start=row[0], end=row[1], owner=row[2], fence=row[3], state=row[4],
-                         next_owner=row[5] if len(row) > 5 else "") for row in body["ranges"])
+    shards = tuple(
+        Shard(
+            start=row[0],
+            end=row[1],
+            owner=row[2],
+            fence=row[3],
+            state=row[4],
+            next_owner=row[5] if len(row) > 5 else "",
+        )
+        for row in body["ranges"]
+    )
     return ShardTable(granter=body["granter"], since=body["since"], fence=body["fence"], shards=shards)
 
 
 def write_shards(*, table: ShardTable) -> str:
     """The register's text of a table."""
-    rows = [[one.start, one.end, one.owner, one.fence, one.state, *([] if one.is_open else [one.next_owner])]
-            for one in table.shards]
-    return json.dumps({"granter": table.granter, "since": table.since, "fence": table.fence, "ranges": rows},
-                      separators=(",", ":"))
+    rows = [
+        [one.start, one.end, one.owner, one.fence, one.state, *([] if one.is_open else [one.next_owner])]
+        for one in table.shards
+    ]
+    return json.dumps(
+        {"granter": table.granter, "since": table.since, "fence": table.fence, "ranges": rows}, separators=(",", ":")
+    )
--- a/sailward/pour/slots.py
+++ b/sailward/pour/slots.py
@@ -1,4 +1,5 @@
 """Divided services: which slot a key is in, and who owns it now."""
+
 from __future__ import annotations
 
 import hashlib
@@ -39,14 +40,23 @@
 def read_table(*, text: str) -> dict[str, list[Owned]]:
     """{space: slots in order} in a register's text."""
     spaces = json.loads(text)["spaces"] if text else {}
-    return {space: [Owned(owner=owner, term=term, is_open=state == OPEN) for owner, term, state in rows]
-            for space, rows in spaces.items()}
+    return {
+        space: [Owned(owner=owner, term=term, is_open=state == OPEN) for owner, term, state in rows]
+        for space, rows in spaces.items()
+    }
 
 
 def write_table(*, spaces: dict[str, list[Owned]]) -> str:
     """The register's text of a table."""
-    return json.dumps({"spaces": {space: [[one.owner, one.term, OPEN if one.is_open else CLOSED] for one in rows]
-                                  for space, rows in spaces.items()}}, separators=(",", ":"))
+    return json.dumps(
+        {
+            "spaces": {
+                space: [[one.owner, one.term, OPEN if one.is_open else CLOSED] for one in rows]
+                for space, rows in spaces.items()
+            }
+        },
+        separators=(",", ":"),
+    )
 
 
 def slot_of(*, key: str, slots: int) -> int:
@@ -61,9 +71,13 @@
 
 def common_homes(*, plan: Plan, service: str) -> set[str]:
     """The regions that are home to every bound tenant of a service with shared keys; empty if none is bound."""
-    bound = [plan.tenants[name].homes for match in plan.matches
-             if plan.pools[match.shares[0][0]].service == service
-             for name in (match.tenants or plan.tenants) if plan.tenants[name].homes]
+    bound = [
+        plan.tenants[name].homes
+        for match in plan.matches
+        if plan.pools[match.shares[0][0]].service == service
+        for name in (match.tenants or plan.tenants)
+        if plan.tenants[name].homes
+    ]
     return set(frozenset.intersection(*bound)) if bound else set()
 
 
--- a/sailward/pour/status.py
+++ b/sailward/pour/status.py
@@ -1,4 +1,5 @@
 """Status of workers by this proxy's own probes."""
+
 from __future__ import annotations
 
 import random
@@ -75,8 +76,17 @@
     def _probe(self, *, now: float, key: str, probed: Probed) -> Call:
         probed.count += 1
         probed.token, probed.next_at = f"probe {key} {probed.count}", now + constants.PROBE_WAIT
-        return Call(token=probed.token, owner=key, address=probed.worker.address, method="GET", path="/status",
-                    headers={"Sailward-Worker": key}, body=b"", wait=constants.PROBE_WAIT, fresh=False)
+        return Call(
+            token=probed.token,
+            owner=key,
+            address=probed.worker.address,
+            method="GET",
+            path="/status",
+            headers={"Sailward-Worker": key},
+            body=b"",
+            wait=constants.PROBE_WAIT,
+            fresh=False,
+        )
 
     def _judge(self, *, now: float, event: Called) -> list:
         key = event.token.split(" ")[1]
@@ -101,5 +111,9 @@
             probed.warm_since = now
         if {before, probed.state} <= {"good", "doubt"}:
             return []
-        return [Log(event="worker-status", fields={"worker": probed.worker.key, "from": before,
-                                                    "to": probed.state, "by": event})]
+        return [
+            Log(
+                event="worker-status",
+                fields={"worker": probed.worker.key, "from": before, "to": probed.state, "by": event},
+            )
+        ]
--- a/sailward/pour/tries.py
+++ b/sailward/pour/tries.py
@@ -1,4 +1,5 @@
 """The budget of tries: a share of first tries in a sliding window."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -24,8 +25,11 @@
 
     def step(self, *, now: float, first: bool, caller: bool = False) -> str:
         """What this sending-on was paid with."""
-        for line, life in ((self._firsts, constants.TRY_WINDOW), (self._mores, constants.TRY_WINDOW),
-                           (self._credits, constants.CREDIT_LIFE)):
+        for line, life in (
+            (self._firsts, constants.TRY_WINDOW),
+            (self._mores, constants.TRY_WINDOW),
+            (self._credits, constants.CREDIT_LIFE),
+        ):
             while line and line[0] <= now - life:
                 line.popleft()
         if first:
--- a/sailward/pour/verify.py
+++ b/sailward/pour/verify.py
@@ -1,4 +1,5 @@
 """Is a worker's result whole, its own, and this exchange's?"""
+
 from __future__ import annotations
 
 import base64
@@ -55,8 +56,7 @@
     fault = _find_fault(exchange=exchange, event=event)
     if fault:
         return Bad(reason=fault)
-    kept = {name: value for name, value in headers.items()
-            if name not in HOP and not name.startswith("sailward-")}
+    kept = {name: value for name, value in headers.items() if name not in HOP and not name.startswith("sailward-")}
     return Good(code=event.code, headers=kept, body=event.body)
 
 
--- a/sailward/pour/world.py
+++ b/sailward/pour/world.py
@@ -1,4 +1,5 @@
 """What a proxy acts on: configuration, orders, workers, status, the standing view."""
+
 from __future__ import annotations
 
 import json
@@ -53,7 +54,9 @@
 
     def clock(self, *, now: float) -> float | None:
         """The wall time by the middle one of the cellars' clocks, the later of two: no single jump can turn it back."""
-        self.walls = {name: (at, offset) for name, (at, offset) in self.walls.items() if now - at < constants.CLOCK_LIFE}
+        self.walls = {
+            name: (at, offset) for name, (at, offset) in self.walls.items() if now - at < constants.CLOCK_LIFE
+        }
         offsets = sorted(offset for _, offset in self.walls.values())
         return now + offsets[len(offsets) // 2] if offsets else None
 
@@ -79,16 +82,22 @@
             region = self.plan.regions.get(hall)
             home = tenant is None or not tenant.homes or region in tenant.homes
             drained = state.drained or self.standing_drained(now=now, service=service, hall=hall)
-            views[hall] = HallView(fraction=state.fraction, healthy=state.healthy, listed=state.listed,
-                                   drained=drained, allowed=home and hall not in self.emptied and region is not None)
+            views[hall] = HallView(
+                fraction=state.fraction,
+                healthy=state.healthy,
+                listed=state.listed,
+                drained=drained,
+                allowed=home and hall not in self.emptied and region is not None,
+            )
         return views
 
     def report(self, *, now: float, suspect: bool) -> dict:
         """This proxy's digest for the standing view."""
-        halls = {f"{service}|{hall}": [state.listed, state.healthy, state.state]
-                 for (service, hall), state in self.halls.halls.items()}
-        warm = {key: round(now - probed.warm_since, 1) for key, probed in self.prober.probed.items()
-                if probed.healthy}
+        halls = {
+            f"{service}|{hall}": [state.listed, state.healthy, state.state]
+            for (service, hall), state in self.halls.halls.items()
+        }
+        warm = {key: round(now - probed.warm_since, 1) for key, probed in self.prober.probed.items() if probed.healthy}
         return {"halls": halls, "warm": warm, "suspect": suspect}
 
 
--- a/sailward/programs/cellar.py
+++ b/sailward/programs/cellar.py
@@ -21,6 +21,7 @@
 
 Exit codes: 0 stopped; 2 bad flags or settings; 5 disk failed, damaged or of a newer version; 7 address or folder in use; 70 fault.
 """
+
 from __future__ import annotations
 
 import random
@@ -48,19 +49,40 @@
         write_log(event="disk-failed", fields={"reason": fault}, level="error")
         sys.exit(constants.EXIT_DISK)
     if isinstance(found, Damaged):
-        write_log(event="disk-damaged", fields={"folder": settings["data"], "offset": found.offset,
-                  "todo": "move the folder away and bring this cellar in anew"}, level="error")
+        write_log(
+            event="disk-damaged",
+            fields={
+                "folder": settings["data"],
+                "offset": found.offset,
+                "todo": "move the folder away and bring this cellar in anew",
+            },
+            level="error",
+        )
         sys.exit(constants.EXIT_DISK)
     if isinstance(found, Newer):
-        write_log(event="disk-newer", fields={"folder": settings["data"], "what": found.what,
-                  "todo": "start the newer version again, or move the folder away and bring this cellar in anew"}, level="error")
+        write_log(
+            event="disk-newer",
+            fields={
+                "folder": settings["data"],
+                "what": found.what,
+                "todo": "start the newer version again, or move the folder away and bring this cellar in anew",
+            },
+            level="error",
+        )
         sys.exit(constants.EXIT_DISK)
     if isinstance(found, Taken):
         write_log(event="folder-taken", fields={"folder": found.folder}, level="error")
         sys.exit(constants.EXIT_TAKEN)
     nonce = make_nonce()
-    owner = Cellar(place=make_place(settings=settings, kind="cellar"), platform=settings["platform"], nonce=nonce,
-                   start=make_start(), rng=random.Random(nonce), records=found.records, now=time.monotonic())
+    owner = Cellar(
+        place=make_place(settings=settings, kind="cellar"),
+        platform=settings["platform"],
+        nonce=nonce,
+        start=make_start(),
+        rng=random.Random(nonce),
+        records=found.records,
+        now=time.monotonic(),
+    )
     edges = start_edges(settings=settings, loop=loop, limit=constants.CONFIG_BYTES, calling=True, disk=disk)
     end_process(code=loop.run(step=owner.step), web=edges.web)
 
--- a/sailward/programs/common.py
+++ b/sailward/programs/common.py
@@ -1,4 +1,5 @@
 """What the daemons' programs have in common."""
+
 from __future__ import annotations
 
 import os
@@ -41,9 +42,16 @@
 
 def make_place(*, settings: dict, kind: str) -> Place:
     """The place that the settings tell."""
-    return Place(name=settings["name"], kind=kind, hall=settings["hall"], region=settings["region"],
-                 post=settings["post"], http=settings["http"], seeds=tuple(settings["seeds"]),
-                 version=sailward.__version__)
+    return Place(
+        name=settings["name"],
+        kind=kind,
+        hall=settings["hall"],
+        region=settings["region"],
+        post=settings["post"],
+        http=settings["http"],
+        seeds=tuple(settings["seeds"]),
+        version=sailward.__version__,
+    )
 
 
 def make_nonce() -> str:
@@ -61,15 +69,21 @@
     threads = ThreadPoolExecutor(max_workers=2 * constants.HTTP_THREADS)
     try:
         post = Post(address=settings["post"], tell=loop.tell, threads=threads)
-        web = Web(address=settings["http"], limit=limit, tell=loop.tell,
-                  threads=ThreadPoolExecutor(max_workers=constants.HTTP_THREADS))
+        web = Web(
+            address=settings["http"],
+            limit=limit,
+            tell=loop.tell,
+            threads=ThreadPoolExecutor(max_workers=constants.HTTP_THREADS),
+        )
     except (OSError, SystemExit) as fault:
-        write_log(event="address-taken", fields={"post": settings["post"], "http": settings["http"],
-                                                 "reason": fault}, level="error")
+        write_log(
+            event="address-taken",
+            fields={"post": settings["post"], "http": settings["http"], "reason": fault},
+            level="error",
+        )
         os._exit(constants.EXIT_TAKEN)
     calls = Calls(tell=loop.tell) if calling else None
-    edges = Edges(loop=loop, post=post, web=web, calls=calls, disk=disk,
-                  checks=ThreadPoolExecutor(max_workers=1))
+    edges = Edges(loop=loop, post=post, web=web, calls=calls, disk=disk, checks=ThreadPoolExecutor(max_workers=1))
     edges.connect()
     post.start()
     run_guarded(threads=threads, loop=loop, name="web", run=web.run)
--- a/sailward/programs/concierge.py
+++ b/sailward/programs/concierge.py
@@ -19,6 +19,7 @@
 
 Exit codes: 0 stopped; 2 bad flags or settings; 7 address in use; 70 fault.
 """
+
 from __future__ import annotations
 
 import random
@@ -34,8 +35,9 @@
     """Run a directory until it is told to stop."""
     settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=COMMON)
     loop, nonce = Loop(), make_nonce()
-    owner = Concierge(place=make_place(settings=settings, kind="concierge"), start=make_start(),
-                      rng=random.Random(nonce))
+    owner = Concierge(
+        place=make_place(settings=settings, kind="concierge"), start=make_start(), rng=random.Random(nonce)
+    )
     edges = start_edges(settings=settings, loop=loop, limit=constants.BODY_BYTES, calling=False)
     end_process(code=loop.run(step=owner.step), web=edges.web)
 
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -1,4 +1,5 @@
 """What daemons on a reactor have in common, set up by an adapter's settings instead of a file of the product's own."""
+
 from __future__ import annotations
 
 import gc
@@ -61,20 +62,26 @@
 
 def open_front(*, hosted: Hosted, edge: str, reactor: Reactor, host: Host, limits: Callable[[], Limits]) -> Front:
     """Open one of the daemon's listeners; an address in use ends the process with EXIT_TAKEN."""
+
     def tell(event: object) -> None:
         host.tell(hosted.words.ask(event) if isinstance(event, Asked) and edge != "front" else event)
+
     try:
         return Front(reactor=reactor, address=hosted.listen[edge], name=edge, tell=tell, limits=limits)
     except OSError as fault:
-        write_log(event="address-taken", fields={"edge": edge, "address": hosted.listen[edge], "reason": fault}, level="error")
+        write_log(
+            event="address-taken", fields={"edge": edge, "address": hosted.listen[edge], "reason": fault}, level="error"
+        )
         sys.exit(constants.EXIT_TAKEN)
 
 
 def answer_handlers(*, hosted: Hosted, fronts: dict) -> dict:
     """What carries out the owner's answers, by the listener that their token names."""
+
     def answer(command: Answer) -> None:
         edge = command.token.split(" ", 1)[0]
         fronts[edge].answer(command=command if edge == "front" else hosted.words.answer(command))
+
     return {Answer: answer}
 
 
@@ -86,11 +93,17 @@
     except OSError as fault:
         write_log(event="address-taken", fields={"address": hosted.place.post, "reason": fault}, level="error")
         sys.exit(constants.EXIT_TAKEN)
-    host.handlers = {Tell: lambda one: courier.send(to=one.to, body=one.body), Call: lambda one: outbound.give(call=one),
-                     CancelCall: lambda one: outbound.cancel(token=one.token), HangUp: lambda one: outbound.hang_up(owner=one.owner),
-                     **handlers}
-    write_log(event="started", fields={"post": hosted.place.post, "hall": hosted.place.hall, "version": sailward.__version__,
-                                       **hosted.listen})
+    host.handlers = {
+        Tell: lambda one: courier.send(to=one.to, body=one.body),
+        Call: lambda one: outbound.give(call=one),
+        CancelCall: lambda one: outbound.cancel(token=one.token),
+        HangUp: lambda one: outbound.hang_up(owner=one.owner),
+        **handlers,
+    }
+    write_log(
+        event="started",
+        fields={"post": hosted.place.post, "hall": hosted.place.hall, "version": sailward.__version__, **hosted.listen},
+    )
     # what start-up made lives as long as the process: it need not be looked at again
     gc.collect()
     gc.freeze()
--- a/sailward/programs/hosted_cellar.py
+++ b/sailward/programs/hosted_cellar.py
@@ -1,4 +1,5 @@
 """The cellar as a hosted daemon."""
+
 from __future__ import annotations
 
 import os
@@ -25,15 +26,30 @@
     disk = Disk(folder=Path(hosted.data), tell=host.tell_from_thread) if hosted.data else NoDisk(host=host)
     records = _open_disk(hosted=hosted, disk=disk) if hosted.data else []
     nonce = os.urandom(constants.NONCE_BYTES).hex()
-    owner = Cellar(place=hosted.place, platform=hosted.platform, nonce=nonce, start=start_number(), rng=random.Random(nonce),
-                   records=records, now=reactor.clock(), options=hosted.options)
+    owner = Cellar(
+        place=hosted.place,
+        platform=hosted.platform,
+        nonce=nonce,
+        start=start_number(),
+        rng=random.Random(nonce),
+        records=records,
+        now=reactor.clock(),
+        options=hosted.options,
+    )
     limits = replace(Limits(), body_bytes=constants.CONFIG_BYTES, head_wait=constants.OPERATOR_WAIT)
-    fronts = {edge: open_front(hosted=hosted, edge=edge, reactor=reactor, host=host, limits=lambda: limits) for edge in hosted.listen}
+    fronts = {
+        edge: open_front(hosted=hosted, edge=edge, reactor=reactor, host=host, limits=lambda: limits)
+        for edge in hosted.listen
+    }
     checks = ThreadPoolExecutor(max_workers=2)
     if hosted.data:
         checks.submit(disk.run)
-    handlers = {Store: lambda one: disk.give(command=one), Rewrite: lambda one: disk.give(command=one),
-                Check: lambda one: checks.submit(_check, host, one), **answer_handlers(hosted=hosted, fronts=fronts)}
+    handlers = {
+        Store: lambda one: disk.give(command=one),
+        Rewrite: lambda one: disk.give(command=one),
+        Check: lambda one: checks.submit(_check, host, one),
+        **answer_handlers(hosted=hosted, fronts=fronts),
+    }
     serve_owner(hosted=hosted, reactor=reactor, host=host, step=owner.step, handlers=handlers)
 
 
@@ -55,8 +71,11 @@
         write_log(event="disk-failed", fields={"reason": fault}, level="error")
         sys.exit(constants.EXIT_DISK)
     if isinstance(found, (Damaged, Newer)):
-        write_log(event="disk-damaged" if isinstance(found, Damaged) else "disk-newer", fields={"folder": hosted.data, "what": found,
-                  "todo": "move the folder away and bring this cellar in anew"}, level="error")
+        write_log(
+            event="disk-damaged" if isinstance(found, Damaged) else "disk-newer",
+            fields={"folder": hosted.data, "what": found, "todo": "move the folder away and bring this cellar in anew"},
+            level="error",
+        )
         sys.exit(constants.EXIT_DISK)
     if isinstance(found, Taken):
         write_log(event="folder-taken", fields={"folder": found.folder}, level="error")
--- a/sailward/programs/hosted_proxy.py
+++ b/sailward/programs/hosted_proxy.py
@@ -1,4 +1,5 @@
 """The proxy with its directory as a hosted daemon."""
+
 from __future__ import annotations
 
 import random
@@ -12,8 +13,10 @@
     """Run a proxy with its directory until it is told to stop."""
     reactor, host = begin_host(hosted=hosted)
     owner = Proxy(place=hosted.place, start=start_number(), rng=random.Random(), options=hosted.options)
-    fronts = {edge: open_front(hosted=hosted, edge=edge, reactor=reactor, host=host, limits=lambda: owner.scene.plan.limits)
-              for edge in hosted.listen}
+    fronts = {
+        edge: open_front(hosted=hosted, edge=edge, reactor=reactor, host=host, limits=lambda: owner.scene.plan.limits)
+        for edge in hosted.listen
+    }
 
     def leave(command: Leave) -> None:
         for front in fronts.values():
@@ -23,4 +26,10 @@
 
     if hosted.changed:
         host.changed = lambda: setattr(owner.uplink, "seeds", hosted.changed())
-    serve_owner(hosted=hosted, reactor=reactor, host=host, step=owner.step, handlers={Leave: leave, **answer_handlers(hosted=hosted, fronts=fronts)})
+    serve_owner(
+        hosted=hosted,
+        reactor=reactor,
+        host=host,
+        step=owner.step,
+        handlers={Leave: leave, **answer_handlers(hosted=hosted, fronts=fronts)},
+    )
--- a/sailward/programs/sommelier.py
+++ b/sailward/programs/sommelier.py
@@ -19,6 +19,7 @@
 
 Exit codes: 0 stopped; 2 bad flags or settings; 7 address in use; 70 fault.
 """
+
 from __future__ import annotations
 
 import random
@@ -35,8 +36,13 @@
     """Run a proxy until it is told to stop."""
     settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=COMMON)
     loop, nonce = Loop(), make_nonce()
-    owner = Sommelier(place=make_place(settings=settings, kind="sommelier"), nonce=nonce, start=make_start(),
-                      rng=random.Random(nonce), now=time.monotonic())
+    owner = Sommelier(
+        place=make_place(settings=settings, kind="sommelier"),
+        nonce=nonce,
+        start=make_start(),
+        rng=random.Random(nonce),
+        now=time.monotonic(),
+    )
     edges = start_edges(settings=settings, loop=loop, limit=constants.BODY_BYTES, calling=True)
     end_process(code=loop.run(step=owner.step), web=edges.web)
 
--- a/sailward/programs/steward.py
+++ b/sailward/programs/steward.py
@@ -36,6 +36,7 @@
 Exit codes: 0 done; 1 the configuration has faults; 2 bad usage or file; 3 no cellar answered, nothing changed;
 4 refused, nothing changed; 6 unknown: the change may be in force, now or later, read it back.
 """
+
 from __future__ import annotations
 
 import json
@@ -69,7 +70,12 @@
         query = urlencode({"tenant": flags["TENANT"], "method": flags["METHOD"], "path": flags["PATH"]})
         _show(reply=ask_once(address=flags["--proxy"], method="GET", path=f"/sailward/explain?{query}"))
     elif flags["join"] or flags["part"]:
-        _show(reply=client.step(method="POST", path=f"/voters/{quote(flags['CELLAR'][0], safe='')}/" + ("join" if flags["join"] else "part")))
+        _show(
+            reply=client.step(
+                method="POST",
+                path=f"/voters/{quote(flags['CELLAR'][0], safe='')}/" + ("join" if flags["join"] else "part"),
+            )
+        )
     elif flags["empty"] or flags["refill"]:
         path = f"/halls/{quote(flags['HALL'], safe='')}/" + ("empty" if flags["empty"] else "refill")
         _show(reply=client.step(method="POST", path=path + ("?confirm=yes" if flags["--confirm"] else "")))
@@ -107,8 +113,14 @@
     if missing:
         _end(code=constants.EXIT_UNREACHABLE, message=f"no answer from {missing} at --cellars; nothing was changed")
     body = json.dumps({"survivors": names}).encode()
-    _show(reply=ask_once(address=answering[names[0]], method="POST", body=body,
-                         path="/found-anew" + ("?confirm=yes" if is_confirmed else "")))
+    _show(
+        reply=ask_once(
+            address=answering[names[0]],
+            method="POST",
+            body=body,
+            path="/found-anew" + ("?confirm=yes" if is_confirmed else ""),
+        )
+    )
 
 
 def _change(*, client: Client, flags: dict) -> None:
@@ -147,13 +159,21 @@
         if isinstance(reply, Unreachable):
             _show(reply=reply)
         if reply.code not in (200, 404):
-            _end(code=constants.EXIT_REFUSED, message=f"{reply.cellar}: {reply.body.get('error')}: {reply.body.get('detail')}")
+            _end(
+                code=constants.EXIT_REFUSED,
+                message=f"{reply.cellar}: {reply.body.get('error')}: {reply.body.get('detail')}",
+            )
     config, workers, status = (reply.body for reply in replies)
     old = check_config(config=config["config"]) if config.get("config") else None
     keys = [f"{one['id']}/{one['generation']}" for one in workers["workers"]]
     states = {key: key in status["well"] for key in keys} if status["well"] else {}
-    return forecast(full=full, now_full=old.full if old is not None else {}, workers=workers["workers"],
-                    rates=status["rates"], states=states)
+    return forecast(
+        full=full,
+        now_full=old.full if old is not None else {},
+        workers=workers["workers"],
+        rates=status["rates"],
+        states=states,
+    )
 
 
 def _read(*, path: str) -> bytes:
--- a/sailward/roster/gossip.py
+++ b/sailward/roster/gossip.py
@@ -1,4 +1,5 @@
 """The roster of daemons: beats told to the few that each watches, until all know all."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -7,9 +8,20 @@
 from sailward.acts import Log, Tell
 from sailward.roster.rendezvous import choose_names
 
-ENTRY = {"id": str, "kind": str, "hall": str, "region": str, "post": str, "http": str,
-         "start": int, "beat": int, "fit": bool, "version": str, "identity": str,
-         "asks": str}
+ENTRY = {
+    "id": str,
+    "kind": str,
+    "hall": str,
+    "region": str,
+    "post": str,
+    "http": str,
+    "start": int,
+    "beat": int,
+    "fit": bool,
+    "version": str,
+    "identity": str,
+    "asks": str,
+}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -75,7 +87,14 @@
     def _tell_mesh(self, *, now: float) -> list:
         """A beat to every daemon known to live; the whole roster to the seeds now and then, and to all lost ones in turn."""
         alive = [known for known in self.known.values() if not known.lost]
-        body = {"kind": "beat", "id": self.place.name, "start": self.start, "beat": self.beat, "fit": self.fit, "identity": self.identity}
+        body = {
+            "kind": "beat",
+            "id": self.place.name,
+            "start": self.start,
+            "beat": self.beat,
+            "fit": self.fit,
+            "identity": self.identity,
+        }
         commands = [Tell(to=known.entry["post"], body=body) for known in alive]
         lost = sorted(known.entry["post"] for known in self.known.values() if known.lost)
         if lost:
@@ -84,7 +103,9 @@
         if not alive or self.beat <= constants.MESH_FIRST or self.beat % constants.MESH_SEEDS == 0:
             known = {one.entry["post"] for one in alive}
             whole = {"kind": "gossip", "entries": self._entries(now=now), "reply": False}
-            commands += [Tell(to=seed, body=whole) for seed in self.place.seeds if seed != self.place.post and seed not in known]
+            commands += [
+                Tell(to=seed, body=whole) for seed in self.place.seeds if seed != self.place.post and seed not in known
+            ]
         return commands
 
     def _fold_beat(self, *, now: float, sender: str, body: dict) -> list:
@@ -102,10 +123,21 @@
     def own_entry(self) -> dict:
         """What this daemon says of itself."""
         place = self.place
-        return {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region,
-                "post": place.post, "http": place.http, "start": self.start, "beat": self.beat,
-                "fit": self.fit, "version": place.version, "identity": self.identity,
-                "asks": self.asks, **({} if self.has_disk else {"disk": False})}
+        return {
+            "id": place.name,
+            "kind": place.kind,
+            "hall": place.hall,
+            "region": place.region,
+            "post": place.post,
+            "http": place.http,
+            "start": self.start,
+            "beat": self.beat,
+            "fit": self.fit,
+            "version": place.version,
+            "identity": self.identity,
+            "asks": self.asks,
+            **({} if self.has_disk else {"disk": False}),
+        }
 
     def alive(self, *, kind: str) -> list[dict]:
         """The entries of the daemons of this kind that are not lost."""
--- a/sailward/roster/pages.py
+++ b/sailward/roster/pages.py
@@ -1,4 +1,5 @@
 """Paging the platform's list: a pass counts whole or not at all."""
+
 from __future__ import annotations
 
 import json
@@ -8,7 +9,16 @@
 from sailward import constants
 from sailward.acts import Call, Called, Log
 
-LIFE = {"id": str, "generation": int, "service": str, "address": str, "hall": str, "leaving": bool, "capacity": int, "cold_s": float}
+LIFE = {
+    "id": str,
+    "generation": int,
+    "service": str,
+    "address": str,
+    "hall": str,
+    "leaving": bool,
+    "capacity": int,
+    "cold_s": float,
+}
 """What a row of a reader's page has; `generation` is 0, as each start of a worker has an id of its own."""
 WORKER = {"id": str, "generation": int, "service": str, "address": str, "hall": str, "leaving": bool}
 
@@ -88,7 +98,11 @@
         return max(every, calls / (constants.LIST_SHARE * self.rate) if self.rate > 0 else 0.0)
 
     def _take_words(self, *, now: float, event: Called) -> tuple[list, WholeList | None]:
-        page = BrokenPass(reason=event.fault or f"code:{event.code}") if event.code != 200 else self.reader.read(body=event.body)
+        page = (
+            BrokenPass(reason=event.fault or f"code:{event.code}")
+            if event.code != 200
+            else self.reader.read(body=event.body)
+        )
         if isinstance(page, BrokenPass):
             self.broken += 1
             # each further broken pass doubles the pause, to a bound
@@ -116,8 +130,17 @@
     def _ask(self, *, after: str) -> Call:
         self.token = f"list.{self.passes}.{len(self.pages)}"
         path = self.reader.path(token=after) if self.reader else f"/workers?limit={constants.LIST_PAGE}&after={after}"
-        return Call(token=self.token, owner="platform", address=self.platform, method="GET", path=path,
-                    headers={}, body=b"", wait=constants.LIST_WAIT, fresh=False)
+        return Call(
+            token=self.token,
+            owner="platform",
+            address=self.platform,
+            method="GET",
+            path=path,
+            headers={},
+            body=b"",
+            wait=constants.LIST_WAIT,
+            fresh=False,
+        )
 
     def _take_page(self, *, event: Called) -> tuple[list, WholeList | None]:
         page = read_page(event=event)
--- a/sailward/roster/rendezvous.py
+++ b/sailward/roster/rendezvous.py
@@ -1,4 +1,5 @@
 """Rendezvous hashing."""
+
 from __future__ import annotations
 
 import hashlib
--- a/sailward/roster/workers.py
+++ b/sailward/roster/workers.py
@@ -1,4 +1,5 @@
 """The workers as a receiver of lists knows them: leaving and gone stay so for a generation."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -57,14 +58,26 @@
                 continue
             if row["leaving"]:
                 self.left[name] = now
-            book[name] = Worker(name=name, generation=0, service=row["service"], address=row["address"], hall=row["hall"],
-                                leaving=name in self.left, capacity=row["capacity"], cold=row["cold_s"], is_life=True)
+            book[name] = Worker(
+                name=name,
+                generation=0,
+                service=row["service"],
+                address=row["address"],
+                hall=row["hall"],
+                leaving=name in self.left,
+                capacity=row["capacity"],
+                cold=row["cold_s"],
+                is_life=True,
+            )
             self.came.setdefault(name, now)
         for name in before - set(book):
             if now - self.came.pop(name, now) >= constants.GONE_LIFE:
                 self.gone[name] = now
-        self.left = {name: now if name in book else at for name, at in self.left.items()
-                     if name in book or now - at < constants.LEFT_LIFE}
+        self.left = {
+            name: now if name in book else at
+            for name, at in self.left.items()
+            if name in book or now - at < constants.LEFT_LIFE
+        }
         self.workers = book
         return set(book) - before, before - set(book)
 
@@ -76,9 +89,14 @@
         before = set(self.workers)
         book = {}
         for row in workers:
-            worker = Worker(name=row["id"], generation=row["generation"], service=row["service"],
-                            address=row["address"], hall=row["hall"],
-                            leaving=row["leaving"] or self.over.get(row["id"], {}).get(row["generation"]) == "leaving")
+            worker = Worker(
+                name=row["id"],
+                generation=row["generation"],
+                service=row["service"],
+                address=row["address"],
+                hall=row["hall"],
+                leaving=row["leaving"] or self.over.get(row["id"], {}).get(row["generation"]) == "leaving",
+            )
             if self.over.get(worker.name, {}).get(worker.generation) == "gone":
                 continue
             if worker.generation < self.newest.get(worker.name, 0):
--- a/tasting/checker.py
+++ b/tasting/checker.py
@@ -1,12 +1,20 @@
 """Reads histories and names each broken rule. It never asks the product."""
+
 from __future__ import annotations
 
 from tasting.deployments import Deployment
 from tasting.history import History
 from tasting.rules import Broken
 from tasting.rules.control import Changes, check_emptied, check_in_force, check_registers, check_weights
-from tasting.rules.exchanges import (check_answered, check_crashes, check_promises, check_results, check_retries,
-                                     check_runs_once, check_stops)
+from tasting.rules.exchanges import (
+    check_answered,
+    check_crashes,
+    check_promises,
+    check_results,
+    check_retries,
+    check_runs_once,
+    check_stops,
+)
 from tasting.rules.places import check_bounds, check_flood, check_homes, check_keys, check_left
 from tasting.rules.service import check_borne, check_fairness, check_recovery
 
@@ -16,13 +24,24 @@
     runs, halls, daemons = history.of(k="run"), deployment.halls, list(deployment.daemons)
     proxies = sum(kind == "sommelier" for kind, _, _ in daemons)
     changes = Changes(history=history)
-    return [*check_runs_once(runs=runs), *check_promises(history=history, runs=runs), *check_results(history=history),
-            *check_answered(history=history), *check_left(history=history, runs=runs),
-            *check_in_force(changes=changes, runs=runs), *check_registers(history=history, changes=changes),
-            *check_weights(history=history, changes=changes, runs=runs, halls=halls),
-            *check_emptied(history=history, runs=runs), *check_homes(history=history, runs=runs, halls=halls),
-            *check_retries(history=history, runs=runs, proxies=proxies),
-            *check_flood(history=history, runs=runs, proxies=proxies), *check_bounds(history=history, runs=runs, proxies=proxies),
-            *check_keys(history=history, runs=runs), *check_crashes(history=history), *check_stops(history=history),
-            *check_recovery(history=history, daemons=daemons), *check_borne(history=history, daemons=daemons, halls=halls),
-            *check_fairness(history=history)]
+    return [
+        *check_runs_once(runs=runs),
+        *check_promises(history=history, runs=runs),
+        *check_results(history=history),
+        *check_answered(history=history),
+        *check_left(history=history, runs=runs),
+        *check_in_force(changes=changes, runs=runs),
+        *check_registers(history=history, changes=changes),
+        *check_weights(history=history, changes=changes, runs=runs, halls=halls),
+        *check_emptied(history=history, runs=runs),
+        *check_homes(history=history, runs=runs, halls=halls),
+        *check_retries(history=history, runs=runs, proxies=proxies),
+        *check_flood(history=history, runs=runs, proxies=proxies),
+        *check_bounds(history=history, runs=runs, proxies=proxies),
+        *check_keys(history=history, runs=runs),
+        *check_crashes(history=history),
+        *check_stops(history=history),
+        *check_recovery(history=history, daemons=daemons),
+        *check_borne(history=history, daemons=daemons, halls=halls),
+        *check_fairness(history=history),
+    ]
--- a/tasting/deployments.py
+++ b/tasting/deployments.py
@@ -1,4 +1,5 @@
 """The two deployments of the users, as data: machines, workers, configuration, callers."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -48,8 +49,9 @@
     return tuple(rows)
 
 
-def _config(*, halls: dict, services: tuple, tenants: dict, split: tuple, expiry: float = 2.0,
-            divided: str = "") -> dict:
+def _config(
+    *, halls: dict, services: tuple, tenants: dict, split: tuple, expiry: float = 2.0, divided: str = ""
+) -> dict:
     first, second = list(dict.fromkeys(halls.values()))
     ours = [hall for hall, region in halls.items() if region == first]
     theirs = [hall for hall, region in halls.items() if region == second]
@@ -57,12 +59,26 @@
     for service in services:
         pools[f"{service}-{first}"] = {"service": service, "preferred": ours, "fallback": theirs}
         pools[f"{service}-{second}"] = {"service": service, "preferred": theirs, "fallback": ours}
-        matches.append({"path": f"/{service}", "pools": [{"pool": f"{service}-{first}", "weight": split[0]},
-                                                        {"pool": f"{service}-{second}", "weight": split[1]}]})
-    return {"halls": {hall: {"region": region} for hall, region in halls.items()},
-            "services": {service: {"expiry_s": expiry, "rate": 100, "cold_rate": 10, "cold_ramp_s": 10}
-                         | ({"slots": 32} if service == divided else {}) for service in services},
-            "pools": pools, "tenants": tenants, "matches": matches}
+        matches.append(
+            {
+                "path": f"/{service}",
+                "pools": [
+                    {"pool": f"{service}-{first}", "weight": split[0]},
+                    {"pool": f"{service}-{second}", "weight": split[1]},
+                ],
+            }
+        )
+    return {
+        "halls": {hall: {"region": region} for hall, region in halls.items()},
+        "services": {
+            service: {"expiry_s": expiry, "rate": 100, "cold_rate": 10, "cold_ramp_s": 10}
+            | ({"slots": 32} if service == divided else {})
+            for service in services
+        },
+        "pools": pools,
+        "tenants": tenants,
+        "matches": matches,
+    }
 
 
 def make_arriaga() -> Deployment:
@@ -70,16 +86,23 @@
     halls = _halls(("guadalajara", "gdl"), ("ensenada", "ens"))
     services = ("stock", "orders", "notes", "deliveries")
     tenants = {"restaurants": {}, "hotels": {}, "shops": {}, "tapatia": {"homes": ["guadalajara"]}}
-    callers = (CallerKind(tenant="restaurants", path="/stock", unsafe=False, part=0.30, region="guadalajara"),
-               CallerKind(tenant="hotels", path="/notes", unsafe=False, part=0.20, region="ensenada"),
-               CallerKind(tenant="restaurants", path="/orders", unsafe=True, part=0.15, region="guadalajara"),
-               CallerKind(tenant="tapatia", path="/orders", unsafe=True, part=0.10, region="guadalajara"),
-               CallerKind(tenant="shops", path="/deliveries", unsafe=False, part=0.15, region="ensenada", eager=True,
-                          keys=60),
-               CallerKind(tenant="tapatia", path="/stock", unsafe=False, part=0.10, region="guadalajara"))
-    return Deployment(name="arriaga", halls=halls, daemons=_daemons(halls=halls, sommeliers=5, concierges=2),
-                      workers=_workers(halls=halls, services=services), callers=callers, rate=155.0,
-                      config=_config(halls=halls, services=services, tenants=tenants, split=(70, 30), divided="deliveries"))
+    callers = (
+        CallerKind(tenant="restaurants", path="/stock", unsafe=False, part=0.30, region="guadalajara"),
+        CallerKind(tenant="hotels", path="/notes", unsafe=False, part=0.20, region="ensenada"),
+        CallerKind(tenant="restaurants", path="/orders", unsafe=True, part=0.15, region="guadalajara"),
+        CallerKind(tenant="tapatia", path="/orders", unsafe=True, part=0.10, region="guadalajara"),
+        CallerKind(tenant="shops", path="/deliveries", unsafe=False, part=0.15, region="ensenada", eager=True, keys=60),
+        CallerKind(tenant="tapatia", path="/stock", unsafe=False, part=0.10, region="guadalajara"),
+    )
+    return Deployment(
+        name="arriaga",
+        halls=halls,
+        daemons=_daemons(halls=halls, sommeliers=5, concierges=2),
+        workers=_workers(halls=halls, services=services),
+        callers=callers,
+        rate=155.0,
+        config=_config(halls=halls, services=services, tenants=tenants, split=(70, 30), divided="deliveries"),
+    )
 
 
 def make_peachtree() -> Deployment:
@@ -87,15 +110,23 @@
     halls = _halls(("atlanta", "atl"), ("savannah", "sav"))
     services = ("lookup", "booking", "usage", "occupancy")
     tenants = {"brand-a": {"share": 1}, "brand-b": {"share": 1}, "brand-c": {"share": 1, "homes": ["savannah"]}}
-    callers = (CallerKind(tenant="brand-a", path="/lookup", unsafe=False, part=0.30, region="atlanta"),
-               CallerKind(tenant="brand-b", path="/lookup", unsafe=False, part=0.25, region="savannah"),
-               CallerKind(tenant="brand-a", path="/booking", unsafe=True, part=0.15, region="atlanta", keys=40),
-               CallerKind(tenant="brand-c", path="/booking", unsafe=True, part=0.10, region="savannah", keys=40),
-               CallerKind(tenant="brand-b", path="/usage", unsafe=False, part=0.10, region="savannah"),
-               CallerKind(tenant="brand-c", path="/occupancy", unsafe=False, part=0.10, region="savannah"))
-    return Deployment(name="peachtree", halls=halls, daemons=_daemons(halls=halls, sommeliers=6, concierges=2),
-                      workers=_workers(halls=halls, services=services, extra=1), callers=callers, rate=225.0,
-                      config=_config(halls=halls, services=services, tenants=tenants, split=(60, 40), divided="booking"))
+    callers = (
+        CallerKind(tenant="brand-a", path="/lookup", unsafe=False, part=0.30, region="atlanta"),
+        CallerKind(tenant="brand-b", path="/lookup", unsafe=False, part=0.25, region="savannah"),
+        CallerKind(tenant="brand-a", path="/booking", unsafe=True, part=0.15, region="atlanta", keys=40),
+        CallerKind(tenant="brand-c", path="/booking", unsafe=True, part=0.10, region="savannah", keys=40),
+        CallerKind(tenant="brand-b", path="/usage", unsafe=False, part=0.10, region="savannah"),
+        CallerKind(tenant="brand-c", path="/occupancy", unsafe=False, part=0.10, region="savannah"),
+    )
+    return Deployment(
+        name="peachtree",
+        halls=halls,
+        daemons=_daemons(halls=halls, sommeliers=6, concierges=2),
+        workers=_workers(halls=halls, services=services, extra=1),
+        callers=callers,
+        rate=225.0,
+        config=_config(halls=halls, services=services, tenants=tenants, split=(60, 40), divided="booking"),
+    )
 
 
 def make_source() -> Deployment:
@@ -106,8 +137,15 @@
     daemons += [("sommelier", f"sommelier-{i}", list(halls)[2 * i]) for i in range(3)]
     daemons.append(("concierge", "concierge-0", "east-a"))
     workers = tuple((f"lab-{hall}-{i}", "lab", hall) for hall in halls for i in range(4))
-    return Deployment(name="source", halls=halls, daemons=tuple(daemons), workers=workers, callers=callers, rate=50.0,
-                      config=_config(halls=halls, services=("lab",), tenants={"lab": {}}, split=(70, 30)))
+    return Deployment(
+        name="source",
+        halls=halls,
+        daemons=tuple(daemons),
+        workers=workers,
+        callers=callers,
+        rate=50.0,
+        config=_config(halls=halls, services=("lab",), tenants={"lab": {}}, split=(70, 30)),
+    )
 
 
 DEPLOYMENTS = {"source": make_source, "arriaga": make_arriaga, "peachtree": make_peachtree}
--- a/tasting/history.py
+++ b/tasting/history.py
@@ -1,4 +1,5 @@
 """What callers, workers, operators and the platform saw. The checker reads nothing else."""
+
 from __future__ import annotations
 
 import json
--- a/tasting/hollow.py
+++ b/tasting/hollow.py
@@ -33,6 +33,7 @@
   --plot DIR        Write plots of what was swept into this folder.
   --out FILE        Write all figures as JSON.
 """
+
 from __future__ import annotations
 
 import json
@@ -53,8 +54,15 @@
 from tasting.hollow_fleet.parts import NAMED, measure_part
 from tasting.hollow_fleet.real import measure_real
 
-SWEPT = {"daemons": (1, 20000), "workers": (0, 100000), "services": (1, 5000), "divided": (0, 100),
-         "routes": (1, 100000), "zones": (1, 250), "regions": (1, 100)}
+SWEPT = {
+    "daemons": (1, 20000),
+    "workers": (0, 100000),
+    "services": (1, 5000),
+    "divided": (0, 100),
+    "routes": (1, 100000),
+    "zones": (1, 250),
+    "regions": (1, 100),
+}
 """{size: (least, most)}"""
 HELD = {"base": 120e3, "worker": 1100.0, "daemon": 700.0, "route": 4500.0}
 """bytes that each hollow proxy holds: by itself, and for each worker, daemon and route."""
@@ -91,7 +99,11 @@
         number = float(flags[f"--{name}"])
     except ValueError:
         return BadInput(reason=f"--{name} {flags[f'--{name}']}: give a number")
-    return number if least <= number <= most else BadInput(reason=f"--{name} {number:g}: must be from {least:g} to {most:g}")
+    return (
+        number
+        if least <= number <= most
+        else BadInput(reason=f"--{name} {number:g}: must be from {least:g} to {most:g}")
+    )
 
 
 def list_sizes(*, sizes: dict, cellars: int, list_rate: float) -> list[tuple[str, Size]]:
@@ -112,21 +124,27 @@
     length = _document_bytes(size=size)
     if length > constants.CONFIG_BYTES:
         fits = int(size.routes * constants.CONFIG_BYTES / length * 0.98)
-        return BadInput(reason=f"{size.routes} routes and {size.services} services make {length} bytes; the product takes "
-                               f"{constants.CONFIG_BYTES}: about {fits} routes fit")
+        return BadInput(
+            reason=f"{size.routes} routes and {size.services} services make {length} bytes; the product takes "
+            f"{constants.CONFIG_BYTES}: about {fits} routes fit"
+        )
     if not is_fleet:
         return None
     if size.workers > PAGE * constants.LIST_PAGES:
-        return BadInput(reason=f"{size.workers} workers make more than the {constants.LIST_PAGES} pages of {PAGE} that the product reads: "
-                               f"{PAGE * constants.LIST_PAGES} fit")
+        return BadInput(
+            reason=f"{size.workers} workers make more than the {constants.LIST_PAGES} pages of {PAGE} that the product reads: "
+            f"{PAGE * constants.LIST_PAGES} fit"
+        )
     each = HELD["base"] + HELD["worker"] * size.workers + HELD["route"] * size.routes
     needed = size.daemons * (each + HELD["daemon"] * size.daemons)
     if needed > memory:
         fits = size.daemons
         while fits > 1 and fits * (each + HELD["daemon"] * fits) > memory:
             fits = int(fits * 0.95)
-        return BadInput(reason=f"{size.daemons} daemons need about {needed / 1e9:.1f} GB, and half of the memory is {memory / 1e9:.1f} GB: "
-                               f"about {fits} daemons fit")
+        return BadInput(
+            reason=f"{size.daemons} daemons need about {needed / 1e9:.1f} GB, and half of the memory is {memory / 1e9:.1f} GB: "
+            f"about {fits} daemons fit"
+        )
     return None
 
 
@@ -149,7 +167,9 @@
         is_kept = Path(flags[name]).exists() and not os.access(flags[name], os.W_OK)
         if is_bad or is_kept or not folder.is_dir() or not os.access(folder, os.W_OK):
             what = "file" if name == "--out" else "folder"
-            return BadInput(reason=f"{name} {flags[name]}: can't be written; give a {what} in a folder that exists and may be written")
+            return BadInput(
+                reason=f"{name} {flags[name]}: can't be written; give a {what} in a folder that exists and may be written"
+            )
     return None
 
 
@@ -164,14 +184,21 @@
         return largest
     chosen = {name: tuple(size for size in NAMED[name][1] if size <= largest) for name in names}
     empty = [name for name, sizes in chosen.items() if not sizes]
-    return BadInput(reason=f"--largest {largest:g}: the least size of {empty[0]} is {NAMED[empty[0]][1][0]}") if empty else chosen
+    return (
+        BadInput(reason=f"--largest {largest:g}: the least size of {empty[0]} is {NAMED[empty[0]][1][0]}")
+        if empty
+        else chosen
+    )
 
 
 def figures_of(*, result: dict) -> dict[str, float]:
     """The figures of a fleet that are fitted."""
     quiet = result["quiet"]["roles"]
-    rows = {f"{role} {what}": quiet[role][part][0] for role in quiet for what, part in
-            (("core share", "cpu"), ("bytes/s out", "out"), ("bytes/s in", "in"))}
+    rows = {
+        f"{role} {what}": quiet[role][part][0]
+        for role in quiet
+        for what, part in (("core share", "cpu"), ("bytes/s out", "out"), ("bytes/s in", "in"))
+    }
     rows["bytes/s between regions"] = result["quiet"]["links"]["regions"][1]
     rows["memory each"] = result["rss_bytes_each"]
     rows["ready s"] = result["rise"]["ready_s"]
@@ -193,8 +220,14 @@
     for name, rows in points.items():
         line, power = fit_line(points=rows), fit_power(points=rows)
         if line is not None:
-            fits[name] = {"base": line.base, "slope": line.slope, "error": line.error, "fit": round(line.fit, 4), "points": line.count,
-                          "exponent": round(power.slope, 2) if power else None}
+            fits[name] = {
+                "base": line.base,
+                "slope": line.slope,
+                "error": line.error,
+                "fit": round(line.fit, 4),
+                "points": line.count,
+                "exponent": round(power.slope, 2) if power else None,
+            }
     return fits
 
 
@@ -205,8 +238,14 @@
     for name, rows in points.items():
         told = " ".join(f"{row[0]}:{row[1]:.5g}" for row in rows)
         fit = fits.get(name)
-        line = (f"  = {fit['base']:.4g} + {fit['slope']:.4g} x (+-{fit['error']:.2g}), R2 {fit['fit']}, "
-                f"exponent {fit['exponent']}") if fit else ""
+        line = (
+            (
+                f"  = {fit['base']:.4g} + {fit['slope']:.4g} x (+-{fit['error']:.2g}), R2 {fit['fit']}, "
+                f"exponent {fit['exponent']}"
+            )
+            if fit
+            else ""
+        )
         print(f"  {name:28} {told}{line}")
 
 
@@ -236,14 +275,21 @@
         results[name] = {"x": NAMED[name][0], "points": points, "fits": fits_of(points=points)}
         show_table(title=f"{name}, by {NAMED[name][0]}", points=points)
         if flags["--plot"]:
-            plot_points(figures=points, x_name=NAMED[name][0], file=Path(flags["--plot"]) / f"part-{name}.svg", title=f"one owner: {name}")
+            plot_points(
+                figures=points,
+                x_name=NAMED[name][0],
+                file=Path(flags["--plot"]) / f"part-{name}.svg",
+                title=f"one owner: {name}",
+            )
     return results
 
 
 def run_real(*, size: Size, plan: Plan) -> dict:
     """The same quiet span with real processes and with hollow ones on links as short."""
     real = measure_real(size=size, seconds=plan.seconds, say=say)
-    short = Plan(seconds=plan.seconds, changes=0, failures=0, zone_down=0.0, delays=(0.0001, 0.0001, 0.0001), seed=plan.seed)
+    short = Plan(
+        seconds=plan.seconds, changes=0, failures=0, zone_down=0.0, delays=(0.0001, 0.0001, 0.0001), seed=plan.seed
+    )
     hollow = HollowFleet(size=size, plan=short, say=say).step()["quiet"]["roles"]
     told = {}
     print(f"\nreal processes beside hollow ones, {size.daemons} proxies and {size.core} cellars")
@@ -251,7 +297,9 @@
         for name in ("cpu", "out", "messages_out"):
             other = hollow[role][name] if name == "messages_out" else hollow[role][name][0]
             told[f"{role} {name}"] = {"real": row[name], "hollow": other, "real_by_hollow": round(row[name] / other, 3)}
-            print(f"  {role + ' ' + name:24} real {row[name]:.6g}  hollow {other:.6g}  real/hollow {row[name] / other:.3f}")
+            print(
+                f"  {role + ' ' + name:24} real {row[name]:.6g}  hollow {other:.6g}  real/hollow {row[name] / other:.3f}"
+            )
         told[f"{role} rss_bytes"] = {"real": row["rss_bytes"]}
         print(f"  {role + ' rss_bytes':24} real {row['rss_bytes']:.6g}")
     return told
@@ -263,7 +311,9 @@
     for _, size in runs:
         figures = measure_added(size=size, count=count, callers=CALLERS, rate=rate)
         results.append({"size": vars(size), **figures})
-        print(f"\nadded with {size.workers} workers in {size.services} services, {size.routes} routes, {size.zones} zones")
+        print(
+            f"\nadded with {size.workers} workers in {size.services} services, {size.routes} routes, {size.zones} zones"
+        )
         for name, value in figures.items():
             print(f"  {name:20} {value:.6g}")
     return results
@@ -278,7 +328,9 @@
         results.append({"swept": name, **result})
         if flags["--out"] and at + 1 < len(runs):
             # a long sweep that is broken off leaves what it has measured
-            Path(flags["--out"]).write_text(json.dumps({"unfinished": True, "fleets": results}, indent=1) + "\n", "utf-8")
+            Path(flags["--out"]).write_text(
+                json.dumps({"unfinished": True, "fleets": results}, indent=1) + "\n", "utf-8"
+            )
         base = base or result
         if name != "base":
             points = swept.setdefault(name, {})
@@ -288,18 +340,42 @@
     for name, points in swept.items():
         show_table(title=f"by {name}", points=points)
         if flags["--plot"]:
-            plot_points(figures=points, x_name=name, file=Path(flags["--plot"]) / f"fleet-{name}.svg", title=f"a hollow fleet by {name}")
+            plot_points(
+                figures=points,
+                x_name=name,
+                file=Path(flags["--plot"]) / f"fleet-{name}.svg",
+                title=f"a hollow fleet by {name}",
+            )
     if not swept:
-        show_table(title="one size", points={name: [[runs[0][1].daemons, value]] for name, value in figures_of(result=base).items()})
-    return {"fleets": results, "swept": {name: {"points": points, "fits": fits_of(points=points)} for name, points in swept.items()}}
+        show_table(
+            title="one size",
+            points={name: [[runs[0][1].daemons, value]] for name, value in figures_of(result=base).items()},
+        )
+    return {
+        "fleets": results,
+        "swept": {name: {"points": points, "fits": fits_of(points=points)} for name, points in swept.items()},
+    }
 
 
 def main(argv: list[str] | None = None) -> None:
     """Check what is asked, run it, write what came out."""
     flags = docopt(__doc__, argv=argv)
-    numbers = {name: read_number(flags=flags, name=name, least=least, most=most) for name, least, most in (
-        ("cellars", 0, 1000), ("list-rate", 0, 1e6), ("changes", 0, 1000), ("failures", 0, 1000), ("zone-down", 0, 600),
-        ("cut", 0, 3600), ("seconds", 0.1, 3600), ("spread", 0, 600), ("seed", 0, 1e9), ("requests", 100, 1e6), ("rate", 1, 1e4))}
+    numbers = {
+        name: read_number(flags=flags, name=name, least=least, most=most)
+        for name, least, most in (
+            ("cellars", 0, 1000),
+            ("list-rate", 0, 1e6),
+            ("changes", 0, 1000),
+            ("failures", 0, 1000),
+            ("zone-down", 0, 600),
+            ("cut", 0, 3600),
+            ("seconds", 0.1, 3600),
+            ("spread", 0, 600),
+            ("seed", 0, 1e9),
+            ("requests", 100, 1e6),
+            ("rate", 1, 1e4),
+        )
+    }
     sizes = read_sizes(flags=flags)
     chosen = choose_parts(flags=flags) if flags["--parts"] else {}
     for bad in (sizes, chosen, *numbers.values(), check_output(flags=flags)):
@@ -312,12 +388,27 @@
             refuse(bad=bad)
     base = runs[0][1]
     if flags["--real"] and (base.daemons + base.core > MOST_REAL or base.daemons > 250):
-        refuse(bad=BadInput(reason=f"{base.daemons} daemons and {base.core} cellars are too many real processes: {MOST_REAL} fit"))
-    plan = Plan(seconds=numbers["seconds"], changes=int(numbers["changes"]), failures=int(numbers["failures"]),
-                zone_down=numbers["zone-down"], cut=numbers["cut"], spread=numbers["spread"], seed=int(numbers["seed"]))
+        refuse(
+            bad=BadInput(
+                reason=f"{base.daemons} daemons and {base.core} cellars are too many real processes: {MOST_REAL} fit"
+            )
+        )
+    plan = Plan(
+        seconds=numbers["seconds"],
+        changes=int(numbers["changes"]),
+        failures=int(numbers["failures"]),
+        zone_down=numbers["zone-down"],
+        cut=numbers["cut"],
+        spread=numbers["spread"],
+        seed=int(numbers["seed"]),
+    )
     words = argv if argv is not None else sys.argv[1:]
-    told = {"command": name_command(words=words), "note": flags["--note"] or "",
-            "python": platform.python_version(), "plan": vars(plan)}
+    told = {
+        "command": name_command(words=words),
+        "note": flags["--note"] or "",
+        "python": platform.python_version(),
+        "plan": vars(plan),
+    }
     if chosen:
         told["parts"] = run_parts(chosen=chosen, flags=flags)
     elif flags["--added"]:
--- a/tasting/hollow_fleet/added.py
+++ b/tasting/hollow_fleet/added.py
@@ -1,4 +1,5 @@
 """What a proxy adds to a request: the real front, owner and client edge in a process of their own, before a stand-in worker."""
+
 from __future__ import annotations
 
 import multiprocessing
@@ -19,7 +20,9 @@
 from .deployment import Size, hosted_of, told_fleet, told_rows, zones_of
 from .parts import LEAD, config_text, free_route, push_of
 
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nInstance-Id: %s\r\n\r\n" + b"x" * 64
+ANSWER = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\nAttempt-Id: %s\r\nServer-Seal: s\r\nInstance-Id: %s\r\n\r\n" + b"x" * 64
+)
 HEAD_END = b"\r\n\r\n"
 OK = b"HTTP/1.1 200"
 
@@ -35,15 +38,21 @@
     worker.start()
     worker_port = worker_at.recv()
     proxy_at, proxy_end = method.Pipe()
-    proxy = method.Process(target=_serve_proxy, kwargs={"pipe": proxy_end, "size": size, "worker_port": worker_port}, daemon=True)
+    proxy = method.Process(
+        target=_serve_proxy, kwargs={"pipe": proxy_end, "size": size, "worker_port": worker_port}, daemon=True
+    )
     proxy.start()
     proxy_port = proxy_at.recv()
     path, headers = free_route(size=size)
     try:
         request = _request_of(path=path, headers=headers)
         figures = _call_both(ports=(worker_port, proxy_port), request=request, count=count)
-        (direct, _), (through, refused) = (_pace(port=port, request=request, count=count, rate=rate) for port in (worker_port, proxy_port))
-        figures |= {f"paced_p{part}_s": _at(values=through, part=part) - _at(values=direct, part=part) for part in (50, 90, 99)}
+        (direct, _), (through, refused) = (
+            _pace(port=port, request=request, count=count, rate=rate) for port in (worker_port, proxy_port)
+        )
+        figures |= {
+            f"paced_p{part}_s": _at(values=through, part=part) - _at(values=direct, part=part) for part in (50, 90, 99)
+        }
         figures |= {"rate": rate, "paced_not_served": refused}
         return figures | _press(port=proxy_port, request=request, count=count, callers=callers, proxy=proxy_at)
     finally:
@@ -62,10 +71,17 @@
             if at >= 50:
                 times[one].append(time.perf_counter() - begun)
     direct, through = (sorted(one) for one in times)
-    added = {f"added_p{part}_s": _at(values=through, part=part) - _at(values=direct, part=part) for part in (50, 90, 99)}
+    added = {
+        f"added_p{part}_s": _at(values=through, part=part) - _at(values=direct, part=part) for part in (50, 90, 99)
+    }
     pairs = sorted(b - a for a, b in zip(*times, strict=True))
-    return {**added, "direct_p50_s": _at(values=direct, part=50), "direct_p99_s": _at(values=direct, part=99),
-            "pair_p50_s": _at(values=pairs, part=50), "pair_p99_s": _at(values=pairs, part=99)}
+    return {
+        **added,
+        "direct_p50_s": _at(values=direct, part=50),
+        "direct_p99_s": _at(values=direct, part=99),
+        "pair_p50_s": _at(values=pairs, part=50),
+        "pair_p99_s": _at(values=pairs, part=99),
+    }
 
 
 def _pace(*, port: int, request: bytes, count: int, rate: float) -> tuple[list[float], float]:
@@ -129,9 +145,15 @@
     took = time.perf_counter() - begun
     proxy.send("cpu")
     used = proxy.recv() - cpu
-    return {"callers": callers, "requests_s": done / took, "pressed_not_served": refused / done,
-            "cpu_s_a_request": used / done, "busy": used / took, "requests_a_core_s": done / used,
-            "pressed_p50_s": statistics.median(times)}
+    return {
+        "callers": callers,
+        "requests_s": done / took,
+        "pressed_not_served": refused / done,
+        "cpu_s_a_request": used / done,
+        "busy": used / took,
+        "requests_a_core_s": done / used,
+        "pressed_p50_s": statistics.median(times),
+    }
 
 
 def _exchange(*, sock: socket.socket, request: bytes) -> bool:
@@ -153,7 +175,13 @@
 
 
 def _request_of(*, path: str, headers: dict) -> bytes:
-    lines = [f"GET {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items()), "expect-instance: w", "", ""]
+    lines = [
+        f"GET {path} HTTP/1.1",
+        *(f"{name}: {value}" for name, value in headers.items()),
+        "expect-instance: w",
+        "",
+        "",
+    ]
     return "\r\n".join(lines).encode()
 
 
@@ -201,18 +229,30 @@
     rows = told_rows(size=size)
     for row in {part.split('"')[0] for part in rows.split('"address":"')[1:]}:
         rows = rows.replace(f'"{row}"', f'"127.0.0.1:{worker_port}"')
-    for name, text in (("config", config_text(size=size)), ("workers", rows), ("fleet", told_fleet(size=size, zones=zones_of(size=size)))):
+    for name, text in (
+        ("config", config_text(size=size)),
+        ("workers", rows),
+        ("fleet", told_fleet(size=size, zones=zones_of(size=size))),
+    ):
         owner.step(now=reactor.clock(), event=Heard(sender=LEAD, body=push_of(name=name, number=1, text=text)))
-    front = Front(reactor=reactor, address="127.0.0.1:0", name="front", tell=host.tell, limits=lambda: owner.scene.plan.limits)
+    front = Front(
+        reactor=reactor, address="127.0.0.1:0", name="front", tell=host.tell, limits=lambda: owner.scene.plan.limits
+    )
     outbound = Outbound(reactor=reactor, tell=host.tell, names=hosted.names)
-    host.handlers = {Answer: lambda one: front.answer(command=one), Call: lambda one: outbound.give(call=one), Tell: lambda one: None,
-                     CancelCall: lambda one: outbound.cancel(token=one.token), HangUp: lambda one: outbound.hang_up(owner=one.owner)}
+    host.handlers = {
+        Answer: lambda one: front.answer(command=one),
+        Call: lambda one: outbound.give(call=one),
+        Tell: lambda one: None,
+        CancelCall: lambda one: outbound.cancel(token=one.token),
+        HangUp: lambda one: outbound.hang_up(owner=one.owner),
+    }
 
     def tell_cpu() -> None:
         while pipe.poll():
             pipe.recv()
             pipe.send(time.process_time())
         reactor.later(delay=0.02, call=tell_cpu)
+
     tell_cpu()
     pipe.send(front.port)
     host.run(step=owner.step)
--- a/tasting/hollow_fleet/deployment.py
+++ b/tasting/hollow_fleet/deployment.py
@@ -1,4 +1,5 @@
 """A made-up deployment of any size: places, settings, a configuration and a list of workers in the platform's words."""
+
 from __future__ import annotations
 
 import hashlib
@@ -74,11 +75,26 @@
     zone = zone_name(index=index % size.zones)
     seeds = [f"{ip_of(role='cellar', index=at)}:7000" for at in range(min(VOTERS_SEEDED, size.core))]
     ip = ip_of(role=role, index=index)
-    return {"node_name": word(kind=role, index=index), "ip": ip, "zone": zone, "region": zones[zone], "zones": zones,
-            "listen": {"front": f"{ip}:8000", "readiness": f"{ip}:8001", "directory": f"{ip}:8002", "control_plane": f"{ip}:8003"},
-            "inner_port_range": [7000, 7009], "seed_nodes": seeds, "bootstrap": True, "data_dir": "data", "fault_budget": {"machines": 1},
-            "bounds": _bounds(),
-            "cloud_api": {"address": "10.0.0.1:80", "rate_per_s": size.list_rate}}
+    return {
+        "node_name": word(kind=role, index=index),
+        "ip": ip,
+        "zone": zone,
+        "region": zones[zone],
+        "zones": zones,
+        "listen": {
+            "front": f"{ip}:8000",
+            "readiness": f"{ip}:8001",
+            "directory": f"{ip}:8002",
+            "control_plane": f"{ip}:8003",
+        },
+        "inner_port_range": [7000, 7009],
+        "seed_nodes": seeds,
+        "bootstrap": True,
+        "data_dir": "data",
+        "fault_budget": {"machines": 1},
+        "bounds": _bounds(),
+        "cloud_api": {"address": "10.0.0.1:80", "rate_per_s": size.list_rate},
+    }
 
 
 def hosted_of(*, size: Size, role: str, index: int, zones: dict[str, str]) -> object:
@@ -93,18 +109,46 @@
 
 def make_document(*, size: Size, version: int) -> dict:
     """A whole configuration in the platform's words."""
+
     def rule(index: int) -> dict:
-        return {"name": word(kind="route", index=index), "route_kind": "idempotent" if index % 2 else "nonidempotent", "target_s": 0.4,
-                "priority": index % 3, "matcher": {"path_prefix": f"/{word(kind='part', index=index)}/"}, "verdict": {
-                    "split_to": [{"service": service_name(size=size, index=index % size.services), "weight": 100}],
-                    "deadline_s": 2.5, "max_tries": 2, "home_regions": [f"region-{index % size.regions}"] if index % 4 == 0 else []}}
+        return {
+            "name": word(kind="route", index=index),
+            "route_kind": "idempotent" if index % 2 else "nonidempotent",
+            "target_s": 0.4,
+            "priority": index % 3,
+            "matcher": {"path_prefix": f"/{word(kind='part', index=index)}/"},
+            "verdict": {
+                "split_to": [{"service": service_name(size=size, index=index % size.services), "weight": 100}],
+                "deadline_s": 2.5,
+                "max_tries": 2,
+                "home_regions": [f"region-{index % size.regions}"] if index % 4 == 0 else [],
+            },
+        }
+
     hosts = max(1, size.routes // 40)
-    return {"generation": f"r{version}",
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_s": 3, "idle_timeout_s": 15},
-            "listeners": [{"hostname": f"{word(kind='host', index=at)}.example",
-                           "ruleset": [rule(index) for index in range(at, size.routes, hosts)]} for at in range(hosts)],
-            "pools": [{"name": service_name(size=size, index=index), "health_path": "/health", "max_conns": 130, "cold_s": 3.0,
-                       "cold_rate_s": 6.0, "sharded": index < size.divided, "warm_s": 3.0} for index in range(size.services)]}
+    return {
+        "generation": f"r{version}",
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_s": 3, "idle_timeout_s": 15},
+        "listeners": [
+            {
+                "hostname": f"{word(kind='host', index=at)}.example",
+                "ruleset": [rule(index) for index in range(at, size.routes, hosts)],
+            }
+            for at in range(hosts)
+        ],
+        "pools": [
+            {
+                "name": service_name(size=size, index=index),
+                "health_path": "/health",
+                "max_conns": 130,
+                "cold_s": 3.0,
+                "cold_rate_s": 6.0,
+                "sharded": index < size.divided,
+                "warm_s": 3.0,
+            }
+            for index in range(size.services)
+        ],
+    }
 
 
 def make_patch(*, size: Size, version: int) -> dict:
@@ -117,32 +161,71 @@
 
 def worker_rows(*, size: Size) -> list[dict]:
     """The platform's rows of all workers, zone by zone."""
-    return [{"id": word(kind="i", index=index), "service": service_name(size=size, index=index % size.services),
-             "zone": zone_name(index=index % size.zones),
-             "address": f"10.{100 + index // 62500}.{index // 250 % 250}.{index % 250 + 1}:9000", "state": "admitted", "capacity": 4,
-             "cold_left_s": 0.0} for index in range(size.workers)]
+    return [
+        {
+            "id": word(kind="i", index=index),
+            "service": service_name(size=size, index=index % size.services),
+            "zone": zone_name(index=index % size.zones),
+            "address": f"10.{100 + index // 62500}.{index // 250 % 250}.{index % 250 + 1}:9000",
+            "state": "admitted",
+            "capacity": 4,
+            "cold_left_s": 0.0,
+        }
+        for index in range(size.workers)
+    ]
 
 
 def list_pages(*, size: Size) -> list[bytes]:
     """The platform's list, page by page."""
     rows = worker_rows(size=size)
     starts = range(0, max(1, len(rows)), PAGE)
-    return [json.dumps({"instances": rows[at:at + PAGE], "next_token": str(at + PAGE) if at + PAGE < len(rows) else None}).encode()
-            for at in starts]
+    return [
+        json.dumps(
+            {"instances": rows[at : at + PAGE], "next_token": str(at + PAGE) if at + PAGE < len(rows) else None}
+        ).encode()
+        for at in starts
+    ]
 
 
 def told_rows(*, size: Size) -> str:
     """The workers as a cellar's push tells them."""
-    told = [{"id": row["id"], "generation": 0, "service": row["service"], "address": row["address"], "hall": row["zone"],
-             "leaving": False, "capacity": row["capacity"], "cold_s": 0.0} for row in worker_rows(size=size)]
+    told = [
+        {
+            "id": row["id"],
+            "generation": 0,
+            "service": row["service"],
+            "address": row["address"],
+            "hall": row["zone"],
+            "leaving": False,
+            "capacity": row["capacity"],
+            "cold_s": 0.0,
+        }
+        for row in worker_rows(size=size)
+    ]
     return json.dumps(told, separators=(",", ":"))
 
 
 def told_fleet(*, size: Size, zones: dict[str, str]) -> str:
     """The fleet as a cellar's push tells it."""
+
     def row(index: int) -> list:
         zone = zone_name(index=index % size.zones)
-        return [word(kind="sommelier", index=index), f"{ip_of(role='sommelier', index=index)}:8000", zone, zones[zone], True]
-    cellars = [[f"{ip_of(role='cellar', index=at)}:7000", zone_name(index=at % size.zones), zones[zone_name(index=at % size.zones)]]
-               for at in range(size.core)]
-    return json.dumps({"proxies": [row(index) for index in range(size.daemons)], "cellars": cellars}, separators=(",", ":"))
+        return [
+            word(kind="sommelier", index=index),
+            f"{ip_of(role='sommelier', index=index)}:8000",
+            zone,
+            zones[zone],
+            True,
+        ]
+
+    cellars = [
+        [
+            f"{ip_of(role='cellar', index=at)}:7000",
+            zone_name(index=at % size.zones),
+            zones[zone_name(index=at % size.zones)],
+        ]
+        for at in range(size.core)
+    ]
+    return json.dumps(
+        {"proxies": [row(index) for index in range(size.daemons)], "cellars": cellars}, separators=(",", ":")
+    )
--- a/tasting/hollow_fleet/fit.py
+++ b/tasting/hollow_fleet/fit.py
@@ -1,4 +1,5 @@
 """Slopes by least squares with their spread, and plots of them."""
+
 from __future__ import annotations
 
 import math
@@ -33,7 +34,13 @@
     base = middle_y - slope * middle_x
     left = sum((y - base - slope * x) ** 2 for x, y in zip(xs, ys, strict=True))
     whole = sum((y - middle_y) ** 2 for y in ys)
-    return Fit(base=base, slope=slope, error=math.sqrt(left / (count - 2) / wide), fit=1 - left / whole if whole else 1.0, count=count)
+    return Fit(
+        base=base,
+        slope=slope,
+        error=math.sqrt(left / (count - 2) / wide),
+        fit=1 - left / whole if whole else 1.0,
+        count=count,
+    )
 
 
 def fit_power(*, points: list) -> Fit | None:
@@ -44,9 +51,11 @@
 def plot_points(*, figures: dict, x_name: str, file: Path, title: str) -> None:
     """Points and their lines, a panel for each figure: {name: points}."""
     import matplotlib
+
     matplotlib.use("svg")
     matplotlib.rcParams |= {"svg.hashsalt": "sailward", "svg.fonttype": "none"}
     from matplotlib import pyplot
+
     shown = {name: points for name, points in figures.items() if len(points) > 1}
     wide = min(3, max(1, len(shown)))
     high = max(1, math.ceil(len(shown) / wide))
--- a/tasting/hollow_fleet/fleet.py
+++ b/tasting/hollow_fleet/fleet.py
@@ -1,4 +1,5 @@
 """A hollow fleet's day: coming up, a quiet span, changes, dead proxies, a lost zone and its return, a cut region."""
+
 from __future__ import annotations
 
 import gc
@@ -72,8 +73,13 @@
         rng = random.Random(self.plan.seed)
         self._build(rng=rng)
         figures = {"size": {**vars(self.size), "cellars": self.size.core}, "rise": self._rise(rng=rng)}
-        for name, play in (("quiet", self._stay_quiet), ("changes", self._change), ("failures", self._fail),
-                           ("zone", self._lose_zone), ("cut", self._cut_region)):
+        for name, play in (
+            ("quiet", self._stay_quiet),
+            ("changes", self._change),
+            ("failures", self._fail),
+            ("zone", self._lose_zone),
+            ("cut", self._cut_region),
+        ):
             gc.collect()
             figures[name] = play()
             self.say(f"{name}: {_short(figures[name])}")
@@ -90,15 +96,30 @@
         def make(member: Member, now: float, hosted) -> object:
             start, nonce = int(1e12 + now * 1e6), f"{rng.getrandbits(48):012x}"
             if member.role == "cellar":
-                return Cellar(place=hosted.place, platform=hosted.platform, nonce=nonce, start=start, rng=random.Random(nonce),
-                              records=list(member.records), now=now, options=hosted.options)
+                return Cellar(
+                    place=hosted.place,
+                    platform=hosted.platform,
+                    nonce=nonce,
+                    start=start,
+                    rng=random.Random(nonce),
+                    records=list(member.records),
+                    now=now,
+                    options=hosted.options,
+                )
             return Proxy(place=hosted.place, start=start, rng=random.Random(nonce), options=hosted.options)
+
         for role, count, members in (("cellar", size.core, self.cellars), ("sommelier", size.daemons, self.proxies)):
             for index in range(count):
                 hosted = hosted_of(size=size, role=role, index=index, zones=zones)
                 place = hosted.place
-                member = Member(name=place.name, role=role, zone=place.hall, region=place.region, post=place.post,
-                                make=lambda member, now, hosted=hosted: make(member, now, hosted))
+                member = Member(
+                    name=place.name,
+                    role=role,
+                    zone=place.hall,
+                    region=place.region,
+                    post=place.post,
+                    make=lambda member, now, hosted=hosted: make(member, now, hosted),
+                )
                 self.network.add(member=member)
                 members.append(member)
 
@@ -120,8 +141,14 @@
         is_ready = network.run(seconds=PATIENCE, until=self._all_ready)
         ready_s = network.now - begun
         network.run(seconds=5.0)
-        figures = {"core_s": round(core_s, 2), "core_up": is_core_up, "accepted_s": accepted, "all_ready": is_ready,
-                   "ready_s": round(ready_s, 2), **self._between(before=before)}
+        figures = {
+            "core_s": round(core_s, 2),
+            "core_up": is_core_up,
+            "accepted_s": accepted,
+            "all_ready": is_ready,
+            "ready_s": round(ready_s, 2),
+            **self._between(before=before),
+        }
         self.say(f"rise: {_short(figures)}")
         return figures
 
@@ -138,7 +165,9 @@
             patch = make_patch(size=self.size, version=self.version + 1)
             accepted.append(self._operate(method="PATCH", document=patch, if_match=f"r{self.version}"))
             is_done = self.network.run(seconds=PATIENCE, until=lambda number=number: self._all_hold(number=number + 1))
-            took.append(round(max((at for _, at in self.in_force.values()), default=begun) - begun, 3) if is_done else None)
+            took.append(
+                round(max((at for _, at in self.in_force.values()), default=begun) - begun, 3) if is_done else None
+            )
             self.network.run(seconds=max(0.0, 2.0 - (self.network.now - begun)))
         return {"accepted_s": accepted, "in_force_s": took, **self._between(before=before)} if self.plan.changes else {}
 
@@ -171,7 +200,13 @@
         is_ready = self.network.run(seconds=PATIENCE, until=self._all_ready)
         ready = self.network.now - begun
         self.network.run(seconds=max(0.0, 5.0 - ready))
-        return {"lost": len(lost), "ready": is_ready, "ready_s": round(ready, 2), "down": down, "return": self._between(before=before)}
+        return {
+            "lost": len(lost),
+            "ready": is_ready,
+            "ready_s": round(ready, 2),
+            "down": down,
+            "return": self._between(before=before),
+        }
 
     def _cut_region(self) -> dict:
         if not self.plan.cut or self.size.regions < 2:
@@ -180,22 +215,36 @@
         self.network.cut = {region}
         self.network.run(seconds=min(2.0, self.plan.cut))
         number = max((number for number, _ in self.in_force.values()), default=0)
-        accepted = self._operate(method="PATCH", document=make_patch(size=self.size, version=self.version + 1), if_match=f"r{self.version}")
+        accepted = self._operate(
+            method="PATCH", document=make_patch(size=self.size, version=self.version + 1), if_match=f"r{self.version}"
+        )
         self.network.run(seconds=self.plan.cut)
         self.network.cut = set()
         before, begun = self._tally(), self.network.now
         is_healed = self.network.run(seconds=PATIENCE, until=lambda: self._all_hold(number=number + 1))
         healed = self.network.now - begun
         self.network.run(seconds=max(0.0, 5.0 - healed))
-        return {"accepted_s": accepted, "healed": is_healed, "healed_s": round(healed, 2), **self._between(before=before)}
+        return {
+            "accepted_s": accepted,
+            "healed": is_healed,
+            "healed_s": round(healed, 2),
+            **self._between(before=before),
+        }
 
     def _operate(self, *, method: str, document: dict, if_match: str) -> float | None:
         """s until an operator's change was accepted, None if it was not."""
         begun, body = self.network.now, json.dumps(document, separators=(",", ":")).encode()
         for turn in range(5):
             token = f"desk {method} {self.version + 1} {turn} {begun}"
-            ask_operator(network=self.network, member=self.cellars[0], token=token, method=method, path="/config", body=body,
-                         if_match=if_match)
+            ask_operator(
+                network=self.network,
+                member=self.cellars[0],
+                token=token,
+                method=method,
+                path="/config",
+                body=body,
+                if_match=if_match,
+            )
             self.network.run(seconds=12.0, until=lambda token=token: token in self.network.answers)
             answer = self.network.answers.pop(token, None)
             if answer is not None and answer.code == 200:
@@ -220,10 +269,18 @@
 
     def _tally(self) -> Tally:
         network, members = self.network, [*self.cellars, *self.proxies]
-        return Tally(at=network.now, messages=network.messages.copy(), bytes=network.bytes.copy(), disk=network.disk.copy(),
-                     calls=network.calls.copy(), lost=network.lost.copy(), steps={key: tuple(row) for key, row in network.steps.items()},
-                     costs={one.post: one.cost.copy() for one in members}, sent={one.post: one.sent.copy() for one in members},
-                     heard={one.post: one.heard.copy() for one in members})
+        return Tally(
+            at=network.now,
+            messages=network.messages.copy(),
+            bytes=network.bytes.copy(),
+            disk=network.disk.copy(),
+            calls=network.calls.copy(),
+            lost=network.lost.copy(),
+            steps={key: tuple(row) for key, row in network.steps.items()},
+            costs={one.post: one.cost.copy() for one in members},
+            sent={one.post: one.sent.copy() for one in members},
+            heard={one.post: one.heard.copy() for one in members},
+        )
 
     def _between(self, *, before: Tally) -> dict:
         """All figures since then, a second."""
@@ -231,26 +288,52 @@
         kinds: dict = {}
         for (kind, link), count in (after.messages - before.messages).items():
             row = kinds.setdefault(kind, {})
-            row[link] = [round(count / span, 2), round((after.bytes[(kind, link)] - before.bytes[(kind, link)]) / span, 1)]
-        links = {link: [round(sum(row.get(link, [0, 0])[at] for row in kinds.values()), 1) for at in (0, 1)] for link in LINKS}
-        steps = {f"{role} {what}": [round((row[0] - before.steps.get((role, what), (0, 0))[0]) / span, 2),
-                                    round((row[1] - before.steps.get((role, what), (0, 0.0))[1]) / span, 5)]
-                 for (role, what), row in after.steps.items() if row[0] > before.steps.get((role, what), (0, 0))[0]}
+            row[link] = [
+                round(count / span, 2),
+                round((after.bytes[(kind, link)] - before.bytes[(kind, link)]) / span, 1),
+            ]
+        links = {
+            link: [round(sum(row.get(link, [0, 0])[at] for row in kinds.values()), 1) for at in (0, 1)]
+            for link in LINKS
+        }
+        steps = {
+            f"{role} {what}": [
+                round((row[0] - before.steps.get((role, what), (0, 0))[0]) / span, 2),
+                round((row[1] - before.steps.get((role, what), (0, 0.0))[1]) / span, 5),
+            ]
+            for (role, what), row in after.steps.items()
+            if row[0] > before.steps.get((role, what), (0, 0))[0]
+        }
         roles = {}
         for role, members in (("cellar", self.cellars), ("proxy", self.proxies)):
             cpu = [sum((after.costs[one.post] - before.costs[one.post]).values()) / span for one in members]
             out = [(after.sent[one.post]["bytes"] - before.sent[one.post]["bytes"]) / span for one in members]
             into = [(after.heard[one.post]["bytes"] - before.heard[one.post]["bytes"]) / span for one in members]
-            parts = {part: sum(after.costs[one.post][part] - before.costs[one.post][part] for one in members) / span / len(members)
-                     for part in ("step", "pack", "unpack", "check")}
+            parts = {
+                part: sum(after.costs[one.post][part] - before.costs[one.post][part] for one in members)
+                / span
+                / len(members)
+                for part in ("step", "pack", "unpack", "check")
+            }
             told = sum(after.sent[one.post]["messages"] - before.sent[one.post]["messages"] for one in members)
-            roles[role] = {"cpu": _spread(values=cpu), "out": _spread(values=out), "in": _spread(values=into),
-                           "cpu_parts": {name: round(value, 6) for name, value in parts.items()},
-                           "messages_out": round(told / span / len(members), 2)}
-        return {"span_s": round(span, 2), "roles": roles, "links": links, "kinds": kinds, "steps": steps,
-                "lost": dict(after.lost - before.lost), "syncs": round((after.disk["syncs"] - before.disk["syncs"]) / span, 3),
-                "disk_bytes": round((after.disk["bytes"] - before.disk["bytes"]) / span, 1),
-                "calls": {name: round(count / span, 2) for name, count in (after.calls - before.calls).items()}}
+            roles[role] = {
+                "cpu": _spread(values=cpu),
+                "out": _spread(values=out),
+                "in": _spread(values=into),
+                "cpu_parts": {name: round(value, 6) for name, value in parts.items()},
+                "messages_out": round(told / span / len(members), 2),
+            }
+        return {
+            "span_s": round(span, 2),
+            "roles": roles,
+            "links": links,
+            "kinds": kinds,
+            "steps": steps,
+            "lost": dict(after.lost - before.lost),
+            "syncs": round((after.disk["syncs"] - before.disk["syncs"]) / span, 3),
+            "disk_bytes": round((after.disk["bytes"] - before.disk["bytes"]) / span, 1),
+            "calls": {name: round(count / span, 2) for name, count in (after.calls - before.calls).items()},
+        }
 
 
 def _spread(*, values: list) -> list:
@@ -268,5 +351,7 @@
     inner = figures.get("return", figures)
     if "roles" in inner:
         told |= {f"{role} cpu": inner["roles"][role]["cpu"][0] for role in inner["roles"]}
-        told |= {f"{role} bytes": inner["roles"][role]["out"][0] + inner["roles"][role]["in"][0] for role in inner["roles"]}
+        told |= {
+            f"{role} bytes": inner["roles"][role]["out"][0] + inner["roles"][role]["in"][0] for role in inner["roles"]
+        }
     return " ".join(f"{name}={value}" for name, value in told.items())
--- a/tasting/hollow_fleet/network.py
+++ b/tasting/hollow_fleet/network.py
@@ -1,4 +1,5 @@
 """Virtual time and a network that counts: each message's bytes, and the processor time of each step, packing and unpacking."""
+
 from __future__ import annotations
 
 import heapq
@@ -9,7 +10,22 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, Called, Check, Checked, Heard, Log, Rewrite, Stop, Store, Synced, Tell, Ticked
+from sailward.acts import (
+    Answer,
+    Asked,
+    Call,
+    Called,
+    Check,
+    Checked,
+    Heard,
+    Log,
+    Rewrite,
+    Stop,
+    Store,
+    Synced,
+    Tell,
+    Ticked,
+)
 from sailward.cask.messages import BadMessage
 from sailward.dock.courier import LENGTH, pack_body, read_body
 from sailward.dock.disk import pack_frame
@@ -81,13 +97,17 @@
             frame = pack_body(body=body)
             packed = time.process_time()
             length, form = LENGTH.unpack_from(frame)
-            read = read_body(payload=frame[LENGTH.size:], form=form)
+            read = read_body(payload=frame[LENGTH.size :], form=form)
             ended = time.process_time()
             is_readable = not isinstance(read, BadMessage) and length <= constants.FRAME_BYTES
             uses, share = weight.uses, 1.0 if weight.uses == 0 else 0.3
-            weight = self._kept[key] = Weight(size=len(frame), is_readable=is_readable, uses=uses,
-                                              pack=weight.pack + share * (packed - begun - weight.pack),
-                                              unpack=weight.unpack + share * (ended - packed - weight.unpack))
+            weight = self._kept[key] = Weight(
+                size=len(frame),
+                is_readable=is_readable,
+                uses=uses,
+                pack=weight.pack + share * (packed - begun - weight.pack),
+                unpack=weight.unpack + share * (ended - packed - weight.unpack),
+            )
         weight.uses += 1
         return weight
 
@@ -155,6 +175,7 @@
                 member.owner = member.make(member=member, now=self.now)
                 member.busy_until = member.tick_at = self.now
                 self._tick(member=member, life=life)
+
         self.after(delay=delay, act=begin)
 
     def kill(self, *, member: Member) -> None:
@@ -290,7 +311,12 @@
     return len(json.loads(pages[0])["instances"])
 
 
-def ask_operator(*, network: Network, member: Member, token: str, method: str, path: str, body: bytes, if_match: str) -> None:
+def ask_operator(
+    *, network: Network, member: Member, token: str, method: str, path: str, body: bytes, if_match: str
+) -> None:
     """An operator's call; too large a body is not read, as at the front."""
     given = body if len(body) <= constants.CONFIG_BYTES else None
-    network.give(member=member, event=Asked(token=token, method=method, path=path, query={}, headers={"if-match": if_match}, body=given))
+    network.give(
+        member=member,
+        event=Asked(token=token, method=method, path=path, query={}, headers={"if-match": if_match}, body=given),
+    )
--- a/tasting/hollow_fleet/parts.py
+++ b/tasting/hollow_fleet/parts.py
@@ -1,4 +1,5 @@
 """What one owner costs at a size: one proxy or one cellar is given what a fleet of that size would give it."""
+
 from __future__ import annotations
 
 import gc
@@ -18,25 +19,45 @@
 from sailward.label.check import check_config
 
 from .deployment import (
-    Size, hosted_of, make_document, make_patch, merge_patch, service_name, told_fleet, told_rows, word, zones_of)
+    Size,
+    hosted_of,
+    make_document,
+    make_patch,
+    merge_patch,
+    service_name,
+    told_fleet,
+    told_rows,
+    word,
+    zones_of,
+)
 
 LEAD = "10.1.0.1:7000"
 REPEATS = 3
-NAMED = {"list": ("workers", (500, 1000, 2000, 4000, 8000, 16000, 32000, 63000)),
-         "fleet": ("daemons", (100, 300, 1000, 3000, 6000, 12000)),
-         "config": ("routes", (100, 300, 1000, 2500, 5000, 10000, 31000)),
-         "tenants": ("tenants", (1000, 3000, 10000, 30000, 100000)),
-         "place": ("workers of the service", (8, 32, 128, 512, 1024)),
-         "halls": ("services x zones", (100, 1000, 10000, 50000, 176000)),
-         "core": ("daemons", (272, 1000, 3000, 6000, 12000)),
-         "askers": ("askers of a cellar", (10, 30, 100, 136, 300, 1000))}
+NAMED = {
+    "list": ("workers", (500, 1000, 2000, 4000, 8000, 16000, 32000, 63000)),
+    "fleet": ("daemons", (100, 300, 1000, 3000, 6000, 12000)),
+    "config": ("routes", (100, 300, 1000, 2500, 5000, 10000, 31000)),
+    "tenants": ("tenants", (1000, 3000, 10000, 30000, 100000)),
+    "place": ("workers of the service", (8, 32, 128, 512, 1024)),
+    "halls": ("services x zones", (100, 1000, 10000, 50000, 176000)),
+    "core": ("daemons", (272, 1000, 3000, 6000, 12000)),
+    "askers": ("askers of a cellar", (10, 30, 100, 136, 300, 1000)),
+}
 """{part: (what is varied, sizes)}"""
 
 
 def measure_part(*, name: str, sizes: tuple, say: Callable[[str], None]) -> dict:
     """All points of one part: {figure: [[size, value], ...]}, each the middle of REPEATS runs, with the least and greatest."""
-    measure = {"list": _list, "fleet": _fleet, "config": _config, "tenants": _tenants, "place": _place, "halls": _halls,
-               "core": _core, "askers": _askers}[name]
+    measure = {
+        "list": _list,
+        "fleet": _fleet,
+        "config": _config,
+        "tenants": _tenants,
+        "place": _place,
+        "halls": _halls,
+        "core": _core,
+        "askers": _askers,
+    }[name]
     points: dict = {}
     for size in sizes:
         runs = []
@@ -62,8 +83,14 @@
 
 def push_of(*, name: str, number: int, text: str) -> dict:
     """A push of this text."""
-    return {"kind": "push", "seq": number, "name": name, "number": number, "ballot": [0, ""],
-            "value": {"number": number, "mark": LEAD, "trail": [], "text": text}}
+    return {
+        "kind": "push",
+        "seq": number,
+        "name": name,
+        "number": number,
+        "ballot": [0, ""],
+        "value": {"number": number, "mark": LEAD, "trail": [], "text": text},
+    }
 
 
 def config_text(*, size: Size, version: int = 1) -> str:
@@ -89,12 +116,20 @@
     pack = _seconds(lambda: frames.append(pack_body(body=bodies[1])))
     length, form = LENGTH.unpack_from(frames[0])
     reads: list = []
-    unpack = _seconds(lambda: reads.append(read_body(payload=frames[0][LENGTH.size:], form=form)))
+    unpack = _seconds(lambda: reads.append(read_body(payload=frames[0][LENGTH.size :], form=form)))
     _give(proxy=proxy, body=bodies[0], now=1.0)
     take = _seconds(lambda: _give(proxy=proxy, body=bodies[1], now=2.0))
-    figures = {"text_bytes": len(texts[1]), "frame_bytes": len(frames[0]), "pack_s": pack, "unpack_s": unpack, "take_s": take,
-               "readable": 0 if isinstance(reads[0], BadMessage) or length > constants.FRAME_BYTES else 1}
-    ticks = [_seconds(lambda at=at: proxy.step(now=3.0 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(40)]
+    figures = {
+        "text_bytes": len(texts[1]),
+        "frame_bytes": len(frames[0]),
+        "pack_s": pack,
+        "unpack_s": unpack,
+        "take_s": take,
+        "readable": 0 if isinstance(reads[0], BadMessage) or length > constants.FRAME_BYTES else 1,
+    }
+    ticks = [
+        _seconds(lambda at=at: proxy.step(now=3.0 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(40)
+    ]
     return {**figures, "tick_s": statistics.fmean(ticks)}, proxy
 
 
@@ -147,29 +182,47 @@
     shape = Size(routes=4, services=2, divided=0)
     proxy = make_proxy(size=shape)
     full = proxy.options.expand(make_document(size=shape, version=1))
-    full["tenants"] = {word(kind="tenant", index=index): {"homes": [f"region-{index % 37}"], "share": 1} for index in range(size)}
+    full["tenants"] = {
+        word(kind="tenant", index=index): {"homes": [f"region-{index % 37}"], "share": 1} for index in range(size)
+    }
     text = json.dumps({"full": full}, separators=(",", ":"))
     body = push_of(name="config", number=1, text=text)
     frames: list[bytes] = []
     pack = _seconds(lambda: frames.append(pack_body(body=body)))
     take = _seconds(lambda: _give(proxy=proxy, body=body, now=1.0))
-    return {"text_bytes": len(text), "frame_bytes": len(frames[0]), "pack_s": pack, "take_s": take,
-            "held_bytes": _held_bytes(size=shape, name="config", text=text)}
+    return {
+        "text_bytes": len(text),
+        "frame_bytes": len(frames[0]),
+        "pack_s": pack,
+        "take_s": take,
+        "held_bytes": _held_bytes(size=shape, name="config", text=text),
+    }
 
 
 def free_route(*, size: Size) -> tuple[str, dict]:
     """A path and headers that match a repeatable route of a service that is not divided."""
     divided = {service_name(size=size, index=index) for index in range(size.divided)}
-    listener, rule = next((listener, rule) for listener in make_document(size=size, version=1)["listeners"] for rule in listener["ruleset"]
-                          if rule["route_kind"] == "idempotent" and rule["verdict"]["split_to"][0]["service"] not in divided)
-    return rule["matcher"]["path_prefix"] + "x", {"host": listener["hostname"], "attempt-id": "a", "time-budget": "2000"}
+    listener, rule = next(
+        (listener, rule)
+        for listener in make_document(size=size, version=1)["listeners"]
+        for rule in listener["ruleset"]
+        if rule["route_kind"] == "idempotent" and rule["verdict"]["split_to"][0]["service"] not in divided
+    )
+    return rule["matcher"]["path_prefix"] + "x", {
+        "host": listener["hostname"],
+        "attempt-id": "a",
+        "time-budget": "2000",
+    }
 
 
 def _request_seconds(*, size: Size, count: int) -> dict:
     """Processor time of the owner a request: one Asked and one Called; and of the placing alone with ticks apart."""
     proxy = make_proxy(size=size)
-    for name, text in (("config", config_text(size=size)), ("workers", told_rows(size=size)),
-                       ("fleet", told_fleet(size=size, zones=zones_of(size=size)))):
+    for name, text in (
+        ("config", config_text(size=size)),
+        ("workers", told_rows(size=size)),
+        ("fleet", told_fleet(size=size, zones=zones_of(size=size))),
+    ):
         _give(proxy=proxy, body=push_of(name=name, number=1, text=text), now=1.0)
     proxy.step(now=1.1, event=Ticked(wall=1.0))
     path, headers = free_route(size=size)
@@ -177,10 +230,17 @@
     def one(at: int) -> None:
         asked = Asked(token=f"front {at}", method="GET", path=path, query={}, headers=headers, body=b"", target=path)
         call = next(command for command in proxy.step(now=1.2, event=asked) if isinstance(command, Call))
-        called = Called(token=call.token, code=200, headers={"attempt-id": "a", "server-seal": "s", "instance-id": call.owner},
-                        body=b"{}", fault="", sent=True)
+        called = Called(
+            token=call.token,
+            code=200,
+            headers={"attempt-id": "a", "server-seal": "s", "instance-id": call.owner},
+            body=b"{}",
+            fault="",
+            sent=True,
+        )
         answer = next(command for command in proxy.step(now=1.25, event=called) if isinstance(command, Answer))
         assert answer.code == 200, answer
+
     one(0)
     took = _seconds(lambda: [one(at + 1) for at in range(count)])
     counting = _seconds(lambda: proxy.scene.counts())
@@ -188,18 +248,33 @@
 
 
 def _place(*, size: int) -> dict:
-    return _request_seconds(size=Size(workers=2 * size, services=2, routes=4, zones=8, regions=4, divided=0, daemons=4), count=60)
+    return _request_seconds(
+        size=Size(workers=2 * size, services=2, routes=4, zones=8, regions=4, divided=0, daemons=4), count=60
+    )
 
 
 def _halls(*, size: int) -> dict:
     # one worker in each zone of each service at the least, as each place with a worker is a hall of the service
     services = max(2, size // 88)
     zones = min(88, size // 2)
-    shape = Size(workers=services * zones, services=services, routes=8, zones=zones, regions=min(37, zones), divided=0, daemons=4)
+    shape = Size(
+        workers=services * zones, services=services, routes=8, zones=zones, regions=min(37, zones), divided=0, daemons=4
+    )
     proxy = make_proxy(size=shape)
-    rows = [{"id": f"w{service}.{zone}", "generation": 0, "service": service_name(size=shape, index=service), "address": "10.0.0.9:1",
-             "hall": f"zone-{zone}", "leaving": False, "capacity": 4, "cold_s": 0.0}
-            for service in range(services) for zone in range(zones)]
+    rows = [
+        {
+            "id": f"w{service}.{zone}",
+            "generation": 0,
+            "service": service_name(size=shape, index=service),
+            "address": "10.0.0.9:1",
+            "hall": f"zone-{zone}",
+            "leaving": False,
+            "capacity": 4,
+            "cold_s": 0.0,
+        }
+        for service in range(services)
+        for zone in range(zones)
+    ]
     for name, text in (("config", config_text(size=shape)), ("workers", json.dumps(rows))):
         _give(proxy=proxy, body=push_of(name=name, number=1, text=text), now=1.0)
     proxy.step(now=1.1, event=Ticked(wall=1.0))
@@ -209,7 +284,10 @@
         asked = Asked(token=f"front {at}", method="GET", path=path, query={}, headers=headers, body=b"", target=path)
         call = next(command for command in proxy.step(now=1.2, event=asked) if isinstance(command, Call))
         answered = {"attempt-id": "a", "server-seal": "s"}
-        proxy.step(now=1.25, event=Called(token=call.token, code=200, headers=answered, body=b"{}", fault="", sent=True))
+        proxy.step(
+            now=1.25, event=Called(token=call.token, code=200, headers=answered, body=b"{}", fault="", sent=True)
+        )
+
     one(0)
     took = _seconds(lambda: [one(at + 1) for at in range(10)])
     count = _seconds(lambda: proxy.step(now=1.3, event=Ticked(wall=1.0)))
@@ -221,15 +299,42 @@
     one = Size(**{**vars(size), "cellars": 1})
     zones = zones_of(size=size)
     hosted = hosted_of(size=one, role="cellar", index=0, zones=zones)
-    cellar = Cellar(place=hosted.place, platform="", nonce="n", start=1, rng=random.Random(1), records=[], now=0.0, options=hosted.options)
+    cellar = Cellar(
+        place=hosted.place,
+        platform="",
+        nonce="n",
+        start=1,
+        rng=random.Random(1),
+        records=[],
+        now=0.0,
+        options=hosted.options,
+    )
     asks = []
     for index in range(askers):
         place = hosted_of(size=one, role="sommelier", index=index, zones=zones).place
-        daemon = {"id": place.name, "kind": place.kind, "hall": place.hall, "region": place.region, "http": place.http,
-                  "start": 1, "fit": True, "version": ""}
+        daemon = {
+            "id": place.name,
+            "kind": place.kind,
+            "hall": place.hall,
+            "region": place.region,
+            "http": place.http,
+            "start": 1,
+            "fit": True,
+            "version": "",
+        }
         have = {"workers": [-1, "elsewhere"], "fleet": [1, "elsewhere"]}
-        asks.append(Heard(sender=place.post, body={"kind": "ask", "seq": 1, "have": have,
-                                                   "report": {"down": [], "loads": {}, "turn": 1, "lead": ""}, "daemon": daemon}))
+        asks.append(
+            Heard(
+                sender=place.post,
+                body={
+                    "kind": "ask",
+                    "seq": 1,
+                    "have": have,
+                    "report": {"down": [], "loads": {}, "turn": 1, "lead": ""},
+                    "daemon": daemon,
+                },
+            )
+        )
     return cellar, asks
 
 
@@ -243,16 +348,22 @@
     share = -(-len(rows) // others)
     frames = []
     for at in range(others):
-        body = {"kind": "fleet", "number": 1, "rows": rows[at * share:(at + 1) * share], "loads": {}, "down": {}}
+        body = {"kind": "fleet", "number": 1, "rows": rows[at * share : (at + 1) * share], "loads": {}, "down": {}}
         frames.append(len(pack_body(body=body)))
         cellar.step(now=1.0, event=Heard(sender=f"10.9.{at}.1:7000", body=body))
     for ask in asks:
         cellar.step(now=1.0, event=ask)
     cellar.step(now=1.05, event=Ticked(wall=1.0))
-    ticks = [_seconds(lambda at=at: cellar.step(now=1.1 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(10)]
+    ticks = [
+        _seconds(lambda at=at: cellar.step(now=1.1 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(10)
+    ]
     ask = _seconds(lambda: [cellar.step(now=1.7, event=one) for one in asks]) / len(asks)
-    return {"tick_s": statistics.fmean(ticks), "ask_s": ask, "fleet_text_bytes": len(cellar.fleet.text),
-            "fleet_message_bytes": statistics.fmean(frames)}
+    return {
+        "tick_s": statistics.fmean(ticks),
+        "ask_s": ask,
+        "fleet_text_bytes": len(cellar.fleet.text),
+        "fleet_message_bytes": statistics.fmean(frames),
+    }
 
 
 def _askers(*, size: int) -> dict:
@@ -261,5 +372,7 @@
         cellar.step(now=1.0, event=ask)
     cellar.step(now=1.05, event=Ticked(wall=1.0))
     ask = _seconds(lambda: [cellar.step(now=1.2, event=one) for one in asks]) / len(asks)
-    ticks = [_seconds(lambda at=at: cellar.step(now=1.3 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(10)]
+    ticks = [
+        _seconds(lambda at=at: cellar.step(now=1.3 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(10)
+    ]
     return {"ask_s": ask, "tick_s": statistics.fmean(ticks)}
--- a/tasting/hollow_fleet/real.py
+++ b/tasting/hollow_fleet/real.py
@@ -2,6 +2,7 @@
 
 Also the program of one such process: real ROLE COUNTS_FILE, with the settings as the platform gives them.
 """
+
 from __future__ import annotations
 
 import http.client
@@ -63,13 +64,20 @@
 
         def log_message(self, *given) -> None:
             return None
+
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), List)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     with tempfile.TemporaryDirectory() as folder:
         processes: list = []
         try:
-            return _play(size=size, seconds=seconds, folder=Path(folder), api=f"127.0.0.1:{server.server_port}",
-                         processes=processes, say=say)
+            return _play(
+                size=size,
+                seconds=seconds,
+                folder=Path(folder),
+                api=f"127.0.0.1:{server.server_port}",
+                processes=processes,
+                say=say,
+            )
         finally:
             for _, process, _ in processes:
                 process.send_signal(signal.SIGKILL)
@@ -83,16 +91,24 @@
     for role, count in (("cellar", size.core), ("sommelier", size.daemons)):
         for index in range(count):
             text = json.dumps(settings_of(size=size, role=role, index=index, zones=zones))
-            text = text.replace('"10.0.0.1:80"', f'"{api}"').replace('"10.1.0.', f'"127.{net}.1.').replace('"10.2.0.', f'"127.{net}.2.')
+            text = (
+                text.replace('"10.0.0.1:80"', f'"{api}"')
+                .replace('"10.1.0.', f'"127.{net}.1.')
+                .replace('"10.2.0.', f'"127.{net}.2.')
+            )
             given = json.loads(text)
             given["inner_port_range"] = [port, port + 9]
             given["seed_nodes"] = [seed.rpartition(":")[0] + f":{port}" for seed in given["seed_nodes"]]
-            given["listen"] = {name: f"{given['ip']}:{port + 10 + at}" for at, name in enumerate(sorted(given["listen"]))}
+            given["listen"] = {
+                name: f"{given['ip']}:{port + 10 + at}" for at, name in enumerate(sorted(given["listen"]))
+            }
             given["data_dir"] = str(folder / given["node_name"])
             settings.append((role, given))
     begun = time.monotonic()
     for role, given in settings:
-        processes.append((role, _start(role=role, given=given, folder=folder), str(folder / f"{given['node_name']}.counts")))
+        processes.append(
+            (role, _start(role=role, given=given, folder=folder), str(folder / f"{given['node_name']}.counts"))
+        )
     _configure(size=size, address=settings[0][1]["listen"]["control_plane"])
     for role, given in settings:
         while role == "sommelier" and not _is_ready(address=given["listen"]["readiness"]):
@@ -108,9 +124,18 @@
     for (role, process, _), one, other in zip(processes, before, after, strict=True):
         span = other["at"] - one["at"]
         row = roles.setdefault("proxy" if role == "sommelier" else role, [])
-        row.append({"cpu": (other["cpu"] - one["cpu"]) / span, "out": (other["sent-bytes"] - one["sent-bytes"]) / span,
-                    "messages_out": (other["sent"] - one["sent"]) / span, "rss_bytes": _rss_of(pid=process.pid)})
-    return {role: {name: round(sum(one[name] for one in rows) / len(rows), 6) for name in rows[0]} for role, rows in roles.items()}
+        row.append(
+            {
+                "cpu": (other["cpu"] - one["cpu"]) / span,
+                "out": (other["sent-bytes"] - one["sent-bytes"]) / span,
+                "messages_out": (other["sent"] - one["sent"]) / span,
+                "rss_bytes": _rss_of(pid=process.pid),
+            }
+        )
+    return {
+        role: {name: round(sum(one[name] for one in rows) / len(rows), 6) for name in rows[0]}
+        for role, rows in roles.items()
+    }
 
 
 def _start(*, role: str, given: dict, folder: Path) -> subprocess.Popen:
@@ -119,8 +144,13 @@
     root = str(FOLDER.parent)
     env = {**os.environ, "SAILWARD_NODE_FILE": str(file), "PYTHONPATH": root}
     with (folder / f"{given['node_name']}.log").open("wb") as log:
-        return subprocess.Popen([sys.executable, "-m", "tasting.hollow_fleet.real", role, str(folder / f"{given['node_name']}.counts")],
-                                cwd=root, env=env, stdout=log, stderr=log)
+        return subprocess.Popen(
+            [sys.executable, "-m", "tasting.hollow_fleet.real", role, str(folder / f"{given['node_name']}.counts")],
+            cwd=root,
+            env=env,
+            stdout=log,
+            stderr=log,
+        )
 
 
 def _configure(*, size: Size, address: str) -> None:
--- a/tasting/hosted/calls.py
+++ b/tasting/hosted/calls.py
@@ -1,4 +1,5 @@
 """Calls of daemons to workers and to the list, as the product's edge for them acts: kept and fresh connections, refusals, silence."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -38,14 +39,34 @@
         def come() -> None:
             if code and not self.is_over:
                 self.calls.keep(line=self, worker=worker)
-            self.finish(called=Called(token=self.command.token, code=code, headers=dict(headers or {}), body=body, fault=fault, sent=True,
-                                      reused=bool(fault) and self.is_reused))
+            self.finish(
+                called=Called(
+                    token=self.command.token,
+                    code=code,
+                    headers=dict(headers or {}),
+                    body=body,
+                    fault=fault,
+                    sent=True,
+                    reused=bool(fault) and self.is_reused,
+                )
+            )
+
         world.network.send(a=worker.spot, b=self.process.machine.spot, act=come, wait=15.0)
 
     def fail(self, *, fault: str) -> None:
         """It ends on this side."""
-        self.finish(called=Called(token=self.command.token, code=0, headers={}, body=b"", fault=fault, sent=self.is_sent,
-                                  reused=self.is_reused), is_aborted=True)
+        self.finish(
+            called=Called(
+                token=self.command.token,
+                code=0,
+                headers={},
+                body=b"",
+                fault=fault,
+                sent=self.is_sent,
+                reused=self.is_reused,
+            ),
+            is_aborted=True,
+        )
 
     def finish(self, *, called: Called | None, is_aborted: bool = False) -> None:
         """It is over: the owner hears it, unless it gave it up itself."""
@@ -55,8 +76,9 @@
         self.calls.lines.pop((self.process, self.command.token), None)
         if is_aborted and self.worker is not None:
             worker = self.worker
-            self.calls.world.network.send(a=self.process.machine.spot, b=worker.spot, act=lambda: worker.closed(line=self), line=self,
-                                          wait=0.0)
+            self.calls.world.network.send(
+                a=self.process.machine.spot, b=worker.spot, act=lambda: worker.closed(line=self), line=self, wait=0.0
+            )
         if called is not None and self.process.life == self.life:
             self.process.give(event=called)
 
@@ -122,8 +144,10 @@
         if worker is None or worker.is_silent or world.network.is_cut(a=here, b=worker.spot):
             # nobody answers: a machine without power, a cut, or an address that nobody has
             is_dead = worker is None
-            world.clock.after(0.002 if is_dead else constants.DIAL_WAIT, lambda: line.fail(fault="refused"
-                                                                                           if is_dead else "connect-timeout"))
+            world.clock.after(
+                0.002 if is_dead else constants.DIAL_WAIT,
+                lambda: line.fail(fault="refused" if is_dead else "connect-timeout"),
+            )
             return
         trip = 2 * world.network.delay(a=here, b=worker.spot)
 
@@ -138,6 +162,7 @@
             else:
                 world.count["dials"] += 1
                 self._send(line=line, worker=now)
+
         world.clock.after(trip, up)
 
     def _send(self, *, line: Line, worker: Worker) -> None:
@@ -148,7 +173,9 @@
             # what is not acknowledged for so long ends the connection
             self.world.clock.after(constants.LEASE, lambda: line.fail(fault="connection-lost"))
         # bytes that a cut holds are lost with a connection that is given up; those on their way arrive
-        network.send(a=here, b=worker.spot, act=lambda: None if line.is_over and is_held else worker.arrive(line=line), line=line)
+        network.send(
+            a=here, b=worker.spot, act=lambda: None if line.is_over and is_held else worker.arrive(line=line), line=line
+        )
 
     def _ask_list(self, *, line: Line) -> None:
         world = self.world
@@ -158,8 +185,13 @@
         query = parse_qs(urlsplit(line.command.path).query)
         code, body = world.listing.page(now=world.clock.now, token=query.get("page_token", [""])[0])
         line.is_sent = True
-        _after(world=world, delay=world.rng.uniform(0.005, 0.03), act=lambda: line.finish(called=Called(
-            token=line.command.token, code=code, headers={}, body=body, fault="", sent=True)))
+        _after(
+            world=world,
+            delay=world.rng.uniform(0.005, 0.03),
+            act=lambda: line.finish(
+                called=Called(token=line.command.token, code=code, headers={}, body=body, fault="", sent=True)
+            ),
+        )
 
 
 def _after(*, world: World, delay: float, act: Callable[[], None]) -> None:
--- a/tasting/hosted/chaos.py
+++ b/tasting/hosted/chaos.py
@@ -1,4 +1,5 @@
 """Mixed troubles drawn by seed: every kind that the users name, at most as many losses at once as must be borne, and a closing fault."""
+
 from __future__ import annotations
 
 import random
@@ -71,11 +72,18 @@
         return [one.spot.name for one in self._world.machines.values() if "cellar" in one.processes and not one.is_gone]
 
     def _machine(self) -> str:
-        return self._rng.choice([one.spot.name for one in self._world.machines.values() if not one.is_gone and not one.is_dark])
+        return self._rng.choice(
+            [one.spot.name for one in self._world.machines.values() if not one.is_gone and not one.is_dark]
+        )
 
     def _plain(self) -> str:
-        return self._rng.choice([one.spot.name for one in self._world.machines.values() if "cellar" not in one.processes
-                                 and not one.is_dark])
+        return self._rng.choice(
+            [
+                one.spot.name
+                for one in self._world.machines.values()
+                if "cellar" not in one.processes and not one.is_dark
+            ]
+        )
 
     def _zone(self) -> str:
         return self._rng.choice(sorted(self._world.deployment.zones))
@@ -145,7 +153,12 @@
     def _cut_machine(self) -> bool:
         if self._world.clock.now < self._core_free:
             return False
-        self._do("cut", self._plain(), self._rng.choice(("core+plain+worker", "core", "worker")), f"{self._rng.uniform(0.5, 5.0):.2f}")
+        self._do(
+            "cut",
+            self._plain(),
+            self._rng.choice(("core+plain+worker", "core", "worker")),
+            f"{self._rng.uniform(0.5, 5.0):.2f}",
+        )
         return True
 
     def _freeze(self) -> bool:
@@ -226,8 +239,13 @@
     def _change(self, *, first: str = "") -> bool:
         self._number += self._rng.randrange(1, 5)
         at = (f"at={first}",) if first else ()
-        route, services = self._rng.choice((("notes-read", ("notes", "tracks")), ("track-read", ("tracks", "orders")),
-                                            ("order-place", ("orders", "notes"))))
+        route, services = self._rng.choice(
+            (
+                ("notes-read", ("notes", "tracks")),
+                ("track-read", ("tracks", "orders")),
+                ("order-place", ("orders", "notes")),
+            )
+        )
         words = [f"{name}={self._rng.randrange(0, 4)}" for name in services[1:]] + [f"{services[0]}=1"]
         if self._rng.random() < 0.6:
             self._do("patch", str(self._number), route, *words, *at)
@@ -244,7 +262,9 @@
 
     def _invalid(self) -> bool:
         self._number += 1
-        self._do("put-invalid", str(self._number), self._rng.choice(("weight", "service", "tries", "kind", "host", "older")))
+        self._do(
+            "put-invalid", str(self._number), self._rng.choice(("weight", "service", "tries", "kind", "host", "older"))
+        )
         return True
 
     def _hot(self) -> bool:
@@ -253,8 +273,28 @@
 
 
 KINDS: dict[str, Callable[[Chaos], bool]] = {
-    "kill-proxy": Chaos._kill_proxy, "kill-cellar": Chaos._kill_cellar, "herd": Chaos._herd, "dark": Chaos._dark, "zone": Chaos._zone_loss,
-    "replace": Chaos._replace, "cut-core": Chaos._cut_core, "cut-machine": Chaos._cut_machine, "freeze": Chaos._freeze, "stop": Chaos._stop,
-    "fill": Chaos._fill, "clock": Chaos._clock, "list": Chaos._list, "crash": Chaos._crash, "drain": Chaos._drain, "reuse": Chaos._reuse,
-    "add": Chaos._add, "chill": Chaos._chill, "garble": Chaos._garble, "evacuate": Chaos._evacuate, "change": Chaos._change,
-    "race": Chaos._race, "invalid": Chaos._invalid, "hot": Chaos._hot}
+    "kill-proxy": Chaos._kill_proxy,
+    "kill-cellar": Chaos._kill_cellar,
+    "herd": Chaos._herd,
+    "dark": Chaos._dark,
+    "zone": Chaos._zone_loss,
+    "replace": Chaos._replace,
+    "cut-core": Chaos._cut_core,
+    "cut-machine": Chaos._cut_machine,
+    "freeze": Chaos._freeze,
+    "stop": Chaos._stop,
+    "fill": Chaos._fill,
+    "clock": Chaos._clock,
+    "list": Chaos._list,
+    "crash": Chaos._crash,
+    "drain": Chaos._drain,
+    "reuse": Chaos._reuse,
+    "add": Chaos._add,
+    "chill": Chaos._chill,
+    "garble": Chaos._garble,
+    "evacuate": Chaos._evacuate,
+    "change": Chaos._change,
+    "race": Chaos._race,
+    "invalid": Chaos._invalid,
+    "hot": Chaos._hot,
+}
--- a/tasting/hosted/clients.py
+++ b/tasting/hosted/clients.py
@@ -1,4 +1,5 @@
 """Clients of the platform's kind: they ask the directory, keep or rotate addresses, and try again as the protocol says."""
+
 from __future__ import annotations
 
 import itertools
@@ -75,9 +76,19 @@
         number = next(self.world.numbers)
         key = key if key >= 0 else self.rng.randrange(1 << 16)
         body = f"{kind.name} {number}".encode() if kind.is_once else b""
-        request = Request(number=number, kind=kind, begun=self.world.clock.now, body=body, work=kind.work, key=key,
-                          path=path or f"{kind.prefix}{number}", method="POST" if kind.is_once else "GET")
-        self.world.history.add(t=request.begun, k="request", request=number, kind=kind.name, once=kind.is_once, zone=self.spot.zone)
+        request = Request(
+            number=number,
+            kind=kind,
+            begun=self.world.clock.now,
+            body=body,
+            work=kind.work,
+            key=key,
+            path=path or f"{kind.prefix}{number}",
+            method="POST" if kind.is_once else "GET",
+        )
+        self.world.history.add(
+            t=request.begun, k="request", request=number, kind=kind.name, once=kind.is_once, zone=self.spot.zone
+        )
         self._go(request=request, turn=0)
 
     def _go(self, *, request: Request, turn: int) -> None:
@@ -91,9 +102,14 @@
         if self._is_asking:
             return
         self._is_asking = True
-        near = sorted((one for one in self.world.directories()), key=lambda one: (one.machine.spot.region != self.spot.region,
-                                                                                 one.machine.spot.zone != self.spot.zone,
-                                                                                 self.rng.random()))
+        near = sorted(
+            (one for one in self.world.directories()),
+            key=lambda one: (
+                one.machine.spot.region != self.spot.region,
+                one.machine.spot.zone != self.spot.zone,
+                self.rng.random(),
+            ),
+        )
         self._ask(directories=near[:3])
 
     def _ask(self, *, directories: list) -> None:
@@ -108,11 +124,23 @@
             settled.append(1)
             told = json.loads(answer.body) if answer is not None and answer.code == 200 else {}
             if told.get("addresses") and "ttl_s" in told:
-                self._resolved(addresses=told["addresses"], ttl=min(told["ttl_s"], self.world.deployment.bounds["ttl_max_s"]))
+                self._resolved(
+                    addresses=told["addresses"], ttl=min(told["ttl_s"], self.world.deployment.bounds["ttl_max_s"])
+                )
             else:
                 self._ask(directories=directories[1:])
-        self.world.exchange(spot=self.spot, process=process, edge="directory", path="/resolve", method="GET", headers={}, body=b"",
-                            query={"name": "a.example", "region": self.spot.region, "zone": self.spot.zone}, done=take)
+
+        self.world.exchange(
+            spot=self.spot,
+            process=process,
+            edge="directory",
+            path="/resolve",
+            method="GET",
+            headers={},
+            body=b"",
+            query={"name": "a.example", "region": self.spot.region, "zone": self.spot.zone},
+            done=take,
+        )
         self.world.clock.after(CONNECT, lambda: take(None))
 
     def _resolved(self, *, addresses: list | None, ttl: float) -> None:
@@ -140,24 +168,56 @@
             self._end(request=request, is_good=False, why="late")
             return
         address = self._pick()
-        attempt = Attempt(id=f"{request.number:x}.{turn}", request=request, turn=turn, work=request.work, key=request.key)
+        attempt = Attempt(
+            id=f"{request.number:x}.{turn}", request=request, turn=turn, work=request.work, key=request.key
+        )
         self.world.attempts[attempt.id] = attempt
         process = self.world.by_front.get(address)
         kind = request.kind
-        headers = {"host": kind.host, "attempt-id": attempt.id, "time-budget": str(int(left * 1000)), "shard-key": str(request.key)}
-        self.world.history.add(t=now, k="try", id=attempt.id, request=request.number, kind=kind.name, host=kind.host, path=request.path,
-                               once=kind.is_once, turn=turn, zone=self.spot.zone, region=self.spot.region, left=left,
-                               proxy=process.machine.spot.name if process else "", life=process.life if process else 0)
+        headers = {
+            "host": kind.host,
+            "attempt-id": attempt.id,
+            "time-budget": str(int(left * 1000)),
+            "shard-key": str(request.key),
+        }
+        self.world.history.add(
+            t=now,
+            k="try",
+            id=attempt.id,
+            request=request.number,
+            kind=kind.name,
+            host=kind.host,
+            path=request.path,
+            once=kind.is_once,
+            turn=turn,
+            zone=self.spot.zone,
+            region=self.spot.region,
+            left=left,
+            proxy=process.machine.spot.name if process else "",
+            life=process.life if process else 0,
+        )
 
         def read() -> None:
             attempt.is_read = True
-            self.world.history.add(t=self.world.clock.now, k="read", id=attempt.id, proxy=process.machine.spot.name, life=process.life)
+            self.world.history.add(
+                t=self.world.clock.now, k="read", id=attempt.id, proxy=process.machine.spot.name, life=process.life
+            )
 
         def done(answer: Answer | None) -> None:
             self._take(attempt=attempt, address=address, answer=answer)
-        leave = self.world.exchange(spot=self.spot, process=process, edge="front", path=request.path, method=request.method,
-                                    headers=headers,
-                                    body=request.body, query={}, done=done, read=read)
+
+        leave = self.world.exchange(
+            spot=self.spot,
+            process=process,
+            edge="front",
+            path=request.path,
+            method=request.method,
+            headers=headers,
+            body=request.body,
+            query={},
+            done=done,
+            read=read,
+        )
 
         def give_up() -> None:
             if not attempt.is_over:
@@ -168,6 +228,7 @@
             if not attempt.is_over and not attempt.is_read:
                 leave()
                 self._take(attempt=attempt, address=address, answer=None, why="unread")
+
         self.world.clock.after(left, give_up)
         if not kind.is_once:
             self.world.clock.after(min(1.0, left / 3) + 0.05, look)
@@ -178,11 +239,26 @@
         attempt.is_over = True
         now, request = self.world.clock.now, attempt.request
         code = answer.code if answer is not None else 0
-        seal = next((value for name, value in answer.headers.items() if name.lower() == "server-seal"), "") if answer is not None else ""
+        seal = (
+            next((value for name, value in answer.headers.items() if name.lower() == "server-seal"), "")
+            if answer is not None
+            else ""
+        )
         body = answer.body if answer is not None else b""
-        self.world.history.add(t=now, k="got", id=attempt.id, request=request.number, kind=request.kind.name, once=request.kind.is_once,
-                               code=code, seal=seal, body=body, why="" if code else why, read=attempt.is_read,
-                               reason=_reason(body=body) if code >= 400 else "")
+        self.world.history.add(
+            t=now,
+            k="got",
+            id=attempt.id,
+            request=request.number,
+            kind=request.kind.name,
+            once=request.kind.is_once,
+            code=code,
+            seal=seal,
+            body=body,
+            why="" if code else why,
+            read=attempt.is_read,
+            reason=_reason(body=body) if code >= 400 else "",
+        )
         if 200 <= code < 300:
             self._end(request=request, is_good=True, why="")
             return
@@ -199,14 +275,28 @@
         self.world.clock.after(pause, lambda: self._go(request=request, turn=attempt.turn + 1))
 
     def _pause(self, *, answer: Answer | None, left: float) -> float:
-        told = next((value for name, value in answer.headers.items() if name.lower() == "retry-after"), "") if answer is not None else ""
+        told = (
+            next((value for name, value in answer.headers.items() if name.lower() == "retry-after"), "")
+            if answer is not None
+            else ""
+        )
         return min(float(told), left / 3) if told else 0.02
 
     def _end(self, *, request: Request, is_good: bool, why: str) -> None:
         now = self.world.clock.now
-        self.world.history.add(t=now, k="end", request=request.number, kind=request.kind.name, once=request.kind.is_once, good=is_good,
-                               why=why,
-                               begun=request.begun, took=now - request.begun, aim=request.kind.aim, zone=self.spot.zone)
+        self.world.history.add(
+            t=now,
+            k="end",
+            request=request.number,
+            kind=request.kind.name,
+            once=request.kind.is_once,
+            good=is_good,
+            why=why,
+            begun=request.begun,
+            took=now - request.begun,
+            aim=request.kind.aim,
+            zone=self.spot.zone,
+        )
 
 
 def _reason(*, body: bytes) -> str:
@@ -216,9 +306,21 @@
         return ""
 
 
-def exchange(*, world: World, spot: Spot, process: Process | None, edge: str, path: str, method: str, headers: dict, body: bytes,
-             query: dict,
-             done: Callable, read: Callable | None = None, wait: float = CONNECT) -> Callable[[], None]:
+def exchange(
+    *,
+    world: World,
+    spot: Spot,
+    process: Process | None,
+    edge: str,
+    path: str,
+    method: str,
+    headers: dict,
+    body: bytes,
+    query: dict,
+    done: Callable,
+    read: Callable | None = None,
+    wait: float = CONNECT,
+) -> Callable[[], None]:
     """One exchange with an edge of a daemon: a new connection, the request, its answer; gives how to close it."""
     clock, network = world.clock, world.network
     token = f"{edge} {next(world.numbers)}"
@@ -244,8 +346,13 @@
                 return
             if read:
                 read()
-            process.ask(event=Asked(token=token, method=method, path=path, query=query, headers=headers, body=body, target=path),
-                        answer=come_back)
+            process.ask(
+                event=Asked(
+                    token=token, method=method, path=path, query=query, headers=headers, body=body, target=path
+                ),
+                answer=come_back,
+            )
+
         if process.frozen is not None:
             process.frozen.append(take)
         elif process.owner is None:
@@ -259,11 +366,15 @@
         elif process.owner is None or (process.is_shut and edge == "front"):
             clock.after(2 * network.delay(a=spot, b=process.machine.spot), lambda: end(None))
         else:
-            clock.after(2 * network.delay(a=spot, b=process.machine.spot), lambda: network.send(a=spot, b=process.machine.spot, act=arrive))
+            clock.after(
+                2 * network.delay(a=spot, b=process.machine.spot),
+                lambda: network.send(a=spot, b=process.machine.spot, act=arrive),
+            )
 
     def leave() -> None:
         state["over"] = True
         if process is not None:
             network.send(a=spot, b=process.machine.spot, act=lambda: process.leave(token=token), wait=0.0)
+
     connect()
     return leave
