--- a/sailward/cask/held.py
+++ b/sailward/consensus/held.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from sailward.acts import Tell
-from sailward.cask.proposer import EMPTY
+from sailward.consensus.proposer import EMPTY
 
 CONTROL = ("config", "orders", "voters")
 
--- a/sailward/cask/proposer.py
+++ b/sailward/consensus/proposer.py
@@ -7,7 +7,7 @@
 
 from sailward import constants
 from sailward.acts import Tell
-from sailward.cask.acceptor import FIRST
+from sailward.consensus.acceptor import FIRST
 
 EMPTY = {"number": 0, "mark": "", "trail": [], "text": ""}
 
--- a/sailward/dock/courier.py
+++ b/sailward/dock/courier.py
@@ -13,7 +13,7 @@
 
 from sailward import constants
 from sailward.acts import Heard
-from sailward.cask.messages import FIELDS, BadMessage, check_message
+from sailward.consensus.messages import FIELDS, BadMessage, check_message
 from sailward.dock.logs import write_log
 from sailward.dock.post import split_address
 from sailward.dock.reactor import Reactor
--- a/sailward/dock/post.py
+++ b/sailward/dock/post.py
@@ -13,7 +13,7 @@
 
 from sailward import constants
 from sailward.acts import Heard
-from sailward.cask.messages import BadMessage, pack_message, read_message
+from sailward.consensus.messages import BadMessage, pack_message, read_message
 from sailward.dock.logs import write_log
 
 LENGTH = struct.Struct(">I")
--- a/sailward/house/anew.py
+++ b/sailward/house/anew.py
@@ -8,9 +8,9 @@
 
 from sailward import constants
 from sailward.acts import Log
-from sailward.cask.acceptor import CLAIM, FIRST, Slot
-from sailward.cask.held import Held
-from sailward.cask.proposer import blocking_of
+from sailward.consensus.acceptor import CLAIM, FIRST, Slot
+from sailward.consensus.held import Held
+from sailward.consensus.proposer import blocking_of
 from sailward.house.copying import Copying
 
 
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -7,18 +7,18 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
-from sailward.cask.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
-from sailward.cask.held import CONTROL, HeldBook, is_control, read_voters
-from sailward.cask.proposer import Begin, Proposer
+from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
+from sailward.consensus.held import CONTROL, HeldBook, is_control, read_voters
+from sailward.consensus.proposer import Begin, Proposer
 from sailward.house.bootstrap import make_founder
 from sailward.house.desk import Desk
 from sailward.house.fleet import Fleet
 from sailward.house.ledger import Ledger
-from sailward.house.moves import Moves
 from sailward.house.listing import Listing
 from sailward.house.lives import Lives
 from sailward.house.membership import Membership
 from sailward.house.minding import Minding
+from sailward.house.moves import Moves
 from sailward.house.options import CellarOptions
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
--- a/sailward/house/copying.py
+++ b/sailward/house/copying.py
@@ -7,9 +7,9 @@
 
 from sailward import constants
 from sailward.acts import Tell
-from sailward.cask.acceptor import Slot
-from sailward.cask.held import Held, read_voters
-from sailward.cask.proposer import majority_of, newest_of
+from sailward.consensus.acceptor import Slot
+from sailward.consensus.held import Held, read_voters
+from sailward.consensus.proposer import majority_of, newest_of
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/desk.py
+++ b/sailward/house/desk.py
@@ -7,7 +7,7 @@
 
 from sailward import constants
 from sailward.acts import Asked, Check, Checked, Log
-from sailward.cask.proposer import Accepted, Begin, Refused, Settled, Unknown
+from sailward.consensus.proposer import Accepted, Begin, Refused, Settled, Unknown
 from sailward.house.homes import find_homeless
 from sailward.house.repair import change_members, keeps_majority
 from sailward.label.check import Fault, Unsound
--- a/sailward/house/freshness.py
+++ b/sailward/house/freshness.py
@@ -6,9 +6,9 @@
 
 from sailward import constants
 from sailward.acts import Tell
-from sailward.cask.acceptor import Slots
-from sailward.cask.held import HeldBook
-from sailward.cask.proposer import blocking_of
+from sailward.consensus.acceptor import Slots
+from sailward.consensus.held import HeldBook
+from sailward.consensus.proposer import blocking_of
 
 NEVER = -1e9
 
--- a/sailward/house/ledger.py
+++ b/sailward/house/ledger.py
@@ -7,7 +7,7 @@
 
 from sailward import constants
 from sailward.acts import DiskFailed, Log, Rewrite, Stop, Store, Synced
-from sailward.cask.acceptor import KNOWN, slot_records
+from sailward.consensus.acceptor import KNOWN, slot_records
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/membership.py
+++ b/sailward/house/membership.py
@@ -7,9 +7,9 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked, Log, Tell
-from sailward.cask.acceptor import KNOWN, Slot, fold_record, slot_records
-from sailward.cask.held import Held, is_control, read_voters
-from sailward.cask.proposer import Begin
+from sailward.consensus.acceptor import KNOWN, Slot, fold_record, slot_records
+from sailward.consensus.held import Held, is_control, read_voters
+from sailward.consensus.proposer import Begin
 from sailward.house.anew import Anew, NotFounded, log_founding, make_founding, merge_survivors, read_founding
 from sailward.house.copying import Copying, copy_page
 from sailward.house.repair import Repair, count_core
--- a/sailward/house/minding.py
+++ b/sailward/house/minding.py
@@ -8,7 +8,7 @@
 
 from sailward import constants
 from sailward.acts import Called, Tell
-from sailward.cask.proposer import Begin
+from sailward.consensus.proposer import Begin
 from sailward.house.freshness import Freshness, newest_vote
 from sailward.house.granting import Granting, GrantScene
 from sailward.pour.slots import PREFIX
--- a/sailward/house/moves.py
+++ b/sailward/house/moves.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.cask.held import HeldBook
+from sailward.consensus.held import HeldBook
 from sailward.house.assigning import Assigning, Scene
-from sailward.house.witness import Witness
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscriber
+from sailward.house.witness import Witness
 from sailward.pour.plan import Plan
 from sailward.pour.slots import PREFIX
 from sailward.pour.world import read_orders
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -9,8 +9,8 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
-from sailward.cask.held import HeldBook, is_control
 from sailward.charts import Chart
+from sailward.consensus.held import HeldBook, is_control
 from sailward.dock.wire_names import WireNames
 from sailward.house.directory import Directory
 from sailward.house.uplink import Uplink
--- a/sailward/house/repair.py
+++ b/sailward/house/repair.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.cask.proposer import majority_of
+from sailward.consensus.proposer import majority_of
 from sailward.roster.rendezvous import choose_names
 
 
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -8,9 +8,9 @@
 
 from sailward import constants
 from sailward.acts import Asked, Call, Called, Heard, Log, Stop, StopAsked, Tell
-from sailward.cask.held import CONTROL, HeldBook, is_control
-from sailward.cask.proposer import Accepted, Begin, Proposer
 from sailward.charts import Chart
+from sailward.consensus.held import CONTROL, HeldBook, is_control
+from sailward.consensus.proposer import Accepted, Begin, Proposer
 from sailward.pour.choosing import Chooser
 from sailward.pour.claims import PREFIX, Claims
 from sailward.pour.copies import Copies, Peer
--- a/sailward/house/subscribers.py
+++ b/sailward/house/subscribers.py
@@ -7,7 +7,6 @@
 from sailward import constants
 from sailward.acts import Tell
 
-
 OWN_LIST = "workers"
 """The name under which the list of workers is pushed."""
 OWN_LISTS = (OWN_LIST, "fleet")
--- a/sailward/house/uplink.py
+++ b/sailward/house/uplink.py
@@ -7,7 +7,6 @@
 from sailward import constants
 from sailward.acts import Log, Tell
 
-
 NEVER = -1e9
 
 
--- a/sailward/house/witness.py
+++ b/sailward/house/witness.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.cask.proposer import majority_of
+from sailward.consensus.proposer import majority_of
 from sailward.house.subscribers import Subscriber
 from sailward.pour.slots import PREFIX
 
--- a/sailward/pour/claims.py
+++ b/sailward/pour/claims.py
@@ -7,8 +7,8 @@
 
 from sailward import constants
 from sailward.acts import Tell
-from sailward.cask.acceptor import CLAIM as PREFIX
-from sailward.cask.proposer import Accepted, Begin, Refused, Settled
+from sailward.consensus.acceptor import CLAIM as PREFIX
+from sailward.consensus.proposer import Accepted, Begin, Refused, Settled
 from sailward.pour.copies import Copies, Peer, may_keep, spread_copy
 from sailward.pour.exchange import Exchange, Refusal
 from sailward.pour.kept import Kept, Memory
--- a/tasting/hollow_fleet/network.py
+++ b/tasting/hollow_fleet/network.py
@@ -26,7 +26,7 @@
     Tell,
     Ticked,
 )
-from sailward.cask.messages import BadMessage
+from sailward.consensus.messages import BadMessage
 from sailward.dock.courier import LENGTH, pack_body, read_body
 from sailward.dock.disk import pack_frame
 from sailward.label.check import check_config
--- a/tasting/hosted/process.py
+++ b/tasting/hosted/process.py
@@ -30,7 +30,7 @@
     Tell,
     Ticked,
 )
-from sailward.cask.messages import BadMessage, check_message
+from sailward.consensus.messages import BadMessage, check_message
 from sailward.house.cellar import Cellar
 from sailward.house.proxy import Proxy
 from sailward.label.check import check_config
--- a/tasting/hosted/sabotage.py
+++ b/tasting/hosted/sabotage.py
@@ -7,7 +7,7 @@
 
 from sailward import constants
 from sailward.acts import Stop
-from sailward.cask import proposer
+from sailward.consensus import proposer
 from sailward.house import granting, ledger, membership, minding, proxy
 from sailward.label import history
 from sailward.pour import evidence, forwarding, placing, plan, reply, retry_budget
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -26,7 +26,7 @@
     Tell,
     Ticked,
 )
-from sailward.cask.messages import BadMessage, check_message
+from sailward.consensus.messages import BadMessage, check_message
 from sailward.dock.disk import Damaged
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
--- a/tests/core_net.py
+++ b/tests/core_net.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from sailward.acts import Answer, Asked, Call, Called, Check, Checked, Heard, Rewrite, Stop, Store, Synced, Tell, Ticked
-from sailward.cask.messages import check_message
+from sailward.consensus.messages import check_message
 from sailward.dock.adapter import load_part
 from sailward.house.bootstrap import Bootstrap
 from sailward.house.cellar import Cellar
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sailward.label.dialect import OwnDialect
-from tests.core_net import CoreNet, ZONES, make_written
+from tests.core_net import ZONES, CoreNet, make_written
 
 
 @pytest.fixture
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -15,11 +15,11 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked, Call, Called, Heard, Rewrite, Store, Synced
-from sailward.cask.messages import pack_message
+from sailward.consensus.messages import pack_message
 from sailward.dock.calls import Calls
-from sailward.dock.loop import Loop
-from sailward.dock.logs import start_logs
 from sailward.dock.disk import Damaged, Disk, Read, Taken, pack_frame, read_frames
+from sailward.dock.logs import start_logs
+from sailward.dock.loop import Loop
 from sailward.dock.post import GREETING, Post
 from sailward.dock.web import Web
 from sailward.pour.slots import slot_of
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -8,7 +8,7 @@
 
 from sailward import constants
 from sailward.acts import Tell
-from sailward.cask.messages import check_message
+from sailward.consensus.messages import check_message
 from sailward.house.fleet import Fleet
 from sailward.house.subscribers import Subscriber
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -8,8 +8,8 @@
 
 from sailward import constants
 from sailward.acts import Tell
-from sailward.cask.acceptor import Slots, fold_record
-from sailward.cask.held import HeldBook
+from sailward.consensus.acceptor import Slots, fold_record
+from sailward.consensus.held import HeldBook
 from sailward.house.freshness import Freshness, newest_vote
 
 REGISTER = "slots/red"
--- a/tests/test_key_loads.py
+++ b/tests/test_key_loads.py
@@ -8,7 +8,7 @@
 
 from sailward import constants
 from sailward.acts import Tell
-from sailward.cask.messages import pack_message
+from sailward.consensus.messages import pack_message
 from sailward.house.fleet import Fleet
 from sailward.house.key_loads import KeyLoads, WorkerPaces, has_shifted, read_rates, tell_rates
 from sailward.house.subscribers import Subscriber
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -10,7 +10,7 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked, Call, Called, Heard, Leave, Stop, StopAsked, Tell, Ticked
-from sailward.cask.messages import check_message
+from sailward.consensus.messages import check_message
 from sailward.dock.adapter import load_part
 from sailward.house.proxy import Proxy, ProxyOptions
 from sailward.roster.gossip import Place
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sailward.acts import Asked, Check, Checked
-from sailward.cask.proposer import Accepted, Settled
+from sailward.consensus.proposer import Accepted, Settled
 from sailward.house.desk import Desk
 from sailward.label import check as check_module
 from sailward.label.check import Sound, Unsound, check_config
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -11,7 +11,7 @@
 
 from sailward import constants
 from sailward.acts import Heard, Ticked
-from sailward.cask.messages import FIELDS, read_message
+from sailward.consensus.messages import FIELDS, read_message
 from sailward.dock.disk import MAGIC, Newer, Read, pack_frame, read_frames
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
