--- a/sailward/roster/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.acts import Log, Tell
-from sailward.roster.rendezvous import choose_names
+from sailward.discovery.rendezvous import choose_names
 
 ENTRY = {
     "id": str,
--- a/sailward/house/assigning.py
+++ b/sailward/house/assigning.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field, replace
 
 from sailward import constants
+from sailward.discovery.rendezvous import choose_names
+from sailward.discovery.workers import Worker
 from sailward.house.witness import Closing, Witness
 from sailward.pour.plan import Plan, Pool, Service
 from sailward.pour.slots import Owned, common_homes, pool_at, read_table, space_of, write_table
-from sailward.roster.rendezvous import choose_names
-from sailward.roster.workers import Worker
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -10,6 +10,8 @@
 from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.consensus.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.consensus.proposer import Begin, Proposer
+from sailward.discovery.gossip import Place, Roster
+from sailward.discovery.pages import Pager
 from sailward.house.bootstrap import make_founder
 from sailward.house.desk import Desk
 from sailward.house.fleet import Fleet
@@ -26,8 +28,6 @@
 from sailward.label.dialect import OwnDialect
 from sailward.pour.exchange import answer_json
 from sailward.pour.plan import plan_of, read_full
-from sailward.roster.gossip import Place, Roster
-from sailward.roster.pages import Pager
 
 VOTING = ("prepare", "accept", "read", "first")
 TOLD = ("promise", "voted", "nack", "told")
--- a/sailward/house/concierge.py
+++ b/sailward/house/concierge.py
@@ -6,9 +6,9 @@
 
 from sailward import constants
 from sailward.acts import Asked, Heard, Log, Stop, StopAsked
+from sailward.discovery.gossip import Place, Roster
+from sailward.discovery.rendezvous import score_pair
 from sailward.pour.exchange import answer_json
-from sailward.roster.gossip import Place, Roster
-from sailward.roster.rendezvous import score_pair
 
 
 class Concierge:
--- a/sailward/house/directory.py
+++ b/sailward/house/directory.py
@@ -6,8 +6,8 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked
+from sailward.discovery.gossip import Place
 from sailward.pour.exchange import answer_json
-from sailward.roster.gossip import Place
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/listing.py
+++ b/sailward/house/listing.py
@@ -7,9 +7,9 @@
 
 from sailward import constants
 from sailward.acts import Called, Log, Tell
+from sailward.discovery.pages import Pager
+from sailward.discovery.rendezvous import choose_names
 from sailward.house.lives import Lives
-from sailward.roster.pages import Pager
-from sailward.roster.rendezvous import choose_names
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/minding.py
+++ b/sailward/house/minding.py
@@ -9,12 +9,12 @@
 from sailward import constants
 from sailward.acts import Called, Tell
 from sailward.consensus.proposer import Begin
+from sailward.discovery.rendezvous import choose_names
+from sailward.discovery.workers import Worker
 from sailward.house.freshness import Freshness, newest_vote
 from sailward.house.granting import Granting, GrantScene
 from sailward.pour.slots import PREFIX
 from sailward.pour.world import read_orders
-from sailward.roster.rendezvous import choose_names
-from sailward.roster.workers import Worker
 
 if TYPE_CHECKING:
     from sailward.house.cellar import Cellar
--- a/sailward/house/moves.py
+++ b/sailward/house/moves.py
@@ -7,6 +7,8 @@
 
 from sailward import constants
 from sailward.consensus.held import HeldBook
+from sailward.discovery.rendezvous import choose_names
+from sailward.discovery.workers import WorkerBook
 from sailward.house.assigning import Assigning, Scene
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscriber
@@ -14,8 +16,6 @@
 from sailward.pour.plan import Plan
 from sailward.pour.slots import PREFIX
 from sailward.pour.world import read_orders
-from sailward.roster.rendezvous import choose_names
-from sailward.roster.workers import WorkerBook
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/options.py
+++ b/sailward/house/options.py
@@ -9,9 +9,9 @@
 from sailward import constants
 
 if TYPE_CHECKING:
+    from sailward.discovery.pages import ListReader
     from sailward.house.bootstrap import Bootstrap
     from sailward.label.dialect import Dialect
-    from sailward.roster.pages import ListReader
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -11,6 +11,8 @@
 from sailward.acts import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
 from sailward.charts import Chart
 from sailward.consensus.held import HeldBook, is_control
+from sailward.discovery.gossip import Place
+from sailward.discovery.workers import WorkerBook
 from sailward.dock.wire_names import WireNames
 from sailward.house.directory import Directory
 from sailward.house.uplink import Uplink
@@ -23,8 +25,6 @@
 from sailward.pour.retry_budget import RetryBudget
 from sailward.pour.slots import PREFIX as SLOTS
 from sailward.pour.world import read_orders
-from sailward.roster.gossip import Place
-from sailward.roster.workers import WorkerBook
 
 STOPPING = Chart(name="stopping")
 
--- a/sailward/house/repair.py
+++ b/sailward/house/repair.py
@@ -14,7 +14,7 @@
 
 from sailward import constants
 from sailward.consensus.proposer import majority_of
-from sailward.roster.rendezvous import choose_names
+from sailward.discovery.rendezvous import choose_names
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -11,6 +11,7 @@
 from sailward.charts import Chart
 from sailward.consensus.held import CONTROL, HeldBook, is_control
 from sailward.consensus.proposer import Accepted, Begin, Proposer
+from sailward.discovery.gossip import Place, Roster
 from sailward.pour.choosing import Chooser
 from sailward.pour.claims import PREFIX, Claims
 from sailward.pour.copies import Copies, Peer
@@ -22,7 +23,6 @@
 from sailward.pour.slots import PREFIX as SLOTS
 from sailward.pour.status import Prober
 from sailward.pour.world import World, read_orders
-from sailward.roster.gossip import Place, Roster
 
 STOPPING = Chart(name="stopping")
 TOLD = ("promise", "voted", "nack", "told")
--- a/sailward/pour/choosing.py
+++ b/sailward/pour/choosing.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field, replace
 
 from sailward import constants
+from sailward.discovery.workers import Worker
 from sailward.pour.bounds import Bounds
 from sailward.pour.draw import draw_hall, draw_pool, share_halls
 from sailward.pour.exchange import Exchange, Refusal
 from sailward.pour.slots import pool_at, slot_of, space_of
 from sailward.pour.world import World
-from sailward.roster.workers import Worker
 
 
 @dataclass(kw_only=True)
--- a/sailward/pour/placing.py
+++ b/sailward/pour/placing.py
@@ -8,6 +8,8 @@
 from toolz import groupby
 
 from sailward import constants
+from sailward.discovery.rendezvous import choose_names
+from sailward.discovery.workers import Worker
 from sailward.pour.bounds import Bucket
 from sailward.pour.draw import HallView, draw_hall, draw_pool, share_halls
 from sailward.pour.evidence import Evidence, Shown
@@ -16,8 +18,6 @@
 from sailward.pour.plan import Plan, Pool
 from sailward.pour.request import Request
 from sailward.pour.shards import ShardBook
-from sailward.roster.rendezvous import choose_names
-from sailward.roster.workers import Worker
 
 
 @dataclass(kw_only=True)
--- a/sailward/pour/status.py
+++ b/sailward/pour/status.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.acts import Call, Called, HangUp, Log
 from sailward.charts import Chart
-from sailward.roster.workers import Worker
+from sailward.discovery.workers import Worker
 
 CHART = Chart(name="worker")
 
--- a/sailward/pour/world.py
+++ b/sailward/pour/world.py
@@ -6,12 +6,12 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
+from sailward.discovery.workers import WorkerBook
 from sailward.pour.draw import HallView
 from sailward.pour.halls import HallBook
 from sailward.pour.plan import Plan, Tenant
 from sailward.pour.slots import SlotBook
 from sailward.pour.status import Prober
-from sailward.roster.workers import WorkerBook
 
 
 @dataclass(kw_only=True)
--- a/sailward/programs/common.py
+++ b/sailward/programs/common.py
@@ -11,13 +11,13 @@
 
 import sailward
 from sailward import constants
+from sailward.discovery.gossip import Place
 from sailward.dock.calls import Calls
 from sailward.dock.logs import start_logs, write_log
 from sailward.dock.loop import Edges, Loop, run_guarded
 from sailward.dock.post import Post
 from sailward.dock.startup import BadStartup, read_startup
 from sailward.dock.web import Web
-from sailward.roster.gossip import Place
 
 
 def read_flags(*, doc: str, argv: list[str] | None) -> dict:
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -12,6 +12,7 @@
 import sailward
 from sailward import constants
 from sailward.acts import Answer, Asked, Call, CancelCall, HangUp, Tell
+from sailward.discovery.gossip import Place
 from sailward.dock.courier import Courier
 from sailward.dock.front import Front
 from sailward.dock.host import Host
@@ -20,7 +21,6 @@
 from sailward.dock.reactor import Reactor
 from sailward.dock.wire_names import WireNames
 from sailward.pour.plan import Limits
-from sailward.roster.gossip import Place
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tasting/hosted/sabotage.py
+++ b/tasting/hosted/sabotage.py
@@ -8,10 +8,10 @@
 from sailward import constants
 from sailward.acts import Stop
 from sailward.consensus import proposer
+from sailward.discovery import workers
 from sailward.house import granting, ledger, membership, minding, proxy
 from sailward.label import history
 from sailward.pour import evidence, forwarding, placing, plan, reply, retry_budget
-from sailward.roster import workers
 
 
 def _method(owner: object, name: str, make: Callable) -> object:
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -27,12 +27,12 @@
     Ticked,
 )
 from sailward.consensus.messages import BadMessage, check_message
+from sailward.discovery.gossip import Place
 from sailward.dock.disk import Damaged
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
 from sailward.house.sommelier import Sommelier
 from sailward.label import check as check_module
-from sailward.roster.gossip import Place
 from tasting.sim.disk import Disk
 
 if TYPE_CHECKING:
--- a/tests/proxy_kit.py
+++ b/tests/proxy_kit.py
@@ -5,6 +5,7 @@
 import random
 
 from sailward.acts import Answer, Asked, Call, Called, CancelCall, Log
+from sailward.discovery.workers import Worker
 from sailward.dock.wire_names import WireNames
 from sailward.pour.evidence import Evidence
 from sailward.pour.forwarding import Forwarder
@@ -13,7 +14,6 @@
 from sailward.pour.plan import Plan, plan_of
 from sailward.pour.retry_budget import RetryBudget
 from sailward.pour.shards import OPEN, Shard, ShardTable, write_shards
-from sailward.roster.workers import Worker
 
 NAMES = WireNames(
     exchange="x-id",
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -16,6 +16,7 @@
 from sailward import constants
 from sailward.acts import Answer, Asked, Call, Called, Heard, Rewrite, Store, Synced
 from sailward.consensus.messages import pack_message
+from sailward.discovery.rendezvous import choose_names
 from sailward.dock.calls import Calls
 from sailward.dock.disk import Damaged, Disk, Read, Taken, pack_frame, read_frames
 from sailward.dock.logs import start_logs
@@ -23,7 +24,6 @@
 from sailward.dock.post import GREETING, Post
 from sailward.dock.web import Web
 from sailward.pour.slots import slot_of
-from sailward.roster.rendezvous import choose_names
 from tasting.real.callers import ask
 from tasting.real.fleet import free_addresses
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -8,10 +8,10 @@
 
 from sailward import constants
 from sailward.acts import Called, Tell
+from sailward.discovery.pages import BrokenPass, Pager
+from sailward.discovery.workers import WorkerBook
 from sailward.house.lives import Lives
 from sailward.house.subscribers import Subscribers
-from sailward.roster.pages import BrokenPass, Pager
-from sailward.roster.workers import WorkerBook
 from tests.core_net import WORKERS, CoreNet
 
 
--- a/tests/test_stopping_proxy.py
+++ b/tests/test_stopping_proxy.py
@@ -7,8 +7,8 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked, Call, Heard, Leave, Stop, StopAsked, Ticked
+from sailward.discovery.gossip import Place
 from sailward.house.proxy import Proxy, ProxyOptions
-from sailward.roster.gossip import Place
 
 CELLAR = "10.0.0.1:7000"
 FULL = {
