--- a/sailward/label/check.py
+++ b/sailward/config/check.py
@@ -8,10 +8,10 @@
 from cerberus import Validator
 
 from sailward import constants
-from sailward.label.homes import list_halls
-from sailward.label.matches import sort_matches
-from sailward.label.schema import CONFIG
-from sailward.label.stamps import expand_stamps
+from sailward.config.homes import list_halls
+from sailward.config.matches import sort_matches
+from sailward.config.schema import CONFIG
+from sailward.config.stamps import expand_stamps
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/label/dialect.py
+++ b/sailward/config/dialect.py
@@ -8,8 +8,8 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked
-from sailward.label.check import Unsound, read_config
-from sailward.label.patch import merge_patch
+from sailward.config.check import Unsound, read_config
+from sailward.config.patch import merge_patch
 from sailward.pour.exchange import answer_json
 
 CONFIG_KINDS = ("put", "patch")
--- a/sailward/label/matches.py
+++ b/sailward/config/matches.py
@@ -5,7 +5,7 @@
 import math
 import re
 
-from sailward.label.schema import HOST, KINDS, MATCH, METHOD, NAME, PATH
+from sailward.config.schema import HOST, KINDS, MATCH, METHOD, NAME, PATH
 
 _IS_PATH, _IS_HOST, _IS_METHOD, _IS_NAME = (re.compile(shape).match for shape in (PATH, HOST, METHOD, NAME["regex"]))
 _POOL_FIELDS = {"pool", "weight"}
--- a/sailward/counter/forecast.py
+++ b/sailward/counter/forecast.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from sailward.label.homes import find_home_halls
+from sailward.config.homes import find_home_halls
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/dock/loop.py
+++ b/sailward/dock/loop.py
@@ -28,8 +28,8 @@
     Tell,
     Ticked,
 )
+from sailward.config.check import Fault, Unsound, check_config
 from sailward.dock.logs import write_log
-from sailward.label.check import Fault, Unsound, check_config
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -7,6 +7,7 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
+from sailward.config.dialect import OwnDialect
 from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.consensus.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.consensus.proposer import Begin, Proposer
@@ -25,7 +26,6 @@
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscribers
-from sailward.label.dialect import OwnDialect
 from sailward.pour.exchange import answer_json
 from sailward.pour.plan import plan_of, read_full
 
--- a/sailward/house/desk.py
+++ b/sailward/house/desk.py
@@ -7,12 +7,12 @@
 
 from sailward import constants
 from sailward.acts import Asked, Check, Checked, Log
+from sailward.config.check import Fault, Unsound
+from sailward.config.dialect import Dialect, Order, Outcome, OwnDialect, refused_unsound
+from sailward.config.history import Labelled, read_labelled, write_labelled
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled, Unknown
 from sailward.house.homes import find_homeless
 from sailward.house.repair import change_members, keeps_majority
-from sailward.label.check import Fault, Unsound
-from sailward.label.dialect import Dialect, Order, Outcome, OwnDialect, refused_unsound
-from sailward.label.history import Labelled, read_labelled, write_labelled
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/homes.py
+++ b/sailward/house/homes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sailward.label.homes import find_home_halls
+from sailward.config.homes import find_home_halls
 
 
 def find_homeless(*, full: dict, emptied: set) -> list[str]:
--- a/sailward/house/options.py
+++ b/sailward/house/options.py
@@ -9,9 +9,9 @@
 from sailward import constants
 
 if TYPE_CHECKING:
+    from sailward.config.dialect import Dialect
     from sailward.discovery.pages import ListReader
     from sailward.house.bootstrap import Bootstrap
-    from sailward.label.dialect import Dialect
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tasting/hollow_fleet/network.py
+++ b/tasting/hollow_fleet/network.py
@@ -26,10 +26,10 @@
     Tell,
     Ticked,
 )
+from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage
 from sailward.dock.courier import LENGTH, pack_body, read_body
 from sailward.dock.disk import pack_frame
-from sailward.label.check import check_config
 
 LINKS = ("zone", "region", "regions")
 """Within a zone, between zones of a region, between regions."""
--- a/tasting/hosted/process.py
+++ b/tasting/hosted/process.py
@@ -30,10 +30,10 @@
     Tell,
     Ticked,
 )
+from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage, check_message
 from sailward.house.cellar import Cellar
 from sailward.house.proxy import Proxy
-from sailward.label.check import check_config
 from tasting.hosted.network import Spot
 from tasting.sim.disk import Disk
 
--- a/tasting/hosted/sabotage.py
+++ b/tasting/hosted/sabotage.py
@@ -7,10 +7,10 @@
 
 from sailward import constants
 from sailward.acts import Stop
+from sailward.config import history
 from sailward.consensus import proposer
 from sailward.discovery import workers
 from sailward.house import granting, ledger, membership, minding, proxy
-from sailward.label import history
 from sailward.pour import evidence, forwarding, placing, plan, reply, retry_budget
 
 
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -26,13 +26,13 @@
     Tell,
     Ticked,
 )
+from sailward.config import check as check_module
 from sailward.consensus.messages import BadMessage, check_message
 from sailward.discovery.gossip import Place
 from sailward.dock.disk import Damaged
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
 from sailward.house.sommelier import Sommelier
-from sailward.label import check as check_module
 from tasting.sim.disk import Disk
 
 if TYPE_CHECKING:
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -8,13 +8,13 @@
 
 from sailward import constants
 from sailward.acts import DiskFailed, Synced
+from sailward.config import check as check_module
+from sailward.config.check import Sound
 from sailward.consensus import held, proposer
 from sailward.discovery import gossip, workers
 from sailward.discovery import pages as pages_module
 from sailward.dock.disk import Damaged
 from sailward.house import assigning, cellar, copying, desk, ledger, membership, sommelier, witness
-from sailward.label import check as check_module
-from sailward.label.check import Sound
 from sailward.pour import bounds, choosing, claims, copies, draw, exchanges, lease, lines, status, tries, verify, world
 from sailward.pour import exchange as exchange_module
 from tasting.sim import disk, network
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sailward.label.dialect import OwnDialect
+from sailward.config.dialect import OwnDialect
 from tests.core_net import ZONES, CoreNet, make_written
 
 
