--- a/sailward/config/dialect.py
+++ b/sailward/config/dialect.py
@@ -10,7 +10,7 @@
 from sailward.acts import Answer, Asked
 from sailward.config.check import Unsound, read_config
 from sailward.config.patch import merge_patch
-from sailward.pour.exchange import answer_json
+from sailward.routing.exchange import answer_json
 
 CONFIG_KINDS = ("put", "patch")
 
--- a/sailward/dock/front.py
+++ b/sailward/dock/front.py
@@ -14,7 +14,7 @@
 from sailward.dock.front_head import HEAD_END, ChunkedBody, Refused, check_bytes, read_head, write_response
 from sailward.dock.front_state import Connection, Exchange
 from sailward.dock.reactor import Reactor
-from sailward.pour.plan import Limits
+from sailward.routing.plan import Limits
 
 _FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/sailward/house/assigning.py
+++ b/sailward/house/assigning.py
@@ -8,8 +8,8 @@
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import Worker
 from sailward.house.witness import Closing, Witness
-from sailward.pour.plan import Plan, Pool, Service
-from sailward.pour.slots import Owned, common_homes, pool_at, read_table, space_of, write_table
+from sailward.routing.plan import Plan, Pool, Service
+from sailward.routing.slots import Owned, common_homes, pool_at, read_table, space_of, write_table
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -26,8 +26,8 @@
 from sailward.house.report import show_status
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscribers
-from sailward.pour.exchange import answer_json
-from sailward.pour.plan import plan_of, read_full
+from sailward.routing.exchange import answer_json
+from sailward.routing.plan import plan_of, read_full
 
 VOTING = ("prepare", "accept", "read", "first")
 TOLD = ("promise", "voted", "nack", "told")
--- a/sailward/house/concierge.py
+++ b/sailward/house/concierge.py
@@ -8,7 +8,7 @@
 from sailward.acts import Asked, Heard, Log, Stop, StopAsked
 from sailward.discovery.gossip import Place, Roster
 from sailward.discovery.rendezvous import score_pair
-from sailward.pour.exchange import answer_json
+from sailward.routing.exchange import answer_json
 
 
 class Concierge:
--- a/sailward/house/directory.py
+++ b/sailward/house/directory.py
@@ -7,7 +7,7 @@
 from sailward import constants
 from sailward.acts import Answer, Asked
 from sailward.discovery.gossip import Place
-from sailward.pour.exchange import answer_json
+from sailward.routing.exchange import answer_json
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/granting.py
+++ b/sailward/house/granting.py
@@ -1,6 +1,6 @@
 """Grants of key ranges: one worker at a time holds a key, whichever cellars act, and as few changes as it takes.
 
-The table of a service is one register (`pour/shards.py`), changed by compare-and-swap. It names its granter: one life
+The table of a service is one register (`routing/shards.py`), changed by compare-and-swap. It names its granter: one life
 of one cellar. The argument that no two workers that are up hold a key at one time:
 
 1. Only the granter that the newest table names sends grants, and only of open shards, with their owner and fence. It
@@ -30,8 +30,8 @@
 from sailward import constants
 from sailward.acts import Call, Called, Log
 from sailward.house.shard_plan import Span, place, strain, weigh
-from sailward.pour.shards import KEYS, MOVING, OPEN, Shard, ShardTable, read_shards, write_shards
-from sailward.pour.slots import PREFIX
+from sailward.routing.shards import KEYS, MOVING, OPEN, Shard, ShardTable, read_shards, write_shards
+from sailward.routing.slots import PREFIX
 
 NEVER = -1e9
 
--- a/sailward/house/membership.py
+++ b/sailward/house/membership.py
@@ -13,7 +13,7 @@
 from sailward.house.anew import Anew, NotFounded, log_founding, make_founding, merge_survivors, read_founding
 from sailward.house.copying import Copying, copy_page
 from sailward.house.repair import Repair, count_core
-from sailward.pour.exchange import answer_json
+from sailward.routing.exchange import answer_json
 
 if TYPE_CHECKING:
     from sailward.house.cellar import Cellar
--- a/sailward/house/minding.py
+++ b/sailward/house/minding.py
@@ -13,8 +13,8 @@
 from sailward.discovery.workers import Worker
 from sailward.house.freshness import Freshness, newest_vote
 from sailward.house.granting import Granting, GrantScene
-from sailward.pour.slots import PREFIX
-from sailward.pour.world import read_orders
+from sailward.routing.slots import PREFIX
+from sailward.routing.world import read_orders
 
 if TYPE_CHECKING:
     from sailward.house.cellar import Cellar
--- a/sailward/house/moves.py
+++ b/sailward/house/moves.py
@@ -13,9 +13,9 @@
 from sailward.house.standing import Standing
 from sailward.house.subscribers import Subscriber
 from sailward.house.witness import Witness
-from sailward.pour.plan import Plan
-from sailward.pour.slots import PREFIX
-from sailward.pour.world import read_orders
+from sailward.routing.plan import Plan
+from sailward.routing.slots import PREFIX
+from sailward.routing.world import read_orders
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -16,15 +16,15 @@
 from sailward.dock.wire_names import WireNames
 from sailward.house.directory import Directory
 from sailward.house.uplink import Uplink
-from sailward.pour.evidence import Evidence
-from sailward.pour.exchange import answer_json
-from sailward.pour.forwarding import Forwarder
-from sailward.pour.halls import HallBook
-from sailward.pour.placing import Placer, Scene
-from sailward.pour.plan import read_plan
-from sailward.pour.retry_budget import RetryBudget
-from sailward.pour.slots import PREFIX as SLOTS
-from sailward.pour.world import read_orders
+from sailward.routing.evidence import Evidence
+from sailward.routing.exchange import answer_json
+from sailward.routing.forwarding import Forwarder
+from sailward.routing.halls import HallBook
+from sailward.routing.placing import Placer, Scene
+from sailward.routing.plan import read_plan
+from sailward.routing.retry_budget import RetryBudget
+from sailward.routing.slots import PREFIX as SLOTS
+from sailward.routing.world import read_orders
 
 STOPPING = Chart(name="stopping")
 
--- a/sailward/house/shard_plan.py
+++ b/sailward/house/shard_plan.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, replace
 
 from sailward import constants
-from sailward.pour.shards import KEYS
+from sailward.routing.shards import KEYS
 
 BUCKETS = constants.LOAD_BUCKETS
 WIDTH = KEYS // BUCKETS
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -12,17 +12,17 @@
 from sailward.consensus.held import CONTROL, HeldBook, is_control
 from sailward.consensus.proposer import Accepted, Begin, Proposer
 from sailward.discovery.gossip import Place, Roster
-from sailward.pour.choosing import Chooser
-from sailward.pour.claims import PREFIX, Claims
-from sailward.pour.copies import Copies, Peer
-from sailward.pour.exchange import Refusal, answer_json, answer_refusal, is_promise_safe
-from sailward.pour.exchanges import Exchanges
-from sailward.pour.explain import explain
-from sailward.pour.lease import Lease
-from sailward.pour.plan import read_plan
-from sailward.pour.slots import PREFIX as SLOTS
-from sailward.pour.status import Prober
-from sailward.pour.world import World, read_orders
+from sailward.routing.choosing import Chooser
+from sailward.routing.claims import PREFIX, Claims
+from sailward.routing.copies import Copies, Peer
+from sailward.routing.exchange import Refusal, answer_json, answer_refusal, is_promise_safe
+from sailward.routing.exchanges import Exchanges
+from sailward.routing.explain import explain
+from sailward.routing.lease import Lease
+from sailward.routing.plan import read_plan
+from sailward.routing.slots import PREFIX as SLOTS
+from sailward.routing.status import Prober
+from sailward.routing.world import World, read_orders
 
 STOPPING = Chart(name="stopping")
 TOLD = ("promise", "voted", "nack", "told")
--- a/sailward/house/standing.py
+++ b/sailward/house/standing.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.house.subscribers import Subscriber
-from sailward.pour.halls import HallBook
+from sailward.routing.halls import HallBook
 
 PARTS = 1000
 """A fraction as a count: the fold takes counts."""
--- a/sailward/house/witness.py
+++ b/sailward/house/witness.py
@@ -7,7 +7,7 @@
 from sailward import constants
 from sailward.consensus.proposer import majority_of
 from sailward.house.subscribers import Subscriber
-from sailward.pour.slots import PREFIX
+from sailward.routing.slots import PREFIX
 
 
 @dataclass(kw_only=True)
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -20,7 +20,7 @@
 from sailward.dock.outbound import Outbound
 from sailward.dock.reactor import Reactor
 from sailward.dock.wire_names import WireNames
-from sailward.pour.plan import Limits
+from sailward.routing.plan import Limits
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/programs/hosted_cellar.py
+++ b/sailward/programs/hosted_cellar.py
@@ -16,8 +16,8 @@
 from sailward.dock.host import Host
 from sailward.dock.logs import write_log
 from sailward.house.cellar import Cellar
-from sailward.pour.plan import Limits
 from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
+from sailward.routing.plan import Limits
 
 
 def run_cellar(*, hosted: Hosted) -> None:
--- a/sailward/pour/bounds.py
+++ b/sailward/routing/bounds.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.pour.plan import Service
+from sailward.routing.plan import Service
 
 
 @dataclass(kw_only=True)
--- a/sailward/pour/choosing.py
+++ b/sailward/routing/choosing.py
@@ -7,11 +7,11 @@
 
 from sailward import constants
 from sailward.discovery.workers import Worker
-from sailward.pour.bounds import Bounds
-from sailward.pour.draw import draw_hall, draw_pool, share_halls
-from sailward.pour.exchange import Exchange, Refusal
-from sailward.pour.slots import pool_at, slot_of, space_of
-from sailward.pour.world import World
+from sailward.routing.bounds import Bounds
+from sailward.routing.draw import draw_hall, draw_pool, share_halls
+from sailward.routing.exchange import Exchange, Refusal
+from sailward.routing.slots import pool_at, slot_of, space_of
+from sailward.routing.world import World
 
 
 @dataclass(kw_only=True)
--- a/sailward/pour/claims.py
+++ b/sailward/routing/claims.py
@@ -9,9 +9,9 @@
 from sailward.acts import Tell
 from sailward.consensus.acceptor import CLAIM as PREFIX
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled
-from sailward.pour.copies import Copies, Peer, may_keep, spread_copy
-from sailward.pour.exchange import Exchange, Refusal
-from sailward.pour.kept import Kept, Memory
+from sailward.routing.copies import Copies, Peer, may_keep, spread_copy
+from sailward.routing.exchange import Exchange, Refusal
+from sailward.routing.kept import Kept, Memory
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/pour/copies.py
+++ b/sailward/routing/copies.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.acts import Tell
 from sailward.discovery.rendezvous import choose_names
-from sailward.pour.exchange import Exchange
+from sailward.routing.exchange import Exchange
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/pour/draw.py
+++ b/sailward/routing/draw.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.pour.plan import Match, Pool
+from sailward.routing.plan import Match, Pool
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/pour/evidence.py
+++ b/sailward/routing/evidence.py
@@ -10,7 +10,7 @@
 from sailward.charts import Chart
 from sailward.discovery.workers import Worker
 from sailward.dock.wire_names import WireNames
-from sailward.pour.plan import Plan
+from sailward.routing.plan import Plan
 
 CHART = Chart(name="instance")
 EVENTS = {"timed-out": "late", "refused": "refused", "no-connection": "dark", "connect-timeout": "dark"}
--- a/sailward/pour/exchange.py
+++ b/sailward/routing/exchange.py
@@ -10,8 +10,8 @@
 from sailward import constants
 from sailward.acts import Answer, Asked
 from sailward.discovery.workers import Worker
-from sailward.pour.keytime import judge_key
-from sailward.pour.plan import Match, Plan, Service, Tenant
+from sailward.routing.keytime import judge_key
+from sailward.routing.plan import Match, Plan, Service, Tenant
 
 SAFE = frozenset({"GET", "HEAD", "OPTIONS"})
 KNOWN = SAFE | {"POST", "PUT", "PATCH", "DELETE"}
--- a/sailward/pour/exchanges.py
+++ b/sailward/routing/exchanges.py
@@ -7,9 +7,9 @@
 
 from sailward import constants
 from sailward.acts import Answer, Asked, Call, Called, Log
-from sailward.pour.choosing import Chooser
-from sailward.pour.claims import Claims, Lost, Replayed, Won
-from sailward.pour.exchange import (
+from sailward.routing.choosing import Chooser
+from sailward.routing.claims import Claims, Lost, Replayed, Won
+from sailward.routing.exchange import (
     Exchange,
     Refusal,
     answer_refusal,
@@ -18,9 +18,9 @@
     refit_exchange,
     take_exchange,
 )
-from sailward.pour.lines import Lines
-from sailward.pour.tries import LOOK, Tries
-from sailward.pour.verify import Bad, Good, Unsent, WorkerRefused, judge_result
+from sailward.routing.lines import Lines
+from sailward.routing.tries import LOOK, Tries
+from sailward.routing.verify import Bad, Good, Unsent, WorkerRefused, judge_result
 
 
 @dataclass(kw_only=True)
--- a/sailward/pour/explain.py
+++ b/sailward/routing/explain.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from sailward.pour.bounds import rate_of
-from sailward.pour.choosing import Chooser
-from sailward.pour.draw import share_halls
-from sailward.pour.exchange import part_of
-from sailward.pour.slots import pool_at, slot_of, space_of
+from sailward.routing.bounds import rate_of
+from sailward.routing.choosing import Chooser
+from sailward.routing.draw import share_halls
+from sailward.routing.exchange import part_of
+from sailward.routing.slots import pool_at, slot_of, space_of
 
 
 def explain(*, now: float, query: dict, chooser: Chooser, acting: bool) -> dict:
--- a/sailward/pour/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -8,12 +8,12 @@
 from sailward import constants
 from sailward.acts import Answer, Asked, Call, Called, CallerLeft, CancelCall, Log
 from sailward.dock.wire_names import WireNames
-from sailward.pour.evidence import EVENTS
-from sailward.pour.exchange import Refusal, answer_json
-from sailward.pour.placing import Placer
-from sailward.pour.reply import Broken, NotSent, TurnedAway, Whole, judge_reply
-from sailward.pour.request import Attempt, Request, headers_to_caller, headers_to_worker, take_request
-from sailward.pour.retry_budget import RetryBudget
+from sailward.routing.evidence import EVENTS
+from sailward.routing.exchange import Refusal, answer_json
+from sailward.routing.placing import Placer
+from sailward.routing.reply import Broken, NotSent, TurnedAway, Whole, judge_reply
+from sailward.routing.request import Attempt, Request, headers_to_caller, headers_to_worker, take_request
+from sailward.routing.retry_budget import RetryBudget
 
 SHORT = frozenset({"no-room", "key-moving", "key-unowned", "owner-lost", "owner-cold", "no-worker"})
 """Refusals that may be over in a moment: the request waits for that long."""
--- a/sailward/pour/placing.py
+++ b/sailward/routing/placing.py
@@ -10,14 +10,14 @@
 from sailward import constants
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import Worker
-from sailward.pour.bounds import Bucket
-from sailward.pour.draw import HallView, draw_hall, draw_pool, share_halls
-from sailward.pour.evidence import Evidence, Shown
-from sailward.pour.exchange import Refusal
-from sailward.pour.halls import HallBook
-from sailward.pour.plan import Plan, Pool
-from sailward.pour.request import Request
-from sailward.pour.shards import ShardBook
+from sailward.routing.bounds import Bucket
+from sailward.routing.draw import HallView, draw_hall, draw_pool, share_halls
+from sailward.routing.evidence import Evidence, Shown
+from sailward.routing.exchange import Refusal
+from sailward.routing.halls import HallBook
+from sailward.routing.plan import Plan, Pool
+from sailward.routing.request import Request
+from sailward.routing.shards import ShardBook
 
 
 @dataclass(kw_only=True)
--- a/sailward/pour/reply.py
+++ b/sailward/routing/reply.py
@@ -6,7 +6,7 @@
 
 from sailward.acts import Called
 from sailward.dock.wire_names import WireNames
-from sailward.pour.request import Request
+from sailward.routing.request import Request
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Codes that tell a caller: it did not run and never will."""
--- a/sailward/pour/request.py
+++ b/sailward/routing/request.py
@@ -7,8 +7,8 @@
 from sailward import constants
 from sailward.acts import Asked
 from sailward.dock.wire_names import WireNames
-from sailward.pour.exchange import Refusal
-from sailward.pour.plan import Match, Plan, Service
+from sailward.routing.exchange import Refusal
+from sailward.routing.plan import Match, Plan, Service
 
 HOP = frozenset(
     {
--- a/sailward/pour/slots.py
+++ b/sailward/routing/slots.py
@@ -6,7 +6,7 @@
 import json
 from dataclasses import dataclass, field
 
-from sailward.pour.plan import Plan, Service
+from sailward.routing.plan import Plan, Service
 
 PREFIX = "slots/"
 OPEN, CLOSED = 1, 0
--- a/sailward/pour/verify.py
+++ b/sailward/routing/verify.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from sailward.acts import Called
-from sailward.pour.exchange import HOP, Exchange
+from sailward.routing.exchange import HOP, Exchange
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/pour/world.py
+++ b/sailward/routing/world.py
@@ -7,11 +7,11 @@
 
 from sailward import constants
 from sailward.discovery.workers import WorkerBook
-from sailward.pour.draw import HallView
-from sailward.pour.halls import HallBook
-from sailward.pour.plan import Plan, Tenant
-from sailward.pour.slots import SlotBook
-from sailward.pour.status import Prober
+from sailward.routing.draw import HallView
+from sailward.routing.halls import HallBook
+from sailward.routing.plan import Plan, Tenant
+from sailward.routing.slots import SlotBook
+from sailward.routing.status import Prober
 
 
 @dataclass(kw_only=True)
--- a/tasting/hosted/sabotage.py
+++ b/tasting/hosted/sabotage.py
@@ -11,7 +11,7 @@
 from sailward.consensus import proposer
 from sailward.discovery import workers
 from sailward.house import granting, ledger, membership, minding, proxy
-from sailward.pour import evidence, forwarding, placing, plan, reply, retry_budget
+from sailward.routing import evidence, forwarding, placing, plan, reply, retry_budget
 
 
 def _method(owner: object, name: str, make: Callable) -> object:
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -15,8 +15,21 @@
 from sailward.discovery import pages as pages_module
 from sailward.dock.disk import Damaged
 from sailward.house import assigning, cellar, copying, desk, ledger, membership, sommelier, witness
-from sailward.pour import bounds, choosing, claims, copies, draw, exchanges, lease, lines, status, tries, verify, world
-from sailward.pour import exchange as exchange_module
+from sailward.routing import (
+    bounds,
+    choosing,
+    claims,
+    copies,
+    draw,
+    exchanges,
+    lease,
+    lines,
+    status,
+    tries,
+    verify,
+    world,
+)
+from sailward.routing import exchange as exchange_module
 from tasting.sim import disk, network
 
 
--- a/tests/proxy_kit.py
+++ b/tests/proxy_kit.py
@@ -7,13 +7,13 @@
 from sailward.acts import Answer, Asked, Call, Called, CancelCall, Log
 from sailward.discovery.workers import Worker
 from sailward.dock.wire_names import WireNames
-from sailward.pour.evidence import Evidence
-from sailward.pour.forwarding import Forwarder
-from sailward.pour.halls import HallBook
-from sailward.pour.placing import Placer, Scene
-from sailward.pour.plan import Plan, plan_of
-from sailward.pour.retry_budget import RetryBudget
-from sailward.pour.shards import OPEN, Shard, ShardTable, write_shards
+from sailward.routing.evidence import Evidence
+from sailward.routing.forwarding import Forwarder
+from sailward.routing.halls import HallBook
+from sailward.routing.placing import Placer, Scene
+from sailward.routing.plan import Plan, plan_of
+from sailward.routing.retry_budget import RetryBudget
+from sailward.routing.shards import OPEN, Shard, ShardTable, write_shards
 
 NAMES = WireNames(
     exchange="x-id",
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -23,7 +23,7 @@
 from sailward.dock.loop import Loop
 from sailward.dock.post import GREETING, Post
 from sailward.dock.web import Web
-from sailward.pour.slots import slot_of
+from sailward.routing.slots import slot_of
 from tasting.real.callers import ask
 from tasting.real.fleet import free_addresses
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -13,7 +13,7 @@
 from sailward.acts import Answer, Asked, CallerLeft
 from sailward.dock.front import Front
 from sailward.dock.reactor import Reactor
-from sailward.pour.plan import Limits
+from sailward.routing.plan import Limits
 
 PATIENCE = 10.0
 
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -13,7 +13,7 @@
 from sailward import constants
 from sailward.acts import Call, Called
 from sailward.house.granting import Granting, GrantScene
-from sailward.pour.shards import KEYS, read_shards
+from sailward.routing.shards import KEYS, read_shards
 
 SLOW = 1 / 0.98
 SERVICE = "cart"
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -7,8 +7,8 @@
 import pytest
 
 from sailward import constants
-from sailward.pour.exchange import Refusal
-from sailward.pour.request import Request
+from sailward.routing.exchange import Refusal
+from sailward.routing.request import Request
 from tests.proxy_kit import Bench, make_plan, make_worker
 
 HALLS = ("north-a", "north-b", "south-a", "south-b")
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sailward.config.check import Sound, Unsound, check_config
-from sailward.pour.plan import plan_of
+from sailward.routing.plan import plan_of
 from tests.core_net import CONFIG, ZONES, make_written
 
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -13,7 +13,7 @@
 from sailward.config.check import Sound, Unsound, check_config
 from sailward.consensus.proposer import Accepted, Settled
 from sailward.house.desk import Desk
-from sailward.pour.plan import plan_of, read_plan
+from sailward.routing.plan import plan_of, read_plan
 from tasting.deployments import make_arriaga
 
 CONFIG = make_arriaga().config
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -7,7 +7,7 @@
 
 from sailward import constants
 from sailward.house.shard_plan import Span, place, strain, weigh
-from sailward.pour.shards import KEYS, MOVING, OPEN, Shard, ShardBook, ShardTable, read_shards, write_shards
+from sailward.routing.shards import KEYS, MOVING, OPEN, Shard, ShardBook, ShardTable, read_shards, write_shards
 
 
 def make_table(*, shards: tuple) -> ShardTable:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -17,7 +17,7 @@
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
 from sailward.house.sommelier import Sommelier
-from sailward.pour.plan import read_plan
+from sailward.routing.plan import read_plan
 from tests.test_words import GOOD, run
 
 FIXTURES = Path(__file__).parent / "fixtures"
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -13,8 +13,8 @@
 from sailward.config.check import check_config, read_config
 from sailward.counter.forecast import forecast
 from sailward.dock.startup import CELLAR, COMMON, read_startup
-from sailward.pour.exchange import Refusal, answer_refusal, take_exchange
-from sailward.pour.plan import read_plan
+from sailward.routing.exchange import Refusal, answer_refusal, take_exchange
+from sailward.routing.plan import read_plan
 from tasting.deployments import make_arriaga
 from tasting.real.fleet import free_addresses
 
