--- a/sailward/programs/steward.py
+++ b/sailward/programs/steward.py
@@ -45,9 +45,9 @@
 from urllib.parse import quote, urlencode
 
 from sailward import constants
+from sailward.client.client import Client, Reply, Unreachable, ask_once
+from sailward.client.forecast import Finding, forecast
 from sailward.config.check import Unsound, check_config, read_config
-from sailward.counter.client import Client, Reply, Unreachable, ask_once
-from sailward.counter.forecast import Finding, forecast
 from sailward.programs.common import read_flags
 
 
