--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -9,7 +9,6 @@
 
 from sailward import constants
 from sailward.acts import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
-from sailward.charts import Chart
 from sailward.consensus.held import HeldBook, is_control
 from sailward.discovery.gossip import Place
 from sailward.discovery.workers import WorkerBook
@@ -25,6 +24,7 @@
 from sailward.routing.retry_budget import RetryBudget
 from sailward.routing.slots import PREFIX as SLOTS
 from sailward.routing.world import read_orders
+from sailward.state_machines import Chart
 
 STOPPING = Chart(name="stopping")
 
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -8,7 +8,6 @@
 
 from sailward import constants
 from sailward.acts import Asked, Call, Called, Heard, Log, Stop, StopAsked, Tell
-from sailward.charts import Chart
 from sailward.consensus.held import CONTROL, HeldBook, is_control
 from sailward.consensus.proposer import Accepted, Begin, Proposer
 from sailward.discovery.gossip import Place, Roster
@@ -23,6 +22,7 @@
 from sailward.routing.slots import PREFIX as SLOTS
 from sailward.routing.status import Prober
 from sailward.routing.world import World, read_orders
+from sailward.state_machines import Chart
 
 STOPPING = Chart(name="stopping")
 TOLD = ("promise", "voted", "nack", "told")
--- a/sailward/routing/halls.py
+++ b/sailward/routing/halls.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.acts import Log
-from sailward.charts import Chart
+from sailward.state_machines import Chart
 
 CHART = Chart(name="hall")
 
--- a/sailward/routing/lease.py
+++ b/sailward/routing/lease.py
@@ -6,9 +6,9 @@
 
 from sailward import constants
 from sailward.acts import Log, Tell
-from sailward.charts import Chart
 from sailward.consensus.held import HeldBook
 from sailward.consensus.proposer import blocking_of
+from sailward.state_machines import Chart
 
 CHART = Chart(name="lease")
 
--- a/sailward/routing/status.py
+++ b/sailward/routing/status.py
@@ -7,8 +7,8 @@
 
 from sailward import constants
 from sailward.acts import Call, Called, HangUp, Log
-from sailward.charts import Chart
 from sailward.discovery.workers import Worker
+from sailward.state_machines import Chart
 
 CHART = Chart(name="worker")
 
