--- a/sailward/config/dialect.py
+++ b/sailward/config/dialect.py
@@ -7,9 +7,9 @@
 from typing import Protocol
 
 from sailward import constants
-from sailward.acts import Answer, Asked
 from sailward.config.check import Unsound, read_config
 from sailward.config.patch import merge_patch
+from sailward.events import Answer, Asked
 from sailward.routing.exchange import answer_json
 
 CONFIG_KINDS = ("put", "patch")
--- a/sailward/consensus/held.py
+++ b/sailward/consensus/held.py
@@ -5,8 +5,8 @@
 import json
 from dataclasses import dataclass, field
 
-from sailward.acts import Tell
 from sailward.consensus.proposer import EMPTY
+from sailward.events import Tell
 
 CONTROL = ("config", "orders", "voters")
 
--- a/sailward/consensus/proposer.py
+++ b/sailward/consensus/proposer.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.consensus.acceptor import FIRST
+from sailward.events import Tell
 
 EMPTY = {"number": 0, "mark": "", "trail": [], "text": ""}
 
--- a/sailward/discovery/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Log, Tell
 from sailward.discovery.rendezvous import choose_names
+from sailward.events import Log, Tell
 
 ENTRY = {
     "id": str,
--- a/sailward/discovery/pages.py
+++ b/sailward/discovery/pages.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from sailward import constants
-from sailward.acts import Call, Called, Log
+from sailward.events import Call, Called, Log
 
 LIFE = {
     "id": str,
--- a/sailward/dock/calls.py
+++ b/sailward/dock/calls.py
@@ -17,7 +17,7 @@
 import pycurl
 
 from sailward import constants
-from sailward.acts import Call, Called
+from sailward.events import Call, Called
 
 ABORT = struct.pack("ii", 1, 0)
 FAULTS = {
--- a/sailward/dock/courier.py
+++ b/sailward/dock/courier.py
@@ -12,11 +12,11 @@
 from flatbuffers import flexbuffers
 
 from sailward import constants
-from sailward.acts import Heard
 from sailward.consensus.messages import FIELDS, BadMessage, check_message
 from sailward.dock.logs import write_log
 from sailward.dock.post import split_address
 from sailward.dock.reactor import Reactor
+from sailward.events import Heard
 
 LENGTH = struct.Struct(">IB")
 PLAIN, PACKED = 0, 1
--- a/sailward/dock/disk.py
+++ b/sailward/dock/disk.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 from sailward import constants
-from sailward.acts import DiskFailed, Rewrite, Store, Synced
+from sailward.events import DiskFailed, Rewrite, Store, Synced
 
 HEAD = struct.Struct(">4sII")
 MAGIC = b"swf1"
--- a/sailward/dock/exchange.py
+++ b/sailward/dock/exchange.py
@@ -8,7 +8,7 @@
 import h11
 
 from sailward import constants
-from sailward.acts import Call
+from sailward.events import Call
 
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 OWN_HEADERS = frozenset(("host", "content-length", "transfer-encoding", "upgrade", "expect"))
--- a/sailward/dock/front.py
+++ b/sailward/dock/front.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 
 from sailward import constants
-from sailward.acts import Answer, Asked, CallerLeft
 from sailward.dock.front_head import HEAD_END, ChunkedBody, Refused, check_bytes, read_head, write_response
 from sailward.dock.front_state import Connection, Exchange
 from sailward.dock.reactor import Reactor
+from sailward.events import Answer, Asked, CallerLeft
 from sailward.routing.plan import Limits
 
 _FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
--- a/sailward/dock/front_state.py
+++ b/sailward/dock/front_state.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer
 from sailward.dock.front_head import ChunkedBody, Head
+from sailward.events import Answer
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/sailward/dock/loop.py
+++ b/sailward/dock/loop.py
@@ -13,7 +13,9 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import (
+from sailward.config.check import Fault, Unsound, check_config
+from sailward.dock.logs import write_log
+from sailward.events import (
     Answer,
     Call,
     Check,
@@ -28,8 +30,6 @@
     Tell,
     Ticked,
 )
-from sailward.config.check import Fault, Unsound, check_config
-from sailward.dock.logs import write_log
 
 
 @dataclass(kw_only=True)
--- a/sailward/dock/outbound.py
+++ b/sailward/dock/outbound.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.acts import Call, Called
 from sailward.dock.exchange import Broken, Exchange, Whole
 from sailward.dock.reactor import Alarm, Reactor
 from sailward.dock.wire_names import WireNames
+from sailward.events import Call, Called
 
 ABORT = struct.pack("ii", 1, 0)
 CLEAN, SURPLUS, GONE = "clean", "surplus", "gone"
--- a/sailward/dock/post.py
+++ b/sailward/dock/post.py
@@ -12,9 +12,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from sailward import constants
-from sailward.acts import Heard
 from sailward.consensus.messages import BadMessage, pack_message, read_message
 from sailward.dock.logs import write_log
+from sailward.events import Heard
 
 LENGTH = struct.Struct(">I")
 GREETING = b"sailward/1 "
--- a/sailward/dock/web.py
+++ b/sailward/dock/web.py
@@ -15,9 +15,9 @@
 
 import sailward
 from sailward import constants
-from sailward.acts import Answer, Asked
 from sailward.dock.logs import write_log
 from sailward.dock.post import split_address
+from sailward.events import Answer, Asked
 
 
 class Handler(WSGIRequestHandler):
--- a/sailward/house/anew.py
+++ b/sailward/house/anew.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.acts import Log
 from sailward.consensus.acceptor import CLAIM, FIRST, Slot
 from sailward.consensus.held import Held
 from sailward.consensus.proposer import blocking_of
+from sailward.events import Log
 from sailward.house.copying import Copying
 
 
--- a/sailward/house/cellar.py
+++ b/sailward/house/cellar.py
@@ -6,13 +6,13 @@
 import random
 
 from sailward import constants
-from sailward.acts import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
 from sailward.config.dialect import OwnDialect
 from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.consensus.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.consensus.proposer import Begin, Proposer
 from sailward.discovery.gossip import Place, Roster
 from sailward.discovery.pages import Pager
+from sailward.events import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
 from sailward.house.bootstrap import make_founder
 from sailward.house.desk import Desk
 from sailward.house.fleet import Fleet
--- a/sailward/house/concierge.py
+++ b/sailward/house/concierge.py
@@ -5,9 +5,9 @@
 import random
 
 from sailward import constants
-from sailward.acts import Asked, Heard, Log, Stop, StopAsked
 from sailward.discovery.gossip import Place, Roster
 from sailward.discovery.rendezvous import score_pair
+from sailward.events import Asked, Heard, Log, Stop, StopAsked
 from sailward.routing.exchange import answer_json
 
 
--- a/sailward/house/copying.py
+++ b/sailward/house/copying.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.consensus.acceptor import Slot
 from sailward.consensus.held import Held, read_voters
 from sailward.consensus.proposer import majority_of, newest_of
+from sailward.events import Tell
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/directory.py
+++ b/sailward/house/directory.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Asked
 from sailward.discovery.gossip import Place
+from sailward.events import Answer, Asked
 from sailward.routing.exchange import answer_json
 
 
--- a/sailward/house/fleet.py
+++ b/sailward/house/fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Tell
+from sailward.events import Tell
 from sailward.house.key_loads import KeyLoads, WorkerPaces, has_shifted, read_rates, tell_rates
 from sailward.house.subscribers import Subscriber
 
--- a/sailward/house/freshness.py
+++ b/sailward/house/freshness.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.consensus.acceptor import Slots
 from sailward.consensus.held import HeldBook
 from sailward.consensus.proposer import blocking_of
+from sailward.events import Tell
 
 NEVER = -1e9
 
--- a/sailward/house/ledger.py
+++ b/sailward/house/ledger.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import DiskFailed, Log, Rewrite, Stop, Store, Synced
 from sailward.consensus.acceptor import KNOWN, slot_records
+from sailward.events import DiskFailed, Log, Rewrite, Stop, Store, Synced
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/listing.py
+++ b/sailward/house/listing.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Called, Log, Tell
 from sailward.discovery.pages import Pager
 from sailward.discovery.rendezvous import choose_names
+from sailward.events import Called, Log, Tell
 from sailward.house.lives import Lives
 
 
--- a/sailward/house/membership.py
+++ b/sailward/house/membership.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Log, Tell
 from sailward.consensus.acceptor import KNOWN, Slot, fold_record, slot_records
 from sailward.consensus.held import Held, is_control, read_voters
 from sailward.consensus.proposer import Begin
+from sailward.events import Answer, Asked, Log, Tell
 from sailward.house.anew import Anew, NotFounded, log_founding, make_founding, merge_survivors, read_founding
 from sailward.house.copying import Copying, copy_page
 from sailward.house.repair import Repair, count_core
--- a/sailward/house/minding.py
+++ b/sailward/house/minding.py
@@ -7,10 +7,10 @@
 from typing import TYPE_CHECKING
 
 from sailward import constants
-from sailward.acts import Called, Tell
 from sailward.consensus.proposer import Begin
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import Worker
+from sailward.events import Called, Tell
 from sailward.house.freshness import Freshness, newest_vote
 from sailward.house.granting import Granting, GrantScene
 from sailward.routing.slots import PREFIX
--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.acts import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
 from sailward.consensus.held import HeldBook, is_control
 from sailward.discovery.gossip import Place
 from sailward.discovery.workers import WorkerBook
 from sailward.dock.wire_names import WireNames
+from sailward.events import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
 from sailward.house.directory import Directory
 from sailward.house.uplink import Uplink
 from sailward.routing.evidence import Evidence
--- a/sailward/house/sommelier.py
+++ b/sailward/house/sommelier.py
@@ -7,10 +7,10 @@
 from dataclasses import replace
 
 from sailward import constants
-from sailward.acts import Asked, Call, Called, Heard, Log, Stop, StopAsked, Tell
 from sailward.consensus.held import CONTROL, HeldBook, is_control
 from sailward.consensus.proposer import Accepted, Begin, Proposer
 from sailward.discovery.gossip import Place, Roster
+from sailward.events import Asked, Call, Called, Heard, Log, Stop, StopAsked, Tell
 from sailward.routing.choosing import Chooser
 from sailward.routing.claims import PREFIX, Claims
 from sailward.routing.copies import Copies, Peer
--- a/sailward/house/subscribers.py
+++ b/sailward/house/subscribers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Tell
+from sailward.events import Tell
 
 OWN_LIST = "workers"
 """The name under which the list of workers is pushed."""
--- a/sailward/house/uplink.py
+++ b/sailward/house/uplink.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Log, Tell
+from sailward.events import Log, Tell
 
 NEVER = -1e9
 
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -11,7 +11,6 @@
 
 import sailward
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, CancelCall, HangUp, Tell
 from sailward.discovery.gossip import Place
 from sailward.dock.courier import Courier
 from sailward.dock.front import Front
@@ -20,6 +19,7 @@
 from sailward.dock.outbound import Outbound
 from sailward.dock.reactor import Reactor
 from sailward.dock.wire_names import WireNames
+from sailward.events import Answer, Asked, Call, CancelCall, HangUp, Tell
 from sailward.routing.plan import Limits
 
 
--- a/sailward/programs/hosted_proxy.py
+++ b/sailward/programs/hosted_proxy.py
@@ -4,7 +4,7 @@
 
 import random
 
-from sailward.acts import Leave
+from sailward.events import Leave
 from sailward.house.proxy import Proxy
 from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
 
--- a/sailward/routing/claims.py
+++ b/sailward/routing/claims.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.consensus.acceptor import CLAIM as PREFIX
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled
+from sailward.events import Tell
 from sailward.routing.copies import Copies, Peer, may_keep, spread_copy
 from sailward.routing.exchange import Exchange, Refusal
 from sailward.routing.kept import Kept, Memory
--- a/sailward/routing/copies.py
+++ b/sailward/routing/copies.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.discovery.rendezvous import choose_names
+from sailward.events import Tell
 from sailward.routing.exchange import Exchange
 
 
--- a/sailward/routing/evidence.py
+++ b/sailward/routing/evidence.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.acts import Call, Called, HangUp, Log
 from sailward.discovery.workers import Worker
 from sailward.dock.wire_names import WireNames
+from sailward.events import Call, Called, HangUp, Log
 from sailward.routing.plan import Plan
 from sailward.state_machines import Chart
 
--- a/sailward/routing/exchange.py
+++ b/sailward/routing/exchange.py
@@ -8,8 +8,8 @@
 from urllib.parse import quote, urlencode
 
 from sailward import constants
-from sailward.acts import Answer, Asked
 from sailward.discovery.workers import Worker
+from sailward.events import Answer, Asked
 from sailward.routing.keytime import judge_key
 from sailward.routing.plan import Match, Plan, Service, Tenant
 
--- a/sailward/routing/exchanges.py
+++ b/sailward/routing/exchanges.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, Called, Log
+from sailward.events import Answer, Asked, Call, Called, Log
 from sailward.routing.choosing import Chooser
 from sailward.routing.claims import Claims, Lost, Replayed, Won
 from sailward.routing.exchange import (
--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, Called, CallerLeft, CancelCall, Log
 from sailward.dock.wire_names import WireNames
+from sailward.events import Answer, Asked, Call, Called, CallerLeft, CancelCall, Log
 from sailward.routing.evidence import EVENTS
 from sailward.routing.exchange import Refusal, answer_json
 from sailward.routing.placing import Placer
--- a/sailward/routing/halls.py
+++ b/sailward/routing/halls.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.acts import Log
+from sailward.events import Log
 from sailward.state_machines import Chart
 
 CHART = Chart(name="hall")
--- a/sailward/routing/lease.py
+++ b/sailward/routing/lease.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Log, Tell
 from sailward.consensus.held import HeldBook
 from sailward.consensus.proposer import blocking_of
+from sailward.events import Log, Tell
 from sailward.state_machines import Chart
 
 CHART = Chart(name="lease")
--- a/sailward/routing/reply.py
+++ b/sailward/routing/reply.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from sailward.acts import Called
 from sailward.dock.wire_names import WireNames
+from sailward.events import Called
 from sailward.routing.request import Request
 
 PROMISES = frozenset({408, 421, 429, 503})
--- a/sailward/routing/request.py
+++ b/sailward/routing/request.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import Asked
 from sailward.dock.wire_names import WireNames
+from sailward.events import Asked
 from sailward.routing.exchange import Refusal
 from sailward.routing.plan import Match, Plan, Service
 
--- a/sailward/routing/status.py
+++ b/sailward/routing/status.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.acts import Call, Called, HangUp, Log
 from sailward.discovery.workers import Worker
+from sailward.events import Call, Called, HangUp, Log
 from sailward.state_machines import Chart
 
 CHART = Chart(name="worker")
--- a/sailward/routing/verify.py
+++ b/sailward/routing/verify.py
@@ -7,7 +7,7 @@
 import json
 from dataclasses import dataclass
 
-from sailward.acts import Called
+from sailward.events import Called
 from sailward.routing.exchange import HOP, Exchange
 
 
--- a/tasting/hollow_fleet/added.py
+++ b/tasting/hollow_fleet/added.py
@@ -10,11 +10,11 @@
 import statistics
 import time
 
-from sailward.acts import Answer, Call, CancelCall, HangUp, Heard, Tell
 from sailward.dock.front import Front
 from sailward.dock.host import Host
 from sailward.dock.outbound import Outbound
 from sailward.dock.reactor import Reactor
+from sailward.events import Answer, Call, CancelCall, HangUp, Heard, Tell
 from sailward.house.proxy import Proxy
 
 from .deployment import Size, hosted_of, told_fleet, told_rows, zones_of
--- a/tasting/hollow_fleet/fleet.py
+++ b/tasting/hollow_fleet/fleet.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sailward.acts import Log
+from sailward.events import Log
 from sailward.house.cellar import Cellar
 from sailward.house.proxy import Proxy
 
--- a/tasting/hollow_fleet/network.py
+++ b/tasting/hollow_fleet/network.py
@@ -10,7 +10,11 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.acts import (
+from sailward.config.check import check_config
+from sailward.consensus.messages import BadMessage
+from sailward.dock.courier import LENGTH, pack_body, read_body
+from sailward.dock.disk import pack_frame
+from sailward.events import (
     Answer,
     Asked,
     Call,
@@ -26,10 +30,6 @@
     Tell,
     Ticked,
 )
-from sailward.config.check import check_config
-from sailward.consensus.messages import BadMessage
-from sailward.dock.courier import LENGTH, pack_body, read_body
-from sailward.dock.disk import pack_frame
 
 LINKS = ("zone", "region", "regions")
 """Within a zone, between zones of a region, between regions."""
--- a/tasting/hollow_fleet/parts.py
+++ b/tasting/hollow_fleet/parts.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, Called, Heard, Ticked
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage
 from sailward.dock.courier import LENGTH, pack_body, read_body
+from sailward.events import Answer, Asked, Call, Called, Heard, Ticked
 from sailward.house.cellar import Cellar
 from sailward.house.proxy import Proxy
 
--- a/tasting/hosted/calls.py
+++ b/tasting/hosted/calls.py
@@ -7,7 +7,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from sailward import constants
-from sailward.acts import Call, Called
+from sailward.events import Call, Called
 
 if TYPE_CHECKING:
     from tasting.hosted.process import Process
--- a/tasting/hosted/clients.py
+++ b/tasting/hosted/clients.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from sailward.acts import Answer, Asked
+from sailward.events import Answer, Asked
 from tasting.hosted.deployment import Kind
 from tasting.hosted.network import Spot
 
--- a/tasting/hosted/operators.py
+++ b/tasting/hosted/operators.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from sailward.acts import Answer
+from sailward.events import Answer
 from tasting.hosted.deployment import make_written
 from tasting.hosted.network import Spot
 
--- a/tasting/hosted/process.py
+++ b/tasting/hosted/process.py
@@ -9,7 +9,9 @@
 from typing import TYPE_CHECKING
 
 from sailward import constants
-from sailward.acts import (
+from sailward.config.check import check_config
+from sailward.consensus.messages import BadMessage, check_message
+from sailward.events import (
     Answer,
     Asked,
     Call,
@@ -30,8 +32,6 @@
     Tell,
     Ticked,
 )
-from sailward.config.check import check_config
-from sailward.consensus.messages import BadMessage, check_message
 from sailward.house.cellar import Cellar
 from sailward.house.proxy import Proxy
 from tasting.hosted.network import Spot
--- a/tasting/hosted/sabotage.py
+++ b/tasting/hosted/sabotage.py
@@ -6,10 +6,10 @@
 from unittest import mock
 
 from sailward import constants
-from sailward.acts import Stop
 from sailward.config import history
 from sailward.consensus import proposer
 from sailward.discovery import workers
+from sailward.events import Stop
 from sailward.house import granting, ledger, membership, minding, proxy
 from sailward.routing import evidence, forwarding, placing, plan, reply, retry_budget
 
--- a/tasting/sim/callers.py
+++ b/tasting/sim/callers.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from sailward.acts import Answer, Asked
+from sailward.events import Answer, Asked
 from tasting.deployments import CallerKind
 from tasting.mind import judge_body
 
--- a/tasting/sim/disk.py
+++ b/tasting/sim/disk.py
@@ -5,8 +5,8 @@
 import random
 from dataclasses import dataclass, field
 
-from sailward.acts import Rewrite, Store
 from sailward.dock.disk import Damaged, Read, pack_frame, read_frames
+from sailward.events import Rewrite, Store
 
 
 @dataclass(kw_only=True)
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -8,7 +8,11 @@
 from typing import TYPE_CHECKING
 
 from sailward import constants
-from sailward.acts import (
+from sailward.config import check as check_module
+from sailward.consensus.messages import BadMessage, check_message
+from sailward.discovery.gossip import Place
+from sailward.dock.disk import Damaged
+from sailward.events import (
     Answer,
     Asked,
     Call,
@@ -26,10 +30,6 @@
     Tell,
     Ticked,
 )
-from sailward.config import check as check_module
-from sailward.consensus.messages import BadMessage, check_message
-from sailward.discovery.gossip import Place
-from sailward.dock.disk import Damaged
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
 from sailward.house.sommelier import Sommelier
--- a/tasting/sim/operators.py
+++ b/tasting/sim/operators.py
@@ -8,7 +8,7 @@
 import json
 from typing import TYPE_CHECKING
 
-from sailward.acts import Answer, Asked
+from sailward.events import Answer, Asked
 
 if TYPE_CHECKING:
     from tasting.sim.world import World
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -7,13 +7,13 @@
 from unittest import mock
 
 from sailward import constants
-from sailward.acts import DiskFailed, Synced
 from sailward.config import check as check_module
 from sailward.config.check import Sound
 from sailward.consensus import held, proposer
 from sailward.discovery import gossip, workers
 from sailward.discovery import pages as pages_module
 from sailward.dock.disk import Damaged
+from sailward.events import DiskFailed, Synced
 from sailward.house import assigning, cellar, copying, desk, ledger, membership, sommelier, witness
 from sailward.routing import (
     bounds,
--- a/tasting/sim/world.py
+++ b/tasting/sim/world.py
@@ -7,7 +7,7 @@
 import random
 from urllib.parse import parse_qs, urlsplit
 
-from sailward.acts import Call, Called
+from sailward.events import Call, Called
 from tasting.deployments import Deployment
 from tasting.history import History
 from tasting.mind import Mind
--- a/tests/core_net.py
+++ b/tests/core_net.py
@@ -7,11 +7,25 @@
 import random
 from pathlib import Path
 
-from sailward.acts import Answer, Asked, Call, Called, Check, Checked, Heard, Rewrite, Stop, Store, Synced, Tell, Ticked
 from sailward.config.check import check_config
 from sailward.consensus.messages import check_message
 from sailward.discovery.gossip import Place
 from sailward.dock.adapter import load_part
+from sailward.events import (
+    Answer,
+    Asked,
+    Call,
+    Called,
+    Check,
+    Checked,
+    Heard,
+    Rewrite,
+    Stop,
+    Store,
+    Synced,
+    Tell,
+    Ticked,
+)
 from sailward.house.bootstrap import Bootstrap
 from sailward.house.cellar import Cellar
 from sailward.house.options import CellarOptions
--- a/tests/proxy_kit.py
+++ b/tests/proxy_kit.py
@@ -4,9 +4,9 @@
 
 import random
 
-from sailward.acts import Answer, Asked, Call, Called, CancelCall, Log
 from sailward.discovery.workers import Worker
 from sailward.dock.wire_names import WireNames
+from sailward.events import Answer, Asked, Call, Called, CancelCall, Log
 from sailward.routing.evidence import Evidence
 from sailward.routing.forwarding import Forwarder
 from sailward.routing.halls import HallBook
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -14,7 +14,6 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, Called, Heard, Rewrite, Store, Synced
 from sailward.consensus.messages import pack_message
 from sailward.discovery.rendezvous import choose_names
 from sailward.dock.calls import Calls
@@ -23,6 +22,7 @@
 from sailward.dock.loop import Loop
 from sailward.dock.post import GREETING, Post
 from sailward.dock.web import Web
+from sailward.events import Answer, Asked, Call, Called, Heard, Rewrite, Store, Synced
 from sailward.routing.slots import slot_of
 from tasting.real.callers import ask
 from tasting.real.fleet import free_addresses
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Call, Called, HangUp
+from sailward.events import Call, Called, HangUp
 from sailward.routing.evidence import Evidence
 from tests.proxy_kit import NAMES, logs, make_plan, make_worker
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -7,8 +7,8 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.consensus.messages import check_message
+from sailward.events import Tell
 from sailward.house.fleet import Fleet
 from sailward.house.subscribers import Subscriber
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import CallerLeft
+from sailward.events import CallerLeft
 from tests.proxy_kit import Bench, answers, calls, cancels, logs, make_plan, make_worker
 
 PROMISES = (408, 421, 429, 503)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -7,9 +7,9 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.consensus.acceptor import Slots, fold_record
 from sailward.consensus.held import HeldBook
+from sailward.events import Tell
 from sailward.house.freshness import Freshness, newest_vote
 
 REGISTER = "slots/red"
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -10,9 +10,9 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Answer, Asked, CallerLeft
 from sailward.dock.front import Front
 from sailward.dock.reactor import Reactor
+from sailward.events import Answer, Asked, CallerLeft
 from sailward.routing.plan import Limits
 
 PATIENCE = 10.0
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -11,7 +11,7 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Call, Called
+from sailward.events import Call, Called
 from sailward.house.granting import Granting, GrantScene
 from sailward.routing.shards import KEYS, read_shards
 
--- a/tests/test_key_loads.py
+++ b/tests/test_key_loads.py
@@ -7,8 +7,8 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Tell
 from sailward.consensus.messages import pack_message
+from sailward.events import Tell
 from sailward.house.fleet import Fleet
 from sailward.house.key_loads import KeyLoads, WorkerPaces, has_shifted, read_rates, tell_rates
 from sailward.house.subscribers import Subscriber
--- a/tests/test_outbound_answers.py
+++ b/tests/test_outbound_answers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Call
+from sailward.events import Call
 from tests.outbound_peer import OK, WAIT, Edge, Line
 
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -7,9 +7,9 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Called, Tell
 from sailward.discovery.pages import BrokenPass, Pager
 from sailward.discovery.workers import WorkerBook
+from sailward.events import Called, Tell
 from sailward.house.lives import Lives
 from sailward.house.subscribers import Subscribers
 from tests.core_net import WORKERS, CoreNet
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -9,10 +9,10 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, Called, Heard, Leave, Stop, StopAsked, Tell, Ticked
 from sailward.consensus.messages import check_message
 from sailward.discovery.gossip import Place
 from sailward.dock.adapter import load_part
+from sailward.events import Answer, Asked, Call, Called, Heard, Leave, Stop, StopAsked, Tell, Ticked
 from sailward.house.proxy import Proxy, ProxyOptions
 from tests.core_net import CONFIG, ZONES, make_written
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from sailward.acts import Asked, Check, Checked
 from sailward.config import check as check_module
 from sailward.config.check import Sound, Unsound, check_config
 from sailward.consensus.proposer import Accepted, Settled
+from sailward.events import Asked, Check, Checked
 from sailward.house.desk import Desk
 from sailward.routing.plan import plan_of, read_plan
 from tasting.deployments import make_arriaga
--- a/tests/test_stopping_proxy.py
+++ b/tests/test_stopping_proxy.py
@@ -6,8 +6,8 @@
 import random
 
 from sailward import constants
-from sailward.acts import Answer, Asked, Call, Heard, Leave, Stop, StopAsked, Ticked
 from sailward.discovery.gossip import Place
+from sailward.events import Answer, Asked, Call, Heard, Leave, Stop, StopAsked, Ticked
 from sailward.house.proxy import Proxy, ProxyOptions
 
 CELLAR = "10.0.0.1:7000"
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sailward import constants
-from sailward.acts import Tell
+from sailward.events import Tell
 from sailward.house.uplink import Uplink
 
 CELLARS = [
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -10,10 +10,10 @@
 import pytest
 
 from sailward import constants
-from sailward.acts import Heard, Ticked
 from sailward.consensus.messages import FIELDS, read_message
 from sailward.discovery.gossip import Place
 from sailward.dock.disk import MAGIC, Newer, Read, pack_frame, read_frames
+from sailward.events import Heard, Ticked
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
 from sailward.house.sommelier import Sommelier
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -9,10 +9,10 @@
 
 import pytest
 
-from sailward.acts import Asked
 from sailward.client.forecast import forecast
 from sailward.config.check import check_config, read_config
 from sailward.dock.startup import CELLAR, COMMON, read_startup
+from sailward.events import Asked
 from sailward.routing.exchange import Refusal, answer_refusal, take_exchange
 from sailward.routing.plan import read_plan
 from tasting.deployments import make_arriaga
