--- a/sailward/house/proxy.py
+++ b/sailward/house/proxy.py
@@ -11,7 +11,6 @@
 from sailward.consensus.held import HeldBook, is_control
 from sailward.discovery.gossip import Place
 from sailward.discovery.workers import WorkerBook
-from sailward.dock.wire_names import WireNames
 from sailward.events import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
 from sailward.house.directory import Directory
 from sailward.house.uplink import Uplink
@@ -25,6 +24,7 @@
 from sailward.routing.slots import PREFIX as SLOTS
 from sailward.routing.world import read_orders
 from sailward.state_machines import Chart
+from sailward.transport.wire_names import WireNames
 
 STOPPING = Chart(name="stopping")
 
--- a/sailward/programs/cellar.py
+++ b/sailward/programs/cellar.py
@@ -30,12 +30,12 @@
 from pathlib import Path
 
 from sailward import constants
-from sailward.dock.disk import Damaged, Disk, Newer, Taken
-from sailward.dock.logs import write_log
-from sailward.dock.loop import Loop, end_process
-from sailward.dock.startup import CELLAR
 from sailward.house.cellar import Cellar
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
+from sailward.runtime.logs import write_log
+from sailward.runtime.loop import Loop, end_process
+from sailward.runtime.startup import CELLAR
+from sailward.storage.disk import Damaged, Disk, Newer, Taken
 
 
 def main(argv: list[str] | None = None) -> None:
--- a/sailward/programs/common.py
+++ b/sailward/programs/common.py
@@ -12,12 +12,12 @@
 import sailward
 from sailward import constants
 from sailward.discovery.gossip import Place
-from sailward.dock.calls import Calls
-from sailward.dock.logs import start_logs, write_log
-from sailward.dock.loop import Edges, Loop, run_guarded
-from sailward.dock.post import Post
-from sailward.dock.startup import BadStartup, read_startup
-from sailward.dock.web import Web
+from sailward.runtime.logs import start_logs, write_log
+from sailward.runtime.loop import Edges, Loop, run_guarded
+from sailward.runtime.startup import BadStartup, read_startup
+from sailward.transport.calls import Calls
+from sailward.transport.post import Post
+from sailward.transport.web import Web
 
 
 def read_flags(*, doc: str, argv: list[str] | None) -> dict:
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -12,15 +12,15 @@
 import sailward
 from sailward import constants
 from sailward.discovery.gossip import Place
-from sailward.dock.courier import Courier
-from sailward.dock.front import Front
-from sailward.dock.host import Host
-from sailward.dock.logs import start_logs, write_log
-from sailward.dock.outbound import Outbound
-from sailward.dock.reactor import Reactor
-from sailward.dock.wire_names import WireNames
 from sailward.events import Answer, Asked, Call, CancelCall, HangUp, Tell
 from sailward.routing.plan import Limits
+from sailward.runtime.host import Host
+from sailward.runtime.logs import start_logs, write_log
+from sailward.runtime.reactor import Reactor
+from sailward.transport.courier import Courier
+from sailward.transport.front import Front
+from sailward.transport.outbound import Outbound
+from sailward.transport.wire_names import WireNames
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/programs/hosted_cellar.py
+++ b/sailward/programs/hosted_cellar.py
@@ -11,13 +11,13 @@
 
 from sailward import constants
 from sailward.config.check import check_config
-from sailward.dock.disk import Damaged, Disk, Newer, Taken
-from sailward.dock.host import Host
-from sailward.dock.logs import write_log
 from sailward.events import Check, Checked, Rewrite, Store, Synced
 from sailward.house.cellar import Cellar
 from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
 from sailward.routing.plan import Limits
+from sailward.runtime.host import Host
+from sailward.runtime.logs import write_log
+from sailward.storage.disk import Damaged, Disk, Newer, Taken
 
 
 def run_cellar(*, hosted: Hosted) -> None:
--- a/sailward/routing/evidence.py
+++ b/sailward/routing/evidence.py
@@ -7,10 +7,10 @@
 
 from sailward import constants
 from sailward.discovery.workers import Worker
-from sailward.dock.wire_names import WireNames
 from sailward.events import Call, Called, HangUp, Log
 from sailward.routing.plan import Plan
 from sailward.state_machines import Chart
+from sailward.transport.wire_names import WireNames
 
 CHART = Chart(name="instance")
 EVENTS = {"timed-out": "late", "refused": "refused", "no-connection": "dark", "connect-timeout": "dark"}
--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.dock.wire_names import WireNames
 from sailward.events import Answer, Asked, Call, Called, CallerLeft, CancelCall, Log
 from sailward.routing.evidence import EVENTS
 from sailward.routing.exchange import Refusal, answer_json
@@ -14,6 +13,7 @@
 from sailward.routing.reply import Broken, NotSent, TurnedAway, Whole, judge_reply
 from sailward.routing.request import Attempt, Request, headers_to_caller, headers_to_worker, take_request
 from sailward.routing.retry_budget import RetryBudget
+from sailward.transport.wire_names import WireNames
 
 SHORT = frozenset({"no-room", "key-moving", "key-unowned", "owner-lost", "owner-cold", "no-worker"})
 """Refusals that may be over in a moment: the request waits for that long."""
--- a/sailward/routing/reply.py
+++ b/sailward/routing/reply.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from sailward.dock.wire_names import WireNames
 from sailward.events import Called
 from sailward.routing.request import Request
+from sailward.transport.wire_names import WireNames
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Codes that tell a caller: it did not run and never will."""
--- a/sailward/routing/request.py
+++ b/sailward/routing/request.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.dock.wire_names import WireNames
 from sailward.events import Asked
 from sailward.routing.exchange import Refusal
 from sailward.routing.plan import Match, Plan, Service
+from sailward.transport.wire_names import WireNames
 
 HOP = frozenset(
     {
--- /dev/null
+++ b/sailward/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What runs an owner in a process: event loop, host, settings file, logs."""
--- a/sailward/dock/host.py
+++ b/sailward/runtime/host.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.dock.logs import write_log
-from sailward.dock.reactor import Reactor
 from sailward.events import Heard, Log, Stop, StopAsked, Ticked
+from sailward.runtime.logs import write_log
+from sailward.runtime.reactor import Reactor
 
 
 @dataclass(kw_only=True)
--- a/sailward/dock/loop.py
+++ b/sailward/runtime/loop.py
@@ -14,7 +14,6 @@
 
 from sailward import constants
 from sailward.config.check import Fault, Unsound, check_config
-from sailward.dock.logs import write_log
 from sailward.events import (
     Answer,
     Call,
@@ -30,6 +29,7 @@
     Tell,
     Ticked,
 )
+from sailward.runtime.logs import write_log
 
 
 @dataclass(kw_only=True)
--- /dev/null
+++ b/sailward/storage/__init__.py
@@ -0,0 +1,1 @@
+"""The data file: records on disk, synced and read back."""
--- a/sailward/dock/courier.py
+++ b/sailward/transport/courier.py
@@ -13,10 +13,10 @@
 
 from sailward import constants
 from sailward.consensus.messages import FIELDS, BadMessage, check_message
-from sailward.dock.logs import write_log
-from sailward.dock.post import split_address
-from sailward.dock.reactor import Reactor
 from sailward.events import Heard
+from sailward.runtime.logs import write_log
+from sailward.runtime.reactor import Reactor
+from sailward.transport.post import split_address
 
 LENGTH = struct.Struct(">IB")
 PLAIN, PACKED = 0, 1
--- a/sailward/dock/front.py
+++ b/sailward/transport/front.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 
 from sailward import constants
-from sailward.dock.front_head import HEAD_END, ChunkedBody, Refused, check_bytes, read_head, write_response
-from sailward.dock.front_state import Connection, Exchange
-from sailward.dock.reactor import Reactor
 from sailward.events import Answer, Asked, CallerLeft
 from sailward.routing.plan import Limits
+from sailward.runtime.reactor import Reactor
+from sailward.transport.front_head import HEAD_END, ChunkedBody, Refused, check_bytes, read_head, write_response
+from sailward.transport.front_state import Connection, Exchange
 
 _FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/sailward/dock/front_state.py
+++ b/sailward/transport/front_state.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.dock.front_head import ChunkedBody, Head
 from sailward.events import Answer
+from sailward.transport.front_head import ChunkedBody, Head
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/sailward/dock/outbound.py
+++ b/sailward/transport/outbound.py
@@ -10,10 +10,10 @@
 from dataclasses import dataclass
 
 from sailward import constants
-from sailward.dock.exchange import Broken, Exchange, Whole
-from sailward.dock.reactor import Alarm, Reactor
-from sailward.dock.wire_names import WireNames
 from sailward.events import Call, Called
+from sailward.runtime.reactor import Alarm, Reactor
+from sailward.transport.exchange import Broken, Exchange, Whole
+from sailward.transport.wire_names import WireNames
 
 ABORT = struct.pack("ii", 1, 0)
 CLEAN, SURPLUS, GONE = "clean", "surplus", "gone"
--- a/sailward/dock/post.py
+++ b/sailward/transport/post.py
@@ -13,8 +13,8 @@
 
 from sailward import constants
 from sailward.consensus.messages import BadMessage, pack_message, read_message
-from sailward.dock.logs import write_log
 from sailward.events import Heard
+from sailward.runtime.logs import write_log
 
 LENGTH = struct.Struct(">I")
 GREETING = b"sailward/1 "
--- a/sailward/dock/web.py
+++ b/sailward/transport/web.py
@@ -15,9 +15,9 @@
 
 import sailward
 from sailward import constants
-from sailward.dock.logs import write_log
-from sailward.dock.post import split_address
 from sailward.events import Answer, Asked
+from sailward.runtime.logs import write_log
+from sailward.transport.post import split_address
 
 
 class Handler(WSGIRequestHandler):
--- a/tasting/hollow_fleet/added.py
+++ b/tasting/hollow_fleet/added.py
@@ -10,12 +10,12 @@
 import statistics
 import time
 
-from sailward.dock.front import Front
-from sailward.dock.host import Host
-from sailward.dock.outbound import Outbound
-from sailward.dock.reactor import Reactor
 from sailward.events import Answer, Call, CancelCall, HangUp, Heard, Tell
 from sailward.house.proxy import Proxy
+from sailward.runtime.host import Host
+from sailward.runtime.reactor import Reactor
+from sailward.transport.front import Front
+from sailward.transport.outbound import Outbound
 
 from .deployment import Size, hosted_of, told_fleet, told_rows, zones_of
 from .parts import LEAD, config_text, free_route, push_of
--- a/tasting/hollow_fleet/deployment.py
+++ b/tasting/hollow_fleet/deployment.py
@@ -10,7 +10,7 @@
 
 from cerberus import Validator
 
-from sailward.dock.adapter import load_part
+from sailward.runtime.adapter import load_part
 
 FOLDER = Path(__file__).parent.parent.parent / "platform"
 HOSTING = load_part(folder=FOLDER, name="hosting")
--- a/tasting/hollow_fleet/network.py
+++ b/tasting/hollow_fleet/network.py
@@ -12,8 +12,6 @@
 from sailward import constants
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage
-from sailward.dock.courier import LENGTH, pack_body, read_body
-from sailward.dock.disk import pack_frame
 from sailward.events import (
     Answer,
     Asked,
@@ -30,6 +28,8 @@
     Tell,
     Ticked,
 )
+from sailward.storage.disk import pack_frame
+from sailward.transport.courier import LENGTH, pack_body, read_body
 
 LINKS = ("zone", "region", "regions")
 """Within a zone, between zones of a region, between regions."""
--- a/tasting/hollow_fleet/parts.py
+++ b/tasting/hollow_fleet/parts.py
@@ -13,10 +13,10 @@
 from sailward import constants
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage
-from sailward.dock.courier import LENGTH, pack_body, read_body
 from sailward.events import Answer, Asked, Call, Called, Heard, Ticked
 from sailward.house.cellar import Cellar
 from sailward.house.proxy import Proxy
+from sailward.transport.courier import LENGTH, pack_body, read_body
 
 from .deployment import (
     Size,
--- a/tasting/hosted/world.py
+++ b/tasting/hosted/world.py
@@ -11,7 +11,7 @@
 
 from cerberus import Validator
 
-from sailward.dock.adapter import load_part
+from sailward.runtime.adapter import load_part
 from tasting.history import History
 from tasting.hosted.calls import Calls
 from tasting.hosted.clients import Client, exchange
--- a/tasting/real/worker.py
+++ b/tasting/real/worker.py
@@ -15,7 +15,7 @@
 
 from docopt import docopt
 
-from sailward.dock.post import split_address
+from sailward.transport.post import split_address
 from tasting.mind import Mind
 
 
--- a/tasting/sim/disk.py
+++ b/tasting/sim/disk.py
@@ -5,8 +5,8 @@
 import random
 from dataclasses import dataclass, field
 
-from sailward.dock.disk import Damaged, Read, pack_frame, read_frames
 from sailward.events import Rewrite, Store
+from sailward.storage.disk import Damaged, Read, pack_frame, read_frames
 
 
 @dataclass(kw_only=True)
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -11,7 +11,6 @@
 from sailward.config import check as check_module
 from sailward.consensus.messages import BadMessage, check_message
 from sailward.discovery.gossip import Place
-from sailward.dock.disk import Damaged
 from sailward.events import (
     Answer,
     Asked,
@@ -33,6 +32,7 @@
 from sailward.house.cellar import Cellar
 from sailward.house.concierge import Concierge
 from sailward.house.sommelier import Sommelier
+from sailward.storage.disk import Damaged
 from tasting.sim.disk import Disk
 
 if TYPE_CHECKING:
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -12,7 +12,6 @@
 from sailward.consensus import held, proposer
 from sailward.discovery import gossip, workers
 from sailward.discovery import pages as pages_module
-from sailward.dock.disk import Damaged
 from sailward.events import DiskFailed, Synced
 from sailward.house import assigning, cellar, copying, desk, ledger, membership, sommelier, witness
 from sailward.routing import (
@@ -30,6 +29,7 @@
     world,
 )
 from sailward.routing import exchange as exchange_module
+from sailward.storage.disk import Damaged
 from tasting.sim import disk, network
 
 
--- a/tests/core_net.py
+++ b/tests/core_net.py
@@ -10,7 +10,6 @@
 from sailward.config.check import check_config
 from sailward.consensus.messages import check_message
 from sailward.discovery.gossip import Place
-from sailward.dock.adapter import load_part
 from sailward.events import (
     Answer,
     Asked,
@@ -29,6 +28,7 @@
 from sailward.house.bootstrap import Bootstrap
 from sailward.house.cellar import Cellar
 from sailward.house.options import CellarOptions
+from sailward.runtime.adapter import load_part
 
 FOLDER = Path(__file__).parent.parent / "platform"
 CONFIG = load_part(folder=FOLDER, name="config")
--- a/tests/outbound_peer.py
+++ b/tests/outbound_peer.py
@@ -9,10 +9,10 @@
 import time
 from collections.abc import Callable
 
-from sailward.dock.outbound import Outbound
-from sailward.dock.reactor import Reactor
-from sailward.dock.wire_names import WireNames
 from sailward.events import Call, Called
+from sailward.runtime.reactor import Reactor
+from sailward.transport.outbound import Outbound
+from sailward.transport.wire_names import WireNames
 
 WAIT = 8.0
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
--- a/tests/proxy_kit.py
+++ b/tests/proxy_kit.py
@@ -5,7 +5,6 @@
 import random
 
 from sailward.discovery.workers import Worker
-from sailward.dock.wire_names import WireNames
 from sailward.events import Answer, Asked, Call, Called, CancelCall, Log
 from sailward.routing.evidence import Evidence
 from sailward.routing.forwarding import Forwarder
@@ -14,6 +13,7 @@
 from sailward.routing.plan import Plan, plan_of
 from sailward.routing.retry_budget import RetryBudget
 from sailward.routing.shards import OPEN, Shard, ShardTable, write_shards
+from sailward.transport.wire_names import WireNames
 
 NAMES = WireNames(
     exchange="x-id",
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -10,8 +10,8 @@
 import pytest
 
 from sailward import constants
-from sailward.dock.courier import LENGTH, PLAIN, Courier, pack_body, read_body
-from sailward.dock.reactor import Reactor
+from sailward.runtime.reactor import Reactor
+from sailward.transport.courier import LENGTH, PLAIN, Courier, pack_body, read_body
 
 PATIENCE = 10.0
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -16,14 +16,14 @@
 from sailward import constants
 from sailward.consensus.messages import pack_message
 from sailward.discovery.rendezvous import choose_names
-from sailward.dock.calls import Calls
-from sailward.dock.disk import Damaged, Disk, Read, Taken, pack_frame, read_frames
-from sailward.dock.logs import start_logs
-from sailward.dock.loop import Loop
-from sailward.dock.post import GREETING, Post
-from sailward.dock.web import Web
 from sailward.events import Answer, Asked, Call, Called, Heard, Rewrite, Store, Synced
 from sailward.routing.slots import slot_of
+from sailward.runtime.logs import start_logs
+from sailward.runtime.loop import Loop
+from sailward.storage.disk import Damaged, Disk, Read, Taken, pack_frame, read_frames
+from sailward.transport.calls import Calls
+from sailward.transport.post import GREETING, Post
+from sailward.transport.web import Web
 from tasting.real.callers import ask
 from tasting.real.fleet import free_addresses
 
@@ -125,7 +125,7 @@
 def test_what_a_call_given_up_had_not_sent_is_never_sent(is_safe: bool, monkeypatch) -> None:
     """Without the reset (second run) the whole exchange arrives after its proxy gave it up."""
     if not is_safe:
-        monkeypatch.setattr("sailward.dock.calls.ABORT", struct.pack("ii", 0, 0))
+        monkeypatch.setattr("sailward.transport.calls.ABORT", struct.pack("ii", 0, 0))
     server = Deaf()
     server.start()
     calls, events = make_calls()
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -10,10 +10,10 @@
 import pytest
 
 from sailward import constants
-from sailward.dock.front import Front
-from sailward.dock.reactor import Reactor
 from sailward.events import Answer, Asked, CallerLeft
 from sailward.routing.plan import Limits
+from sailward.runtime.reactor import Reactor
+from sailward.transport.front import Front
 
 PATIENCE = 10.0
 
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from sailward.dock.courier import pack_body
 from sailward.events import Heard, Tell, Ticked
+from sailward.transport.courier import pack_body
 from tasting import hollow
 from tasting.hollow_fleet.added import measure_added
 from tasting.hollow_fleet.deployment import Size, list_pages, make_document, told_fleet, told_rows, zones_of
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -11,9 +11,9 @@
 from sailward import constants
 from sailward.consensus.messages import check_message
 from sailward.discovery.gossip import Place
-from sailward.dock.adapter import load_part
 from sailward.events import Answer, Asked, Call, Called, Heard, Leave, Stop, StopAsked, Tell, Ticked
 from sailward.house.proxy import Proxy, ProxyOptions
+from sailward.runtime.adapter import load_part
 from tests.core_net import CONFIG, ZONES, make_written
 
 WIRE = load_part(folder=Path(__file__).parent.parent / "platform", name="wire")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,7 +9,7 @@
 import pytest
 import yaml
 
-from sailward.dock.adapter import load_part
+from sailward.runtime.adapter import load_part
 
 FOLDER = Path(__file__).parent.parent / "platform"
 SETTINGS = load_part(folder=FOLDER, name="settings")
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -11,10 +11,10 @@
 
 from sailward.client.forecast import forecast
 from sailward.config.check import check_config, read_config
-from sailward.dock.startup import CELLAR, COMMON, read_startup
 from sailward.events import Asked
 from sailward.routing.exchange import Refusal, answer_refusal, take_exchange
 from sailward.routing.plan import read_plan
+from sailward.runtime.startup import CELLAR, COMMON, read_startup
 from tasting.deployments import make_arriaga
 from tasting.real.fleet import free_addresses
 
