--- a/sailward/house/desk.py
+++ b/sailward/control/admin_api.py
@@ -10,9 +10,9 @@
 from sailward.config.dialect import Dialect, Order, Outcome, OwnDialect, refused_unsound
 from sailward.config.history import Labelled, read_labelled, write_labelled
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled, Unknown
+from sailward.control.homes import find_homeless
+from sailward.control.repair import change_members, keeps_majority
 from sailward.events import Asked, Check, Checked, Log
-from sailward.house.homes import find_homeless
-from sailward.house.repair import change_members, keeps_majority
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/assigning.py
+++ b/sailward/control/assigning.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field, replace
 
 from sailward import constants
+from sailward.control.witness import Closing, Witness
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import Worker
-from sailward.house.witness import Closing, Witness
 from sailward.routing.plan import Plan, Pool, Service
 from sailward.routing.slots import Owned, common_homes, pool_at, read_table, space_of, write_table
 
--- a/sailward/house/cellar.py
+++ b/sailward/control/controller.py
@@ -10,22 +10,22 @@
 from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.consensus.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.consensus.proposer import Begin, Proposer
+from sailward.control.admin_api import Desk
+from sailward.control.bootstrap import make_founder
+from sailward.control.fleet import Fleet
+from sailward.control.incarnations import Lives
+from sailward.control.listing import Listing
+from sailward.control.membership import Membership
+from sailward.control.moves import Moves
+from sailward.control.options import CellarOptions
+from sailward.control.shard_leases import Minding
+from sailward.control.standing import Standing
+from sailward.control.status_report import show_status
+from sailward.control.subscribers import Subscribers
+from sailward.control.write_ahead import Ledger
 from sailward.discovery.gossip import Place, Roster
 from sailward.discovery.pages import Pager
 from sailward.events import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
-from sailward.house.bootstrap import make_founder
-from sailward.house.desk import Desk
-from sailward.house.fleet import Fleet
-from sailward.house.ledger import Ledger
-from sailward.house.listing import Listing
-from sailward.house.lives import Lives
-from sailward.house.membership import Membership
-from sailward.house.minding import Minding
-from sailward.house.moves import Moves
-from sailward.house.options import CellarOptions
-from sailward.house.report import show_status
-from sailward.house.standing import Standing
-from sailward.house.subscribers import Subscribers
 from sailward.routing.exchange import answer_json
 from sailward.routing.plan import plan_of, read_full
 
--- a/sailward/house/anew.py
+++ b/sailward/control/disaster_recovery.py
@@ -10,8 +10,8 @@
 from sailward.consensus.acceptor import CLAIM, FIRST, Slot
 from sailward.consensus.held import Held
 from sailward.consensus.proposer import blocking_of
+from sailward.control.copying import Copying
 from sailward.events import Log
-from sailward.house.copying import Copying
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/house/fleet.py
+++ b/sailward/control/fleet.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
+from sailward.control.key_loads import KeyLoads, WorkerPaces, has_shifted, read_rates, tell_rates
+from sailward.control.subscribers import Subscriber
 from sailward.events import Tell
-from sailward.house.key_loads import KeyLoads, WorkerPaces, has_shifted, read_rates, tell_rates
-from sailward.house.subscribers import Subscriber
 
 SAME = ["same"]
 """Rows that are as the receiver has them."""
--- a/sailward/house/granting.py
+++ b/sailward/control/granting.py
@@ -28,8 +28,8 @@
 from dataclasses import dataclass, field, replace
 
 from sailward import constants
+from sailward.control.shard_plan import Span, place, strain, weigh
 from sailward.events import Call, Called, Log
-from sailward.house.shard_plan import Span, place, strain, weigh
 from sailward.routing.shards import KEYS, MOVING, OPEN, Shard, ShardTable, read_shards, write_shards
 from sailward.routing.slots import PREFIX
 
--- a/sailward/house/listing.py
+++ b/sailward/control/listing.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
+from sailward.control.incarnations import Lives
 from sailward.discovery.pages import Pager
 from sailward.discovery.rendezvous import choose_names
 from sailward.events import Called, Log, Tell
-from sailward.house.lives import Lives
 
 
 @dataclass(kw_only=True)
--- a/sailward/house/membership.py
+++ b/sailward/control/membership.py
@@ -9,14 +9,21 @@
 from sailward.consensus.acceptor import KNOWN, Slot, fold_record, slot_records
 from sailward.consensus.held import Held, is_control, read_voters
 from sailward.consensus.proposer import Begin
+from sailward.control.copying import Copying, copy_page
+from sailward.control.disaster_recovery import (
+    Anew,
+    NotFounded,
+    log_founding,
+    make_founding,
+    merge_survivors,
+    read_founding,
+)
+from sailward.control.repair import Repair, count_core
 from sailward.events import Answer, Asked, Log, Tell
-from sailward.house.anew import Anew, NotFounded, log_founding, make_founding, merge_survivors, read_founding
-from sailward.house.copying import Copying, copy_page
-from sailward.house.repair import Repair, count_core
 from sailward.routing.exchange import answer_json
 
 if TYPE_CHECKING:
-    from sailward.house.cellar import Cellar
+    from sailward.control.controller import Cellar
 
 
 class Membership:
--- a/sailward/house/moves.py
+++ b/sailward/control/moves.py
@@ -7,12 +7,12 @@
 
 from sailward import constants
 from sailward.consensus.held import HeldBook
+from sailward.control.assigning import Assigning, Scene
+from sailward.control.standing import Standing
+from sailward.control.subscribers import Subscriber
+from sailward.control.witness import Witness
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import WorkerBook
-from sailward.house.assigning import Assigning, Scene
-from sailward.house.standing import Standing
-from sailward.house.subscribers import Subscriber
-from sailward.house.witness import Witness
 from sailward.routing.plan import Plan
 from sailward.routing.slots import PREFIX
 from sailward.routing.world import read_orders
--- a/sailward/house/options.py
+++ b/sailward/control/options.py
@@ -10,8 +10,8 @@
 
 if TYPE_CHECKING:
     from sailward.config.dialect import Dialect
+    from sailward.control.bootstrap import Bootstrap
     from sailward.discovery.pages import ListReader
-    from sailward.house.bootstrap import Bootstrap
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/house/minding.py
+++ b/sailward/control/shard_leases.py
@@ -8,16 +8,16 @@
 
 from sailward import constants
 from sailward.consensus.proposer import Begin
+from sailward.control.freshness import Freshness, newest_vote
+from sailward.control.granting import Granting, GrantScene
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import Worker
 from sailward.events import Called, Tell
-from sailward.house.freshness import Freshness, newest_vote
-from sailward.house.granting import Granting, GrantScene
 from sailward.routing.slots import PREFIX
 from sailward.routing.world import read_orders
 
 if TYPE_CHECKING:
-    from sailward.house.cellar import Cellar
+    from sailward.control.controller import Cellar
 
 
 class Minding:
--- a/sailward/house/standing.py
+++ b/sailward/control/standing.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.house.subscribers import Subscriber
+from sailward.control.subscribers import Subscriber
 from sailward.routing.halls import HallBook
 
 PARTS = 1000
--- a/sailward/house/report.py
+++ b/sailward/control/status_report.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import sailward
-from sailward.house.anew import read_founding
-from sailward.house.repair import count_core
+from sailward.control.disaster_recovery import read_founding
+from sailward.control.repair import count_core
 
 
 def show_status(*, cellar, now: float) -> dict:
--- a/sailward/house/witness.py
+++ b/sailward/control/witness.py
@@ -6,7 +6,7 @@
 
 from sailward import constants
 from sailward.consensus.proposer import majority_of
-from sailward.house.subscribers import Subscriber
+from sailward.control.subscribers import Subscriber
 from sailward.routing.slots import PREFIX
 
 
--- a/sailward/house/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The owners of whole processes, put together from the planes."""
--- a/sailward/programs/cellar.py
+++ b/sailward/programs/cellar.py
@@ -30,7 +30,7 @@
 from pathlib import Path
 
 from sailward import constants
-from sailward.house.cellar import Cellar
+from sailward.control.controller import Cellar
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
 from sailward.runtime.logs import write_log
 from sailward.runtime.loop import Loop, end_process
--- a/sailward/programs/concierge.py
+++ b/sailward/programs/concierge.py
@@ -25,8 +25,8 @@
 import random
 
 from sailward import constants
-from sailward.house.concierge import Concierge
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
+from sailward.proxy.concierge import Concierge
 from sailward.runtime.loop import Loop, end_process
 from sailward.runtime.startup import COMMON
 
--- a/sailward/programs/hosted_cellar.py
+++ b/sailward/programs/hosted_cellar.py
@@ -11,8 +11,8 @@
 
 from sailward import constants
 from sailward.config.check import check_config
+from sailward.control.controller import Cellar
 from sailward.events import Check, Checked, Rewrite, Store, Synced
-from sailward.house.cellar import Cellar
 from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
 from sailward.routing.plan import Limits
 from sailward.runtime.host import Host
--- a/sailward/programs/hosted_proxy.py
+++ b/sailward/programs/hosted_proxy.py
@@ -5,8 +5,8 @@
 import random
 
 from sailward.events import Leave
-from sailward.house.proxy import Proxy
 from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
+from sailward.proxy.proxy import Proxy
 
 
 def run_proxy(*, hosted: Hosted) -> None:
--- a/sailward/programs/sommelier.py
+++ b/sailward/programs/sommelier.py
@@ -26,8 +26,8 @@
 import time
 
 from sailward import constants
-from sailward.house.sommelier import Sommelier
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
+from sailward.proxy.sommelier import Sommelier
 from sailward.runtime.loop import Loop, end_process
 from sailward.runtime.startup import COMMON
 
--- /dev/null
+++ b/sailward/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy and directory processes: owners without I/O."""
--- a/sailward/house/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -12,8 +12,8 @@
 from sailward.discovery.gossip import Place
 from sailward.discovery.workers import WorkerBook
 from sailward.events import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
-from sailward.house.directory import Directory
-from sailward.house.uplink import Uplink
+from sailward.proxy.directory import Directory
+from sailward.proxy.uplink import Uplink
 from sailward.routing.evidence import Evidence
 from sailward.routing.exchange import answer_json
 from sailward.routing.forwarding import Forwarder
--- a/tasting/hollow_fleet/added.py
+++ b/tasting/hollow_fleet/added.py
@@ -11,7 +11,7 @@
 import time
 
 from sailward.events import Answer, Call, CancelCall, HangUp, Heard, Tell
-from sailward.house.proxy import Proxy
+from sailward.proxy.proxy import Proxy
 from sailward.runtime.host import Host
 from sailward.runtime.reactor import Reactor
 from sailward.transport.front import Front
--- a/tasting/hollow_fleet/fleet.py
+++ b/tasting/hollow_fleet/fleet.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from sailward.control.controller import Cellar
 from sailward.events import Log
-from sailward.house.cellar import Cellar
-from sailward.house.proxy import Proxy
+from sailward.proxy.proxy import Proxy
 
 from .deployment import Size, hosted_of, list_pages, make_document, make_patch, zones_of
 from .network import LINKS, Member, Network, ask_operator
--- a/tasting/hollow_fleet/parts.py
+++ b/tasting/hollow_fleet/parts.py
@@ -13,9 +13,9 @@
 from sailward import constants
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage
+from sailward.control.controller import Cellar
 from sailward.events import Answer, Asked, Call, Called, Heard, Ticked
-from sailward.house.cellar import Cellar
-from sailward.house.proxy import Proxy
+from sailward.proxy.proxy import Proxy
 from sailward.transport.courier import LENGTH, pack_body, read_body
 
 from .deployment import (
--- a/tasting/hosted/process.py
+++ b/tasting/hosted/process.py
@@ -11,6 +11,7 @@
 from sailward import constants
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage, check_message
+from sailward.control.controller import Cellar
 from sailward.events import (
     Answer,
     Asked,
@@ -32,8 +33,7 @@
     Tell,
     Ticked,
 )
-from sailward.house.cellar import Cellar
-from sailward.house.proxy import Proxy
+from sailward.proxy.proxy import Proxy
 from tasting.hosted.network import Spot
 from tasting.sim.disk import Disk
 
--- a/tasting/hosted/sabotage.py
+++ b/tasting/hosted/sabotage.py
@@ -8,9 +8,10 @@
 from sailward import constants
 from sailward.config import history
 from sailward.consensus import proposer
+from sailward.control import granting, membership, shard_leases, write_ahead
 from sailward.discovery import workers
 from sailward.events import Stop
-from sailward.house import granting, ledger, membership, minding, proxy
+from sailward.proxy import proxy
 from sailward.routing import evidence, forwarding, placing, plan, reply, retry_budget
 
 
@@ -91,7 +92,7 @@
         _patch(granting.Granting, "_is_free", lambda old: lambda self, *, now, shard: True),
         _patch(granting.Granting, "_release", lambda old: lambda self, *, now, scene: []),
     ),
-    "lease": _all(_patch(minding.Freshness, "until", lambda old: lambda self, *, now, **fields: now + 9.0)),
+    "lease": _all(_patch(shard_leases.Freshness, "until", lambda old: lambda self, *, now, **fields: now + 9.0)),
     "once-only": _all(lambda: mock.patch.object(plan.Match, "is_repeatable", property(lambda self: True))),
     "promise": _all(_patch(forwarding.Forwarder, "_give_up", _promises_all)),
     "promise-mark": _all(_patch(forwarding, "judge_reply", _takes_unmarked)),
@@ -113,7 +114,7 @@
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
     "seal": _all(_patch(forwarding, "judge_reply", _believes_all)),
-    "sync": _all(_patch(ledger.Ledger, "step", _told_unsynced)),
+    "sync": _all(_patch(write_ahead.Ledger, "step", _told_unsynced)),
     "majority": _all(_patch(proposer, "majority_of", lambda old: lambda *, members: 1)),
     "stop": _all(_patch(proxy.Proxy, "_begin_stop", _stops_at_once)),
     "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: [])),
--- a/tasting/sim/node.py
+++ b/tasting/sim/node.py
@@ -10,6 +10,7 @@
 from sailward import constants
 from sailward.config import check as check_module
 from sailward.consensus.messages import BadMessage, check_message
+from sailward.control.controller import Cellar
 from sailward.discovery.gossip import Place
 from sailward.events import (
     Answer,
@@ -29,9 +30,8 @@
     Tell,
     Ticked,
 )
-from sailward.house.cellar import Cellar
-from sailward.house.concierge import Concierge
-from sailward.house.sommelier import Sommelier
+from sailward.proxy.concierge import Concierge
+from sailward.proxy.sommelier import Sommelier
 from sailward.storage.disk import Damaged
 from tasting.sim.disk import Disk
 
--- a/tasting/sim/sabotage.py
+++ b/tasting/sim/sabotage.py
@@ -10,10 +10,11 @@
 from sailward.config import check as check_module
 from sailward.config.check import Sound
 from sailward.consensus import held, proposer
+from sailward.control import admin_api, assigning, controller, copying, membership, witness, write_ahead
 from sailward.discovery import gossip, workers
 from sailward.discovery import pages as pages_module
 from sailward.events import DiskFailed, Synced
-from sailward.house import assigning, cellar, copying, desk, ledger, membership, sommelier, witness
+from sailward.proxy import sommelier
 from sailward.routing import (
     bounds,
     choosing,
@@ -176,7 +177,7 @@
     "spill": _constant("SPILL", 1e-9),
     "hold": _constant("HOLD", 0.0),
     "grace": _constant("STOP_GRACE", 0.0),
-    "sync": _method(ledger.Ledger, "step", _told_unsynced),
+    "sync": _method(write_ahead.Ledger, "step", _told_unsynced),
     "claim": _method(claims.Claims, "_begin", _always_won),
     "sticky": _method(workers.WorkerBook, "step", _forgetful),
     "homes": _method(world.World, "views_of", _no_homes),
@@ -216,11 +217,11 @@
             )
         ),
     ),
-    "new-identity": _method(cellar, "make_identity", lambda old: lambda *, name, nonce: name),
-    "sync-final": _method(ledger.Ledger, "hear", _failures_unheard),
+    "new-identity": _method(controller, "make_identity", lambda old: lambda *, name, nonce: name),
+    "sync-final": _method(write_ahead.Ledger, "hear", _failures_unheard),
     "blocking": _method(lease, "blocking_of", lambda old: proposer.majority_of),
     "leaving": _method(workers.WorkerBook, "step", _never_leaving),
-    "disk-votes": _method(ledger.Ledger, "hear", _failures_unheard),
+    "disk-votes": _method(write_ahead.Ledger, "hear", _failures_unheard),
     "last-resort": _method(choosing, "share_halls", _no_last_resort),
     "copy": _method(copying.Copying, "slots", lambda old: lambda self, *, now: {}),
     "repair": _constant("REPLACE_AFTER", 1e9),
@@ -238,7 +239,7 @@
     "fair-lines": _method(lines.Lines, "step", _one_line),
     "hot-bound": _constant("HOT_KEY_SHARE", 1e9),
     "first-quorum": _method(proposer, "fast_of", lambda old: lambda *, members: 2),
-    "majority-kept": _method(desk, "keeps_majority", lambda old: lambda *, text, well: True),
+    "majority-kept": _method(admin_api, "keeps_majority", lambda old: lambda *, text, well: True),
     "merge": _method(
         membership, "merge_survivors", lambda old: lambda *, slots, told, now: old(slots=slots, told=[], now=now)
     ),
@@ -264,7 +265,7 @@
             )
         ),
     ),
-    "known": _method(ledger.Ledger, "know", lambda old: lambda self, *, ballot, value: []),
+    "known": _method(write_ahead.Ledger, "know", lambda old: lambda self, *, ballot, value: []),
     "word": _method(
         exchanges, "answer_refusal", lambda old: lambda **fields: dataclasses.replace(old(**fields), headers={})
     ),
--- a/tests/core_net.py
+++ b/tests/core_net.py
@@ -9,6 +9,9 @@
 
 from sailward.config.check import check_config
 from sailward.consensus.messages import check_message
+from sailward.control.bootstrap import Bootstrap
+from sailward.control.controller import Cellar
+from sailward.control.options import CellarOptions
 from sailward.discovery.gossip import Place
 from sailward.events import (
     Answer,
@@ -25,9 +28,6 @@
     Tell,
     Ticked,
 )
-from sailward.house.bootstrap import Bootstrap
-from sailward.house.cellar import Cellar
-from sailward.house.options import CellarOptions
 from sailward.runtime.adapter import load_part
 
 FOLDER = Path(__file__).parent.parent / "platform"
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -8,9 +8,9 @@
 
 from sailward import constants
 from sailward.consensus.messages import check_message
+from sailward.control.fleet import Fleet
+from sailward.control.subscribers import Subscriber
 from sailward.events import Tell
-from sailward.house.fleet import Fleet
-from sailward.house.subscribers import Subscriber
 
 HALLS = {"c0": ("north-a", "north"), "c1": ("south-a", "south")}
 
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -9,8 +9,8 @@
 from sailward import constants
 from sailward.consensus.acceptor import Slots, fold_record
 from sailward.consensus.held import HeldBook
+from sailward.control.freshness import Freshness, newest_vote
 from sailward.events import Tell
-from sailward.house.freshness import Freshness, newest_vote
 
 REGISTER = "slots/red"
 MEMBERS = {f"v{at}": f"post{at}" for at in range(3)}
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -11,8 +11,8 @@
 import pytest
 
 from sailward import constants
+from sailward.control.granting import Granting, GrantScene
 from sailward.events import Call, Called
-from sailward.house.granting import Granting, GrantScene
 from sailward.routing.shards import KEYS, read_shards
 
 SLOW = 1 / 0.98
--- a/tests/test_key_loads.py
+++ b/tests/test_key_loads.py
@@ -8,10 +8,10 @@
 
 from sailward import constants
 from sailward.consensus.messages import pack_message
+from sailward.control.fleet import Fleet
+from sailward.control.key_loads import KeyLoads, WorkerPaces, has_shifted, read_rates, tell_rates
+from sailward.control.subscribers import Subscriber
 from sailward.events import Tell
-from sailward.house.fleet import Fleet
-from sailward.house.key_loads import KeyLoads, WorkerPaces, has_shifted, read_rates, tell_rates
-from sailward.house.subscribers import Subscriber
 
 HERE, READER, OTHER = "c0", "c1", "c2"
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -7,11 +7,11 @@
 import pytest
 
 from sailward import constants
+from sailward.control.incarnations import Lives
+from sailward.control.subscribers import Subscribers
 from sailward.discovery.pages import BrokenPass, Pager
 from sailward.discovery.workers import WorkerBook
 from sailward.events import Called, Tell
-from sailward.house.lives import Lives
-from sailward.house.subscribers import Subscribers
 from tests.core_net import WORKERS, CoreNet
 
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -12,7 +12,7 @@
 from sailward.consensus.messages import check_message
 from sailward.discovery.gossip import Place
 from sailward.events import Answer, Asked, Call, Called, Heard, Leave, Stop, StopAsked, Tell, Ticked
-from sailward.house.proxy import Proxy, ProxyOptions
+from sailward.proxy.proxy import Proxy, ProxyOptions
 from sailward.runtime.adapter import load_part
 from tests.core_net import CONFIG, ZONES, make_written
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -11,8 +11,8 @@
 from sailward.config import check as check_module
 from sailward.config.check import Sound, Unsound, check_config
 from sailward.consensus.proposer import Accepted, Settled
+from sailward.control.admin_api import Desk
 from sailward.events import Asked, Check, Checked
-from sailward.house.desk import Desk
 from sailward.routing.plan import plan_of, read_plan
 from tasting.deployments import make_arriaga
 
--- a/tests/test_stopping_proxy.py
+++ b/tests/test_stopping_proxy.py
@@ -8,7 +8,7 @@
 from sailward import constants
 from sailward.discovery.gossip import Place
 from sailward.events import Answer, Asked, Call, Heard, Leave, Stop, StopAsked, Ticked
-from sailward.house.proxy import Proxy, ProxyOptions
+from sailward.proxy.proxy import Proxy, ProxyOptions
 
 CELLAR = "10.0.0.1:7000"
 FULL = {
--- a/tests/test_uplink.py
+++ b/tests/test_uplink.py
@@ -4,7 +4,7 @@
 
 from sailward import constants
 from sailward.events import Tell
-from sailward.house.uplink import Uplink
+from sailward.proxy.uplink import Uplink
 
 CELLARS = [
     ["c-home", "north-a", "north"],
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -11,11 +11,11 @@
 
 from sailward import constants
 from sailward.consensus.messages import FIELDS, read_message
+from sailward.control.controller import Cellar
 from sailward.discovery.gossip import Place
 from sailward.events import Heard, Ticked
-from sailward.house.cellar import Cellar
-from sailward.house.concierge import Concierge
-from sailward.house.sommelier import Sommelier
+from sailward.proxy.concierge import Concierge
+from sailward.proxy.sommelier import Sommelier
 from sailward.routing.plan import read_plan
 from sailward.storage.disk import MAGIC, Newer, Read, pack_frame, read_frames
 from tests.test_words import GOOD, run
