--- a/tasting/checker.py
+++ b/simulation/checker.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from tasting.deployments import Deployment
-from tasting.history import History
-from tasting.rules import Broken
-from tasting.rules.control import Changes, check_emptied, check_in_force, check_registers, check_weights
-from tasting.rules.exchanges import (
+from simulation.deployments import Deployment
+from simulation.history import History
+from simulation.rules import Broken
+from simulation.rules.control import Changes, check_emptied, check_in_force, check_registers, check_weights
+from simulation.rules.exchanges import (
     check_answered,
     check_crashes,
     check_promises,
@@ -15,8 +15,8 @@
     check_runs_once,
     check_stops,
 )
-from tasting.rules.places import check_bounds, check_flood, check_homes, check_keys, check_left
-from tasting.rules.service import check_borne, check_fairness, check_recovery
+from simulation.rules.places import check_bounds, check_flood, check_homes, check_keys, check_left
+from simulation.rules.service import check_borne, check_fairness, check_recovery
 
 
 def check_history(*, history: History, deployment: Deployment) -> list[Broken]:
--- a/tasting/hollow.py
+++ b/simulation/hollow.py
@@ -47,12 +47,12 @@
 from docopt import docopt
 
 from sailward import constants
-from tasting.hollow_fleet.added import measure_added
-from tasting.hollow_fleet.deployment import PAGE, Size, make_document
-from tasting.hollow_fleet.fit import fit_line, fit_power, plot_points
-from tasting.hollow_fleet.fleet import HollowFleet, Plan
-from tasting.hollow_fleet.parts import NAMED, measure_part
-from tasting.hollow_fleet.real import measure_real
+from simulation.hollow_fleet.added import measure_added
+from simulation.hollow_fleet.deployment import PAGE, Size, make_document
+from simulation.hollow_fleet.fit import fit_line, fit_power, plot_points
+from simulation.hollow_fleet.fleet import HollowFleet, Plan
+from simulation.hollow_fleet.parts import NAMED, measure_part
+from simulation.hollow_fleet.real import measure_real
 
 SWEPT = {
     "daemons": (1, 20000),
--- a/tasting/hollow_fleet/real.py
+++ b/simulation/hollow_fleet/real.py
@@ -145,7 +145,7 @@
     env = {**os.environ, "SAILWARD_NODE_FILE": str(file), "PYTHONPATH": root}
     with (folder / f"{given['node_name']}.log").open("wb") as log:
         return subprocess.Popen(
-            [sys.executable, "-m", "tasting.hollow_fleet.real", role, str(folder / f"{given['node_name']}.counts")],
+            [sys.executable, "-m", "simulation.hollow_fleet.real", role, str(folder / f"{given['node_name']}.counts")],
             cwd=root,
             env=env,
             stdout=log,
--- a/tasting/hosted/__main__.py
+++ b/simulation/hosted/__main__.py
@@ -21,7 +21,7 @@
 
 from docopt import docopt
 
-from tasting.hosted.scenario import Outcome, read_scenario, run_scenario
+from simulation.hosted.scenario import Outcome, read_scenario, run_scenario
 
 
 def run_one(*, path: str, seed: int, without: str, logs: bool) -> tuple[bool, str]:
--- a/tasting/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -10,9 +10,9 @@
 from sailward.events import Call, Called
 
 if TYPE_CHECKING:
-    from tasting.hosted.process import Process
-    from tasting.hosted.workers import Worker
-    from tasting.hosted.world import World
+    from simulation.hosted.process import Process
+    from simulation.hosted.workers import Worker
+    from simulation.hosted.world import World
 
 
 class Line:
--- a/tasting/hosted/chaos.py
+++ b/simulation/hosted/chaos.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tasting.hosted.world import World
+    from simulation.hosted.world import World
 
 GAP = (0.4, 2.2)
 """s between two troubles."""
--- a/tasting/hosted/clients.py
+++ b/simulation/hosted/clients.py
@@ -10,12 +10,12 @@
 from typing import TYPE_CHECKING
 
 from sailward.events import Answer, Asked
-from tasting.hosted.deployment import Kind
-from tasting.hosted.network import Spot
+from simulation.hosted.deployment import Kind
+from simulation.hosted.network import Spot
 
 if TYPE_CHECKING:
-    from tasting.hosted.process import Process
-    from tasting.hosted.world import World
+    from simulation.hosted.process import Process
+    from simulation.hosted.world import World
 
 TRIES = 2
 """further tries of a client."""
--- a/tasting/hosted/judge.py
+++ b/simulation/hosted/judge.py
@@ -5,8 +5,8 @@
 import collections
 from typing import TYPE_CHECKING
 
-from tasting.hosted.judge_config import judge_config, judge_reads
-from tasting.hosted.judge_places import (
+from simulation.hosted.judge_config import judge_config, judge_reads
+from simulation.hosted.judge_places import (
     judge_budget,
     judge_cold,
     judge_drain,
@@ -14,11 +14,11 @@
     judge_homes,
     judge_owners,
 )
-from tasting.hosted.touch import Touch
-from tasting.rules import Broken
+from simulation.hosted.touch import Touch
+from simulation.rules import Broken
 
 if TYPE_CHECKING:
-    from tasting.hosted.world import World
+    from simulation.hosted.world import World
 
 PROMISES = (408, 421, 429, 503)
 
--- a/tasting/hosted/judge_config.py
+++ b/simulation/hosted/judge_config.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from tasting.hosted.touch import Touch
-from tasting.rules import Broken
+from simulation.hosted.touch import Touch
+from simulation.rules import Broken
 
 if TYPE_CHECKING:
-    from tasting.hosted.operators import Version
-    from tasting.hosted.world import World
+    from simulation.hosted.operators import Version
+    from simulation.hosted.world import World
 
 LARGE = 0.003
 """s more for each route of a configuration that is to be acknowledged."""
--- a/tasting/hosted/judge_places.py
+++ b/simulation/hosted/judge_places.py
@@ -6,11 +6,11 @@
 import collections
 from typing import TYPE_CHECKING
 
-from tasting.hosted.touch import Touch
-from tasting.rules import Broken
+from simulation.hosted.touch import Touch
+from simulation.rules import Broken
 
 if TYPE_CHECKING:
-    from tasting.hosted.world import World
+    from simulation.hosted.world import World
 
 
 KNOWN = 1.3
--- a/tasting/hosted/listing.py
+++ b/simulation/hosted/listing.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tasting.hosted.workers import Worker
+    from simulation.hosted.workers import Worker
 
 PAGE = 12
 """workers on a page: small, so that a pass has several."""
--- a/tasting/hosted/network.py
+++ b/simulation/hosted/network.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from tasting.sim.clock import Clock
+from simulation.sim.clock import Clock
 
 SAME, ZONE, REGION, ABROAD, CLIENT = 0.0001, 0.0003, 0.0014, 0.055, 0.008
 """s one way: on one machine, in a zone, between zones, between regions, and to clients on top of it."""
--- a/tasting/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING
 
 from sailward.events import Answer
-from tasting.hosted.deployment import make_written
-from tasting.hosted.network import Spot
+from simulation.hosted.deployment import make_written
+from simulation.hosted.network import Spot
 
 if TYPE_CHECKING:
-    from tasting.hosted.process import Process
-    from tasting.hosted.world import World
+    from simulation.hosted.process import Process
+    from simulation.hosted.world import World
 
 ENDS = (400, 409, 412, 413, 422)
 SILENCE, LARGE = 1.0, 100_000
--- a/tasting/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -34,11 +34,11 @@
     Ticked,
 )
 from sailward.proxy.proxy import Proxy
-from tasting.hosted.network import Spot
-from tasting.sim.disk import Disk
+from simulation.hosted.network import Spot
+from simulation.sim.disk import Disk
 
 if TYPE_CHECKING:
-    from tasting.hosted.world import World
+    from simulation.hosted.world import World
 
 RESTART = 0.4
 """s from a process's end until it is started again: its pause and its start."""
--- a/tasting/hosted/scenario.py
+++ b/simulation/hosted/scenario.py
@@ -7,12 +7,12 @@
 from unittest import mock
 
 from sailward import constants
-from tasting.hosted.deployment import DEPLOYMENTS
-from tasting.hosted.expect import judge_expectation
-from tasting.hosted.judge import judge
-from tasting.hosted.sabotage import SABOTAGE
-from tasting.hosted.verbs import PARTS, find_fault, name_of
-from tasting.hosted.world import World
+from simulation.hosted.deployment import DEPLOYMENTS
+from simulation.hosted.expect import judge_expectation
+from simulation.hosted.judge import judge
+from simulation.hosted.sabotage import SABOTAGE
+from simulation.hosted.verbs import PARTS, find_fault, name_of
+from simulation.hosted.world import World
 
 WARM_UP = (("start", 0.5, []), ("put", 2.0, ["1"]))
 """What every day begins with unless its file says otherwise: (verb, s, words)."""
--- a/tasting/hosted/touch.py
+++ b/simulation/hosted/touch.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tasting.hosted.world import World
+    from simulation.hosted.world import World
 
 
 class Touch:
--- a/tasting/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -5,13 +5,13 @@
 import inspect
 from typing import TYPE_CHECKING
 
-from tasting.hosted.chaos import Chaos
-from tasting.hosted.process import RESTART
+from simulation.hosted.chaos import Chaos
+from simulation.hosted.process import RESTART
 
 if TYPE_CHECKING:
-    from tasting.hosted.process import Machine, Process
-    from tasting.hosted.workers import Worker
-    from tasting.hosted.world import World
+    from simulation.hosted.process import Machine, Process
+    from simulation.hosted.workers import Worker
+    from simulation.hosted.world import World
 
 
 class MachineVerbs:
--- a/tasting/hosted/workers.py
+++ b/simulation/hosted/workers.py
@@ -9,11 +9,11 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
-from tasting.hosted.network import Spot
+from simulation.hosted.network import Spot
 
 if TYPE_CHECKING:
-    from tasting.hosted.calls import Line
-    from tasting.hosted.world import World
+    from simulation.hosted.calls import Line
+    from simulation.hosted.world import World
 
 SLOW_CLOCK = 1.02
 """times a hold by a clock that runs 2% slow."""
--- a/tasting/hosted/world.py
+++ b/simulation/hosted/world.py
@@ -12,16 +12,16 @@
 from cerberus import Validator
 
 from sailward.runtime.adapter import load_part
-from tasting.history import History
-from tasting.hosted.calls import Calls
-from tasting.hosted.clients import Client, exchange
-from tasting.hosted.deployment import Deployment, Kind
-from tasting.hosted.listing import CRASHED_STAYS, Listing
-from tasting.hosted.network import Network, Spot
-from tasting.hosted.operators import Operator
-from tasting.hosted.process import Machine, Process
-from tasting.hosted.workers import Worker
-from tasting.sim.clock import Clock
+from simulation.history import History
+from simulation.hosted.calls import Calls
+from simulation.hosted.clients import Client, exchange
+from simulation.hosted.deployment import Deployment, Kind
+from simulation.hosted.listing import CRASHED_STAYS, Listing
+from simulation.hosted.network import Network, Spot
+from simulation.hosted.operators import Operator
+from simulation.hosted.process import Machine, Process
+from simulation.hosted.workers import Worker
+from simulation.sim.clock import Clock
 
 FOLDER = Path(__file__).parent.parent.parent / "platform"
 HOSTING = load_part(folder=FOLDER, name="hosting")
--- a/tasting/measure.py
+++ b/simulation/measure.py
@@ -21,10 +21,10 @@
 
 from docopt import docopt
 
-from tasting.deployments import make_arriaga
-from tasting.real.callers import ask
-from tasting.real.fleet import Fleet
-from tasting.run_fleet import bring_up
+from simulation.deployments import make_arriaga
+from simulation.real.callers import ask
+from simulation.real.fleet import Fleet
+from simulation.run_fleet import bring_up
 
 
 def cpu_of(*, fleet: Fleet) -> dict[str, float]:
--- a/tasting/real/callers.py
+++ b/simulation/real/callers.py
@@ -11,9 +11,9 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from tasting.deployments import Deployment
-from tasting.history import History
-from tasting.mind import judge_body
+from simulation.deployments import Deployment
+from simulation.history import History
+from simulation.mind import judge_body
 
 MOST_TRIES = 6
 PATIENCE = 8.0
--- a/tasting/real/fleet.py
+++ b/simulation/real/fleet.py
@@ -11,10 +11,10 @@
 import time
 from pathlib import Path
 
-from tasting.deployments import Deployment
-from tasting.history import History, read_history
-from tasting.real.callers import ask
-from tasting.real.platform import Platform
+from simulation.deployments import Deployment
+from simulation.history import History, read_history
+from simulation.real.callers import ask
+from simulation.real.platform import Platform
 
 
 def free_addresses(*, count: int) -> list[str]:
@@ -96,7 +96,7 @@
             name=name,
             words=[
                 "-m",
-                "tasting.real.worker",
+                "simulation.real.worker",
                 "--name",
                 name,
                 "--generation",
--- a/tasting/real/platform.py
+++ b/simulation/real/platform.py
@@ -7,7 +7,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
-from tasting.history import History
+from simulation.history import History
 
 
 class Platform:
--- a/tasting/real/worker.py
+++ b/simulation/real/worker.py
@@ -16,7 +16,7 @@
 from docopt import docopt
 
 from sailward.transport.post import split_address
-from tasting.mind import Mind
+from simulation.mind import Mind
 
 
 class Server(ThreadingHTTPServer):
@@ -46,7 +46,7 @@
         body = self.rfile.read(length)
         headers = {name.lower(): value for name, value in self.headers.items()}
         path = urlsplit(self.path).path
-        if path == "/tasting/mode":
+        if path == "/simulation/mode":
             order = json.loads(body)
             self.server.mind.mode, self.server.mind.chance = order["mode"], order["chance"]
             self._send(code=200, headers={}, body=b"{}")
--- a/tasting/rules/control.py
+++ b/simulation/rules/control.py
@@ -7,9 +7,9 @@
 import itertools
 import math
 
-from tasting.history import History
-from tasting.rules import SLACK, Broken
-from tasting.rules.meaning import find_match, lay_over, mean, permits
+from simulation.history import History
+from simulation.rules import SLACK, Broken
+from simulation.rules.meaning import find_match, lay_over, mean, permits
 
 RUN_ON = 2.5 + SLACK
 """s: the longest that what was sent on under one configuration may reach a worker after another's (an expiry)."""
--- a/tasting/rules/exchanges.py
+++ b/simulation/rules/exchanges.py
@@ -5,8 +5,8 @@
 import bisect
 import collections
 
-from tasting.history import History
-from tasting.rules import Broken
+from simulation.history import History
+from simulation.rules import Broken
 
 HELD = 4.0
 """s: longest wait of a line (0.5), longest expiry of the deployments (2), a claim (1), and the way."""
--- a/tasting/rules/places.py
+++ b/simulation/rules/places.py
@@ -6,8 +6,8 @@
 import collections
 import itertools
 
-from tasting.history import History
-from tasting.rules import SLACK, Broken
+from simulation.history import History
+from simulation.rules import SLACK, Broken
 
 AWAY = 2.5
 """s that a worker which keeps its process must have been out of reach before it counts as come back."""
--- a/tasting/rules/service.py
+++ b/simulation/rules/service.py
@@ -4,8 +4,8 @@
 
 import collections
 
-from tasting.history import History
-from tasting.rules import Broken
+from simulation.history import History
+from simulation.rules import Broken
 
 BACK = 15.0
 """s from the return of the machines until service must be back."""
--- a/tasting/run_fleet.py
+++ b/simulation/run_fleet.py
@@ -25,10 +25,10 @@
 
 from docopt import docopt
 
-from tasting.checker import check_history
-from tasting.deployments import DEPLOYMENTS
-from tasting.real.callers import Callers, ask
-from tasting.real.fleet import Fleet
+from simulation.checker import check_history
+from simulation.deployments import DEPLOYMENTS
+from simulation.real.callers import Callers, ask
+from simulation.real.fleet import Fleet
 
 
 def bring_up(*, fleet: Fleet) -> None:
@@ -94,7 +94,7 @@
         ask(
             address=fleet.workers[worker]["address"],
             method="POST",
-            path="/tasting/mode",
+            path="/simulation/mode",
             body=json.dumps({"mode": mode, "chance": float(chance)}).encode(),
         )
     else:
--- a/tasting/sim/callers.py
+++ b/simulation/sim/callers.py
@@ -9,11 +9,11 @@
 from typing import TYPE_CHECKING
 
 from sailward.events import Answer, Asked
-from tasting.deployments import CallerKind
-from tasting.mind import judge_body
+from simulation.deployments import CallerKind
+from simulation.mind import judge_body
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 PATIENCE = 8.0
 MOST_TRIES = 6
--- a/tasting/sim/chaos.py
+++ b/simulation/sim/chaos.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from tasting.sim.chaos_machines import MACHINE_KINDS
-from tasting.sim.chaos_scene import NobodyUp, Scene
-from tasting.sim.chaos_workers import WORKER_KINDS
+from simulation.sim.chaos_machines import MACHINE_KINDS
+from simulation.sim.chaos_scene import NobodyUp, Scene
+from simulation.sim.chaos_workers import WORKER_KINDS
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 KINDS = {**MACHINE_KINDS, **WORKER_KINDS}
 CLOSINGS = ("everything", "region", "core", "proxies", "disks")
--- a/tasting/sim/chaos_machines.py
+++ b/simulation/sim/chaos_machines.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tasting.sim.chaos_scene import Scene
+from simulation.sim.chaos_scene import Scene
 
 
 def _proxy_lost(scene: Scene) -> bool:
--- a/tasting/sim/chaos_scene.py
+++ b/simulation/sim/chaos_scene.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 REPAIRED = 45.0
 """s after a disk was lost in which no other may be: lost for 20 s, then copied, among other trouble all the while."""
--- a/tasting/sim/chaos_workers.py
+++ b/simulation/sim/chaos_workers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tasting.sim.chaos_scene import Scene
+from simulation.sim.chaos_scene import Scene
 
 MODES = ("lose", "lose-unrun", "wrong-bytes", "cut", "refuse", "other-exchange", "error")
 
--- a/tasting/sim/expect.py
+++ b/simulation/sim/expect.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from tasting.sim.chaos import KINDS
+from simulation.sim.chaos import KINDS
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 
 def judge_expectation(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
--- a/tasting/sim/faults.py
+++ b/simulation/sim/faults.py
@@ -6,16 +6,16 @@
 import json
 from typing import TYPE_CHECKING
 
-from tasting.sim.callers import Callers
-from tasting.sim.chaos import Chaos
-from tasting.sim.operators import Operators
-from tasting.sim.verbs.callers import CallerVerbs
-from tasting.sim.verbs.daemons import DaemonVerbs
-from tasting.sim.verbs.operators import OperatorVerbs
-from tasting.sim.verbs.workers import WorkerVerbs
+from simulation.sim.callers import Callers
+from simulation.sim.chaos import Chaos
+from simulation.sim.operators import Operators
+from simulation.sim.verbs.callers import CallerVerbs
+from simulation.sim.verbs.daemons import DaemonVerbs
+from simulation.sim.verbs.operators import OperatorVerbs
+from simulation.sim.verbs.workers import WorkerVerbs
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 PARTS = (CallerVerbs, OperatorVerbs, DaemonVerbs, WorkerVerbs)
 CALM = frozenset(
--- a/tasting/sim/node.py
+++ b/simulation/sim/node.py
@@ -33,10 +33,10 @@
 from sailward.proxy.concierge import Concierge
 from sailward.proxy.sommelier import Sommelier
 from sailward.storage.disk import Damaged
-from tasting.sim.disk import Disk
+from simulation.sim.disk import Disk
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 
 class Node:
--- a/tasting/sim/operators.py
+++ b/simulation/sim/operators.py
@@ -11,7 +11,7 @@
 from sailward.events import Answer, Asked
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 
 class Operators:
--- a/tasting/sim/platform.py
+++ b/simulation/sim/platform.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from tasting.mind import Mind
+from simulation.mind import Mind
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 
 class Platform:
--- a/tasting/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -31,7 +31,7 @@
 )
 from sailward.routing import exchange as exchange_module
 from sailward.storage.disk import Damaged
-from tasting.sim import disk, network
+from simulation.sim import disk, network
 
 
 def _constant(name: str, value: float) -> Callable:
--- a/tasting/sim/scenario.py
+++ b/simulation/sim/scenario.py
@@ -7,12 +7,12 @@
 from unittest import mock
 
 from sailward import constants
-from tasting.checker import Broken, check_history
-from tasting.deployments import DEPLOYMENTS
-from tasting.sim.expect import judge_expectation
-from tasting.sim.faults import Faults, find_fault
-from tasting.sim.sabotage import SABOTAGE
-from tasting.sim.world import World
+from simulation.checker import Broken, check_history
+from simulation.deployments import DEPLOYMENTS
+from simulation.sim.expect import judge_expectation
+from simulation.sim.faults import Faults, find_fault
+from simulation.sim.sabotage import SABOTAGE
+from simulation.sim.world import World
 
 BEGIN = 1000.0
 
--- a/tasting/sim/verbs/callers.py
+++ b/simulation/sim/verbs/callers.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from tasting.deployments import CallerKind
-from tasting.sim.callers import Callers
+from simulation.deployments import CallerKind
+from simulation.sim.callers import Callers
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 
 class CallerVerbs:
--- a/tasting/sim/verbs/daemons.py
+++ b/simulation/sim/verbs/daemons.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tasting.sim.node import Node
-    from tasting.sim.world import World
+    from simulation.sim.node import Node
+    from simulation.sim.world import World
 
 
 class DaemonVerbs:
--- a/tasting/sim/verbs/operators.py
+++ b/simulation/sim/verbs/operators.py
@@ -7,10 +7,10 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from tasting.sim.operators import Operators
+from simulation.sim.operators import Operators
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 
 class OperatorVerbs:
--- a/tasting/sim/verbs/workers.py
+++ b/simulation/sim/verbs/workers.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tasting.sim.world import World
+    from simulation.sim.world import World
 
 
 class WorkerVerbs:
--- a/tasting/sim/world.py
+++ b/simulation/sim/world.py
@@ -8,13 +8,13 @@
 from urllib.parse import parse_qs, urlsplit
 
 from sailward.events import Call, Called
-from tasting.deployments import Deployment
-from tasting.history import History
-from tasting.mind import Mind
-from tasting.sim.clock import Clock
-from tasting.sim.network import Network
-from tasting.sim.node import Node
-from tasting.sim.platform import Platform
+from simulation.deployments import Deployment
+from simulation.history import History
+from simulation.mind import Mind
+from simulation.sim.clock import Clock
+from simulation.sim.network import Network
+from simulation.sim.node import Node
+from simulation.sim.platform import Platform
 
 
 class Machine:
--- a/tasting/simulate.py
+++ b/simulation/simulate.py
@@ -20,7 +20,7 @@
 
 from docopt import docopt
 
-from tasting.sim.scenario import read_scenario, run_scenario
+from simulation.sim.scenario import read_scenario, run_scenario
 
 
 def run_one(*, path: str, seed: int, without: str, logs: bool) -> tuple[bool, str]:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from tasting.checker import check_history
-from tasting.deployments import make_arriaga
-from tasting.history import History
-from tasting.sim.operators import digest_of
+from simulation.checker import check_history
+from simulation.deployments import make_arriaga
+from simulation.history import History
+from simulation.sim.operators import digest_of
 
 FLEET = make_arriaga()
 CONFIG = FLEET.config
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -24,8 +24,8 @@
 from sailward.transport.calls import Calls
 from sailward.transport.post import GREETING, Post
 from sailward.transport.web import Web
-from tasting.real.callers import ask
-from tasting.real.fleet import free_addresses
+from simulation.real.callers import ask
+from simulation.real.fleet import free_addresses
 
 WAIT = 10.0
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,11 +7,11 @@
 import threading
 from pathlib import Path
 
-from tasting.checker import check_history
-from tasting.deployments import make_arriaga
-from tasting.real.callers import Callers
-from tasting.real.fleet import Fleet
-from tasting.run_fleet import bring_up, do_step
+from simulation.checker import check_history
+from simulation.deployments import make_arriaga
+from simulation.real.callers import Callers
+from simulation.real.fleet import Fleet
+from simulation.run_fleet import bring_up, do_step
 
 
 def make_small():
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -8,13 +8,13 @@
 
 from sailward.events import Heard, Tell, Ticked
 from sailward.transport.courier import pack_body
-from tasting import hollow
-from tasting.hollow_fleet.added import measure_added
-from tasting.hollow_fleet.deployment import Size, list_pages, make_document, told_fleet, told_rows, zones_of
-from tasting.hollow_fleet.fit import fit_line, fit_power, plot_points
-from tasting.hollow_fleet.fleet import HollowFleet, Plan
-from tasting.hollow_fleet.network import Member, Network, Scale
-from tasting.hollow_fleet.parts import NAMED, measure_part
+from simulation import hollow
+from simulation.hollow_fleet.added import measure_added
+from simulation.hollow_fleet.deployment import Size, list_pages, make_document, told_fleet, told_rows, zones_of
+from simulation.hollow_fleet.fit import fit_line, fit_power, plot_points
+from simulation.hollow_fleet.fleet import HollowFleet, Plan
+from simulation.hollow_fleet.network import Member, Network, Scale
+from simulation.hollow_fleet.parts import NAMED, measure_part
 
 SMALL = Size(daemons=6, workers=12, services=3, routes=6, zones=4, regions=2)
 ACK = {"kind": "ack", "seq": 1, "name": "config", "number": 1}
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tasting.hosted.scenario import read_scenario, run_scenario
+from simulation.hosted.scenario import read_scenario, run_scenario
 
 FILES = sorted(Path(__file__).parent.joinpath("hosted").glob("*.txt"))
 SCENARIOS = {path.stem: read_scenario(text=path.read_text("utf-8")) for path in FILES}
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -10,7 +10,7 @@
 SCENARIO = Path(__file__).parent / "scenarios" / "once-kills.txt"
 PROGRAM = """
 import hashlib, json, sys
-from tasting.sim.scenario import read_scenario, run_scenario
+from simulation.sim.scenario import read_scenario, run_scenario
 outcome = run_scenario(scenario=read_scenario(text=open(sys.argv[1]).read()), seed=3)
 rows = outcome.world.history.rows
 print(len(rows), hashlib.sha256("\\n".join(json.dumps(row) for row in rows).encode()).hexdigest())
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tasting.sim.scenario import read_scenario, run_scenario
+from simulation.sim.scenario import read_scenario, run_scenario
 
 FILES = sorted(Path(__file__).parent.joinpath("scenarios").glob("*.txt"))
 SCENARIOS = {path.stem: read_scenario(text=path.read_text("utf-8")) for path in FILES}
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -14,7 +14,7 @@
 from sailward.control.admin_api import Desk
 from sailward.events import Asked, Check, Checked
 from sailward.routing.plan import plan_of, read_plan
-from tasting.deployments import make_arriaga
+from simulation.deployments import make_arriaga
 
 CONFIG = make_arriaga().config
 POOL = next(iter(CONFIG["pools"]))
--- a/tests/test_words.py
+++ b/tests/test_words.py
@@ -15,8 +15,8 @@
 from sailward.routing.exchange import Refusal, answer_refusal, take_exchange
 from sailward.routing.plan import read_plan
 from sailward.runtime.startup import CELLAR, COMMON, read_startup
-from tasting.deployments import make_arriaga
-from tasting.real.fleet import free_addresses
+from simulation.deployments import make_arriaga
+from simulation.real.fleet import free_addresses
 
 CONFIG = make_arriaga().config
 GOOD = """name = "s-0"
