--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(kw_only=True)
-class Desk:
+class AdminApi:
     """Owner of the operators' exchanges. `step` gives (commands, proposer's begins).
 
     What the `dialect` does not know is read as the product's own words. `halls` are known without a configuration.
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -10,19 +10,19 @@
 from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.consensus.held import CONTROL, HeldBook, is_control, read_voters
 from sailward.consensus.proposer import Begin, Proposer
-from sailward.control.admin_api import Desk
+from sailward.control.admin_api import AdminApi
 from sailward.control.bootstrap import make_founder
 from sailward.control.fleet import Fleet
-from sailward.control.incarnations import Lives
+from sailward.control.incarnations import Incarnations
 from sailward.control.listing import Listing
 from sailward.control.membership import Membership
 from sailward.control.moves import Moves
-from sailward.control.options import CellarOptions
-from sailward.control.shard_leases import Minding
+from sailward.control.options import ControllerOptions
+from sailward.control.shard_leases import ShardLeases
 from sailward.control.standing import Standing
 from sailward.control.status_report import show_status
 from sailward.control.subscribers import Subscribers
-from sailward.control.write_ahead import Ledger
+from sailward.control.write_ahead import WriteAhead
 from sailward.discovery.gossip import Place, Roster
 from sailward.discovery.pages import Pager
 from sailward.events import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
@@ -38,7 +38,7 @@
     return f"{name}#{nonce}"
 
 
-class Cellar:
+class Controller:
     """Owner of a cellar process. `step` takes one event and gives commands."""
 
     def __init__(
@@ -51,9 +51,9 @@
         rng: random.Random,
         records: list[dict],
         now: float,
-        options: CellarOptions | None = None,
+        options: ControllerOptions | None = None,
     ) -> None:
-        self.options = options = options or CellarOptions()
+        self.options = options = options or ControllerOptions()
         slots = Slots()
         self.identity = ""
         copied, opened, known = False, 0, None
@@ -78,11 +78,11 @@
         self.place, self.start, self._nonce, self._left = place, start, nonce, 0
         self.held = HeldBook()
         self.acceptor = Acceptor(slots=slots)
-        self.ledger = Ledger(identity=self.identity, slots=slots, copied=copied, opened=opened, known=known)
+        self.ledger = WriteAhead(identity=self.identity, slots=slots, copied=copied, opened=opened, known=known)
         if known is not None and "v" in known:
             self.held.step(name="voters", ballot=known["b"], value=known["v"])
         self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
-        self.desk = Desk(
+        self.desk = AdminApi(
             identity=f"{place.name}#{nonce}",
             dialect=options.dialect or OwnDialect(),
             wait=options.operation_wait,
@@ -100,11 +100,13 @@
         self.membership = Membership(cellar=self, now=now)
         self.moves = Moves()
         self.pager = Pager(platform=platform, reader=options.reader, rate=options.list_rate)
-        self.listing = Listing(pager=self.pager, lives=Lives(post=place.post, number=start))
+        self.listing = Listing(pager=self.pager, lives=Incarnations(post=place.post, number=start))
         self.subscribers = Subscribers(post=place.post if options.reader else "")
         self.standing = Standing()
         self.fleet = Fleet(post=place.post, hall=place.hall, region=place.region)
-        self.minding = Minding(cellar=self, codec=options.grants, hold_max=options.hold_max) if options.grants else None
+        self.minding = (
+            ShardLeases(cellar=self, codec=options.grants, hold_max=options.hold_max) if options.grants else None
+        )
         self.workers: tuple = (-1, -1, None)
         self.count = len(records)
         self._wall = 0.0
--- a/sailward/control/incarnations.py
+++ b/sailward/control/incarnations.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(kw_only=True)
-class Lives:
+class Incarnations:
     """Owner of this cellar's own numbers of the list. `step` takes a whole pass and says whether it is news.
 
     A cold time counts down by itself, which is no news; but who asks later gets it as it stands. A rise is news.
--- a/sailward/control/listing.py
+++ b/sailward/control/listing.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.control.incarnations import Lives
+from sailward.control.incarnations import Incarnations
 from sailward.discovery.pages import Pager
 from sailward.discovery.rendezvous import choose_names
 from sailward.events import Called, Log, Tell
@@ -21,7 +21,7 @@
     """
 
     pager: Pager
-    lives: Lives
+    lives: Incarnations
     heard: float = -1e9
     told: dict = field(default_factory=dict)
 
--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -23,13 +23,13 @@
 from sailward.routing.exchange import answer_json
 
 if TYPE_CHECKING:
-    from sailward.control.controller import Cellar
+    from sailward.control.controller import Controller
 
 
 class Membership:
     """Owner of a cellar's membership. `step` judges the moment; the cellar's other parts are read through it."""
 
-    def __init__(self, *, cellar: Cellar, now: float) -> None:
+    def __init__(self, *, cellar: Controller, now: float) -> None:
         self._cellar = cellar
         options = cellar.options
         self.repair = Repair(
--- a/sailward/control/options.py
+++ b/sailward/control/options.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class CellarOptions:
+class ControllerOptions:
     """What a deployment may set otherwise.
 
     `dialect`: the operators' words; None for the product's own JSON. `expand`: written configuration -> full form, for a
--- a/sailward/control/shard_leases.py
+++ b/sailward/control/shard_leases.py
@@ -17,13 +17,13 @@
 from sailward.routing.world import read_orders
 
 if TYPE_CHECKING:
-    from sailward.control.controller import Cellar
+    from sailward.control.controller import Controller
 
 
-class Minding:
+class ShardLeases:
     """Owner of the grants of one cellar. `step` takes a call's end, or None for time going on; `hear` a message."""
 
-    def __init__(self, *, cellar: Cellar, codec: object, hold_max: float) -> None:
+    def __init__(self, *, cellar: Controller, codec: object, hold_max: float) -> None:
         self._cellar, self._codec, self._hold_max = cellar, codec, hold_max
         self.freshness = Freshness()
         self.granting: dict[str, Granting] = {}
--- a/sailward/control/write_ahead.py
+++ b/sailward/control/write_ahead.py
@@ -11,7 +11,7 @@
 
 
 @dataclass(kw_only=True)
-class Ledger:
+class WriteAhead:
     """Owner of the order between records and replies. `step` stores, syncs, fails or rewrites."""
 
     identity: str
--- a/sailward/programs/cellar.py
+++ b/sailward/programs/cellar.py
@@ -30,7 +30,7 @@
 from pathlib import Path
 
 from sailward import constants
-from sailward.control.controller import Cellar
+from sailward.control.controller import Controller
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
 from sailward.runtime.logs import write_log
 from sailward.runtime.loop import Loop, end_process
@@ -74,7 +74,7 @@
         write_log(event="folder-taken", fields={"folder": found.folder}, level="error")
         sys.exit(constants.EXIT_TAKEN)
     nonce = make_nonce()
-    owner = Cellar(
+    owner = Controller(
         place=make_place(settings=settings, kind="cellar"),
         platform=settings["platform"],
         nonce=nonce,
--- a/sailward/programs/hosted_cellar.py
+++ b/sailward/programs/hosted_cellar.py
@@ -11,7 +11,7 @@
 
 from sailward import constants
 from sailward.config.check import check_config
-from sailward.control.controller import Cellar
+from sailward.control.controller import Controller
 from sailward.events import Check, Checked, Rewrite, Store, Synced
 from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
 from sailward.routing.plan import Limits
@@ -26,7 +26,7 @@
     disk = Disk(folder=Path(hosted.data), tell=host.tell_from_thread) if hosted.data else NoDisk(host=host)
     records = _open_disk(hosted=hosted, disk=disk) if hosted.data else []
     nonce = os.urandom(constants.NONCE_BYTES).hex()
-    owner = Cellar(
+    owner = Controller(
         place=hosted.place,
         platform=hosted.platform,
         nonce=nonce,
--- a/simulation/hollow_fleet/fleet.py
+++ b/simulation/hollow_fleet/fleet.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from sailward.control.controller import Cellar
+from sailward.control.controller import Controller
 from sailward.events import Log
 from sailward.proxy.proxy import Proxy
 
@@ -96,7 +96,7 @@
         def make(member: Member, now: float, hosted) -> object:
             start, nonce = int(1e12 + now * 1e6), f"{rng.getrandbits(48):012x}"
             if member.role == "cellar":
-                return Cellar(
+                return Controller(
                     place=hosted.place,
                     platform=hosted.platform,
                     nonce=nonce,
--- a/simulation/hollow_fleet/parts.py
+++ b/simulation/hollow_fleet/parts.py
@@ -13,7 +13,7 @@
 from sailward import constants
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage
-from sailward.control.controller import Cellar
+from sailward.control.controller import Controller
 from sailward.events import Answer, Asked, Call, Called, Heard, Ticked
 from sailward.proxy.proxy import Proxy
 from sailward.transport.courier import LENGTH, pack_body, read_body
@@ -294,12 +294,12 @@
     return {"request_s": took / 10, "count_and_tick_s": count}
 
 
-def make_core(*, size: Size, askers: int) -> tuple[Cellar, list[Heard]]:
+def make_core(*, size: Size, askers: int) -> tuple[Controller, list[Heard]]:
     """A cellar of a core of one, with this many proxies of its own and all others told by the other cellars."""
     one = Size(**{**vars(size), "cellars": 1})
     zones = zones_of(size=size)
     hosted = hosted_of(size=one, role="cellar", index=0, zones=zones)
-    cellar = Cellar(
+    cellar = Controller(
         place=hosted.place,
         platform="",
         nonce="n",
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -11,7 +11,7 @@
 from sailward import constants
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage, check_message
-from sailward.control.controller import Cellar
+from sailward.control.controller import Controller
 from sailward.events import (
     Answer,
     Asked,
@@ -114,7 +114,7 @@
         start = int((self.world.wall() + self.machine.skew) * 1e6)
         if self.role == "cellar":
             found = self.machine.disk.read()
-            self.owner = Cellar(
+            self.owner = Controller(
                 place=self.hosted.place,
                 platform=self.hosted.platform,
                 nonce=nonce,
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -114,7 +114,7 @@
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
     "seal": _all(_patch(forwarding, "judge_reply", _believes_all)),
-    "sync": _all(_patch(write_ahead.Ledger, "step", _told_unsynced)),
+    "sync": _all(_patch(write_ahead.WriteAhead, "step", _told_unsynced)),
     "majority": _all(_patch(proposer, "majority_of", lambda old: lambda *, members: 1)),
     "stop": _all(_patch(proxy.Proxy, "_begin_stop", _stops_at_once)),
     "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: [])),
--- a/simulation/sim/node.py
+++ b/simulation/sim/node.py
@@ -10,7 +10,7 @@
 from sailward import constants
 from sailward.config import check as check_module
 from sailward.consensus.messages import BadMessage, check_message
-from sailward.control.controller import Cellar
+from sailward.control.controller import Controller
 from sailward.discovery.gossip import Place
 from sailward.events import (
     Answer,
@@ -87,7 +87,7 @@
             if isinstance(found, Damaged):
                 self.code = constants.EXIT_DISK
                 return
-            self.owner = Cellar(
+            self.owner = Controller(
                 platform=self.world.platform.address, nonce=nonce, records=found.records, now=self.now(), **common
             )
         elif self.place.kind == "sommelier":
--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -177,7 +177,7 @@
     "spill": _constant("SPILL", 1e-9),
     "hold": _constant("HOLD", 0.0),
     "grace": _constant("STOP_GRACE", 0.0),
-    "sync": _method(write_ahead.Ledger, "step", _told_unsynced),
+    "sync": _method(write_ahead.WriteAhead, "step", _told_unsynced),
     "claim": _method(claims.Claims, "_begin", _always_won),
     "sticky": _method(workers.WorkerBook, "step", _forgetful),
     "homes": _method(world.World, "views_of", _no_homes),
@@ -218,10 +218,10 @@
         ),
     ),
     "new-identity": _method(controller, "make_identity", lambda old: lambda *, name, nonce: name),
-    "sync-final": _method(write_ahead.Ledger, "hear", _failures_unheard),
+    "sync-final": _method(write_ahead.WriteAhead, "hear", _failures_unheard),
     "blocking": _method(lease, "blocking_of", lambda old: proposer.majority_of),
     "leaving": _method(workers.WorkerBook, "step", _never_leaving),
-    "disk-votes": _method(write_ahead.Ledger, "hear", _failures_unheard),
+    "disk-votes": _method(write_ahead.WriteAhead, "hear", _failures_unheard),
     "last-resort": _method(choosing, "share_halls", _no_last_resort),
     "copy": _method(copying.Copying, "slots", lambda old: lambda self, *, now: {}),
     "repair": _constant("REPLACE_AFTER", 1e9),
@@ -265,7 +265,7 @@
             )
         ),
     ),
-    "known": _method(write_ahead.Ledger, "know", lambda old: lambda self, *, ballot, value: []),
+    "known": _method(write_ahead.WriteAhead, "know", lambda old: lambda self, *, ballot, value: []),
     "word": _method(
         exchanges, "answer_refusal", lambda old: lambda **fields: dataclasses.replace(old(**fields), headers={})
     ),
--- a/tests/core_net.py
+++ b/tests/core_net.py
@@ -10,8 +10,8 @@
 from sailward.config.check import check_config
 from sailward.consensus.messages import check_message
 from sailward.control.bootstrap import Bootstrap
-from sailward.control.controller import Cellar
-from sailward.control.options import CellarOptions
+from sailward.control.controller import Controller
+from sailward.control.options import ControllerOptions
 from sailward.discovery.gossip import Place
 from sailward.events import (
     Answer,
@@ -44,7 +44,7 @@
     def __init__(self, *, name: str, zone: str, post: str) -> None:
         self.name, self.zone, self.post = name, zone, post
         self.disk: list[dict] = []
-        self.cellar: Cellar | None = None
+        self.cellar: Controller | None = None
         self.life, self.starts = 0, 0
 
 
@@ -89,7 +89,7 @@
 
     def start(self, machine: Machine, *, bootstrap: bool = False, start: int | None = None) -> None:
         machine.life, machine.starts = machine.life + 1, machine.starts + 1
-        options = CellarOptions(
+        options = ControllerOptions(
             dialect=OPERATORS.OperatorsDialect(zones=ZONES),
             expand=lambda written: CONFIG.expand(written, ZONES),
             reader=WORKERS.WorkersReader(),
@@ -112,7 +112,7 @@
         nonce = f"{self.rng.getrandbits(48):012x}"
         if machine.name in self.bare:
             machine.disk = []
-        machine.cellar = Cellar(
+        machine.cellar = Controller(
             place=place,
             platform="10.9.9.9:1",
             nonce=nonce,
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sailward import constants
-from sailward.control.incarnations import Lives
+from sailward.control.incarnations import Incarnations
 from sailward.control.subscribers import Subscribers
 from sailward.discovery.pages import BrokenPass, Pager
 from sailward.discovery.workers import WorkerBook
@@ -164,7 +164,7 @@
 
 
 def test_a_cold_time_that_counts_down_is_no_news_and_a_rise_is() -> None:
-    lives = Lives(post="a:1", number=100)
+    lives = Incarnations(post="a:1", number=100)
     assert lives.step(now=0.0, rows=[row("i-1", cold_s=3.0)])
     assert not lives.step(now=1.0, rows=[row("i-1", cold_s=2.1)])
     assert json.loads(lives.value["text"])[0]["cold_s"] == 2.1 and lives.number == 101
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -11,7 +11,7 @@
 from sailward.config import check as check_module
 from sailward.config.check import Sound, Unsound, check_config
 from sailward.consensus.proposer import Accepted, Settled
-from sailward.control.admin_api import Desk
+from sailward.control.admin_api import AdminApi
 from sailward.events import Asked, Check, Checked
 from sailward.routing.plan import plan_of, read_plan
 from simulation.deployments import make_arriaga
@@ -243,7 +243,7 @@
     def labelled(given: int | None) -> dict:
         return CONFIG if given is None else {**CONFIG, "label": given}
 
-    desk = Desk(identity="x")
+    desk = AdminApi(identity="x")
     body = json.dumps(labelled(label)).encode()
     _, begins = desk.step(event=Asked(token="t", method="PUT", path="/config", query={}, headers={}, body=body))
     old = check_config(config=labelled(before))
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -11,7 +11,7 @@
 
 from sailward import constants
 from sailward.consensus.messages import FIELDS, read_message
-from sailward.control.controller import Cellar
+from sailward.control.controller import Controller
 from sailward.discovery.gossip import Place
 from sailward.events import Heard, Ticked
 from sailward.proxy.concierge import Concierge
@@ -32,8 +32,8 @@
     )
 
 
-def make_cellar(*, records: list) -> Cellar:
-    return Cellar(
+def make_cellar(*, records: list) -> Controller:
+    return Controller(
         place=make_place(kind="cellar"), platform="", nonce="1", start=1, rng=random.Random(1), records=records, now=0.0
     )
 
