Calls and probes have tokens of their own; an answer with another's id is nobody's

Cause: Outbound.give put a call into its table over one under way with the same token. The first call's answer was then told under the token of the second (test: body b'first' for /second), and the second's end raised KeyError on the reactor's thread, which ends the process. It could come about: Evidence counted probes for each entry of its list, so a worker that left the list and came back while it was probed got 'probe KEY 1' twice (test seen to fail: 'probe w0 1' == 'probe w0 1'). Ruled out: the forwarder's, granter's and list reader's tokens, which one count makes for the life of their owner. Now: probes are counted by their owner (both probers); a token given again cancels the call under way (its connection reset).

Also, each seen to fail first: a call without an id (probe, grant) took an answer that bore a request's id, as (200, ''); a connection was kept behind an answer that did not bear the id of its request, although that may have been a surplus one. test_an_answer_in_chunks_and_pieces_is_whole asserts one connection for two calls: its peer now echoes the id, as workers do; the assertion stands as it was.

Removed: Called.reused and PROBE_GRACE, which nothing read.

--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -61,8 +61,6 @@
 """s between probes of a worker in doubt: settles a crash in about half a second."""
 PROBE_WAIT = 0.5
 """s. A probe without a result by then has failed."""
-PROBE_GRACE = 2.0
-"""s of listed time before an unprobed worker counts as unhealthy in its hall's fraction."""
 
 SPILL = 0.70
 """fraction healthy under which a hall spills (the source's failoverHealthThreshold)."""
--- a/sailward/events.py
+++ b/sailward/events.py
@@ -63,7 +63,7 @@
 class Called:
     """An HTTP call ended: `code` 0 with a `fault`, or the result whole.
 
-    `sent` says whether a byte of the exchange may have left, `reused` that it failed on a connection that had served before.
+    `sent` says whether a byte of the exchange may have left.
     """
 
     token: str
@@ -72,7 +72,6 @@
     body: bytes
     fault: str
     sent: bool
-    reused: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/routing/evidence.py
+++ b/sailward/routing/evidence.py
@@ -33,7 +33,6 @@
     leaving_since: float = float("inf")
     answered: float = -1e9
     probe: str = ""
-    count: int = 0
     missed: int = 0
 
     def speed(self, *, mean: float) -> float:
@@ -55,6 +54,7 @@
         self._names, self._rng = names, rng
         self.shown: dict[str, Shown] = {}
         self._times: dict[str, list] = {}
+        self._probes = 0
 
     def step(self, *, now: float, event: Called | None, plan: Plan) -> list:
         """Judge one probe, or begin those that are due."""
@@ -128,8 +128,8 @@
             shown.window = min(constants.WINDOW_MOST, shown.window + constants.WINDOW_MORE)
 
     def _probe(self, *, now: float, key: str, shown: Shown, plan: Plan) -> Call:
-        shown.count += 1
-        shown.probe = f"probe {key} {shown.count}"
+        self._probes += 1
+        shown.probe = f"probe {key} {self._probes}"
         service = plan.services.get(shown.worker.service)
         return Call(
             token=shown.probe,
@@ -144,7 +144,7 @@
         )
 
     def _judge(self, *, now: float, event: Called) -> list:
-        key = event.token.split(" ")[1]
+        key = event.token.removeprefix("probe ").rpartition(" ")[0]
         shown = self.shown.get(key)
         if shown is None or shown.probe != event.token:
             return []
--- a/sailward/routing/status.py
+++ b/sailward/routing/status.py
@@ -23,7 +23,6 @@
     token: str = ""
     warm_since: float = 0.0
     listed: float = 0.0
-    count: int = 0
 
     @property
     def healthy(self) -> bool:
@@ -42,6 +41,7 @@
     def __init__(self, *, rng: random.Random) -> None:
         self._rng = rng
         self.probed: dict[str, Probed] = {}
+        self._probes = 0
 
     def step(self, *, now: float, event: Called | None) -> list:
         """Judge one probe, or begin those that are due."""
@@ -74,8 +74,8 @@
         return self._move(now=now, probed=probed, event=event) if probed else []
 
     def _probe(self, *, now: float, key: str, probed: Probed) -> Call:
-        probed.count += 1
-        probed.token, probed.next_at = f"probe {key} {probed.count}", now + constants.PROBE_WAIT
+        self._probes += 1
+        probed.token, probed.next_at = f"probe {key} {self._probes}", now + constants.PROBE_WAIT
         return Call(
             token=probed.token,
             owner=key,
@@ -89,7 +89,7 @@
         )
 
     def _judge(self, *, now: float, event: Called) -> list:
-        key = event.token.split(" ")[1]
+        key = event.token.removeprefix("probe ").rpartition(" ")[0]
         probed = self.probed.get(key)
         if probed is None or probed.token != event.token:
             return []
--- a/sailward/transport/exchange.py
+++ b/sailward/transport/exchange.py
@@ -17,7 +17,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Whole:
-    """A whole answer. `idle` is how many s its connection may be kept idle, 0 if it must be closed."""
+    """A whole answer. `idle` is how many s its connection may be kept idle, 0 if it must be closed.
+
+    It must be closed behind an answer that doesn't bear the id of its request: that may have been a surplus one, and the
+    request's own would then be taken for the next one's.
+    """
 
     code: int
     headers: dict
@@ -43,6 +47,7 @@
         self._headers: dict = {}
         self._parts: list[bytes] = []
         self._size = 0
+        self._is_named = False
         self.is_heard = False
         given = {name.lower(): value for name, value in call.headers.items()}
         self._id = given.get(exchange_name, "") if exchange_name else ""
@@ -99,9 +104,10 @@
             name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
             size += len(name) + len(value) + 4
             self._headers[name] = f"{self._headers[name]}, {value}" if name in self._headers else value
-        echoed = self._headers.get(self._exchange_name) if self._id else None
-        if echoed is not None and echoed != self._id:
+        echoed = self._headers.get(self._exchange_name, "") if self._exchange_name else ""
+        if names_another(asked=self._id, echoed=echoed):
             return "another-exchange"
+        self._is_named = echoed == self._id
         length = self._headers.get("content-length")
         is_chunked = "transfer-encoding" in self._headers
         if size > constants.OUT_HEAD_BYTES or (length is not None and is_chunked):
@@ -124,6 +130,7 @@
             self._parser.their_state is h11.DONE
             and self._parser.our_state is h11.DONE
             and not self._parser.trailing_data[0]
+            and self._is_named
         )
         return Whole(
             code=self._code,
@@ -133,6 +140,14 @@
         )
 
 
+def names_another(*, asked: str, echoed: str) -> bool:
+    """Whether an answer bears the id of another request than the one it would be given to.
+
+    A request without an id (a health probe, a grant) takes only answers without one.
+    """
+    return echoed not in ("", asked)
+
+
 def _read_idle(*, keep_alive: str) -> float:
     told = KEEP_ALIVE.search(keep_alive)
     if told is None:
--- a/sailward/transport/outbound.py
+++ b/sailward/transport/outbound.py
@@ -18,7 +18,6 @@
 ABORT = struct.pack("ii", 1, 0)
 CLEAN, SURPLUS, GONE = "clean", "surplus", "gone"
 
-
 DIAL_FAULTS = {errno.ECONNREFUSED: "refused", errno.ETIMEDOUT: "connect-timeout"}
 """What a connection that did not come up tells: `refused` is the answer of a machine on which nobody listens there."""
 
@@ -48,7 +47,6 @@
     connection: Connection | None = None
     unsent: memoryview = memoryview(b"")
     is_sent: bool = False
-    is_reused: bool = False
     is_broken: bool = False
     alarm: Alarm | None = None
 
@@ -72,7 +70,8 @@
         self._surplus = 0
 
     def give(self, *, call: Call) -> None:
-        """Make a call; its token is none that is under way."""
+        """Make a call. One that is under way under the same token is cancelled first: a token names one call."""
+        self.cancel(token=call.token)
         running = Running(call=call, deadline=self._reactor.clock() + call.wait)
         self._running[call.token] = running
         if call.wait < constants.OUT_SHORT:
@@ -130,7 +129,6 @@
             self._dial(running=running)
             return
         connection.running, running.connection = running, connection
-        running.is_reused = True
         self._reused += 1
         self._send(running=running)
 
@@ -228,7 +226,7 @@
             )
         elif connection.is_kept:
             self._stale += 1
-            running.connection, running.is_reused = None, False
+            running.connection = None
             self._close(connection=connection, is_aborted=True)
             self._dial(running=running)
         else:
@@ -282,7 +280,6 @@
                 body=b"",
                 fault=fault,
                 sent=running.is_sent,
-                reused=running.is_reused,
             )
         )
 
--- a/simulation/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -23,7 +23,6 @@
         self.headers = {name.lower(): value for name, value in command.headers.items()}
         self.life = process.life
         self.is_sent = False
-        self.is_reused = False
         self.is_over = False
         self.sent_at = 0.0
         self.due, self.key = float("inf"), -1
@@ -47,7 +46,6 @@
                     body=body,
                     fault=fault,
                     sent=True,
-                    reused=bool(fault) and self.is_reused,
                 )
             )
 
@@ -63,7 +61,6 @@
                 body=b"",
                 fault=fault,
                 sent=self.is_sent,
-                reused=self.is_reused,
             ),
             is_aborted=True,
         )
@@ -105,7 +102,6 @@
             return
         worker = self._take_kept(line=line) if not command.fresh else None
         if worker is not None:
-            line.is_reused = True
             self._send(line=line, worker=worker)
         else:
             self._dial(line=line)
--- a/tests/outbound_peer.py
+++ b/tests/outbound_peer.py
@@ -141,9 +141,10 @@
         wait: float = 5.0,
         fresh: bool = False,
         begin_by: float = float("inf"),
+        token: str = "",
     ) -> str:
         self._count += 1
-        token = f"t{self._count}"
+        token = token or f"t{self._count}"
         call = Call(
             token=token,
             owner=owner,
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -137,3 +137,21 @@
     assert evidence.shown["w0"].state == "good" and evidence.shown["w0"].busy_until == pytest.approx(
         101.0 + constants.FULL_PAUSE
     )
+
+
+def test_a_worker_that_comes_back_is_probed_under_a_token_of_its_own() -> None:
+    """The end of a probe begun before it left the list says nothing of the one begun after it came back."""
+    evidence = make()
+    for _ in range(3):
+        evidence.note(now=100.0, key="w0", event="fail")
+    before = look(evidence, now=101.0)[0]
+    evidence.follow(now=101.1, workers={})
+    evidence.follow(now=101.2, workers={"w0": make_worker("w0")})
+    for _ in range(3):
+        evidence.note(now=101.2, key="w0", event="fail")
+    after = look(evidence, now=102.0)[0]
+    assert after.token != before.token
+    tell(evidence, call=before, now=102.1)
+    assert not evidence.shown["w0"].is_healthy
+    tell(evidence, call=after, now=102.1)
+    assert evidence.shown["w0"].is_healthy
--- a/tests/test_outbound_answers.py
+++ b/tests/test_outbound_answers.py
@@ -82,7 +82,10 @@
 
 
 def test_an_answer_in_chunks_and_pieces_is_whole(edge: Edge) -> None:
-    answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n"
+    answer = (
+        b"HTTP/1.1 200 OK\r\nSailward-Exchange: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n"
+    )
 
     def serve(line: Line) -> None:
         line.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
