A hedge that its budget does not bear leaves the first attempt under way

Cause: Forwarder._has_budget counted the retry budget's window without dropping what had left it; RetryBudget.step dropped it and said no, and _send_on gave the request up with 503 while its first worker was at work (test: 20 first tries, 9.9 s later a request, its hedge 0.35 s on: 503 'budget' and CancelCall). The same way a hedge in the last 20 ms ended with 504. Now one place judges the budget (RetryBudget.step, is_hedge), and a hedge never ends a request.

judge_reply believed 'did not run' of an answer that bears another request's id: a once-only request was then sent to a second worker, or refused with a promise (tests for 400, 421, 429, 503, each seen to send a second time or promise). The client edge already refuses such answers; now the judge does too.

--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
+from sailward.discovery.workers import Worker
 from sailward.events import Answer, Asked, Call, Called, CallerLeft, CancelCall, Log
 from sailward.routing.evidence import EVENTS
 from sailward.routing.exchange import Refusal, answer_json
@@ -92,19 +93,27 @@
         share = constants.KEY_SHARE if reason in ("key-moving", "key-unowned", "owner-lost") else constants.LINE_SHARE
         return min(constants.LINE_WAIT, share * (request.match.target or constants.LINE_WAIT))
 
-    def _send_on(self, *, now: float, request: Request, worker) -> list:
-        left = request.expiry - now
-        if left <= constants.LEAST_LEFT:
-            return self._give_up(
-                now=now, request=request, refusal=Refusal(code=503 if not request.sent else 504, reason="expired")
-            )
-        scene = self.placer.scene
-        if request.sent and not self.budget.step(
-            now=now, service=request.service.name, first=False, proxies=scene.proxies
-        ):
+    def _send_on(self, *, now: float, request: Request, worker: Worker) -> list:
+        """Send it on, if it has the time left and the retry budget bears it; give it up otherwise."""
+        if request.expiry - now <= constants.LEAST_LEFT:
+            code = 504 if request.sent else 503
+            return self._give_up(now=now, request=request, refusal=Refusal(code=code, reason="expired"))
+        is_first = not request.sent and not request.unsent
+        if (is_first or request.sent) and not self._take_budget(now=now, request=request, is_first=is_first):
             return self._give_up(now=now, request=request, refusal=Refusal(code=503, reason="budget"))
-        if not request.sent and not request.unsent:
-            self.budget.step(now=now, service=request.service.name, first=True, proxies=scene.proxies)
+        return self._call(now=now, request=request, worker=worker)
+
+    def _take_budget(self, *, now: float, request: Request, is_first: bool, is_hedge: bool = False) -> bool:
+        return self.budget.step(
+            now=now,
+            service=request.service.name,
+            first=is_first,
+            proxies=self.placer.scene.proxies,
+            is_hedge=is_hedge,
+        )
+
+    def _call(self, *, now: float, request: Request, worker: Worker) -> list:
+        """One attempt: the call to this worker, and all that is noted of it."""
         self.count += 1
         token = f"x {self.count}"
         request.sent, request.waits_since = request.sent + 1, -1.0
@@ -117,7 +126,7 @@
         self.by_worker.setdefault(worker.key, {})[token] = None
         self.placer.took(key=worker.key)
         self.tally["sent"] += 1
-        headers = headers_to_worker(request=request, worker=worker.key, within=left, names=self.names)
+        scene, left = self.placer.scene, request.expiry - now
         return [
             Call(
                 token=token,
@@ -125,9 +134,10 @@
                 address=worker.address,
                 method=request.method,
                 path=request.target,
-                headers=headers,
+                headers=headers_to_worker(request=request, worker=worker.key, within=left, names=self.names),
                 body=request.body,
                 wait=left,
+                # a kept connection may hold a late answer, or end under the request: never for one that may not run twice
                 fresh=not request.match.is_repeatable,
                 dial=constants.DIAL_NEAR if scene.regions.get(worker.hall) == scene.region else 0.0,
             )
@@ -293,18 +303,17 @@
         return commands
 
     def _hedge(self, *, now: float, request: Request) -> list:
-        """A second worker is asked, as the first is silent for long; the first good answer counts."""
+        """Ask a second worker, as the first is silent for long; the first good answer counts. The first goes on either way."""
         request.hedge_at = float("inf")
+        if request.expiry - now <= constants.LEAST_LEFT:
+            return []
         choice = self.placer.step(now=now, request=request)
-        if isinstance(choice, Refusal) or not self._has_budget(now=now, request=request):
+        if isinstance(choice, Refusal) or not self._take_budget(
+            now=now, request=request, is_first=False, is_hedge=True
+        ):
             return []
         self.tally["hedged"] += 1
-        return self._send_on(now=now, request=request, worker=choice)
-
-    def _has_budget(self, *, now: float, request: Request) -> bool:
-        account = self.budget.accounts.get(request.service.name)
-        room = constants.HEDGE_OF_BUDGET * self.budget.ratio * len(account.firsts) if account else 0
-        return account is not None and len(account.mores) < room
+        return self._call(now=now, request=request, worker=choice)
 
 
 def _refusal_of(*, verdict: object) -> Refusal:
--- a/sailward/routing/reply.py
+++ b/sailward/routing/reply.py
@@ -6,7 +6,7 @@
 
 from sailward.events import Called
 from sailward.routing.request import Request
-from sailward.transport.wire_names import WireNames
+from sailward.transport.wire_names import WireNames, names_another
 
 PROMISES = frozenset({408, 421, 429, 503})
 """Codes that tell a caller: it did not run and never will."""
@@ -51,6 +51,8 @@
     if event.code == 0:
         return Broken(reason=event.fault) if event.sent else NotSent(reason=event.fault)
     headers = event.headers
+    if names_another(asked=request.name, echoed=headers.get(names.exchange, "")):
+        return Broken(reason="another-exchange")
     if names.not_run in headers and names.not_run_value in ("", headers[names.not_run]):
         if event.code == 421:
             is_other = headers.get(names.told, worker) != worker
@@ -59,6 +61,7 @@
     if event.code == 421 and headers.get(names.told, worker) != worker:
         return TurnedAway(code=421, why="stranger")
     if headers.get(names.exchange, "") != request.name:
+        # it names no request: only what says that nothing ran is believed without that
         return Broken(reason="another-exchange")
     if 200 <= event.code < 300 and names.seal and names.seal not in headers:
         return Broken(reason="unsealed")
--- a/sailward/routing/retry_budget.py
+++ b/sailward/routing/retry_budget.py
@@ -29,17 +29,22 @@
     window: float = constants.TRY_WINDOW
     accounts: dict = field(default_factory=dict)
 
-    def step(self, *, now: float, service: str, first: bool, proxies: int) -> bool:
-        """May it be sent on?"""
+    def step(self, *, now: float, service: str, first: bool, proxies: int, is_hedge: bool = False) -> bool:
+        """May it be sent on? What may be is counted; a hedge may take only a small part of what further tries may."""
         account = self.accounts.setdefault(service, Account())
-        for line in (account.firsts, account.mores):
-            while line and line[0] <= now - self.window:
-                line.popleft()
+        self._forget_old(now=now, account=account)
         if first:
             account.firsts.append(now)
             return True
         room = constants.RETRY_MARGIN * (self.ratio * len(account.firsts) + self.slack / max(1, proxies))
-        if len(account.mores) + 1 > max(room, 0):
+        if len(account.mores) + 1 > room:
+            return False
+        if is_hedge and len(account.mores) >= constants.HEDGE_OF_BUDGET * self.ratio * len(account.firsts):
             return False
         account.mores.append(now)
         return True
+
+    def _forget_old(self, *, now: float, account: Account) -> None:
+        for moments in (account.firsts, account.mores):
+            while moments and moments[0] <= now - self.window:
+                moments.popleft()
--- a/sailward/transport/exchange.py
+++ b/sailward/transport/exchange.py
@@ -9,6 +9,7 @@
 
 from sailward import constants
 from sailward.events import Call
+from sailward.transport.wire_names import names_another
 
 BODY_METHODS = frozenset(("POST", "PUT", "PATCH"))
 OWN_HEADERS = frozenset(("host", "content-length", "transfer-encoding", "upgrade", "expect"))
@@ -140,14 +141,6 @@
         )
 
 
-def names_another(*, asked: str, echoed: str) -> bool:
-    """Whether an answer bears the id of another request than the one it would be given to.
-
-    A request without an id (a health probe, a grant) takes only answers without one.
-    """
-    return echoed not in ("", asked)
-
-
 def _read_idle(*, keep_alive: str) -> float:
     told = KEEP_ALIVE.search(keep_alive)
     if told is None:
--- a/sailward/transport/wire_names.py
+++ b/sailward/transport/wire_names.py
@@ -25,3 +25,11 @@
     part: str = "sailward-key"
     handover: str = "sailward-handover"
     seal: str = ""
+
+
+def names_another(*, asked: str, echoed: str) -> bool:
+    """Whether an answer bears the id of another request than the one it would be given to.
+
+    A request without an id (a health probe, a grant) takes only answers without one.
+    """
+    return echoed not in ("", asked)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -278,3 +278,33 @@
     while not answers(commands):
         commands, waited, step = bench.wait(step), waited + step, constants.TICK
     assert waited <= 0.25 * 0.4
+
+
+def test_a_second_asking_that_the_budget_does_not_bear_leaves_the_first_under_way() -> None:
+    """First tries leave the budget's window between a request's sending and its second asking."""
+    bench = make(proxies=200)
+    for _ in range(20):
+        call = calls(bench.ask())[0]
+        bench.back(call=call)
+    bench.wait(9.9)
+    call = calls(bench.ask())[0]
+    commands = bench.wait(0.35)
+    assert not answers(commands) and not cancels(commands) and not calls(commands)
+    assert answers(bench.back(call=call))[0].code == 200
+
+
+def test_a_second_asking_without_time_for_it_leaves_the_first_under_way() -> None:
+    bench = make()
+    for _ in range(20):
+        bench.back(call=calls(bench.ask())[0])
+    call = calls(bench.ask(within="320"))[0]
+    assert not answers(bench.wait(0.305))
+    assert answers(bench.back(call=call))[0].code == 200
+
+
+@pytest.mark.parametrize("code", [400, 421, 429, 503])
+def test_a_promise_about_another_request_is_none_about_this(code: int) -> None:
+    bench = make(kind="once")
+    call = calls(bench.ask(method="POST"))[0]
+    commands = bench.back(call=call, code=code, x_not_run="1", x_id="id99")
+    assert not calls(commands) and answers(commands)[0].code == 502
