The library's edge of the product's own mode: late, cut and misnamed answers, honest 'sent'

Four faults, each by a test that was seen to fail: - A surplus answer that came where the next was due was told as whole (200, b'late'), and its connection kept: it names another exchange, so the call now ends with 'another-exchange' and the library closes the connection. - An answer cut within its head by a close ('HTTP/1.1 200 OK CRLF Conte') was told as 200 with an empty body, as was any answer framed by the connection's end alone. Now 'cut-short', as in Outbound. - Trailer fields were taken for header fields: 'Sailward-Ran: not-run' behind a body would have said that nothing ran. - Silence on a kept connection was told as 'not sent': the library shows no time of connecting for a connection that it kept. Now a call counts as unsent only if no byte of a request was issued and its own connection never came up. Ruled out: unsafe exchanges go out once for every cut, close and reset before and within the answer (16 cases, green before and after); interim answers and surplus bytes behind an answer were right already.

--- a/sailward/transport/calls.py
+++ b/sailward/transport/calls.py
@@ -18,7 +18,9 @@
 
 from sailward import constants
 from sailward.events import Call, Called
+from sailward.transport.wire_names import WireNames, names_another
 
+NAMES = WireNames()
 ABORT = struct.pack("ii", 1, 0)
 FAULTS = {
     pycurl.E_COULDNT_CONNECT: "no-connection",
@@ -33,12 +35,69 @@
 
 @dataclass(kw_only=True)
 class Live:
-    """One call under way."""
+    """One call under way, and its answer as far as it has come."""
 
     call: Call
     handle: pycurl.Curl
     body: io.BytesIO = field(default_factory=io.BytesIO)
     headers: dict = field(default_factory=dict)
+    fault: str = ""
+    is_dialled: bool = False
+    is_head_read: bool = False
+    is_interim: bool = False
+
+    def take_header(self, *, line: bytes) -> int | None:
+        """Read one line of a head, an interim one's too; 0 ends the call and its connection."""
+        if self.is_head_read and not self.is_interim:
+            return None  # a trailer says nothing about the exchange
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self.headers.clear()
+            self.is_head_read, self.is_interim = False, text.partition(" ")[2].startswith("1")
+        elif not text:
+            self.is_head_read = True
+            return self._check_name()
+        else:
+            name, _, value = (part.strip() for part in text.partition(":"))
+            name = name.lower()
+            self.headers[name] = f"{self.headers[name]}, {value}" if name in self.headers else value
+        return None
+
+    def take_body(self, *, data: bytes) -> int | None:
+        """Read a piece of the body; 0 ends a call whose body is too large."""
+        if self.body.tell() + len(data) > constants.RESULT_BYTES:
+            self.fault = "too-large"
+            return 0
+        self.body.write(data)
+        return None
+
+    def find_fault(self, *, errno: int) -> str:
+        """Why the answer that the library calls ended is not whole, "" if it is."""
+        if self.fault or errno:
+            return self.fault or FAULTS.get(errno, f"call:{errno}")
+        if not self.is_head_read:
+            return "cut-short"
+        code = self.handle.getinfo(pycurl.RESPONSE_CODE)
+        has_body = self.call.method != "HEAD" and code not in (204, 304)
+        is_framed = "content-length" in self.headers or "transfer-encoding" in self.headers
+        # framed by the connection's end alone: a cut would look like the whole
+        return "cut-short" if has_body and not is_framed else ""
+
+    def may_be_sent(self, *, errno: int) -> bool:
+        """Whether a byte of the request may have left."""
+        if self.handle.getinfo(pycurl.REQUEST_SIZE):
+            return True
+        # the library shows no time of connecting for a connection that it kept: only for one that it opened does that tell
+        is_unconnected = self.is_dialled and self.handle.getinfo(pycurl.CONNECT_TIME) == 0
+        return errno != pycurl.E_COULDNT_CONNECT and not (errno == pycurl.E_OPERATION_TIMEDOUT and is_unconnected)
+
+    def _check_name(self) -> int | None:
+        exchange = NAMES.exchange
+        asked = {name.lower(): value for name, value in self.call.headers.items()}.get(exchange, "")
+        if names_another(asked=asked, echoed=self.headers.get(exchange, "")):
+            self.fault = "another-exchange"
+            return 0
+        return None
 
 
 class Calls:
@@ -122,8 +181,8 @@
             handle.setopt(pycurl.POSTFIELDS, call.body)
         if call.method not in ("GET", "HEAD"):
             handle.setopt(pycurl.CUSTOMREQUEST, call.method)
-        handle.setopt(pycurl.HEADERFUNCTION, lambda line: _take_header(live=live, line=line))
-        handle.setopt(pycurl.WRITEFUNCTION, lambda data: _take_body(live=live, data=data))
+        handle.setopt(pycurl.HEADERFUNCTION, lambda line: live.take_header(line=line))
+        handle.setopt(pycurl.WRITEFUNCTION, lambda data: live.take_body(data=data))
         self._live[handle] = live
         self._multi.add_handle(handle)
 
@@ -131,6 +190,7 @@
         with _borrow(fd=fd) as connection:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(constants.LEASE * 1000))
         self._openers[fd] = live
+        live.is_dialled = True
         return pycurl.SOCKOPT_OK
 
     def _close_socket(self, *, fd: int) -> int:
@@ -158,13 +218,10 @@
     def _finish(self, *, handle: pycurl.Curl, errno: int) -> None:
         live = self._live.pop(handle)
         token = live.call.token
-        if errno:
-            unsent = errno == pycurl.E_COULDNT_CONNECT or (
-                errno == pycurl.E_OPERATION_TIMEDOUT and handle.getinfo(pycurl.CONNECT_TIME) == 0
-            )
-            called = Called(
-                token=token, code=0, headers={}, body=b"", sent=not unsent, fault=FAULTS.get(errno, f"call:{errno}")
-            )
+        fault = live.find_fault(errno=errno)
+        if fault:
+            is_sent = live.may_be_sent(errno=errno)
+            called = Called(token=token, code=0, headers={}, body=b"", sent=is_sent, fault=fault)
         else:
             if not live.call.fresh:
                 self._clean[handle.getinfo(pycurl.LASTSOCKET)] = live.call.owner
@@ -191,21 +248,3 @@
         yield connection
     finally:
         connection.detach()
-
-
-def _take_header(*, live: Live, line: bytes) -> None:
-    text = line.decode("latin-1").strip()
-    if text.startswith("HTTP/"):
-        live.headers.clear()
-        return
-    name, colon, value = text.partition(":")
-    if colon:
-        name = name.strip().lower()
-        live.headers[name] = f"{live.headers[name]}, {value.strip()}" if name in live.headers else value.strip()
-
-
-def _take_body(*, live: Live, data: bytes) -> int | None:
-    if live.body.tell() + len(data) > constants.RESULT_BYTES:
-        return 0
-    live.body.write(data)
-    return None
--- /dev/null
+++ b/tests/test_calls_answers.py
@@ -0,0 +1,170 @@
+"""The HTTP library's edge of the product's own mode: no answer but to its call, and what may not be repeated is sent once."""
+
+from __future__ import annotations
+
+import queue
+import socket
+import threading
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from sailward.events import Call, Called
+from sailward.transport.calls import Calls
+from tests.outbound_peer import WAIT, Line, Peer
+
+
+def answer_to(name: str, body: bytes, *, more: str = "") -> bytes:
+    """A whole answer that names its exchange."""
+    head = f"HTTP/1.1 200 OK\r\nSailward-Exchange: {name}\r\n{more}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+class Client:
+    """The library's edge on a thread, and the peers that it is led to."""
+
+    def __init__(self) -> None:
+        self.told: queue.Queue = queue.Queue()
+        self.calls = Calls(tell=self.told.put)
+        self.peers: list[Peer] = []
+        self._count = 0
+        threading.Thread(target=self.calls.run, daemon=True).start()
+
+    def peer(self, serve: Callable[[Line], None]) -> Peer:
+        self.peers.append(Peer(serve=serve))
+        return self.peers[-1]
+
+    def ask(
+        self, *, address: str, name: str, method: str = "GET", fresh: bool = False, wait: float = 5.0, body: bytes = b""
+    ) -> Called:
+        self._count += 1
+        call = Call(
+            token=f"t{self._count}",
+            owner="w",
+            address=address,
+            method=method,
+            path=f"/{name}",
+            headers={"sailward-exchange": name},
+            body=body,
+            wait=wait,
+            fresh=fresh,
+        )
+        self.calls.give(call=call)
+        called = self.told.get(timeout=WAIT)
+        assert called.token == call.token
+        return called
+
+
+@pytest.fixture
+def client() -> Iterator[Client]:
+    client = Client()
+    yield client
+    assert client.told.empty()
+    for peer in client.peers:
+        peer.listener.close()
+
+
+def name_of(request: bytes) -> str:
+    return request.split(b" ")[1][1:].decode()
+
+
+def test_a_late_answer_at_the_point_of_the_next_goes_to_nobody_and_ends_its_connection(client: Client) -> None:
+    """The surplus answer to the first is read where the second's is due; the third must not get the second's."""
+
+    def serve(line: Line) -> None:
+        first = name_of(line.read())
+        line.say(answer_to(first, first.encode()))
+        if line.number == 0:
+            second = name_of(line.read())
+            line.say(answer_to(first, b"late") + answer_to(second, second.encode()))
+            line.read()
+
+    peer = client.peer(serve)
+    assert client.ask(address=peer.address, name="a").body == b"a"
+    called = client.ask(address=peer.address, name="b")
+    assert (called.code, called.body, called.fault, called.sent) == (0, b"", "another-exchange", True)
+    assert client.ask(address=peer.address, name="c").body == b"c"
+    assert len(peer.lines) == 2
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    "answer",
+    [b"", b"HTTP/1.1 200 OK\r\nConte", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", b"\x00\x01nonsense\r\n\r\n"],
+)
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_an_unsafe_exchange_goes_out_once_however_its_answer_ends(
+    client: Client, method: str, answer: bytes, is_reset: bool
+) -> None:
+    seen: list = []
+
+    def serve(line: Line) -> None:
+        while (request := line.read()) not in (b"", b"reset"):
+            seen.append(name_of(request))
+            if seen[-1] == "warm":
+                line.say(answer_to("warm", b"w"))
+                continue
+            if answer:
+                line.say(answer)
+            line.reset() if is_reset else line.sock.shutdown(socket.SHUT_WR)
+            return
+
+    peer = client.peer(serve)
+    assert client.ask(address=peer.address, name="warm").code == 200
+    called = client.ask(address=peer.address, name="once", method=method, fresh=True, body=b"{}")
+    assert (called.code, called.body, called.sent) == (0, b"", True)
+    assert seen.count("once") == 1
+
+
+def test_silence_on_a_kept_connection_is_no_proof_that_nothing_was_sent(client: Client) -> None:
+    def serve(line: Line) -> None:
+        request = line.read()
+        line.say(answer_to(name_of(request), b"x"))
+        peer.seen.put(line.read())
+        line.read()
+
+    peer = client.peer(serve)
+    client.ask(address=peer.address, name="a")
+    called = client.ask(address=peer.address, name="b", wait=0.3)
+    assert name_of(peer.get()) == "b"
+    assert (called.code, called.fault, called.sent) == (0, "timed-out", True)
+
+
+@pytest.mark.parametrize("early", [b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"])
+def test_interim_answers_are_passed_over(client: Client, early: bytes) -> None:
+    def serve(line: Line) -> None:
+        while (request := line.read()) not in (b"", b"reset"):
+            line.say(early + early + answer_to(name_of(request), b"whole"))
+
+    peer = client.peer(serve)
+    for name in ("a", "b"):
+        called = client.ask(address=peer.address, name=name)
+        assert (called.code, called.body) == (200, b"whole") and "link" not in called.headers
+    assert len(peer.lines) == 1
+
+
+def test_a_trailer_is_no_header(client: Client) -> None:
+    """What a worker adds behind its body may not say that the exchange did not run."""
+
+    def serve(line: Line) -> None:
+        line.read()
+        line.say(
+            b"HTTP/1.1 200 OK\r\nSailward-Exchange: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nok\r\n0\r\nSailward-Ran: not-run\r\nSailward-Exchange: b\r\n\r\n"
+        )
+
+    called = client.ask(address=client.peer(serve).address, name="a")
+    assert (called.code, called.body) == (200, b"ok")
+    assert called.headers == {"sailward-exchange": "a", "transfer-encoding": "chunked"}
+
+
+def test_surplus_bytes_behind_an_answer_reach_nobody(client: Client) -> None:
+    def serve(line: Line) -> None:
+        request = line.read()
+        line.say(answer_to(name_of(request), b"own") + answer_to("x", b"surplus"))
+        peer.seen.put(line.read())
+
+    peer = client.peer(serve)
+    for name in ("a", "b"):
+        assert client.ask(address=peer.address, name=name).body == b"own"
+    assert len(peer.lines) == 2
