Property test of the client edge: scripts of answers, cuts, resets and cancels, with planted faults

After each step: no call is told another's answer, none twice or after its cancel, no request's bytes go out twice, 'not sent' is true. Found by it, each planted and taken back: matching by order alone, sending again after a reset, reuse of a connection on which a late answer waits, a cancel that leaves its connection in the pool, once-only requests on kept connections.

--- /dev/null
+++ b/tests/outbound_script.py
@@ -0,0 +1,314 @@
+"""A client edge on sockets that a script plays: every byte, cut, reset and moment is the script's, no thread and no real time."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable
+from types import SimpleNamespace
+from unittest import mock
+
+from sailward import constants
+from sailward.events import Call, Called
+from sailward.routing.reply import Broken, NotSent, TurnedAway, Whole, judge_reply
+from sailward.runtime.reactor import Alarm
+from sailward.transport import outbound
+from sailward.transport.wire_names import WireNames
+
+NAMES = WireNames(exchange="x-id", told="x-who", not_run="x-not-run", not_run_value="", seal="x-seal")
+FIN, RESET = "fin", "reset"
+REQUEST_END = b"\r\n\r\n"
+
+
+class ScriptedReactor:
+    """The reactor's interface, stepped by hand."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.watched: dict = {}
+        self.waiting: deque = deque()
+        self.alarms: list[tuple[float, Alarm]] = []
+
+    def clock(self) -> float:
+        return self.now
+
+    def watch(
+        self, *, sock: ScriptedSocket, readable: Callable | None = None, writable: Callable | None = None
+    ) -> None:
+        if readable or writable:
+            self.watched[sock] = (readable, writable)
+        else:
+            self.watched.pop(sock, None)
+
+    def later(self, *, delay: float, call: Callable) -> Alarm:
+        alarm = Alarm(call=call)
+        self.alarms.append((self.now + delay, alarm))
+        return alarm
+
+    def soon(self, *, call: Callable) -> None:
+        self.waiting.append(call)
+
+    def run_soon(self) -> None:
+        while self.waiting:
+            self.waiting.popleft()()
+
+    def pass_time(self, *, seconds: float) -> None:
+        self.now += seconds
+        due = [alarm for at, alarm in self.alarms if at <= self.now]
+        self.alarms = [(at, alarm) for at, alarm in self.alarms if at > self.now]
+        for alarm in due:
+            if alarm.call is not None:
+                alarm.call()
+        self.run_soon()
+
+
+class ScriptedSocket:
+    """One connection: what the client sent, and what waits in the system to be read."""
+
+    def __init__(self, *, accepts: int) -> None:
+        self.sent = b""
+        self.inbound: deque = deque()
+        self.is_up = self.is_closed = self.is_reset = False
+        self._accepts = accepts
+
+    def connect_ex(self, place: tuple) -> int:
+        return errno.EINPROGRESS
+
+    def getsockopt(self, *names: int) -> int:
+        return 0
+
+    def setsockopt(self, *names: object) -> None:
+        pass
+
+    def setblocking(self, flag: bool) -> None:
+        pass
+
+    def send(self, data: memoryview) -> int:
+        if self.is_reset:
+            raise ConnectionResetError
+        if not self._accepts:
+            raise BlockingIOError
+        taken = bytes(data[: self._accepts])
+        self.sent += taken
+        self._accepts -= len(taken)
+        return len(taken)
+
+    def drain(self) -> None:
+        """The system has room for more."""
+        self._accepts = 1 << 20
+
+    def recv(self, size: int, flags: int = 0) -> bytes:
+        if not self.inbound:
+            raise BlockingIOError
+        first = self.inbound[0]
+        if first == RESET:
+            raise ConnectionResetError
+        if first == FIN:
+            return b""
+        if flags & socket.MSG_PEEK:
+            return first[:size]
+        return self.inbound.popleft()
+
+    def close(self) -> None:
+        self.is_closed = True
+
+    def requests(self) -> list[bytes]:
+        """The ids of the whole requests that came, in order."""
+        found, left = [], self.sent
+        while REQUEST_END in left:
+            head, _, left = left.partition(REQUEST_END)
+            lines = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+            size = int(lines.get(b"content-length", b"0"))
+            if len(left) < size:
+                break
+            left = left[size:]
+            found.append(lines[b"x-id"])
+        return found
+
+
+class Script:
+    """Plays steps against an Outbound, and checks after each that nobody got another's answer and nothing went out twice."""
+
+    def __init__(self) -> None:
+        self.reactor = ScriptedReactor()
+        self.sockets: list[ScriptedSocket] = []
+        self.calls: dict[str, Call] = {}
+        self.cancelled: set[str] = set()
+        self.told: dict[str, Called] = {}
+        self.refused: set[str] = set()
+        self.accepts = 1 << 20
+        self.outbound = outbound.Outbound(reactor=self.reactor, tell=self._take, names=NAMES)
+
+    def play(self, *, steps: list[tuple]) -> None:
+        """Play all steps, then let all time pass."""
+        patches = (
+            mock.patch.object(outbound.socket, "socket", self._open),
+            mock.patch.object(outbound, "_resolve", lambda *, address: (0, (address, 0))),
+        )
+        with patches[0], patches[1]:
+            for name, *numbers in steps:
+                getattr(self, f"do_{name}")(*numbers)
+                self.reactor.run_soon()
+                self.check()
+            for _ in range(4):
+                self.reactor.pass_time(seconds=30.0)
+            self.check()
+            assert set(self.told) | self.cancelled == set(self.calls), "a call without an end"
+            assert self.outbound.counts()["calls"] == 0
+
+    def do_give(self, owner: int, is_once: int, accepts: int) -> None:
+        """A call; `accepts` bounds the bytes that the system takes at first."""
+        token = f"t{len(self.calls)}"
+        self.accepts = (1 << 20, 7, 60, 1 << 20)[accepts % 4]
+        call = Call(
+            token=token,
+            owner=f"w{owner % 2}",
+            address=f"w{owner % 2}:80",
+            method="POST" if is_once % 2 else ("GET", "HEAD")[is_once // 2 % 2],
+            path="/a",
+            headers={"x-id": f"id-{token}"},
+            body=b"once" if is_once % 2 else b"",
+            wait=20.0,
+            fresh=bool(is_once % 2),
+        )
+        self.calls[token] = call
+        self.outbound.give(call=call)
+
+    def do_round(self, owner: int, is_once: int, form: int) -> None:
+        """A call from its beginning to its answer, with nothing in between."""
+        self.do_give(owner, is_once, 0)
+        self.reactor.run_soon()
+        token = list(self.calls)[-1]
+        sock = next((one for one in self.sockets if self._bears(sock=one, token=token)), None)
+        if sock is None:
+            return
+        if not sock.is_up:
+            sock.is_up = True
+            self._call(sock=sock, which=1)
+        sock.inbound.extend(self._answer(name=f"id-{token}", form=form))
+        while sock.inbound and not sock.is_closed and token not in self.told:
+            self._call(sock=sock, which=0)
+
+    def do_connect(self, at: int, _: int, __: int) -> None:
+        """A connection comes up."""
+        for sock in self._open_sockets(at):
+            if not sock.is_up:
+                sock.is_up = True
+                self._call(sock=sock, which=1)
+
+    def do_writable(self, at: int, _: int, __: int) -> None:
+        """The system takes all that is left to send."""
+        for sock in self._open_sockets(at):
+            if sock.is_up:
+                sock.drain()
+                self._call(sock=sock, which=1)
+
+    def do_answer(self, at: int, which: int, form: int) -> None:
+        """The peer answers one of the requests that came on a connection: the last (0) or an earlier one, late or once more."""
+        for sock in self._open_sockets(at):
+            names = sock.requests()
+            if names:
+                name = names[-1 - which % len(names)].decode()
+                sock.inbound.extend(self._answer(name=name, form=form))
+
+    def do_end(self, at: int, way: int, _: int) -> None:
+        """The peer closes or resets a connection."""
+        for sock in self._open_sockets(at):
+            if way % 2:
+                sock.inbound.append(FIN)
+            else:
+                sock.inbound.clear()
+                sock.inbound.append(RESET)
+                sock.is_reset = True
+
+    def do_deliver(self, at: int, pieces: int, _: int) -> None:
+        """The client reads what has come, at most so many pieces."""
+        for sock in self._open_sockets(at):
+            for _piece in range(1 + pieces):
+                if sock.inbound and sock.is_up and not sock.is_closed:
+                    self._call(sock=sock, which=0)
+
+    def do_cancel(self, at: int, _: int, __: int) -> None:
+        """The owner gives a call up."""
+        under_way = [token for token in self.calls if token not in self.told and token not in self.cancelled]
+        if under_way:
+            token = under_way[at % len(under_way)]
+            self.cancelled.add(token)
+            self.outbound.cancel(token=token)
+
+    def do_hang_up(self, owner: int, _: int, __: int) -> None:
+        """The owner's worker is gone."""
+        self.outbound.hang_up(owner=f"w{owner % 2}")
+
+    def do_wait(self, ticks: int, _: int, __: int) -> None:
+        """Time goes on."""
+        self.reactor.pass_time(seconds=0.1 + ticks)
+
+    def check(self) -> None:
+        """What holds after each step."""
+        sent = [name.decode() for sock in self.sockets for name in sock.requests()]
+        twice = {name for name in sent if sent.count(name) > 1}
+        assert not twice, f"sent twice: {twice}"
+        for token, called in self.told.items():
+            call = self.calls[token]
+            assert called.sent or not any(f"x-id: id-{token}\r".encode() in sock.sent for sock in self.sockets)
+            verdict = judge_reply(
+                request=SimpleNamespace(name=call.headers["x-id"], service=SimpleNamespace(ranged=False)),
+                worker=call.owner,
+                event=called,
+                names=NAMES,
+            )
+            if isinstance(verdict, Whole):
+                body = b"" if call.method == "HEAD" else f"body of id-{token}".encode()
+                assert verdict.body == body, f"{token} got {verdict.body!r}"
+                assert verdict.headers["x-id"] == f"id-{token}"
+            elif isinstance(verdict, TurnedAway):
+                assert not call.fresh or f"id-{token}" in self.refused, f"{token} was refused by another's answer"
+            else:
+                assert isinstance(verdict, (Broken, NotSent))
+
+    def _take(self, called: Called) -> None:
+        assert called.token not in self.told, "told twice"
+        assert called.token not in self.cancelled, "told after it was cancelled"
+        self.told[called.token] = called
+
+    def _open(self, *kind: int) -> ScriptedSocket:
+        self.sockets.append(ScriptedSocket(accepts=self.accepts))
+        return self.sockets[-1]
+
+    def _open_sockets(self, at: int) -> list[ScriptedSocket]:
+        there = [sock for sock in self.sockets if not sock.is_closed]
+        return [there[at % len(there)]] if there else []
+
+    def _bears(self, *, sock: ScriptedSocket, token: str) -> bool:
+        running = self.outbound._running.get(token)
+        return running is not None and running.connection is not None and running.connection.sock is sock
+
+    def _call(self, *, sock: ScriptedSocket, which: int) -> None:
+        callback = self.reactor.watched.get(sock, (None, None))[which]
+        if callback is not None:
+            callback()
+
+    def _answer(self, *, name: str, form: int) -> list:
+        body, head = f"body of {name}".encode(), f"HTTP/1.1 200 OK\r\nX-Id: {name}\r\nX-Seal: s\r\n".encode()
+        whole = head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+        if form == 9:
+            self.refused.add(name)
+        return (
+            [whole],
+            [whole[:20], whole[20:70], whole[70:]],
+            [chunked[: len(chunked) // 2], chunked[len(chunked) // 2 :]],
+            [b"HTTP/1.1 103 Early\r\nX-Id: other\r\n\r\n", whole],
+            [whole + whole],
+            [whole[:-3], FIN],
+            [chunked[:-5], FIN],
+            [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnoone"],
+            [b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"],
+            [f"HTTP/1.1 503 Full\r\nX-Id: {name}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".encode()],
+            [b"\x00\xffnoise\r\n\r\n"],
+            [head + b"Connection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body],
+            [head + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"],
+            [head + b"X: " + b"y" * constants.OUT_HEAD_BYTES, b"\r\nContent-Length: 0\r\n\r\n"],
+        )[form % 14]
--- /dev/null
+++ b/tests/test_outbound_properties.py
@@ -0,0 +1,148 @@
+"""The client edge against scripts that hypothesis draws: answers shuffled, extra, late, cut and reset, calls given up."""
+
+from __future__ import annotations
+
+import functools
+import os
+from unittest import mock
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from sailward.routing import reply
+from sailward.transport import exchange, outbound
+from tests.outbound_script import Script
+
+SMALL = st.integers(0, 3)
+STEPS = st.one_of(
+    st.tuples(st.just("give"), SMALL, SMALL, SMALL),
+    st.tuples(st.just("round"), SMALL, SMALL, st.integers(0, 13)),
+    st.tuples(st.just("round"), SMALL, SMALL, st.sampled_from([0, 0, 3, 7, 8])),
+    st.tuples(st.just("connect"), SMALL, st.just(0), st.just(0)),
+    st.tuples(st.just("writable"), SMALL, st.just(0), st.just(0)),
+    st.tuples(st.just("answer"), SMALL, SMALL, st.integers(0, 13)),
+    st.tuples(st.just("answer"), SMALL, st.just(0), st.just(0)),
+    st.tuples(st.just("deliver"), SMALL, SMALL, st.just(0)),
+    st.tuples(st.just("deliver"), SMALL, st.just(3), st.just(0)),
+    st.tuples(st.just("end"), SMALL, SMALL, st.just(0)),
+    st.tuples(st.just("cancel"), SMALL, st.just(0), st.just(0)),
+    st.tuples(st.just("hang_up"), SMALL, st.just(0), st.just(0)),
+    st.tuples(st.just("wait"), SMALL, st.just(0), st.just(0)),
+)
+EXAMPLES = int(os.environ.get("SAILWARD_EXAMPLES", "250"))
+"""scripts drawn; a wider run sets more."""
+
+
+def play_all(*, examples: int = EXAMPLES) -> None:
+    """Draw scripts and play each; raises AssertionError at the first that shows a breach."""
+
+    @settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=examples,
+        phases=(Phase.generate,),
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(steps=st.lists(STEPS, min_size=4, max_size=24))
+    def play(steps: list[tuple]) -> None:
+        Script().play(steps=steps)
+
+    play()
+
+
+def test_no_script_brings_an_answer_to_another_call_or_a_request_out_twice() -> None:
+    play_all()
+
+
+def match_by_order_alone() -> list:
+    """An answer is taken for the request that is due, whatever it names."""
+
+    def unnamed(self, *, response):
+        fault = old(self, response=response)
+        self._is_named = True
+        return "" if fault == "another-exchange" else fault
+
+    def judge(*, request, worker, event, names):
+        event.headers.update({names.exchange: request.name} if event.code else {})
+        return old_judge(request=request, worker=worker, event=event, names=names)
+
+    old, old_judge = exchange.Exchange._take_head, reply.judge_reply
+    return [
+        mock.patch.object(exchange.Exchange, "_take_head", unnamed),
+        mock.patch("tests.outbound_script.judge_reply", judge),
+    ]
+
+
+def send_again_after_a_reset() -> list:
+    """A request whose connection ends before its answer is sent once more."""
+
+    def fail(self, *, running, fault):
+        if fault != "connection-lost" or running.connection is None:
+            return old(self, running=running, fault=fault)
+        connection, running.connection = running.connection, None
+        self._close(connection=connection, is_aborted=True)
+        running.unsent = memoryview(running.exchange.request)
+        return self._dial(running=running)
+
+    old = outbound.Outbound._fail
+    return [mock.patch.object(outbound.Outbound, "_fail", fail)]
+
+
+def reuse_without_a_look() -> list:
+    """A kept connection is used again though a late answer waits on it, and names are not compared."""
+    return [mock.patch.object(outbound, "_peek", lambda *, sock: outbound.CLEAN), *match_by_order_alone()]
+
+
+def keep_after_a_cancel() -> list:
+    """A call that is given up leaves its connection to the next one; the next call takes the first answer for its own."""
+
+    def cancel(self, *, token):
+        running = self._running.get(token)
+        if running is not None and running.connection is not None and running.connection.is_open:
+            connection = running.connection
+            running.connection = connection.running = None
+            readable = functools.partial(self._on_readable, connection=connection)
+            self._reactor.watch(sock=connection.sock, readable=readable)
+            self._keep(connection=connection, idle=10.0)
+        old(self, token=token)
+
+    old = outbound.Outbound.cancel
+    return [mock.patch.object(outbound.Outbound, "cancel", cancel), *match_by_order_alone()]
+
+
+def take_kept_ones_for_once_only_work() -> list:
+    """Once-only requests go out on kept connections: a surplus refusal that names nobody counts as theirs."""
+
+    def give(self, *, call):
+        object.__setattr__(call, "fresh", False)
+        old(self, call=call)
+        self._reactor.run_soon()
+        object.__setattr__(call, "fresh", call.method == "POST")
+
+    old = outbound.Outbound.give
+    return [mock.patch.object(outbound.Outbound, "give", give)]
+
+
+@pytest.mark.parametrize(
+    "plant",
+    [
+        match_by_order_alone,
+        send_again_after_a_reset,
+        reuse_without_a_look,
+        keep_after_a_cancel,
+        take_kept_ones_for_once_only_work,
+    ],
+    ids=lambda plant: plant.__name__,
+)
+def test_a_planted_fault_is_found(plant) -> None:
+    patches = plant()
+    for patch in patches:
+        patch.start()
+    try:
+        with pytest.raises(AssertionError):
+            play_all(examples=4 * EXAMPLES)
+    finally:
+        for patch in reversed(patches):
+            patch.stop()
