A release goes out on a connection of its own: a surplus answer must not end it

Cause: answers to grants and releases bear no id, and both went out on kept connections. Ruled out: a surplus 200 that passes for a grant's only makes requests meet 421 until the next renewal; holds are counted from the sending, so nobody holds longer than believed.

--- a/sailward/control/granting.py
+++ b/sailward/control/granting.py
@@ -34,6 +34,7 @@
 from sailward.routing.slots import PREFIX
 
 NEVER = -1e9
+GRANT, RELEASE = "grant", "release"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -238,7 +239,7 @@
             renewing.due = now + constants.GRANT_RENEW
             renewing.token = self._call(
                 now=now,
-                kind="grant",
+                kind=GRANT,
                 shard=shard,
                 made=made,
                 wait=constants.GRANT_WAIT,
@@ -263,7 +264,7 @@
             made = self._codec.release(start=shard.start, end=shard.end, fence=shard.fence, owner=shard.owner)
             one.token = self._call(
                 now=now,
-                kind="release",
+                kind=RELEASE,
                 shard=shard,
                 made=made,
                 wait=constants.GRANT_RELEASE_WAIT,
@@ -299,11 +300,13 @@
                 headers=headers,
                 body=body,
                 wait=wait,
-                fresh=False,
+                # its answer bears no id: only on a connection of its own is the first one surely its own, and a surplus one
+                # that passed for the end of a release would give the keys to a second holder
+                fresh=kind == RELEASE,
                 begin_by=begin_by,
             )
         )
-        self._sent[token] = Sent(shard=shard, is_grant=kind == "grant", since=now, until=begin_by + wait)
+        self._sent[token] = Sent(shard=shard, is_grant=kind == GRANT, since=now, until=begin_by + wait)
         return token
 
     def _change(self, *, now: float, scene: GrantScene) -> list:
--- /dev/null
+++ b/tests/test_granting_surplus.py
@@ -0,0 +1,50 @@
+"""Grants beside workers that send surplus answers: bytes on a kept connection that no call of ours has asked for."""
+
+from __future__ import annotations
+
+import pytest
+
+from sailward.control.granting import Granting
+from sailward.events import Call, Called
+from tests.test_granting import KEYS, Granter, World
+
+AT_ONCE = 0.0005
+"""s: the surplus answer lay on the connection before the call that it is taken for was sent."""
+
+
+class SurplusWorld(World):
+    """Each worker sends a second answer behind each grant; it is read where the next answer on that connection is due."""
+
+    def call(self, *, granter: Granter, call: Call) -> None:
+        super().call(granter=granter, call=call)
+        if not call.fresh and any(earlier.owner == call.owner for _, earlier in self.calls[:-1]):
+            surplus = Called(token=call.token, code=200, headers={}, body=b"", fault="", sent=True)
+            self.at(delay=AT_ONCE, act=lambda: self.step(granter=granter, event=surplus))
+
+
+def drain_beside_surplus_answers(*, seed: int) -> SurplusWorld:
+    """Workers leave one after the other while all send surplus answers."""
+    world = SurplusWorld(seed=seed, slowest=0.03)
+    world.run(seconds=5.0)
+    for worker in world.workers[:2]:
+        worker.is_leaving = True
+        world.run(seconds=3.0)
+    return world
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_surplus_answer_is_not_taken_for_the_end_of_a_release(seed: int) -> None:
+    world = drain_beside_surplus_answers(seed=seed)
+    assert world.overlaps == []
+    assert world.held_keys() == KEYS and not any(world.keys_of(worker=one) for one in world.workers[:2])
+
+
+def test_without_a_connection_of_its_own_a_release_is_believed_too_soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    def call_on_kept(self, **given: object) -> str:
+        token = old(self, **given)
+        object.__setattr__(given["commands"][-1], "fresh", False)
+        return token
+
+    old = Granting._call
+    monkeypatch.setattr(Granting, "_call", call_on_kept)
+    assert any(drain_beside_surplus_answers(seed=seed).overlaps for seed in range(3))
