--- a/sailward/transport/outbound.py
+++ b/sailward/transport/outbound.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sailward import constants
 from sailward.events import Call, Called
@@ -45,7 +45,7 @@
     dial_by: float = float("inf")
     exchange: Exchange | None = None
     connection: Connection | None = None
-    unsent: memoryview = memoryview(b"")
+    unsent: memoryview = field(default_factory=lambda: memoryview(b""))
     is_sent: bool = False
     is_broken: bool = False
     alarm: Alarm | None = None
