--- a/sailward/config/check.py
+++ b/sailward/config/check.py
@@ -96,7 +96,7 @@
     given = {**config, "matches": [config["matches"][at] for at in odd]} if plain else config
     try:
         is_sound = validator.validate(_without_near(config=given))
-    except Exception as fault:  # cerberus trips over some foreign shapes
+    except Exception as fault:  # noqa: BLE001 - cerberus trips over some foreign shapes
         return [Fault(path="", reason=f"unreadable shape: {fault}")], {}
     if not is_sound:
         errors = validator.errors
@@ -164,21 +164,7 @@
     divided: dict = {}
     for index, match in enumerate(full["matches"]):
         path = f"matches.{index}"
-        if sum(share["weight"] for share in match["pools"]) <= 0:
-            yield Fault(path=f"{path}.pools", reason="the weights add up to 0")
-        known = [share["pool"] for share in match["pools"] if share["pool"] in full["pools"]]
-        for at, share in enumerate(match["pools"]):
-            if share["pool"] not in full["pools"]:
-                yield Fault(path=f"{path}.pools.{at}.pool", reason=f"no pool {share['pool']!r}")
-        if not match.get("across") and len({full["pools"][pool]["service"] for pool in known}) > 1:
-            yield Fault(path=f"{path}.pools", reason="the pools are of different services")
-        service = full["services"].get(full["pools"][known[0]]["service"]) if known else None
-        if service and service["slots"]:
-            name = full["pools"][known[0]]["service"]
-            if divided.setdefault(name, match["pools"]) != match["pools"]:
-                yield Fault(path=f"{path}.pools", reason=f"{name!r} is divided: all its matches need the same pools")
-        if len(set(known)) < len(known):
-            yield Fault(path=f"{path}.pools", reason="a pool is listed twice")
+        yield from _check_pools_of_match(full=full, match=match, path=f"{path}.pools", divided=divided)
         for tenant in match["tenants"]:
             if tenant not in full["tenants"]:
                 yield Fault(path=f"{path}.tenants", reason=f"no tenant {tenant!r}")
@@ -189,6 +175,24 @@
                     yield Fault(path=path, reason=f"the same as matches.{first}: it could never be used")
 
 
+def _check_pools_of_match(*, full: dict, match: dict, path: str, divided: dict):
+    """`divided` holds the pools that the matches of each divided service have had so far."""
+    if sum(share["weight"] for share in match["pools"]) <= 0:
+        yield Fault(path=path, reason="the weights add up to 0")
+    known = [share["pool"] for share in match["pools"] if share["pool"] in full["pools"]]
+    for at, share in enumerate(match["pools"]):
+        if share["pool"] not in full["pools"]:
+            yield Fault(path=f"{path}.{at}.pool", reason=f"no pool {share['pool']!r}")
+    if not match.get("across") and len({full["pools"][pool]["service"] for pool in known}) > 1:
+        yield Fault(path=path, reason="the pools are of different services")
+    name = full["pools"][known[0]]["service"] if known else ""
+    service = full["services"].get(name)
+    if service and service["slots"] and divided.setdefault(name, match["pools"]) != match["pools"]:
+        yield Fault(path=path, reason=f"{name!r} is divided: all its matches need the same pools")
+    if len(set(known)) < len(known):
+        yield Fault(path=path, reason="a pool is listed twice")
+
+
 def _check_homes(*, full: dict):
     regions = {hall["region"] for hall in full["halls"].values()}
     for name, tenant in full["tenants"].items():
--- a/sailward/config/dialect.py
+++ b/sailward/config/dialect.py
@@ -19,8 +19,9 @@
 class Order:
     """One operators' call.
 
-    `kind`: get, put, patch, empty, refill, join or part. `expected`: the number, or in a labelled dialect the label, that must be
-    current; None for any. `digest`: what tells a labelled change from every other, and is the same when it is sent again.
+    `kind`: get, put, patch, empty, refill, join or part. `expected`: the number, or in a labelled dialect the label,
+    that must be current; None for any. `digest`: what tells a labelled change from every other, and is the same when it
+    is sent again.
     """
 
     kind: str
@@ -36,8 +37,8 @@
 class Outcome:
     """How a call ended.
 
-    `kind`: accepted, sound (a dry run), shown, refused (for ever), unavailable (nothing was changed) or unknown. `code` and
-    `reason` are the product's; `value` the register's, of what is shown.
+    `kind`: accepted, sound (a dry run), shown, refused (for ever), unavailable (nothing was changed) or unknown. `code`
+    and `reason` are the product's; `value` the register's, of what is shown.
     """
 
     kind: str
@@ -53,7 +54,8 @@
 class Dialect(Protocol):
     """An operators' language. In a labelled one each configuration bears the operators' own growing version.
 
-    A labelled dialect's register holds what was written, its label, and which changes made it; the full form is made of it.
+    A labelled dialect's register holds what was written, its label, and which changes made it; the full form is made of
+    it.
     """
 
     is_labelled: bool
--- a/sailward/consensus/acceptor.py
+++ b/sailward/consensus/acceptor.py
@@ -7,7 +7,8 @@
 CLAIM = "exchange/"
 """What the name of a claim's register begins with."""
 KNOWN = "known/voters"
-"""What a record of the voters that are known to be chosen is written under: a promise, to versions that don't know it."""
+"""What a record of the voters that are known to be chosen is written under: a promise, to versions that don't know
+it."""
 NONE = [0, ""]
 FIRST = [0, "first"]
 """The ballot that every proposer shares for a register that has no vote yet."""
@@ -35,6 +36,7 @@
         self.control: set[str] = set()
 
     def __setitem__(self, name: str, slot: Slot) -> None:
+        """Keep the slot, and its name with the control registers if it is no claim."""
         if not name.startswith(CLAIM):
             self.control.add(name)
         super().__setitem__(name, slot)
--- a/sailward/consensus/messages.py
+++ b/sailward/consensus/messages.py
@@ -53,7 +53,7 @@
     """The message in these bytes, or what is wrong with them."""
     try:
         body = flexbuffers.Loads(payload)
-    except Exception as fault:  # the decoder raises many kinds on foreign bytes
+    except Exception as fault:  # noqa: BLE001 - the decoder raises many kinds on foreign bytes
         return BadMessage(reason=f"undecodable:{type(fault).__name__}")
     return check_message(body=body)
 
@@ -68,18 +68,28 @@
     for name, kind in fields.items():
         if not _fits(given=body.get(name), kind=kind):
             return BadMessage(reason=f"field:{body['kind']}.{name}")
+    wrong = _find_wrong_part(body=body, fields=fields)
+    return BadMessage(reason=f"field:{body['kind']}.{wrong}") if wrong else body
+
+
+def _find_wrong_part(*, body: dict, fields: dict) -> str:
+    """The name of the first field whose type is right but whose parts are not, or ""."""
     if "ballot" in fields and not is_ballot(given=body["ballot"]):
-        return BadMessage(reason=f"field:{body['kind']}.ballot")
+        return "ballot"
     if "value" in fields and not is_value(given=body["value"]):
-        return BadMessage(reason=f"field:{body['kind']}.value")
-    for row in body["slots"] if "slots" in fields else ():
-        if not (isinstance(row, list) and len(row) == 3 and isinstance(row[0], str) and is_vote(given=row[1:])):
-            return BadMessage(reason=f"field:{body['kind']}.slots")
+        return "value"
+    if "slots" in fields and not all(_is_slot(given=row) for row in body["slots"]):
+        return "slots"
     if "voters" in fields and fields["voters"] is list and body["voters"] and not is_vote(given=body["voters"]):
-        return BadMessage(reason=f"field:{body['kind']}.voters")
+        return "voters"
     if body.get("vote") and not is_vote(given=body["vote"]):
-        return BadMessage(reason=f"field:{body['kind']}.vote")
-    return body
+        return "vote"
+    return ""
+
+
+def _is_slot(*, given: object) -> bool:
+    """Is it [name, ballot, value]?"""
+    return isinstance(given, list) and len(given) == 3 and isinstance(given[0], str) and is_vote(given=given[1:])
 
 
 def is_ballot(*, given: object) -> bool:
--- a/sailward/constants/__init__.py
+++ b/sailward/constants/__init__.py
@@ -1,3 +1,6 @@
-"""All constants of sailward, each with its unit and the reason for its value. They are read and set here, as `constants.NAME`."""
+"""All constants of sailward, each with its unit and the reason for its value.
 
-from sailward.constants.hosted import *  # noqa: F403
+They are read and set here, as `constants.NAME`.
+"""
+
+from sailward.constants.hosted import *
--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -26,7 +26,8 @@
 KEY_AHEAD = 10.0
 """s that a caller's clock may be ahead of the core's: a key further on would outlive its claim."""
 KEY_MARGIN = 60.0
-"""s before the end of a claim's life from which a key that tells its time is too old: KEY_AHEAD, and the clocks' spread."""
+"""s before the end of a claim's life from which a key that tells its time is too old: KEY_AHEAD, and the clocks'
+spread."""
 CLOCK_LIFE = 30.0
 """s that a cellar's clock counts after it was heard of last: clocks of one rate, so only jumps make it wrong."""
 CLAIM_SWEEP = 10.0
@@ -106,7 +107,8 @@
 TRY_SHARE = 0.15
 """of first tries may be tried again in TRY_WINDOW: with callers' own under the rules' fifth."""
 LOOK_SHARE = 1.0
-"""of first tries in TRY_WINDOW that repeats of unsafe exchanges may look up their claim: it reaches no worker, only the core."""
+"""of first tries in TRY_WINDOW that repeats of unsafe exchanges may look up their claim: it reaches no worker, only the
+core."""
 TRY_WINDOW = 10.0
 """s. The window that the rules name."""
 TRY_FLOOR = 2
@@ -143,7 +145,8 @@
 KEPT_BYTES = 64 << 20
 """bytes of results that a proxy keeps for repeats."""
 COPIES_BYTES = 64 << 20
-"""bytes of other proxies' results that a proxy keeps copies of: a brief's day of claims (900 s of 40/s of 1 kB) is 36 MB."""
+"""bytes of other proxies' results that a proxy keeps copies of: a brief's day of claims (900 s of 40/s of 1 kB) is 36
+MB."""
 WITHOUT_COPIES = ("0.1.0",)
 """versions of proxies that do not know the message of a copy, and would close the connection over it."""
 COPY_BYTES = 256 << 10
--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -1,6 +1,6 @@
 """Constants of the daemons on the users' platform and of the edges that they use, each with its unit and reason."""
 
-from sailward.constants.base import *  # noqa: F403
+from sailward.constants.base import *
 
 COURIER_SWEEP = 0.25
 """s between looks at message connections that do not get on."""
@@ -16,7 +16,8 @@
 OUT_IDLE = 8
 """idle connections kept for one worker: a burst's worth, far under what a worker accepts of all callers together."""
 OUT_IDLE_MARGIN = 1.0
-"""s before the end of a worker's own idle time from which a kept connection is no longer used: a request could cross its close."""
+"""s before the end of a worker's own idle time from which a kept connection is no longer used: a request could cross
+its close."""
 OUT_IDLE_LEAST = 0.5
 """s that a connection is kept idle at least, however short the worker's idle time in whole seconds."""
 OUT_HEAD_BYTES = 64 << 10
@@ -107,15 +108,18 @@
 GRANT_CHANGE_WAIT = 1.0
 """s before a change of a key table that did not show is tried again."""
 GRANT_TAKEOVER = 2.0
-"""s that a granter named in the table is left in its place at least, so that two of differing views don't take turns."""
+"""s that a granter named in the table is left in its place at least, so that two of differing views don't take
+turns."""
 GRANT_SUSTAINED = 2.0
 """s that a slight imbalance must last before ranges move for it, and between two such moves."""
 GRANT_URGENT = 0.3
 """s that an imbalance of GRANT_BLAZING must last, and between two moves for it: a queue grows meanwhile."""
 GRANT_BLAZING = 1.9
-"""times its fair part from which a worker is relieved soon: chance alone does not do it, however few requests were counted."""
+"""times its fair part from which a worker is relieved soon: chance alone does not do it, however few requests were
+counted."""
 GRANT_CALM = 0.3
-"""of what a worker can do by its pace, up to which it isn't relieved unless it is blazing: it doesn't queue, and a move has its price."""
+"""of what a worker can do by its pace, up to which it isn't relieved unless it is blazing: it doesn't queue, and a move
+has its price."""
 GRANT_ROWS = 4
 """ranges a worker, on the average, over which neighbouring ranges of one owner are joined."""
 GRANT_MOVES = 6
@@ -175,7 +179,8 @@
 LIST_PAGES = 400
 """pages of one pass: a list with more goes in circles."""
 GONE_LIFE = 5.0
-"""s that a worker which went from one teller's list is not believed to be back by another's: lists lag by a pass or two."""
+"""s that a worker which went from one teller's list is not believed to be back by another's: lists lag by a pass or
+two."""
 LEFT_LIFE = 600.0
 """s that the leaving of a worker which is on no list any more is remembered."""
 COLD_RISE = 0.4
@@ -191,7 +196,8 @@
 WAITING_ASK = 2.0
 """s between askings for news of a cellar that waits and knows the voters, where the core founded itself."""
 CONFIRM_EVERY = 0.35
-"""s between two askings of the voters by a cellar that grants keys: two fit into GRANT_LEASE with a round trip between regions."""
+"""s between two askings of the voters by a cellar that grants keys: two fit into GRANT_LEASE with a round trip between
+regions."""
 FLEET_EVERY = 2.0
 """s between two tellings of a cellar's proxies to the others where nothing changed: the loads of keys."""
 FLEET_LEAST = 0.2
@@ -211,7 +217,8 @@
 MESH_SEEDS = 8
 """beats between two tellings of the whole roster to seeds that are not among the living."""
 LEAD_WAIT = 0.4
-"""s after its start that a proxy waits for a cellar of its own hall before it follows another's lists: a few round trips."""
+"""s after its start that a proxy waits for a cellar of its own hall before it follows another's lists: a few round
+trips."""
 KEY_SHARE = 0.6
 """of a route's target that a request may wait for its key, which is on its way to another worker or about to be."""
 WINDOW_FIRST = 3.0
@@ -221,7 +228,8 @@
 WINDOW_LEAST = 2
 """requests that a proxy may have open at a worker that is not queueing, however many proxies there are."""
 WINDOW_PARTS = 3
-"""times its even part that a proxy may have open at a worker: its callers come in clumps, those of others at other moments."""
+"""times its even part that a proxy may have open at a worker: its callers come in clumps, those of others at other
+moments."""
 WINDOW_MORE = 0.5
 """requests more for each answer at a calm pace."""
 WINDOW_LESS = 0.7
@@ -235,7 +243,8 @@
 SPEED_SPAN = 3.0
 """times slower or faster than its service's mean that a worker is taken to be at the most."""
 OVERTAKEN = 4
-"""answers to requests sent later to the same worker after which one is taken to be lost there: as many as it works on at once."""
+"""answers to requests sent later to the same worker after which one is taken to be lost there: as many as it works on
+at once."""
 OVERTAKEN_PACES = 3.0
 """times its worker's calm pace that a request must have been out before it counts as lost."""
 DIAL_NEAR = 0.25
@@ -253,9 +262,11 @@
 LIST_SILENT = 1.4
 """s without a word of the reader of the list after which a cellar reads it itself: two passes and a margin."""
 LIST_READERS = 2
-"""cellars that may read the platform's list at a time: the one that hashing names, and one that has just not heard of it."""
+"""cellars that may read the platform's list at a time: the one that hashing names, and one that has just not heard of
+it."""
 LIST_PACE = 0.08
-"""s more between passes for each page beyond the first: a long list costs its calls, and its news are pushed at once all the same."""
+"""s more between passes for each page beyond the first: a long list costs its calls, and its news are pushed at once
+all the same."""
 LEAVING_MARGIN = 1.3
 """s of a leaving worker's time that may be over before a proxy hears of it: a pass, its pages, the push."""
 FLEET_LOOK = 0.2
--- a/sailward/control/bootstrap.py
+++ b/sailward/control/bootstrap.py
@@ -13,8 +13,8 @@
 class Bootstrap:
     """What the settings say of the core.
 
-    `is_first`: the whole system starts for the first time, on empty disks. `posts`: the posts of the seeds in the order of the
-    settings, the same for all. `budget`: machines of the core that may be lost at once.
+    `is_first`: the whole system starts for the first time, on empty disks. `posts`: the posts of the seeds in the order
+    of the settings, the same for all. `budget`: machines of the core that may be lost at once.
     """
 
     is_first: bool
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -167,7 +167,7 @@
         self._left += 1
         return make_identity(name=self.place.name, nonce=f"{self._nonce}.{self._left}")
 
-    def _hear(self, *, now: float, sender: str, body: dict) -> list:
+    def _hear(self, *, now: float, sender: str, body: dict) -> list:  # noqa: C901 - becomes a table of kinds
         kind = body["kind"]
         if kind in VOTING:
             return self._vote(now=now, sender=sender, body=body)
@@ -204,7 +204,8 @@
         if kind in ("gossip", "beat"):
             commands = self.roster.step(now=now, event=(sender, body))
             if self.options.is_mesh and any(isinstance(one, Log) for one in commands):
-                self._read_at.clear()  # one that was lost is back, or this one is: all registers are read with the next tick
+                # one that was lost is back, or this one is: all registers are read with the next tick
+                self._read_at.clear()
             return commands
         return [Log(event="message-unexpected", fields={"kind": kind, "from": sender})]
 
--- a/sailward/control/fleet.py
+++ b/sailward/control/fleet.py
@@ -1,4 +1,7 @@
-"""The fleet as the core tells it: the proxies that ask any cellar, where the cellars are, and what proxies report of workers."""
+"""The fleet as the core tells it.
+
+The proxies that ask any cellar, where the cellars are, and what proxies report of workers.
+"""
 
 from __future__ import annotations
 
@@ -29,7 +32,8 @@
 class Fleet:
     """Owner of the fleet's view. `step` folds another cellar's word, or tells the others what is new here.
 
-    `readers` are the posts of the cellars that place keys: only these are told how busy the keys are (all, where it is None).
+    `readers` are the posts of the cellars that place keys: only these are told how busy the keys are (all, where it is
+    None).
     """
 
     post: str
@@ -53,7 +57,10 @@
     loads_at: float = -1e9
 
     def step(self, *, now: float, event: tuple | None, proxies: list[Subscriber], cellars: list[dict]) -> list:
-        """A (sender, body) of kind fleet or want, or None for time going on; `cellars` are those of the roster that are not lost."""
+        """A (sender, body) of kind fleet or want, or None for time going on.
+
+        `cellars` are those of the roster that are not lost.
+        """
         if event is not None:
             sender, body = event
             if body["kind"] == "want":
--- a/sailward/control/freshness.py
+++ b/sailward/control/freshness.py
@@ -23,11 +23,14 @@
 
 @dataclass(kw_only=True)
 class Freshness:
-    """Owner of the confirmations. `step` folds one, or asks all other voters when it is time; `until` gives the lease's end.
+    """Owner of the confirmations.
 
-    A newer value can only be chosen by a majority, which has a voter in common with every blocking set: if each of one said
-    after a moment that it had voted for nothing newer than what is held here, nothing newer was chosen by that moment.
-    A voter that knows another set of voters confirms nothing: one set may choose what the other's blocking sets don't meet.
+    `step` folds one, or asks all other voters when it is time; `until` gives the lease's end.
+
+    A newer value can only be chosen by a majority, which has a voter in common with every blocking set: if each of one
+    said after a moment that it had voted for nothing newer than what is held here, nothing newer was chosen by that
+    moment. A voter that knows another set of voters confirms nothing: one set may choose what the other's blocking sets
+    don't meet.
     """
 
     told: dict = field(default_factory=dict)
--- a/sailward/control/granting.py
+++ b/sailward/control/granting.py
@@ -1,7 +1,7 @@
 """Grants of key ranges: one worker at a time holds a key, whichever cellars act, and as few changes as it takes.
 
-The table of a service is one register (`routing/shards.py`), changed by compare-and-swap. It names its granter: one life
-of one cellar. The argument that no two workers that are up hold a key at one time:
+The table of a service is one register (`routing/shards.py`), changed by compare-and-swap. It names its granter: one
+life of one cellar. The argument that no two workers that are up hold a key at one time:
 
 1. Only the granter that the newest table names sends grants, and only of open shards, with their owner and fence. It
    acts until `fresh_until`: GRANT_LEASE after it asked a blocking set of voters, who all told that the newest table
@@ -14,10 +14,10 @@
 3. A shard that has a living owner first becomes moving, and what is moving is never granted. It opens for another
    owner, under a new fence, when the old one has certainly let go: (a) it answered a release that was sent when the
    granter was the only one and none of its own grants of these keys was under way; or (b) its process has ended:
-   another worker answered at its address (a connection that is refused proves nothing: a cut may refuse too, while the worker
-   lives and holds); or (c) its hold has run out:
-   GRANT_HOLD by the slowest clock after the last moment at which a grant can have arrived. That moment is GRANT_QUIET
-   after the shard was first seen moving here, or, for the only granter, the later of `_sole_at` and the last of its own.
+   another worker answered at its address (a connection that is refused proves nothing: a cut may refuse too, while the
+   worker lives and holds); or (c) its hold has run out: GRANT_HOLD by the slowest clock after the last moment at which
+   a grant can have arrived. That moment is GRANT_QUIET after the shard was first seen moving here, or, for the only
+   granter, the later of `_sole_at` and the last of its own.
 4. Each of these stays true as long as the table does not change, and the change is conditional on its number.
 
 Fences are in the table, grow with each opening, and are never used again.
@@ -41,8 +41,8 @@
     """What the granting looks at in one moment.
 
     `value` is the register's as held here; `fresh_until` when the confirmation that it is the newest runs out (s, the
-    clock of `now`); `down` tells since when workers have been called unreachable; `loads` has requests/s by bucket of keys, `paces` how long
-    workers take for one: (s, from so many times).
+    clock of `now`); `down` tells since when workers have been called unreachable; `loads` has requests/s by bucket of
+    keys, `paces` how long workers take for one: (s, from so many times).
     """
 
     value: dict
@@ -91,8 +91,8 @@
     """Owner of one service's grants in a cellar's process. `step` gives (commands, changes).
 
     A change is (register, expected number, text); it is done when the register's value shows it. `own` names this life
-    of this cellar. `codec` makes the calls: grant(start, end, fence, hold, handover, owner) and release(start, end, fence,
-    owner) give (method, path, headers, body), handover(headers) the handover's text, or "".
+    of this cellar. `codec` makes the calls: grant(start, end, fence, hold, handover, owner) and release(start, end,
+    fence, owner) give (method, path, headers, body), handover(headers) the handover's text, or "".
     """
 
     def __init__(self, *, service: str, own: str, codec: object) -> None:
@@ -308,7 +308,7 @@
 
     def _change(self, *, now: float, scene: GrantScene) -> list:
         number, asked = self._asked
-        if now < self._look_at or number == self._number and now - asked < constants.GRANT_CHANGE_WAIT:
+        if now < self._look_at or (number == self._number and now - asked < constants.GRANT_CHANGE_WAIT):
             return []
         self._look_at = now + constants.GRANT_LOOK
         table = self._next_table(now=now, scene=scene)
@@ -343,13 +343,15 @@
                 for one in wanted
                 if one.start <= shard.end and shard.start <= one.end
             ]
-            for one in self._redraw(now=now, shard=shard, parts=parts, is_sole=is_sole):
-                if one.fence == 0:
-                    # where a worker knows a higher fence than we do, doubling soon steps over it
-                    one = replace(one, fence=2 * fence if shard in self._outrun else fence)
-                    self._handovers[one] = self._handover_of(shard=shard) if one.owner != shard.owner else ""
-                    fence = one.fence + 1
-                shards.append(one)
+            for drawn in self._redraw(now=now, shard=shard, parts=parts, is_sole=is_sole):
+                if drawn.fence != 0:
+                    shards.append(drawn)
+                    continue
+                # where a worker knows a higher fence than we do, doubling soon steps over it
+                fenced = replace(drawn, fence=2 * fence if shard in self._outrun else fence)
+                self._handovers[fenced] = self._handover_of(shard=shard) if fenced.owner != shard.owner else ""
+                fence = fenced.fence + 1
+                shards.append(fenced)
         if shards != list(self._table.shards) or len(shards) > constants.GRANT_ROWS * max(
             1, len(self._able(now=now, scene=scene))
         ):
@@ -458,7 +460,10 @@
         return last - since >= constants.GRANT_SILENT and now - last < constants.GRANT_AVOID
 
     def _join(self, *, shards: list[Shard], fence: int) -> tuple[list[Shard], int]:
-        """Neighbouring ranges of one owner under one new fence, as each is granted by itself; what is new may have a handover to come."""
+        """Neighbouring ranges of one owner under one new fence, as each is granted by itself.
+
+        What is new may have a handover to come.
+        """
         joined: list[Shard] = []
         for one in shards:
             last = joined[-1] if joined else None
@@ -466,7 +471,7 @@
                 last
                 and last.owner == one.owner
                 and self._is_granted(shard=one)
-                and (last.fence == fence - 1 and last not in shards or self._is_granted(shard=last))
+                and ((last.fence == fence - 1 and last not in shards) or self._is_granted(shard=last))
             ):
                 if last in shards:
                     fence += 1
--- a/sailward/control/key_loads.py
+++ b/sailward/control/key_loads.py
@@ -1,7 +1,11 @@
-"""How busy the keys of divided services are, and how quick their workers: counted by one cellar, told in few bytes, added up."""
+"""How busy the keys of divided services are, and how quick their workers.
+
+Counted by one cellar, told in few bytes, added up.
+"""
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections import deque
 from dataclasses import dataclass, field
@@ -13,7 +17,10 @@
 
 @dataclass(kw_only=True)
 class Counts:
-    """Requests by bucket, those of later moments weighted by e to the time since `base`, so that nothing has to be aged."""
+    """Requests by bucket.
+
+    Those of later moments are weighted by e to the time since `base`, so that nothing has to be aged.
+    """
 
     base: float
     since: float
@@ -21,7 +28,10 @@
 
 
 class KeyLoads:
-    """Owner of one cellar's counts. `step` folds the {bucket: requests} that a proxy reports; the rates are of those of late."""
+    """Owner of one cellar's counts.
+
+    `step` folds the {bucket: requests} that a proxy reports; the rates are of those of late.
+    """
 
     def __init__(self) -> None:
         self._counts: dict[str, Counts] = {}
@@ -57,7 +67,10 @@
 
 
 class WorkerPaces:
-    """Owner of the times that workers of one region took. A pace is the mean of the lower half: what queued is in the upper one."""
+    """Owner of the times that workers of one region took.
+
+    A pace is the mean of the lower half: what queued is in the upper one.
+    """
 
     def __init__(self) -> None:
         self._times: dict[str, deque] = {}
@@ -81,7 +94,10 @@
 
 
 def tell_rates(*, rates: dict) -> list:
-    """Rates in few numbers: the whole in tenths, the first bucket, and the buckets in which each further part of the load ends."""
+    """Rates in few numbers.
+
+    The whole in tenths, the first bucket, and the buckets in which each further part of the load ends.
+    """
     whole = sum(rates.values())
     if whole < 0.1:
         return []
@@ -101,7 +117,7 @@
     if not told:
         return rates
     part = told[0] / 10 / (len(told) - 2)
-    for first, last in zip(told[1:], told[2:]):
+    for first, last in itertools.pairwise(told):
         inside = range(first + 1, last + 1) if last > first else (last,)
         for bucket in inside:
             rates[bucket] = rates.get(bucket, 0.0) + part / len(inside)
--- a/sailward/control/listing.py
+++ b/sailward/control/listing.py
@@ -16,8 +16,8 @@
 class Listing:
     """Owner of the list as this cellar tells it. `step` takes a page, or None for time going on; `hear` another's list.
 
-    The one of the living cellars that hashing names reads the platform's list. It tells the others of each pass, with rows
-    only where they are new; who hears of none for LIST_SILENT, as after a cut, reads the list itself.
+    The one of the living cellars that hashing names reads the platform's list. It tells the others of each pass, with
+    rows only where they are new; who hears of none for LIST_SILENT, as after a cut, reads the list itself.
     """
 
     pager: Pager
--- a/sailward/control/repair.py
+++ b/sailward/control/repair.py
@@ -1,10 +1,10 @@
 """Replacing a voter that is lost for good: first the new one in, then the old one out, one at a time.
 
-A core that founded itself exchanges the two in one change where its size is odd. It is safe because a newcomer acts only when it
-has copied from a majority of the set before, each of which keeps the new set before it tells. That leaves the old set no majority
-that could choose more, and the newcomer with all that it chose. A majority of the new set without the newcomer is one of the old
-set too, as the sizes are alike. And as the lost one's place is taken at once, a newcomer that dies before it has copied can be
-exchanged in its turn.
+A core that founded itself exchanges the two in one change where its size is odd. It is safe because a newcomer acts
+only when it has copied from a majority of the set before, each of which keeps the new set before it tells. That leaves
+the old set no majority that could choose more, and the newcomer with all that it chose. A majority of the new set
+without the newcomer is one of the old set too, as the sizes are alike. And as the lost one's place is taken at once, a
+newcomer that dies before it has copied can be exchanged in its turn.
 """
 
 from __future__ import annotations
@@ -119,7 +119,10 @@
         return ""
 
     def _gone_brisk(self, *, now: float, members: dict, alive: dict) -> list[str]:
-        """Voters that are lost, back on an empty disk, that don't come to act, or have no disk; those whose disk is gone first."""
+        """Voters that are lost, back on an empty disk, that don't come to act, or have no disk.
+
+        Those whose disk is gone first.
+        """
         posts = {entry["post"]: name for name, entry in alive.items() if name}
         wiped = {name for name in members if name not in alive and posts.get(members[name], name) != name}
         lost = {name for name in members if name not in alive and now - self.seen[name] > self.replace_after}
@@ -128,7 +131,10 @@
         return [*sorted(wiped), *sorted((lost | stuck) - wiped), *sorted(bare)]
 
     def _best(self, *, now: float, waiting: list, rest: list, alive: dict) -> str:
-        """The waiting cellar that spreads the voters most over halls and regions; of equal ones that which is up for longest."""
+        """The waiting cellar that spreads the voters most over halls and regions.
+
+        Of equal ones that which is up for longest.
+        """
         halls = [alive[name]["hall"] for name in rest if name in alive]
         regions = [alive[name]["region"] for name in rest if name in alive]
         self.failed = {name: at for name, at in self.failed.items() if now - at < constants.FORGET}
--- a/sailward/control/shard_leases.py
+++ b/sailward/control/shard_leases.py
@@ -1,4 +1,7 @@
-"""A cellar's part in the keys of services that are divided by number: who acts, how fresh it is, and what it grants from."""
+"""A cellar's part in the keys of services that are divided by number.
+
+Who acts, how fresh it is, and what it grants from.
+"""
 
 from __future__ import annotations
 
--- a/sailward/control/shard_plan.py
+++ b/sailward/control/shard_plan.py
@@ -55,10 +55,13 @@
 
 
 def place(*, spans: list[Span], able: dict, loads: dict, is_balancing: bool) -> list[Span]:
-    """The wanted owners of all keys. `able` has the requests/s that each worker that may own can do, `loads` those by bucket.
+    """The wanted owners of all keys.
+
+    `able` has the requests/s that each worker that may own can do, `loads` those by bucket.
 
     Spans whose owner is able stay, but for what `is_balancing` moves: from those that are well over their part and not
-    calm, or slow for what others could do, to those that are well under it. All others are given to those that lack most.
+    calm, or slow for what others could do, to those that are well under it. All others are given to those that lack
+    most.
     """
     if not able:
         return _join(spans=[replace(span, owner="") for span in spans])
@@ -86,7 +89,10 @@
 
 
 def weigh(*, capacities: dict, paces: dict) -> dict:
-    """The requests/s that each worker can do. A pace from few times counts less, and none is far from the middle one."""
+    """The requests/s that each worker can do.
+
+    A pace from few times counts less, and none is far from the middle one.
+    """
     known = sorted(paces[key][0] for key in capacities if key in paces)
     middle = known[len(known) // 2] if known else constants.PACE_START * constants.PACE_OF_MEAN
     able = {}
@@ -141,7 +147,10 @@
 
 
 def _share(*, able: dict, total: float) -> dict:
-    """The part of the load that each worker should have: the less there is to do, the more of it goes to the quick ones."""
+    """The part of the load that each worker should have.
+
+    The less there is to do, the more of it goes to the quick ones.
+    """
     whole = sum(able.values())
     lean = 1 + constants.GRANT_LEAN * max(0.0, 1 - total / whole / constants.GRANT_FULL) if total else 1.0
     leaning = {name: weight**lean for name, weight in able.items()}
--- a/sailward/control/subscribers.py
+++ b/sailward/control/subscribers.py
@@ -32,8 +32,8 @@
 class Subscribers:
     """Owner of the pushes. `step` folds an asking or an acknowledgement, or pushes what is due.
 
-    With a `post` the lists of this cellar have numbers of its own: they are pushed only to those that name this post, or none, as
-    the teller of the list that they follow.
+    With a `post` the lists of this cellar have numbers of its own: they are pushed only to those that name this post,
+    or none, as the teller of the list that they follow.
     """
 
     members: dict = field(default_factory=dict)
@@ -49,7 +49,8 @@
             if now - member.seen > constants.SUBSCRIBER_LIFE:
                 del self.members[address]
         commands = []
-        # one that asks is pushed what it lacks, whoever leads it; when news come here, only those that this cellar leads
+        # one that asks is pushed what it lacks, whoever leads it; when news come here, only those that this cellar
+        # leads
         asker = event[0] if event is not None else ""
         for address, member in self.members.items():
             if not (self.post and event is not None and address != asker):
--- a/sailward/discovery/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -85,7 +85,10 @@
         return commands
 
     def _tell_mesh(self, *, now: float) -> list:
-        """A beat to every daemon known to live; the whole roster to the seeds now and then, and to all lost ones in turn."""
+        """A beat to every daemon known to live.
+
+        The whole roster to the seeds now and then, and to all lost ones in turn.
+        """
         alive = [known for known in self.known.values() if not known.lost]
         body = {
             "kind": "beat",
--- a/sailward/discovery/pages.py
+++ b/sailward/discovery/pages.py
@@ -61,8 +61,9 @@
 class Pager:
     """Owner of the passes. `step` gives (commands, WholeList or None).
 
-    With a `reader` lists have no numbers of the platform's: each WholeList has the next number of this pager, also if nothing changed.
-    `rate`: calls/s that the platform bears from all together, 0 if no bound is known; `pollers`: how many daemons poll now.
+    With a `reader` lists have no numbers of the platform's: each WholeList has the next number of this pager, also if
+    nothing changed. `rate`: calls/s that the platform bears from all together, 0 if no bound is known; `pollers`: how
+    many daemons poll now.
     """
 
     platform: str
--- a/sailward/discovery/workers.py
+++ b/sailward/discovery/workers.py
@@ -11,8 +11,8 @@
 class Worker:
     """One worker of one generation.
 
-    `is_life`: its name is of one start alone, and no generation is told. `capacity`: exchanges it works on at once, 0 if unknown.
-    `cold`: s that it stays cold, counted from the telling.
+    `is_life`: its name is of one start alone, and no generation is told. `capacity`: exchanges it works on at once, 0
+    if unknown. `cold`: s that it stays cold, counted from the telling.
     """
 
     name: str
@@ -46,8 +46,8 @@
     def replace(self, *, now: float, workers: list) -> tuple[set, set]:
         """Take a list of lives whose number can't be compared with that of the one before: (came, went).
 
-        Another teller's list may be a little older or newer. So leaving stays; what is gone stays so for GONE_LIFE, unless
-        it had come as lately; after that a list that has it is believed.
+        Another teller's list may be a little older or newer. So leaving stays; what is gone stays so for GONE_LIFE,
+        unless it had come as lately; after that a list that has it is believed.
         """
         before = set(self.workers)
         self.gone = {name: at for name, at in self.gone.items() if now - at < constants.GONE_LIFE}
--- a/sailward/events.py
+++ b/sailward/events.py
@@ -63,7 +63,8 @@
 class Called:
     """An HTTP call ended: `code` 0 with a `fault`, or the result whole.
 
-    `sent` says whether a byte of the exchange may have left, `reused` that it failed on a connection that had served before.
+    `sent` says whether a byte of the exchange may have left, `reused` that it failed on a connection that had served
+    before.
     """
 
     token: str
@@ -127,7 +128,8 @@
 class Call:
     """Make an HTTP call. `owner` names whose connection it is; `fresh` asks for one of its own.
 
-    It is not begun after `begin_by`. `dial` is how long its connection may take to come up, in s; 0 for the usual bound.
+    It is not begun after `begin_by`. `dial` is how long its connection may take to come up, in s; 0 for the usual
+    bound.
     """
 
     token: str
--- a/sailward/programs/cellar.py
+++ b/sailward/programs/cellar.py
@@ -19,7 +19,8 @@
   -h --help          Show this.
   --version          Show the version.
 
-Exit codes: 0 stopped; 2 bad flags or settings; 5 disk failed, damaged or of a newer version; 7 address or folder in use; 70 fault.
+Exit codes: 0 stopped; 2 bad flags or settings; 5 disk failed, damaged or of a newer version;
+7 address or folder in use; 70 fault.
 """
 
 from __future__ import annotations
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -25,7 +25,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Words:
-    """How the product's HTTP words are said here: `ask` turns what came into the product's, `answer` its answer back."""
+    """How the product's HTTP words are said here.
+
+    `ask` turns what came into the product's, `answer` its answer back.
+    """
 
     ask: Callable[[Asked], Asked] = lambda event: event
     answer: Callable[[Answer], Answer] = lambda command: command
@@ -33,7 +36,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Hosted:
-    """What an adapter says of this daemon. `listen` is {edge: address}; `data` the folder of the disk, if it has one; `options`
+    """What an adapter says of this daemon.
+
+    `listen` is {edge: address}; `data` the folder of the disk, if it has one; `options`
     are of the daemon's kind.
     """
 
--- a/sailward/programs/hosted_cellar.py
+++ b/sailward/programs/hosted_cellar.py
@@ -55,7 +55,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NoDisk:
-    """The place of the disk on a machine that has none: what is stored is lost with the process, and the core is told so."""
+    """The place of the disk on a machine that has none.
+
+    What is stored is lost with the process, and the core is told so.
+    """
 
     host: Host
 
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -1,4 +1,7 @@
-"""The whole of a proxy for routes by host: what the core tells, the evidence on workers, requests, the directory, stopping."""
+"""The whole of a proxy for routes by host.
+
+What the core tells, the evidence on workers, requests, the directory, stopping.
+"""
 
 from __future__ import annotations
 
@@ -199,7 +202,10 @@
         )
 
     def _take_paces(self) -> dict:
-        """{worker: [ms, ...]} for divided services: only of this region's workers, as others' times hold the way there."""
+        """Times in ms by worker, for divided services.
+
+        Only of this region's workers, as others' times hold the way there.
+        """
         workers = {key: self.evidence.shown[key].worker for key in self.evidence.shown}
         divided = {name for name, service in self.scene.plan.services.items() if service.ranged}
         return {
--- a/sailward/proxy/uplink.py
+++ b/sailward/proxy/uplink.py
@@ -24,7 +24,10 @@
 
 @dataclass(kw_only=True)
 class Uplink:
-    """Owner of the askings. `step` takes an answer's sender, or None for time going on; `lead` is whose lists are believed."""
+    """Owner of the askings.
+
+    `step` takes an answer's sender, or None for time going on; `lead` is whose lists are believed.
+    """
 
     hall: str
     region: str
@@ -61,7 +64,10 @@
         return commands
 
     def learn(self, *, cellars: list) -> None:
-        """Take the core as a cellar tells it: [[post, hall, region], ...]. Those it does not name go, unless they answer or are seeds."""
+        """Take the core as a cellar tells it: [[post, hall, region], ...].
+
+        Those it does not name go, unless they answer or are seeds.
+        """
         told = {post: (hall, region) for post, hall, region in cellars}
         for post, (hall, region) in told.items():
             known = self.known.setdefault(post, Known(post=post))
--- a/sailward/routing/claims.py
+++ b/sailward/routing/claims.py
@@ -207,7 +207,8 @@
         peeking.asked.discard(sender)
         if sender == peeking.owner:
             peeking.state = body["state"]
-        # the claim's own proxy knows; one that only lost its memory, or may not keep the result, leaves it to the others
+        # the claim's own proxy knows; one that only lost its memory, or may not keep the result, leaves it to the
+        # others
         if not body["code"] and peeking.asked and (sender != peeking.owner or body["state"] in ("unknown", "done")):
             return [], [], []
         del self.peeking[body["token"]]
--- a/sailward/routing/evidence.py
+++ b/sailward/routing/evidence.py
@@ -72,7 +72,7 @@
         self.shown = {key: shown for key, shown in self.shown.items() if key in workers}
         for key, worker in workers.items():
             shown = self.shown.setdefault(key, Shown(worker=worker, since=now))
-            if worker.cold > 0 and shown.worker.cold != worker.cold or (worker.cold > 0 and shown.since == now):
+            if (worker.cold > 0 and shown.worker.cold != worker.cold) or (worker.cold > 0 and shown.since == now):
                 shown.cold_until = max(shown.cold_until, now + worker.cold)
             if worker.leaving:
                 shown.leaving_since = min(shown.leaving_since, now)
@@ -87,7 +87,10 @@
                 shown.cold_until = max(shown.cold_until, now + service.cold + constants.COLD_MARGIN)
 
     def hint(self, *, now: float, down: list) -> None:
-        """Others call these workers unreachable: they are passed over for a while, unless one has just answered here."""
+        """Others call these workers unreachable.
+
+        They are passed over for a while, unless one has just answered here.
+        """
         for key in down:
             shown = self.shown.get(key)
             if shown is not None and now - shown.answered > constants.HINT_DOUBT:
@@ -119,7 +122,10 @@
         return self._move(now=now, key=key, shown=shown, event=event)
 
     def _note_pace(self, *, shown: Shown, took: float) -> None:
-        """The mean of its times, its calm mean, and how many requests it may be given from here at once: fewer while it queues."""
+        """The mean of its times, its calm mean, and how many requests it may be given from here at once.
+
+        Fewer while it queues.
+        """
         shown.pace = took if not shown.pace else shown.pace + constants.PACE_WEIGHT * (took - shown.pace)
         shown.calm = min(shown.pace, shown.calm * constants.CALM_DRIFT) if shown.calm else shown.pace
         if shown.pace > constants.PACE_QUEUED * shown.calm:
--- a/sailward/routing/exchange.py
+++ b/sailward/routing/exchange.py
@@ -235,4 +235,4 @@
 def _read_turn(*, text: str) -> int | None:
     if text == "":
         return 0
-    return int(text) if text.isascii() and text.isdigit() and 0 < int(text[:9]) and len(text) < 9 else None
+    return int(text) if text.isascii() and text.isdigit() and int(text[:9]) > 0 and len(text) < 9 else None
--- a/sailward/routing/exchanges.py
+++ b/sailward/routing/exchanges.py
@@ -233,17 +233,7 @@
         if isinstance(verdict, Good) and not self._try_better(exchange=exchange, verdict=verdict):
             return self._finish(exchange=exchange, verdict=verdict), []
         commands = [] if isinstance(verdict, Good) else self._mark_worker(now=now, exchange=exchange, verdict=verdict)
-        ran = exchange.unsafe and isinstance(verdict, Bad)
-        exchange.may_have_run = exchange.may_have_run or isinstance(verdict, (Bad, Good))
-        if exchange.slot >= 0 and isinstance(verdict, Bad):
-            # its worker may run on, though nobody hears of it
-            self.lingering[self._place(exchange=exchange)] = exchange.sent_at + exchange.service.expiry
-        if ran:
-            memory = self.claims.kept.memories.get(exchange.digest)
-            if memory is not None:
-                memory.state = "unknown"
-        elif isinstance(verdict, (Unsent, WorkerRefused)):
-            exchange.sent = exchange.may_have_run
+        ran = self._note_verdict(exchange=exchange, verdict=verdict)
         if exchange.answered:
             if exchange.unsafe and not ran:
                 self._unsend(exchange=exchange)
@@ -256,7 +246,22 @@
             return commands + self._finish(exchange=exchange, verdict=verdict), []
         code = 504 if getattr(verdict, "reason", "") == "timed-out" else 502
         refusal = Refusal(code=code if isinstance(verdict, Bad) else 503, reason="worker-failed", detail=verdict.reason)
-        return commands + [self._refuse(exchange=exchange, refusal=refusal)], []
+        return [*commands, self._refuse(exchange=exchange, refusal=refusal)], []
+
+    def _note_verdict(self, *, exchange: Exchange, verdict: object) -> bool:
+        """Keep what the verdict says of the exchange; True if it is unsafe and may have run without a whole answer."""
+        ran = exchange.unsafe and isinstance(verdict, Bad)
+        exchange.may_have_run = exchange.may_have_run or isinstance(verdict, (Bad, Good))
+        if exchange.slot >= 0 and isinstance(verdict, Bad):
+            # its worker may run on, though nobody hears of it
+            self.lingering[self._place(exchange=exchange)] = exchange.sent_at + exchange.service.expiry
+        if ran:
+            memory = self.claims.kept.memories.get(exchange.digest)
+            if memory is not None:
+                memory.state = "unknown"
+        elif isinstance(verdict, (Unsent, WorkerRefused)):
+            exchange.sent = exchange.may_have_run
+        return ran
 
     def _try_better(self, *, exchange: Exchange, verdict: Good) -> bool:
         return (
--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -88,7 +88,10 @@
         return self._give_up(now=now, request=request, refusal=choice)
 
     def _patience(self, *, request: Request, reason: str) -> float:
-        """s that a request may wait: for room a small part of what its answer may take, for a key on its way somewhat more."""
+        """Seconds that a request may wait.
+
+        For room a small part of what its answer may take, for a key on its way somewhat more.
+        """
         share = constants.KEY_SHARE if reason in ("key-moving", "key-unowned", "owner-lost") else constants.LINE_SHARE
         return min(constants.LINE_WAIT, share * (request.match.target or constants.LINE_WAIT))
 
@@ -138,7 +141,7 @@
         share = constants.ASK_AGAIN_SHARE if request.service.ranged else constants.HEDGE_SHARE
         return max(constants.HEDGE_LEAST, share * (request.match.target or constants.HEDGE_LEAST))
 
-    def _return(self, *, now: float, event: Called) -> list:
+    def _return(self, *, now: float, event: Called) -> list:  # noqa: C901 - one branch over the bound
         request = self.calls.pop(event.token, None)
         if request is None:
             return []
@@ -183,7 +186,10 @@
         return not (isinstance(verdict, TurnedAway) and verdict.why == "refused")
 
     def _note_overtaken(self, *, now: float, attempt: Attempt) -> None:
-        """Requests that were sent to this worker before the one that it answered: one that many overtake is likely lost there."""
+        """Requests that were sent to this worker before the one that it answered.
+
+        One that many overtake is likely lost there.
+        """
         shown = self.placer.scene.evidence.shown.get(attempt.worker)
         for token in self.by_worker.get(attempt.worker, ()):
             request = self.calls.get(token)
@@ -246,7 +252,10 @@
         return [self._refusal(token=request.token, refusal=Refusal(code=code, reason=refusal.reason)), log, *commands]
 
     def _end(self, *, request: Request) -> list:
-        """It has its answer: what is still under way for it is given up, unless it may not run twice and so goes on unheard."""
+        """It has its answer.
+
+        What is still under way for it is given up, unless it may not run twice and so goes on unheard.
+        """
         self.live.pop(request.token, None)
         self.waiting.pop(request.token, None)
         commands = []
--- a/sailward/routing/placing.py
+++ b/sailward/routing/placing.py
@@ -199,7 +199,10 @@
         return (self.open.get(shown.worker.key, 0) + 1) * (shown.pace or constants.PACE_START)
 
     def _has_room(self, *, shown: Shown) -> bool:
-        """May this proxy have one more open at the worker? Its even part of what all may, or the window that the worker's pace allows."""
+        """May this proxy have one more open at the worker?
+
+        Its even part of what all may, or the window that the worker's pace allows.
+        """
         whole = (shown.worker.capacity or constants.WORKER_CAPACITY) * constants.QUEUE_DEPTH
         part = -(-whole // max(1, self.scene.proxies))
         most = min(max(constants.WINDOW_LEAST, constants.WINDOW_PARTS * part), shown.window)
--- a/sailward/routing/reply.py
+++ b/sailward/routing/reply.py
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class TurnedAway:
-    """The worker says that it did not run it: `full`, `stranger` (not the worker that was meant), `not-owner`, `refused`."""
+    """The worker says that it did not run it.
+
+    `full`, `stranger` (not the worker that was meant), `not-owner`, `refused`.
+    """
 
     code: int
     why: str
--- a/sailward/routing/retry_budget.py
+++ b/sailward/routing/retry_budget.py
@@ -1,4 +1,7 @@
-"""The retry budget of a service, of which each proxy has its part: a share of first tries in a sliding window, and a small floor."""
+"""The retry budget of a service, of which each proxy has its part.
+
+A share of first tries in a sliding window, and a small floor.
+"""
 
 from __future__ import annotations
 
@@ -20,8 +23,8 @@
 class RetryBudget:
     """Owner of the counts. `step` counts one sending-on; a further one is allowed or not.
 
-    `ratio` and `slack` are the fleet's, over `window` seconds; this proxy has its own firsts times the ratio, and the slack
-    divided by the number of proxies.
+    `ratio` and `slack` are the fleet's, over `window` seconds; this proxy has its own firsts times the ratio, and the
+    slack divided by the number of proxies.
     """
 
     ratio: float = constants.TRY_SHARE
--- a/sailward/routing/shards.py
+++ b/sailward/routing/shards.py
@@ -14,7 +14,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Shard:
-    """The keys from `start` to `end`, both inside: their owner's key (empty if none), its fence, the state, the next owner."""
+    """The keys from `start` to `end`, both inside.
+
+    With their owner's key (empty if none), its fence, the state, the next owner.
+    """
 
     start: int
     end: int
--- a/sailward/runtime/adapter.py
+++ b/sailward/runtime/adapter.py
@@ -1,6 +1,7 @@
 """Loading the folder that translates for a platform: by its path, as its own name belongs to a module of the language.
 
-The folder has no `__init__.py`: with one, `python -m` at the root of the repository would find it in that module's place.
+The folder has no `__init__.py`: with one, `python -m` at the root of the repository would find it in that module's
+place.
 """
 
 from __future__ import annotations
@@ -15,7 +16,10 @@
 
 
 def load_adapter(*, folder: Path) -> ModuleType:
-    """The folder as a package, made once: its modules can be imported from then on. FileNotFoundError if there is none."""
+    """The folder as a package, made once: its modules can be imported from then on.
+
+    FileNotFoundError if there is none.
+    """
     known = sys.modules.get(PACKAGE)
     if known is not None:
         return known
--- a/sailward/runtime/host.py
+++ b/sailward/runtime/host.py
@@ -76,7 +76,7 @@
                     write_log(event=command.event, fields=command.fields)
                 else:
                     self.handlers[type(command)](command)
-        except Exception:
+        except Exception:  # noqa: BLE001 - any fault of the owner is logged, and ends the process
             write_log(
                 event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error"
             )
--- a/sailward/runtime/loop.py
+++ b/sailward/runtime/loop.py
@@ -67,7 +67,7 @@
                         write_log(event="stopped", fields={"code": command.code})
                         return command.code
                     self._carry_out(command=command)
-            except Exception:
+            except Exception:  # noqa: BLE001 - any fault of the owner is logged, and ends the process
                 write_log(
                     event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error"
                 )
@@ -124,7 +124,7 @@
     def _check(self, command: Check) -> None:
         try:
             verdict = check_config(config=command.config)
-        except Exception as fault:  # what can't be checked can't be accepted
+        except Exception as fault:  # noqa: BLE001 - what can't be checked can't be accepted
             write_log(event="check-fault", fields={"trace": traceback.format_exc()}, level="error")
             verdict = Unsound(faults=(Fault(path="", reason=f"can't be checked: {fault}"),))
         self.loop.tell(Checked(token=command.token, verdict=verdict))
@@ -136,7 +136,7 @@
     def guard() -> None:
         try:
             run()
-        except Exception:
+        except Exception:  # noqa: BLE001 - any fault of a thread is logged, and ends the process
             write_log(event="task-fault", fields={"task": name, "trace": traceback.format_exc()}, level="error")
             os._exit(constants.EXIT_FAULT)
 
--- a/sailward/runtime/reactor.py
+++ b/sailward/runtime/reactor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import heapq
 import itertools
 import selectors
@@ -76,10 +77,8 @@
     def give(self, *, call: Callable) -> None:
         """Call it on the reactor's thread; may be used from any thread."""
         self._given.append(call)
-        try:
+        with contextlib.suppress(BlockingIOError):
             self._wake_out.send(b"x")
-        except BlockingIOError:
-            pass
 
     def stop(self) -> None:
         """Let `run` return."""
--- a/sailward/transport/calls.py
+++ b/sailward/transport/calls.py
@@ -59,10 +59,8 @@
     def give(self, *, call: Call) -> None:
         """Put a call in line."""
         self._line.append(call)
-        try:
+        with contextlib.suppress(BlockingIOError):
             self._wake_out.send(b"x")
-        except BlockingIOError:
-            pass
 
     def run(self) -> None:
         """Make calls for ever."""
--- a/sailward/transport/courier.py
+++ b/sailward/transport/courier.py
@@ -119,7 +119,7 @@
     def _flush(self, *, to: str, peer: Peer) -> None:
         sock = peer.sock
         if sock is None:
-            return
+            return None
         try:
             if not peer.is_up:
                 fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -139,6 +139,7 @@
             readable=lambda: self._look(to=to, peer=peer, sock=sock),
             writable=(lambda: self._flush(to=to, peer=peer)) if peer.out else None,
         )
+        return None
 
     def _accept(self) -> None:
         while True:
@@ -199,7 +200,7 @@
         try:
             chunk = self.sock.recv(constants.COURIER_CHUNK)
         except BlockingIOError:
-            return
+            return None
         except OSError:
             chunk = b""
         if not chunk:
@@ -247,6 +248,6 @@
         body = {"kind": kind, **dict(zip(names, row[1 : len(names) + 1], strict=True))}
         if len(row) > len(names) + 1:
             body |= row[len(names) + 1]
-    except Exception as fault:  # the decoder raises many kinds on foreign bytes
+    except Exception as fault:  # noqa: BLE001 - the decoder raises many kinds on foreign bytes
         return BadMessage(reason=f"undecodable:{type(fault).__name__}")
     return check_message(body=body)
--- a/sailward/transport/front.py
+++ b/sailward/transport/front.py
@@ -65,7 +65,10 @@
         return not connection.is_gone
 
     def leave(self) -> None:
-        """Let each connection end behind the requests that were told; idle ones end now. New ones are still accepted."""
+        """Let each connection end behind the requests that were told; idle ones end now.
+
+        New ones are still accepted.
+        """
         self._is_leaving = True
         for connection in list(self._connections):
             told = [exchange for exchange in connection.exchanges if exchange is not connection.reading]
--- a/sailward/transport/outbound.py
+++ b/sailward/transport/outbound.py
@@ -1,4 +1,7 @@
-"""HTTP calls to workers and the platform, on a reactor: every connection belongs to one owner and bears one call at a time."""
+"""HTTP calls to workers and the platform, on a reactor.
+
+Every connection belongs to one owner and bears one call at a time.
+"""
 
 from __future__ import annotations
 
@@ -54,7 +57,9 @@
 
 
 class Outbound:
-    """Makes the calls on the reactor's thread. Tells one Called for each call that isn't cancelled, never from within `give`.
+    """Makes the calls on the reactor's thread.
+
+    Tells one Called for each call that isn't cancelled, never from within `give`.
 
     A request of which the system accepted a byte is never sent again by itself.
     """
@@ -95,7 +100,10 @@
                 running.connection.is_last = True
 
     def counts(self) -> dict:
-        """Connections opened, calls on kept ones, kept ones found dead, idle ones closed for surplus bytes; idle and busy now."""
+        """Connections opened, calls on kept ones, kept ones found dead, idle ones closed for surplus bytes.
+
+        Idle and busy now.
+        """
         return {
             "opened": self._opened,
             "reused": self._reused,
--- a/sailward/transport/web.py
+++ b/sailward/transport/web.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from concurrent.futures import TimeoutError as WaitedOut
+from http import HTTPStatus
 
 from werkzeug.exceptions import ClientDisconnected, HTTPException, RequestEntityTooLarge
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
@@ -79,7 +80,7 @@
     def _serve(self, request, client_address) -> None:
         try:
             self.finish_request(request, client_address)
-        except Exception:  # one connection's fault is not the server's
+        except Exception:  # noqa: BLE001 - one connection's fault is not the server's
             self.handle_error(request, client_address)
         finally:
             self.shutdown_request(request)
@@ -155,8 +156,6 @@
 
 
 def _phrase(*, code: int) -> str:
-    from http import HTTPStatus
-
     try:
         return HTTPStatus(code).phrase
     except ValueError:
--- a/sailward/transport/wire_names.py
+++ b/sailward/transport/wire_names.py
@@ -1,4 +1,7 @@
-"""Names of the headers that say things about an exchange: the product's own by default, a platform's if it hands in others."""
+"""Names of the headers that say things about an exchange.
+
+The product's own by default, a platform's if it hands in others.
+"""
 
 from __future__ import annotations
 
@@ -9,10 +12,10 @@
 class WireNames:
     """Header names, all in lower case.
 
-    exchange: the exchange's id, echoed by a worker's answer. within: ms left. expect: the identity that the worker must have.
-    told: the identity that a health answer tells. not_run: says with `not_run_value` ("" for any value) that the worker did
-    not run the exchange. cold: s that the worker is still cold. part: the key of a divided service. handover: a part's hand-over.
-    seal: a header that every whole answer of a worker has ("" for none).
+    exchange: the exchange's id, echoed by a worker's answer. within: ms left. expect: the identity that the worker must
+    have. told: the identity that a health answer tells. not_run: says with `not_run_value` ("" for any value) that the
+    worker did not run the exchange. cold: s that the worker is still cold. part: the key of a divided service.
+    handover: a part's hand-over. seal: a header that every whole answer of a worker has ("" for none).
     """
 
     exchange: str = "sailward-exchange"
--- a/simulation/deployments.py
+++ b/simulation/deployments.py
@@ -45,7 +45,8 @@
 
 def _workers(*, halls: dict, services: tuple, extra: int = 0) -> tuple:
     rows = [(f"{service}-{hall}-{i}", service, hall) for service in services for hall in halls for i in range(2)]
-    rows += [(f"{services[0]}-{list(halls)[0]}-{2 + i}", services[0], list(halls)[0]) for i in range(extra)]
+    first = next(iter(halls))
+    rows += [(f"{services[0]}-{first}-{2 + i}", services[0], first) for i in range(extra)]
     return tuple(rows)
 
 
--- a/simulation/hollow.py
+++ b/simulation/hollow.py
@@ -1,10 +1,12 @@
-"""Run a hollow fleet: the product's owners for many daemons in one process, on virtual time, over a network that counts.
+"""Run a hollow fleet.
+
+The product's owners for many daemons in one process, on virtual time, over a network that counts.
 
 Usage:
   hollow [options]
 
-Each LIST is one number or several, as in 100,300,1000. The first of each is the base; where there are several, that size is
-swept while the others stay at their base.
+Each LIST is one number or several, as in 100,300,1000. The first of each is the base; where there are several, that
+size is swept while the others stay at their base.
 
 Options:
   --daemons LIST    Proxies [default: 100].
@@ -23,7 +25,8 @@
   --seconds S       s of the quiet span [default: 10].
   --spread S        s over which the proxies start [default: 2].
   --parts LIST      Measure single owners at sizes up to the two-year one instead: all, or names of parts.
-  --real            Run the base size with real processes on loopback as well, and say by how much the hollow ones differ.
+  --real            Run the base size with real processes on loopback as well, and say by how much the hollow ones
+                    differ.
   --added           Measure what a proxy adds to a request instead, with the workers, services and routes given.
   --requests N      Requests of each kind for --added [default: 3000].
   --rate N          Requests/s that come at random for --added [default: 267].
@@ -132,8 +135,8 @@
         return None
     if size.workers > PAGE * constants.LIST_PAGES:
         return BadInput(
-            reason=f"{size.workers} workers make more than the {constants.LIST_PAGES} pages of {PAGE} that the product reads: "
-            f"{PAGE * constants.LIST_PAGES} fit"
+            reason=f"{size.workers} workers make more than the {constants.LIST_PAGES} pages of {PAGE} "
+            f"that the product reads: {PAGE * constants.LIST_PAGES} fit"
         )
     each = HELD["base"] + HELD["worker"] * size.workers + HELD["route"] * size.routes
     needed = size.daemons * (each + HELD["daemon"] * size.daemons)
@@ -142,8 +145,8 @@
         while fits > 1 and fits * (each + HELD["daemon"] * fits) > memory:
             fits = int(fits * 0.95)
         return BadInput(
-            reason=f"{size.daemons} daemons need about {needed / 1e9:.1f} GB, and half of the memory is {memory / 1e9:.1f} GB: "
-            f"about {fits} daemons fit"
+            reason=f"{size.daemons} daemons need about {needed / 1e9:.1f} GB, "
+            f"and half of the memory is {memory / 1e9:.1f} GB: about {fits} daemons fit"
         )
     return None
 
@@ -153,7 +156,7 @@
 
 
 def half_of_memory() -> float:
-    """bytes"""
+    """Half of the machine's memory in bytes."""
     return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / 2
 
 
@@ -168,7 +171,8 @@
         if is_bad or is_kept or not folder.is_dir() or not os.access(folder, os.W_OK):
             what = "file" if name == "--out" else "folder"
             return BadInput(
-                reason=f"{name} {flags[name]}: can't be written; give a {what} in a folder that exists and may be written"
+                reason=f"{name} {flags[name]}: can't be written; "
+                f"give a {what} in a folder that exists and may be written"
             )
     return None
 
@@ -298,7 +302,8 @@
             other = hollow[role][name] if name == "messages_out" else hollow[role][name][0]
             told[f"{role} {name}"] = {"real": row[name], "hollow": other, "real_by_hollow": round(row[name] / other, 3)}
             print(
-                f"  {role + ' ' + name:24} real {row[name]:.6g}  hollow {other:.6g}  real/hollow {row[name] / other:.3f}"
+                f"  {role + ' ' + name:24} real {row[name]:.6g}  hollow {other:.6g}"
+                f"  real/hollow {row[name] / other:.3f}"
             )
         told[f"{role} rss_bytes"] = {"real": row["rss_bytes"]}
         print(f"  {role + ' rss_bytes':24} real {row['rss_bytes']:.6g}")
--- a/simulation/hollow_fleet/added.py
+++ b/simulation/hollow_fleet/added.py
@@ -1,7 +1,11 @@
-"""What a proxy adds to a request: the real front, owner and client edge in a process of their own, before a stand-in worker."""
+"""What a proxy adds to a request.
+
+The real front, owner and client edge in a process of their own, before a stand-in worker.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import multiprocessing
 import random
 import re
@@ -28,7 +32,9 @@
 
 
 def measure_added(*, size: Size, count: int, callers: int, rate: float) -> dict:
-    """Percentiles in s of what is added: to one request after the other, and to requests that come at random, `rate` a second.
+    """Percentiles in s of what is added.
+
+    To one request after the other, and to requests that come at random, `rate` a second.
 
     Then the processor time a request with many callers at once.
     """
@@ -85,7 +91,10 @@
 
 
 def _pace(*, port: int, request: bytes, count: int, rate: float) -> tuple[list[float], float]:
-    """s of requests that come at random, whether the ones before are done or not, sorted; and the part not served."""
+    """Seconds of requests that come at random, sorted, and the part not served.
+
+    They come whether the ones before are done or not.
+    """
     rng, selector = random.Random(1), selectors.DefaultSelector()
     free, since, times, got, refused = [], {}, [], {}, 0
     begun = time.perf_counter()
@@ -204,10 +213,8 @@
                 held[sock] = b""
                 continue
             sock, data = key.fileobj, b""
-            try:
+            with contextlib.suppress(OSError):
                 data = sock.recv(65536)
-            except OSError:
-                pass
             if not data:
                 selector.unregister(sock)
                 sock.close()
--- a/simulation/hollow_fleet/deployment.py
+++ b/simulation/hollow_fleet/deployment.py
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Size:
-    """How large the deployment is. `divided`: services divided by number, among the others. `cellars`: machines that hold state."""
+    """How large the deployment is.
+
+    `divided`: services divided by number, among the others. `cellars`: machines that hold state.
+    """
 
     daemons: int = 100
     workers: int = 200
--- a/simulation/hollow_fleet/fit.py
+++ b/simulation/hollow_fleet/fit.py
@@ -9,7 +9,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Fit:
-    """value = base + slope x; `error` is the slope's standard error, `fit` the share of the variance that the line explains."""
+    """value = base + slope x.
+
+    `error` is the slope's standard error, `fit` the share of the variance that the line explains.
+    """
 
     base: float
     slope: float
--- a/simulation/hollow_fleet/fleet.py
+++ b/simulation/hollow_fleet/fleet.py
@@ -232,7 +232,7 @@
         }
 
     def _operate(self, *, method: str, document: dict, if_match: str) -> float | None:
-        """s until an operator's change was accepted, None if it was not."""
+        """Seconds until an operator's change was accepted, None if it was not."""
         begun, body = self.network.now, json.dumps(document, separators=(",", ":")).encode()
         for turn in range(5):
             token = f"desk {method} {self.version + 1} {turn} {begun}"
--- a/simulation/hollow_fleet/network.py
+++ b/simulation/hollow_fleet/network.py
@@ -1,4 +1,7 @@
-"""Virtual time and a network that counts: each message's bytes, and the processor time of each step, packing and unpacking."""
+"""Virtual time and a network that counts.
+
+Each message's bytes, and the processor time of each step, packing and unpacking.
+"""
 
 from __future__ import annotations
 
--- a/simulation/hollow_fleet/parts.py
+++ b/simulation/hollow_fleet/parts.py
@@ -47,7 +47,10 @@
 
 
 def measure_part(*, name: str, sizes: tuple, say: Callable[[str], None]) -> dict:
-    """All points of one part: {figure: [[size, value], ...]}, each the middle of REPEATS runs, with the least and greatest."""
+    """All points of one part.
+
+    {figure: [[size, value], ...]}, each the middle of REPEATS runs, with the least and greatest.
+    """
     measure = {
         "list": _list,
         "fleet": _fleet,
@@ -109,7 +112,10 @@
 
 
 def _push_figures(*, size: Size, name: str, texts: tuple[str, str]) -> tuple[dict, Proxy]:
-    """Sending, taking and holding one push of a register or list; the second of two is timed, as the first one is new."""
+    """Sending, taking and holding one push of a register or list.
+
+    The second of two is timed, as the first one is new.
+    """
     proxy = make_proxy(size=size)
     bodies = [push_of(name=name, number=at + 1, text=text) for at, text in enumerate(texts)]
     frames: list[bytes] = []
@@ -243,7 +249,7 @@
 
     one(0)
     took = _seconds(lambda: [one(at + 1) for at in range(count)])
-    counting = _seconds(lambda: proxy.scene.counts())
+    counting = _seconds(proxy.scene.counts)
     return {"request_s": took / count, "count_s": counting}
 
 
--- a/simulation/hollow_fleet/real.py
+++ b/simulation/hollow_fleet/real.py
@@ -48,13 +48,16 @@
 
 
 def measure_real(*, size: Size, seconds: float, say: Callable[[str], None]) -> dict:
-    """Figures a second of each role in a quiet span of a real fleet of this size; one thread serves the platform's list."""
+    """Figures a second of each role in a quiet span of a real fleet of this size.
+
+    One thread serves the platform's list.
+    """
     pages = list_pages(size=size)
 
     class List(http.server.BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
-        def do_GET(self) -> None:  # noqa: N802
+        def do_GET(self) -> None:
             token = self.path.rpartition("=")[2] if "=" in self.path else "0"
             body = pages[int(token) // len(json.loads(pages[0])["instances"])]
             self.send_response(200)
--- a/simulation/hosted/__init__.py
+++ b/simulation/hosted/__init__.py
@@ -1,1 +1,4 @@
-"""The users' platform in virtual time: the product's own owners between simulated clients, workers, list and operators."""
+"""The users' platform in virtual time.
+
+The product's own owners between simulated clients, workers, list and operators.
+"""
--- a/simulation/hosted/__main__.py
+++ b/simulation/hosted/__main__.py
@@ -13,76 +13,41 @@
 from __future__ import annotations
 
 import collections
-import sys
-import time
-import traceback
-from concurrent.futures import ProcessPoolExecutor
-from pathlib import Path
 
 from docopt import docopt
 
-from simulation.hosted.scenario import Outcome, read_scenario, run_scenario
+from simulation.hosted.scenario import read_scenario, run_scenario
+from simulation.hosted.world import World
+from simulation.scenarios import Sweep, show_logs
 
 
-def run_one(*, path: str, seed: int, without: str, logs: bool) -> tuple[bool, str]:
-    """Run one seed of one file: (is it sound, what to print)."""
-    scenario = read_scenario(text=Path(path).read_text("utf-8"))
-    began = time.perf_counter()
-    try:
-        outcome = run_scenario(scenario=scenario, seed=seed, without=without)
-    except Exception:  # a fault of the stand-ins is no sound run, and must not end the sweep
-        return False, f"{Path(path).stem} seed {seed}: fault\n{traceback.format_exc()}"
-    lines = [
-        f"{Path(path).stem} seed {seed}: {len(outcome.broken)} broken, {len(outcome.failed)} failed, "
-        f"{scenario.end / (time.perf_counter() - began):.1f} times real time"
-    ]
-    lines += [f"  broken {one.rule} at {one.t - outcome.world.begin:.2f}: {one.detail}" for one in outcome.broken[:8]]
-    lines += [f"  failed {one}" for one in outcome.failed]
-    lines += [f"  {name}: {figure}" for name, figure in outcome.figures.items()]
-    if logs:
-        lines += _show_logs(outcome=outcome)
-    return not outcome.broken and not outcome.failed, "\n".join(lines)
-
-
-def _show_logs(*, outcome: Outcome) -> list[str]:
-    world = outcome.world
+def _logs_of(world: World) -> list[str]:
     rows = [
-        (t, process.name, event, fields)
+        (moment, process.name, *rest)
         for machine in world.machines.values()
         for process in machine.processes.values()
-        for t, event, fields in process.logs
+        for moment, *rest in process.logs
     ]
     ends = collections.Counter((row["kind"], row["why"]) for row in world.history.of(k="end") if not row["good"])
     codes = collections.Counter((row["code"], row["reason"] or row["why"]) for row in world.history.of(k="got"))
-    lines = [
-        f"  {t - world.begin:8.3f} {name} {event} {fields}"
-        for t, name, event, fields in sorted(rows, key=lambda row: row[0])
+    return [
+        *show_logs(rows=rows, begin=world.begin),
+        f"  not served {dict(ends)}",
+        f"  answers {dict(codes)}",
+        f"  counts {dict(world.count)}",
     ]
-    return [*lines, f"  not served {dict(ends)}", f"  answers {dict(codes)}", f"  counts {dict(world.count)}"]
+
+
+def _begin_of(world: World) -> float:
+    return world.begin
+
+
+SWEEP = Sweep(read=read_scenario, run=run_scenario, begin_of=_begin_of, logs_of=_logs_of)
 
 
 def main() -> None:
     """Run all files with all their seeds."""
-    flags = docopt(__doc__)
-    jobs = []
-    for path in flags["FILE"]:
-        seeds = read_scenario(text=Path(path).read_text("utf-8")).seeds
-        if flags["--seeds"]:
-            low, _, high = flags["--seeds"].partition("-")
-            seeds = range(int(low), int(high or low) + 1)
-        jobs += [(path, seed) for seed in seeds]
-    bad = 0
-    with ProcessPoolExecutor(max_workers=int(flags["--jobs"])) as pool:
-        futures = [
-            pool.submit(run_one, path=path, seed=seed, without=flags["--without"] or "", logs=flags["--logs"])
-            for path, seed in jobs
-        ]
-        for future in futures:
-            sound, text = future.result()
-            bad += not sound
-            print(text, flush=True)
-    print(f"{len(jobs)} runs, {bad} not sound")
-    sys.exit(1 if bad else 0)
+    SWEEP.run_all(flags=docopt(__doc__))
 
 
 if __name__ == "__main__":
--- a/simulation/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -1,4 +1,7 @@
-"""Calls of daemons to workers and to the list, as the product's edge for them acts: kept and fresh connections, refusals, silence."""
+"""Calls of daemons to workers and to the list, as the product's edge for them acts.
+
+Kept and fresh connections, refusals, silence.
+"""
 
 from __future__ import annotations
 
--- a/simulation/hosted/chaos.py
+++ b/simulation/hosted/chaos.py
@@ -1,4 +1,7 @@
-"""Mixed troubles drawn by seed: every kind that the users name, at most as many losses at once as must be borne, and a closing fault."""
+"""Mixed troubles drawn by seed.
+
+Every kind that the users name, at most as many losses at once as must be borne, and a closing fault.
+"""
 
 from __future__ import annotations
 
@@ -93,7 +96,10 @@
         return f"{served.name}@{self._zone()}"
 
     def _takes_core(self, *, seconds: float) -> bool:
-        """Is the core whole, so that a machine of it may be lost for so long? It counts as lost until it has caught up."""
+        """Is the core whole, so that a machine of it may be lost for so long?
+
+        It counts as lost until it has caught up.
+        """
         now, bounds = self._world.clock.now, self._world.deployment.bounds
         if now < self._core_free:
             return False
--- a/simulation/hosted/deployment.py
+++ b/simulation/hosted/deployment.py
@@ -154,7 +154,8 @@
 ) -> dict:
     """A whole configuration in the platform's words.
 
-    `weights` is {route: {service: weight}} for those that are split; `added` routes of a host of their own come at the end.
+    `weights` is {route: {service: weight}} for those that are split; `added` routes of a host of their own come at the
+    end.
     """
     listeners: dict = {}
     for kind in deployment.kinds:
--- a/simulation/hosted/expect.py
+++ b/simulation/hosted/expect.py
@@ -1,4 +1,7 @@
-"""What a scenario expects beyond the rules: shares that are served, refusals in time, rows of the history, log lines."""
+"""What a scenario expects beyond the rules.
+
+Shares that are served, refusals in time, rows of the history, log lines.
+"""
 
 from __future__ import annotations
 
@@ -27,7 +30,7 @@
 
 
 def _judge_served(*, words: list[str], world: World) -> tuple[str, object]:
-    """served LEAST [KIND ...] from A to B: the share of requests begun then that were served before their deadline."""
+    """`served LEAST [KIND ...] from A to B`: the share of requests begun then that were served in time."""
     words, low, high = _window(words=words, world=world)
     rows = [
         row
@@ -44,7 +47,7 @@
 
 
 def _judge_aim(*, words: list[str], world: World) -> tuple[str, object]:
-    """aim LEAST [KIND ...] from A to B: the share that was served inside its aim."""
+    """`aim LEAST [KIND ...] from A to B`: the share that was served inside its aim."""
     words, low, high = _window(words=words, world=world)
     rows = [
         row
@@ -61,7 +64,10 @@
 
 
 def _judge_held(*, words: list[str], world: World) -> tuple[str, object]:
-    """held MOST [KIND ...] from A to B: requests that were promised not to have run, but late, and that no worker was offered."""
+    """`held MOST [KIND ...] from A to B`.
+
+    Requests that were promised not to have run, but late, and that no worker was offered.
+    """
     words, low, high = _window(words=words, world=world)
     reads = {row["id"]: row["t"] for row in world.history.of(k="read")}
     offered = {row["id"] for row in world.history.of(k="arrival")}
@@ -82,7 +88,7 @@
 
 
 def _judge_rows(*, words: list[str], world: World) -> tuple[str, object]:
-    """rows KIND LEAST MOST [FIELD=VALUE ...] from A to B: how many rows of the history there are."""
+    """`rows KIND LEAST MOST [FIELD=VALUE ...] from A to B`: how many rows of the history there are."""
     words, low, high = _window(words=words, world=world)
     fields = dict(word.split("=", 1) for word in words[3:])
     rows = [
@@ -95,7 +101,7 @@
 
 
 def _judge_says(*, words: list[str], world: World) -> tuple[str, object]:
-    """says EVENT LEAST MOST from A to B: how many daemons logged so."""
+    """`says EVENT LEAST MOST from A to B`: how many daemons logged so."""
     words, low, high = _window(words=words, world=world)
     told = [
         process.name
@@ -107,13 +113,13 @@
 
 
 def _judge_voters(*, words: list[str], world: World) -> tuple[str, object]:
-    """voters LEAST: how many cellars vote at the end, by their own word."""
+    """`voters LEAST`: how many cellars vote at the end, by their own word."""
     count = sum(one.owner is not None and one.owner.voting for one in world.cellars())
     return ("" if count >= int(words[0]) else f"voters: {count}"), count
 
 
 def _judge_count(*, words: list[str], world: World) -> tuple[str, object]:
-    """count WHAT MOST: calls to the list, probes, new connections, or messages of a kind."""
+    """`count WHAT MOST`: calls to the list, probes, new connections, or messages of a kind."""
     count = world.count[words[0]]
     return ("" if count <= float(words[1]) else f"count {words[0]}: {count}"), count
 
--- a/simulation/hosted/judge_places.py
+++ b/simulation/hosted/judge_places.py
@@ -14,7 +14,8 @@
 
 
 KNOWN = 1.3
-"""s beyond the list's lag after which who goes cold while it is up can be known to all: a pass over the list and its push."""
+"""s beyond the list's lag after which who goes cold while it is up can be known to all: a pass over the list and its
+push."""
 
 
 def judge_drain(*, world: World, arrivals: list, touch: Touch):
--- a/simulation/hosted/network.py
+++ b/simulation/hosted/network.py
@@ -36,7 +36,7 @@
     def parts(self, *, a: Spot, b: Spot) -> bool:
         """Do these two stand on its two sides?"""
         return a.name != b.name and bool(
-            a.names & self.left and b.names & self.right or a.names & self.right and b.names & self.left
+            (a.names & self.left and b.names & self.right) or (a.names & self.right and b.names & self.left)
         )
 
 
@@ -56,7 +56,7 @@
         return any(cut.end == float("inf") and cut.parts(a=a, b=b) for cut in self.cuts)
 
     def delay(self, *, a: Spot, b: Spot) -> float:
-        """s one way."""
+        """Seconds one way."""
         base = SAME if a.name == b.name else ZONE if a.zone == b.zone else REGION if a.region == b.region else ABROAD
         return self.slow * (base + CLIENT * (a.is_client or b.is_client)) * self.rng.uniform(0.95, 1.15)
 
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -109,7 +109,7 @@
     ),
     "cold-bound": _all(_patch(placing.Placer, "_bears", lambda old: lambda self, **fields: True)),
     "cold-news": _all(_patch(evidence.Evidence, "chill", lambda old: lambda self, **fields: None)),
-    "evacuation": _all(_patch(proxy, "read_orders", lambda old: lambda *, value: frozenset())),
+    "evacuation": _all(_patch(proxy, "read_orders", lambda old: frozenset)),
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
--- a/simulation/hosted/touch.py
+++ b/simulation/hosted/touch.py
@@ -9,7 +9,10 @@
 
 
 class Touch:
-    """Answers for any moment. Where the definition needs more than is written down, it says no: rules then bind less."""
+    """Answers for any moment.
+
+    Where the definition needs more than is written down, it says no: rules then bind less.
+    """
 
     def __init__(self, *, world: World) -> None:
         self._world = world
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -73,7 +73,10 @@
         world.clock.after(1.0, fresh.start)
 
     def do_cut(self, left: str, right: str, seconds: str) -> None:
-        """Nothing passes between two sides (names of machines, zones, regions or kinds, joined by +) for some seconds."""
+        """Nothing passes between two sides for some seconds.
+
+        A side is names of machines, zones, regions or kinds, joined by +.
+        """
         self._world.network.cut(left=frozenset(left.split("+")), right=frozenset(right.split("+")))
         self._world.clock.after(float(seconds), self._world.network.heal)
 
@@ -138,7 +141,10 @@
         self._chaos.deal(seconds=float(seconds))
 
     def do_closing(self) -> None:
-        """A closing fault at the very moment of an acknowledgement; all is back 6 s later, and is read back 24 s later."""
+        """A closing fault at the very moment of an acknowledgement.
+
+        All is back 6 s later, and is read back 24 s later.
+        """
         self._chaos.close()
 
 
@@ -249,14 +255,14 @@
             client.is_eager = at < float(share) * len(self._world.clients)
 
     def do_put(self, number: str, *words: str) -> None:
-        """put NUMBER [base=N] [at=MACHINE]: the whole configuration."""
+        """`put NUMBER [base=N] [at=MACHINE]`: the whole configuration."""
         given = _given(words=words)
         self._world.operator.put(
             number=int(number), base=int(given["base"]) if "base" in given else None, first=given.get("at", "")
         )
 
     def do_patch(self, number: str, route: str, *words: str) -> None:
-        """patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE]."""
+        """`patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE]`."""
         given = _given(words=words)
         first = given.pop("at", "")
         self._world.operator.patch(
--- a/simulation/hosted/workers.py
+++ b/simulation/hosted/workers.py
@@ -1,4 +1,7 @@
-"""Workers of the platform's kind: slots and a queue, keys by grants, cold and leaving, and every way of not answering."""
+"""Workers of the platform's kind.
+
+Slots and a queue, keys by grants, cold and leaving, and every way of not answering.
+"""
 
 from __future__ import annotations
 
--- a/simulation/hosted/world.py
+++ b/simulation/hosted/world.py
@@ -14,7 +14,7 @@
 from sailward.runtime.adapter import load_part
 from simulation.history import History
 from simulation.hosted.calls import Calls
-from simulation.hosted.clients import Client, exchange
+from simulation.hosted.clients import Client, Exchange
 from simulation.hosted.deployment import Deployment, Kind
 from simulation.hosted.listing import CRASHED_STAYS, Listing
 from simulation.hosted.network import Network, Spot
@@ -66,7 +66,9 @@
         names = frozenset({"operator"})
         self.operator = Operator(
             world=self,
-            spot=Spot(name="operator", zone="", region=list(deployment.zones.values())[0], names=names, is_client=True),
+            spot=Spot(
+                name="operator", zone="", region=next(iter(deployment.zones.values())), names=names, is_client=True
+            ),
         )
         self.clients = [
             Client(
@@ -208,7 +210,7 @@
 
     def exchange(self, **fields: object) -> Callable[[], None]:
         """One exchange of somebody outside with an edge of a daemon."""
-        return exchange(world=self, **fields)
+        return Exchange(world=self, **fields).begin()
 
     def directories(self) -> list[Process]:
         """The daemons that answer who asks where to go, as told to clients from outside."""
@@ -225,7 +227,10 @@
             act()
 
     def trouble(self, *, names: set, seconds: float = 0.0, core: bool = False, planned: bool = False) -> dict:
-        """Write down that machines are in trouble from now on, for so long; gives the row, whose `until` may be set later."""
+        """Write down that machines are in trouble from now on, for so long.
+
+        Gives the row, whose `until` may be set later.
+        """
         row = {
             "t": self.clock.now,
             "until": self.clock.now + seconds,
--- a/simulation/measure.py
+++ b/simulation/measure.py
@@ -96,7 +96,8 @@
                 f"{name} {seconds / rounds / count * 1000:.2f}" for name, seconds in sorted(used[kind].items())
             )
             print(
-                f"{kind}: median ms {min(values):.1f} to {max(values):.1f} (middle {statistics.median(values):.1f}); CPU ms each: {cpu}"
+                f"{kind}: median ms {min(values):.1f} to {max(values):.1f} "
+                f"(middle {statistics.median(values):.1f}); CPU ms each: {cpu}"
             )
     finally:
         fleet.end()
--- a/simulation/mind.py
+++ b/simulation/mind.py
@@ -52,17 +52,26 @@
             return Reply(code=503, headers={**own, "sailward-ran": "not-run"}, body=b"{}")
         troubled = self.mode != "well" and self.rng.random() < self.chance
         own["sailward-exchange"] = headers.get("sailward-exchange", "")
-        if troubled and self.mode == "refuse":
-            return Reply(code=503, headers={**own, "sailward-ran": "not-run"}, body=b"{}")
         if troubled and self.mode == "lose-unrun":
             return Reply(lost=True)
-        if "sailward-slot" in headers:
-            slot, term = headers["sailward-slot"], int(headers["sailward-term"])
-            if term < self.terms.get(slot, 0):
-                return Reply(code=503, headers={**own, "sailward-ran": "not-run"}, body=b"{}")
-            self.terms[slot] = term
+        if (troubled and self.mode == "refuse") or not self._takes_term(headers=headers):
+            return Reply(code=503, headers={**own, "sailward-ran": "not-run"}, body=b"{}")
         self.runs += 1
-        if troubled and self.mode == "lose":
+        return self._answer(method=method, headers=headers, own=own, mode=self.mode if troubled else "well")
+
+    def _takes_term(self, *, headers: dict) -> bool:
+        """Is the request of no slot, or of no older term than one that was seen before?"""
+        if "sailward-slot" not in headers:
+            return True
+        slot, term = headers["sailward-slot"], int(headers["sailward-term"])
+        if term < self.terms.get(slot, 0):
+            return False
+        self.terms[slot] = term
+        return True
+
+    def _answer(self, *, method: str, headers: dict, own: dict, mode: str) -> Reply:
+        """The answer to a request that was run; `own` are the headers that every answer has."""
+        if mode == "lose":
             return Reply(lost=True, ran=True)
         body = json.dumps(
             {
@@ -79,13 +88,13 @@
             "content-digest": f"sha-256=:{digest}:",
             "content-length": str(len(body)),
         }
-        if troubled and self.mode == "wrong-bytes":
+        if mode == "wrong-bytes":
             return Reply(headers=own, body=body[:-9] + b"#" + body[-8:], ran=True)
-        if troubled and self.mode == "cut":
+        if mode == "cut":
             return Reply(headers=own, body=body, cut=len(body) // 2, ran=True)
-        if troubled and self.mode == "other-exchange":
+        if mode == "other-exchange":
             return Reply(headers={**own, "sailward-exchange": "someone-else"}, body=body, ran=True)
-        if troubled and self.mode == "error":
+        if mode == "error":
             return Reply(code=500, headers=own, body=body, ran=True)
         return Reply(headers=own, body=body, ran=True)
 
--- a/simulation/real/fleet.py
+++ b/simulation/real/fleet.py
@@ -73,7 +73,7 @@
     def start_daemon(self, *, name: str) -> None:
         """Start one daemon with its settings file."""
         kind, hall = self.kinds[name], next(hall for _, one, hall in self.deployment.daemons if one == name)
-        seeds = [self.posts[one] for one in list(self.kinds)[:2] + [self.names_of(kind="sommelier")[0]]]
+        seeds = [self.posts[one] for one in [*list(self.kinds)[:2], self.names_of(kind="sommelier")[0]]]
         settings = {
             "name": name,
             "hall": hall,
--- a/simulation/real/worker.py
+++ b/simulation/real/worker.py
@@ -111,8 +111,9 @@
         rng=random.Random(flags["--name"]),
     )
     server.place = {"region": flags["--region"]}
-    server.rows = open(flags["--history"], "a", encoding="utf-8")
-    server.serve_forever(poll_interval=0.5)
+    with open(flags["--history"], "a", encoding="utf-8") as rows:
+        server.rows = rows
+        server.serve_forever(poll_interval=0.5)
 
 
 if __name__ == "__main__":
--- a/simulation/rules/exchanges.py
+++ b/simulation/rules/exchanges.py
@@ -77,26 +77,27 @@
         ended.add(name)
         since = begun.get(name, got["t"])
         excused = any(since - 8.0 <= t <= got["t"] for t in gone[got["proxy"]])
-        if excused:
-            continue
-        if got["held"]:
-            yield Broken(rule="held", t=got["t"], detail=f"{got['nonce']} at {got['proxy']} was never answered")
-        elif got["code"] == 0:
-            if got.get("taken", True):
-                yield Broken(
-                    rule="unanswered", t=got["t"], detail=f"{got['nonce']} at {got['proxy']}, which was not lost"
-                )
-        elif got["t"] - since > HELD:
-            yield Broken(
-                rule="held",
-                t=got["t"],
-                detail=f"{got['nonce']} at {got['proxy']} for {got['t'] - since:.2f} s: {got['code']} {got['reason']}",
-            )
+        if not excused:
+            yield from _judge_ending(got=got, since=since)
     for name, t in begun.items():
         if name not in ended and t < last - 9.0:
             yield Broken(rule="unanswered", t=t, detail=f"{name[0]} try {name[1]} at {name[2]}")
 
 
+def _judge_ending(*, got: dict, since: float):
+    if got["held"]:
+        yield Broken(rule="held", t=got["t"], detail=f"{got['nonce']} at {got['proxy']} was never answered")
+    elif got["code"] == 0:
+        if got.get("taken", True):
+            yield Broken(rule="unanswered", t=got["t"], detail=f"{got['nonce']} at {got['proxy']}, which was not lost")
+    elif got["t"] - since > HELD:
+        yield Broken(
+            rule="held",
+            t=got["t"],
+            detail=f"{got['nonce']} at {got['proxy']} for {got['t'] - since:.2f} s: {got['code']} {got['reason']}",
+        )
+
+
 def check_retries(*, history: History, runs: list, proxies: int):
     """Retries swell past a fifth of the traffic over any 10 s: what reaches workers of what had reached one before.
 
--- a/simulation/rules/service.py
+++ b/simulation/rules/service.py
@@ -89,7 +89,10 @@
 
 
 def _count(*, history: History, low: float, high: float) -> tuple[int, int, dict]:
-    """Good ones and all of the first tries sent in that time by tenants who have a place, and what became of the others."""
+    """Good ones and all of the first tries sent in that time by tenants who have a place.
+
+    And what became of the others.
+    """
     begun = {(row["nonce"], row["turn"]): row["t"] for row in history.of(k="sent") if row["turn"] == 1}
     barred = _barred(history=history, low=low, high=high)
     rows = [
@@ -144,5 +147,6 @@
                     yield Broken(
                         rule="unfair",
                         t=slot * 5.0,
-                        detail=f"{path}: {rival} {share:.2f} of {total} good, {other}, who floods, {their:.2f} of {load}",
+                        detail=f"{path}: {rival} {share:.2f} of {total} good, "
+                        f"{other}, who floods, {their:.2f} of {load}",
                     )
--- a/simulation/run_fleet.py
+++ b/simulation/run_fleet.py
@@ -8,7 +8,8 @@
   --rate N         Orders a second; by default the deployment's own.
   --seed N         Seed of the callers and of the faults [default: 1].
   --faults WORDS   Steps as SECOND:VERB:NAME with commas; verbs are kill, start, stop, freeze, thaw, replace,
-                   leave, empty, refill, mode, other (stop, start with the other checkout's code), this (back again). For mode, NAME is WORKER/MODE/CHANCE; all is every daemon.
+                   leave, empty, refill, mode, other (stop, start with the other checkout's code), this (back again).
+                   For mode, NAME is WORKER/MODE/CHANCE; all is every daemon.
   --other DIR      Another checkout of this project, whose code all daemons start with: a roll-out by `this`.
   --folder DIR     Where settings, data, logs and histories are kept; a new one by default.
 """
@@ -64,41 +65,73 @@
     """Bring one fault about."""
     if verb not in ("start", "thaw", "refill", "empty"):
         fleet.history.add(t=time.monotonic(), k="trouble", verb=verb, words=[name])
-    if name == "all":
-        for one in fleet.kinds:
-            do_step(fleet=fleet, verb=verb, name=one)
-    elif verb == "start":
-        fleet.start_daemon(name=name) if name in fleet.kinds else fleet.start_worker(name=name)
-    elif verb == "stop":
-        fleet.stop(name=name)
-    elif verb in ("kill", "freeze", "thaw"):
-        getattr(fleet, verb)(name=name)
-    elif verb in ("other", "this"):
-        if verb == "other" and not fleet.other:
-            raise ValueError("no --other checkout is given")
-        (fleet.on_other.add if verb == "other" else fleet.on_other.discard)(name)
-        fleet.stop(name=name)
+    if verb not in VERBS:
+        raise ValueError(f"no verb {verb!r}")
+    if name != "all":
+        VERBS[verb](fleet=fleet, verb=verb, name=name)
+        return
+    for one in fleet.kinds:
+        do_step(fleet=fleet, verb=verb, name=one)
+
+
+def _start(*, fleet: Fleet, verb: str, name: str) -> None:
+    if name in fleet.kinds:
         fleet.start_daemon(name=name)
-    elif verb == "replace":
-        fleet.replace_worker(name=name)
-    elif verb == "leave":
-        fleet.platform.set_worker(row={**fleet.workers[name], "leaving": True})
-    elif verb in ("empty", "refill"):
-        begun = time.monotonic()
-        if fleet.steward(verb, name).returncode == 0:
-            fleet.history.add(
-                t=time.monotonic(), k="emptied" if verb == "empty" else "refilled", hall=name, begun=begun
-            )
-    elif verb == "mode":
-        worker, mode, chance = name.split("/")
-        ask(
-            address=fleet.workers[worker]["address"],
-            method="POST",
-            path="/simulation/mode",
-            body=json.dumps({"mode": mode, "chance": float(chance)}).encode(),
-        )
     else:
-        raise ValueError(f"no verb {verb!r}")
+        fleet.start_worker(name=name)
+
+
+def _signal(*, fleet: Fleet, verb: str, name: str) -> None:
+    getattr(fleet, verb)(name=name)
+
+
+def _change_code(*, fleet: Fleet, verb: str, name: str) -> None:
+    if verb == "other" and not fleet.other:
+        raise ValueError("no --other checkout is given")
+    (fleet.on_other.add if verb == "other" else fleet.on_other.discard)(name)
+    fleet.stop(name=name)
+    fleet.start_daemon(name=name)
+
+
+def _replace(*, fleet: Fleet, verb: str, name: str) -> None:
+    fleet.replace_worker(name=name)
+
+
+def _leave(*, fleet: Fleet, verb: str, name: str) -> None:
+    fleet.platform.set_worker(row={**fleet.workers[name], "leaving": True})
+
+
+def _order(*, fleet: Fleet, verb: str, name: str) -> None:
+    begun = time.monotonic()
+    if fleet.steward(verb, name).returncode == 0:
+        fleet.history.add(t=time.monotonic(), k="emptied" if verb == "empty" else "refilled", hall=name, begun=begun)
+
+
+def _set_mode(*, fleet: Fleet, verb: str, name: str) -> None:
+    worker, mode, chance = name.split("/")
+    ask(
+        address=fleet.workers[worker]["address"],
+        method="POST",
+        path="/simulation/mode",
+        body=json.dumps({"mode": mode, "chance": float(chance)}).encode(),
+    )
+
+
+VERBS = {
+    "start": _start,
+    "stop": _signal,
+    "kill": _signal,
+    "freeze": _signal,
+    "thaw": _signal,
+    "other": _change_code,
+    "this": _change_code,
+    "replace": _replace,
+    "leave": _leave,
+    "empty": _order,
+    "refill": _order,
+    "mode": _set_mode,
+}
+"""What --faults may bring about, by its verb."""
 
 
 def report(*, fleet: Fleet) -> list:
@@ -114,7 +147,8 @@
     print(f"tries {len(got)}, good {good}, others {dict(kinds)}, runs {len(history.of(k='run'))}")
     if times:
         print(
-            f"took: median {times[len(times) // 2] * 1000:.1f} ms, 99 of 100 under {times[int(len(times) * 0.99)] * 1000:.1f} ms"
+            f"took: median {times[len(times) // 2] * 1000:.1f} ms, "
+            f"99 of 100 under {times[int(len(times) * 0.99)] * 1000:.1f} ms"
         )
     for one in broken[:10]:
         print(f"broken {one.rule}: {one.detail}")
--- /dev/null
+++ b/simulation/scenarios.py
@@ -0,0 +1,197 @@
+"""Scenario files: their form, how one is read, and sweeps over many seeds. What steps do is a simulator's own."""
+
+from __future__ import annotations
+
+import contextlib
+import sys
+import time
+import traceback
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from sailward import constants
+
+
+@dataclass(kw_only=True)
+class Scenario:
+    """One scenario as its file describes it; `steps` are (s from the begin, verb, words)."""
+
+    title: str = ""
+    rule: str = ""
+    fleet: str = ""
+    seeds: range = range(1, 4)
+    steps: list = field(default_factory=list)
+    expects: list = field(default_factory=list)
+    constants: dict = field(default_factory=dict)
+    fails: list = field(default_factory=list)
+    end: float = 30.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a run showed: broken rules, failed expectations, the figures of all expectations, the world at its end."""
+
+    broken: list
+    failed: list
+    figures: dict
+    world: Any
+
+
+@dataclass(frozen=True, kw_only=True)
+class Grammar:
+    """What a simulator's scenario files may say.
+
+    `fleet` and `seeds` are those of files that name none. What follows `comment` in a line is not read. `find_fault`
+    gives what is wrong with a verb and its words, or "". `safeguards` makes the patches that take a safeguard out.
+    """
+
+    fleet: str
+    seeds: range
+    comment: str
+    find_fault: Callable[..., str]
+    safeguards: dict[str, Callable]
+
+    def read(self, *, text: str) -> Scenario:
+        """The scenario in a text; a ValueError names the line and word that is wrong."""
+        scenario = Scenario(fleet=self.fleet, seeds=self.seeds)
+        readers = {
+            "title": self._read_text,
+            "rule": self._read_text,
+            "fleet": self._read_text,
+            "seeds": self._read_seeds,
+            "at": self._read_at,
+            "every": self._read_every,
+            "with": self._read_constant,
+            "end": self._read_end,
+            "expect": self._read_expectation,
+            "fails": self._read_safeguard,
+        }
+        for number, line in enumerate(text.splitlines(), start=1):
+            words = line.split(self.comment)[0].split()
+            if not words:
+                continue
+            if words[0] not in readers:
+                raise ValueError(f"line {number}: unknown word {words[0]!r}")
+            try:
+                readers[words[0]](scenario=scenario, words=words)
+            except ValueError as fault:
+                raise ValueError(f"line {number}: {fault}") from fault
+        return scenario
+
+    def _read_text(self, *, scenario: Scenario, words: list[str]) -> None:
+        setattr(scenario, words[0], " ".join(words[1:]))
+
+    def _read_seeds(self, *, scenario: Scenario, words: list[str]) -> None:
+        scenario.seeds = read_range(text=words[1])
+
+    def _read_at(self, *, scenario: Scenario, words: list[str]) -> None:
+        """`at SECOND VERB ...`: a step."""
+        self._add(scenario=scenario, times=[float(words[1])], verb=words[2], words=words[3:])
+
+    def _read_every(self, *, scenario: Scenario, words: list[str]) -> None:
+        """`every SECONDS from BEGIN to END VERB ...`: a step again and again."""
+        step, begin, end = float(words[1]), float(words[3]), float(words[5])
+        times = [begin + step * count for count in range(round((end - begin) / step))]
+        self._add(scenario=scenario, times=times, verb=words[6], words=words[7:])
+
+    def _add(self, *, scenario: Scenario, times: list[float], verb: str, words: list[str]) -> None:
+        fault = self.find_fault(verb=verb, words=words)
+        if fault:
+            raise ValueError(fault)
+        scenario.steps += [(when, verb, words) for when in times]
+
+    def _read_constant(self, *, scenario: Scenario, words: list[str]) -> None:
+        """`with CONSTANT VALUE`: another value for this run, as of a life too long to simulate."""
+        if not hasattr(constants, words[1]):
+            raise ValueError(f"no constant {words[1]!r}")
+        scenario.constants[words[1]] = float(words[2])
+
+    def _read_end(self, *, scenario: Scenario, words: list[str]) -> None:
+        scenario.end = float(words[1])
+
+    def _read_expectation(self, *, scenario: Scenario, words: list[str]) -> None:
+        scenario.expects.append(words[1:])
+
+    def _read_safeguard(self, *, scenario: Scenario, words: list[str]) -> None:
+        """`fails without SAFEGUARD by RULE`."""
+        if words[2] not in self.safeguards:
+            raise ValueError(f"no safeguard {words[2]!r}")
+        scenario.fails.append((words[2], words[4]))
+
+    def run(self, *, scenario: Scenario, seed: int, without: str, play: Callable[..., Outcome]) -> Outcome:
+        """Play the scenario with this seed under its constants; `without` takes a safeguard out first."""
+        with contextlib.ExitStack() as stack:
+            for name, value in scenario.constants.items():
+                stack.enter_context(mock.patch.object(constants, name, value))
+            for patch in self.safeguards[without]() if without else ():
+                stack.enter_context(patch)
+            return play(scenario=scenario, seed=seed)
+
+
+def read_range(*, text: str) -> range:
+    """The numbers that `FIRST-LAST` or a single number names."""
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Sweep:
+    """Runs of scenario files with many seeds, several at once.
+
+    `begin_of` gives the moment of a world's clock from which seconds are counted, `logs_of` the lines of its logs.
+    """
+
+    read: Callable[..., Scenario]
+    run: Callable[..., Outcome]
+    begin_of: Callable[[Any], float]
+    logs_of: Callable[[Any], list[str]]
+
+    def run_one(self, *, path: str, seed: int, without: str, logs: bool) -> tuple[bool, str]:
+        """Run one seed of one file: (is it sound, what to print)."""
+        scenario = self.read(text=Path(path).read_text("utf-8"))
+        name = f"{Path(path).stem} seed {seed}"
+        began = time.perf_counter()
+        try:
+            outcome = self.run(scenario=scenario, seed=seed, without=without)
+        except Exception:  # noqa: BLE001 - a fault of the stand-ins is no sound run, and must not end the sweep
+            return False, f"{name}: fault\n{traceback.format_exc()}"
+        pace = scenario.end / (time.perf_counter() - began)
+        begin = self.begin_of(outcome.world)
+        lines = [
+            f"{name}: {len(outcome.broken)} broken, {len(outcome.failed)} failed, {pace:.1f} times real time",
+            *(f"  broken {one.rule} at {one.t - begin:.2f}: {one.detail}" for one in outcome.broken[:8]),
+            *(f"  failed {fault}" for fault in outcome.failed),
+            *(f"  {words}: {figure}" for words, figure in outcome.figures.items()),
+            *(self.logs_of(outcome.world) if logs else ()),
+        ]
+        return not outcome.broken and not outcome.failed, "\n".join(lines)
+
+    def run_all(self, *, flags: dict) -> None:
+        """Run all files with all their seeds, print what they showed, and end the process: 1 if a run was not sound."""
+        jobs = []
+        for path in flags["FILE"]:
+            seeds = self.read(text=Path(path).read_text("utf-8")).seeds
+            seeds = read_range(text=flags["--seeds"]) if flags["--seeds"] else seeds
+            jobs += [(path, seed) for seed in seeds]
+        unsound = 0
+        with ProcessPoolExecutor(max_workers=int(flags["--jobs"])) as pool:
+            futures = [
+                pool.submit(self.run_one, path=path, seed=seed, without=flags["--without"] or "", logs=flags["--logs"])
+                for path, seed in jobs
+            ]
+            for future in futures:
+                is_sound, text = future.result()
+                unsound += not is_sound
+                print(text, flush=True)
+        print(f"{len(jobs)} runs, {unsound} not sound")
+        sys.exit(1 if unsound else 0)
+
+
+def show_logs(*, rows: list, begin: float) -> list[str]:
+    """Lines of logs in their order; `rows` are (moment, name of the process, event, fields)."""
+    ordered = sorted(rows, key=lambda row: row[0])
+    return [f"  {moment - begin:8.3f} {name} {event} {fields}" for moment, name, event, fields in ordered]
--- a/simulation/sim/callers.py
+++ b/simulation/sim/callers.py
@@ -129,18 +129,23 @@
                 return known
         return known
 
+    def _choose(self, *, order: Order) -> str:
+        """The address of the proxy that the order goes to next, "" if none is known."""
+        known = self._proxies(region=order.kind.region)
+        if not known:
+            return ""
+        proxy = self._rng.choice(known[:3]) if order.turn == 0 else self._rng.choice(known)
+        if self._world.by_http[proxy].owner is not None:
+            return proxy
+        # nobody listens there: the next address on the list, at once
+        return next((address for address in known if self._world.by_http[address].owner is not None), proxy)
+
     def _send(self, *, order: Order, proxy: str, most: int) -> None:
         world = self._world
+        proxy = proxy or self._choose(order=order)
         if not proxy:
-            known = self._proxies(region=order.kind.region)
-            if not known:
-                self._again(order=order, most=most - 1, wait=1.0)
-                return
-            proxy = self._rng.choice(known[:3]) if order.turn == 0 else self._rng.choice(known)
-            if world.by_http[proxy].owner is None:
-                # nobody listens there: the next address on the list, at once
-                up = [one for one in known if world.by_http[one].owner is not None]
-                proxy = up[0] if up else proxy
+            self._again(order=order, most=most - 1, wait=1.0)
+            return
         order.turn += 1
         node = world.by_http.get(proxy)
         token = f"x {order.nonce} {order.turn} {next(self._count)}"
--- a/simulation/sim/expect.py
+++ b/simulation/sim/expect.py
@@ -44,7 +44,7 @@
 
 
 def _judge_share(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """share PLACE LOW HIGH [field=value ...] from A to B: the part of the runs in a region, hall or worker."""
+    """`share PLACE LOW HIGH [field=value ...] from A to B`: the part of the runs in a region, hall or worker."""
     words, low, high = _window(words=words, begin=begin)
     place, least, most = words[0], float(words[1]), float(words[2])
     runs = _picked(rows=world.history.of(k="run"), low=low, high=high)
@@ -59,7 +59,7 @@
 
 
 def _judge_split(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """split SERVICE from A to B: shows the part of each hall; judges nothing by itself."""
+    """`split SERVICE from A to B`: shows the part of each hall; judges nothing by itself."""
     words, low, high = _window(words=words, begin=begin)
     runs = [run for run in _picked(rows=world.history.of(k="run"), low=low, high=high) if run["service"] == words[0]]
     halls = {
@@ -69,7 +69,7 @@
 
 
 def _judge_good(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """good LEAST [field=value ...] from A to B: the part of tries with a good result."""
+    """`good LEAST [field=value ...] from A to B`: the part of tries with a good result."""
     words, low, high = _window(words=words, begin=begin)
     rows = _picked(rows=world.history.of(k="got"), low=low, high=high)
     for name, value in _pairs(words=words).items():
@@ -87,7 +87,7 @@
 
 
 def _judge_rows(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """rows KIND LEAST MOST [field=value ...] from A to B: how many rows of the history."""
+    """`rows KIND LEAST MOST [field=value ...] from A to B`: how many rows of the history."""
     words, low, high = _window(words=words, begin=begin)
     rows = _picked(rows=world.history.of(k=words[0]), low=low, high=high)
     for name, value in _pairs(words=words).items():
@@ -101,12 +101,15 @@
 
 
 def _judge_runs(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """runs LEAST MOST [field=value ...] from A to B."""
+    """`runs LEAST MOST [field=value ...] from A to B`."""
     return _judge_rows(words=["run", *words], world=world, begin=begin)
 
 
 def _judge_unresolved(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """unresolved MOST from A to B: the part of orders whose caller lost the answer and never learned what became of them."""
+    """`unresolved MOST from A to B`.
+
+    The part of orders whose caller lost the answer and never learned what became of them.
+    """
     words, low, high = _window(words=words, begin=begin)
     orders: dict = {}
     for row in world.history.of(k="got"):
@@ -123,7 +126,10 @@
 
 
 def _judge_kinds(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """kinds LEAST: how many kinds of trouble did happen, and were followed by an answer within 3 s; `all` for every one."""
+    """`kinds LEAST`.
+
+    How many kinds of trouble did happen, and were followed by an answer within 3 s; `all` for every one.
+    """
     rows = world.history.of(k="chaos")
     times = [row["t"] for row in world.history.of(k="got")]
     seen = {row["kind"] for row in rows if any(row["t"] <= t <= row["t"] + 3.0 for t in times)}
@@ -132,7 +138,7 @@
 
 
 def _judge_says(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """says EVENT LEAST MOST from A to B: how many daemons told their operators so in their logs."""
+    """`says EVENT LEAST MOST from A to B`: how many daemons told their operators so in their logs."""
     words, low, high = _window(words=words, begin=begin)
     told = [
         node.place.name
@@ -143,7 +149,7 @@
 
 
 def _judge_moving(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """moving MEDIAN_MOST from A to B: s from a key's first refusal as moving to its last before a good result."""
+    """`moving MEDIAN_MOST from A to B`: s from a key's first refusal as moving to its last before a good result."""
     words, low, high = _window(words=words, begin=begin)
     began: dict = {}
     spans = []
@@ -166,5 +172,5 @@
 
 
 def _judge_answers(*, words: list[str], world: World, begin: float) -> tuple[str, object]:
-    """answers LEAST MOST [field=value ...] from A to B."""
+    """`answers LEAST MOST [field=value ...] from A to B`."""
     return _judge_rows(words=["got", *words], world=world, begin=begin)
--- a/simulation/sim/node.py
+++ b/simulation/sim/node.py
@@ -140,7 +140,7 @@
         life = self.life
         try:
             commands = self.owner.step(now=self.now(), event=event)
-        except Exception as fault:  # a real process would end with code 70
+        except Exception as fault:  # noqa: BLE001 - a real process would end with code 70
             self.world.history.add(
                 t=self.world.clock.now,
                 k="crash",
@@ -227,7 +227,7 @@
             )
         for delay in delays:
             life = to.life
-            self.world.clock.after(delay, lambda: to.give(event=event) if to.life == life else None)
+            self.world.clock.after(delay, lambda life=life: to.give(event=event) if to.life == life else None)
 
     def _call(self, *, command: Call) -> None:
         life = self.life
--- a/simulation/sim/verbs/callers.py
+++ b/simulation/sim/verbs/callers.py
@@ -19,13 +19,16 @@
         self._made: dict[str, float] = {}
 
     def do_load(self, rate: str) -> None:
+        """Callers send so many requests a second from now on."""
         self.callers.set_rate(rate=float(rate))
 
     def do_flood(self, tenant: str, path: str, rate: str, hot: str = "") -> None:
+        """One kind of caller sends so many requests a second, a part of them with one key."""
         kind = next(one for one in self._world.deployment.callers if (one.tenant, one.path) == (tenant, path))
         self.callers.flood(kind=kind, hot=hot, rate=float(rate))
 
     def do_flood_key(self, tenant: str, path: str, hot: str, rate: str) -> None:
+        """A flood, of which this part has one key."""
         self.do_flood(tenant, path, rate, hot)
 
     def do_lose_answers(self, share: str) -> None:
@@ -43,6 +46,7 @@
         )
 
     def do_storm(self, share: str) -> None:
+        """Callers whose try failed send it again at once, this part of them."""
         self.callers.storm = float(share)
 
     def do_order(self, tenant: str, path: str, key: str, proxy: str, turn: str = "0") -> None:
--- a/simulation/sim/verbs/daemons.py
+++ b/simulation/sim/verbs/daemons.py
@@ -23,26 +23,32 @@
         return nodes
 
     def do_start(self, *names: str) -> None:
+        """Start the processes."""
         for node in self._nodes(names):
             node.start()
 
     def do_kill(self, *names: str) -> None:
+        """Kill the processes; their disks keep what was synced or written."""
         for node in self._nodes(names):
             node.kill()
 
     def do_power_off(self, *names: str) -> None:
+        """Cut the power: what was not synced may be lost or torn."""
         for node in self._nodes(names):
             node.lose_power()
 
     def do_freeze(self, *names: str) -> None:
+        """Stop the processes without ending them."""
         for node in self._nodes(names):
             node.freeze()
 
     def do_thaw(self, *names: str) -> None:
+        """Let frozen processes go on."""
         for node in self._nodes(names):
             node.thaw()
 
     def do_stop(self, *names: str) -> None:
+        """Ask the processes to stop, as a planned stop does."""
         world = self._world
         for node in self._nodes(names):
             world.history.add(t=world.clock.now, k="planned-stop", daemon=node.place.name)
@@ -56,20 +62,24 @@
             self._world.clock.after(0.01, lambda: self._watch_stop(node=node))
 
     def do_wipe(self, *names: str) -> None:
+        """Empty the disks."""
         for node in self._nodes(names):
             node.lose_power()
             node.disk.wipe()
 
     def do_damage(self, *names: str) -> None:
+        """Damage what is on the disks."""
         for node in self._nodes(names):
             node.kill()
             node.disk.damage()
 
     def do_fill_disk(self, *names: str) -> None:
+        """Fill the disks: nothing more can be written."""
         for node in self._nodes(names):
             node.disk.is_full = True
 
     def do_free_disk(self, *names: str) -> None:
+        """Give full disks room again."""
         for node in self._nodes(names):
             node.disk.is_full = False
 
@@ -84,25 +94,29 @@
             node.skew += float(seconds)
 
     def do_slow_disk(self, factor: str, *names: str) -> None:
+        """Slow the disks down by a factor."""
         for node in self._nodes(names):
             node.disk.slow = float(factor)
 
     def do_fail_sync(self, *names: str) -> None:
+        """Let each sync of the disks fail."""
         for node in self._nodes(names):
             node.disk.sync_fails = True
 
     def do_mend_sync(self, *names: str) -> None:
+        """Let syncs succeed again."""
         for node in self._nodes(names):
             node.disk.sync_fails = False
 
     def do_cut(self, *words: str) -> None:
-        """cut A B / C D: no message between the two sides."""
+        """`cut A B / C D`: no message between the two sides."""
         at = words.index("/")
         cut = (frozenset(words[:at]), frozenset(words[at + 1 :]))
         self._world.network.cuts.append(cut)
         self._cut_at = self._cut_at or self._world.clock.now
 
     def do_heal(self) -> None:
+        """End all cuts of the network."""
         world = self._world
         for machine in world.machines.values():
             cut = [
@@ -119,7 +133,9 @@
         self._cut_at = 0.0
 
     def do_lossy(self, loss: str, double: str = "0") -> None:
+        """Lose and double this part of the messages."""
         self._world.network.loss, self._world.network.double = float(loss), float(double)
 
     def do_slow(self, factor: str) -> None:
+        """Slow all messages down by a factor."""
         self._world.network.slow = float(factor)
--- a/simulation/sim/verbs/operators.py
+++ b/simulation/sim/verbs/operators.py
@@ -37,7 +37,7 @@
             world.clock.after(world.rng.uniform(0.0, 0.5), node.start)
         cellars = [node.place.name for node in world.nodes.values() if node.place.kind == "cellar"]
         world.clock.after(1.5, lambda: self.operators.found(cellars=cellars))
-        world.clock.after(2.5, lambda: self.do_put())
+        world.clock.after(2.5, self.do_put)
         world.clock.after(8.0, lambda: self.step(verb="load", words=[rate]))
         self._note_config()
         self.operators.note_bounds(config=self.operators.config, begun=world.clock.now)
@@ -48,6 +48,7 @@
         world.history.add(t=world.clock.now, k="homes", homes=homes)
 
     def do_put(self, cellar: str = "", if_match: str = "") -> None:
+        """Send the whole configuration."""
         self.operators.put(config=copy.deepcopy(self.operators.config), cellar=cellar, if_match=if_match)
 
     def do_split(self, service: str, first: str, second: str, cellar: str = "", if_match: str = "") -> None:
@@ -84,7 +85,7 @@
         self.operators.put(config=patch, cellar=cellar, if_match=if_match, is_patch=True)
 
     def do_put_stamped(self, *halls: str) -> None:
-        """Send the configuration with one tenant's route stamped out of a template, with these halls as its parameter."""
+        """Send the configuration with one tenant's route made from a template, with these halls as its parameter."""
         config = copy.deepcopy(self.operators.config)
         shape = {
             "pools": {"${stamp}": {"service": "notes", "preferred": "${halls}"}},
@@ -110,6 +111,7 @@
         self.operators.put(config=config, cellar=cellar)
 
     def do_put_invalid(self, kind: str, cellar: str = "") -> None:
+        """Send a configuration that is wrong in the way named."""
         config: object = copy.deepcopy(self.operators.config)
         if kind == "weights":
             for share in config["matches"][0]["pools"]:
@@ -123,16 +125,19 @@
         self.operators.put(config=config, cellar=cellar, invalid=True)
 
     def do_read_back(self, cellar: str = "") -> None:
+        """Read the configuration."""
         self.operators.read_back(cellar=cellar)
 
     def do_empty(self, hall: str, confirm: str = "") -> None:
+        """Order a hall to be emptied."""
         self.operators.order(hall=hall, empty=True, confirm=confirm == "confirm")
 
     def do_refill(self, hall: str) -> None:
+        """Order a hall to be filled again."""
         self.operators.order(hall=hall, empty=False)
 
     def do_found_anew(self, *words: str) -> None:
-        """found-anew CELLAR SURVIVOR ... [confirm]: the order is given to that cellar."""
+        """`found-anew CELLAR SURVIVOR ... [confirm]`: the order is given to that cellar."""
         cellar, *names = [word for word in words if word != "confirm"]
 
         def then(answer) -> None:
@@ -158,9 +163,11 @@
         )
 
     def do_part(self, name: str) -> None:
+        """Take a voter out of the core."""
         self._change_voters(name=name, verb="part")
 
     def do_join(self, name: str) -> None:
+        """Take a voter into the core."""
         self._change_voters(name=name, verb="join")
 
     def _change_voters(self, *, name: str, verb: str) -> None:
--- a/simulation/sim/verbs/workers.py
+++ b/simulation/sim/verbs/workers.py
@@ -15,6 +15,7 @@
         self._world = world
 
     def do_service_time(self, low: str, high: str) -> None:
+        """Workers take from `low` to `high` seconds for a request."""
         self._world.service_time = (float(low), float(high))
 
     def _machines(self, names: tuple) -> list:
@@ -37,6 +38,7 @@
                 row["until"] = min(row["until"], now)
 
     def do_worker_down(self, *names: str) -> None:
+        """The workers' processes die."""
         for machine in self._machines(names):
             machine.up = False
             self._end_runs(key=machine.mind.key)
@@ -54,10 +56,12 @@
             self._note(machine=machine, k="worker-started")
 
     def do_worker_freeze(self, *names: str) -> None:
+        """Stop the workers' processes without ending them."""
         for machine in self._machines(names):
             machine.frozen, machine.frozen_at = True, self._world.clock.now
 
     def do_worker_thaw(self, *names: str) -> None:
+        """Let frozen workers go on."""
         for machine in self._machines(names):
             if machine.frozen:
                 self._world.history.add(
@@ -72,6 +76,7 @@
                 act()
 
     def do_worker_mode(self, mode: str, chance: str, *names: str) -> None:
+        """Workers answer in this mode with this chance."""
         for machine in self._machines(names):
             machine.mind.mode, machine.mind.chance = mode, float(chance)
 
@@ -102,6 +107,7 @@
         self._world.is_careless = True
 
     def do_worker_leave(self, *names: str) -> None:
+        """The list says that the workers are leaving."""
         for name in {machine.mind.name for machine in self._machines(names)} & self._world.platform.names():
             self._world.platform.mark_leaving(name=name)
 
@@ -111,10 +117,12 @@
             self._world.platform.unlist(name=name)
 
     def do_worker_gone_if(self, name: str) -> None:
+        """Off the list, if it is still on it."""
         if name in self._world.platform.names():
             self.do_worker_gone(name)
 
     def do_worker_add(self, name: str, service: str, hall: str, index: str) -> None:
+        """A new worker at an address of its own."""
         self._world.add_worker(name=name, service=service, hall=hall, address=f"10.1.9.{index}:80")
 
     def do_readdress(self, name: str, service: str, hall: str) -> None:
@@ -124,9 +132,11 @@
         self._world.add_worker(name=f"{name}-heir", service=service, hall=hall, address=address)
 
     def do_platform_down(self) -> None:
+        """The platform's list no longer answers."""
         self._world.platform.up = False
 
     def do_platform_up(self) -> None:
+        """The platform's list answers again."""
         self._world.platform.up = True
 
     def do_worker_move(self, name: str, index: str) -> None:
--- a/simulation/sim/world.py
+++ b/simulation/sim/world.py
@@ -110,20 +110,25 @@
         if command.address == self.platform.address:
             return self._call_platform(caller=caller, command=command, end=end, fail=fail)
         machine = self.machines.get(command.address)
-        if machine is not None and command.path != "/status" and self.network.is_cut(a=caller.names, b=machine.names):
-            if not command.fresh or self.rng.random() < 0.2:
-                # its connection was open when the cut fell: the bytes are in its socket, and nothing comes back
-                self.network.hold(
-                    now=self.clock.now,
-                    act=lambda: (
-                        self._arrive(
-                            caller=caller, machine=machine, command=command, end=end, fail=fail, back=0.001, ended=ended
-                        )
-                        if self.network.delivers(given_up=bool(ended))
-                        else None
-                    ),
-                )
-                return None
+        is_held = (
+            machine is not None
+            and command.path != "/status"
+            and self.network.is_cut(a=caller.names, b=machine.names)
+            and (not command.fresh or self.rng.random() < 0.2)
+        )
+        if is_held:
+            # its connection was open when the cut fell: the bytes are in its socket, and nothing comes back
+            self.network.hold(
+                now=self.clock.now,
+                act=lambda: (
+                    self._arrive(
+                        caller=caller, machine=machine, command=command, end=end, fail=fail, back=0.001, ended=ended
+                    )
+                    if self.network.delivers(given_up=bool(ended))
+                    else None
+                ),
+            )
+            return None
         if machine is None or self.network.is_cut(a=caller.names, b=machine.names):
             return self.clock.after(min(command.wait, 0.5), lambda: fail(fault="no-connection", sent=False, delay=0.0))
         if not machine.up:
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sailward, of its simulator and of the adapter."""
--- a/tests/core_net.py
+++ b/tests/core_net.py
@@ -185,7 +185,7 @@
         if isinstance(command, Tell):
             to = next((one for one in self.machines if one.post == command.to and one.cellar is not None), None)
             assert isinstance(check_message(body=command.body), dict), command.body
-            if to is None or {machine.name, to.name} & self.cut and machine is not to:
+            if to is None or ({machine.name, to.name} & self.cut and machine is not to):
                 return
             near = ZONES[machine.zone] == ZONES[to.zone]
             delay = 0.0001 if to is machine else 0.0014 if near else 0.055
--- a/tests/outbound_peer.py
+++ b/tests/outbound_peer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import queue
 import socket
 import struct
@@ -85,10 +86,8 @@
             threading.Thread(target=self._hand, args=(line,), daemon=True).start()
 
     def _hand(self, line: Line) -> None:
-        try:
+        with contextlib.suppress(OSError):
             self._serve(line)
-        except OSError:
-            pass
 
     def get(self) -> object:
         return self.seen.get(timeout=WAIT)
@@ -111,7 +110,10 @@
         return self._peers[-1]
 
     def speaker(self, *answers: bytes) -> Peer:
-        """A peer that gives the answers in order, on all connections together, then the last for ever; tells (line, request)."""
+        """A peer that gives the answers in order, on all connections together, then the last for ever.
+
+        Tells (line, request).
+        """
         left = list(answers)
 
         def serve(line: Line) -> None:
--- a/tests/test_bootstrap.py
+++ b/tests/test_bootstrap.py
@@ -177,10 +177,8 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_losses_in_turn_lose_nothing_that_was_acknowledged(seed: int) -> None:
     net = found(seed=seed)
-    label = 0
-    for _ in range(6):
-        put(net, label=label + 1, on=f"r{label}" if label else "0")
-        label += 1
+    for label in range(1, 7):
+        put(net, label=label, on=f"r{label - 1}" if label > 1 else "0")
         lost = net.rng.choice(net.machines)
         net.kill(lost, wipe=net.rng.random() < 0.6)
         net.run(net.rng.uniform(0.3, 4.0))
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -415,6 +415,6 @@
 @pytest.mark.parametrize("name", PAIRS)
 def test_the_judge_tells_a_sound_history_from_a_broken_one(name: str) -> None:
     sound, broken = PAIRS[name]
-    rule = name.split(":")[0]
+    rule = name.split(":", maxsplit=1)[0]
     assert rule not in judge(sound)
     assert rule in judge(broken)
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -1,7 +1,11 @@
-"""Messages between processes, over loopback: whole, in order, of any size; what can't be believed ends its connection alone."""
+"""Messages between processes, over loopback.
+
+Whole, in order, of any size; what can't be believed ends its connection alone.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import random
 import socket
 import threading
@@ -153,10 +157,8 @@
         name = b"127.0.0.1:1"
         sock.sendall(LENGTH.pack(len(name), PLAIN) + name + poison)
         sock.settimeout(PATIENCE)
-        try:
+        with contextlib.suppress(ConnectionResetError):
             assert sock.recv(10) == b""
-        except ConnectionResetError:
-            pass
     near.send(to=far.address, body=make_push(number=2))
     assert [one.body["number"] for one in far.wait(2)] == [1, 2]
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -31,7 +31,7 @@
         "id": name,
         "http": f"{name}:80",
         "hall": hall,
-        "region": hall.split("-")[0],
+        "region": hall.split("-", maxsplit=1)[0],
         "fit": fit,
         "kind": "sommelier",
     }
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -118,12 +118,15 @@
 
 @pytest.mark.parametrize("size", [1, 2, 3, 4, 5])
 def test_while_a_lease_lasts_no_majority_can_have_voted_for_anything_newer(size: int) -> None:
-    """Over every way in which voters stand at an older or a newer vote: a lease and a majority for the newer exclude each other."""
+    """Over every way in which voters stand at an older or a newer vote.
+
+    A lease and a majority for the newer exclude each other.
+    """
     members = {f"v{at}": f"post{at}" for at in range(size)}
     for votes in itertools.product((3, 4), repeat=size):
         fresh = Freshness()
         seqs = {one.body["seq"] for one in ask(fresh, now=10.0, members=members)}
-        for voter, number in zip(members, votes):
+        for voter, number in zip(members, votes, strict=True):
             if voter != "v0":
                 for seq in seqs:
                     tell(fresh, now=10.1, voter=voter, seq=seq, number=number)
--- a/tests/test_granting.py
+++ b/tests/test_granting.py
@@ -67,6 +67,13 @@
     seen: list = field(default_factory=list)
     handovers: list = field(default_factory=list)
 
+    @property
+    def fault(self) -> str:
+        """How a call to its address fails, or ""."""
+        if not self.alive or self.is_refusing:
+            return "refused"
+        return "no-connection" if self.is_unreachable else ""
+
     def held(self, *, now: float) -> list[Hold]:
         return [one for one in self.holds if one.until > now] if self.alive else []
 
@@ -245,12 +252,7 @@
             if self.now > call.begin_by:
                 end(code=0, fault="too-late", sent=False)
                 return
-            flight = self.delay()
-            if flight > 0.4 and self.slowest >= 0.5:
-                flight = (
-                    self.rng.uniform(0.0, call.wait + constants.GRANT_FLIGHT - 0.01) if call.path == "/hold" else flight
-                )
-            self.at(delay=flight, act=arrive)
+            self.at(delay=self.flight(call=call), act=lambda: self.arrive(granter=granter, call=call, answer=answer))
             self.at(delay=call.wait, act=lambda: end(code=0, fault="timed-out"))
 
         def answer(*, worker: FakeWorker, code: int, headers: dict | None = None, fault: str = "") -> None:
@@ -258,23 +260,32 @@
                 return
             self.at(delay=self.delay(), act=lambda: end(code=code, headers=headers, fault=fault, sent=not fault))
 
-        def arrive() -> None:
-            here = [one for one in self.workers if one.address == call.address]
-            alive = [one for one in here if one.alive]
-            worker = alive[-1] if alive else here[-1]
-            if granter.name in worker.silent_to:
-                return
-            if not alive:
-                answer(worker=worker, code=0, fault="refused")
-            elif worker.is_unreachable or worker.is_refusing:
-                answer(worker=worker, code=0, fault="refused" if worker.is_refusing else "no-connection")
-            elif worker.key != call.headers["owner"]:
-                answer(worker=worker, code=421)
-            else:
-                self.serve(worker=worker, call=call, answer=answer)
-
         self.at(delay=self.rng.choice((0.0, 0.0, 0.1)), act=begin)
 
+    def arrive(self, *, granter: Granter, call: Call, answer: object) -> None:
+        worker = self.worker_at(address=call.address)
+        if granter.name in worker.silent_to:
+            return
+        if worker.fault:
+            answer(worker=worker, code=0, fault=worker.fault)
+        elif worker.key != call.headers["owner"]:
+            answer(worker=worker, code=421)
+        else:
+            self.serve(worker=worker, call=call, answer=answer)
+
+    def flight(self, *, call: Call) -> float:
+        """How long a call is under way; a late grant arrives as late as it may."""
+        flight = self.delay()
+        if flight > 0.4 and self.slowest >= 0.5 and call.path == "/hold":
+            return self.rng.uniform(0.0, call.wait + constants.GRANT_FLIGHT - 0.01)
+        return flight
+
+    def worker_at(self, *, address: str) -> FakeWorker:
+        """The worker that answers at the address, the last one that did where none is alive."""
+        here = [one for one in self.workers if one.address == address]
+        alive = [one for one in here if one.alive]
+        return alive[-1] if alive else here[-1]
+
     def serve(self, *, worker: FakeWorker, call: Call, answer: object) -> None:
         body = json.loads(call.body)
         if call.path == "/hold":
@@ -556,7 +567,10 @@
 
 
 def run_late_grant(*, wait: float) -> World:
-    """A granter is followed by another while its last grants fly for as long as they may, and their worker's keys go elsewhere."""
+    """A granter is followed by another while its last grants fly for as long as they may.
+
+    Their worker's keys go elsewhere.
+    """
     world = make_settled()
     first, second = world.granters[:2]
     worker = world.workers[0]
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,4 +1,7 @@
-"""Lists of workers without numbers: whole passes, artefacts of paging, backing off, and what a receiver makes of them."""
+"""Lists of workers without numbers.
+
+Whole passes, artefacts of paging, backing off, and what a receiver makes of them.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -1,4 +1,7 @@
-"""Placing: pool by weight, hall by tier, health, homes and orders, worker by open requests, and the bounds of cold ones."""
+"""Placing.
+
+Pool by weight, hall by tier, health, homes and orders, worker by open requests, and the bounds of cold ones.
+"""
 
 from __future__ import annotations
 
@@ -170,7 +173,7 @@
     sent = 0
     for name in names:
         bench = make(workers=[make_worker("w0", cold=9.0)])
-        bench.scene.name, bench.scene.peers, bench.scene.proxies = name, {one: "north" for one in names}, len(names)
+        bench.scene.name, bench.scene.peers, bench.scene.proxies = name, dict.fromkeys(names, "north"), len(names)
         for _ in range(200):
             sent += not isinstance(place(bench), Refusal)
             bench.now += 0.02
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -123,7 +123,7 @@
         ("pools.0.max_conns", 10**9),
         (f"{RULE}.matcher.path_prefix", "/"),
         (f"{RULE}.matcher.path_prefix", "/a/b/c/"),
-        (f"{RULE}.name", "any name – 1"),
+        (f"{RULE}.name", "any name \u2013 1"),
         (f"{RULE}.verdict.split_to.0.weight", 0.25),
         (f"{RULE}.verdict.split_to.0.weight", 10**12),
         (f"{RULE}.verdict.split_to.0.service", "white"),
--- a/tests/test_platform_real.py
+++ b/tests/test_platform_real.py
@@ -35,7 +35,7 @@
         self.end_headers()
         self.wfile.write(body)
 
-    def do_GET(self) -> None:  # noqa: N802
+    def do_GET(self) -> None:
         given = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         server = self.server
         if self.headers.get("Expect-Instance", server.name) != server.name:
@@ -56,7 +56,7 @@
             200, f"{server.name} {self.path}".encode(), Attempt_Id=self.headers["Attempt-Id"], Server_Seal="s"
         )
 
-    do_POST = do_GET  # noqa: N815
+    do_POST = do_GET
 
     def log_message(self, *given: object) -> None:
         return None
@@ -67,7 +67,7 @@
 
     protocol_version = "HTTP/1.1"
 
-    def do_GET(self) -> None:  # noqa: N802
+    def do_GET(self) -> None:
         body = json.dumps({"instances": self.server.rows, "next_token": None}).encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
@@ -319,11 +319,12 @@
     until(lambda: get(4)[0] == 200 and get(4, "sommelier-1")[0] == 200)
     fleet.start("cellar-0")
     for name in ("cellar-0", "cellar-1", "cellar-2"):
-        told = until(
-            lambda name=name: (lambda got: got[0] == 200 and got[2])(
-                ask(fleet.at(name, "control_plane"), "GET", "/config")
-            )
-        )
+
+        def read_config(name: str = name) -> bytes | bool:
+            code, _, body = ask(fleet.at(name, "control_plane"), "GET", "/config")
+            return code == 200 and body
+
+        told = until(read_config)
         assert json.loads(told)["generation"] == "r2"
 
     # a proxy is stopped: what it took is answered, and it ends by itself with 0
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,7 @@
-"""The platform's settings file: what is missing, unreadable or of a wrong kind is said with its place; what is unknown is ignored."""
+"""The platform's settings file.
+
+What is missing, unreadable or of a wrong kind is said with its place; what is unknown is ignored.
+"""
 
 from __future__ import annotations
 
@@ -132,7 +135,9 @@
 )
 def test_a_wrong_kind_is_named_with_its_place(tmp_path: Path, where: str, value: object) -> None:
     found = read(tmp_path, changed(where, value))
-    assert isinstance(found, SETTINGS.BadSettings) and any(where.split(".")[0] in fault for fault in found.faults)
+    assert isinstance(found, SETTINGS.BadSettings) and any(
+        where.split(".", maxsplit=1)[0] in fault for fault in found.faults
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -1,4 +1,7 @@
-"""The shape of a configuration: what it may say beyond the first version, and that the quick pass says what the slow one does."""
+"""The shape of a configuration.
+
+What it may say beyond the first version, and that the quick pass says what the slow one does.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import random
 
@@ -29,7 +30,7 @@
 
 def assert_whole(*, spans: list[Span]) -> None:
     assert spans[0].start == 0 and spans[-1].end == KEYS - 1
-    assert all(one.end + 1 == two.start for one, two in zip(spans, spans[1:]))
+    assert all(one.end + 1 == two.start for one, two in itertools.pairwise(spans))
     assert all(one.start <= one.end for one in spans)
 
 
@@ -91,7 +92,7 @@
 
 
 def test_only_the_keys_of_a_lost_worker_move() -> None:
-    able = {name: 1.0 for name in "abcdefgh"}
+    able = dict.fromkeys("abcdefgh", 1.0)
     before = place(spans=[Span(start=0, end=KEYS - 1, owner="")], able=able, loads={}, is_balancing=False)
     del able["c"]
     after = place(spans=before, able=able, loads={}, is_balancing=True)
@@ -100,7 +101,7 @@
 
 
 def test_new_worker_is_given_a_part_and_then_nothing_moves() -> None:
-    able = {name: 1.0 for name in "abcd"}
+    able = dict.fromkeys("abcd", 1.0)
     before = place(spans=[Span(start=0, end=KEYS - 1, owner="")], able=able, loads={}, is_balancing=False)
     able["e"] = 1.0
     after = place(spans=before, able=able, loads={}, is_balancing=True)
@@ -111,7 +112,7 @@
 
 
 def test_hot_keys_are_cut_off_with_few_keys() -> None:
-    able = {name: 1.0 for name in "abcd"}
+    able = dict.fromkeys("abcd", 1.0)
     before = place(spans=[Span(start=0, end=KEYS - 1, owner="")], able=able, loads={}, is_balancing=False)
     loads = fine(loads={at: 100.0 if 10 <= at < 18 else 1.0 for at in range(256)})
     after = before
@@ -123,7 +124,7 @@
 
 
 def test_slight_load_moves_nothing() -> None:
-    able = {name: 1.0 for name in "abcd"}
+    able = dict.fromkeys("abcd", 1.0)
     before = place(spans=[Span(start=0, end=KEYS - 1, owner="")], able=able, loads={}, is_balancing=False)
     assert place(spans=before, able=able, loads={3: constants.GRANT_LOAD_LEAST / 2}, is_balancing=True) == before
 
@@ -156,9 +157,9 @@
 
 
 def test_one_key_that_is_hot_stays_and_its_owner_gives_the_rest_away() -> None:
-    able = {name: 10.0 for name in "abcd"}
+    able = dict.fromkeys("abcd", 10.0)
     spans = place(spans=[Span(start=0, end=KEYS - 1, owner="")], able=able, loads={}, is_balancing=False)
-    loads = {at: 0.01 for at in range(constants.LOAD_BUCKETS)} | {100: 30.0}
+    loads = dict.fromkeys(range(constants.LOAD_BUCKETS), 0.01) | {100: 30.0}
     hot = 100 * constants.KEYS_IN_BUCKET
     owner = next(one.owner for one in spans if one.start <= hot <= one.end)
     for _ in range(10):
@@ -169,7 +170,7 @@
 
 
 def test_uneven_load_that_nobody_queues_for_moves_nothing() -> None:
-    able = {name: 100.0 for name in "abcd"}
+    able = dict.fromkeys("abcd", 100.0)
     spans = place(spans=[Span(start=0, end=KEYS - 1, owner="")], able=able, loads={}, is_balancing=False)
     quarter = constants.LOAD_BUCKETS // 4
     loads = {at: 0.015 if at < quarter else 0.01 for at in range(constants.LOAD_BUCKETS)}
@@ -179,8 +180,8 @@
     assert (
         place(
             spans=spans,
-            able={name: 110.0 for name in "abcd"},
-            loads=busy | {at: 0.3 for at in range(quarter)},
+            able=dict.fromkeys("abcd", 110.0),
+            loads=busy | dict.fromkeys(range(quarter), 0.3),
             is_balancing=True,
         )
         != spans
--- a/tests/test_stopping_proxy.py
+++ b/tests/test_stopping_proxy.py
@@ -1,4 +1,7 @@
-"""A planned stop of a proxy: what was taken gets an answer before the process ends, also what a worker never answers."""
+"""A planned stop of a proxy.
+
+What was taken gets an answer before the process ends, also what a worker never answers.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,4 +1,7 @@
-"""Versions side by side: what the last landed version said and wrote is understood, what a newer one wrote is refused."""
+"""Versions side by side.
+
+What the last landed version said and wrote is understood, what a newer one wrote is refused.
+"""
 
 from __future__ import annotations
 
