Types: the check keeps its cache in its own folder

mypy's kept cache remembered the path of an earlier run's link to the adapter, so its open places were counted under another name (seen in a second run).

--- a/tests/test_types.py
+++ b/tests/test_types.py
@@ -26,10 +26,10 @@
 
 
 def check_types(*, folder: Path) -> list[str]:
-    """All errors; `folder` is an empty one, for a link by which mypy finds the adapter."""
+    """All errors; `folder` is an empty one for the cache, and for a link by which mypy finds the adapter."""
     adapter = folder / ADAPTER
     adapter.symlink_to(ROOT / "platform", target_is_directory=True)
-    command = [sys.executable, "-m", "mypy", "--config-file", "pyproject.toml"]
+    command = [sys.executable, "-m", "mypy", "--config-file", "pyproject.toml", "--cache-dir", str(folder / "cache")]
     done = subprocess.run(
         [*command, "-p", "sailward", "-p", ADAPTER],
         cwd=ROOT,
