--- a/sailward/client/__init__.py
+++ b/sailward/client/__init__.py
@@ -1,1 +1,1 @@
-"""Operators' side: the client of the cellars, and what it shows."""
+"""Operators' side: the client of the controllers, and what it shows."""
--- a/sailward/client/client.py
+++ b/sailward/client/client.py
@@ -1,4 +1,4 @@
-"""One exchange with the core: the first cellar that answers."""
+"""One exchange with the core: the first controller that answers."""
 
 from __future__ import annotations
 
@@ -13,16 +13,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Reply:
-    """What a cellar answered."""
+    """What a controller answered."""
 
     code: int
     body: dict
-    cellar: str
+    controller: str
 
 
 @dataclass(frozen=True, kw_only=True)
 class Unreachable:
-    """No cellar answered. `sent` says whether the exchange may have arrived at one."""
+    """No controller answered. `sent` says whether the exchange may have arrived at one."""
 
     reasons: tuple
     sent: bool
@@ -30,16 +30,16 @@
 
 @dataclass(kw_only=True)
 class Client:
-    """Asks the cellars in turn."""
+    """Asks the controllers in turn."""
 
-    cellars: list
+    controllers: list
     headers: dict = field(default_factory=dict)
 
     def step(self, *, method: str, path: str, body: bytes = b"", headers: dict | None = None) -> Reply | Unreachable:
-        """One exchange. A change that may have arrived is not sent to another cellar."""
+        """One exchange. A change that may have arrived is not sent to another controller."""
         reasons = []
-        for cellar in self.cellars:
-            reply = ask_once(address=cellar, method=method, path=path, body=body, headers=headers or {})
+        for controller in self.controllers:
+            reply = ask_once(address=controller, method=method, path=path, body=body, headers=headers or {})
             if isinstance(reply, Reply):
                 return reply
             reasons += reply.reasons
@@ -57,7 +57,7 @@
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, int(constants.DIAL_WAIT * 2000))
-    handle.setopt(pycurl.TIMEOUT_MS, int(constants.STEWARD_WAIT * 1000))
+    handle.setopt(pycurl.TIMEOUT_MS, int(constants.SAILCTL_WAIT * 1000))
     rows = [f"{name}: {value}" for name, value in (headers or {}).items()]
     handle.setopt(pycurl.HTTPHEADER, ["Expect:", "Content-Type: application/json", *rows])
     if method != "GET":
@@ -73,4 +73,4 @@
         answer = json.loads(out.getvalue())
     except ValueError:
         return Unreachable(reasons=(f"{address}: not a sailward daemon",), sent=True)
-    return Reply(code=code, body=answer, cellar=address)
+    return Reply(code=code, body=answer, controller=address)
--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -29,7 +29,7 @@
 """s before the end of a claim's life from which a key that tells its time is too old: KEY_AHEAD, and the clocks'
 spread."""
 CLOCK_LIFE = 30.0
-"""s that a cellar's clock counts after it was heard of last: clocks of one rate, so only jumps make it wrong."""
+"""s that a controller's clock counts after it was heard of last: clocks of one rate, so only jumps make it wrong."""
 CLAIM_SWEEP = 10.0
 """s between sweeps of claims that have outlived CLAIM_LIFE."""
 TRAIL = 8
@@ -91,9 +91,9 @@
 OWNER_GRACE = 1.5
 """s that a slot's owner may be unwell before its slots move: a move closes them for longer."""
 ASKS_LIFE = 9.0
-"""s that a cellar tells of a proxy after its last asking: the longest expiry (5 s), a lease, and the telling."""
+"""s that a controller tells of a proxy after its last asking: the longest expiry (5 s), a lease, and the telling."""
 ASKS_BEATS = 19
-"""beats (of GOSSIP) after its start before what a cellar tells of the proxies is whole: over ASKS_LIFE."""
+"""beats (of GOSSIP) after its start before what a controller tells of the proxies is whole: over ASKS_LIFE."""
 ASSIGN_EVERY = 0.25
 """s between looks at the slots."""
 MAX_OPEN = 128
@@ -163,7 +163,7 @@
 STOP_GRACE = 5.0
 """s in which a stopping proxy finishes what it took: within the platform's 6 s."""
 LEAVE_WAIT = 2.0
-"""s that a stopping proxy still serves, until the concierges have stopped naming it."""
+"""s that a stopping proxy still serves, until the directories have stopped naming it."""
 ANSWER_WAIT = 30.0
 """s that an HTTP thread waits for its owner: far beyond every expiry, so only a fault ends it."""
 FLUSH_WAIT = 0.5
@@ -191,7 +191,7 @@
 ANEW_PLACES = 500
 """places in that gap: two foundings on two sides of a cut get different numbers, 1000 changes apart."""
 REPLACE_AFTER = 20.0
-"""s that a voter must be lost before a waiting empty cellar takes its place: longer than a roll of its machine."""
+"""s that a voter must be lost before a waiting empty controller takes its place: longer than a roll of its machine."""
 COPY_AGAIN = 0.5
 """s. A page of a copy that has not come by then is asked for again."""
 COPY_PAGE = 200
@@ -199,9 +199,9 @@
 REPAIR_EVERY = 1.0
 """s between looks at whether a voter must be replaced."""
 READ_EVERY = 5.0
-"""s between a cellar's own reads of the control registers: finds what it missed."""
+"""s between a controller's own reads of the control registers: finds what it missed."""
 STALLED = 0.5
-"""s that a vote may stand unchosen before a cellar reads, and so finishes or disproves it."""
+"""s that a vote may stand unchosen before a controller reads, and so finishes or disproves it."""
 WARM_TELL = 3.0
 """s after its first asking in which a proxy is told how long workers have been warm."""
 NONCE_BYTES = 6
@@ -210,16 +210,16 @@
 EXIT_USAGE = 2
 """exit code: flags or settings are wrong."""
 EXIT_UNREACHABLE = 3
-"""exit code of steward: no cellar answered."""
+"""exit code of sailctl: no controller answered."""
 EXIT_REFUSED = 4
-"""exit code of steward: the fleet refused."""
+"""exit code of sailctl: the fleet refused."""
 EXIT_DISK = 5
 """exit code: the disk failed to sync, or its file is damaged in the middle."""
 EXIT_UNKNOWN = 6
-"""exit code of steward: the change may or may not be in force."""
+"""exit code of sailctl: the change may or may not be in force."""
 EXIT_TAKEN = 7
 """exit code: an address or the data folder is in use."""
 EXIT_FAULT = 70
 """exit code: an owner failed; the process ends rather than run on with broken state."""
-STEWARD_WAIT = 8.0
-"""s that steward waits for a cellar: over OPERATION_EXPIRY for a read and a change."""
+SAILCTL_WAIT = 8.0
+"""s that sailctl waits for a controller: over OPERATION_EXPIRY for a read and a change."""
--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -158,15 +158,16 @@
 }
 """s after which a caller is asked to come back, by why it was refused."""
 ASK_EVERY = 0.5
-"""s between two askings of a cellar for news: pushes come at once, the asking finds what was lost and who is silent."""
+"""s between two askings of a controller for news: pushes come at once, the asking finds what was lost and who is
+silent."""
 ASK_SILENT = 1.0
-"""s between askings of a cellar that does not answer."""
+"""s between askings of a controller that does not answer."""
 ASKS_LOST = 2
-"""askings without an answer after which another cellar is asked in its place."""
-CELLAR_SILENT = 1.3
-"""s without an answer after which a cellar's lists are not waited for any more: two askings and a round trip."""
-CELLARS_ASKED = 2
-"""cellars that a proxy asks: one may be lost without a gap in the pushes."""
+"""askings without an answer after which another controller is asked in its place."""
+CONTROLLER_SILENT = 1.3
+"""s without an answer after which a controller's lists are not waited for any more: two askings and a round trip."""
+CONTROLLERS_ASKED = 2
+"""controllers that a proxy asks: one may be lost without a gap in the pushes."""
 JOURNAL_SHOWN = 60
 """events that are written out when an owner ends by a fault: the last seconds of it."""
 OPERATOR_WAIT = 10.0
@@ -194,16 +195,18 @@
 REPAIR_AGAIN = 1.0
 """s before a change of the voters that did not show is tried again, where the core founded itself."""
 WAITING_ASK = 2.0
-"""s between askings for news of a cellar that waits and knows the voters, where the core founded itself."""
+"""s between askings for news of a controller that waits and knows the voters, where the core founded itself."""
 CONFIRM_EVERY = 0.35
-"""s between two askings of the voters by a cellar that grants keys: two fit into GRANT_LEASE with a round trip between
+"""s between two askings of the voters by a controller that grants keys.
+
+Two fit into GRANT_LEASE with a round trip between
 regions."""
 FLEET_EVERY = 2.0
-"""s between two tellings of a cellar's proxies to the others where nothing changed: the loads of keys."""
+"""s between two tellings of a controller's proxies to the others where nothing changed: the loads of keys."""
 FLEET_LEAST = 0.2
 """s between two such tellings where something changed."""
 FLEET_LIFE = 5.0
-"""s that another cellar's word of its proxies counts: if it is lost, they ask another within that time."""
+"""s that another controller's word of its proxies counts: if it is lost, they ask another within that time."""
 PROXY_SILENT = 1.8
 """s without an asking after which a proxy is not named to callers any more."""
 LOAD_SPAN = 4.0
@@ -217,7 +220,7 @@
 MESH_SEEDS = 8
 """beats between two tellings of the whole roster to seeds that are not among the living."""
 LEAD_WAIT = 0.4
-"""s after its start that a proxy waits for a cellar of its own hall before it follows another's lists: a few round
+"""s after its start that a proxy waits for a controller of its own hall before it follows another's lists: a few round
 trips."""
 KEY_SHARE = 0.6
 """of a route's target that a request may wait for its key, which is on its way to another worker or about to be."""
@@ -258,11 +261,13 @@
 DOWN_SHARE = 0.1
 """of all proxies that must call a worker unreachable before others are told."""
 ASK_FIRST = 0.12
-"""s between askings of a proxy that follows no cellar yet: it serves nothing before."""
+"""s between askings of a proxy that follows no controller yet: it serves nothing before."""
 LIST_SILENT = 1.4
-"""s without a word of the reader of the list after which a cellar reads it itself: two passes and a margin."""
+"""s without a word of the reader of the list after which a controller reads it itself: two passes and a margin."""
 LIST_READERS = 2
-"""cellars that may read the platform's list at a time: the one that hashing names, and one that has just not heard of
+"""controllers that may read the platform's list at a time.
+
+The one that hashing names, and one that has just not heard of
 it."""
 LIST_PACE = 0.08
 """s more between passes for each page beyond the first: a long list costs its calls, and its news are pushed at once
@@ -270,7 +275,7 @@
 LEAVING_MARGIN = 1.3
 """s of a leaving worker's time that may be over before a proxy hears of it: a pass, its pages, the push."""
 FLEET_LOOK = 0.2
-"""s between two looks of a cellar at its proxies: their news come with askings each half second."""
+"""s between two looks of a controller at its proxies: their news come with askings each half second."""
 LOAD_BUCKETS = (KEY_LAST + 1) // KEYS_IN_BUCKET
 """buckets of all keys of a divided service."""
 LOAD_PARTS = 48
@@ -280,7 +285,7 @@
 LOADS_LEAST = 0.3
 """s between two tellings of a load that is new or has shifted."""
 LOADS_EVERY = 1.5
-"""s between two tellings of a load at rest, to the cellar that places the keys."""
+"""s between two tellings of a load at rest, to the controller that places the keys."""
 PACES_KEPT = 40
 """times of a worker from which its pace is taken: some ten seconds of them."""
 PACES_SENT = 8
--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -1,4 +1,4 @@
-"""The operators' interface of a cellar: configurations and hall orders."""
+"""The operators' interface of a controller: configurations and hall orders."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
     jobs: dict = field(default_factory=dict)
     count: int = 0
     full: dict = field(default_factory=dict)
-    cellars: dict = field(default_factory=dict)
+    controllers: dict = field(default_factory=dict)
 
     def step(self, *, event: Asked | Settled | Checked) -> tuple[list, list]:
         """Take an operator's exchange, the end of an operation begun for one, or of a check."""
@@ -118,7 +118,7 @@
         order, current = job.order, read_labelled(text=job.text)
         is_same = order.kind == "put" and current.written is not None and order.given == current.written
         if current.has(digest=order.digest) or is_same:
-            # taken before, maybe by another cellar: what is sent again is answered again
+            # taken before, maybe by another controller: what is sent again is answered again
             return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
         if order.expected != current.label:
             return self._end(
@@ -212,19 +212,19 @@
         """One member more or less, by its identity or its name; never one that would cost the majority."""
         kind, given = job.order.kind, job.order.given
         members = json.loads(job.text)["members"] if job.text else {}
-        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.cellars)}
+        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.controllers)}
         identity = names.get(given, given)
         if kind == "join":
-            if identity in members or identity not in self.cellars:
+            if identity in members or identity not in self.controllers:
                 return Outcome(
-                    kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits"
+                    kind="refused", code=409, reason="not-waiting", detail=f"no empty controller {given!r} waits"
                 )
-            text = change_members(text=job.text, add=(identity, self.cellars[identity]["post"]))
+            text = change_members(text=job.text, add=(identity, self.controllers[identity]["post"]))
         else:
             if identity not in members:
                 return Outcome(kind="refused", code=404, reason="voter-unknown", detail=f"no voter {given!r}")
             text = change_members(text=job.text, drop=identity)
-        well = {name for name, entry in self.cellars.items() if entry["fit"]}
+        well = {name for name, entry in self.controllers.items() if entry["fit"]}
         if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
             return Outcome(
                 kind="refused",
@@ -264,7 +264,7 @@
         if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < 5:
             return [], [self._begin_read(job=job)]
         if job.dialect.is_labelled:
-            # who won may have been this very change, taken by another cellar: nothing definite can be said
+            # who won may have been this very change, taken by another controller: nothing definite can be said
             return self._end(
                 job=job,
                 outcome=Outcome(
--- a/sailward/control/assigning.py
+++ b/sailward/control/assigning.py
@@ -25,11 +25,11 @@
 
 @dataclass(kw_only=True)
 class Assigning:
-    """Owner of one service's slot moves, on the cellar that hashing names. `step` gives the next text or "".
+    """Owner of one service's slot moves, on the controller that hashing names. `step` gives the next text or "".
 
     A closed slot opens when every proxy that could act is witnessed to know it closed and to have nothing
     open in it; else after LEASE, by when no proxy can act without knowing it closed, and the service's
-    expiry, by when what was sent before has ended, counted from when this cellar first held the closing.
+    expiry, by when what was sent before has ended, counted from when this controller first held the closing.
     """
 
     closed: dict = field(default_factory=dict)
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -1,4 +1,4 @@
-"""The whole of a cellar: voter, proposer, desk, worker list, standing view, pushes."""
+"""The whole of a controller: voter, proposer, desk, worker list, standing view, pushes."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 from sailward.control.status_report import show_status
 from sailward.control.subscribers import Subscribers
 from sailward.control.write_ahead import WriteAhead
-from sailward.discovery.gossip import Place, Roster
+from sailward.discovery.gossip import Place, Roster, kind_of
 from sailward.discovery.pages import Pager
 from sailward.events import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
 from sailward.routing.exchange import answer_json
@@ -39,7 +39,7 @@
 
 
 class Controller:
-    """Owner of a cellar process. `step` takes one event and gives commands."""
+    """Owner of a controller process. `step` takes one event and gives commands."""
 
     def __init__(
         self,
@@ -97,7 +97,7 @@
             is_mesh=options.is_mesh,
             has_disk=options.has_disk,
         )
-        self.membership = Membership(cellar=self, now=now)
+        self.membership = Membership(controller=self, now=now)
         self.moves = Moves()
         self.pager = Pager(platform=platform, reader=options.reader, rate=options.list_rate)
         self.listing = Listing(pager=self.pager, lives=Incarnations(post=place.post, number=start))
@@ -105,7 +105,7 @@
         self.standing = Standing()
         self.fleet = Fleet(post=place.post, hall=place.hall, region=place.region)
         self.minding = (
-            ShardLeases(cellar=self, codec=options.grants, hold_max=options.hold_max) if options.grants else None
+            ShardLeases(controller=self, codec=options.grants, hold_max=options.hold_max) if options.grants else None
         )
         self.workers: tuple = (-1, -1, None)
         self.count = len(records)
@@ -154,7 +154,7 @@
 
     @property
     def voting(self) -> bool:
-        """May this cellar vote and grant?"""
+        """May this controller vote and grant?"""
         return (
             self.identity in self.voters["members"]
             and self.ledger.copied
@@ -179,7 +179,7 @@
         if kind == "chosen":
             return self.keep(now=now, name=body["register"], ballot=body["ballot"], value=body["value"], tell=False)
         if kind == "want" and body["register"] == "fleet":
-            return self.fleet.step(now=now, event=(sender, body), proxies=[], cellars=[])
+            return self.fleet.step(now=now, event=(sender, body), proxies=[], controllers=[])
         if kind == "want":
             return self.held.tell(to=sender, name=body["register"])
         if kind == "push" and is_control(name=body["name"]):
@@ -187,7 +187,7 @@
         if kind in ("push", "grant"):
             return []
         if kind == "fleet":
-            return self.fleet.step(now=now, event=(sender, body), proxies=[], cellars=[])
+            return self.fleet.step(now=now, event=(sender, body), proxies=[], controllers=[])
         if kind == "list":
             commands, is_news = self.listing.hear(now=now, body=body)
             return commands + self._take_lives(now=now, is_news=is_news)
@@ -243,9 +243,9 @@
 
     def _grant(self, *, now: float, sender: str, body: dict) -> list:
         commands = self.subscribers.step(now=now, event=(sender, body), news=self._news())
-        if self.options.tells_fleet and body["daemon"].get("kind") != "cellar":
+        if self.options.tells_fleet and kind_of(entry=body["daemon"]) != "controller":
             commands += self._note_have(now=now, sender=sender, have=body["have"])
-            # no lease is asked for: only that this cellar is there, and where it stands
+            # no lease is asked for: only that this controller is there, and where it stands
             return [
                 *commands,
                 Tell(
@@ -290,7 +290,7 @@
         return [*commands, Tell(to=sender, body=reply)]
 
     def _note_have(self, *, now: float, sender: str, have: dict) -> list:
-        """One that asks holds something newer than this cellar: it is read at once."""
+        """One that asks holds something newer than this controller: it is read at once."""
         commands = []
         for name, newest in have.items():
             if is_control(name=name) and isinstance(newest, list) and newest[0] > self.held.number(name=name):
@@ -304,7 +304,7 @@
         self._behind.setdefault(name, now - constants.STALLED)
 
     def _hear_joiner(self, *, now: float, sender: str, daemon: dict) -> list:
-        if daemon.get("kind") != "cellar":
+        if kind_of(entry=daemon) != "controller":
             return []
         return self.roster.step(now=now, event=(sender, {"entries": [daemon], "reply": True}))
 
@@ -324,7 +324,7 @@
 
     def _ask(self, *, now: float, event: Asked) -> list:
         if event.path == "/status" and event.method == "GET":
-            return [answer_json(token=event.token, code=200, body=show_status(cellar=self, now=now))]
+            return [answer_json(token=event.token, code=200, body=show_status(controller=self, now=now))]
         if event.path == "/workers" and event.method == "GET":
             epoch, revision, value = self.workers
             rows = json.loads(value["text"]) if value else []
@@ -351,12 +351,12 @@
         return commands
 
     def _page_lives(self, *, now: float, event: Called | None) -> list:
-        # a cellar outside the core reads the list only for proxies that follow it
+        # a controller outside the core reads the list only for proxies that follow it
         is_wanted = not self.voters["members"] or self.voting or self.subscribers.has_followers()
         commands, is_news = self.listing.step(
             now=now,
             event=event,
-            cellars=self.roster.alive(kind="cellar"),
+            controllers=self.roster.alive(kind="controller"),
             own=self.roster.own_entry(),
             is_wanted=is_wanted,
         )
@@ -386,7 +386,7 @@
         return commands
 
     def keep(self, *, now: float, name: str, ballot: list, value: dict, tell: bool) -> list:
-        """Hold a value that is known to have been chosen, push it on, and `tell` the other cellars."""
+        """Hold a value that is known to have been chosen, push it on, and `tell` the other controllers."""
         if not is_control(name=name) or not self.held.step(name=name, ballot=ballot, value=value):
             return []
         if name == "voters" and self.membership.is_out(value=value):
@@ -401,7 +401,7 @@
         commands += self.subscribers.step(now=now, event=None, news=self._news())
         if tell:
             body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
-            others = {*self.voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
+            others = {*self.voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="controller"))}
             commands += [Tell(to=address, body=body) for address in sorted(others - {self.place.post})]
         if self.minding is not None:
             commands = [*self.minding.step(now=now, event=None), *commands]
@@ -413,8 +413,10 @@
         commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
         commands += self._move_slots(now=now)
         if self.options.tells_fleet:
-            cellars = [*self.roster.alive(kind="cellar"), self.roster.own_entry()]
-            commands += self.fleet.step(now=now, event=None, proxies=self.subscribers.proxies(), cellars=cellars)
+            controllers = [*self.roster.alive(kind="controller"), self.roster.own_entry()]
+            commands += self.fleet.step(
+                now=now, event=None, proxies=self.subscribers.proxies(), controllers=controllers
+            )
         if self.minding is not None:
             commands += self.minding.step(now=now, event=None)
         commands += self._read_what_is_due(now=now) + self._sweep(now=now) + self.membership.step(now=now)
@@ -439,11 +441,11 @@
     def _move_slots(self, *, now: float) -> list:
         if not self.voting:
             return []
-        cellars = [*self.roster.alive(kind="cellar"), self.roster.own_entry()]
+        controllers = [*self.roster.alive(kind="controller"), self.roster.own_entry()]
         texts = self.moves.step(
             now=now,
             own=self.identity,
-            cellars=cellars,
+            controllers=controllers,
             held=self.held,
             standing=self.standing,
             workers=self.workers[2],
--- a/sailward/control/disaster_recovery.py
+++ b/sailward/control/disaster_recovery.py
@@ -42,25 +42,25 @@
 
 
 def make_founding(
-    *, own: str, names: list, is_confirmed: bool, value: dict, opened: int, cellars: dict
+    *, own: str, names: list, is_confirmed: bool, value: dict, opened: int, controllers: dict
 ) -> dict | NotFounded:
     """The value of the voters register with the named survivors as its only members.
 
-    `value` is the newest vote known, `opened` the last founding that acts here, `cellars` those heard of now.
+    `value` is the newest vote known, `opened` the last founding that acts here, `controllers` those heard of now.
     """
     members = json.loads(value["text"])["members"] if value["text"] else {}
     by_name = {identity.split("#")[0]: identity for identity in members}
     survivors = sorted({by_name.get(name, name) for name in names})
     unknown = [name for name in survivors if name not in members]
     lost = sorted(set(members) - set(survivors))
-    alive = {identity for identity in members if identity in cellars}
-    voting = [identity for identity in members if identity in cellars and cellars[identity]["fit"]]
+    alive = {identity for identity in members if identity in controllers}
+    voting = [identity for identity in members if identity in controllers and controllers[identity]["fit"]]
     if not members:
         return NotFounded(
-            code=409, reason="never-founded", detail="this cellar belongs to no core: `found` joins new ones"
+            code=409, reason="never-founded", detail="this controller belongs to no core: `found` joins new ones"
         )
     if not survivors:
-        return NotFounded(code=422, reason="no-survivor", detail="name the cellars that still have their disks")
+        return NotFounded(code=422, reason="no-survivor", detail="name the controllers that still have their disks")
     if unknown:
         return NotFounded(
             code=404, reason="survivor-unknown", detail=f"not among the voters {sorted(by_name)}: {unknown}"
--- a/sailward/control/fleet.py
+++ b/sailward/control/fleet.py
@@ -1,6 +1,6 @@
 """The fleet as the core tells it.
 
-The proxies that ask any cellar, where the cellars are, and what proxies report of workers.
+The proxies that ask any controller, where the controllers are, and what proxies report of workers.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 
 @dataclass(kw_only=True)
 class Told:
-    """What one other cellar said last of its own proxies."""
+    """What one other controller said last of its own proxies."""
 
     at: float
     number: int
@@ -30,10 +30,10 @@
 
 @dataclass(kw_only=True)
 class Fleet:
-    """Owner of the fleet's view. `step` folds another cellar's word, or tells the others what is new here.
+    """Owner of the fleet's view. `step` folds another controller's word, or tells the others what is new here.
 
-    `readers` are the posts of the cellars that place keys: only these are told how busy the keys are (all, where it is
-    None).
+    `readers` are the posts of the controllers that place keys: only these are told how busy the keys are (all, where it
+    is None).
     """
 
     post: str
@@ -56,10 +56,10 @@
     rates_told: dict = field(default_factory=dict)
     loads_at: float = -1e9
 
-    def step(self, *, now: float, event: tuple | None, proxies: list[Subscriber], cellars: list[dict]) -> list:
+    def step(self, *, now: float, event: tuple | None, proxies: list[Subscriber], controllers: list[dict]) -> list:
         """A (sender, body) of kind fleet or want, or None for time going on.
 
-        `cellars` are those of the roster that are not lost.
+        `controllers` are those of the roster that are not lost.
         """
         if event is not None:
             sender, body = event
@@ -79,10 +79,10 @@
             return []
         self.last["looked"] = now
         own = self._own_rows(now=now, proxies=proxies)
-        self._compose(now=now, own=own, cellars=cellars, down=self._agreed(now=now, proxies=proxies))
+        self._compose(now=now, own=own, controllers=controllers, down=self._agreed(now=now, proxies=proxies))
         down = self._own_down(proxies=proxies)
         changed = own != self.own or down != self.own_down
-        others = [one for one in cellars if one["post"] != self.post]
+        others = [one for one in controllers if one["post"] != self.post]
         if now - self.told_at < (constants.FLEET_LEAST if changed else constants.FLEET_EVERY):
             readers = [one for one in others if self._reads(to=one)]
             return self._tell_all(now=now, to=readers) if readers and self._is_load_due(now=now) else []
@@ -124,7 +124,7 @@
         )
 
     def _tell_again(self, *, now: float, to: str) -> list:
-        """Tell the rows to a cellar that lacks them."""
+        """Tell the rows to a controller that lacks them."""
         self.told_to.pop(to, None)
         loads = self._own_loads(now=now) if self._reads(to={"post": to}) else {}
         return [
@@ -225,12 +225,12 @@
             if count >= max(constants.DOWN_LEAST, constants.DOWN_SHARE * voices)
         )
 
-    def _compose(self, *, now: float, own: list, cellars: list[dict], down: list) -> None:
+    def _compose(self, *, now: float, own: list, controllers: list[dict], down: list) -> None:
         rows = {
             row[0]: row for told in self.others.values() if now - told.at < constants.FLEET_LIFE for row in told.rows
         }
         rows |= {row[0]: row for row in own}
-        posts = sorted([one["post"], one["hall"], one["region"]] for one in cellars)
+        posts = sorted([one["post"], one["hall"], one["region"]] for one in controllers)
         text = json.dumps(
             {"proxies": [rows[name] for name in sorted(rows)], "cellars": posts, "down": down}, separators=(",", ":")
         )
@@ -242,7 +242,7 @@
 
 
 def read_loads(*, told: dict) -> dict:
-    """What another cellar told of the loads of keys, and of the paces of workers."""
+    """What another controller told of the loads of keys, and of the paces of workers."""
     return {
         "rates": {service: read_rates(told=rates) for service, rates in told.get("rates", {}).items()},
         "paces": told.get("paces", {}),
--- a/sailward/control/freshness.py
+++ b/sailward/control/freshness.py
@@ -1,4 +1,7 @@
-"""How long a cellar may take what it holds of a register for the newest: a read lease from a blocking set of voters."""
+"""How long a controller may take what it holds of a register for the newest.
+
+A read lease from a blocking set of voters.
+"""
 
 from __future__ import annotations
 
--- a/sailward/control/granting.py
+++ b/sailward/control/granting.py
@@ -1,7 +1,7 @@
-"""Grants of key ranges: one worker at a time holds a key, whichever cellars act, and as few changes as it takes.
+"""Grants of key ranges: one worker at a time holds a key, whichever controllers act, and as few changes as it takes.
 
 The table of a service is one register (`routing/shards.py`), changed by compare-and-swap. It names its granter: one
-life of one cellar. The argument that no two workers that are up hold a key at one time:
+life of one controller. The argument that no two workers that are up hold a key at one time:
 
 1. Only the granter that the newest table names sends grants, and only of open shards, with their owner and fence. It
    acts until `fresh_until`: GRANT_LEASE after it asked a blocking set of voters, who all told that the newest table
@@ -88,10 +88,10 @@
 
 
 class Granting:
-    """Owner of one service's grants in a cellar's process. `step` gives (commands, changes).
+    """Owner of one service's grants in a controller's process. `step` gives (commands, changes).
 
     A change is (register, expected number, text); it is done when the register's value shows it. `own` names this life
-    of this cellar. `codec` makes the calls: grant(start, end, fence, hold, handover, owner) and release(start, end,
+    of this controller. `codec` makes the calls: grant(start, end, fence, hold, handover, owner) and release(start, end,
     fence, owner) give (method, path, headers, body), handover(headers) the handover's text, or "".
     """
 
--- a/sailward/control/incarnations.py
+++ b/sailward/control/incarnations.py
@@ -1,4 +1,4 @@
-"""The list of workers as a cellar tells it where the platform's has no numbers."""
+"""The list of workers as a controller tells it where the platform's has no numbers."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @dataclass(kw_only=True)
 class Incarnations:
-    """Owner of this cellar's own numbers of the list. `step` takes a whole pass and says whether it is news.
+    """Owner of this controller's own numbers of the list. `step` takes a whole pass and says whether it is news.
 
     A cold time counts down by itself, which is no news; but who asks later gets it as it stands. A rise is news.
     """
--- a/sailward/control/key_loads.py
+++ b/sailward/control/key_loads.py
@@ -1,6 +1,6 @@
 """How busy the keys of divided services are, and how quick their workers.
 
-Counted by one cellar, told in few bytes, added up.
+Counted by one controller, told in few bytes, added up.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 
 
 class KeyLoads:
-    """Owner of one cellar's counts.
+    """Owner of one controller's counts.
 
     `step` folds the {bucket: requests} that a proxy reports; the rates are of those of late.
     """
--- a/sailward/control/listing.py
+++ b/sailward/control/listing.py
@@ -1,4 +1,4 @@
-"""The platform's list of workers in a cellar: read by one cellar, told to all others."""
+"""The platform's list of workers in a controller: read by one controller, told to all others."""
 
 from __future__ import annotations
 
@@ -14,10 +14,12 @@
 
 @dataclass(kw_only=True)
 class Listing:
-    """Owner of the list as this cellar tells it. `step` takes a page, or None for time going on; `hear` another's list.
+    """Owner of the list as this controller tells it.
 
-    The one of the living cellars that hashing names reads the platform's list. It tells the others of each pass, with
-    rows only where they are new; who hears of none for LIST_SILENT, as after a cut, reads the list itself.
+    `step` takes a page, or None for time going on; `hear` another's list.
+
+    The one of the living controllers that hashing names reads the platform's list. It tells the others of each pass,
+    with rows only where they are new; who hears of none for LIST_SILENT, as after a cut, reads the list itself.
     """
 
     pager: Pager
@@ -26,10 +28,13 @@
     told: dict = field(default_factory=dict)
 
     def step(
-        self, *, now: float, event: Called | None, cellars: list[dict], own: dict, is_wanted: bool
+        self, *, now: float, event: Called | None, controllers: list[dict], own: dict, is_wanted: bool
     ) -> tuple[list, bool]:
-        """(commands, is the list news). `cellars` are the others that live; `is_wanted`: does anyone read it here?"""
-        names = [own["id"], *(one["id"] for one in cellars)]
+        """(commands, is the list news).
+
+        `controllers` are the others that live; `is_wanted`: does anyone read it here?
+        """
+        names = [own["id"], *(one["id"] for one in controllers)]
         is_reader = choose_names(key="list", names=names, count=1) == [own["id"]]
         if event is None and (not is_wanted or (not is_reader and now - self.heard < constants.LIST_SILENT)):
             return [], False
@@ -43,7 +48,7 @@
                 Log(event="list-news", fields={"revision": self.lives.number, "workers": len(whole.workers)})
             )
         if is_reader:
-            commands += [self._tell(to=one, rows=whole.workers) for one in cellars]
+            commands += [self._tell(to=one, rows=whole.workers) for one in controllers]
         return commands, is_news
 
     def hear(self, *, now: float, body: dict) -> tuple[list, bool]:
--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -1,4 +1,4 @@
-"""A cellar's place in the core: founding, joining, copying, founding anew, and being taken out."""
+"""A controller's place in the core: founding, joining, copying, founding anew, and being taken out."""
 
 from __future__ import annotations
 
@@ -27,16 +27,19 @@
 
 
 class Membership:
-    """Owner of a cellar's membership. `step` judges the moment; the cellar's other parts are read through it."""
+    """Owner of a controller's membership.
 
-    def __init__(self, *, cellar: Controller, now: float) -> None:
-        self._cellar = cellar
-        options = cellar.options
+    `step` judges the moment; the controller's other parts are read through it.
+    """
+
+    def __init__(self, *, controller: Controller, now: float) -> None:
+        self._controller = controller
+        options = controller.options
         self.repair = Repair(
             replace_after=options.replace_after, every=options.repair_every, is_brisk=options.bootstrap is not None
         )
-        self.copying = Copying(identity=cellar.identity, pause=options.copy_again)
-        self.anew = Anew(copying=Copying(identity=cellar.identity, pause=options.copy_again))
+        self.copying = Copying(identity=controller.identity, pause=options.copy_again)
+        self.anew = Anew(copying=Copying(identity=controller.identity, pause=options.copy_again))
         self._asked = -1e9
         self._names: dict[str, list[str]] = {}
         self._short_since, self._short_said = now, False
@@ -44,14 +47,14 @@
 
     def step(self, *, now: float) -> list:
         """Say when the core is short; copy, found anew, repair, or ask for news."""
-        cellar = self._cellar
-        cellars = cellar.roster.alive(kind="cellar")
-        cellar.desk.cellars = {one["identity"]: one for one in [*cellars, cellar.roster.own_entry()]}
-        return [*self._note_core(now=now, cellars=cellars), *self._mind(now=now, cellars=cellars)]
+        controller = self._controller
+        controllers = controller.roster.alive(kind="controller")
+        controller.desk.controllers = {one["identity"]: one for one in [*controllers, controller.roster.own_entry()]}
+        return [*self._note_core(now=now, controllers=controllers), *self._mind(now=now, controllers=controllers)]
 
     def is_opening(self) -> bool:
-        """Does a founding anew keep this cellar from acting?"""
-        return read_founding(value=self._voters().value).number > self._cellar.ledger.opened
+        """Does a founding anew keep this controller from acting?"""
+        return read_founding(value=self._voters().value).number > self._controller.ledger.opened
 
     def doubts(self, *, now: float) -> bool:
         """May claims have been lost whose life is not over?"""
@@ -60,27 +63,27 @@
 
     def found_alone(self, *, now: float) -> list[dict]:
         """Found the core without talk: the records, which must last before anything is told."""
-        cellar, value, ballot = self._cellar, self._cellar.options.bootstrap.value(), [0, "founder"]
+        controller, value, ballot = self._controller, self._controller.options.bootstrap.value(), [0, "founder"]
         record = {"k": "vote", "r": "voters", "b": ballot, "v": value}
-        fold_record(slots=cellar.acceptor.slots, record=record, now=now)
-        cellar.ledger.copied = True
-        cellar.ledger.known = {"k": "promise", "r": KNOWN, "b": ballot, "v": value}
-        cellar.held.step(name="voters", ballot=ballot, value=value)
-        return [record, {"k": "copied"}, cellar.ledger.known]
+        fold_record(slots=controller.acceptor.slots, record=record, now=now)
+        controller.ledger.copied = True
+        controller.ledger.known = {"k": "promise", "r": KNOWN, "b": ballot, "v": value}
+        controller.held.step(name="voters", ballot=ballot, value=value)
+        return [record, {"k": "copied"}, controller.ledger.known]
 
     def ask_soon(self) -> None:
         """Others know newer voters: ask for them at the next look."""
         self._asked = -1e9
 
     def found(self, *, now: float, event: Asked) -> list:
-        """Join new cellars into a core: the same value at each of them."""
-        cellar = self._cellar
+        """Join new controllers into a core: the same value at each of them."""
+        controller = self._controller
         try:
             members = json.loads(event.body or b"")["members"]
             sound = bool(members) and all(isinstance(k, str) and isinstance(v, str) for k, v in members.items())
         except (ValueError, KeyError, TypeError, AttributeError):
             sound = False
-        if not sound or cellar.identity not in members:
+        if not sound or controller.identity not in members:
             return [
                 _refuse(
                     event=event,
@@ -95,23 +98,25 @@
             "trail": [],
             "text": json.dumps({"members": members, "size": len(members)}, sort_keys=True),
         }
-        slot = cellar.acceptor.slots.get("voters")
+        slot = controller.acceptor.slots.get("voters")
         if slot is not None and slot.value != value:
-            return [_refuse(event=event, code=409, reason="founded", detail="this cellar belongs to a core already")]
+            return [
+                _refuse(event=event, code=409, reason="founded", detail="this controller belongs to a core already")
+            ]
         record = {"k": "vote", "r": "voters", "b": [0, "founder"], "v": value}
         if slot is None:
-            fold_record(slots=cellar.acceptor.slots, record=record, now=now)
-        cellar.ledger.copied = True
-        cellar.held.step(name="voters", ballot=[0, "founder"], value=value)
+            fold_record(slots=controller.acceptor.slots, record=record, now=now)
+        controller.ledger.copied = True
+        controller.held.step(name="voters", ballot=[0, "founder"], value=value)
         answer = answer_json(token=event.token, code=200, body={"outcome": "accepted", "number": 1})
         return [
-            *cellar.ledger.know(ballot=[0, "founder"], value=value),
-            *cellar.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer]),
+            *controller.ledger.know(ballot=[0, "founder"], value=value),
+            *controller.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer]),
         ]
 
     def found_anew(self, *, now: float, event: Asked) -> list:
         """Take an operator's order to go on with the named survivors alone."""
-        cellar = self._cellar
+        controller = self._controller
         try:
             names = json.loads(event.body or b"")["survivors"]
             sound = isinstance(names, list) and all(isinstance(one, str) for one in names)
@@ -119,31 +124,33 @@
             sound = False
         if not sound:
             return [
-                _refuse(event=event, code=422, reason="survivors", detail="give survivors: a list of cellars' names")
+                _refuse(
+                    event=event, code=422, reason="survivors", detail="give survivors: a list of controllers' names"
+                )
             ]
         newest = max((self._voters().value, self._voted()), key=lambda value: value["number"])
         made = make_founding(
-            own=cellar.identity,
+            own=controller.identity,
             names=names,
             is_confirmed=event.query.get("confirm") == "yes",
             value=newest,
-            opened=cellar.ledger.opened,
-            cellars=cellar.desk.cellars,
+            opened=controller.ledger.opened,
+            controllers=controller.desk.controllers,
         )
         if isinstance(made, NotFounded):
             return [_refuse(event=event, code=made.code, reason=made.reason, detail=made.detail)]
-        if not cellar.ledger.usable or not cellar.ledger.copied:
+        if not controller.ledger.usable or not controller.ledger.copied:
             return [
                 _refuse(
                     event=event,
                     code=503,
                     reason="not-usable",
-                    detail="this cellar can't write, or never had the core's registers",
+                    detail="this controller can't write, or never had the core's registers",
                 )
             ]
         number = made["number"]
         record = {"k": "vote", "r": "voters", "b": [number, "founder"], "v": made}
-        fold_record(slots=cellar.acceptor.slots, record=record, now=now)
+        fold_record(slots=controller.acceptor.slots, record=record, now=now)
         founding = read_founding(value=made)
         answer = answer_json(
             token=event.token,
@@ -155,147 +162,151 @@
                 "claims": "in-doubt" if founding.doubt else "kept",
             },
         )
-        commands = cellar.keep(now=now, name="voters", ballot=[number, "founder"], value=made, tell=True)
+        commands = controller.keep(now=now, name="voters", ballot=[number, "founder"], value=made, tell=True)
         # told only when it lasts
-        return cellar.ledger.step(records=[record], replies=[log_founding(value=made), *commands, answer])
+        return controller.ledger.step(records=[record], replies=[log_founding(value=made), *commands, answer])
 
     def is_out(self, *, value: dict) -> bool:
-        """Does this chosen set of voters take this cellar out? An older one, told late, does not."""
-        cellar = self._cellar
+        """Does this chosen set of voters take this controller out? An older one, told late, does not."""
+        controller = self._controller
         return (
-            cellar.ledger.copied
-            and cellar.identity not in read_voters(value=value)["members"]
+            controller.ledger.copied
+            and controller.identity not in read_voters(value=value)["members"]
             and value["number"] >= self._voted()["number"]
         )
 
     def leave(self) -> list:
         """Taken out of the core: what was voted for is void, and the old identity never acts again."""
-        cellar = self._cellar
-        old, cellar.identity = cellar.identity, cellar.new_identity()
-        for part in (cellar.ledger, cellar.roster, self.copying, self.anew.copying):
-            part.identity = cellar.identity
-        for name in list(cellar.acceptor.slots):
-            del cellar.acceptor.slots[name]
-        cellar.acceptor.slots.control.clear()
-        cellar.ledger.copied, cellar.ledger.opened = False, 0
+        controller = self._controller
+        old, controller.identity = controller.identity, controller.new_identity()
+        for part in (controller.ledger, controller.roster, self.copying, self.anew.copying):
+            part.identity = controller.identity
+        for name in list(controller.acceptor.slots):
+            del controller.acceptor.slots[name]
+        controller.acceptor.slots.control.clear()
+        controller.ledger.copied, controller.ledger.opened = False, 0
         return [
-            Log(event="taken-out", fields={"was": old, "waits-as": cellar.identity}),
-            *cellar.ledger.step(records=[{"k": "left", "id": cellar.identity}], replies=[]),
+            Log(event="taken-out", fields={"was": old, "waits-as": controller.identity}),
+            *controller.ledger.step(records=[{"k": "left", "id": controller.identity}], replies=[]),
         ]
 
     def tell_page(self, *, now: float, sender: str, body: dict) -> list:
         """A page of all this voter has voted for, to one that copies under the same set."""
-        cellar = self._cellar
-        commands = cellar.keep(now=now, name="voters", ballot=body["ballot"], value=body["value"], tell=False)
-        number = cellar.voters["number"]
-        may_tell = cellar.identity in cellar.voters["members"] and cellar.ledger.copied and cellar.ledger.usable
+        controller = self._controller
+        commands = controller.keep(now=now, name="voters", ballot=body["ballot"], value=body["value"], tell=False)
+        number = controller.voters["number"]
+        may_tell = (
+            controller.identity in controller.voters["members"]
+            and controller.ledger.copied
+            and controller.ledger.usable
+        )
         if not may_tell or number != body["value"]["number"]:
             return commands
         if body["after"] == "" or sender not in self._names:
             # nothing is voted for under the old set from here on: one order for the whole copy
-            self._names[sender] = sorted(cellar.acceptor.slots)
-        page = copy_page(slots=cellar.acceptor.slots, names=self._names[sender], after=body["after"], number=number)
+            self._names[sender] = sorted(controller.acceptor.slots)
+        page = copy_page(slots=controller.acceptor.slots, names=self._names[sender], after=body["after"], number=number)
         if not page["next"]:
             del self._names[sender]
-        return commands + cellar.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
+        return commands + controller.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
 
     def take_page(self, *, now: float, event: tuple) -> list:
-        """Fold a page; with the last one this cellar may act."""
-        cellar = self._cellar
-        if "voters" not in cellar.held.held:
+        """Fold a page; with the last one this controller may act."""
+        controller = self._controller
+        if "voters" not in controller.held.held:
             return []
-        if cellar.ledger.copied:
+        if controller.ledger.copied:
             return self._step_anew(now=now, event=event) if self.is_opening() else []
         commands = self.copying.step(now=now, voters=self._voters(), event=event)
         if not self.copying.is_over():
             return commands
-        cellar.ledger.copied, cellar.ledger.opened = True, read_founding(value=self._voters().value).number
+        controller.ledger.copied, controller.ledger.opened = True, read_founding(value=self._voters().value).number
         slots = self.copying.slots(now=now)
         log = Log(event="copied", fields={"slots": len(slots), "under": self.copying.number})
         commands += [
             log,
-            *cellar.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[]),
+            *controller.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[]),
         ]
-        return commands + (self._announce() if cellar.options.bootstrap else [])
+        return commands + (self._announce() if controller.options.bootstrap else [])
 
     def _announce(self) -> list:
         """Tell the other voters at once that this one acts: gossip would take its rounds."""
-        roster = self._cellar.roster
+        roster = self._controller.roster
         roster.fit, roster.beat = True, roster.beat + 1
         body = {"kind": "gossip", "entries": [roster.own_entry()], "reply": True}
         return [
             Tell(to=post, body=body)
-            for post in sorted({*self._cellar.voters["members"].values()} - {roster.place.post})
+            for post in sorted({*self._controller.voters["members"].values()} - {roster.place.post})
         ]
 
     def _put(self, *, slots: dict) -> list:
         records: list = []
         for name, slot in slots.items():
-            self._cellar.acceptor.slots[name] = slot
+            self._controller.acceptor.slots[name] = slot
             records += slot_records(name=name, slot=slot)
         return records
 
     def _opened(self) -> list:
-        opened = self._cellar.ledger.opened
+        opened = self._controller.ledger.opened
         return [{"k": "opened", "n": opened}] if opened else []
 
     def _voters(self) -> Held:
-        return self._cellar.held.held.get("voters") or Held()
+        return self._controller.held.held.get("voters") or Held()
 
     def _voted(self) -> dict:
-        slot = self._cellar.acceptor.slots.get("voters")
+        slot = self._controller.acceptor.slots.get("voters")
         return slot.value if slot and slot.value else Held().value
 
     def _step_anew(self, *, now: float, event: tuple | None) -> list:
-        cellar = self._cellar
+        controller = self._controller
         commands = self.anew.step(now=now, voters=self._voters(), event=event)
         if not self.anew.is_over(now=now):
             return commands
         told = list(self.anew.copying.told.values())
-        slots = merge_survivors(slots=cellar.acceptor.slots, told=told, now=now)
-        for name, held in cellar.held.held.items():
-            # what proxies and other cellars were told, if no survivor's vote is as new
+        slots = merge_survivors(slots=controller.acceptor.slots, told=told, now=now)
+        for name, held in controller.held.held.items():
+            # what proxies and other controllers were told, if no survivor's vote is as new
             slot = slots.get(name)
             if is_control(name=name) and (
                 slot is None or slot.value is None or slot.value["number"] < held.value["number"]
             ):
                 ballot = max(held.ballot, slot.promised) if slot else held.ballot
                 slots[name] = Slot(promised=ballot, ballot=ballot, value=held.value, since=now)
-        cellar.ledger.opened = read_founding(value=self._voters().value).number
+        controller.ledger.opened = read_founding(value=self._voters().value).number
         log = Log(
             event="opened-anew",
             fields={
-                "number": cellar.ledger.opened,
+                "number": controller.ledger.opened,
                 "slots": len(slots),
                 "claims": "in-doubt" if self.doubts(now=now) else "kept",
             },
         )
-        return [*commands, log, *cellar.ledger.step(records=[*self._put(slots=slots), *self._opened()], replies=[])]
+        return [*commands, log, *controller.ledger.step(records=[*self._put(slots=slots), *self._opened()], replies=[])]
 
-    def _mind(self, *, now: float, cellars: list[dict]) -> list:
-        cellar, held = self._cellar, self._voters()
-        if cellar.voting:
+    def _mind(self, *, now: float, controllers: list[dict]) -> list:
+        controller, held = self._controller, self._voters()
+        if controller.voting:
             text = self.repair.step(
                 now=now,
-                own=cellar.identity,
-                voters=cellar.voters,
+                own=controller.identity,
+                voters=controller.voters,
                 text=held.value["text"],
-                cellars=[*cellars, cellar.roster.own_entry()],
+                controllers=[*controllers, controller.roster.own_entry()],
             )
             if not text:
                 return []
             self._ops += 1
             begin = Begin(
-                op=f"{cellar.proposer.identity}/repair{self._ops}",
+                op=f"{controller.proposer.identity}/repair{self._ops}",
                 register="voters",
-                expected=cellar.voters["number"],
+                expected=controller.voters["number"],
                 text=text,
             )
-            log = Log(event="voters-change", fields={"from": cellar.voters["number"], "to": text})
-            return [log, *cellar.begin(now=now, begins=[begin])]
+            log = Log(event="voters-change", fields={"from": controller.voters["number"], "to": text})
+            return [log, *controller.begin(now=now, begins=[begin])]
         commands = []
-        if cellar.identity in cellar.voters["members"] and "voters" in cellar.held.held:
-            if not cellar.ledger.copied:
+        if controller.identity in controller.voters["members"] and "voters" in controller.held.held:
+            if not controller.ledger.copied:
                 return self.copying.step(now=now, voters=held, event=None)
             if self.is_opening():
                 commands = self._step_anew(now=now, event=None)
@@ -304,22 +315,22 @@
             body = {
                 "kind": "ask",
                 "seq": 0,
-                "have": cellar.held.have(),
+                "have": controller.held.have(),
                 "report": {},
-                "daemon": cellar.roster.own_entry(),
+                "daemon": controller.roster.own_entry(),
             }
-            commands += [Tell(to=one["post"], body=body) for one in cellars]
+            commands += [Tell(to=one["post"], body=body) for one in controllers]
         return commands
 
     def _ask_pause(self) -> float:
-        cellar = self._cellar
-        is_waiting = cellar.voters["number"] and cellar.identity not in cellar.voters["members"]
-        return constants.WAITING_ASK if cellar.options.bootstrap and is_waiting else cellar.options.repair_every
+        controller = self._controller
+        is_waiting = controller.voters["number"] and controller.identity not in controller.voters["members"]
+        return constants.WAITING_ASK if controller.options.bootstrap and is_waiting else controller.options.repair_every
 
-    def _note_core(self, *, now: float, cellars: list[dict]) -> list:
+    def _note_core(self, *, now: float, controllers: list[dict]) -> list:
         """Say so when too much is lost for any change, and when it is back."""
-        members = self._cellar.voters["members"]
-        core = count_core(members=members, cellars=[*cellars, self._cellar.roster.own_entry()])
+        members = self._controller.voters["members"]
+        core = count_core(members=members, controllers=[*controllers, self._controller.roster.own_entry()])
         short = bool(members) and core["voting"] < core["needed"]
         if not short:
             self._short_since = now
--- a/sailward/control/moves.py
+++ b/sailward/control/moves.py
@@ -1,4 +1,4 @@
-"""The slot moves of all divided services, each minded by the one cellar that hashing names."""
+"""The slot moves of all divided services, each minded by the one controller that hashing names."""
 
 from __future__ import annotations
 
@@ -32,13 +32,13 @@
         *,
         now: float,
         own: str,
-        cellars: list[dict],
+        controllers: list[dict],
         held: HeldBook,
         standing: Standing,
         workers: dict | None,
         proxies: list[Subscriber],
     ) -> list[tuple[str, int, str]]:
-        """Look at each divided service that this cellar minds."""
+        """Look at each divided service that this controller minds."""
         if now - self.looked < constants.ASSIGN_EVERY or workers is None:
             return []
         self.looked = now
@@ -47,7 +47,7 @@
             return []
         if (int(workers["mark"]), workers["number"]) > self.book.revision:
             self.book.step(epoch=int(workers["mark"]), revision=workers["number"], workers=json.loads(workers["text"]))
-        well = {one["identity"] for one in cellars if one["fit"]}
+        well = {one["identity"] for one in controllers if one["fit"]}
         scene = self._scene(held=held, standing=standing, proxies=proxies)
         changes = []
         for service in divided:
@@ -61,7 +61,7 @@
                 service=service.name,
                 number=value["number"],
                 members=held.voters()["members"],
-                cellars=cellars,
+                controllers=controllers,
                 proxies=proxies,
             )
             text = assigning.step(now=now, service=service, text=value["text"], scene=scene, witness=witness)
--- a/sailward/control/options.py
+++ b/sailward/control/options.py
@@ -1,4 +1,4 @@
-"""How a cellar is set up: the defaults are the product's own ways."""
+"""How a controller is set up: the defaults are the product's own ways."""
 
 from __future__ import annotations
 
@@ -23,9 +23,9 @@
     the product's own. `bootstrap`: None where an operator founds the core. `list_rate`: calls/s that the platform bears
     from all daemons together, 0 if no bound is known. `zones`: every hall known from the settings, with its region.
     `grants`: the words of grants to workers, None where no service is divided by number. `tells_fleet`: proxies are
-    told of each other for the directory. `is_mesh`: cellars send each other beats instead of whole rosters; for cores
-    whose proxies don't gossip. `has_disk`: without one a cellar serves proxies and operators, and votes only if it is a
-    founder, until one with a disk takes its place. All others in s.
+    told of each other for the directory. `is_mesh`: controllers send each other beats instead of whole rosters; for
+    cores whose proxies don't gossip. `has_disk`: without one a controller serves proxies and operators, and votes only
+    if it is a founder, until one with a disk takes its place. All others in s.
     """
 
     dialect: Dialect | None = None
--- a/sailward/control/repair.py
+++ b/sailward/control/repair.py
@@ -34,13 +34,13 @@
     due: tuple = (-1, 0.0)
     tried: tuple = (-1, 0.0)
 
-    def step(self, *, now: float, own: str, voters: dict, text: str, cellars: list[dict]) -> str:
-        """Judge by the roster's living `cellars`; only one of the voters, named by hashing, acts."""
+    def step(self, *, now: float, own: str, voters: dict, text: str, controllers: list[dict]) -> str:
+        """Judge by the roster's living `controllers`; only one of the voters, named by hashing, acts."""
         if now - self.looked < self.every or not text:
             return ""
         self.looked = now
         members = voters["members"]
-        alive = {entry["identity"]: entry for entry in cellars}
+        alive = {entry["identity"]: entry for entry in controllers}
         if self.is_brisk:
             return self._step_brisk(now=now, own=own, number=voters["number"], text=text, members=members, alive=alive)
         for name in members:
@@ -131,7 +131,7 @@
         return [*sorted(wiped), *sorted((lost | stuck) - wiped), *sorted(bare)]
 
     def _best(self, *, now: float, waiting: list, rest: list, alive: dict) -> str:
-        """The waiting cellar that spreads the voters most over halls and regions.
+        """The waiting controller that spreads the voters most over halls and regions.
 
         Of equal ones that which is up for longest.
         """
@@ -161,9 +161,9 @@
     return json.dumps({**value, "members": members}, sort_keys=True)
 
 
-def count_core(*, members: dict, cellars: list[dict]) -> dict:
+def count_core(*, members: dict, controllers: list[dict]) -> dict:
     """How many voters are heard of as voting, how many a majority needs, and who is missing."""
-    well = {entry["identity"] for entry in cellars if entry["fit"]} & set(members)
+    well = {entry["identity"] for entry in controllers if entry["fit"]} & set(members)
     return {"voting": len(well), "needed": majority_of(members=members), "missing": sorted(set(members) - well)}
 
 
--- a/sailward/control/shard_leases.py
+++ b/sailward/control/shard_leases.py
@@ -1,4 +1,4 @@
-"""A cellar's part in the keys of services that are divided by number.
+"""A controller's part in the keys of services that are divided by number.
 
 Who acts, how fresh it is, and what it grants from.
 """
@@ -24,10 +24,10 @@
 
 
 class ShardLeases:
-    """Owner of the grants of one cellar. `step` takes a call's end, or None for time going on; `hear` a message."""
+    """Owner of the grants of one controller. `step` takes a call's end, or None for time going on; `hear` a message."""
 
-    def __init__(self, *, cellar: Controller, codec: object, hold_max: float) -> None:
-        self._cellar, self._codec, self._hold_max = cellar, codec, hold_max
+    def __init__(self, *, controller: Controller, codec: object, hold_max: float) -> None:
+        self._controller, self._codec, self._hold_max = controller, codec, hold_max
         self.freshness = Freshness()
         self.granting: dict[str, Granting] = {}
         self._listed: object = None
@@ -39,72 +39,73 @@
         self._ops = 0
 
     def hear(self, *, now: float, sender: str, body: dict) -> list:
-        """Answer another cellar's asking, or fold an answer."""
-        cellar = self._cellar
+        """Answer another controller's asking, or fold an answer."""
+        controller = self._controller
         if body["kind"] == "confirm":
-            known, held = cellar.voters["number"], cellar.held.held.get("voters")
-            if cellar.voting and body["voters"] < known and held is not None:
+            known, held = controller.voters["number"], controller.held.held.get("voters")
+            if controller.voting and body["voters"] < known and held is not None:
                 return [
                     Tell(
                         to=sender,
                         body={"kind": "chosen", "register": "voters", "ballot": held.ballot, "value": held.value},
                     )
                 ]
-            if not cellar.voting or body["voters"] != known:
+            if not controller.voting or body["voters"] != known:
                 return []
             newest = {
-                name: newest_vote(slots=cellar.acceptor.slots, name=name)
+                name: newest_vote(slots=controller.acceptor.slots, name=name)
                 for name in body["registers"]
                 if isinstance(name, str)
             }
             reply = Tell(
-                to=sender, body={"kind": "confirmed", "seq": body["seq"], "identity": cellar.identity, "newest": newest}
+                to=sender,
+                body={"kind": "confirmed", "seq": body["seq"], "identity": controller.identity, "newest": newest},
             )
             # a vote that is not synced yet may be lost: it is told behind the disk
-            return cellar.ledger.step(records=[], replies=[reply])
+            return controller.ledger.step(records=[], replies=[reply])
         for name, newest in body["newest"].items():
-            if isinstance(newest, list) and newest and newest[0] > cellar.held.number(name=name):
+            if isinstance(newest, list) and newest and newest[0] > controller.held.number(name=name):
                 # chosen or not, it is newer than what would be granted from
-                cellar.note_behind(now=now, name=name)
+                controller.note_behind(now=now, name=name)
         return self.freshness.step(
             now=now,
             body=body,
-            members=cellar.voters["members"],
-            number=cellar.voters["number"],
-            own=cellar.identity,
+            members=controller.voters["members"],
+            number=controller.voters["number"],
+            own=controller.identity,
             registers=[],
         )
 
     def step(self, *, now: float, event: Called | None) -> list:
         """Step the grants of each divided service."""
-        cellar = self._cellar
-        services = sorted(name for name, service in cellar.moves.plan.services.items() if service.ranged)
+        controller = self._controller
+        services = sorted(name for name, service in controller.moves.plan.services.items() if service.ranged)
         if event is not None:
             services = [
                 name for name in services if name in self.granting and self.granting[name].is_own(token=event.token)
             ]
-        if not services or cellar.workers[2] is None:
+        if not services or controller.workers[2] is None:
             return []
         self._look(now=now)
         well = {
             one["identity"]: one["post"]
-            for one in [*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()]
+            for one in [*controller.roster.alive(kind="controller"), controller.roster.own_entry()]
             if one["fit"]
         }
         leads = (
             {name: choose_names(key=PREFIX + name, names=set(well), count=1)[0] for name in services} if well else {}
         )
-        acting = [name for name, lead in leads.items() if cellar.voting and lead == cellar.identity]
+        acting = [name for name, lead in leads.items() if controller.voting and lead == controller.identity]
         if event is None:
-            cellar.fleet.readers = frozenset(well[lead] for lead in leads.values())
-        members = cellar.voters["members"]
+            controller.fleet.readers = frozenset(well[lead] for lead in leads.values())
+        members = controller.voters["members"]
         commands = (
             self.freshness.step(
                 now=now,
                 body=None,
                 members=members,
-                number=cellar.voters["number"],
-                own=cellar.identity,
+                number=controller.voters["number"],
+                own=controller.identity,
                 registers=[PREFIX + name for name in acting],
             )
             if event is None
@@ -114,15 +115,17 @@
         for name in services:
             granting = self.granting.get(name)
             if granting is None:
-                granting = self.granting[name] = Granting(service=name, own=cellar.proposer.identity, codec=self._codec)
-            held = cellar.held.held.get(PREFIX + name)
+                granting = self.granting[name] = Granting(
+                    service=name, own=controller.proposer.identity, codec=self._codec
+                )
+            held = controller.held.held.get(PREFIX + name)
             until = self.freshness.until(
                 now=now,
                 register=PREFIX + name,
-                held=cellar.held,
+                held=controller.held,
                 members=members,
-                own=cellar.identity,
-                slots=cellar.acceptor.slots,
+                own=controller.identity,
+                slots=controller.acceptor.slots,
             )
             scene = GrantScene(
                 value=held.value if held else {"number": 0, "text": ""},
@@ -140,14 +143,14 @@
                 self._ops += 1
                 begins.append(
                     Begin(
-                        op=f"{cellar.proposer.identity}/grant{self._ops}",
+                        op=f"{controller.proposer.identity}/grant{self._ops}",
                         register=register,
                         expected=expected,
                         text=text,
                         wait=constants.GRANT_LEASE,
                     )
                 )
-        return commands + cellar.begin(now=now, begins=begins)
+        return commands + controller.begin(now=now, begins=begins)
 
     def _loads_of(self, *, now: float, service: str, is_acting: bool) -> dict:
         """Loads and paces for the one that acts, added up anew now and then."""
@@ -158,20 +161,20 @@
         if now - at >= constants.GRANT_LOOK:
             paces = {
                 key: pace
-                for key, pace in self._cellar.fleet.paces(now=now).items()
+                for key, pace in self._controller.fleet.paces(now=now).items()
                 if key in self._workers and self._workers[key].service == service
             }
-            found = {"loads": self._cellar.fleet.loads(now=now, service=service), "paces": paces}
+            found = {"loads": self._controller.fleet.loads(now=now, service=service), "paces": paces}
             self._loads[service] = now, found
         return found
 
     def _look(self, *, now: float) -> None:
         """Fold the list, the orders and what proxies call unreachable into what is granted from."""
-        cellar = self._cellar
-        orders = cellar.held.held.get("orders")
+        controller = self._controller
+        orders = controller.held.held.get("orders")
         emptied = read_orders(value=orders.value) if orders else frozenset()
-        if cellar.workers[2] is not self._listed:
-            self._listed = cellar.workers[2]
+        if controller.workers[2] is not self._listed:
+            self._listed = controller.workers[2]
             self._workers = {}
             for row in json.loads(self._listed["text"]):
                 self._workers[row["id"]] = Worker(
@@ -190,13 +193,13 @@
             self._cold = {key: at for key, at in self._cold.items() if key in self._workers}
         for hall in self._emptied - emptied:
             for key, worker in self._workers.items():
-                service = cellar.moves.plan.services.get(worker.service)
+                service = controller.moves.plan.services.get(worker.service)
                 if worker.hall == hall and service is not None:
                     self._cold[key] = max(self._cold.get(key, 0.0), now + service.cold + constants.COLD_MARGIN)
         self._emptied = emptied
         self._workers = {
             key: replace(worker, cold=max(0.0, self._cold.get(key, now) - now)) for key, worker in self._workers.items()
         }
-        said = cellar.fleet.down(now=now, proxies=cellar.subscribers.proxies())
+        said = controller.fleet.down(now=now, proxies=controller.subscribers.proxies())
         down = {key for key, (count, voices) in said.items() if 2 * count > voices}
         self._down = {key: self._down.get(key, now) for key in down}
--- a/sailward/control/standing.py
+++ b/sailward/control/standing.py
@@ -45,7 +45,7 @@
             middle = sorted(fractions)[len(fractions) // 2]
             counts[place] = (PARTS, round(middle * PARTS), PARTS)
             if place not in self.book.halls and 2 * sum(marks[name]) > len(marks[name]):
-                # lost with this cellar, told by those who know: drained until its hold is over
+                # lost with this controller, told by those who know: drained until its hold is over
                 self.book.step(now=now, counts={**self._old(), place: (PARTS, 0, PARTS)})
         return self.book.step(now=now, counts=counts) if counts else []
 
--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -1,75 +1,77 @@
-"""What a cellar shows its operators."""
+"""What a controller shows its operators."""
 
 from __future__ import annotations
 
 import sailward
 from sailward.control.disaster_recovery import read_founding
 from sailward.control.repair import count_core
+from sailward.discovery.gossip import kind_of
 
 
-def show_status(*, cellar, now: float) -> dict:
-    """The status of the core, the halls and the proxies, as this cellar sees it."""
+def show_status(*, controller, now: float) -> dict:
+    """The status of the core, the halls and the proxies, as this controller sees it."""
     registers = {
         name: {
             "number": held.value["number"],
             "acknowledged_by": sorted(
                 member.entry.get("id", "")
-                for member in cellar.subscribers.members.values()
+                for member in controller.subscribers.members.values()
                 if member.acked.get(name, -1) >= held.value["number"]
                 or (member.have.get(name) or [-1])[0] >= held.value["number"]
             ),
         }
-        for name, held in cellar.held.held.items()
+        for name, held in controller.held.held.items()
     }
     daemons = [
         {
             "id": known.entry["id"],
-            "kind": known.entry["kind"],
+            "kind": kind_of(entry=known.entry),
             "hall": known.entry["hall"],
             "fit": known.entry["fit"],
             "lost": known.lost,
             "version": known.entry["version"],
             "http": known.entry["http"],
         }
-        for known in cellar.roster.known.values()
+        for known in controller.roster.known.values()
     ]
     halls = {
         f"{service}|{hall}": {"state": state.state, "fraction": state.fraction, "for_s": round(now - state.since, 1)}
-        for (service, hall), state in cellar.standing.book.halls.items()
+        for (service, hall), state in controller.standing.book.halls.items()
     }
     core = count_core(
-        members=cellar.voters["members"], cellars=[*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()]
+        members=controller.voters["members"],
+        controllers=[*controller.roster.alive(kind="controller"), controller.roster.own_entry()],
     )
     return {
-        "id": cellar.place.name,
+        "id": controller.place.name,
         "core": core,
-        "identity": cellar.identity,
+        "identity": controller.identity,
         "version": sailward.__version__,
-        "founding": _show_founding(cellar=cellar, now=now),
-        "post": cellar.place.post,
-        "voting": cellar.voting,
-        "disk_usable": cellar.ledger.usable,
-        "voters": cellar.voters,
+        "founding": _show_founding(controller=controller, now=now),
+        "post": controller.place.post,
+        "voting": controller.voting,
+        "disk_usable": controller.ledger.usable,
+        "voters": controller.voters,
         "registers": registers,
         "daemons": sorted(daemons, key=lambda one: one["id"]),
         "halls": halls,
-        "proxies": len(cellar.subscribers.proxies()),
-        "list": {"epoch": cellar.workers[0], "revision": cellar.workers[1]},
-        "slots": len(cellar.acceptor.slots),
-        "rates": _sum_rates(proxies=cellar.subscribers.proxies()),
-        "well": sorted(cellar.standing.warm),
+        "proxies": len(controller.subscribers.proxies()),
+        "list": {"epoch": controller.workers[0], "revision": controller.workers[1]},
+        "slots": len(controller.acceptor.slots),
+        "rates": _sum_rates(proxies=controller.subscribers.proxies()),
+        "well": sorted(controller.standing.warm),
     }
 
 
-def _show_founding(*, cellar, now: float) -> dict:
-    founding = read_founding(value=cellar.held.held["voters"].value) if "voters" in cellar.held.held else None
+def _show_founding(*, controller, now: float) -> dict:
+    founding = read_founding(value=controller.held.held["voters"].value) if "voters" in controller.held.held else None
     if founding is None or not founding.number:
         return {}
     return {
         "number": founding.number,
         "survivors": list(founding.survivors),
-        "acts": not cellar.membership.is_opening(),
-        "claims": "in-doubt" if cellar.membership.doubts(now=now) else "kept",
+        "acts": not controller.membership.is_opening(),
+        "claims": "in-doubt" if controller.membership.doubts(now=now) else "kept",
     }
 
 
--- a/sailward/control/subscribers.py
+++ b/sailward/control/subscribers.py
@@ -1,23 +1,24 @@
-"""The proxies that a cellar pushes to, and what each has acknowledged."""
+"""The proxies that a controller pushes to, and what each has acknowledged."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
 from sailward import constants
+from sailward.discovery.gossip import kind_of
 from sailward.events import Tell
 
 OWN_LIST = "workers"
 """The name under which the list of workers is pushed."""
 OWN_LISTS = (OWN_LIST, "fleet")
-"""What has numbers of each cellar's own."""
+"""What has numbers of each controller's own."""
 LARGE = "config"
 """The register whose value is large."""
 
 
 @dataclass(kw_only=True)
 class Subscriber:
-    """One daemon that asks this cellar for its lease."""
+    """One daemon that asks this controller for its lease."""
 
     entry: dict
     first: float
@@ -32,8 +33,8 @@
 class Subscribers:
     """Owner of the pushes. `step` folds an asking or an acknowledgement, or pushes what is due.
 
-    With a `post` the lists of this cellar have numbers of its own: they are pushed only to those that name this post,
-    or none, as the teller of the list that they follow.
+    With a `post` the lists of this controller have numbers of its own: they are pushed only to those that name this
+    post, or none, as the teller of the list that they follow.
     """
 
     members: dict = field(default_factory=dict)
@@ -49,7 +50,7 @@
             if now - member.seen > constants.SUBSCRIBER_LIFE:
                 del self.members[address]
         commands = []
-        # one that asks is pushed what it lacks, whoever leads it; when news come here, only those that this cellar
+        # one that asks is pushed what it lacks, whoever leads it; when news come here, only those that this controller
         # leads
         asker = event[0] if event is not None else ""
         for address, member in self.members.items():
@@ -68,12 +69,12 @@
         return commands
 
     def has_followers(self) -> bool:
-        """Is there a proxy that follows this cellar's list of workers, or none yet?"""
+        """Is there a proxy that follows this controller's list of workers, or none yet?"""
         return any((one.have.get(OWN_LIST) or [-1, ""])[1] in ("", self.post) for one in self.proxies())
 
     def proxies(self) -> list[Subscriber]:
         """The proxies that have asked of late."""
-        return [member for member in self.members.values() if member.entry.get("kind") == "sommelier"]
+        return [member for member in self.members.values() if kind_of(entry=member.entry) == "proxy"]
 
     def asks(self, *, now: float) -> str:
         """Every proxy start that asked within the longest time that what it sent on may run."""
@@ -90,7 +91,7 @@
         if member is None or member.entry.get("start") != start:
             member = self.members[sender] = Subscriber(entry=body["daemon"], first=now, seen=now)
         member.entry, member.seen = body["daemon"], now
-        if member.entry.get("kind") == "sommelier":
+        if kind_of(entry=member.entry) == "proxy":
             self.asked[f"{member.entry.get('id')}#{start}"] = now
         member.have, member.report = body["have"], body["report"]
 
@@ -107,8 +108,8 @@
         is_asked: bool = False,
     ) -> list:
         given = member.have.get(name)
-        if self.post and member.entry.get("kind") == "cellar" and name in OWN_LISTS:
-            # a cellar follows nobody's lists
+        if self.post and kind_of(entry=member.entry) == "controller" and name in OWN_LISTS:
+            # a controller follows nobody's lists
             return []
         if self.post and not is_asked and name == LARGE and member.report.get("lead", self.post) != self.post:
             # the one that leads it pushes this; what is small comes from both it asks, as one may be gone
--- a/sailward/control/witness.py
+++ b/sailward/control/witness.py
@@ -12,7 +12,7 @@
 
 @dataclass(kw_only=True)
 class Closing:
-    """One closed slot: since when this cellar holds it, under which number, and whether it is clear."""
+    """One closed slot: since when this controller holds it, under which number, and whether it is clear."""
 
     since: float
     number: int
@@ -32,7 +32,7 @@
     service: str
     number: int
     members: dict
-    cellars: list
+    controllers: list
     proxies: list[Subscriber]
 
     def beats(self) -> dict:
@@ -52,7 +52,7 @@
         )
 
     def _voters(self) -> list[dict]:
-        return [one for one in self.cellars if one["identity"] in self.members]
+        return [one for one in self.controllers if one["identity"] in self.members]
 
     def _is_after(self, *, entry: dict, closing: Closing) -> bool:
         start, beat = closing.beats.get(entry["identity"], (None, 0))
--- a/sailward/control/write_ahead.py
+++ b/sailward/control/write_ahead.py
@@ -1,4 +1,4 @@
-"""A cellar's place on the disk: records synced in order, and what waits for them."""
+"""A controller's place on the disk: records synced in order, and what waits for them."""
 
 from __future__ import annotations
 
--- a/sailward/discovery/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -23,6 +23,16 @@
     "asks": str,
 }
 
+KINDS_ON_WIRE = {"controller": "cellar", "proxy": "sommelier", "directory": "concierge"}
+"""A daemon's kind as entries give it: daemons of 0.2.0 and before know no other words. Read by either word."""
+KINDS = {word: kind for kind, word in KINDS_ON_WIRE.items()}
+
+
+def kind_of(*, entry: dict) -> str:
+    """The kind of the daemon that an entry is of, whatever version wrote it; "" if it gives none."""
+    word = str(entry.get("kind", ""))
+    return KINDS.get(word, word)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Place:
@@ -128,7 +138,7 @@
         place = self.place
         return {
             "id": place.name,
-            "kind": place.kind,
+            "kind": KINDS_ON_WIRE.get(place.kind, place.kind),
             "hall": place.hall,
             "region": place.region,
             "post": place.post,
@@ -144,7 +154,7 @@
 
     def alive(self, *, kind: str) -> list[dict]:
         """The entries of the daemons of this kind that are not lost."""
-        return [known.entry for known in self.known.values() if known.entry["kind"] == kind and not known.lost]
+        return [known.entry for known in self.known.values() if kind_of(entry=known.entry) == kind and not known.lost]
 
     def _watched(self) -> list[str]:
         others = {known.entry["id"]: known.entry["post"] for known in self.known.values()}
--- a/sailward/programs/cellar.py
+++ b/sailward/programs/controller.py
@@ -1,9 +1,9 @@
-"""cellar: a core machine of sailward, with a disk.
+"""sailward-controller: a machine that holds the state of the control side, on a disk.
 
 Usage:
-  cellar --settings FILE [options]
-  cellar [options]
-  cellar (-h | --help | --version)
+  sailward-controller --settings FILE [options]
+  sailward-controller [options]
+  sailward-controller (-h | --help | --version)
 
 Options:
   --settings FILE    Settings in TOML; a flag goes before the file.
@@ -35,13 +35,13 @@
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
 from sailward.runtime.logs import write_log
 from sailward.runtime.loop import Loop, end_process
-from sailward.runtime.startup import CELLAR
+from sailward.runtime.startup import CONTROLLER
 from sailward.storage.disk import Damaged, Disk, Newer, Taken
 
 
 def main(argv: list[str] | None = None) -> None:
-    """Run a cellar until it is told to stop."""
-    settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=CELLAR)
+    """Run a controller until it is told to stop."""
+    settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=CONTROLLER)
     loop = Loop()
     disk = Disk(folder=Path(settings["data"]), tell=loop.tell)
     try:
@@ -55,7 +55,7 @@
             fields={
                 "folder": settings["data"],
                 "offset": found.offset,
-                "todo": "move the folder away and bring this cellar in anew",
+                "todo": "move the folder away and bring this controller in anew",
             },
             level="error",
         )
@@ -66,7 +66,7 @@
             fields={
                 "folder": settings["data"],
                 "what": found.what,
-                "todo": "start the newer version again, or move the folder away and bring this cellar in anew",
+                "todo": "start the newer version again, or move the folder away and bring this controller in anew",
             },
             level="error",
         )
@@ -76,7 +76,7 @@
         sys.exit(constants.EXIT_TAKEN)
     nonce = make_nonce()
     owner = Controller(
-        place=make_place(settings=settings, kind="cellar"),
+        place=make_place(settings=settings, kind="controller"),
         platform=settings["platform"],
         nonce=nonce,
         start=make_start(),
--- a/sailward/programs/concierge.py
+++ b/sailward/programs/directory.py
@@ -1,9 +1,9 @@
-"""concierge: a directory of sailward. It hands callers the addresses of proxies.
+"""sailward-directory: hands callers the addresses of proxies.
 
 Usage:
-  concierge --settings FILE [options]
-  concierge [options]
-  concierge (-h | --help | --version)
+  sailward-directory --settings FILE [options]
+  sailward-directory [options]
+  sailward-directory (-h | --help | --version)
 
 Options:
   --settings FILE    Settings in TOML; a flag goes before the file.
@@ -26,7 +26,7 @@
 
 from sailward import constants
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
-from sailward.proxy.concierge import Concierge
+from sailward.proxy.directory_server import DirectoryServer
 from sailward.runtime.loop import Loop, end_process
 from sailward.runtime.startup import COMMON
 
@@ -35,8 +35,8 @@
     """Run a directory until it is told to stop."""
     settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=COMMON)
     loop, nonce = Loop(), make_nonce()
-    owner = Concierge(
-        place=make_place(settings=settings, kind="concierge"), start=make_start(), rng=random.Random(nonce)
+    owner = DirectoryServer(
+        place=make_place(settings=settings, kind="directory"), start=make_start(), rng=random.Random(nonce)
     )
     edges = start_edges(settings=settings, loop=loop, limit=constants.BODY_BYTES, calling=False)
     end_process(code=loop.run(step=owner.step), web=edges.web)
--- a/sailward/programs/hosted_cellar.py
+++ b/sailward/programs/hosted_controller.py
@@ -1,4 +1,4 @@
-"""The cellar as a hosted daemon."""
+"""The controller as a hosted daemon."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 from sailward.storage.disk import Damaged, Disk, Newer, Taken
 
 
-def run_cellar(*, hosted: Hosted) -> None:
-    """Run a cellar until it is told to stop."""
+def run_controller(*, hosted: Hosted) -> None:
+    """Run a controller until it is told to stop."""
     reactor, host = begin_host(hosted=hosted)
     disk = Disk(folder=Path(hosted.data), tell=host.tell_from_thread) if hosted.data else NoDisk(host=host)
     records = _open_disk(hosted=hosted, disk=disk) if hosted.data else []
@@ -76,7 +76,11 @@
     if isinstance(found, (Damaged, Newer)):
         write_log(
             event="disk-damaged" if isinstance(found, Damaged) else "disk-newer",
-            fields={"folder": hosted.data, "what": found, "todo": "move the folder away and bring this cellar in anew"},
+            fields={
+                "folder": hosted.data,
+                "what": found,
+                "todo": "move the folder away and bring this controller in anew",
+            },
             level="error",
         )
         sys.exit(constants.EXIT_DISK)
--- a/sailward/programs/sommelier.py
+++ b/sailward/programs/proxy.py
@@ -1,9 +1,9 @@
-"""sommelier: a proxy of sailward. It keeps nothing on disk.
+"""sailward-proxy: forwards requests to workers. It keeps nothing on disk.
 
 Usage:
-  sommelier --settings FILE [options]
-  sommelier [options]
-  sommelier (-h | --help | --version)
+  sailward-proxy --settings FILE [options]
+  sailward-proxy [options]
+  sailward-proxy (-h | --help | --version)
 
 Options:
   --settings FILE    Settings in TOML; a flag goes before the file.
@@ -27,7 +27,7 @@
 
 from sailward import constants
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
-from sailward.proxy.sommelier import Sommelier
+from sailward.proxy.tenant_proxy import TenantProxy
 from sailward.runtime.loop import Loop, end_process
 from sailward.runtime.startup import COMMON
 
@@ -36,8 +36,8 @@
     """Run a proxy until it is told to stop."""
     settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=COMMON)
     loop, nonce = Loop(), make_nonce()
-    owner = Sommelier(
-        place=make_place(settings=settings, kind="sommelier"),
+    owner = TenantProxy(
+        place=make_place(settings=settings, kind="proxy"),
         nonce=nonce,
         start=make_start(),
         rng=random.Random(nonce),
--- a/sailward/programs/steward.py
+++ b/sailward/programs/sailctl.py
@@ -1,39 +1,39 @@
-"""steward: the operators' client of sailward.
+"""sailctl: the operators' client of sailward.
 
 Usage:
-  steward [options] found
-  steward [options] found-anew CELLAR... [--confirm]
-  steward [options] get
-  steward [options] put FILE
-  steward [options] patch FILE
-  steward [options] check FILE [--offline]
-  steward [options] explain TENANT METHOD PATH --proxy=ADDRESS
-  steward [options] empty HALL [--confirm]
-  steward [options] refill HALL
-  steward [options] join CELLAR
-  steward [options] part CELLAR
-  steward [options] voters
-  steward [options] orders
-  steward [options] status
-  steward [options] workers
-  steward (-h | --help | --version)
+  sailctl [options] found
+  sailctl [options] found-anew CONTROLLER... [--confirm]
+  sailctl [options] get
+  sailctl [options] put FILE
+  sailctl [options] patch FILE
+  sailctl [options] check FILE [--offline]
+  sailctl [options] explain TENANT METHOD PATH --proxy=ADDRESS
+  sailctl [options] empty HALL [--confirm]
+  sailctl [options] refill HALL
+  sailctl [options] join CONTROLLER
+  sailctl [options] part CONTROLLER
+  sailctl [options] voters
+  sailctl [options] orders
+  sailctl [options] status
+  sailctl [options] workers
+  sailctl (-h | --help | --version)
 
 Options:
-  --cellars LIST   IP:port of the cellars' operators' interfaces, with commas
-                   [default: 127.0.0.1:7100].
-  --if-match N     Change only the configuration that has this number.
-  --offline        Check the file alone, not against the fleet as it is.
-  --proxy=ADDRESS  IP:port of a proxy, to explain what it would do with an exchange, and why.
-  --confirm        Empty the hall though a bound tenant is left without any place; or found the core anew: all
-                   voters that are not named are gone for good and stay switched off.
-  -h --help        Show this.
-  --version        Show the version.
-
-FILE is JSON, or - for standard input. `found` joins the named cellars, all new, into a core; `join` and
-`part` take a cellar, by name or identity, into the core or out of it, one at a time. `found-anew` goes on with the
-named cellars alone when a majority of the core is lost for good.
-
-Exit codes: 0 done; 1 the configuration has faults; 2 bad usage or file; 3 no cellar answered, nothing changed;
+  --controllers LIST  IP:port of the controllers' operators' interfaces, with commas
+                      [default: 127.0.0.1:7100].
+  --if-match N        Change only the configuration that has this number.
+  --offline           Check the file alone, not against the fleet as it is.
+  --proxy=ADDRESS     IP:port of a proxy, to explain what it would do with an exchange, and why.
+  --confirm           Empty the hall though a bound tenant is left without any place; or found the core anew: all
+                      voters that are not named are gone for good and stay switched off.
+  -h --help           Show this.
+  --version           Show the version.
+
+FILE is JSON, or - for standard input. `found` joins the named controllers, all new, into a core; `join` and
+`part` take a controller, by name or identity, into the core or out of it, one at a time. `found-anew` goes on with the
+named controllers alone when a majority of the core is lost for good.
+
+Exit codes: 0 done; 1 the configuration has faults; 2 bad usage or file; 3 no controller answered, nothing changed;
 4 refused, nothing changed; 6 unknown: the change may be in force, now or later, read it back.
 """
 
@@ -54,14 +54,14 @@
 def main(argv: list[str] | None = None) -> None:
     """Carry out one command of an operator."""
     flags = read_flags(doc=__doc__, argv=argv)
-    cellars = [one.strip() for one in flags["--cellars"].split(",") if one.strip()]
-    if not cellars:
-        _end(code=constants.EXIT_USAGE, message="--cellars names no cellar")
-    client = Client(cellars=cellars)
+    controllers = [one.strip() for one in flags["--controllers"].split(",") if one.strip()]
+    if not controllers:
+        _end(code=constants.EXIT_USAGE, message="--controllers names no controller")
+    client = Client(controllers=controllers)
     if flags["found"]:
-        _found(cellars=cellars)
+        _found(controllers=controllers)
     elif flags["found-anew"]:
-        _found_anew(cellars=cellars, names=flags["CELLAR"], is_confirmed=flags["--confirm"])
+        _found_anew(controllers=controllers, names=flags["CONTROLLER"], is_confirmed=flags["--confirm"])
     elif flags["put"] or flags["patch"]:
         _change(client=client, flags=flags)
     elif flags["check"]:
@@ -73,7 +73,7 @@
         _show(
             reply=client.step(
                 method="POST",
-                path=f"/voters/{quote(flags['CELLAR'][0], safe='')}/" + ("join" if flags["join"] else "part"),
+                path=f"/voters/{quote(flags['CONTROLLER'][0], safe='')}/" + ("join" if flags["join"] else "part"),
             )
         )
     elif flags["empty"] or flags["refill"]:
@@ -84,34 +84,36 @@
         _show(reply=client.step(method="GET", path="/config" if path == "get" else f"/{path}"))
 
 
-def _found(*, cellars: list[str]) -> None:
+def _found(*, controllers: list[str]) -> None:
     members = {}
-    for cellar in cellars:
-        reply = ask_once(address=cellar, method="GET", path="/status")
+    for controller in controllers:
+        reply = ask_once(address=controller, method="GET", path="/status")
         if isinstance(reply, Unreachable) or "identity" not in reply.body:
-            _end(code=constants.EXIT_UNREACHABLE, message=f"every cellar named must answer; {cellar} does not")
+            _end(code=constants.EXIT_UNREACHABLE, message=f"every controller named must answer; {controller} does not")
         members[reply.body["identity"]] = reply.body["post"]
-    if len(members) < len(cellars):
-        _end(code=constants.EXIT_USAGE, message="a cellar is named twice")
-    for cellar in cellars:
-        reply = ask_once(address=cellar, method="POST", path="/found", body=json.dumps({"members": members}).encode())
+    if len(members) < len(controllers):
+        _end(code=constants.EXIT_USAGE, message="a controller is named twice")
+    for controller in controllers:
+        reply = ask_once(
+            address=controller, method="POST", path="/found", body=json.dumps({"members": members}).encode()
+        )
         if isinstance(reply, Unreachable):
-            _end(code=constants.EXIT_UNKNOWN, message=f"{cellar} did not answer: give the same command again")
+            _end(code=constants.EXIT_UNKNOWN, message=f"{controller} did not answer: give the same command again")
         if reply.code != 200:
             _show(reply=reply)
     print(json.dumps({"outcome": "founded", "members": members}, indent=2))
 
 
-def _found_anew(*, cellars: list[str], names: list[str], is_confirmed: bool) -> None:
+def _found_anew(*, controllers: list[str], names: list[str], is_confirmed: bool) -> None:
     """Each survivor must answer before any is told; one takes the order and tells the others."""
     answering = {}
-    for cellar in cellars:
-        reply = ask_once(address=cellar, method="GET", path="/status")
+    for controller in controllers:
+        reply = ask_once(address=controller, method="GET", path="/status")
         if isinstance(reply, Reply) and "identity" in reply.body:
-            answering |= {reply.body["id"]: cellar, reply.body["identity"]: cellar}
+            answering |= {reply.body["id"]: controller, reply.body["identity"]: controller}
     missing = [name for name in names if name not in answering]
     if missing:
-        _end(code=constants.EXIT_UNREACHABLE, message=f"no answer from {missing} at --cellars; nothing was changed")
+        _end(code=constants.EXIT_UNREACHABLE, message=f"no answer from {missing} at --controllers; nothing was changed")
     body = json.dumps({"survivors": names}).encode()
     _show(
         reply=ask_once(
@@ -161,7 +163,7 @@
         if reply.code not in (200, 404):
             _end(
                 code=constants.EXIT_REFUSED,
-                message=f"{reply.cellar}: {reply.body.get('error')}: {reply.body.get('detail')}",
+                message=f"{reply.controller}: {reply.body.get('error')}: {reply.body.get('detail')}",
             )
     config, workers, status = (reply.body for reply in replies)
     old = check_config(config=config["config"]) if config.get("config") else None
@@ -189,7 +191,7 @@
             print(reason, file=sys.stderr)
         if reply.sent:
             _end(code=constants.EXIT_UNKNOWN, message="unknown: the change may be in force, now or later; read it back")
-        _end(code=constants.EXIT_UNREACHABLE, message="no cellar answered; nothing was changed")
+        _end(code=constants.EXIT_UNREACHABLE, message="no controller answered; nothing was changed")
     if reply.code < 300:
         print(json.dumps(reply.body, indent=2))
         return
--- a/sailward/proxy/concierge.py
+++ b/sailward/proxy/directory_server.py
@@ -5,13 +5,13 @@
 import random
 
 from sailward import constants
-from sailward.discovery.gossip import Place, Roster
+from sailward.discovery.gossip import Place, Roster, kind_of
 from sailward.discovery.rendezvous import score_pair
 from sailward.events import Asked, Heard, Log, Stop, StopAsked
 from sailward.routing.exchange import answer_json
 
 
-class Concierge:
+class DirectoryServer:
     """Owner of a directory process. It decides no failover: it names who says of itself that it is fit."""
 
     def __init__(self, *, place: Place, start: int, rng: random.Random) -> None:
@@ -35,11 +35,14 @@
         if event.method != "GET" or event.path not in ("/proxies", "/status"):
             return answer_json(token=event.token, code=404, body={"error": "unknown", "detail": "GET /proxies"})
         if event.path == "/status":
-            daemons = [{**known.entry, "lost": known.lost} for known in self.roster.known.values()]
+            daemons = [
+                {**known.entry, "kind": kind_of(entry=known.entry), "lost": known.lost}
+                for known in self.roster.known.values()
+            ]
             return answer_json(token=event.token, code=200, body={"id": self.place.name, "daemons": daemons})
         hall = event.query.get("hall", self.place.hall)
         region = event.query.get("region", self.place.region)
-        fit = [entry for entry in self.roster.alive(kind="sommelier") if entry["fit"]]
+        fit = [entry for entry in self.roster.alive(kind="proxy") if entry["fit"]]
         # nearest first; among the equally near, one caller keeps its order and callers differ
         who = event.query.get("caller", event.token)
         fit.sort(
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -12,7 +12,7 @@
 
 from sailward import constants
 from sailward.consensus.held import HeldBook, is_control
-from sailward.discovery.gossip import Place
+from sailward.discovery.gossip import KINDS_ON_WIRE, Place
 from sailward.discovery.workers import WorkerBook
 from sailward.events import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
 from sailward.proxy.directory import Directory
@@ -138,7 +138,7 @@
 
     def _take_fleet(self, *, now: float, value: dict) -> list:
         told = json.loads(value["text"])
-        self.uplink.learn(cellars=told["cellars"])
+        self.uplink.learn(controllers=told["cellars"])
         self.directory.learn(rows=told["proxies"])
         self.scene.peers = {name: region for name, _, _, region, is_fit in told["proxies"] if is_fit}
         self.scene.proxies = max(1, len(self.scene.peers))
@@ -175,7 +175,7 @@
         place = self.place
         daemon = {
             "id": place.name,
-            "kind": place.kind,
+            "kind": KINDS_ON_WIRE[place.kind],
             "hall": place.hall,
             "region": place.region,
             "http": place.http,
@@ -185,7 +185,7 @@
         }
         lead = self.uplink.lead
         have = {name: [held.value["number"]] for name, held in self.held.held.items()}
-        # lists have numbers of each cellar's own: only the leading one's are wanted, and none before there is one
+        # lists have numbers of each controller's own: only the leading one's are wanted, and none before there is one
         have |= {
             name: [number if teller == lead else -1, lead or "none"] for name, (teller, number) in self.lists.items()
         }
--- a/sailward/proxy/sommelier.py
+++ b/sailward/proxy/tenant_proxy.py
@@ -28,7 +28,7 @@
 TOLD = ("promise", "voted", "nack", "told")
 
 
-class Sommelier:
+class TenantProxy:
     """Owner of a proxy process. `step` takes one event and gives commands."""
 
     def __init__(self, *, place: Place, nonce: str, start: int, rng: random.Random, now: float) -> None:
@@ -51,7 +51,7 @@
         self.stopping = STOPPING.initial
         self.stop_by = 0.0
         self.suspect = False
-        self.cellars: dict[str, tuple[float, int]] = {}
+        self.controllers: dict[str, tuple[float, int]] = {}
         self._reading: dict[str, str] = {}
         self._counted = -1e9
         self._ops = 0
@@ -90,7 +90,7 @@
             seen = explain(now=now, query=event.query, chooser=self.chooser, acting=self.acting(now=now))
             return [answer_json(token=event.token, code=200, body=seen)]
         if self.stopping not in STOPPING.marks["taking"]:
-            refusal = Refusal(code=503, reason="stopping", detail="this proxy is stopping: ask a concierge for another")
+            refusal = Refusal(code=503, reason="stopping", detail="this proxy is stopping: ask a directory for another")
             return [answer_refusal(token=event.token, refusal=refusal, not_run=is_promise_safe(event=event))]
         commands, begins = self.exchanges.step(now=now, event=event, acting=self.acting(now=now))
         return commands + self._begin(now=now, begins=begins)
@@ -124,12 +124,12 @@
 
     def _take_grant(self, *, now: float, sender: str, body: dict) -> list:
         self.world.keep_view(now=now, identity=body["identity"], view=body["view"])
-        self.cellars[sender] = (now, body["proxies"])
+        self.controllers[sender] = (now, body["proxies"])
         return self._step_lease(now=now, event=(sender, body))
 
     def _step_lease(self, *, now: float, event: tuple | None) -> list:
         voters = self.held.voters()
-        addresses = {*voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
+        addresses = {*voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="controller"))}
         epoch, revision = self.world.book.revision
         have = {**self.held.have(), "workers": [revision, str(epoch), [epoch, ""]]}
         report = {}
@@ -210,10 +210,10 @@
             self.chooser.bounds.forget(now=now, keep=set(self.world.book.workers))
         self.claims.peers = [
             Peer(name=one["id"], post=one["post"], region=one["region"], hall=one["hall"])
-            for one in self.roster.alive(kind="sommelier")
+            for one in self.roster.alive(kind="proxy")
             if one["version"] not in constants.WITHOUT_COPIES
         ]
-        heard = [count for at, count in self.cellars.values() if now - at < constants.SUBSCRIBER_LIFE]
+        heard = [count for at, count in self.controllers.values() if now - at < constants.SUBSCRIBER_LIFE]
         self.world.proxies = max([1, *heard])
         self.roster.fit = self.acting(now=now) and not self.suspect and self.stopping in STOPPING.marks["named"]
         return commands + self._look_at_stop(now=now)
@@ -246,7 +246,7 @@
                 if name == hall
             )
         }
-        suspect = len(stood) > constants.SUSPECT_SELF * len(halls) and len(self.cellars) > 0
+        suspect = len(stood) > constants.SUSPECT_SELF * len(halls) and len(self.controllers) > 0
         if suspect != self.suspect:
             self.suspect = suspect
             commands.append(Log(event="suspects-itself" if suspect else "trusts-itself", fields={"down": len(down)}))
--- a/sailward/proxy/uplink.py
+++ b/sailward/proxy/uplink.py
@@ -1,4 +1,4 @@
-"""A proxy's way to the core: the two nearest cellars that answer, asked for news in turn."""
+"""A proxy's way to the core: the two nearest controllers that answer, asked for news in turn."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @dataclass(kw_only=True)
 class Known:
-    """One cellar as this proxy knows it."""
+    """One controller as this proxy knows it."""
 
     post: str
     hall: str = ""
@@ -63,12 +63,12 @@
             commands.append(Tell(to=known.post, body={**body, "seq": self.seq}))
         return commands
 
-    def learn(self, *, cellars: list) -> None:
-        """Take the core as a cellar tells it: [[post, hall, region], ...].
+    def learn(self, *, controllers: list) -> None:
+        """Take the core as a controller tells it: [[post, hall, region], ...].
 
         Those it does not name go, unless they answer or are seeds.
         """
-        told = {post: (hall, region) for post, hall, region in cellars}
+        told = {post: (hall, region) for post, hall, region in controllers}
         for post, (hall, region) in told.items():
             known = self.known.setdefault(post, Known(post=post))
             known.hall, known.region = hall, region
@@ -79,17 +79,17 @@
         }
 
     def answers(self, *, now: float) -> bool:
-        """Has any cellar answered of late?"""
-        return any(now - known.heard < constants.CELLAR_SILENT for known in self.known.values())
+        """Has any controller answered of late?"""
+        return any(now - known.heard < constants.CONTROLLER_SILENT for known in self.known.values())
 
     def _rank(self, known: Known) -> tuple:
         return (known.hall != self.hall, known.region != self.region, known.hall == "", known.post)
 
     def _is_silent(self, *, known: Known, now: float) -> bool:
-        return known.unanswered >= constants.ASKS_LOST and now - known.heard > constants.CELLAR_SILENT
+        return known.unanswered >= constants.ASKS_LOST and now - known.heard > constants.CONTROLLER_SILENT
 
     def _choose_lead(self, *, now: float) -> list:
-        able = [known for known in self.known.values() if now - known.heard < constants.CELLAR_SILENT]
+        able = [known for known in self.known.values() if now - known.heard < constants.CONTROLLER_SILENT]
         lead = self.known.get(self.lead)
         best = min(able, key=self._rank, default=None)
         if best is None or best.post == self.lead:
@@ -100,13 +100,13 @@
         if lead is not None and lead in able and self._rank(lead)[:2] <= self._rank(best)[:2]:
             return []
         self.lead = best.post
-        return [Log(event="leads", fields={"cellar": best.post, "hall": best.hall or "unknown"})]
+        return [Log(event="leads", fields={"controller": best.post, "hall": best.hall or "unknown"})]
 
     def _to_ask(self, *, now: float) -> list[Known]:
         able = sorted(
             (known for known in self.known.values() if not self._is_silent(known=known, now=now)), key=self._rank
         )
-        chosen = able[: constants.CELLARS_ASKED]
+        chosen = able[: constants.CONTROLLERS_ASKED]
         # who is silent is tried now and then, the nearest and the longest unasked first
         silent = sorted(
             (
@@ -116,6 +116,6 @@
             ),
             key=lambda known: (known.asked, self._rank(known)),
         )
-        if len(able) < constants.CELLARS_ASKED:
+        if len(able) < constants.CONTROLLERS_ASKED:
             return chosen + silent
         return chosen + silent[:1]
--- a/sailward/routing/world.py
+++ b/sailward/routing/world.py
@@ -41,19 +41,22 @@
         return counts
 
     def keep_view(self, *, now: float, identity: str, view: dict) -> None:
-        """Keep one cellar's standing view."""
+        """Keep one controller's standing view."""
         self.views[identity] = (now, view)
         if isinstance(view.get("wall"), float):
             self.walls[identity] = (now, view["wall"] - now)
 
     def standing_drained(self, *, now: float, service: str, hall: str) -> bool:
-        """Do most cellars heard of late keep this hall drained?"""
+        """Do most controllers heard of late keep this hall drained?"""
         fresh = [view for at, view in self.views.values() if now - at < constants.REPORT_LIFE]
         name = f"{service}|{hall}"
         return bool(fresh) and 2 * sum(name in view.get("drained", ()) for view in fresh) > len(fresh)
 
     def clock(self, *, now: float) -> float | None:
-        """The wall time by the middle one of the cellars' clocks, the later of two: no single jump can turn it back."""
+        """The wall time by the middle one of the controllers' clocks, the later of two.
+
+        No single jump can turn it back.
+        """
         self.walls = {
             name: (at, offset) for name, (at, offset) in self.walls.items() if now - at < constants.CLOCK_LIFE
         }
@@ -61,7 +64,7 @@
         return now + offsets[len(offsets) // 2] if offsets else None
 
     def in_doubt(self, *, now: float) -> bool:
-        """Does every cellar heard of late say that claims may have been lost?"""
+        """Does every controller heard of late say that claims may have been lost?"""
         fresh = [view for at, view in self.views.values() if now - at < constants.REPORT_LIFE]
         return bool(fresh) and all(view.get("doubt") for view in fresh)
 
--- a/sailward/runtime/startup.py
+++ b/sailward/runtime/startup.py
@@ -35,7 +35,7 @@
     "seeds": {"type": "list", "schema": ADDRESS, "required": True, "minlength": 1, "maxlength": 3},
     "log_level": {"type": "string", "allowed": ["debug", "info", "warning", "error"], "default": "info"},
 }
-CELLAR = {
+CONTROLLER = {
     **COMMON,
     "data": {"type": "string", "minlength": 1, "required": True},
     "platform": {**ADDRESS, "required": True},
--- a/sailward/storage/disk.py
+++ b/sailward/storage/disk.py
@@ -1,4 +1,4 @@
-"""The cellar's disk: one append-only file of checksummed frames, synced, rewritten when long."""
+"""The controller's disk: one append-only file of checksummed frames, synced, rewritten when long."""
 
 from __future__ import annotations
 
--- a/simulation/checker.py
+++ b/simulation/checker.py
@@ -22,7 +22,7 @@
 def check_history(*, history: History, deployment: Deployment) -> list[Broken]:
     """Every breach of what must never happen."""
     runs, halls, daemons = history.of(k="run"), deployment.halls, list(deployment.daemons)
-    proxies = sum(kind == "sommelier" for kind, _, _ in daemons)
+    proxies = sum(kind == "proxy" for kind, _, _ in daemons)
     changes = Changes(history=history)
     return [
         *check_runs_once(runs=runs),
--- a/simulation/deployments.py
+++ b/simulation/deployments.py
@@ -35,11 +35,11 @@
     return {f"{short}-{letter}": region for region, short in regions for letter in "ab"}
 
 
-def _daemons(*, halls: dict, sommeliers: int, concierges: int) -> tuple:
+def _daemons(*, halls: dict, proxies: int, directories: int) -> tuple:
     names = list(halls)
-    rows = [("cellar", f"cellar-{i}", names[i % 4]) for i in range(4)]
-    rows += [("sommelier", f"sommelier-{i}", names[i % 4]) for i in range(sommeliers)]
-    rows += [("concierge", f"concierge-{i}", names[(i + 1) % 4]) for i in range(concierges)]
+    rows = [("controller", f"controller-{i}", names[i % 4]) for i in range(4)]
+    rows += [("proxy", f"proxy-{i}", names[i % 4]) for i in range(proxies)]
+    rows += [("directory", f"directory-{i}", names[(i + 1) % 4]) for i in range(directories)]
     return tuple(rows)
 
 
@@ -98,7 +98,7 @@
     return Deployment(
         name="arriaga",
         halls=halls,
-        daemons=_daemons(halls=halls, sommeliers=5, concierges=2),
+        daemons=_daemons(halls=halls, proxies=5, directories=2),
         workers=_workers(halls=halls, services=services),
         callers=callers,
         rate=155.0,
@@ -122,7 +122,7 @@
     return Deployment(
         name="peachtree",
         halls=halls,
-        daemons=_daemons(halls=halls, sommeliers=6, concierges=2),
+        daemons=_daemons(halls=halls, proxies=6, directories=2),
         workers=_workers(halls=halls, services=services, extra=1),
         callers=callers,
         rate=225.0,
@@ -134,9 +134,9 @@
     """The source's laboratory: three halls in each of two regions, one service, 70/30."""
     halls = {f"{region}-{letter}": region for region in ("south", "east") for letter in "abc"}
     callers = (CallerKind(tenant="lab", path="/lab", unsafe=False, part=1.0, region="south"),)
-    daemons = [("cellar", f"cellar-{i}", list(halls)[i]) for i in range(4)]
-    daemons += [("sommelier", f"sommelier-{i}", list(halls)[2 * i]) for i in range(3)]
-    daemons.append(("concierge", "concierge-0", "east-a"))
+    daemons = [("controller", f"controller-{i}", list(halls)[i]) for i in range(4)]
+    daemons += [("proxy", f"proxy-{i}", list(halls)[2 * i]) for i in range(3)]
+    daemons.append(("directory", "directory-0", "east-a"))
     workers = tuple((f"lab-{hall}-{i}", "lab", hall) for hall in halls for i in range(4))
     return Deployment(
         name="source",
--- a/simulation/hollow.py
+++ b/simulation/hollow.py
@@ -16,7 +16,7 @@
   --routes LIST     Routes of the configuration [default: 40].
   --zones LIST      Zones [default: 8].
   --regions LIST    Regions [default: 4].
-  --cellars N       Machines that hold state; 0 for one in each zone [default: 0].
+  --controllers N   Machines that hold state; 0 for one in each zone [default: 0].
   --list-rate N     Calls/s that the platform's list bears [default: 37].
   --changes N       Changes of the configuration [default: 3].
   --failures N      Proxies that die, one after the other [default: 3].
@@ -109,11 +109,11 @@
     )
 
 
-def list_sizes(*, sizes: dict, cellars: int, list_rate: float) -> list[tuple[str, Size]]:
+def list_sizes(*, sizes: dict, controllers: int, list_rate: float) -> list[tuple[str, Size]]:
     """What is run: the base, and each further size of what is swept."""
     base = {name: given[0] for name, given in sizes.items()}
     runs = [("base", base)] + [(name, {**base, name: one}) for name, given in sizes.items() for one in given[1:]]
-    return [(name, Size(cellars=cellars, list_rate=list_rate, **one)) for name, one in runs]
+    return [(name, Size(controllers=controllers, list_rate=list_rate, **one)) for name, one in runs]
 
 
 def check_size(*, size: Size, memory: float, is_fleet: bool = True) -> BadInput | None:
@@ -123,7 +123,7 @@
     if size.divided > size.services:
         return BadInput(reason=f"{size.divided} divided services of {size.services}: at most all of them")
     if size.core > 250 * 250:
-        return BadInput(reason=f"{size.core} cellars: at most {250 * 250}")
+        return BadInput(reason=f"{size.core} controllers: at most {250 * 250}")
     length = _document_bytes(size=size)
     if length > constants.CONFIG_BYTES:
         fits = int(size.routes * constants.CONFIG_BYTES / length * 0.98)
@@ -296,7 +296,7 @@
     )
     hollow = HollowFleet(size=size, plan=short, say=say).step()["quiet"]["roles"]
     told = {}
-    print(f"\nreal processes beside hollow ones, {size.daemons} proxies and {size.core} cellars")
+    print(f"\nreal processes beside hollow ones, {size.daemons} proxies and {size.core} controllers")
     for role, row in real.items():
         for name in ("cpu", "out", "messages_out"):
             other = hollow[role][name] if name == "messages_out" else hollow[role][name][0]
@@ -368,7 +368,7 @@
     numbers = {
         name: read_number(flags=flags, name=name, least=least, most=most)
         for name, least, most in (
-            ("cellars", 0, 1000),
+            ("controllers", 0, 1000),
             ("list-rate", 0, 1e6),
             ("changes", 0, 1000),
             ("failures", 0, 1000),
@@ -386,7 +386,7 @@
     for bad in (sizes, chosen, *numbers.values(), check_output(flags=flags)):
         if isinstance(bad, BadInput):
             refuse(bad=bad)
-    runs = list_sizes(sizes=sizes, cellars=int(numbers["cellars"]), list_rate=numbers["list-rate"])
+    runs = list_sizes(sizes=sizes, controllers=int(numbers["controllers"]), list_rate=numbers["list-rate"])
     for _, size in runs:
         bad = check_size(size=size, memory=half_of_memory(), is_fleet=not flags["--added"])
         if bad is not None:
@@ -395,7 +395,8 @@
     if flags["--real"] and (base.daemons + base.core > MOST_REAL or base.daemons > 250):
         refuse(
             bad=BadInput(
-                reason=f"{base.daemons} daemons and {base.core} cellars are too many real processes: {MOST_REAL} fit"
+                reason=f"{base.daemons} daemons and {base.core} controllers are too many real processes: "
+                f"{MOST_REAL} fit"
             )
         )
     plan = Plan(
--- a/simulation/hollow_fleet/added.py
+++ b/simulation/hollow_fleet/added.py
@@ -227,10 +227,10 @@
 
 
 def _serve_proxy(*, pipe, size: Size, worker_port: int) -> None:
-    """A proxy as `run_proxy` makes it, told its state at once instead of by a cellar."""
+    """A proxy as `run_proxy` makes it, told its state at once instead of by a controller."""
     reactor = Reactor()
     host = Host(reactor=reactor)
-    hosted = hosted_of(size=size, role="sommelier", index=0, zones=zones_of(size=size))
+    hosted = hosted_of(size=size, role="proxy", index=0, zones=zones_of(size=size))
     owner = Proxy(place=hosted.place, start=1, rng=random.Random(1), options=hosted.options)
     owner.uplink.lead = LEAD
     rows = told_rows(size=size)
--- a/simulation/hollow_fleet/deployment.py
+++ b/simulation/hollow_fleet/deployment.py
@@ -26,7 +26,7 @@
 class Size:
     """How large the deployment is.
 
-    `divided`: services divided by number, among the others. `cellars`: machines that hold state.
+    `divided`: services divided by number, among the others. `controllers`: machines that hold state.
     """
 
     daemons: int = 100
@@ -36,13 +36,13 @@
     zones: int = 8
     regions: int = 4
     divided: int = 1
-    cellars: int = 0
+    controllers: int = 0
     list_rate: float = 37.0
 
     @property
     def core(self) -> int:
-        """Cellars: one in each zone where none are said."""
-        return self.cellars or self.zones
+        """Controllers: one in each zone where none are said."""
+        return self.controllers or self.zones
 
 
 @lru_cache(maxsize=200000)
@@ -63,7 +63,7 @@
 
 def ip_of(*, role: str, index: int) -> str:
     """An address that no other daemon has."""
-    return f"10.{1 if role == 'cellar' else 2}.{index // 250}.{index % 250 + 1}"
+    return f"10.{1 if role == 'controller' else 2}.{index // 250}.{index % 250 + 1}"
 
 
 @lru_cache(maxsize=1)
@@ -76,7 +76,7 @@
 def settings_of(*, size: Size, role: str, index: int, zones: dict[str, str]) -> dict:
     """The settings of one daemon, as its file would say."""
     zone = zone_name(index=index % size.zones)
-    seeds = [f"{ip_of(role='cellar', index=at)}:7000" for at in range(min(VOTERS_SEEDED, size.core))]
+    seeds = [f"{ip_of(role='controller', index=at)}:7000" for at in range(min(VOTERS_SEEDED, size.core))]
     ip = ip_of(role=role, index=index)
     return {
         "node_name": word(kind=role, index=index),
@@ -191,7 +191,7 @@
 
 
 def told_rows(*, size: Size) -> str:
-    """The workers as a cellar's push tells them."""
+    """The workers as a controller's push tells them."""
     told = [
         {
             "id": row["id"],
@@ -209,26 +209,26 @@
 
 
 def told_fleet(*, size: Size, zones: dict[str, str]) -> str:
-    """The fleet as a cellar's push tells it."""
+    """The fleet as a controller's push tells it."""
 
     def row(index: int) -> list:
         zone = zone_name(index=index % size.zones)
         return [
-            word(kind="sommelier", index=index),
-            f"{ip_of(role='sommelier', index=index)}:8000",
+            word(kind="proxy", index=index),
+            f"{ip_of(role='proxy', index=index)}:8000",
             zone,
             zones[zone],
             True,
         ]
 
-    cellars = [
+    controllers = [
         [
-            f"{ip_of(role='cellar', index=at)}:7000",
+            f"{ip_of(role='controller', index=at)}:7000",
             zone_name(index=at % size.zones),
             zones[zone_name(index=at % size.zones)],
         ]
         for at in range(size.core)
     ]
     return json.dumps(
-        {"proxies": [row(index) for index in range(size.daemons)], "cellars": cellars}, separators=(",", ":")
+        {"proxies": [row(index) for index in range(size.daemons)], "cellars": controllers}, separators=(",", ":")
     )
--- a/simulation/hollow_fleet/fleet.py
+++ b/simulation/hollow_fleet/fleet.py
@@ -60,7 +60,7 @@
     plan: Plan
     say: Callable[[str], None] = lambda text: None
     network: Network = None
-    cellars: list = field(default_factory=list)
+    controllers: list = field(default_factory=list)
     proxies: list = field(default_factory=list)
     in_force: dict = field(default_factory=dict)
     version: int = 0
@@ -72,7 +72,7 @@
         begun, before = time.process_time(), _rss()
         rng = random.Random(self.plan.seed)
         self._build(rng=rng)
-        figures = {"size": {**vars(self.size), "cellars": self.size.core}, "rise": self._rise(rng=rng)}
+        figures = {"size": {**vars(self.size), "controllers": self.size.core}, "rise": self._rise(rng=rng)}
         for name, play in (
             ("quiet", self._stay_quiet),
             ("changes", self._change),
@@ -95,7 +95,7 @@
 
         def make(member: Member, now: float, hosted) -> object:
             start, nonce = int(1e12 + now * 1e6), f"{rng.getrandbits(48):012x}"
-            if member.role == "cellar":
+            if member.role == "controller":
                 return Controller(
                     place=hosted.place,
                     platform=hosted.platform,
@@ -108,7 +108,10 @@
                 )
             return Proxy(place=hosted.place, start=start, rng=random.Random(nonce), options=hosted.options)
 
-        for role, count, members in (("cellar", size.core, self.cellars), ("sommelier", size.daemons, self.proxies)):
+        for role, count, members in (
+            ("controller", size.core, self.controllers),
+            ("proxy", size.daemons, self.proxies),
+        ):
             for index in range(count):
                 hosted = hosted_of(size=size, role=role, index=index, zones=zones)
                 place = hosted.place
@@ -124,12 +127,12 @@
                 members.append(member)
 
     def _note(self, member: Member, log: Log) -> None:
-        if log.event == "in-force" and log.fields.get("register") == "config" and member.role == "sommelier":
+        if log.event == "in-force" and log.fields.get("register") == "config" and member.role == "proxy":
             self.in_force[member.post] = (log.fields["number"], self.network.now)
 
     def _rise(self, *, rng: random.Random) -> dict:
         network = self.network
-        for member in self.cellars:
+        for member in self.controllers:
             network.start(member=member, delay=rng.random() * 0.2)
         is_core_up = network.run(seconds=PATIENCE, until=self._is_core_up)
         core_s = network.now
@@ -187,8 +190,8 @@
     def _lose_zone(self) -> dict:
         if not self.plan.zone_down or self.size.zones < 2:
             return {}
-        zone = self.cellars[-1].zone
-        lost = [one for one in (*self.cellars, *self.proxies) if one.zone == zone]
+        zone = self.controllers[-1].zone
+        lost = [one for one in (*self.controllers, *self.proxies) if one.zone == zone]
         before = self._tally()
         for member in lost:
             self.network.kill(member=member)
@@ -238,7 +241,7 @@
             token = f"desk {method} {self.version + 1} {turn} {begun}"
             ask_operator(
                 network=self.network,
-                member=self.cellars[0],
+                member=self.controllers[0],
                 token=token,
                 method=method,
                 path="/config",
@@ -256,7 +259,9 @@
         return None
 
     def _is_core_up(self) -> bool:
-        return sum(one.owner is not None and one.owner.voting for one in self.cellars) >= min(3, len(self.cellars))
+        return sum(one.owner is not None and one.owner.voting for one in self.controllers) >= min(
+            3, len(self.controllers)
+        )
 
     def _all_ready(self) -> bool:
         return all(one.owner is not None and one.owner.is_ready for one in self.proxies)
@@ -268,7 +273,7 @@
         return any(dead.name in one.owner.scene.peers for one in self.proxies if one.owner is not None)
 
     def _tally(self) -> Tally:
-        network, members = self.network, [*self.cellars, *self.proxies]
+        network, members = self.network, [*self.controllers, *self.proxies]
         return Tally(
             at=network.now,
             messages=network.messages.copy(),
@@ -305,7 +310,7 @@
             if row[0] > before.steps.get((role, what), (0, 0))[0]
         }
         roles = {}
-        for role, members in (("cellar", self.cellars), ("proxy", self.proxies)):
+        for role, members in (("controller", self.controllers), ("proxy", self.proxies)):
             cpu = [sum((after.costs[one.post] - before.costs[one.post]).values()) / span for one in members]
             out = [(after.sent[one.post]["bytes"] - before.sent[one.post]["bytes"]) / span for one in members]
             into = [(after.heard[one.post]["bytes"] - before.heard[one.post]["bytes"]) / span for one in members]
--- a/simulation/hollow_fleet/parts.py
+++ b/simulation/hollow_fleet/parts.py
@@ -1,4 +1,4 @@
-"""What one owner costs at a size: one proxy or one cellar is given what a fleet of that size would give it."""
+"""What one owner costs at a size: one proxy or one controller is given what a fleet of that size would give it."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 from sailward.config.check import check_config
 from sailward.consensus.messages import BadMessage
 from sailward.control.controller import Controller
+from sailward.discovery.gossip import KINDS_ON_WIRE
 from sailward.events import Answer, Asked, Call, Called, Heard, Ticked
 from sailward.proxy.proxy import Proxy
 from sailward.transport.courier import LENGTH, pack_body, read_body
@@ -41,7 +42,7 @@
     "place": ("workers of the service", (8, 32, 128, 512, 1024)),
     "halls": ("services x zones", (100, 1000, 10000, 50000, 176000)),
     "core": ("daemons", (272, 1000, 3000, 6000, 12000)),
-    "askers": ("askers of a cellar", (10, 30, 100, 136, 300, 1000)),
+    "askers": ("askers of a controller", (10, 30, 100, 136, 300, 1000)),
 }
 """{part: (what is varied, sizes)}"""
 
@@ -77,8 +78,8 @@
 
 
 def make_proxy(*, size: Size) -> Proxy:
-    """A proxy that has heard a cellar."""
-    hosted = hosted_of(size=size, role="sommelier", index=0, zones=zones_of(size=size))
+    """A proxy that has heard a controller."""
+    hosted = hosted_of(size=size, role="proxy", index=0, zones=zones_of(size=size))
     proxy = Proxy(place=hosted.place, start=1, rng=random.Random(1), options=hosted.options)
     proxy.uplink.lead = LEAD
     return proxy
@@ -301,11 +302,11 @@
 
 
 def make_core(*, size: Size, askers: int) -> tuple[Controller, list[Heard]]:
-    """A cellar of a core of one, with this many proxies of its own and all others told by the other cellars."""
-    one = Size(**{**vars(size), "cellars": 1})
+    """A controller of a core of one, with this many proxies of its own and all others told by the other controllers."""
+    one = Size(**{**vars(size), "controllers": 1})
     zones = zones_of(size=size)
-    hosted = hosted_of(size=one, role="cellar", index=0, zones=zones)
-    cellar = Controller(
+    hosted = hosted_of(size=one, role="controller", index=0, zones=zones)
+    controller = Controller(
         place=hosted.place,
         platform="",
         nonce="n",
@@ -317,10 +318,10 @@
     )
     asks = []
     for index in range(askers):
-        place = hosted_of(size=one, role="sommelier", index=index, zones=zones).place
+        place = hosted_of(size=one, role="proxy", index=index, zones=zones).place
         daemon = {
             "id": place.name,
-            "kind": place.kind,
+            "kind": KINDS_ON_WIRE[place.kind],
             "hall": place.hall,
             "region": place.region,
             "http": place.http,
@@ -341,14 +342,14 @@
                 },
             )
         )
-    return cellar, asks
+    return controller, asks
 
 
 def _core(*, size: int) -> dict:
     askers = min(136, size // 2)
     zones = max(2, size // 136)
     shape = Size(daemons=size, zones=zones, regions=min(37, zones))
-    cellar, asks = make_core(size=shape, askers=askers)
+    controller, asks = make_core(size=shape, askers=askers)
     rows = json.loads(told_fleet(size=shape, zones=zones_of(size=shape)))["proxies"][askers:]
     others = max(1, size // 136 - 1)
     share = -(-len(rows) // others)
@@ -356,29 +357,31 @@
     for at in range(others):
         body = {"kind": "fleet", "number": 1, "rows": rows[at * share : (at + 1) * share], "loads": {}, "down": {}}
         frames.append(len(pack_body(body=body)))
-        cellar.step(now=1.0, event=Heard(sender=f"10.9.{at}.1:7000", body=body))
+        controller.step(now=1.0, event=Heard(sender=f"10.9.{at}.1:7000", body=body))
     for ask in asks:
-        cellar.step(now=1.0, event=ask)
-    cellar.step(now=1.05, event=Ticked(wall=1.0))
+        controller.step(now=1.0, event=ask)
+    controller.step(now=1.05, event=Ticked(wall=1.0))
     ticks = [
-        _seconds(lambda at=at: cellar.step(now=1.1 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(10)
+        _seconds(lambda at=at: controller.step(now=1.1 + at * constants.TICK, event=Ticked(wall=1.0)))
+        for at in range(10)
     ]
-    ask = _seconds(lambda: [cellar.step(now=1.7, event=one) for one in asks]) / len(asks)
+    ask = _seconds(lambda: [controller.step(now=1.7, event=one) for one in asks]) / len(asks)
     return {
         "tick_s": statistics.fmean(ticks),
         "ask_s": ask,
-        "fleet_text_bytes": len(cellar.fleet.text),
+        "fleet_text_bytes": len(controller.fleet.text),
         "fleet_message_bytes": statistics.fmean(frames),
     }
 
 
 def _askers(*, size: int) -> dict:
-    cellar, asks = make_core(size=Size(daemons=size, zones=4), askers=size)
+    controller, asks = make_core(size=Size(daemons=size, zones=4), askers=size)
     for ask in asks:
-        cellar.step(now=1.0, event=ask)
-    cellar.step(now=1.05, event=Ticked(wall=1.0))
-    ask = _seconds(lambda: [cellar.step(now=1.2, event=one) for one in asks]) / len(asks)
+        controller.step(now=1.0, event=ask)
+    controller.step(now=1.05, event=Ticked(wall=1.0))
+    ask = _seconds(lambda: [controller.step(now=1.2, event=one) for one in asks]) / len(asks)
     ticks = [
-        _seconds(lambda at=at: cellar.step(now=1.3 + at * constants.TICK, event=Ticked(wall=1.0))) for at in range(10)
+        _seconds(lambda at=at: controller.step(now=1.3 + at * constants.TICK, event=Ticked(wall=1.0)))
+        for at in range(10)
     ]
     return {"ask_s": ask, "tick_s": statistics.fmean(ticks)}
--- a/simulation/hollow_fleet/real.py
+++ b/simulation/hollow_fleet/real.py
@@ -91,7 +91,7 @@
 def _play(*, size: Size, seconds: float, folder: Path, api: str, processes: list, say: Callable[[str], None]) -> dict:
     zones, port, net = zones_of(size=size), random.randrange(20000, 30000, 16), random.randrange(1, 250)
     settings: list[tuple[str, dict]] = []
-    for role, count in (("cellar", size.core), ("sommelier", size.daemons)):
+    for role, count in (("controller", size.core), ("proxy", size.daemons)):
         for index in range(count):
             text = json.dumps(settings_of(size=size, role=role, index=index, zones=zones))
             text = (
@@ -114,7 +114,7 @@
         )
     _configure(size=size, address=settings[0][1]["listen"]["control_plane"])
     for role, given in settings:
-        while role == "sommelier" and not _is_ready(address=given["listen"]["readiness"]):
+        while role == "proxy" and not _is_ready(address=given["listen"]["readiness"]):
             if time.monotonic() - begun > PATIENCE:
                 raise RuntimeError("the real fleet did not come up")
             time.sleep(0.05)
@@ -126,7 +126,7 @@
     roles: dict = {}
     for (role, process, _), one, other in zip(processes, before, after, strict=True):
         span = other["at"] - one["at"]
-        row = roles.setdefault("proxy" if role == "sommelier" else role, [])
+        row = roles.setdefault(role, [])
         row.append(
             {
                 "cpu": (other["cpu"] - one["cpu"]) / span,
@@ -190,8 +190,7 @@
     hosted_module.Courier = CountedCourier
     settings = yaml.safe_load(Path(os.environ["SAILWARD_NODE_FILE"]).read_text("utf-8"))
     hosted = HOSTING.host_of(settings=settings, role=role)
-    kind = "proxy" if role == "sommelier" else role
-    getattr(importlib.import_module(f"sailward.programs.hosted_{kind}"), f"run_{kind}")(hosted=hosted)
+    getattr(importlib.import_module(f"sailward.programs.hosted_{role}"), f"run_{role}")(hosted=hosted)
 
 
 if __name__ == "__main__":
--- a/simulation/hosted/chaos.py
+++ b/simulation/hosted/chaos.py
@@ -42,8 +42,8 @@
         if way == "power":
             self._do("on-ack", "dark", "all")
         elif way == "kill":
-            self._do("on-ack", "kill", "cellar@all")
-            self._do("on-ack", "kill", "sommelier@all")
+            self._do("on-ack", "kill", "controller@all")
+            self._do("on-ack", "kill", "proxy@all")
         else:
             self._do("on-ack", "dark", core, "wipe")
             if way == "wipe-and-power":
@@ -72,7 +72,9 @@
         self._world.clock.after(delay, lambda: self._do(verb, *words))
 
     def _core(self) -> list[str]:
-        return [one.spot.name for one in self._world.machines.values() if "cellar" in one.processes and not one.is_gone]
+        return [
+            one.spot.name for one in self._world.machines.values() if "controller" in one.processes and not one.is_gone
+        ]
 
     def _machine(self) -> str:
         return self._rng.choice(
@@ -84,7 +86,7 @@
             [
                 one.spot.name
                 for one in self._world.machines.values()
-                if "cellar" not in one.processes and not one.is_dark
+                if "controller" not in one.processes and not one.is_dark
             ]
         )
 
@@ -107,21 +109,21 @@
         return True
 
     def _kill_proxy(self) -> bool:
-        self._do("kill", f"sommelier@{self._plain()}")
+        self._do("kill", f"proxy@{self._plain()}")
         return True
 
-    def _kill_cellar(self) -> bool:
+    def _kill_controller(self) -> bool:
         if not self._takes_core(seconds=0.5):
             return False
-        self._do("kill", f"cellar@{self._rng.choice(self._core())}")
+        self._do("kill", f"controller@{self._rng.choice(self._core())}")
         return True
 
     def _herd(self) -> bool:
         if not self._takes_core(seconds=1.0):
             return False
-        self._do("kill", "cellar@all")
+        self._do("kill", "controller@all")
         if self._rng.random() < 0.5:
-            self._do("kill", "sommelier@all")
+            self._do("kill", "proxy@all")
         return True
 
     def _dark(self) -> bool:
@@ -169,17 +171,17 @@
 
     def _freeze(self) -> bool:
         if self._rng.random() < 0.5:
-            self._do("freeze", f"sommelier@{self._machine()}", f"{self._rng.uniform(0.3, 4.0):.2f}")
+            self._do("freeze", f"proxy@{self._machine()}", f"{self._rng.uniform(0.3, 4.0):.2f}")
         elif self._takes_core(seconds=4.0):
-            self._do("freeze", f"cellar@{self._rng.choice(self._core())}", f"{self._rng.uniform(0.3, 4.0):.2f}")
+            self._do("freeze", f"controller@{self._rng.choice(self._core())}", f"{self._rng.uniform(0.3, 4.0):.2f}")
         return True
 
     def _stop(self) -> bool:
         if not self._takes_core(seconds=7.0):
             return False
         where = self._machine()
-        self._do("stop", f"sommelier@{where}")
-        self._do("stop", f"cellar@{where}")
+        self._do("stop", f"proxy@{where}")
+        self._do("stop", f"controller@{where}")
         return True
 
     def _fill(self) -> bool:
@@ -193,7 +195,7 @@
         where = self._machine()
         self._do("clock-step", where, f"{self._rng.uniform(-8.0, 8.0):.2f}")
         if self._rng.random() < 0.5:
-            self._do("kill", f"sommelier@{where}")
+            self._do("kill", f"proxy@{where}")
         return True
 
     def _list(self) -> bool:
@@ -280,7 +282,7 @@
 
 KINDS: dict[str, Callable[[Chaos], bool]] = {
     "kill-proxy": Chaos._kill_proxy,
-    "kill-cellar": Chaos._kill_cellar,
+    "kill-controller": Chaos._kill_controller,
     "herd": Chaos._herd,
     "dark": Chaos._dark,
     "zone": Chaos._zone_loss,
--- a/simulation/hosted/expect.py
+++ b/simulation/hosted/expect.py
@@ -113,8 +113,8 @@
 
 
 def _judge_voters(*, words: list[str], world: World) -> tuple[str, object]:
-    """`voters LEAST`: how many cellars vote at the end, by their own word."""
-    count = sum(one.owner is not None and one.owner.voting for one in world.cellars())
+    """`voters LEAST`: how many controllers vote at the end, by their own word."""
+    count = sum(one.owner is not None and one.owner.voting for one in world.controllers())
     return ("" if count >= int(words[0]) else f"voters: {count}"), count
 
 
--- a/simulation/hosted/judge.py
+++ b/simulation/hosted/judge.py
@@ -107,9 +107,7 @@
 def judge_stops(*, world: World, touch: Touch, got: dict):
     """LOST: a request that was read is broken off by a planned stop."""
     bounds = world.deployment.bounds
-    terms = {
-        (row["machine"], row["life"]): row["t"] for row in world.history.of(k="term") if row["role"] == "sommelier"
-    }
+    terms = {(row["machine"], row["life"]): row["t"] for row in world.history.of(k="term") if row["role"] == "proxy"}
     reads = {row["id"]: row for row in world.history.of(k="read")}
     arrived = {row["id"]: row["t"] for row in world.history.of(k="arrival")}
     for row in got.values():
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -246,7 +246,7 @@
         now, lag = self.world.clock.now, self.world.deployment.bounds["seed_lag_s"]
         return [
             one
-            for one in self.world.cellars()
+            for one in self.world.controllers()
             if one.machine.listed_from <= now and now <= one.machine.listed_until + lag
         ]
 
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -115,7 +115,7 @@
         self._base = self.world.clock.now - 50.0 - self.machine.rng.random()
         nonce = f"{self.machine.rng.getrandbits(48):012x}"
         start = int((self.world.wall() + self.machine.skew) * 1e6)
-        if self.role == "cellar":
+        if self.role == "controller":
             found = self.machine.disk.read()
             self.owner = Controller(
                 place=self.hosted.place,
--- a/simulation/hosted/touch.py
+++ b/simulation/hosted/touch.py
@@ -17,7 +17,7 @@
     def __init__(self, *, world: World) -> None:
         self._world = world
         self._contact = world.deployment.bounds["contact_s"]
-        self._core = [one for one in world.machines.values() if "cellar" in one.processes]
+        self._core = [one for one in world.machines.values() if "controller" in one.processes]
 
     def settled(self, *, t: float) -> bool:
         """Has no core machine been in trouble for `contact_s`?"""
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -67,7 +67,7 @@
         old.lose_power(wipe=True)
         old.is_gone, old.listed_until = True, world.clock.now
         name = f"{machine}-new"
-        fresh = world.add_machine(name=name, zone=old.spot.zone, has_disk="cellar" in old.processes)
+        fresh = world.add_machine(name=name, zone=old.spot.zone, has_disk="controller" in old.processes)
         fresh.listed_from = world.clock.now + world.deployment.bounds["seed_lag_s"]
         self._note(machine=fresh, seconds=1.0)
         world.clock.after(1.0, fresh.start)
@@ -110,7 +110,7 @@
 
     def _note(self, *, machine: Machine, seconds: float, planned: bool = False) -> None:
         self._world.trouble(
-            names={machine.spot.name}, seconds=seconds, core="cellar" in machine.processes, planned=planned
+            names={machine.spot.name}, seconds=seconds, core="controller" in machine.processes, planned=planned
         )
 
     def _machines(self, word: str) -> list[Machine]:
--- a/simulation/hosted/world.py
+++ b/simulation/hosted/world.py
@@ -58,7 +58,7 @@
         for zone in deployment.zones:
             for at in range(deployment.disks + deployment.plain):
                 self.add_machine(name=f"{zone}-{at}", zone=zone, has_disk=at < deployment.disks)
-        self.seeds = [f"{one.ip}:{DESK}" for one in self.machines.values() if "cellar" in one.processes][:3]
+        self.seeds = [f"{one.ip}:{DESK}" for one in self.machines.values() if "controller" in one.processes][:3]
         for service in deployment.services:
             for zone in deployment.zones:
                 for _ in range(service.a_zone):
@@ -87,13 +87,13 @@
         kind = "core" if has_disk else "plain"
         spot = _spot(name=name, zone=zone, region=self.deployment.zones[zone], kind=kind)
         machine = Machine(
-            world=self, spot=spot, ip=f"10.0.{at}.1", roles=("cellar", "sommelier") if has_disk else ("sommelier",)
+            world=self, spot=spot, ip=f"10.0.{at}.1", roles=("controller", "proxy") if has_disk else ("proxy",)
         )
         machine.listed_from, machine.listed_until = self.clock.now, float("inf")
         self.machines[name] = machine
         for role, process in machine.processes.items():
-            self.by_post[f"{machine.ip}:{INNER if role == 'cellar' else INNER + 1}"] = process
-            if role == "sommelier":
+            self.by_post[f"{machine.ip}:{INNER if role == 'controller' else INNER + 1}"] = process
+            if role == "proxy":
                 self.by_front[f"{machine.ip}:{FRONT}"] = process
         return machine
 
@@ -123,7 +123,7 @@
             "inner_port_range": [INNER, INNER + 15],
             "seed_nodes": list(self.seeds),
             "bootstrap": machine.is_first,
-            "data_dir": "/data" if role == "cellar" else "",
+            "data_dir": "/data" if role == "controller" else "",
             "fault_budget": {"machines": 1, "zones": 1},
             "bounds": dict(bounds),
             "cloud_api": {
@@ -214,11 +214,11 @@
 
     def directories(self) -> list[Process]:
         """The daemons that answer who asks where to go, as told to clients from outside."""
-        return [one.processes["sommelier"] for one in self.machines.values() if not one.is_gone]
+        return [one.processes["proxy"] for one in self.machines.values() if not one.is_gone]
 
-    def cellars(self) -> list[Process]:
+    def controllers(self) -> list[Process]:
         """The daemons that take operators' calls."""
-        return [one.processes["cellar"] for one in self.machines.values() if "cellar" in one.processes]
+        return [one.processes["controller"] for one in self.machines.values() if "controller" in one.processes]
 
     def acknowledged(self) -> None:
         """A configuration was acknowledged: what waits for that happens."""
--- a/simulation/measure.py
+++ b/simulation/measure.py
@@ -40,7 +40,7 @@
 def time_kind(*, fleet: Fleet, kind: str, count: int, start: int) -> list[float]:
     """Seconds of each of `count` exchanges, one after the other."""
     worker = fleet.workers["orders-gdl-a-0"]
-    proxy = fleet.https["sommelier-0"]
+    proxy = fleet.https["proxy-0"]
     times = []
     for number in range(start, start + count):
         headers = {"Sailward-Tenant": "hotels", "X-Caller": f"m{number}", "Sailward-Try": "1"}
--- a/simulation/real/callers.py
+++ b/simulation/real/callers.py
@@ -22,8 +22,8 @@
 class Callers:
     """All callers of a real fleet."""
 
-    def __init__(self, *, deployment: Deployment, concierges: list[str], history: History, seed: int) -> None:
-        self._deployment, self._concierges, self._history = deployment, concierges, history
+    def __init__(self, *, deployment: Deployment, directories: list[str], history: History, seed: int) -> None:
+        self._deployment, self._directories, self._history = deployment, directories, history
         self._rng = random.Random(seed)
         self._count = itertools.count(1)
         self._known: dict[str, tuple[float, list]] = {}
@@ -60,10 +60,10 @@
         at, known = self._known.get(region, (-1e9, []))
         if time.monotonic() - at < 1.0 and known:
             return known
-        for concierge in self._rng.sample(self._concierges, len(self._concierges)):
+        for directory in self._rng.sample(self._directories, len(self._directories)):
             try:
                 code, _, body = ask(
-                    address=concierge, method="GET", path=f"/proxies?region={region}&hall=&caller={self._rng.random()}"
+                    address=directory, method="GET", path=f"/proxies?region={region}&hall=&caller={self._rng.random()}"
                 )
             except OSError:
                 continue
--- a/simulation/real/fleet.py
+++ b/simulation/real/fleet.py
@@ -11,6 +11,7 @@
 import time
 from pathlib import Path
 
+from sailward.discovery.gossip import KINDS_ON_WIRE
 from simulation.deployments import Deployment
 from simulation.history import History, read_history
 from simulation.real.callers import ask
@@ -73,7 +74,7 @@
     def start_daemon(self, *, name: str) -> None:
         """Start one daemon with its settings file."""
         kind, hall = self.kinds[name], next(hall for _, one, hall in self.deployment.daemons if one == name)
-        seeds = [self.posts[one] for one in [*list(self.kinds)[:2], self.names_of(kind="sommelier")[0]]]
+        seeds = [self.posts[one] for one in [*list(self.kinds)[:2], self.names_of(kind="proxy")[0]]]
         settings = {
             "name": name,
             "hall": hall,
@@ -82,13 +83,19 @@
             "http": self.https[name],
             "seeds": seeds,
         }
-        if kind == "cellar":
+        if kind == "controller":
             settings |= {"platform": self.platform_address, "data": str(self.folder / name)}
         path = self.folder / f"{name}.toml"
         path.write_text("".join(f"{key} = {json.dumps(value)}\n" for key, value in settings.items()), "utf-8")
-        self._start(name=name, words=["-m", f"sailward.programs.{kind}", "--settings", str(path)])
+        self._start(name=name, words=["-m", self._program(name=name, kind=kind), "--settings", str(path)])
         self._note(name=name, k="daemon-up")
 
+    def _program(self, *, name: str, kind: str) -> str:
+        """The module of a daemon's program in the checkout that it runs from."""
+        programs = Path(self.other if name in self.on_other else "") / "sailward" / "programs"
+        is_older = name in self.on_other and not (programs / f"{kind}.py").exists()
+        return f"sailward.programs.{KINDS_ON_WIRE[kind] if is_older else kind}"
+
     def start_worker(self, *, name: str) -> None:
         """Start one worker and list it."""
         row = self.workers[name]
@@ -156,11 +163,11 @@
         self.processes.clear()
         self.platform.server.shutdown()
 
-    def steward(self, *words: str, text: bytes = b"") -> subprocess.CompletedProcess:
+    def sailctl(self, *words: str, text: bytes = b"") -> subprocess.CompletedProcess:
         """Run the operators' client."""
-        cellars = ",".join(self.https[name] for name in self.names_of(kind="cellar"))
+        controllers = ",".join(self.https[name] for name in self.names_of(kind="controller"))
         return subprocess.run(
-            [self._python, "-m", "sailward.programs.steward", "--cellars", cellars, *words],
+            [self._python, "-m", "sailward.programs.sailctl", "--controllers", controllers, *words],
             input=text,
             capture_output=True,
             timeout=60,
@@ -169,7 +176,7 @@
 
     def status_of(self, *, name: str) -> dict:
         """What a daemon says of itself: for waiting only, never for judging."""
-        path = "/sailward/status" if self.kinds[name] == "sommelier" else "/status"
+        path = "/sailward/status" if self.kinds[name] == "proxy" else "/status"
         try:
             return json.loads(ask(address=self.https[name], method="GET", path=path, wait=2.0)[2])
         except (OSError, ValueError):
--- a/simulation/rules/places.py
+++ b/simulation/rules/places.py
@@ -14,7 +14,7 @@
 
 
 def check_left(*, history: History, runs: list):
-    """A worker that is leaving or gone still receives exchanges 2.5 s after a cellar learned of it."""
+    """A worker that is leaving or gone still receives exchanges 2.5 s after a controller learned of it."""
     reads = history.of(k="list-read")
     ends: dict = {}
     for row in [*history.of(k="leaving"), *history.of(k="gone")]:
--- a/simulation/rules/service.py
+++ b/simulation/rules/service.py
@@ -13,7 +13,7 @@
 """s that are looked at, from then on or from a loss that must be borne."""
 BACK_GOOD = 0.90
 """of first tries: workers are still within their cold ramps, and callers' backlog is being served."""
-CELLAR_GOOD = 0.97
+CONTROLLER_GOOD = 0.97
 """of first tries from the loss of a disk machine on: only claims under way wait for a round more."""
 HALL_GOOD = 0.90
 """of first tries from the loss of a hall on: a quarter of proxies and workers are gone; what was open there is lost."""
@@ -39,10 +39,10 @@
 
 
 def _find_returns(*, history: History, daemons: list) -> list[float]:
-    """When the machines of each major loss were back: two cellars, half the proxies, a region, or a cut of many."""
+    """When the machines of each major loss were back: two controllers, half the proxies, a region, or a cut of many."""
     kinds = {name: kind for kind, name, _ in daemons}
-    cellars = {name for name, kind in kinds.items() if kind == "cellar"}
-    proxies = {name for name, kind in kinds.items() if kind == "sommelier"}
+    controllers = {name for name, kind in kinds.items() if kind == "controller"}
+    proxies = {name for name, kind in kinds.items() if kind == "proxy"}
     down: set = set()
     returns, major = [], False
     wiped = [row for row in history.of(k="trouble") if row["verb"] == "wipe"]
@@ -52,8 +52,8 @@
         if name not in kinds:
             continue
         (down.add if row["k"] == "daemon-down" else down.discard)(name)
-        major = major or len(down & cellars) >= 2 or 2 * len(down & proxies) >= len(proxies)
-        if major and len(down & cellars) <= 1 and not down & proxies:
+        major = major or len(down & controllers) >= 2 or 2 * len(down & proxies) >= len(proxies)
+        if major and len(down & controllers) <= 1 and not down & proxies:
             major = False
             # a majority of the disks gone for good is for an operators' order, judged from there
             if sum(row["t"] - 60 < one["t"] <= row["t"] for one in wiped) < 2:
@@ -78,7 +78,7 @@
         if len(places) != 1 or not lost:
             continue
         whole = {name for _, name, hall in daemons if hall in places} <= lost
-        least = HALL_GOOD if whole else CELLAR_GOOD if kinds == {"cellar"} and len(lost) == 1 else 0.0
+        least = HALL_GOOD if whole else CONTROLLER_GOOD if kinds == {"controller"} and len(lost) == 1 else 0.0
         good, total, reasons = _count(history=history, low=row["t"], high=high)
         if total >= FEWEST and good < least * total:
             yield Broken(
--- a/simulation/run_fleet.py
+++ b/simulation/run_fleet.py
@@ -36,12 +36,12 @@
     """Start, found, configure, and wait until every proxy serves."""
     fleet.start_all()
     for words, text in ((("found",), b""), (("put", "-"), json.dumps(fleet.deployment.config).encode())):
-        done = fleet.steward(*words, text=text)
+        done = fleet.sailctl(*words, text=text)
         if done.returncode != 0:
-            raise RuntimeError(f"steward {words}: {done.returncode}: {done.stderr.decode()}")
-    for name in fleet.names_of(kind="sommelier"):
+            raise RuntimeError(f"sailctl {words}: {done.returncode}: {done.stderr.decode()}")
+    for name in fleet.names_of(kind="proxy"):
         fleet.wait_for(check=lambda name=name: serves(fleet=fleet, name=name), what=f"{name} to serve")
-    for name in fleet.names_of(kind="concierge"):
+    for name in fleet.names_of(kind="directory"):
         fleet.wait_for(check=lambda name=name: names_all(fleet=fleet, name=name), what=f"{name} to name all proxies")
 
 
@@ -58,7 +58,7 @@
         code, _, body = ask(address=fleet.https[name], method="GET", path="/proxies")
     except OSError:
         return False
-    return code == 200 and len(json.loads(body)["proxies"]) == len(fleet.names_of(kind="sommelier"))
+    return code == 200 and len(json.loads(body)["proxies"]) == len(fleet.names_of(kind="proxy"))
 
 
 def do_step(*, fleet: Fleet, verb: str, name: str) -> None:
@@ -103,7 +103,7 @@
 
 def _order(*, fleet: Fleet, verb: str, name: str) -> None:
     begun = time.monotonic()
-    if fleet.steward(verb, name).returncode == 0:
+    if fleet.sailctl(verb, name).returncode == 0:
         fleet.history.add(t=time.monotonic(), k="emptied" if verb == "empty" else "refilled", hall=name, begun=begun)
 
 
@@ -171,7 +171,7 @@
             deployment=deployment,
             seed=int(flags["--seed"]),
             history=fleet.history,
-            concierges=[fleet.https[name] for name in fleet.names_of(kind="concierge")],
+            directories=[fleet.https[name] for name in fleet.names_of(kind="directory")],
         )
         thread = threading.Thread(
             target=lambda: callers.run(
--- a/simulation/sim/callers.py
+++ b/simulation/sim/callers.py
@@ -1,4 +1,4 @@
-"""The callers' stand-in: asks a concierge for proxies, sends, judges the result, comes back when told."""
+"""The callers' stand-in: asks a directory for proxies, sends, judges the result, comes back when told."""
 
 from __future__ import annotations
 
@@ -108,7 +108,7 @@
         at, known = self._known.get(region, (-1e9, []))
         if now - at < 1.0 and known:
             return known
-        nodes = [node for node in self._world.nodes.values() if node.place.kind == "concierge"]
+        nodes = [node for node in self._world.nodes.values() if node.place.kind == "directory"]
         self._rng.shuffle(nodes)
         for node in nodes:
             if not node.up:
--- a/simulation/sim/chaos.py
+++ b/simulation/sim/chaos.py
@@ -51,17 +51,17 @@
         lost = {
             "everything": ["all"],
             "region": [regions[0]],
-            "core": ["cellar"],
-            "proxies": ["sommelier"],
+            "core": ["controller"],
+            "proxies": ["proxy"],
             "disks": ["all"],
         }[kind]
-        cellar = next(name for name, node in self._world.nodes.items() if node.place.kind == "cellar")
+        controller = next(name for name, node in self._world.nodes.items() if node.place.kind == "controller")
         scene.do("power-off" if kind != "proxies" else "kill", *lost)
         if kind in ("everything", "region", "disks"):
             scene.do("worker-down", *lost)
             scene.later(10.0, 10.0, "worker-up", *lost)
         if kind == "disks" and self._world.clock.now >= scene.disks_from:
-            scene.do("wipe", cellar)
+            scene.do("wipe", controller)
         scene.later(10.0, 10.0, "start", *lost)
 
     def _deal(self) -> str:
--- a/simulation/sim/chaos_machines.py
+++ b/simulation/sim/chaos_machines.py
@@ -6,17 +6,17 @@
 
 
 def _proxy_lost(scene: Scene) -> bool:
-    name = scene.daemon("sommelier", "concierge")
+    name = scene.daemon("proxy", "directory")
     if name:
         scene.do(scene.rng.choice(["kill", "power-off", "stop"]), name)
         scene.later(7.0, 9.0, "start", name)
     return bool(name)
 
 
-def _cellar_lost(scene: Scene) -> bool:
-    if not scene.may_lose_cellar(seconds=8.0):
+def _controller_lost(scene: Scene) -> bool:
+    if not scene.may_lose_controller(seconds=8.0):
         return False
-    name = scene.daemon("cellar")
+    name = scene.daemon("controller")
     scene.do(scene.rng.choice(["kill", "power-off", "stop"]), name)
     scene.later(0.5, 5.0, "start", name)
     return True
@@ -25,7 +25,7 @@
 def _disk_wiped(scene: Scene) -> bool:
     if not scene.may_lose_disk():
         return False
-    name = scene.daemon("cellar")
+    name = scene.daemon("controller")
     scene.do("wipe", name)
     scene.later(0.5, 4.0, "start", name)
     return True
@@ -34,26 +34,26 @@
 def _machine_replaced(scene: Scene) -> bool:
     if not scene.may_lose_disk():
         return False
-    name = scene.daemon("cellar")
+    name = scene.daemon("controller")
     scene.do("wipe", name)
     index = scene.next_index()
-    scene.later(0.5, 3.0, "machine-new", f"cellar-{index}", "cellar", scene.world.nodes[name].place.hall, index)
+    scene.later(0.5, 3.0, "machine-new", f"controller-{index}", "controller", scene.world.nodes[name].place.hall, index)
     return True
 
 
 def _disk_full(scene: Scene) -> bool:
-    if not scene.may_lose_cellar(seconds=10.0):
+    if not scene.may_lose_controller(seconds=10.0):
         return False
-    name = scene.daemon("cellar")
+    name = scene.daemon("controller")
     scene.do("fill-disk", name)
     scene.later(3.0, 8.0, "free-disk", name)
     return True
 
 
 def _sync_fails(scene: Scene) -> bool:
-    if not scene.may_lose_cellar(seconds=10.0):
+    if not scene.may_lose_controller(seconds=10.0):
         return False
-    name = scene.daemon("cellar")
+    name = scene.daemon("controller")
     scene.do("fail-sync", name)
     scene.later(3.0, 4.0, "mend-sync", name)
     scene.later(4.5, 6.0, "start", name)
@@ -61,7 +61,7 @@
 
 
 def _disk_slow(scene: Scene) -> bool:
-    name = scene.daemon("cellar")
+    name = scene.daemon("controller")
     if not name:
         return False
     scene.do("slow-disk", str(scene.rng.choice([5, 20])), name)
@@ -70,8 +70,8 @@
 
 
 def _clock_jumps(scene: Scene) -> bool:
-    name = scene.daemon("cellar", "sommelier", "concierge")
-    if scene.world.nodes[name].place.kind == "cellar" and not scene.may_lose_cellar(seconds=6.0):
+    name = scene.daemon("controller", "proxy", "directory")
+    if scene.world.nodes[name].place.kind == "controller" and not scene.may_lose_controller(seconds=6.0):
         return False
     scene.do("clock-jump", str(scene.rng.choice([-7200, -60, 60, 7200])), name)
     scene.do("kill", name)
@@ -80,7 +80,7 @@
 
 
 def _many_killed(scene: Scene) -> bool:
-    if not scene.may_lose_cellar(seconds=8.0):
+    if not scene.may_lose_controller(seconds=8.0):
         return False
     names = [name for name, node in scene.world.nodes.items() if node.up and scene.rng.random() < 0.5]
     for name in names:
@@ -92,24 +92,27 @@
 def _confirmed_then_dark(scene: Scene) -> bool:
     """Power, or a disk, is lost at the very moment of a confirmation."""
     is_wiped = scene.rng.random() < 0.3
-    if not (scene.may_lose_disk() if is_wiped else scene.may_lose_cellar(seconds=8.0)):
+    if not (scene.may_lose_disk() if is_wiped else scene.may_lose_controller(seconds=8.0)):
         return False
-    name = scene.daemon("cellar")
-    scene.do("on-accept-soon", "wipe" if is_wiped else "power-off", *([name] if is_wiped else ["cellar"]))
+    name = scene.daemon("controller")
+    scene.do("on-accept-soon", "wipe" if is_wiped else "power-off", *([name] if is_wiped else ["controller"]))
     scene.do("pin", scene.service(), scene.rng.choice(sorted(set(scene.world.deployment.halls.values()))), name)
-    scene.later(4.0, 6.0, "start", "cellar")
+    scene.later(4.0, 6.0, "start", "controller")
     return True
 
 
 def _isolated(scene: Scene) -> bool:
-    name = scene.daemon("cellar", "sommelier", "concierge")
-    scene.do("cut", name, "/", "cellar", "sommelier", "concierge", "worker", "platform")
+    name = scene.daemon("controller", "proxy", "directory")
+    scene.do("cut", name, "/", "controller", "proxy", "directory", "worker", "platform")
     scene.later(1.0, 7.0, "heal")
     return True
 
 
 def _cut(scene: Scene) -> bool:
-    name, other = scene.daemon("sommelier", "cellar"), scene.rng.choice(["cellar", "platform", "worker", scene.hall()])
+    name, other = (
+        scene.daemon("proxy", "controller"),
+        scene.rng.choice(["controller", "platform", "worker", scene.hall()]),
+    )
     scene.do("cut", name, "/", other)
     scene.later(1.0, 7.0, "heal")
     return True
@@ -123,7 +126,7 @@
 
 
 def _core_cut_off(scene: Scene) -> bool:
-    scene.do("cut", "cellar", "/", "sommelier", "concierge")
+    scene.do("cut", "controller", "/", "proxy", "directory")
     scene.later(1.0, 5.0, "heal")
     return True
 
@@ -137,8 +140,8 @@
 
 
 def _frozen(scene: Scene) -> bool:
-    name = scene.daemon("sommelier", "concierge", "cellar")
-    if scene.world.nodes[name].place.kind == "cellar" and not scene.may_lose_cellar(seconds=8.0):
+    name = scene.daemon("proxy", "directory", "controller")
+    if scene.world.nodes[name].place.kind == "controller" and not scene.may_lose_controller(seconds=8.0):
         return False
     scene.do("freeze", name)
     scene.later(0.5, 6.0, "thaw", name)
@@ -146,7 +149,7 @@
 
 
 def _hall_dark(scene: Scene) -> bool:
-    if not scene.may_lose_cellar(seconds=12.0):
+    if not scene.may_lose_controller(seconds=12.0):
         return False
     hall = scene.hall()
     scene.do("power-off", hall)
@@ -158,7 +161,7 @@
 
 def _rolled(scene: Scene) -> bool:
     """Three machines are stopped and started, one after the other."""
-    names = [name for name, node in scene.world.nodes.items() if node.up and node.place.kind != "cellar"]
+    names = [name for name, node in scene.world.nodes.items() if node.up and node.place.kind != "controller"]
     scene.rng.shuffle(names)
     for at, name in enumerate(names[:3]):
         scene.later(at * 8.0, at * 8.0, "stop", name)
@@ -170,7 +173,7 @@
     one.__name__.strip("_").replace("_", "-"): one
     for one in (
         _proxy_lost,
-        _cellar_lost,
+        _controller_lost,
         _disk_wiped,
         _machine_replaced,
         _disk_full,
--- a/simulation/sim/chaos_scene.py
+++ b/simulation/sim/chaos_scene.py
@@ -27,7 +27,7 @@
     step: Callable
     index: int = 50
     disks_from: float = 0.0
-    cellars_from: float = 0.0
+    controllers_from: float = 0.0
     emptied: str = ""
 
     def do(self, verb: str, *words: str) -> None:
@@ -46,8 +46,8 @@
         return self.rng.choice(names)
 
     def core(self) -> list[str]:
-        """The cellars that are up."""
-        return [name for name, node in self.world.nodes.items() if node.place.kind == "cellar" and node.up]
+        """The controllers that are up."""
+        return [name for name, node in self.world.nodes.items() if node.place.kind == "controller" and node.up]
 
     def worker(self) -> str:
         """One that runs."""
@@ -64,17 +64,17 @@
         divided = {name for name, one in self.world.deployment.config["services"].items() if one.get("slots")}
         return self.rng.choice(sorted(set(self.world.deployment.config["services"]) - divided))
 
-    def may_lose_cellar(self, *, seconds: float) -> bool:
-        """One cellar at a time, as many as must be borne; taken for so long."""
+    def may_lose_controller(self, *, seconds: float) -> bool:
+        """One controller at a time, as many as must be borne; taken for so long."""
         now = self.world.clock.now
-        if now < max(self.cellars_from, self.disks_from) or len(self.core()) < 4:
+        if now < max(self.controllers_from, self.disks_from) or len(self.core()) < 4:
             return False
-        self.cellars_from = now + seconds
+        self.controllers_from = now + seconds
         return True
 
     def may_lose_disk(self) -> bool:
         """A disk may be lost for good if every other is well, and none follows before the repair."""
-        if not self.may_lose_cellar(seconds=REPAIRED):
+        if not self.may_lose_controller(seconds=REPAIRED):
             return False
         self.disks_from = self.world.clock.now + REPAIRED
         return True
--- a/simulation/sim/chaos_workers.py
+++ b/simulation/sim/chaos_workers.py
@@ -119,18 +119,18 @@
 def _orders_repeated(scene: Scene) -> bool:
     key = f"rep{scene.rng.randrange(10**6)}"
     tenant, path = scene.rng.choice([(one.tenant, one.path) for one in scene.world.deployment.callers if one.unsafe])
-    name = scene.daemon("sommelier")
+    name = scene.daemon("proxy")
     for turn in range(1, 5):
         if name:
             # a first sending is made once: those after it say that they are repeats
             scene.later(2.5 * (turn - 1), 2.5 * turn - 0.1, "order", tenant, path, key, name, str(turn - 1))
-        name = scene.daemon("sommelier")
+        name = scene.daemon("proxy")
     return True
 
 
 def _operators_race(scene: Scene) -> bool:
     regions = sorted(set(scene.world.deployment.halls.values()))
-    first, second = scene.daemon("cellar"), scene.daemon("cellar")
+    first, second = scene.daemon("controller"), scene.daemon("controller")
     if not first:
         return False
     scene.do("pin", scene.service(), scene.rng.choice(regions), first)
--- a/simulation/sim/disk.py
+++ b/simulation/sim/disk.py
@@ -11,7 +11,7 @@
 
 @dataclass(kw_only=True)
 class Disk:
-    """The bytes of one cellar's file, in the product's own form."""
+    """The bytes of one controller's file, in the product's own form."""
 
     rng: random.Random
     synced: bytes = b""
--- a/simulation/sim/faults.py
+++ b/simulation/sim/faults.py
@@ -88,7 +88,7 @@
         world = self._world
         tenants = {row["nonce"]: row["tenant"] for row in world.history.of(k="sent")}
         for node in world.nodes.values():
-            if node.place.kind != "sommelier" or node.owner is None:
+            if node.place.kind != "proxy" or node.owner is None:
                 continue
             claims = node.owner.claims
             for memory in [*claims.kept.memories.values(), *claims.copies.held.values()]:
--- a/simulation/sim/node.py
+++ b/simulation/sim/node.py
@@ -30,8 +30,8 @@
     Tell,
     Ticked,
 )
-from sailward.proxy.concierge import Concierge
-from sailward.proxy.sommelier import Sommelier
+from sailward.proxy.directory_server import DirectoryServer
+from sailward.proxy.tenant_proxy import TenantProxy
 from sailward.storage.disk import Damaged
 from simulation.sim.disk import Disk
 
@@ -82,7 +82,7 @@
             "rng": random.Random(nonce),
         }
         self.code = None
-        if self.place.kind == "cellar":
+        if self.place.kind == "controller":
             found = self.disk.read()
             if isinstance(found, Damaged):
                 self.code = constants.EXIT_DISK
@@ -90,10 +90,10 @@
             self.owner = Controller(
                 platform=self.world.platform.address, nonce=nonce, records=found.records, now=self.now(), **common
             )
-        elif self.place.kind == "sommelier":
-            self.owner = Sommelier(nonce=nonce, now=self.now(), **common)
+        elif self.place.kind == "proxy":
+            self.owner = TenantProxy(nonce=nonce, now=self.now(), **common)
         else:
-            self.owner = Concierge(**common)
+            self.owner = DirectoryServer(**common)
         self._note(k="daemon-up")
         self._tick(life=self.life)
 
--- a/simulation/sim/operators.py
+++ b/simulation/sim/operators.py
@@ -29,19 +29,19 @@
         method: str,
         path: str,
         body: object = None,
-        cellar: str = "",
+        controller: str = "",
         headers: dict | None = None,
         query: dict | None = None,
         then=None,
     ) -> None:
-        """One exchange with a cellar: the named one, or the first that is up."""
+        """One exchange with a controller: the named one, or the first that is up."""
         world = self._world
         nodes = [
             node
             for node in world.nodes.values()
-            if node.place.kind == "cellar" and (node.up or node.place.name == cellar)
+            if node.place.kind == "controller" and (node.up or node.place.name == controller)
         ]
-        node = world.nodes[cellar] if cellar else (nodes[0] if nodes else None)
+        node = world.nodes[controller] if controller else (nodes[0] if nodes else None)
         if node is None:
             if then:
                 then(None)
@@ -66,12 +66,12 @@
         node.ask(event=event, answer=got)
         world.clock.after(9.0, lambda: got(None))
 
-    def found(self, *, cellars: list[str]) -> None:
-        """Join the cellars into a core."""
-        nodes = [self._world.nodes[name] for name in cellars]
+    def found(self, *, controllers: list[str]) -> None:
+        """Join the controllers into a core."""
+        nodes = [self._world.nodes[name] for name in controllers]
         members = {node.owner.identity: node.place.post for node in nodes}
         for node in nodes:
-            self.ask(method="POST", path="/found", body={"members": members}, cellar=node.place.name)
+            self.ask(method="POST", path="/found", body={"members": members}, controller=node.place.name)
 
     def note_bounds(self, *, config: dict, begun: float) -> None:
         """Write down what each service's workers bear, as the operator wrote it."""
@@ -88,7 +88,7 @@
                 )
 
     def put(
-        self, *, config: object, cellar: str = "", if_match: str = "", invalid: bool = False, is_patch: bool = False
+        self, *, config: object, controller: str = "", if_match: str = "", invalid: bool = False, is_patch: bool = False
     ) -> None:
         """Send a configuration, whole or as a patch."""
         world, begun = self._world, self._world.clock.now
@@ -109,7 +109,7 @@
                 given=config,
                 patch=is_patch,
                 error=seen.get("error", ""),
-                cellar=cellar,
+                controller=controller,
             )
             if outcome == "accepted":
                 if isinstance(config, dict):
@@ -121,12 +121,12 @@
             method="PATCH" if is_patch else "PUT",
             path="/config",
             body=config,
-            cellar=cellar,
+            controller=controller,
             headers=headers,
             then=then,
         )
 
-    def read_back(self, *, cellar: str = "") -> None:
+    def read_back(self, *, controller: str = "") -> None:
         """Read the configuration."""
         world, begun = self._world, self._world.clock.now
 
@@ -142,12 +142,12 @@
                 number=seen["number"],
                 digest=digest_of(config=seen["config"]),
                 config=seen["config"],
-                cellar=cellar,
+                controller=controller,
             )
 
-        self.ask(method="GET", path="/config", cellar=cellar, then=then)
+        self.ask(method="GET", path="/config", controller=controller, then=then)
 
-    def order(self, *, hall: str, empty: bool, confirm: bool = False, cellar: str = "") -> None:
+    def order(self, *, hall: str, empty: bool, confirm: bool = False, controller: str = "") -> None:
         """Empty a hall, or take it back."""
         world, begun = self._world, self._world.clock.now
 
@@ -168,7 +168,7 @@
             method="POST",
             path=f"/halls/{hall}/{'empty' if empty else 'refill'}",
             query={"confirm": "yes"} if confirm else {},
-            cellar=cellar,
+            controller=controller,
             then=then,
         )
 
--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -14,7 +14,7 @@
 from sailward.discovery import gossip, workers
 from sailward.discovery import pages as pages_module
 from sailward.events import DiskFailed, Synced
-from sailward.proxy import sommelier
+from sailward.proxy import tenant_proxy
 from sailward.routing import (
     bounds,
     choosing,
@@ -258,7 +258,7 @@
             lambda self, *, now: (
                 now
                 + self.walls[
-                    "cellar-1#" + next(name for name in self.walls if name.startswith("cellar-1")).split("#")[1]
+                    "controller-1#" + next(name for name in self.walls if name.startswith("controller-1")).split("#")[1]
                 ][1]
                 if self.walls
                 else None
@@ -270,7 +270,7 @@
         exchanges, "answer_refusal", lambda old: lambda **fields: dataclasses.replace(old(**fields), headers={})
     ),
     "gives-up": _method(exchanges.Exchanges, "_look_at_alarms", lambda old: lambda self, *, now, acting: []),
-    "stops": _method(sommelier.Sommelier, "_look_at_stop", lambda old: lambda self, *, now: []),
+    "stops": _method(tenant_proxy.TenantProxy, "_look_at_stop", lambda old: lambda self, *, now: []),
     "told-lost": _method(
         proposer.Proposer,
         "_judge_votes",
--- a/simulation/sim/verbs/daemons.py
+++ b/simulation/sim/verbs/daemons.py
@@ -122,11 +122,11 @@
             cut = [
                 node
                 for node in world.nodes.values()
-                if node.place.kind == "sommelier" and world.network.is_cut(a=node.names, b=machine.names)
+                if node.place.kind == "proxy" and world.network.is_cut(a=node.names, b=machine.names)
             ]
             if cut:
                 # judged as come back only if no proxy could reach it
-                proxies = [node for node in world.nodes.values() if node.place.kind == "sommelier"]
+                proxies = [node for node in world.nodes.values() if node.place.kind == "proxy"]
                 away = world.clock.now - self._cut_at if len(cut) == len(proxies) else 0.0
                 world.history.add(t=world.clock.now, k="worker-back", worker=machine.mind.key, away=away)
         world.network.heal(now=world.clock.now)
--- a/simulation/sim/verbs/operators.py
+++ b/simulation/sim/verbs/operators.py
@@ -35,8 +35,8 @@
         world = self._world
         for node in world.nodes.values():
             world.clock.after(world.rng.uniform(0.0, 0.5), node.start)
-        cellars = [node.place.name for node in world.nodes.values() if node.place.kind == "cellar"]
-        world.clock.after(1.5, lambda: self.operators.found(cellars=cellars))
+        controllers = [node.place.name for node in world.nodes.values() if node.place.kind == "controller"]
+        world.clock.after(1.5, lambda: self.operators.found(controllers=controllers))
         world.clock.after(2.5, self.do_put)
         world.clock.after(8.0, lambda: self.step(verb="load", words=[rate]))
         self._note_config()
@@ -47,18 +47,18 @@
         homes = {name: one["homes"] for name, one in config["tenants"].items() if one.get("homes")}
         world.history.add(t=world.clock.now, k="homes", homes=homes)
 
-    def do_put(self, cellar: str = "", if_match: str = "") -> None:
+    def do_put(self, controller: str = "", if_match: str = "") -> None:
         """Send the whole configuration."""
-        self.operators.put(config=copy.deepcopy(self.operators.config), cellar=cellar, if_match=if_match)
+        self.operators.put(config=copy.deepcopy(self.operators.config), controller=controller, if_match=if_match)
 
-    def do_split(self, service: str, first: str, second: str, cellar: str = "", if_match: str = "") -> None:
+    def do_split(self, service: str, first: str, second: str, controller: str = "", if_match: str = "") -> None:
         """Change a service's weights and send the whole."""
         for match in self.operators.config["matches"]:
             if match["path"] == f"/{service}":
                 match["pools"][0]["weight"], match["pools"][1]["weight"] = int(first), int(second)
-        self.do_put(cellar, if_match)
+        self.do_put(controller, if_match)
 
-    def do_pin(self, service: str, region: str, cellar: str = "", if_match: str = "") -> None:
+    def do_pin(self, service: str, region: str, controller: str = "", if_match: str = "") -> None:
         """Let a service run in one region only and send the whole: what ran elsewhere shows an older number."""
         config, halls = copy.deepcopy(self.operators.config), self._world.deployment.halls
         places = [hall for hall, one in halls.items() if one == region]
@@ -72,9 +72,9 @@
                     {"path": match["path"], "tenants": free, "pools": [{"pool": f"{service}-pin", "weight": 1}]}
                 )
         config["tenants"].setdefault("pins", {"share": 1 + len(self._world.history.of(k="put")) % 90})
-        self.operators.put(config=config, cellar=cellar, if_match=if_match)
+        self.operators.put(config=config, controller=controller, if_match=if_match)
 
-    def do_patch(self, path: str, value: str, cellar: str = "", if_match: str = "") -> None:
+    def do_patch(self, path: str, value: str, controller: str = "", if_match: str = "") -> None:
         """Send a small change: one field, by its path with dots, to a number, a word, a,list or null."""
         patch: dict = {}
         inner = patch
@@ -82,7 +82,7 @@
         for name in names:
             inner = inner.setdefault(name, {})
         inner[last] = _read_value(text=value)
-        self.operators.put(config=patch, cellar=cellar, if_match=if_match, is_patch=True)
+        self.operators.put(config=patch, controller=controller, if_match=if_match, is_patch=True)
 
     def do_put_stamped(self, *halls: str) -> None:
         """Send the configuration with one tenant's route made from a template, with these halls as its parameter."""
@@ -95,7 +95,7 @@
         config["stamps"] = {"hotels-notes": {"template": "route", "parameters": {"halls": list(halls)}}}
         self.operators.put(config=config)
 
-    def do_put_large(self, tenants: str, cellar: str = "") -> None:
+    def do_put_large(self, tenants: str, controller: str = "") -> None:
         """Send the configuration with so many tenants more, each stamped out of one template."""
         config = copy.deepcopy(self.operators.config)
         config["templates"] = {
@@ -108,9 +108,9 @@
             f"guest-{number}": {"template": "guest", "parameters": {"share": 1 + number % 9}}
             for number in range(int(tenants))
         }
-        self.operators.put(config=config, cellar=cellar)
+        self.operators.put(config=config, controller=controller)
 
-    def do_put_invalid(self, kind: str, cellar: str = "") -> None:
+    def do_put_invalid(self, kind: str, controller: str = "") -> None:
         """Send a configuration that is wrong in the way named."""
         config: object = copy.deepcopy(self.operators.config)
         if kind == "weights":
@@ -122,11 +122,11 @@
             config["speed"] = 3
         else:
             config = [kind]
-        self.operators.put(config=config, cellar=cellar, invalid=True)
+        self.operators.put(config=config, controller=controller, invalid=True)
 
-    def do_read_back(self, cellar: str = "") -> None:
+    def do_read_back(self, controller: str = "") -> None:
         """Read the configuration."""
-        self.operators.read_back(cellar=cellar)
+        self.operators.read_back(controller=controller)
 
     def do_empty(self, hall: str, confirm: str = "") -> None:
         """Order a hall to be emptied."""
@@ -137,8 +137,8 @@
         self.operators.order(hall=hall, empty=False)
 
     def do_found_anew(self, *words: str) -> None:
-        """`found-anew CELLAR SURVIVOR ... [confirm]`: the order is given to that cellar."""
-        cellar, *names = [word for word in words if word != "confirm"]
+        """`found-anew CONTROLLER SURVIVOR ... [confirm]`: the order is given to that controller."""
+        controller, *names = [word for word in words if word != "confirm"]
 
         def then(answer) -> None:
             code = answer.code if answer else 0
@@ -157,7 +157,7 @@
             method="POST",
             path="/found-anew",
             body={"survivors": names},
-            cellar=cellar,
+            controller=controller,
             then=then,
             query={"confirm": "yes"} if "confirm" in words else {},
         )
--- a/simulation/sim/world.py
+++ b/simulation/sim/world.py
@@ -216,7 +216,7 @@
             return
         query = {name: values[0] for name, values in parse_qs(urlsplit(command.path).query).items()}
         page = self.platform.page(after=query.get("after", ""), limit=int(query["limit"]))
-        self.history.add(t=self.clock.now, k="list-read", cellar=caller.place.name, revision=page["revision"])
+        self.history.add(t=self.clock.now, k="list-read", controller=caller.place.name, revision=page["revision"])
         end(
             delay=self.rng.uniform(0.005, 0.03),
             called=Called(
--- a/tests/core_net.py
+++ b/tests/core_net.py
@@ -1,4 +1,4 @@
-"""A core of cellars on virtual time: two regions 55 ms apart, disks that sync, kills, wipes and cuts."""
+"""A core of controllers on virtual time: two regions 55 ms apart, disks that sync, kills, wipes and cuts."""
 
 from __future__ import annotations
 
@@ -39,12 +39,12 @@
 
 
 class Machine:
-    """One machine with a disk and, when up, a cellar."""
+    """One machine with a disk and, when up, a controller."""
 
     def __init__(self, *, name: str, zone: str, post: str) -> None:
         self.name, self.zone, self.post = name, zone, post
         self.disk: list[dict] = []
-        self.cellar: Controller | None = None
+        self.controller: Controller | None = None
         self.life, self.starts = 0, 0
 
 
@@ -102,7 +102,7 @@
         )
         place = Place(
             name=machine.name,
-            kind="cellar",
+            kind="controller",
             hall=machine.zone,
             region=ZONES[machine.zone],
             post=machine.post,
@@ -112,7 +112,7 @@
         nonce = f"{self.rng.getrandbits(48):012x}"
         if machine.name in self.bare:
             machine.disk = []
-        machine.cellar = Controller(
+        machine.controller = Controller(
             place=place,
             platform="10.9.9.9:1",
             nonce=nonce,
@@ -125,15 +125,17 @@
         self._tick(machine=machine, life=machine.life)
 
     def kill(self, machine: Machine, *, wipe: bool = False) -> None:
-        machine.cellar, machine.life = None, machine.life + 1
+        machine.controller, machine.life = None, machine.life + 1
         if wipe:
             machine.disk = []
 
     def voting(self) -> list[Machine]:
-        return [one for one in self.machines if one.cellar is not None and one.cellar.voting]
+        return [one for one in self.machines if one.controller is not None and one.controller.voting]
 
     def members(self) -> list[str]:
-        newest = max((one.cellar.voters for one in self.machines if one.cellar), key=lambda voters: voters["number"])
+        newest = max(
+            (one.controller.voters for one in self.machines if one.controller), key=lambda voters: voters["number"]
+        )
         return sorted(newest["members"].values())
 
     def ask(
@@ -165,10 +167,10 @@
         return token
 
     def give(self, machine: Machine, *, event: object) -> None:
-        if machine.cellar is None:
+        if machine.controller is None:
             return
         life = machine.life
-        for command in machine.cellar.step(now=self.now, event=event):
+        for command in machine.controller.step(now=self.now, event=event):
             if machine.life == life:
                 self._carry_out(machine=machine, command=command)
 
@@ -183,7 +185,7 @@
 
     def _carry_out(self, *, machine: Machine, command: object) -> None:
         if isinstance(command, Tell):
-            to = next((one for one in self.machines if one.post == command.to and one.cellar is not None), None)
+            to = next((one for one in self.machines if one.post == command.to and one.controller is not None), None)
             assert isinstance(check_message(body=command.body), dict), command.body
             if to is None or ({machine.name, to.name} & self.cut and machine is not to):
                 return
--- a/tests/test_bootstrap.py
+++ b/tests/test_bootstrap.py
@@ -34,7 +34,7 @@
 def test_three_seeds_found_one_core_without_talk_and_the_fourth_waits() -> None:
     net = found()
     assert [one.name for one in net.voting()] == ["m0", "m1", "m2"]
-    assert {one.cellar.voters["number"] for one in net.machines} == {1}
+    assert {one.controller.voters["number"] for one in net.machines} == {1}
     put(net, label=3, on="0")
     assert net.members() == sorted(net.posts)
 
@@ -46,7 +46,7 @@
     net.run(1.0)
     net.start(net.machines[1], bootstrap=True)
     assert net.run(6.0, until=lambda: len(net.voting()) == 3)
-    assert net.machines[3].cellar.voting and not net.machines[2].cellar
+    assert net.machines[3].controller.voting and not net.machines[2].controller
     net.start(net.machines[2], bootstrap=False)
     net.run(3.0)
     assert len(net.voting()) == 3
@@ -56,7 +56,7 @@
 def test_it_grows_to_what_the_budget_asks_spread_over_halls() -> None:
     net = found(zones=["gdl-a", "ens-a", "gdl-b", "gdl-a", "gdl-a", "ens-b", "gdl-b"], budget=2)
     assert net.run(8.0, until=lambda: len(net.voting()) == 5 and len(net.members()) == 5)
-    assert net.machines[5].cellar.voting
+    assert net.machines[5].controller.voting
     assert len({one.zone for one in net.voting()}) == 4
 
 
@@ -74,7 +74,7 @@
     net.run(1.0)
     begun = net.now
     net.start(machine)
-    assert net.run(3.0, until=lambda: machine.cellar.voting)
+    assert net.run(3.0, until=lambda: machine.controller.voting)
     assert net.now - begun < 2.5
     # and the one after it may be lost at once
     other = net.machines[(at + 1) % 3]
@@ -90,10 +90,10 @@
     put(net, label=1, on="0")
     lost = net.machines[1]
     net.kill(lost)
-    assert net.run(7.0, until=lambda: net.machines[3].cellar.voting)
+    assert net.run(7.0, until=lambda: net.machines[3].controller.voting)
     net.start(lost)
     net.run(2.0)
-    assert not lost.cellar.voting and len(net.members()) == 3
+    assert not lost.controller.voting and len(net.members()) == 3
     put(net, label=2, on="r1")
 
 
@@ -104,7 +104,7 @@
     net.kill(net.machines[2], wipe=True)
     net.run(0.5)
     net.start(net.machines[3])
-    assert net.run(7.0, until=lambda: net.machines[3].cellar.voting)
+    assert net.run(7.0, until=lambda: net.machines[3].controller.voting)
     assert net.ask(net.machines[3], method="GET", path="/config")[0] == 200
 
 
@@ -123,11 +123,11 @@
 def test_a_newcomer_that_cannot_copy_is_exchanged() -> None:
     net = found()
     net.kill(net.machines[2], wipe=True)
-    net.machines[3].cellar.membership.copying.step = lambda **_: []
+    net.machines[3].controller.membership.copying.step = lambda **_: []
     net.run(7.0, until=lambda: net.machines[3].post in net.members())
     net.start(net.machines[2])
     assert net.run(14.0, until=lambda: len(net.voting()) == 3)
-    assert not net.machines[3].cellar.voting
+    assert not net.machines[3].controller.voting
 
 
 def test_all_killed_at_once_come_back_with_what_was_acknowledged() -> None:
@@ -143,7 +143,7 @@
     code, body, _ = net.ask(net.machines[2], method="GET", path="/config")
     assert code == 200 and body == make_written(label=1)
     net.run(1.0)
-    assert '"ens-a"' in net.machines[1].cellar.held.held["orders"].value["text"]
+    assert '"ens-a"' in net.machines[1].controller.held.held["orders"].value["text"]
 
 
 def test_one_wiped_while_all_others_are_killed() -> None:
@@ -162,7 +162,7 @@
     net = found()
     put(net, label=1, on="0")
     net.cut = {"m1"}
-    assert net.run(8.0, until=lambda: net.machines[3].cellar.voting)
+    assert net.run(8.0, until=lambda: net.machines[3].controller.voting)
     assert net.ask(net.machines[1], method="PUT", path="/config", body=make_written(label=2), if_match="r1")[0] in (
         0,
         503,
@@ -170,7 +170,7 @@
     put(net, label=3, on="r1")
     net.cut = set()
     net.run(7.0)
-    assert not net.machines[1].cellar.voting
+    assert not net.machines[1].controller.voting
     assert net.ask(net.machines[1], method="GET", path="/config")[1]["generation"] == "r3"
 
 
@@ -203,14 +203,14 @@
     put(net, label=1, on="0")
     for machine in net.machines:
         # no reads of their own: they would mend what this is about
-        machine.cellar._read_what_is_due = lambda **_: []
+        machine.controller._read_what_is_due = lambda **_: []
     net.run(1.0)
     net.cut = {"m1"}
     put(net, label=2, on="r1")
     net.run(0.5)
     net.kill(net.machines[2], wipe=True)
     net.cut = set()
-    assert net.run(8.0, until=lambda: net.machines[3].cellar.voting)
+    assert net.run(8.0, until=lambda: net.machines[3].controller.voting)
     net.kill(net.machines[0], wipe=True)
     net.run(0.2)
     assert net.ask(net.machines[1], method="GET", path="/config")[1] == make_written(label=2)
@@ -225,7 +225,7 @@
     net.kill(net.machines[other])
     net.start(net.machines[0])
     begun = net.now
-    assert net.run(6.0, until=lambda: net.machines[0].cellar.voting)
+    assert net.run(6.0, until=lambda: net.machines[0].controller.voting)
     assert net.now - begun < 2.3
 
 
@@ -245,7 +245,7 @@
     assert not {one.name for one in net.voting()} & bare
 
 
-def test_a_cellar_without_a_disk_is_never_brought_in_but_takes_changes() -> None:
+def test_a_controller_without_a_disk_is_never_brought_in_but_takes_changes() -> None:
     net = found(zones=[*FOUR, "gdl-a"], bare=frozenset({"m4"}))
     net.kill(net.machines[0])
     net.kill(net.machines[3])
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -30,7 +30,7 @@
         "turn": 1,
         "path": "/stock/?n=1",
         "unsafe": False,
-        "proxy": "sommelier-0",
+        "proxy": "proxy-0",
         "until": t + 0.01,
         "slot_key": "",
         **fields,
@@ -51,7 +51,7 @@
         "tenant": "hotels",
         "path": "/stock",
         "unsafe": False,
-        "proxy": "sommelier-0",
+        "proxy": "proxy-0",
         "region": "ensenada",
         **fields,
     }
@@ -68,7 +68,7 @@
         "tenant": "hotels",
         "path": "/stock",
         "unsafe": False,
-        "proxy": "sommelier-0",
+        "proxy": "proxy-0",
         "ran": "",
         "verdict": "good",
         "reason": "",
@@ -96,7 +96,7 @@
         "given": config,
         "patch": False,
         "error": "",
-        "cellar": "",
+        "controller": "",
         **fields,
     }
 
@@ -200,14 +200,14 @@
     "held:never": (
         [
             sent(1, nonce="a"),
-            row(2, "daemon-down", daemon="sommelier-0"),
+            row(2, "daemon-down", daemon="proxy-0"),
             got(9, nonce="a", code=0, verdict="", held=True),
         ],
         [sent(1, nonce="a"), got(9, nonce="a", code=0, verdict="", held=True)],
     ),
     "unanswered": (
-        [sent(1, nonce="a"), row(2, "daemon-down", daemon="sommelier-0"), got(2, nonce="a", code=0, verdict="")],
-        [sent(1, nonce="a"), row(2, "daemon-down", daemon="sommelier-1"), got(2, nonce="a", code=0, verdict="")],
+        [sent(1, nonce="a"), row(2, "daemon-down", daemon="proxy-0"), got(2, nonce="a", code=0, verdict="")],
+        [sent(1, nonce="a"), row(2, "daemon-down", daemon="proxy-1"), got(2, nonce="a", code=0, verdict="")],
     ),
     "unanswered:lost": ([sent(1, nonce="a"), got(2, nonce="a"), row(30, "end")], [sent(1, nonce="a"), row(30, "end")]),
     "left-worker-served": (
@@ -359,18 +359,18 @@
         [HOMES, run(1, slot_key="a", until=2), run(1.9, slot_key="a", worker="o", tenant="tapatia")],
         [HOMES, run(1, slot_key="a", until=2), run(1.9, slot_key="a", worker="o", tenant="shops")],
     ),
-    "crash": ([row(1, "daemon-down", daemon="cellar-0")], [row(1, "crash", daemon="cellar-0", fault="x")]),
+    "crash": ([row(1, "daemon-down", daemon="controller-0")], [row(1, "crash", daemon="controller-0", fault="x")]),
     "stop-dropped": (
         [
-            row(1, "planned-stop", daemon="sommelier-0"),
-            row(4, "stopped", daemon="sommelier-0"),
+            row(1, "planned-stop", daemon="proxy-0"),
+            row(4, "stopped", daemon="proxy-0"),
             sent(2, nonce="a"),
             got(3, nonce="a"),
         ],
         [
-            row(1, "planned-stop", daemon="sommelier-0"),
-            row(4, "stopped", daemon="sommelier-0"),
-            row(4, "daemon-down", daemon="sommelier-0"),
+            row(1, "planned-stop", daemon="proxy-0"),
+            row(4, "stopped", daemon="proxy-0"),
+            row(4, "daemon-down", daemon="proxy-0"),
             sent(2, nonce="a"),
             got(4, nonce="a", code=0, verdict=""),
         ],
@@ -385,10 +385,14 @@
         [row(35, "trouble", verb="heal", words=[]), *lose(FIRSTS, 10)],
     ),
     "not-borne": (
-        [row(50, "trouble", verb="kill", words=["cellar-0"]), row(50, "daemon-down", daemon="cellar-0"), *FIRSTS],
         [
-            row(50, "trouble", verb="kill", words=["cellar-0"]),
-            row(50, "daemon-down", daemon="cellar-0"),
+            row(50, "trouble", verb="kill", words=["controller-0"]),
+            row(50, "daemon-down", daemon="controller-0"),
+            *FIRSTS,
+        ],
+        [
+            row(50, "trouble", verb="kill", words=["controller-0"]),
+            row(50, "daemon-down", daemon="controller-0"),
             *lose(FIRSTS, 4),
         ],
     ),
