--- /dev/null
+++ b/sailward/control/grant_calls.py
@@ -0,0 +1,275 @@
+"""Calls that grant key ranges to workers and take them back: which are under way, and what their answers say."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+
+from sailward import constants
+from sailward.events import Call, Called, Log
+from sailward.routing.shards import Shard
+
+NEVER = -1e9
+
+
+class GrantCodec(Protocol):
+    """The words of the calls, which an adapter sets. A call is (method, path, headers, body)."""
+
+    def grant(
+        self, *, start: int, end: int, fence: int, hold: float, handover: str, owner: str
+    ) -> tuple[str, str, dict, bytes]:
+        """The call that grants the keys from `start` to `end` to `owner` for `hold` s."""
+
+    def release(self, *, start: int, end: int, fence: int, owner: str) -> tuple[str, str, dict, bytes]:
+        """The call that takes these keys back."""
+
+    def handover(self, *, headers: dict) -> str:
+        """What a worker that released keys hands over to the next owner, or ""."""
+
+
+@dataclass(kw_only=True)
+class Renewing:
+    """The grants of one open shard."""
+
+    due: float = NEVER
+    token: str = ""
+    handover: str = ""
+
+
+@dataclass(kw_only=True)
+class Releasing:
+    """What is known of one moving shard: since when it is seen moving, and whether its owner has let go."""
+
+    shard: Shard
+    since: float
+    due: float = NEVER
+    token: str = ""
+    is_released: bool = False
+    handover: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Sent:
+    """A call under way; none of its bytes leave after `until`."""
+
+    shard: Shard
+    is_grant: bool
+    since: float
+    until: float
+
+
+@dataclass(kw_only=True)
+class GrantCalls:
+    """The calls of one service. What moves and what is open follows from the table that `take_table` is given."""
+
+    service: str
+    codec: GrantCodec
+    addresses: dict[str, str] = field(default_factory=dict)
+    ended: set[str] = field(default_factory=set)
+    outrun: set[Shard] = field(default_factory=set)
+    handovers: dict[Shard, str] = field(default_factory=dict)
+    _renewing: dict[Shard, Renewing] = field(default_factory=dict)
+    _moving: list[Releasing] = field(default_factory=list)
+    _sent: dict[str, Sent] = field(default_factory=dict)
+    _arrived: dict[str, float] = field(default_factory=dict)
+    _failing: dict[str, tuple[float, float]] = field(default_factory=dict)
+    _count: int = 0
+
+    def is_own(self, *, token: str) -> bool:
+        """Is this the token of a call that is under way?"""
+        return token in self._sent
+
+    def take_table(self, *, now: float, shards: Iterable[Shard], is_new_term: bool) -> None:
+        """Follow a table's shards: open ones are renewed, all of them anew in a new term; moving ones are released."""
+        shards = list(shards)
+        known = {} if is_new_term else self._renewing
+        self._renewing = {
+            shard: known.get(shard) or Renewing(handover=self.handovers.get(shard, ""))
+            for shard in shards
+            if shard.is_open and shard.owner
+        }
+        self._moving = [
+            self._releasing_of(shard=shard) or Releasing(shard=shard, since=now)
+            for shard in shards
+            if not shard.is_open
+        ]
+        self.outrun &= set(self._renewing)
+
+    def _releasing_of(self, *, shard: Shard) -> Releasing | None:
+        return next(
+            (
+                replace(one, shard=shard)
+                for one in self._moving
+                if (one.shard.owner, one.shard.fence) == (shard.owner, shard.fence)
+                and one.shard.start <= shard.start
+                and shard.end <= one.shard.end
+            ),
+            None,
+        )
+
+    def take_result(self, *, now: float, event: Called) -> list:
+        """Fold the result of a call of ours; gives what is to be logged."""
+        sent = self._sent.pop(event.token, None)
+        if sent is None:
+            return []
+        owner = sent.shard.owner
+        if event.code == 421:
+            self.ended.add(owner)
+        if event.code in (200, 409):
+            self._failing.pop(owner, None)
+        else:
+            self._failing[owner] = (self._failing.get(owner, (sent.since, now))[0], now)
+        if sent.is_grant:
+            return self._take_grant(now=now, shard=sent.shard, event=event)
+        for one in self._moving:
+            if one.token == event.token:
+                one.due, one.token = now + constants.GRANT_AGAIN, ""
+                one.is_released = one.is_released or event.code == 200
+                one.handover = self.codec.handover(headers=event.headers) if event.code == 200 else one.handover
+        return [] if event.code == 200 else [self._complain(shard=sent.shard, event=event, name="release-failed")]
+
+    def _take_grant(self, *, now: float, shard: Shard, event: Called) -> list:
+        if event.code or event.sent:
+            late = 0.0 if event.code else constants.GRANT_FLIGHT
+            self._arrived[shard.owner] = max(self._arrived.get(shard.owner, NEVER), now + late)
+        renewing = self._renewing.get(shard)
+        if renewing is None or renewing.token != event.token:
+            return []
+        renewing.token = ""
+        if event.code == 200:
+            renewing.handover = ""
+            self.handovers.pop(shard, None)
+            return []
+        renewing.due = now + constants.GRANT_AGAIN
+        if event.code == 409:
+            self.outrun.add(shard)
+        return [self._complain(shard=shard, event=event, name="grant-failed")]
+
+    def _complain(self, *, shard: Shard, event: Called, name: str) -> Log:
+        return Log(
+            event=name,
+            fields={
+                "service": self.service,
+                "worker": shard.owner,
+                "start": shard.start,
+                "end": shard.end,
+                "fence": shard.fence,
+                "reason": event.fault or f"code:{event.code}",
+            },
+        )
+
+    def grant(self, *, now: float, hold: float, fresh_until: float) -> list:
+        """Grant each open shard that is due, for `hold` s; none of a call's bytes leave after `fresh_until`."""
+        commands: list = []
+        for shard, renewing in self._renewing.items():
+            if renewing.token or now < renewing.due or shard.owner in self.ended or shard.owner not in self.addresses:
+                continue
+            made = self.codec.grant(
+                start=shard.start,
+                end=shard.end,
+                fence=shard.fence,
+                hold=hold,
+                handover=renewing.handover,
+                owner=shard.owner,
+            )
+            renewing.due = now + constants.GRANT_RENEW
+            renewing.token = self._call(
+                now=now,
+                kind="grant",
+                shard=shard,
+                made=made,
+                wait=constants.GRANT_WAIT,
+                begin_by=fresh_until,
+                commands=commands,
+            )
+        return commands
+
+    def release(self, *, now: float, sole_at: float, fresh_until: float) -> list:
+        """Ask the owners of moving shards to let go; not before `sole_at`, when no other granter's grants arrive."""
+        commands: list = []
+        for one in self._moving:
+            shard = one.shard
+            if (
+                one.token
+                or one.is_released
+                or now < max(one.due, sole_at)
+                or shard.owner in self.ended
+                or shard.owner not in self.addresses
+                or self._may_arrive(now=now, shard=shard)
+            ):
+                continue
+            made = self.codec.release(start=shard.start, end=shard.end, fence=shard.fence, owner=shard.owner)
+            one.token = self._call(
+                now=now,
+                kind="release",
+                shard=shard,
+                made=made,
+                wait=constants.GRANT_RELEASE_WAIT,
+                begin_by=fresh_until,
+                commands=commands,
+            )
+        return commands
+
+    def _may_arrive(self, *, now: float, shard: Shard) -> bool:
+        """May a grant of ours of these keys still be under way to their owner?"""
+        return self._arrived.get(shard.owner, NEVER) > now or any(
+            sent.is_grant
+            and sent.shard.owner == shard.owner
+            and sent.shard.start <= shard.end
+            and shard.start <= sent.shard.end
+            and now < sent.until + constants.GRANT_FLIGHT
+            for sent in self._sent.values()
+        )
+
+    def _call(
+        self, *, now: float, kind: str, shard: Shard, made: tuple, wait: float, begin_by: float, commands: list
+    ) -> str:
+        self._count += 1
+        token = f"{kind} {self.service} {self._count}"
+        method, path, headers, body = made
+        commands.append(
+            Call(
+                token=token,
+                owner=shard.owner,
+                address=self.addresses[shard.owner],
+                method=method,
+                path=path,
+                headers=headers,
+                body=body,
+                wait=wait,
+                fresh=False,
+                begin_by=begin_by,
+            )
+        )
+        self._sent[token] = Sent(shard=shard, is_grant=kind == "grant", since=now, until=begin_by + wait)
+        return token
+
+    def is_free(self, *, now: float, shard: Shard, sole_at: float) -> bool:
+        """Has the owner of a moving shard certainly let go?"""
+        one = self._releasing_of(shard=shard) or Releasing(shard=shard, since=now)
+        if one.is_released or shard.owner in self.ended:
+            return True
+        ends = [
+            sent.until + constants.GRANT_FLIGHT
+            for sent in self._sent.values()
+            if sent.is_grant and sent.shard.owner == shard.owner
+        ]
+        last = max([sole_at, self._arrived.get(shard.owner, NEVER), *ends])
+        last = min(last, one.since + constants.GRANT_QUIET)
+        return now >= last + constants.GRANT_HOLD * constants.GRANT_SLOW + constants.GRANT_MARGIN
+
+    def handover_of(self, *, shard: Shard) -> str:
+        """What the owner of a moving shard handed over, or ""."""
+        one = self._releasing_of(shard=shard)
+        return one.handover if one else ""
+
+    def is_failing(self, *, now: float, key: str) -> bool:
+        """Have calls to this worker failed for a while, and lately?"""
+        since, last = self._failing.get(key, (now, now))
+        return last - since >= constants.GRANT_SILENT and now - last < constants.GRANT_AVOID
+
+    def is_granted(self, *, shard: Shard) -> bool:
+        """Was the shard granted, with nothing left to hand over?"""
+        renewing = self._renewing.get(shard)
+        return renewing is not None and renewing.due > NEVER and not renewing.handover
--- a/sailward/control/options.py
+++ b/sailward/control/options.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sailward import constants
+from sailward.control.grant_calls import GrantCodec
 
 if TYPE_CHECKING:
     from sailward.config.dialect import Dialect
@@ -41,7 +42,7 @@
     suspect_after: float = field(default_factory=lambda: constants.SUSPECT)
     read_every: float = field(default_factory=lambda: constants.READ_EVERY)
     operation_wait: float = field(default_factory=lambda: constants.OPERATION_EXPIRY)
-    grants: object = None
+    grants: GrantCodec | None = None
     hold_max: float = field(default_factory=lambda: constants.GRANT_HOLD)
     tells_fleet: bool = False
     is_mesh: bool = False
--- a/sailward/control/shard_leases.py
+++ b/sailward/control/shard_leases.py
@@ -12,7 +12,9 @@
 from sailward import constants
 from sailward.consensus.proposer import Begin
 from sailward.control.freshness import Freshness, newest_vote
-from sailward.control.granting import Granting, GrantScene
+from sailward.control.grant_calls import GrantCodec
+from sailward.control.grant_targets import GrantScene
+from sailward.control.granting import Granting
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import Worker
 from sailward.events import Called, Tell
@@ -26,7 +28,7 @@
 class ShardLeases:
     """Owner of the grants of one controller. `step` takes a call's end, or None for time going on; `hear` a message."""
 
-    def __init__(self, *, controller: Controller, codec: object, hold_max: float) -> None:
+    def __init__(self, *, controller: Controller, codec: GrantCodec, hold_max: float) -> None:
         self._controller, self._codec, self._hold_max = controller, codec, hold_max
         self.freshness = Freshness()
         self.granting: dict[str, Granting] = {}
--- a/simulation/hollow.py
+++ b/simulation/hollow.py
@@ -40,161 +40,36 @@
 from __future__ import annotations
 
 import json
-import os
 import platform
 import sys
 import time
-from dataclasses import dataclass
 from pathlib import Path
 
 from docopt import docopt
 
-from sailward import constants
 from simulation.hollow_fleet.added import measure_added
-from simulation.hollow_fleet.deployment import PAGE, Size, make_document
+from simulation.hollow_fleet.deployment import Size
 from simulation.hollow_fleet.fit import fit_line, fit_power, plot_points
+from simulation.hollow_fleet.flags import (
+    MOST_REAL,
+    BadInput,
+    check_output,
+    check_size,
+    choose_parts,
+    half_of_memory,
+    list_sizes,
+    read_number,
+    read_sizes,
+)
 from simulation.hollow_fleet.fleet import HollowFleet, Plan
 from simulation.hollow_fleet.parts import NAMED, measure_part
 from simulation.hollow_fleet.real import measure_real
 
-SWEPT = {
-    "daemons": (1, 20000),
-    "workers": (0, 100000),
-    "services": (1, 5000),
-    "divided": (0, 100),
-    "routes": (1, 100000),
-    "zones": (1, 250),
-    "regions": (1, 100),
-}
-"""{size: (least, most)}"""
-HELD = {"base": 120e3, "worker": 1100.0, "daemon": 700.0, "route": 4500.0}
-"""bytes that each hollow proxy holds: by itself, and for each worker, daemon and route."""
-MOST_REAL = 60
-"""real processes at once."""
 CALLERS = 16
 """callers at once that press a proxy."""
 EXIT_USAGE = 2
 
 
-@dataclass(frozen=True, kw_only=True)
-class BadInput:
-    """What can't be run, and what could."""
-
-    reason: str
-
-
-def read_sizes(*, flags: dict) -> dict | BadInput:
-    """{name: [sizes]} of all that can be swept."""
-    sizes = {}
-    for name, (least, most) in SWEPT.items():
-        try:
-            sizes[name] = [int(part) for part in flags[f"--{name}"].split(",")]
-        except ValueError:
-            return BadInput(reason=f"--{name} {flags[f'--{name}']}: give whole numbers, as in 100,300,1000")
-        if not all(least <= one <= most for one in sizes[name]):
-            return BadInput(reason=f"--{name} {flags[f'--{name}']}: each must be from {least} to {most}")
-    return sizes
-
-
-def read_number(*, flags: dict, name: str, least: float, most: float) -> float | BadInput:
-    """One number of the flags."""
-    try:
-        number = float(flags[f"--{name}"])
-    except ValueError:
-        return BadInput(reason=f"--{name} {flags[f'--{name}']}: give a number")
-    return (
-        number
-        if least <= number <= most
-        else BadInput(reason=f"--{name} {number:g}: must be from {least:g} to {most:g}")
-    )
-
-
-def list_sizes(*, sizes: dict, controllers: int, list_rate: float) -> list[tuple[str, Size]]:
-    """What is run: the base, and each further size of what is swept."""
-    base = {name: given[0] for name, given in sizes.items()}
-    runs = [("base", base)] + [(name, {**base, name: one}) for name, given in sizes.items() for one in given[1:]]
-    return [(name, Size(controllers=controllers, list_rate=list_rate, **one)) for name, one in runs]
-
-
-def check_size(*, size: Size, memory: float, is_fleet: bool = True) -> BadInput | None:
-    """Why this size can't be run, with what would fit; a fleet also reads the platform's list and takes memory."""
-    if size.regions > size.zones:
-        return BadInput(reason=f"{size.regions} regions in {size.zones} zones: at most as many regions as zones")
-    if size.divided > size.services:
-        return BadInput(reason=f"{size.divided} divided services of {size.services}: at most all of them")
-    if size.core > 250 * 250:
-        return BadInput(reason=f"{size.core} controllers: at most {250 * 250}")
-    length = _document_bytes(size=size)
-    if length > constants.CONFIG_BYTES:
-        fits = int(size.routes * constants.CONFIG_BYTES / length * 0.98)
-        return BadInput(
-            reason=f"{size.routes} routes and {size.services} services make {length} bytes; the product takes "
-            f"{constants.CONFIG_BYTES}: about {fits} routes fit"
-        )
-    if not is_fleet:
-        return None
-    if size.workers > PAGE * constants.LIST_PAGES:
-        return BadInput(
-            reason=f"{size.workers} workers make more than the {constants.LIST_PAGES} pages of {PAGE} "
-            f"that the product reads: {PAGE * constants.LIST_PAGES} fit"
-        )
-    each = HELD["base"] + HELD["worker"] * size.workers + HELD["route"] * size.routes
-    needed = size.daemons * (each + HELD["daemon"] * size.daemons)
-    if needed > memory:
-        fits = size.daemons
-        while fits > 1 and fits * (each + HELD["daemon"] * fits) > memory:
-            fits = int(fits * 0.95)
-        return BadInput(
-            reason=f"{size.daemons} daemons need about {needed / 1e9:.1f} GB, "
-            f"and half of the memory is {memory / 1e9:.1f} GB: about {fits} daemons fit"
-        )
-    return None
-
-
-def _document_bytes(*, size: Size) -> int:
-    return len(json.dumps(make_document(size=size, version=1), separators=(",", ":")))
-
-
-def half_of_memory() -> float:
-    """Half of the machine's memory in bytes."""
-    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES") / 2
-
-
-def check_output(*, flags: dict) -> BadInput | None:
-    """Can the results be written where they are to go?"""
-    for name in ("--out", "--plot"):
-        if not flags[name]:
-            continue
-        folder = Path(flags[name]).parent if name == "--out" else Path(flags[name])
-        is_bad = name == "--out" and Path(flags[name]).is_dir()
-        is_kept = Path(flags[name]).exists() and not os.access(flags[name], os.W_OK)
-        if is_bad or is_kept or not folder.is_dir() or not os.access(folder, os.W_OK):
-            what = "file" if name == "--out" else "folder"
-            return BadInput(
-                reason=f"{name} {flags[name]}: can't be written; "
-                f"give a {what} in a folder that exists and may be written"
-            )
-    return None
-
-
-def choose_parts(*, flags: dict) -> dict | BadInput:
-    """{part: sizes} of the parts asked for."""
-    names = list(NAMED) if flags["--parts"] == "all" else flags["--parts"].split(",")
-    unknown = [name for name in names if name not in NAMED]
-    if unknown:
-        return BadInput(reason=f"--parts {flags['--parts']}: no part {unknown[0]!r}; there are {', '.join(NAMED)}")
-    largest = read_number(flags=flags, name="largest", least=1, most=1e9)
-    if isinstance(largest, BadInput):
-        return largest
-    chosen = {name: tuple(size for size in NAMED[name][1] if size <= largest) for name in names}
-    empty = [name for name, sizes in chosen.items() if not sizes]
-    return (
-        BadInput(reason=f"--largest {largest:g}: the least size of {empty[0]} is {NAMED[empty[0]][1][0]}")
-        if empty
-        else chosen
-    )
-
-
 def figures_of(*, result: dict) -> dict[str, float]:
     """The figures of a fleet that are fitted."""
     quiet = result["quiet"]["roles"]
--- a/simulation/hosted/clients.py
+++ b/simulation/hosted/clients.py
@@ -8,24 +8,19 @@
 import itertools
 import json
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from sailward.events import Answer, Asked
+from sailward.events import Answer
 from simulation.hosted.deployment import Kind
+from simulation.hosted.exchange import CONNECT
 from simulation.hosted.network import Spot
 
 if TYPE_CHECKING:
-    from simulation.hosted.process import Process
     from simulation.hosted.world import World
 
 TRIES = 2
 """further tries of a client."""
-CONNECT = 1.0
-"""s for a new connection, and for an answer of the directory."""
-BACK_WAIT = 15.0
-"""s that an answer is held behind a cut before it is lost."""
 FINAL = (400, 401, 404, 413, 431)
 PROMISES = (408, 421, 429, 503)
 FORGET = 3.0
@@ -309,94 +304,3 @@
         return str(json.loads(body).get("error", ""))
     except (ValueError, AttributeError):
         return ""
-
-
-@dataclass(kw_only=True)
-class Exchange:
-    """One exchange with an edge of a daemon: a new connection, the request, its answer.
-
-    `done` is called once with the answer, None where the connection ended without one; `read` when the daemon has taken
-    the request. `wait` is how long, in s, a connection is tried that nobody answers.
-    """
-
-    world: World
-    spot: Spot
-    process: Process | None
-    edge: str
-    path: str
-    method: str
-    headers: dict
-    body: bytes
-    query: dict
-    done: Callable
-    read: Callable | None = None
-    wait: float = CONNECT
-    token: str = ""
-    is_over: bool = False
-
-    def begin(self) -> Callable[[], None]:
-        """Connect; gives how the client closes the connection."""
-        self.token = f"{self.edge} {next(self.world.numbers)}"
-        clock, process = self.world.clock, self.process
-        if process is None or process.machine.is_dark or self._is_cut():
-            clock.after(self.wait, lambda: self._end(None))
-            return self._leave
-        round_trip = 2 * self.world.network.delay(a=self.spot, b=process.machine.spot)
-        if process.owner is None or (process.is_shut and self.edge == "front"):
-            clock.after(round_trip, lambda: self._end(None))
-        else:
-            clock.after(round_trip, self._send)
-        return self._leave
-
-    def _is_cut(self) -> bool:
-        return self.world.network.is_cut(a=self.spot, b=self.process.machine.spot)
-
-    def _end(self, answer: object) -> None:
-        if answer == "silent" or self.is_over:
-            return
-        self.is_over = True
-        self.done(answer)
-
-    def _come_back(self, answer: object) -> None:
-        if answer != "silent" and self.process is not None:
-            self.world.network.send(
-                a=self.process.machine.spot, b=self.spot, act=lambda: self._end(answer), wait=BACK_WAIT
-            )
-
-    def _send(self) -> None:
-        self.world.network.send(a=self.spot, b=self.process.machine.spot, act=self._arrive)
-
-    def _arrive(self) -> None:
-        if self.is_over:
-            return
-        process, life = self.process, self.process.life
-        if process.frozen is not None:
-            process.frozen.append(lambda: self._take(life=life))
-        elif process.owner is None:
-            self._come_back("silent" if process.machine.is_dark else None)
-        else:
-            self._take(life=life)
-
-    def _take(self, *, life: int) -> None:
-        if self.is_over or self.process.life != life:
-            return
-        if self.read:
-            self.read()
-        event = Asked(
-            token=self.token,
-            method=self.method,
-            path=self.path,
-            query=self.query,
-            headers=self.headers,
-            body=self.body,
-            target=self.path,
-        )
-        self.process.ask(event=event, answer=self._come_back)
-
-    def _leave(self) -> None:
-        self.is_over = True
-        if self.process is not None:
-            process, token = self.process, self.token
-            self.world.network.send(
-                a=self.spot, b=process.machine.spot, act=lambda: process.leave(token=token), wait=0.0
-            )
--- a/simulation/hosted/world.py
+++ b/simulation/hosted/world.py
@@ -14,8 +14,9 @@
 from sailward.runtime.adapter import load_part
 from simulation.history import History
 from simulation.hosted.calls import Calls
-from simulation.hosted.clients import Client, Exchange
+from simulation.hosted.clients import Client
 from simulation.hosted.deployment import Deployment, Kind
+from simulation.hosted.exchange import Exchange
 from simulation.hosted.listing import CRASHED_STAYS, Listing
 from simulation.hosted.network import Network, Spot
 from simulation.hosted.operators import Operator
--- /dev/null
+++ b/tests/granting_world.py
@@ -0,0 +1,349 @@
+"""Granters, voters and workers on virtual time, for the tests of granting: every hold is checked against all others."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import random
+from dataclasses import dataclass, field
+
+from sailward import constants
+from sailward.control.grant_targets import GrantScene
+from sailward.control.granting import Granting
+from sailward.events import Call, Called
+from sailward.routing.shards import KEYS
+
+SLOW = 1 / 0.98
+SERVICE = "cart"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Listed:
+    name: str
+    service: str
+    address: str
+    hall: str
+    leaving: bool = False
+    cold: float = 0.0
+
+
+class Codec:
+    def grant(self, *, start: int, end: int, fence: int, hold: float, handover: str, owner: str) -> tuple:
+        body = {"start": start, "end": end, "fence": fence, "hold": hold, "handover": handover}
+        return "POST", "/hold", {"owner": owner}, json.dumps(body).encode()
+
+    def release(self, *, start: int, end: int, fence: int, owner: str) -> tuple:
+        return "POST", "/let-go", {"owner": owner}, json.dumps({"start": start, "end": end, "fence": fence}).encode()
+
+    def handover(self, *, headers: dict) -> str:
+        return headers.get("passed-on", "")
+
+
+@dataclass(kw_only=True)
+class Hold:
+    start: int
+    end: int
+    until: float
+    fence: int
+
+
+@dataclass(kw_only=True)
+class FakeWorker:
+    """A worker's process: holds by a slow clock, refuses lower fences, ends what runs before it answers a release."""
+
+    key: str
+    address: str
+    hall: str
+    alive: bool = True
+    is_leaving: bool = False
+    cold: float = 0.0
+    listed: bool = True
+    is_unreachable: bool = False
+    is_refusing: bool = False
+    silent_to: set = field(default_factory=set)
+    holds: list = field(default_factory=list)
+    seen: list = field(default_factory=list)
+    handovers: list = field(default_factory=list)
+
+    @property
+    def fault(self) -> str:
+        """How a call to its address fails, or ""."""
+        if not self.alive or self.is_refusing:
+            return "refused"
+        return "no-connection" if self.is_unreachable else ""
+
+    def held(self, *, now: float) -> list[Hold]:
+        return [one for one in self.holds if one.until > now] if self.alive else []
+
+    def take(self, *, now: float, body: dict) -> int:
+        start, end, fence = body["start"], body["end"], body["fence"]
+        if any(a <= end and start <= b and f > fence for a, b, f in self.seen):
+            return 409
+        self.seen.append((start, end, fence))
+        self.drop(start=start, end=end)
+        self.holds.append(Hold(start=start, end=end, until=now + body["hold"] * SLOW, fence=fence))
+        self.handovers.append(body["handover"])
+        return 200
+
+    def drop(self, *, start: int, end: int) -> None:
+        kept = []
+        for one in self.holds:
+            if one.end < start or end < one.start:
+                kept.append(one)
+                continue
+            if one.start < start:
+                kept.append(Hold(start=one.start, end=start - 1, until=one.until, fence=one.fence))
+            if end < one.end:
+                kept.append(Hold(start=end + 1, end=one.end, until=one.until, fence=one.fence))
+        self.holds = kept
+
+
+@dataclass(kw_only=True)
+class Granter:
+    """One life of one controller: what it holds of the register, and how fresh that is."""
+
+    name: str
+    life: int
+    granting: Granting
+    value: dict = field(default_factory=lambda: {"number": 0, "text": ""})
+    fresh: dict = field(default_factory=dict)
+    is_up: bool = True
+    is_cut: bool = False
+    is_acting: bool = False
+    blind: frozenset = frozenset()
+    down: dict = field(default_factory=dict)
+
+
+class World:
+    """A register with compare-and-swap and read leases, granters, workers and a network, all in virtual time."""
+
+    def __init__(self, *, seed: int, granters: int = 3, workers: int = 4, halls: int = 2, slowest: float = 0.5) -> None:
+        self.rng = random.Random(seed)
+        self.now, self.slowest = 0.0, slowest
+        self.register = {"number": 0, "text": ""}
+        self.ids, self.events = itertools.count(1), []
+        self.granters = [self.start_granter(name=f"c{at}") for at in range(granters)]
+        self.granters[0].is_acting = True
+        self.workers: list[FakeWorker] = []
+        self.halls = [f"h{at}" for at in range(halls)]
+        for at in range(workers):
+            self.start_worker(address=f"w{at}", hall=self.halls[at % halls])
+        self.emptied: frozenset = frozenset()
+        self.loads: dict = {}
+        self.overlaps: list = []
+        self.changes = 0
+        self.calls: list = []
+
+    def start_granter(self, *, name: str) -> Granter:
+        life = next(self.ids)
+        return Granter(name=name, life=life, granting=Granting(service=SERVICE, own=f"{name}#{life}", codec=Codec()))
+
+    def start_worker(self, *, address: str, hall: str) -> FakeWorker:
+        worker = FakeWorker(key=f"{address}/{next(self.ids)}", address=address, hall=hall)
+        self.workers.append(worker)
+        return worker
+
+    def at(self, *, delay: float, act: object) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.ids), act))
+
+    def delay(self) -> float:
+        return self.rng.uniform(0.0, self.slowest) if self.rng.random() < 0.2 else self.rng.uniform(0.001, 0.03)
+
+    def run(self, *, seconds: float) -> None:
+        """Go on with a tick each 0.05 s and what falls between the ticks."""
+        until = self.now + seconds
+        while self.now < until:
+            tick = self.now + constants.TICK
+            while self.events and self.events[0][0] <= tick:
+                self.now, _, act = heapq.heappop(self.events)
+                act()
+            self.now = tick
+            for granter in self.granters:
+                if granter.is_up:
+                    if round(self.now / constants.TICK) % 5 == 0:
+                        self.ask(granter=granter)
+                    self.step(granter=granter, event=None)
+
+    def ask(self, *, granter: Granter) -> None:
+        asked = self.now
+        if granter.is_cut:
+            return
+
+        def arrive() -> None:
+            number, value = self.register["number"], self.register
+            if not granter.is_cut:
+                self.at(
+                    delay=self.delay(),
+                    act=lambda: self.confirm(granter=granter, asked=asked, number=number, value=value),
+                )
+
+        self.at(delay=self.delay(), act=arrive)
+
+    def confirm(self, *, granter: Granter, asked: float, number: int, value: dict) -> None:
+        if granter.is_cut:
+            return
+        granter.fresh[number] = max(granter.fresh.get(number, -1e9), asked + constants.GRANT_LEASE)
+        if number > granter.value["number"] and self.rng.random() < 0.7:
+            granter.value = value
+
+    def step(self, *, granter: Granter, event: Called | None) -> None:
+        listed = {
+            one.key: Listed(
+                name=one.key, service=SERVICE, address=one.address, hall=one.hall, leaving=one.is_leaving, cold=one.cold
+            )
+            for one in self.workers
+            if one.listed and one.key not in granter.blind
+        }
+        scene = GrantScene(
+            value=granter.value,
+            workers=listed,
+            fresh_until=granter.fresh.get(granter.value["number"], -1e9),
+            is_acting=granter.is_acting,
+            emptied=self.emptied,
+            down=granter.down,
+            loads=self.loads,
+        )
+        commands, changes = granter.granting.step(now=self.now, event=event, scene=scene)
+        for command in commands:
+            if isinstance(command, Call):
+                self.call(granter=granter, call=command)
+        for _, number, text in changes:
+            self.changes += 1
+            if not granter.is_cut:
+                self.at(
+                    delay=self.delay(),
+                    act=lambda number=number, text=text: self.swap(granter=granter, number=number, text=text),
+                )
+
+    def swap(self, *, granter: Granter, number: int, text: str) -> None:
+        if self.register["number"] != number:
+            return
+        value = self.register = {"number": number + 1, "text": text}
+        asked = self.now
+        for other in self.granters:
+            if not other.is_cut and (other is granter or self.rng.random() < 0.8):
+                self.at(delay=self.delay(), act=lambda other=other: self.learn(granter=other, value=value, asked=asked))
+
+    def learn(self, *, granter: Granter, value: dict, asked: float) -> None:
+        if not granter.is_cut and value["number"] > granter.value["number"]:
+            granter.value = value
+            granter.fresh[value["number"]] = max(
+                granter.fresh.get(value["number"], -1e9), asked + constants.GRANT_LEASE
+            )
+
+    def call(self, *, granter: Granter, call: Call) -> None:
+        self.calls.append((self.now, call))
+        state = {"ended": False}
+
+        def end(*, code: int, fault: str = "", headers: dict | None = None, sent: bool = True) -> None:
+            if state["ended"] or not granter.is_up:
+                return
+            state["ended"] = True
+            self.step(
+                granter=granter,
+                event=Called(token=call.token, code=code, headers=headers or {}, body=b"", fault=fault, sent=sent),
+            )
+
+        def begin() -> None:
+            if not granter.is_up:
+                return
+            if self.now > call.begin_by:
+                end(code=0, fault="too-late", sent=False)
+                return
+            self.at(delay=self.flight(call=call), act=lambda: self.arrive(granter=granter, call=call, answer=answer))
+            self.at(delay=call.wait, act=lambda: end(code=0, fault="timed-out"))
+
+        def answer(*, worker: FakeWorker, code: int, headers: dict | None = None, fault: str = "") -> None:
+            if granter.name in worker.silent_to:
+                return
+            self.at(delay=self.delay(), act=lambda: end(code=code, headers=headers, fault=fault, sent=not fault))
+
+        self.at(delay=self.rng.choice((0.0, 0.0, 0.1)), act=begin)
+
+    def arrive(self, *, granter: Granter, call: Call, answer: object) -> None:
+        worker = self.worker_at(address=call.address)
+        if granter.name in worker.silent_to:
+            return
+        if worker.fault:
+            answer(worker=worker, code=0, fault=worker.fault)
+        elif worker.key != call.headers["owner"]:
+            answer(worker=worker, code=421)
+        else:
+            self.serve(worker=worker, call=call, answer=answer)
+
+    def flight(self, *, call: Call) -> float:
+        """How long a call is under way; a late grant arrives as late as it may."""
+        flight = self.delay()
+        if flight > 0.4 and self.slowest >= 0.5 and call.path == "/hold":
+            return self.rng.uniform(0.0, call.wait + constants.GRANT_FLIGHT - 0.01)
+        return flight
+
+    def worker_at(self, *, address: str) -> FakeWorker:
+        """The worker that answers at the address, the last one that did where none is alive."""
+        here = [one for one in self.workers if one.address == address]
+        alive = [one for one in here if one.alive]
+        return alive[-1] if alive else here[-1]
+
+    def serve(self, *, worker: FakeWorker, call: Call, answer: object) -> None:
+        body = json.loads(call.body)
+        if call.path == "/hold":
+            code = worker.take(now=self.now, body=body)
+            if code == 200:
+                self.check(worker=worker)
+            answer(worker=worker, code=code)
+            return
+
+        def done() -> None:
+            worker.drop(start=body["start"], end=body["end"])
+            answer(worker=worker, code=200, headers={"passed-on": f"from {worker.key}"})
+
+        # what runs still counts as held until the answer
+        self.at(delay=self.rng.choice((0.0, 0.02, 0.3)), act=done)
+
+    def check(self, *, worker: FakeWorker) -> None:
+        for other in self.workers:
+            if other is not worker:
+                for one in worker.held(now=self.now):
+                    self.overlaps += [
+                        (self.now, worker.key, other.key, one, two)
+                        for two in other.held(now=self.now)
+                        if one.start <= two.end and two.start <= one.end
+                    ]
+
+    def held_keys(self) -> int:
+        """How many keys some living worker holds (never two, or `overlaps` tells)."""
+        return sum(one.end - one.start + 1 for worker in self.workers for one in worker.held(now=self.now))
+
+    def run_until_whole(self, *, within: float) -> float:
+        """Seconds until every key is held."""
+        start = self.now
+        while self.held_keys() < KEYS and self.now - start <= within:
+            self.run(seconds=constants.TICK)
+        return self.now - start
+
+    def keys_of(self, *, worker: FakeWorker) -> int:
+        return sum(one.end - one.start + 1 for one in worker.held(now=self.now))
+
+
+def make_settled(**settings: object) -> World:
+    world = World(seed=1, slowest=0.03, **settings)
+    world.run(seconds=5.0)
+    assert world.held_keys() == KEYS
+    return world
+
+
+def fine(*, loads: dict) -> dict:
+    """Loads by bucket from those by 256th parts of all keys."""
+    width = constants.LOAD_BUCKETS // 256
+    return {at * width + rest: rate / width for at, rate in loads.items() for rest in range(width)}
+
+
+def crash(*, world: World, worker: FakeWorker, unlist_after: float = 1.0, again_after: float = 1.5) -> None:
+    worker.alive = False
+
+    def vanish() -> None:
+        worker.listed = False
+
+    world.at(delay=unlist_after, act=vanish)
+    world.at(delay=again_after, act=lambda: world.start_worker(address=worker.address, hall=worker.hall))
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -7,171 +7,30 @@
 import pytest
 
 from simulation.checker import check_history
-from simulation.deployments import make_arriaga
 from simulation.history import History
-from simulation.sim.operators import digest_of
-
-FLEET = make_arriaga()
-CONFIG = FLEET.config
-
-
-def run(t: float, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "run",
-        "worker": "stock-gdl-a-0/1",
-        "service": "stock",
-        "asked": "stock",
-        "hall": "gdl-a",
-        "region": "guadalajara",
-        "key": "",
-        "tenant": "hotels",
-        "nonce": f"n{t}",
-        "turn": 1,
-        "path": "/stock/?n=1",
-        "unsafe": False,
-        "proxy": "proxy-0",
-        "until": t + 0.01,
-        "slot_key": "",
-        **fields,
-    }
-
-
-def order(t: float, **fields: object) -> dict:
-    return run(t, worker="orders-gdl-a-0/1", service="orders", asked="orders", path="/orders/", unsafe=True, **fields)
-
-
-def sent(t: float, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "sent",
-        "nonce": f"n{t}",
-        "key": "",
-        "turn": 1,
-        "tenant": "hotels",
-        "path": "/stock",
-        "unsafe": False,
-        "proxy": "proxy-0",
-        "region": "ensenada",
-        **fields,
-    }
-
-
-def got(t: float, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "got",
-        "nonce": f"n{t}",
-        "key": "",
-        "turn": 1,
-        "code": 200,
-        "tenant": "hotels",
-        "path": "/stock",
-        "unsafe": False,
-        "proxy": "proxy-0",
-        "ran": "",
-        "verdict": "good",
-        "reason": "",
-        "held": False,
-        "taken": True,
-        "retry_after": "",
-        **fields,
-    }
-
-
-def refused(t: float, **fields: object) -> dict:
-    return got(t, **{"code": 503, "ran": "not-run", "verdict": "", "reason": "no-room", "retry_after": "1", **fields})
-
-
-def put(t: float, number: int, config: object = CONFIG, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "put",
-        "begun": t - 0.1,
-        "outcome": "accepted",
-        "number": number,
-        "code": 200,
-        "invalid": False,
-        "digest": digest_of(config=config),
-        "given": config,
-        "patch": False,
-        "error": "",
-        "controller": "",
-        **fields,
-    }
-
-
-def read(t: float, number: int, config: object = CONFIG) -> dict:
-    return {
-        "t": t,
-        "k": "read-back",
-        "begun": t - 0.1,
-        "number": number,
-        "digest": digest_of(config=config),
-        "config": config,
-    }
-
-
-def row(t: float, k: str, **fields: object) -> dict:
-    return {"t": t, "k": k, **fields}
-
-
-def changed(path: str, value: object) -> dict:
-    config = copy.deepcopy(CONFIG)
-    *names, last = path.split(".")
-    inner = config
-    for name in names:
-        inner = inner[int(name)] if name.isdigit() else inner[name]
-    if value is None:
-        del inner[last]
-    else:
-        inner[last] = value
-    return config
-
-
-def stamped(halls: list) -> dict:
-    shape = {
-        "pools": {"${stamp}": {"service": "stock", "preferred": "${halls}"}},
-        "tenants": {"${stamp}": {}},
-        "matches": [{"path": "/${stamp}", "pools": [{"pool": "${stamp}", "weight": 1}]}],
-    }
-    return {
-        **CONFIG,
-        "templates": {"t": {"parameters": {"halls": {"type": "list"}}, "shape": shape}},
-        "stamps": {"azul": {"template": "t", "parameters": {"halls": halls}}},
-    }
-
-
-HOMES = row(0, "homes", homes={"tapatia": ["guadalajara"]})
-BOUND = row(0, "cold-bound", service="stock", cold=4, rate=20, ramp=10, begun=0)
-PINNED = changed("pools.stock-guadalajara.fallback", [])
-PINNED["matches"][0]["pools"][1]["weight"] = 0
-MOVED = changed("pools.stock-guadalajara.service", "notes")
-MOVED["pools"]["stock-ensenada"]["service"] = "notes"
-STARTED = row(20, "worker-started", worker="stock-gdl-a-0/1")
-FIRSTS = [one for at in range(60) for one in (sent(50 + at / 10, nonce=f"m{at}"), got(50.01 + at / 10, nonce=f"m{at}"))]
-ALL_DOWN = [row(20, "daemon-down", daemon=name) for _, name, _ in FLEET.daemons]
-ALL_UP = [row(35, "daemon-up", daemon=name) for _, name, _ in FLEET.daemons]
-
-
-def lose(rows: list, count: int, begin: float = 0.0) -> list:
-    """The same, with this many first tries of it refused."""
-    left, made = count, []
-    for one in rows:
-        bad = one["k"] == "got" and one["t"] >= begin and left > 0
-        left -= bad
-        made.append(
-            {**one, "code": 503, "verdict": "", "ran": "not-run", "retry_after": "1", "reason": "x"} if bad else one
-        )
-    return made
-
-
-def flood(rival_good: int) -> list:
-    rows = [got(50 + at / 100, nonce=f"f{at}", tenant="shops") for at in range(300)]
-    rows = lose(rows, 100)
-    mine = lose([got(50 + at / 20, nonce=f"r{at}") for at in range(60)], 60 - rival_good)
-    return rows + mine
-
+from tests.history_rows import (
+    ALL_DOWN,
+    ALL_UP,
+    BOUND,
+    FIRSTS,
+    FLEET,
+    HOMES,
+    MOVED,
+    PINNED,
+    STARTED,
+    changed,
+    flood,
+    got,
+    lose,
+    order,
+    put,
+    read,
+    refused,
+    row,
+    run,
+    sent,
+    stamped,
+)
 
 PAIRS = {
     "runs-twice": ([order(1, key="a"), order(2, key="b")], [order(1, key="a"), order(2, key="a")]),
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -12,6 +12,7 @@
 from simulation.hollow_fleet.added import measure_added
 from simulation.hollow_fleet.deployment import Size, list_pages, make_document, told_fleet, told_rows, zones_of
 from simulation.hollow_fleet.fit import fit_line, fit_power, plot_points
+from simulation.hollow_fleet.flags import check_size
 from simulation.hollow_fleet.fleet import HollowFleet, Plan
 from simulation.hollow_fleet.network import Member, Network, Scale
 from simulation.hollow_fleet.parts import NAMED, measure_part
@@ -187,11 +188,11 @@
 
 def test_what_is_said_to_fit_fits():
     size = Size(daemons=20000, workers=1000)
-    bad = hollow.check_size(size=size, memory=4e9)
+    bad = check_size(size=size, memory=4e9)
     fits = int(bad.reason.rsplit("about ", 1)[1].split()[0])
-    assert hollow.check_size(size=Size(daemons=fits, workers=1000), memory=4e9) is None
-    routes = int(hollow.check_size(size=Size(routes=90000), memory=1e12).reason.rsplit("about ", 1)[1].split()[0])
-    assert hollow.check_size(size=Size(routes=routes), memory=1e12) is None
+    assert check_size(size=Size(daemons=fits, workers=1000), memory=4e9) is None
+    routes = int(check_size(size=Size(routes=90000), memory=1e12).reason.rsplit("about ", 1)[1].split()[0])
+    assert check_size(size=Size(routes=routes), memory=1e12) is None
 
 
 def test_the_command_writes_its_results(tmp_path, capsys):
--- /dev/null
+++ b/tests/test_sizes.py
@@ -0,0 +1,19 @@
+"""No module has more lines than one can read in one go."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+MOST = 400
+STILL_LONG = {"sailward/control/controller.py", "sailward/transport/front.py", "tests/test_front.py"}
+"""Files that are being split; each goes from here with its split."""
+
+
+def test_no_module_is_over_its_length() -> None:
+    paths = [
+        path for name in ("sailward", "platform", "simulation", "tests") for path in ROOT.joinpath(name).rglob("*.py")
+    ]
+    lengths = {str(path.relative_to(ROOT)): len(path.read_text("utf-8").splitlines()) for path in paths}
+    assert len(lengths) > 200
+    assert {name: length for name, length in lengths.items() if length > MOST and name not in STILL_LONG} == {}
