Split the controller by job: voter, registers, catch-up reads, serving, worker list, messages

Now each part is given what it needs by name: voter.py (identity, votes under a set of voters, start from records), catch_up.py (reads of registers that are behind), worker_list.py, serving.py (answers to askers, pushes), registers.py (operations, and what follows from a chosen value), message_handlers.py (one table from kind to handler), membership.py, shard_leases.py; controller.py puts them together and matches events. Membership and ShardLeases give operations to begin in place of beginning them. Planted faults follow: make_identity is in voter; the hook of a test that takes a controller's reads out is catch_up.step.

--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -1,72 +1,70 @@
-"""A cellar's place in the core: founding, joining, copying, founding anew, and being taken out."""
+"""A controller's place among the voters: founding, joining, copying, founding anew, and being taken out."""
 
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from dataclasses import dataclass
 
 from sailward import constants
-from sailward.consensus.acceptor import KNOWN, Slot, fold_record, slot_records
-from sailward.consensus.held import Held, is_control, read_voters
+from sailward.consensus.acceptor import Slot, fold_record
+from sailward.consensus.held import is_control, read_voters
 from sailward.consensus.proposer import Begin
 from sailward.control.copying import Copying, copy_page
 from sailward.control.disaster_recovery import (
     Anew,
     NotFounded,
-    log_founding,
     make_founding,
     merge_survivors,
     read_founding,
 )
+from sailward.control.options import ControllerOptions
 from sailward.control.repair import Repair, count_core
-from sailward.events import Answer, Asked, Log, Tell
+from sailward.control.voter import Voter
+from sailward.discovery.gossip import Roster
+from sailward.events import Answer, Asked, Command, Log, Tell
 from sailward.routing.exchange import answer_json
 
-if TYPE_CHECKING:
-    from sailward.control.controller import Controller
+
+@dataclass(frozen=True, kw_only=True)
+class Refounding:
+    """An order to go on with the survivors alone, already voted for here: to be told once `record` is synced."""
+
+    record: dict
+    ballot: list
+    value: dict
+    answer: Answer
 
 
 class Membership:
-    """Owner of a cellar's membership. `step` judges the moment; the cellar's other parts are read through it."""
+    """Owner of a controller's membership. `step` judges the moment and gives (commands, operations to begin)."""
 
-    def __init__(self, *, cellar: Controller, now: float) -> None:
-        self._cellar = cellar
-        options = cellar.options
+    def __init__(self, *, voter: Voter, roster: Roster, options: ControllerOptions, op_prefix: str, now: float) -> None:
+        self._voter, self._roster, self._options, self._op_prefix = voter, roster, options, op_prefix
         self.repair = Repair(
             replace_after=options.replace_after, every=options.repair_every, is_brisk=options.bootstrap is not None
         )
-        self.copying = Copying(identity=cellar.identity, pause=options.copy_again)
-        self.anew = Anew(copying=Copying(identity=cellar.identity, pause=options.copy_again))
+        self.copying = Copying(identity=voter.identity, pause=options.copy_again)
+        self.anew = Anew(copying=Copying(identity=voter.identity, pause=options.copy_again))
+        self.controllers: dict[str, dict] = {}
         self._asked = -1e9
         self._names: dict[str, list[str]] = {}
         self._short_since, self._short_said = now, False
         self._ops = 0
 
-    def step(self, *, now: float) -> list:
+    def step(self, *, now: float) -> tuple[list[Command], list[Begin]]:
         """Say when the core is short; copy, found anew, repair, or ask for news."""
-        cellar = self._cellar
-        cellars = cellar.roster.alive(kind="cellar")
-        cellar.desk.cellars = {one["identity"]: one for one in [*cellars, cellar.roster.own_entry()]}
-        return [*self._note_core(now=now, cellars=cellars), *self._mind(now=now, cellars=cellars)]
-
-    def is_opening(self) -> bool:
-        """Does a founding anew keep this cellar from acting?"""
-        return read_founding(value=self._voters().value).number > self._cellar.ledger.opened
+        others = self._roster.alive(kind="cellar")
+        self.controllers = {one["identity"]: one for one in [*others, self._roster.own_entry()]}
+        commands = self._note_core(now=now, others=others)
+        if self._voter.voting:
+            more, begins = self._repair(now=now, others=others)
+            return commands + more, begins
+        return commands + self._catch_up(now=now) + self._ask_for_news(now=now, others=others), []
 
     def doubts(self, *, now: float) -> bool:
         """May claims have been lost whose life is not over?"""
-        self.anew.note(now=now, voters=self._voters())
-        return self.anew.doubts(now=now, voters=self._voters())
-
-    def found_alone(self, *, now: float) -> list[dict]:
-        """Found the core without talk: the records, which must last before anything is told."""
-        cellar, value, ballot = self._cellar, self._cellar.options.bootstrap.value(), [0, "founder"]
-        record = {"k": "vote", "r": "voters", "b": ballot, "v": value}
-        fold_record(slots=cellar.acceptor.slots, record=record, now=now)
-        cellar.ledger.copied = True
-        cellar.ledger.known = {"k": "promise", "r": KNOWN, "b": ballot, "v": value}
-        cellar.held.step(name="voters", ballot=ballot, value=value)
-        return [record, {"k": "copied"}, cellar.ledger.known]
+        self.anew.note(now=now, voters=self._voter.held_voters())
+        return self.anew.doubts(now=now, voters=self._voter.held_voters())
 
     def ask_soon(self) -> None:
         """Others know newer voters: ask for them at the next look."""
@@ -74,13 +72,13 @@
 
     def found(self, *, now: float, event: Asked) -> list:
         """Join new cellars into a core: the same value at each of them."""
-        cellar = self._cellar
+        voter = self._voter
         try:
             members = json.loads(event.body or b"")["members"]
             sound = bool(members) and all(isinstance(k, str) and isinstance(v, str) for k, v in members.items())
         except (ValueError, KeyError, TypeError, AttributeError):
             sound = False
-        if not sound or cellar.identity not in members:
+        if not sound or voter.identity not in members:
             return [
                 _refuse(
                     event=event,
@@ -95,55 +93,51 @@
             "trail": [],
             "text": json.dumps({"members": members, "size": len(members)}, sort_keys=True),
         }
-        slot = cellar.acceptor.slots.get("voters")
+        slot = voter.acceptor.slots.get("voters")
         if slot is not None and slot.value != value:
             return [_refuse(event=event, code=409, reason="founded", detail="this cellar belongs to a core already")]
         record = {"k": "vote", "r": "voters", "b": [0, "founder"], "v": value}
         if slot is None:
-            fold_record(slots=cellar.acceptor.slots, record=record, now=now)
-        cellar.ledger.copied = True
-        cellar.held.step(name="voters", ballot=[0, "founder"], value=value)
+            fold_record(slots=voter.acceptor.slots, record=record, now=now)
+        voter.ledger.copied = True
+        voter.held.step(name="voters", ballot=[0, "founder"], value=value)
         answer = answer_json(token=event.token, code=200, body={"outcome": "accepted", "number": 1})
         return [
-            *cellar.ledger.know(ballot=[0, "founder"], value=value),
-            *cellar.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer]),
+            *voter.ledger.know(ballot=[0, "founder"], value=value),
+            *voter.ledger.step(records=[record, {"k": "copied"}] if slot is None else [], replies=[answer]),
         ]
 
-    def found_anew(self, *, now: float, event: Asked) -> list:
-        """Take an operator's order to go on with the named survivors alone."""
-        cellar = self._cellar
+    def found_anew(self, *, now: float, event: Asked) -> Answer | Refounding:
+        """Take an operator's order to go on with the named survivors alone: the refusal, or what is to be done."""
+        voter = self._voter
         try:
             names = json.loads(event.body or b"")["survivors"]
             sound = isinstance(names, list) and all(isinstance(one, str) for one in names)
         except (ValueError, KeyError, TypeError):
             sound = False
         if not sound:
-            return [
-                _refuse(event=event, code=422, reason="survivors", detail="give survivors: a list of cellars' names")
-            ]
-        newest = max((self._voters().value, self._voted()), key=lambda value: value["number"])
+            return _refuse(event=event, code=422, reason="survivors", detail="give survivors: a list of cellars' names")
+        newest = max((voter.held_voters().value, voter.voted_voters()), key=lambda value: value["number"])
         made = make_founding(
-            own=cellar.identity,
+            own=voter.identity,
             names=names,
             is_confirmed=event.query.get("confirm") == "yes",
             value=newest,
-            opened=cellar.ledger.opened,
-            cellars=cellar.desk.cellars,
+            opened=voter.ledger.opened,
+            cellars=self.controllers,
         )
         if isinstance(made, NotFounded):
-            return [_refuse(event=event, code=made.code, reason=made.reason, detail=made.detail)]
-        if not cellar.ledger.usable or not cellar.ledger.copied:
-            return [
-                _refuse(
-                    event=event,
-                    code=503,
-                    reason="not-usable",
-                    detail="this cellar can't write, or never had the core's registers",
-                )
-            ]
+            return _refuse(event=event, code=made.code, reason=made.reason, detail=made.detail)
+        if not voter.ledger.usable or not voter.ledger.copied:
+            return _refuse(
+                event=event,
+                code=503,
+                reason="not-usable",
+                detail="this cellar can't write, or never had the core's registers",
+            )
         number = made["number"]
         record = {"k": "vote", "r": "voters", "b": [number, "founder"], "v": made}
-        fold_record(slots=cellar.acceptor.slots, record=record, now=now)
+        fold_record(slots=voter.acceptor.slots, record=record, now=now)
         founding = read_founding(value=made)
         answer = answer_json(
             token=event.token,
@@ -155,105 +149,78 @@
                 "claims": "in-doubt" if founding.doubt else "kept",
             },
         )
-        commands = cellar.keep(now=now, name="voters", ballot=[number, "founder"], value=made, tell=True)
-        # told only when it lasts
-        return cellar.ledger.step(records=[record], replies=[log_founding(value=made), *commands, answer])
+        return Refounding(record=record, ballot=[number, "founder"], value=made, answer=answer)
 
     def is_out(self, *, value: dict) -> bool:
         """Does this chosen set of voters take this cellar out? An older one, told late, does not."""
-        cellar = self._cellar
+        voter = self._voter
         return (
-            cellar.ledger.copied
-            and cellar.identity not in read_voters(value=value)["members"]
-            and value["number"] >= self._voted()["number"]
+            voter.ledger.copied
+            and voter.identity not in read_voters(value=value)["members"]
+            and value["number"] >= voter.voted_voters()["number"]
         )
 
-    def leave(self) -> list:
-        """Taken out of the core: what was voted for is void, and the old identity never acts again."""
-        cellar = self._cellar
-        old, cellar.identity = cellar.identity, cellar.new_identity()
-        for part in (cellar.ledger, cellar.roster, self.copying, self.anew.copying):
-            part.identity = cellar.identity
-        for name in list(cellar.acceptor.slots):
-            del cellar.acceptor.slots[name]
-        cellar.acceptor.slots.control.clear()
-        cellar.ledger.copied, cellar.ledger.opened = False, 0
-        return [
-            Log(event="taken-out", fields={"was": old, "waits-as": cellar.identity}),
-            *cellar.ledger.step(records=[{"k": "left", "id": cellar.identity}], replies=[]),
-        ]
+    def leave(self) -> list[Command]:
+        """Taken out of the core: it waits under a new identity."""
+        commands = self._voter.leave()
+        for part in (self._roster, self.copying, self.anew.copying):
+            part.identity = self._voter.identity
+        return commands
 
-    def tell_page(self, *, now: float, sender: str, body: dict) -> list:
+    def tell_page(self, *, sender: str, body: dict) -> list[Command]:
         """A page of all this voter has voted for, to one that copies under the same set."""
-        cellar = self._cellar
-        commands = cellar.keep(now=now, name="voters", ballot=body["ballot"], value=body["value"], tell=False)
-        number = cellar.voters["number"]
-        may_tell = cellar.identity in cellar.voters["members"] and cellar.ledger.copied and cellar.ledger.usable
+        voter, number = self._voter, self._voter.voters["number"]
+        may_tell = voter.is_member and voter.ledger.copied and voter.ledger.usable
         if not may_tell or number != body["value"]["number"]:
-            return commands
+            return []
         if body["after"] == "" or sender not in self._names:
             # nothing is voted for under the old set from here on: one order for the whole copy
-            self._names[sender] = sorted(cellar.acceptor.slots)
-        page = copy_page(slots=cellar.acceptor.slots, names=self._names[sender], after=body["after"], number=number)
+            self._names[sender] = sorted(voter.acceptor.slots)
+        page = copy_page(slots=voter.acceptor.slots, names=self._names[sender], after=body["after"], number=number)
         if not page["next"]:
             del self._names[sender]
-        return commands + cellar.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
+        return voter.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
 
     def take_page(self, *, now: float, event: tuple) -> list:
         """Fold a page; with the last one this cellar may act."""
-        cellar = self._cellar
-        if "voters" not in cellar.held.held:
+        voter = self._voter
+        if "voters" not in voter.held.held:
             return []
-        if cellar.ledger.copied:
-            return self._step_anew(now=now, event=event) if self.is_opening() else []
-        commands = self.copying.step(now=now, voters=self._voters(), event=event)
+        if voter.ledger.copied:
+            return self._step_anew(now=now, event=event) if voter.is_opening else []
+        commands = self.copying.step(now=now, voters=voter.held_voters(), event=event)
         if not self.copying.is_over():
             return commands
-        cellar.ledger.copied, cellar.ledger.opened = True, read_founding(value=self._voters().value).number
+        voter.ledger.copied, voter.ledger.opened = True, read_founding(value=voter.held_voters().value).number
         slots = self.copying.slots(now=now)
         log = Log(event="copied", fields={"slots": len(slots), "under": self.copying.number})
         commands += [
             log,
-            *cellar.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[]),
+            *voter.ledger.step(records=[*voter.put(slots=slots), {"k": "copied"}, *self._opened()], replies=[]),
         ]
-        return commands + (self._announce() if cellar.options.bootstrap else [])
+        return commands + (self._announce() if self._options.bootstrap else [])
 
     def _announce(self) -> list:
         """Tell the other voters at once that this one acts: gossip would take its rounds."""
-        roster = self._cellar.roster
+        roster = self._roster
         roster.fit, roster.beat = True, roster.beat + 1
         body = {"kind": "gossip", "entries": [roster.own_entry()], "reply": True}
         return [
-            Tell(to=post, body=body)
-            for post in sorted({*self._cellar.voters["members"].values()} - {roster.place.post})
+            Tell(to=post, body=body) for post in sorted({*self._voter.voters["members"].values()} - {roster.place.post})
         ]
 
-    def _put(self, *, slots: dict) -> list:
-        records: list = []
-        for name, slot in slots.items():
-            self._cellar.acceptor.slots[name] = slot
-            records += slot_records(name=name, slot=slot)
-        return records
-
     def _opened(self) -> list:
-        opened = self._cellar.ledger.opened
+        opened = self._voter.ledger.opened
         return [{"k": "opened", "n": opened}] if opened else []
 
-    def _voters(self) -> Held:
-        return self._cellar.held.held.get("voters") or Held()
-
-    def _voted(self) -> dict:
-        slot = self._cellar.acceptor.slots.get("voters")
-        return slot.value if slot and slot.value else Held().value
-
     def _step_anew(self, *, now: float, event: tuple | None) -> list:
-        cellar = self._cellar
-        commands = self.anew.step(now=now, voters=self._voters(), event=event)
+        voter = self._voter
+        commands = self.anew.step(now=now, voters=voter.held_voters(), event=event)
         if not self.anew.is_over(now=now):
             return commands
         told = list(self.anew.copying.told.values())
-        slots = merge_survivors(slots=cellar.acceptor.slots, told=told, now=now)
-        for name, held in cellar.held.held.items():
+        slots = merge_survivors(slots=voter.acceptor.slots, told=told, now=now)
+        for name, held in voter.held.held.items():
             # what proxies and other cellars were told, if no survivor's vote is as new
             slot = slots.get(name)
             if is_control(name=name) and (
@@ -261,65 +228,69 @@
             ):
                 ballot = max(held.ballot, slot.promised) if slot else held.ballot
                 slots[name] = Slot(promised=ballot, ballot=ballot, value=held.value, since=now)
-        cellar.ledger.opened = read_founding(value=self._voters().value).number
+        voter.ledger.opened = read_founding(value=voter.held_voters().value).number
         log = Log(
             event="opened-anew",
             fields={
-                "number": cellar.ledger.opened,
+                "number": voter.ledger.opened,
                 "slots": len(slots),
                 "claims": "in-doubt" if self.doubts(now=now) else "kept",
             },
         )
-        return [*commands, log, *cellar.ledger.step(records=[*self._put(slots=slots), *self._opened()], replies=[])]
+        return [*commands, log, *voter.ledger.step(records=[*voter.put(slots=slots), *self._opened()], replies=[])]
 
-    def _mind(self, *, now: float, cellars: list[dict]) -> list:
-        cellar, held = self._cellar, self._voters()
-        if cellar.voting:
-            text = self.repair.step(
-                now=now,
-                own=cellar.identity,
-                voters=cellar.voters,
-                text=held.value["text"],
-                cellars=[*cellars, cellar.roster.own_entry()],
-            )
-            if not text:
-                return []
-            self._ops += 1
-            begin = Begin(
-                op=f"{cellar.proposer.identity}/repair{self._ops}",
-                register="voters",
-                expected=cellar.voters["number"],
-                text=text,
-            )
-            log = Log(event="voters-change", fields={"from": cellar.voters["number"], "to": text})
-            return [log, *cellar.begin(now=now, begins=[begin])]
-        commands = []
-        if cellar.identity in cellar.voters["members"] and "voters" in cellar.held.held:
-            if not cellar.ledger.copied:
-                return self.copying.step(now=now, voters=held, event=None)
-            if self.is_opening():
-                commands = self._step_anew(now=now, event=None)
-        if now - self._asked >= self._ask_pause():
-            self._asked = now
-            body = {
-                "kind": "ask",
-                "seq": 0,
-                "have": cellar.held.have(),
-                "report": {},
-                "daemon": cellar.roster.own_entry(),
-            }
-            commands += [Tell(to=one["post"], body=body) for one in cellars]
-        return commands
+    def _repair(self, *, now: float, others: list[dict]) -> tuple[list[Command], list[Begin]]:
+        voter = self._voter
+        text = self.repair.step(
+            now=now,
+            own=voter.identity,
+            voters=voter.voters,
+            text=voter.held_voters().value["text"],
+            cellars=[*others, self._roster.own_entry()],
+        )
+        if not text:
+            return [], []
+        self._ops += 1
+        begin = Begin(
+            op=f"{self._op_prefix}/repair{self._ops}",
+            register="voters",
+            expected=voter.voters["number"],
+            text=text,
+        )
+        return [Log(event="voters-change", fields={"from": voter.voters["number"], "to": text})], [begin]
+
+    def _catch_up(self, *, now: float) -> list[Command]:
+        """Copy what the voters hold, or open a founding anew."""
+        voter = self._voter
+        if not voter.is_member or "voters" not in voter.held.held:
+            return []
+        if not voter.ledger.copied:
+            return self.copying.step(now=now, voters=voter.held_voters(), event=None)
+        return self._step_anew(now=now, event=None) if voter.is_opening else []
+
+    def _ask_for_news(self, *, now: float, others: list[dict]) -> list[Command]:
+        voter = self._voter
+        is_copying = voter.is_member and "voters" in voter.held.held and not voter.ledger.copied
+        if is_copying or now - self._asked < self._ask_pause():
+            return []
+        self._asked = now
+        body = {
+            "kind": "ask",
+            "seq": 0,
+            "have": voter.held.have(),
+            "report": {},
+            "daemon": self._roster.own_entry(),
+        }
+        return [Tell(to=one["post"], body=body) for one in others]
 
     def _ask_pause(self) -> float:
-        cellar = self._cellar
-        is_waiting = cellar.voters["number"] and cellar.identity not in cellar.voters["members"]
-        return constants.WAITING_ASK if cellar.options.bootstrap and is_waiting else cellar.options.repair_every
+        is_waiting = self._voter.voters["number"] and not self._voter.is_member
+        return constants.WAITING_ASK if self._options.bootstrap and is_waiting else self._options.repair_every
 
-    def _note_core(self, *, now: float, cellars: list[dict]) -> list:
+    def _note_core(self, *, now: float, others: list[dict]) -> list[Command]:
         """Say so when too much is lost for any change, and when it is back."""
-        members = self._cellar.voters["members"]
-        core = count_core(members=members, cellars=[*cellars, self._cellar.roster.own_entry()])
+        members = self._voter.voters["members"]
+        core = count_core(members=members, cellars=[*others, self._roster.own_entry()])
         short = bool(members) and core["voting"] < core["needed"]
         if not short:
             self._short_since = now
--- a/sailward/control/shard_leases.py
+++ b/sailward/control/shard_leases.py
@@ -1,33 +1,51 @@
-"""A cellar's part in the keys of services that are divided by number: who acts, how fresh it is, and what it grants from."""
+"""A controller's part in the keys of services that are divided by number: who acts, how fresh it is, and what it grants from."""
 
 from __future__ import annotations
 
 import json
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 from sailward import constants
 from sailward.consensus.proposer import Begin
+from sailward.control.catch_up import CatchUp
+from sailward.control.fleet import Fleet
 from sailward.control.freshness import Freshness, newest_vote
 from sailward.control.granting import Granting, GrantScene
+from sailward.control.moves import Moves
+from sailward.control.subscribers import Subscribers
+from sailward.control.voter import Voter
+from sailward.control.worker_list import WorkerList
+from sailward.discovery.gossip import Roster
 from sailward.discovery.rendezvous import choose_names
 from sailward.discovery.workers import Worker
-from sailward.events import Called, Tell
+from sailward.events import Called, Command, Tell
 from sailward.routing.slots import PREFIX
 from sailward.routing.world import read_orders
 
-if TYPE_CHECKING:
-    from sailward.control.controller import Controller
-
 
 class ShardLeases:
-    """Owner of the grants of one cellar. `step` takes a call's end, or None for time going on; `hear` a message."""
+    """Owner of the grants of one controller. `step` takes a call's end, or None for time going on; `hear` a message."""
 
-    def __init__(self, *, cellar: Controller, codec: object, hold_max: float) -> None:
-        self._cellar, self._codec, self._hold_max = cellar, codec, hold_max
+    def __init__(
+        self,
+        *,
+        voter: Voter,
+        roster: Roster,
+        catch_up: CatchUp,
+        moves: Moves,
+        worker_list: WorkerList,
+        fleet: Fleet,
+        subscribers: Subscribers,
+        codec: object,
+        hold_max: float,
+        op_prefix: str,
+    ) -> None:
+        self._voter, self._roster, self._catch_up, self._moves = voter, roster, catch_up, moves
+        self._worker_list, self._fleet, self._subscribers = worker_list, fleet, subscribers
+        self._codec, self._hold_max, self._op_prefix = codec, hold_max, op_prefix
         self.freshness = Freshness()
         self.granting: dict[str, Granting] = {}
-        self._listed: object = None
+        self._listed: dict | None = None
         self._workers: dict[str, Worker] = {}
         self._cold: dict[str, float] = {}
         self._emptied: frozenset = frozenset()
@@ -37,71 +55,71 @@
 
     def hear(self, *, now: float, sender: str, body: dict) -> list:
         """Answer another cellar's asking, or fold an answer."""
-        cellar = self._cellar
+        voter = self._voter
         if body["kind"] == "confirm":
-            known, held = cellar.voters["number"], cellar.held.held.get("voters")
-            if cellar.voting and body["voters"] < known and held is not None:
+            known, held = voter.voters["number"], voter.held.held.get("voters")
+            if voter.voting and body["voters"] < known and held is not None:
                 return [
                     Tell(
                         to=sender,
                         body={"kind": "chosen", "register": "voters", "ballot": held.ballot, "value": held.value},
                     )
                 ]
-            if not cellar.voting or body["voters"] != known:
+            if not voter.voting or body["voters"] != known:
                 return []
             newest = {
-                name: newest_vote(slots=cellar.acceptor.slots, name=name)
+                name: newest_vote(slots=voter.acceptor.slots, name=name)
                 for name in body["registers"]
                 if isinstance(name, str)
             }
             reply = Tell(
-                to=sender, body={"kind": "confirmed", "seq": body["seq"], "identity": cellar.identity, "newest": newest}
+                to=sender, body={"kind": "confirmed", "seq": body["seq"], "identity": voter.identity, "newest": newest}
             )
             # a vote that is not synced yet may be lost: it is told behind the disk
-            return cellar.ledger.step(records=[], replies=[reply])
+            return voter.ledger.step(records=[], replies=[reply])
         for name, newest in body["newest"].items():
-            if isinstance(newest, list) and newest and newest[0] > cellar.held.number(name=name):
+            if isinstance(newest, list) and newest and newest[0] > voter.held.number(name=name):
                 # chosen or not, it is newer than what would be granted from
-                cellar.note_behind(now=now, name=name)
+                self._catch_up.note_behind(now=now, name=name)
         return self.freshness.step(
             now=now,
             body=body,
-            members=cellar.voters["members"],
-            number=cellar.voters["number"],
-            own=cellar.identity,
+            members=voter.voters["members"],
+            number=voter.voters["number"],
+            own=voter.identity,
             registers=[],
         )
 
-    def step(self, *, now: float, event: Called | None) -> list:
-        """Step the grants of each divided service."""
-        cellar = self._cellar
-        services = sorted(name for name, service in cellar.moves.plan.services.items() if service.ranged)
+    def step(self, *, now: float, event: Called | None) -> tuple[list[Command], list[Begin]]:
+        """Step the grants of each divided service: (commands, operations to begin)."""
+        voter = self._voter
+        services = sorted(name for name, service in self._moves.plan.services.items() if service.ranged)
         if event is not None:
             services = [
                 name for name in services if name in self.granting and self.granting[name].is_own(token=event.token)
             ]
-        if not services or cellar.workers[2] is None:
-            return []
+        if not services or self._worker_list.value is None:
+            return [], []
         self._look(now=now)
         well = {
             one["identity"]: one["post"]
-            for one in [*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()]
+            for one in [*self._roster.alive(kind="cellar"), self._roster.own_entry()]
             if one["fit"]
         }
         leads = (
             {name: choose_names(key=PREFIX + name, names=set(well), count=1)[0] for name in services} if well else {}
         )
-        acting = [name for name, lead in leads.items() if cellar.voting and lead == cellar.identity]
+        acting = [name for name, lead in leads.items() if voter.voting and lead == voter.identity]
         if event is None:
-            cellar.fleet.readers = frozenset(well[lead] for lead in leads.values())
-        members = cellar.voters["members"]
+            self._fleet.readers = frozenset(well[lead] for lead in leads.values())
+        members = voter.voters["members"]
         commands = (
             self.freshness.step(
                 now=now,
                 body=None,
                 members=members,
-                number=cellar.voters["number"],
-                own=cellar.identity,
+                number=voter.voters["number"],
+                own=voter.identity,
                 registers=[PREFIX + name for name in acting],
             )
             if event is None
@@ -111,15 +129,15 @@
         for name in services:
             granting = self.granting.get(name)
             if granting is None:
-                granting = self.granting[name] = Granting(service=name, own=cellar.proposer.identity, codec=self._codec)
-            held = cellar.held.held.get(PREFIX + name)
+                granting = self.granting[name] = Granting(service=name, own=self._op_prefix, codec=self._codec)
+            held = voter.held.held.get(PREFIX + name)
             until = self.freshness.until(
                 now=now,
                 register=PREFIX + name,
-                held=cellar.held,
+                held=voter.held,
                 members=members,
-                own=cellar.identity,
-                slots=cellar.acceptor.slots,
+                own=voter.identity,
+                slots=voter.acceptor.slots,
             )
             scene = GrantScene(
                 value=held.value if held else {"number": 0, "text": ""},
@@ -137,14 +155,14 @@
                 self._ops += 1
                 begins.append(
                     Begin(
-                        op=f"{cellar.proposer.identity}/grant{self._ops}",
+                        op=f"{self._op_prefix}/grant{self._ops}",
                         register=register,
                         expected=expected,
                         text=text,
                         wait=constants.GRANT_LEASE,
                     )
                 )
-        return commands + cellar.begin(now=now, begins=begins)
+        return commands, begins
 
     def _loads_of(self, *, now: float, service: str, is_acting: bool) -> dict:
         """Loads and paces for the one that acts, added up anew now and then."""
@@ -155,20 +173,20 @@
         if now - at >= constants.GRANT_LOOK:
             paces = {
                 key: pace
-                for key, pace in self._cellar.fleet.paces(now=now).items()
+                for key, pace in self._fleet.paces(now=now).items()
                 if key in self._workers and self._workers[key].service == service
             }
-            found = {"loads": self._cellar.fleet.loads(now=now, service=service), "paces": paces}
+            found = {"loads": self._fleet.loads(now=now, service=service), "paces": paces}
             self._loads[service] = now, found
         return found
 
     def _look(self, *, now: float) -> None:
         """Fold the list, the orders and what proxies call unreachable into what is granted from."""
-        cellar = self._cellar
-        orders = cellar.held.held.get("orders")
+        voter = self._voter
+        orders = voter.held.held.get("orders")
         emptied = read_orders(value=orders.value) if orders else frozenset()
-        if cellar.workers[2] is not self._listed:
-            self._listed = cellar.workers[2]
+        if self._worker_list.value is not self._listed:
+            self._listed = self._worker_list.value
             self._workers = {}
             for row in json.loads(self._listed["text"]):
                 self._workers[row["id"]] = Worker(
@@ -187,13 +205,13 @@
             self._cold = {key: at for key, at in self._cold.items() if key in self._workers}
         for hall in self._emptied - emptied:
             for key, worker in self._workers.items():
-                service = cellar.moves.plan.services.get(worker.service)
+                service = self._moves.plan.services.get(worker.service)
                 if worker.hall == hall and service is not None:
                     self._cold[key] = max(self._cold.get(key, 0.0), now + service.cold + constants.COLD_MARGIN)
         self._emptied = emptied
         self._workers = {
             key: replace(worker, cold=max(0.0, self._cold.get(key, now) - now)) for key, worker in self._workers.items()
         }
-        said = cellar.fleet.down(now=now, proxies=cellar.subscribers.proxies())
+        said = self._fleet.down(now=now, proxies=self._subscribers.proxies())
         down = {key for key, (count, voices) in said.items() if 2 * count > voices}
         self._down = {key: self._down.get(key, now) for key in down}
--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -1,25 +1,48 @@
-"""What a cellar shows its operators."""
+"""What a controller shows its operators."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import sailward
 from sailward.control.disaster_recovery import read_founding
+from sailward.control.membership import Membership
 from sailward.control.repair import count_core
+from sailward.control.standing import Standing
+from sailward.control.subscribers import Subscribers
+from sailward.control.voter import Voter
+from sailward.control.worker_list import WorkerList
+from sailward.discovery.gossip import Roster
+from sailward.events import UnexpectedEvents
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatusSources:
+    """The parts of a controller that its status is read from."""
+
+    voter: Voter
+    roster: Roster
+    membership: Membership
+    subscribers: Subscribers
+    standing: Standing
+    worker_list: WorkerList
+    unexpected: UnexpectedEvents
 
 
-def show_status(*, cellar, now: float) -> dict:
-    """The status of the core, the halls and the proxies, as this cellar sees it."""
+def show_status(*, sources: StatusSources, now: float) -> dict:
+    """The status of the core, the halls and the proxies, as this controller sees it."""
+    voter, roster, subscribers = sources.voter, sources.roster, sources.subscribers
     registers = {
         name: {
             "number": held.value["number"],
             "acknowledged_by": sorted(
                 member.entry.get("id", "")
-                for member in cellar.subscribers.members.values()
+                for member in subscribers.members.values()
                 if member.acked.get(name, -1) >= held.value["number"]
                 or (member.have.get(name) or [-1])[0] >= held.value["number"]
             ),
         }
-        for name, held in cellar.held.held.items()
+        for name, held in voter.held.held.items()
     }
     daemons = [
         {
@@ -31,46 +54,44 @@
             "version": known.entry["version"],
             "http": known.entry["http"],
         }
-        for known in cellar.roster.known.values()
+        for known in roster.known.values()
     ]
     halls = {
         f"{service}|{hall}": {"state": state.state, "fraction": state.fraction, "for_s": round(now - state.since, 1)}
-        for (service, hall), state in cellar.standing.book.halls.items()
+        for (service, hall), state in sources.standing.book.halls.items()
     }
-    core = count_core(
-        members=cellar.voters["members"], cellars=[*cellar.roster.alive(kind="cellar"), cellar.roster.own_entry()]
-    )
+    core = count_core(members=voter.voters["members"], cellars=[*roster.alive(kind="cellar"), roster.own_entry()])
     return {
-        "id": cellar.place.name,
+        "id": voter.place.name,
         "core": core,
-        "identity": cellar.identity,
+        "identity": voter.identity,
         "version": sailward.__version__,
-        "founding": _show_founding(cellar=cellar, now=now),
-        "post": cellar.place.post,
-        "voting": cellar.voting,
-        "disk_usable": cellar.ledger.usable,
-        "voters": cellar.voters,
+        "founding": _show_founding(sources=sources, now=now),
+        "post": voter.place.post,
+        "voting": voter.voting,
+        "disk_usable": voter.ledger.usable,
+        "voters": voter.voters,
         "registers": registers,
         "daemons": sorted(daemons, key=lambda one: one["id"]),
         "halls": halls,
-        "proxies": len(cellar.subscribers.proxies()),
-        "list": {"epoch": cellar.workers[0], "revision": cellar.workers[1]},
-        "slots": len(cellar.acceptor.slots),
-        "rates": _sum_rates(proxies=cellar.subscribers.proxies()),
-        "well": sorted(cellar.standing.warm),
-        "unexpected_events": dict(cellar.unexpected.counts),
+        "proxies": len(subscribers.proxies()),
+        "list": {"epoch": sources.worker_list.epoch, "revision": sources.worker_list.revision},
+        "slots": len(voter.acceptor.slots),
+        "rates": _sum_rates(proxies=subscribers.proxies()),
+        "well": sorted(sources.standing.warm),
+        "unexpected_events": dict(sources.unexpected.counts),
     }
 
 
-def _show_founding(*, cellar, now: float) -> dict:
-    founding = read_founding(value=cellar.held.held["voters"].value) if "voters" in cellar.held.held else None
-    if founding is None or not founding.number:
+def _show_founding(*, sources: StatusSources, now: float) -> dict:
+    founding = read_founding(value=sources.voter.held_voters().value)
+    if not founding.number:
         return {}
     return {
         "number": founding.number,
         "survivors": list(founding.survivors),
-        "acts": not cellar.membership.is_opening(),
-        "claims": "in-doubt" if cellar.membership.doubts(now=now) else "kept",
+        "acts": not sources.voter.is_opening,
+        "claims": "in-doubt" if sources.membership.doubts(now=now) else "kept",
     }
 
 
--- /dev/null
+++ b/sailward/control/voter.py
@@ -0,0 +1,200 @@
+"""A controller as a voter: its identity, what it voted for, what it knows to be chosen, and its records on the disk."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sailward import constants
+from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slot, Slots, fold_record, slot_records
+from sailward.consensus.held import Held, HeldBook, read_voters
+from sailward.control.bootstrap import Bootstrap, make_founder
+from sailward.control.disaster_recovery import read_founding
+from sailward.control.write_ahead import WriteAhead
+from sailward.discovery.gossip import Place
+from sailward.events import Command, Log, Tell
+
+
+def make_identity(*, name: str, nonce: str) -> str:
+    """A new voter's identity: an empty disk never takes over an old one."""
+    return f"{name}#{nonce}"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Remembered:
+    """What the records of the disk tell of the start before; `identity` is empty on an empty disk."""
+
+    identity: str
+    copied: bool
+    opened: int
+    known: dict | None
+    slots: Slots
+
+
+def read_records(*, records: list[dict], now: float) -> Remembered:
+    """Fold the records of the disk, oldest first."""
+    identity, copied, opened, known, slots = "", False, 0, None, Slots()
+    for record in records:
+        if record["k"] == "identity":
+            identity = record["id"]
+        elif record["k"] == "copied":
+            copied = True
+        elif record["k"] == "opened":
+            opened = record["n"]
+        elif record["k"] == "left":
+            identity, copied, opened, slots = record["id"], False, 0, Slots()
+        elif record.get("r") == KNOWN:
+            known = record
+        else:
+            fold_record(slots=slots, record=record, now=now)
+    return Remembered(identity=identity, copied=copied, opened=opened, known=known, slots=slots)
+
+
+class Voter:
+    """Owner of one voter. `answer` votes under the set of voters that it knows; `begun` is to be carried out first.
+
+    The parts `held` (chosen values), `acceptor` (votes) and `ledger` (order between records and replies) stay the same objects
+    for as long as the process lives.
+    """
+
+    def __init__(
+        self, *, place: Place, nonce: str, records: list[dict], now: float, bootstrap: Bootstrap | None
+    ) -> None:
+        remembered = read_records(records=records, now=now)
+        self.place, self._nonce, self._left = place, nonce, 0
+        is_new = not remembered.identity
+        is_founder = is_new and bootstrap is not None and bootstrap.is_founder(post=place.post)
+        self.identity = remembered.identity or (
+            make_founder(post=place.post) if is_founder else make_identity(name=place.name, nonce=nonce)
+        )
+        self.held = HeldBook()
+        self.acceptor = Acceptor(slots=remembered.slots)
+        self.ledger = WriteAhead(
+            identity=self.identity,
+            slots=remembered.slots,
+            copied=remembered.copied,
+            opened=remembered.opened,
+            known=remembered.known,
+        )
+        if remembered.known is not None and "v" in remembered.known:
+            self.held.step(name="voters", ballot=remembered.known["b"], value=remembered.known["v"])
+        records = [{"k": "identity", "id": self.identity}] if is_new else []
+        if is_founder and bootstrap is not None:
+            records += self._found_alone(now=now, value=bootstrap.value())
+        self.begun: list[Command] = self.ledger.step(records=records, replies=[])
+        self._swept = now
+
+    @property
+    def voters(self) -> dict:
+        """The voters known to be chosen; until that is known again after a start, those voted for."""
+        known = self.held.voters()
+        slot = self.acceptor.slots.get("voters")
+        if known["number"] or slot is None or slot.value is None:
+            return known
+        return read_voters(value=slot.value)
+
+    @property
+    def is_member(self) -> bool:
+        """Is this process in the set of voters that it knows?"""
+        return self.identity in self.voters["members"]
+
+    @property
+    def is_opening(self) -> bool:
+        """Does a founding anew keep this process from acting?"""
+        return read_founding(value=self.held_voters().value).number > self.ledger.opened
+
+    @property
+    def voting(self) -> bool:
+        """May this process vote and grant?"""
+        return self.is_member and self.ledger.copied and self.ledger.usable and not self.is_opening
+
+    def held_voters(self) -> Held:
+        """The register of the voters as it is known to be chosen."""
+        return self.held.held.get("voters") or Held()
+
+    def voted_voters(self) -> dict:
+        """The newest value of the voters' register that was voted for here."""
+        slot = self.acceptor.slots.get("voters")
+        return slot.value if slot and slot.value else Held().value
+
+    def answer(self, *, now: float, sender: str, body: dict) -> list[Command]:
+        """Judge one prepare, accept, first or read; the reply goes when what it tells is synced."""
+        if not self.voting:
+            return []
+        known, slot = self.voters["number"], self.acceptor.slots.get("voters")
+        floor = slot.value["number"] if slot and slot.value and body["register"] != "voters" else known
+        if body["voters"] != known or body["voters"] < floor:
+            # a voter acts under one set at a time, and under none older than one that it voted for
+            return [self._refuse_set(sender=sender, body=body)]
+        records, reply = self.acceptor.step(now=now, body=body)
+        return self.ledger.step(records=records, replies=[Tell(to=sender, body=reply)])
+
+    def newest(self) -> dict[str, list]:
+        """Number, mark and ballot of the newest vote of each register that is no claim."""
+        newest = {}
+        for name in self.acceptor.slots.control:
+            slot = self.acceptor.slots[name]
+            value = slot.value or {"number": 0, "mark": ""}
+            newest[name] = [value["number"], value["mark"], slot.ballot]
+        return newest
+
+    def put(self, *, slots: dict[str, Slot]) -> list[dict]:
+        """Take these as voted for; the records that make it last."""
+        records: list[dict] = []
+        for name, slot in slots.items():
+            self.acceptor.slots[name] = slot
+            records += slot_records(name=name, slot=slot)
+        return records
+
+    def leave(self) -> list[Command]:
+        """Taken out of the voters: what was voted for is void, and the old identity never acts again."""
+        old = self.identity
+        self._left += 1
+        self.identity = make_identity(name=self.place.name, nonce=f"{self._nonce}.{self._left}")
+        self.ledger.identity = self.identity
+        for name in list(self.acceptor.slots):
+            del self.acceptor.slots[name]
+        self.acceptor.slots.control.clear()
+        self.ledger.copied, self.ledger.opened = False, 0
+        return [
+            Log(event="taken-out", fields={"was": old, "waits-as": self.identity}),
+            *self.ledger.step(records=[{"k": "left", "id": self.identity}], replies=[]),
+        ]
+
+    def sweep_claims(self, *, now: float) -> list[Command]:
+        """Forget the claims whose life is over."""
+        if now - self._swept < constants.CLAIM_SWEEP:
+            return []
+        self._swept = now
+        old = [
+            name
+            for name, slot in self.acceptor.slots.items()
+            if name.startswith(CLAIM) and now - slot.since > constants.CLAIM_LIFE
+        ]
+        for name in old:
+            del self.acceptor.slots[name]
+        return self.ledger.step(records=[{"k": "drop", "r": name} for name in old], replies=[])
+
+    def _found_alone(self, *, now: float, value: dict) -> list[dict]:
+        """Found the core without talk: the records, which must last before anything is told."""
+        ballot = [0, "founder"]
+        record = {"k": "vote", "r": "voters", "b": ballot, "v": value}
+        fold_record(slots=self.acceptor.slots, record=record, now=now)
+        self.ledger.copied = True
+        self.ledger.known = {"k": "promise", "r": KNOWN, "b": ballot, "v": value}
+        self.held.step(name="voters", ballot=ballot, value=value)
+        return [record, {"k": "copied"}, self.ledger.known]
+
+    def _refuse_set(self, *, sender: str, body: dict) -> Tell:
+        held = self.held.held.get("voters")
+        return Tell(
+            to=sender,
+            body={
+                "kind": "nack",
+                "op": body["op"],
+                "register": body["register"],
+                "ballot": body.get("ballot", [0, ""]),
+                "reason": "voters",
+                "round": 0,
+                "voters": [held.ballot, held.value] if held else [],
+            },
+        )
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -125,5 +125,5 @@
             lambda old: lambda self, *, now, event: self._tick(now=now, event=event),
         )
     ),
-    "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: [])),
+    "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: ([], []))),
 }
--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -10,7 +10,7 @@
 from sailward.config import check as check_module
 from sailward.config.check import Sound
 from sailward.consensus import held, proposer
-from sailward.control import admin_api, assigning, controller, copying, membership, witness, write_ahead
+from sailward.control import admin_api, assigning, copying, membership, voter, witness, write_ahead
 from sailward.discovery import gossip, workers
 from sailward.discovery import pages as pages_module
 from sailward.events import DiskFailed, Synced
@@ -217,7 +217,7 @@
             )
         ),
     ),
-    "new-identity": _method(controller, "make_identity", lambda old: lambda *, name, nonce: name),
+    "new-identity": _method(voter, "make_identity", lambda old: lambda *, name, nonce: name),
     "sync-final": _method(write_ahead.WriteAhead, "hear", _failures_unheard),
     "blocking": _method(lease, "blocking_of", lambda old: proposer.majority_of),
     "leaving": _method(workers.WorkerBook, "step", _never_leaving),
--- a/tests/test_bootstrap.py
+++ b/tests/test_bootstrap.py
@@ -205,7 +205,7 @@
     put(net, label=1, on="0")
     for machine in net.machines:
         # no reads of their own: they would mend what this is about
-        machine.cellar._read_what_is_due = lambda **_: []
+        machine.cellar.catch_up.step = lambda **_: []
     net.run(1.0)
     net.cut = {"m1"}
     put(net, label=2, on="r1")
