--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -2,25 +2,47 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import sailward
 from sailward.control.disaster_recovery import read_founding
+from sailward.control.membership import Membership
 from sailward.control.repair import count_core
-from sailward.discovery.gossip import kind_of
+from sailward.control.standing import Standing
+from sailward.control.subscribers import Subscribers
+from sailward.control.voter import Voter
+from sailward.control.worker_list import WorkerList
+from sailward.discovery.gossip import Roster, kind_of
+from sailward.events import UnexpectedEvents
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatusSources:
+    """The parts of a controller that its status is read from."""
+
+    voter: Voter
+    roster: Roster
+    membership: Membership
+    subscribers: Subscribers
+    standing: Standing
+    worker_list: WorkerList
+    unexpected: UnexpectedEvents
 
 
-def show_status(*, controller, now: float) -> dict:
+def show_status(*, sources: StatusSources, now: float) -> dict:
     """The status of the core, the halls and the proxies, as this controller sees it."""
+    voter, roster, subscribers = sources.voter, sources.roster, sources.subscribers
     registers = {
         name: {
             "number": held.value["number"],
             "acknowledged_by": sorted(
                 member.entry.get("id", "")
-                for member in controller.subscribers.members.values()
+                for member in subscribers.members.values()
                 if member.acked.get(name, -1) >= held.value["number"]
                 or (member.have.get(name) or [-1])[0] >= held.value["number"]
             ),
         }
-        for name, held in controller.held.held.items()
+        for name, held in voter.held.held.items()
     }
     daemons = [
         {
@@ -32,46 +54,46 @@
             "version": known.entry["version"],
             "http": known.entry["http"],
         }
-        for known in controller.roster.known.values()
+        for known in roster.known.values()
     ]
     halls = {
         f"{service}|{hall}": {"state": state.state, "fraction": state.fraction, "for_s": round(now - state.since, 1)}
-        for (service, hall), state in controller.standing.book.halls.items()
+        for (service, hall), state in sources.standing.book.halls.items()
     }
     core = count_core(
-        members=controller.voters["members"],
-        controllers=[*controller.roster.alive(kind="controller"), controller.roster.own_entry()],
+        members=voter.voters["members"], controllers=[*roster.alive(kind="controller"), roster.own_entry()]
     )
     return {
-        "id": controller.place.name,
+        "id": voter.place.name,
         "core": core,
-        "identity": controller.identity,
+        "identity": voter.identity,
         "version": sailward.__version__,
-        "founding": _show_founding(controller=controller, now=now),
-        "post": controller.place.post,
-        "voting": controller.voting,
-        "disk_usable": controller.ledger.usable,
-        "voters": controller.voters,
+        "founding": _show_founding(sources=sources, now=now),
+        "post": voter.place.post,
+        "voting": voter.voting,
+        "disk_usable": voter.ledger.usable,
+        "voters": voter.voters,
         "registers": registers,
         "daemons": sorted(daemons, key=lambda one: one["id"]),
         "halls": halls,
-        "proxies": len(controller.subscribers.proxies()),
-        "list": {"epoch": controller.workers[0], "revision": controller.workers[1]},
-        "slots": len(controller.acceptor.slots),
-        "rates": _sum_rates(proxies=controller.subscribers.proxies()),
-        "well": sorted(controller.standing.warm),
+        "proxies": len(subscribers.proxies()),
+        "list": {"epoch": sources.worker_list.epoch, "revision": sources.worker_list.revision},
+        "slots": len(voter.acceptor.slots),
+        "rates": _sum_rates(proxies=subscribers.proxies()),
+        "well": sorted(sources.standing.warm),
+        "unexpected_events": dict(sources.unexpected.counts),
     }
 
 
-def _show_founding(*, controller, now: float) -> dict:
-    founding = read_founding(value=controller.held.held["voters"].value) if "voters" in controller.held.held else None
-    if founding is None or not founding.number:
+def _show_founding(*, sources: StatusSources, now: float) -> dict:
+    founding = read_founding(value=sources.voter.held_voters().value)
+    if not founding.number:
         return {}
     return {
         "number": founding.number,
         "survivors": list(founding.survivors),
-        "acts": not controller.membership.is_opening(),
-        "claims": "in-doubt" if controller.membership.doubts(now=now) else "kept",
+        "acts": not sources.voter.is_opening,
+        "claims": "in-doubt" if sources.membership.doubts(now=now) else "kept",
     }
 
 
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -6,7 +6,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 MOST = 400
-STILL_LONG = {"sailward/control/controller.py", "sailward/transport/front.py", "tests/test_front.py"}
+STILL_LONG = {"sailward/transport/front.py", "tests/test_front.py"}
 """Files that are being split; each goes from here with its split."""
 
 
