--- a/sailward/control/fleet.py
+++ b/sailward/control/fleet.py
@@ -71,6 +71,7 @@
         if now - self.last.get("looked", -1e9) < constants.FLEET_LOOK:
             return []
         self.last["looked"] = now
+        self._forget_gone(now=now, posts={one["post"] for one in cellars})
         own = self._own_rows(now=now, proxies=proxies)
         self._compose(now=now, own=own, cellars=cellars, down=self._agreed(now=now, proxies=proxies))
         down = self._own_down(proxies=proxies)
@@ -83,6 +84,12 @@
         self.told_at, self.own, self.own_down = now, own, down
         return self._tell_all(now=now, to=others)
 
+    def _forget_gone(self, *, now: float, posts: set) -> None:
+        """Drop what was told by and to cellars that are gone: as machines are replaced, there are ever more of them."""
+        self.others = {post: told for post, told in self.others.items() if now - told.at < constants.FORGET}
+        # one that comes back is told all rows again
+        self.told_to = {post: version for post, version in self.told_to.items() if post in posts}
+
     def _reads(self, *, to: dict) -> bool:
         return self.readers is None or to["post"] in self.readers
 
@@ -194,6 +201,8 @@
 
     def _note_loads(self, *, now: float, proxies: list[Subscriber]) -> None:
         is_new = False
+        names = {one.entry["id"] for one in proxies}
+        self.seen = {name: turn for name, turn in self.seen.items() if name in names}
         for one in proxies:
             turn = one.report.get("turn")
             if turn is None or self.seen.get(one.entry["id"]) == turn:
--- a/sailward/control/listing.py
+++ b/sailward/control/listing.py
@@ -43,6 +43,8 @@
                 Log(event="list-news", fields={"revision": self.lives.number, "workers": len(whole.workers)})
             )
         if is_reader:
+            posts = {one["post"] for one in cellars}
+            self.told = {post: version for post, version in self.told.items() if post in posts}
             commands += [self._tell(to=one, rows=whole.workers) for one in cellars]
         return commands, is_news
 
--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -193,6 +193,8 @@
             return commands
         if body["after"] == "" or sender not in self._names:
             # nothing is voted for under the old set from here on: one order for the whole copy
+            copiers = {*cellar.voters["members"].values()}
+            self._names = {post: names for post, names in self._names.items() if post in copiers}
             self._names[sender] = sorted(cellar.acceptor.slots)
         page = copy_page(slots=cellar.acceptor.slots, names=self._names[sender], after=body["after"], number=number)
         if not page["next"]:
--- a/sailward/control/repair.py
+++ b/sailward/control/repair.py
@@ -43,10 +43,7 @@
         alive = {entry["identity"]: entry for entry in cellars}
         if self.is_brisk:
             return self._step_brisk(now=now, own=own, number=voters["number"], text=text, members=members, alive=alive)
-        for name in members:
-            if name in alive:
-                self.seen[name] = now
-            self.seen.setdefault(name, now)
+        self.seen = {name: now if name in alive else self.seen.get(name, now) for name in members}
         well = [name for name in members if name in alive and alive[name]["fit"]]
         if choose_names(key=f"repair{voters['number']}", names=well, count=1) != [own]:
             return ""
--- a/sailward/control/subscribers.py
+++ b/sailward/control/subscribers.py
@@ -76,9 +76,12 @@
 
     def asks(self, *, now: float) -> str:
         """Every proxy start that asked within the longest time that what it sent on may run."""
-        self.asked = {name: at for name, at in self.asked.items() if now - at < constants.ASKS_LIFE}
+        self._forget_asked(now=now)
         return ",".join(sorted(self.asked))
 
+    def _forget_asked(self, *, now: float) -> None:
+        self.asked = {name: at for name, at in self.asked.items() if now - at < constants.ASKS_LIFE}
+
     def _fold(self, *, now: float, sender: str, body: dict) -> None:
         member = self.members.get(sender)
         if body["kind"] == "ack":
@@ -88,6 +91,7 @@
         start = body["daemon"].get("start")
         if member is None or member.entry.get("start") != start:
             member = self.members[sender] = Subscriber(entry=body["daemon"], first=now, seen=now)
+            self._forget_asked(now=now)
         member.entry, member.seen = body["daemon"], now
         if member.entry.get("kind") == "sommelier":
             self.asked[f"{member.entry.get('id')}#{start}"] = now
--- a/sailward/proxy/uplink.py
+++ b/sailward/proxy/uplink.py
@@ -20,6 +20,7 @@
     asked: float = NEVER
     unanswered: int = 0
     heard: float = NEVER
+    named: float = NEVER
 
 
 @dataclass(kw_only=True)
@@ -65,17 +66,23 @@
         told = {post: (hall, region) for post, hall, region in cellars}
         for post, (hall, region) in told.items():
             known = self.known.setdefault(post, Known(post=post))
-            known.hall, known.region = hall, region
+            known.hall, known.region, known.named = hall, region, self.next_at
         self.known = {
             post: known
             for post, known in self.known.items()
-            if post in told or post in self.seeds or known.unanswered < constants.ASKS_LOST
+            if post in told or post in self.seeds or self._may_answer(known=known)
         }
 
     def answers(self, *, now: float) -> bool:
         """Has any cellar answered of late?"""
         return any(now - known.heard < constants.CELLAR_SILENT for known in self.known.values())
 
+    def _may_answer(self, *, known: Known) -> bool:
+        """Is it not known to be silent, and was it named or heard of within the time that a daemon is remembered?"""
+        return (
+            known.unanswered < constants.ASKS_LOST and self.next_at - max(known.heard, known.named) < constants.FORGET
+        )
+
     def _rank(self, known: Known) -> tuple:
         return (known.hall != self.hall, known.region != self.region, known.hall == "", known.post)
 
