--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -145,6 +145,7 @@
     for _ in range(200):
         now += 3.5
         proxy.step(now=now, event=Ticked(wall=now))
+    push(proxy=proxy, now=now, name="fleet", number=first + count, text=json.dumps({"proxies": [], "cellars": []}))
     return now
 
 
