--- a/sailward/control/grant_calls.py
+++ b/sailward/control/grant_calls.py
@@ -11,6 +11,7 @@
 from sailward.routing.shards import Shard
 
 NEVER = -1e9
+GRANT, RELEASE = "grant", "release"
 
 
 class GrantCodec(Protocol):
@@ -176,7 +177,7 @@
             renewing.due = now + constants.GRANT_RENEW
             renewing.token = self._call(
                 now=now,
-                kind="grant",
+                kind=GRANT,
                 shard=shard,
                 made=made,
                 wait=constants.GRANT_WAIT,
@@ -202,7 +203,7 @@
             made = self.codec.release(start=shard.start, end=shard.end, fence=shard.fence, owner=shard.owner)
             one.token = self._call(
                 now=now,
-                kind="release",
+                kind=RELEASE,
                 shard=shard,
                 made=made,
                 wait=constants.GRANT_RELEASE_WAIT,
@@ -238,11 +239,13 @@
                 headers=headers,
                 body=body,
                 wait=wait,
-                fresh=False,
+                # its answer bears no id: only on a connection of its own is the first one surely its own, and a surplus
+                # one that passed for the end of a release would give the keys to a second holder
+                fresh=kind == RELEASE,
                 begin_by=begin_by,
             )
         )
-        self._sent[token] = Sent(shard=shard, is_grant=kind == "grant", since=now, until=begin_by + wait)
+        self._sent[token] = Sent(shard=shard, is_grant=kind == GRANT, since=now, until=begin_by + wait)
         return token
 
     def is_free(self, *, now: float, shard: Shard, sole_at: float) -> bool:
