--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -1,4 +1,4 @@
-"""The operators' interface of a cellar: configurations and hall orders."""
+"""The operators' interface of a controller: configurations and hall orders."""
 
 from __future__ import annotations
 
@@ -43,15 +43,20 @@
     jobs: dict = field(default_factory=dict)
     count: int = 0
     full: dict = field(default_factory=dict)
-    cellars: dict = field(default_factory=dict)
+    controllers: dict = field(default_factory=dict)
 
     def step(self, *, event: Asked | Settled | Checked) -> tuple[list, list]:
         """Take an operator's exchange, the end of an operation begun for one, or of a check."""
-        if isinstance(event, Checked):
-            job = self.jobs.pop(event.token, None)
-            return self._after_check(job=job, verdict=event.verdict) if job else ([], [])
-        if isinstance(event, Asked):
-            return self._take(event=event)
+        match event:
+            case Asked():
+                return self._take(event=event)
+            case Checked():
+                job = self.jobs.pop(event.token, None)
+                return self._after_check(job=job, verdict=event.verdict) if job else ([], [])
+            case Settled():
+                return self._settle(event=event)
+
+    def _settle(self, *, event: Settled) -> tuple[list, list]:
         job = self.jobs.pop(event.op, None)
         if job is None:
             return [], []
@@ -59,6 +64,15 @@
             return self._after_read(job=job, outcome=event.outcome)
         return self._after_change(job=job, outcome=event.outcome)
 
+    def drop(self, *, token: str) -> list:
+        """The caller of this exchange has left: its order ends here, unless its change has begun, which goes on."""
+        waiting = [op for op, job in self.jobs.items() if job.token == token and not op.endswith("/change")]
+        return [self._drop_job(op=op) for op in waiting]
+
+    def _drop_job(self, *, op: str) -> Log:
+        job = self.jobs.pop(op)
+        return Log(event="order-dropped", fields={"register": job.order.register, "by": job.order.kind})
+
     def _take(self, *, event: Asked) -> tuple[list, list]:
         dialect, order = self.dialect, self.dialect.read(event=event)
         if order is None:
@@ -118,7 +132,7 @@
         order, current = job.order, read_labelled(text=job.text)
         is_same = order.kind == "put" and current.written is not None and order.given == current.written
         if current.has(digest=order.digest) or is_same:
-            # taken before, maybe by another cellar: what is sent again is answered again
+            # taken before, maybe by another controller: what is sent again is answered again
             return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
         if order.expected != current.label:
             return self._end(
@@ -212,19 +226,19 @@
         """One member more or less, by its identity or its name; never one that would cost the majority."""
         kind, given = job.order.kind, job.order.given
         members = json.loads(job.text)["members"] if job.text else {}
-        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.cellars)}
+        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.controllers)}
         identity = names.get(given, given)
         if kind == "join":
-            if identity in members or identity not in self.cellars:
+            if identity in members or identity not in self.controllers:
                 return Outcome(
-                    kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits"
+                    kind="refused", code=409, reason="not-waiting", detail=f"no empty controller {given!r} waits"
                 )
-            text = change_members(text=job.text, add=(identity, self.cellars[identity]["post"]))
+            text = change_members(text=job.text, add=(identity, self.controllers[identity]["post"]))
         else:
             if identity not in members:
                 return Outcome(kind="refused", code=404, reason="voter-unknown", detail=f"no voter {given!r}")
             text = change_members(text=job.text, drop=identity)
-        well = {name for name, entry in self.cellars.items() if entry["fit"]}
+        well = {name for name, entry in self.controllers.items() if entry["fit"]}
         if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
             return Outcome(
                 kind="refused",
@@ -264,7 +278,7 @@
         if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < 5:
             return [], [self._begin_read(job=job)]
         if job.dialect.is_labelled:
-            # who won may have been this very change, taken by another cellar: nothing definite can be said
+            # who won may have been this very change, taken by another controller: nothing definite can be said
             return self._end(
                 job=job,
                 outcome=Outcome(
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -1,4 +1,7 @@
-"""The whole of a proxy for routes by host: what the core tells, the evidence on workers, requests, the directory, stopping."""
+"""The whole of a proxy for routes by host.
+
+What the core tells, the evidence on workers, requests, the directory, stopping.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +12,26 @@
 
 from sailward import constants
 from sailward.consensus.held import HeldBook, is_control
-from sailward.discovery.gossip import Place
+from sailward.discovery.gossip import KINDS_ON_WIRE, Place
 from sailward.discovery.workers import WorkerBook
-from sailward.events import Asked, Called, CallerLeft, Heard, Leave, Log, Stop, StopAsked, Tell
+from sailward.events import (
+    Asked,
+    Called,
+    CallerLeft,
+    Checked,
+    Command,
+    DiskFailed,
+    Event,
+    Heard,
+    Leave,
+    Log,
+    Stop,
+    StopAsked,
+    Synced,
+    Tell,
+    Ticked,
+    UnexpectedEvents,
+)
 from sailward.proxy.directory import Directory
 from sailward.proxy.uplink import Uplink
 from sailward.routing.evidence import Evidence
@@ -68,24 +88,32 @@
         self.directory = Directory(place=place)
         self.stopping, self.stop_at = STOPPING.initial, 0.0
         self.lists: dict = {"workers": ("", -1), "fleet": ("", -1)}
+        self.unexpected = UnexpectedEvents()
         self._counted = -1e9
         self._beat = 0
 
-    def step(self, *, now: float, event: object) -> list:
+    def step(self, *, now: float, event: Event) -> list[Command]:
         """Answer one event with commands."""
-        if isinstance(event, Asked):
-            return self._ask(now=now, event=event)
-        if isinstance(event, Called):
-            if event.token.startswith("probe "):
-                return self.evidence.step(now=now, event=event, plan=self.scene.plan)
-            return self.forwarder.step(now=now, event=event)
-        if isinstance(event, CallerLeft):
-            return self.forwarder.step(now=now, event=event)
-        if isinstance(event, Heard):
-            return self._hear(now=now, sender=event.sender, body=event.body)
-        if isinstance(event, StopAsked):
-            return self._begin_stop(now=now)
-        return self._look_at_alarms(now=now)
+        match event:
+            case Asked():
+                return self._ask(now=now, event=event)
+            case Called():
+                if event.token.startswith("probe "):
+                    return self.evidence.step(now=now, event=event, plan=self.scene.plan)
+                return self.forwarder.step(now=now, event=event)
+            case CallerLeft():
+                return self.forwarder.step(now=now, event=event)
+            case Heard():
+                return self._hear(now=now, sender=event.sender, body=event.body)
+            case StopAsked():
+                return self._begin_stop(now=now)
+            case Ticked():
+                return self._look_at_alarms(now=now)
+            case Synced() | DiskFailed() | Checked():
+                # a proxy has no disk, and checks no configuration
+                return self.unexpected.add(event=event)
+            case _:
+                return self.unexpected.add_unknown(event=event)
 
     @property
     def is_ready(self) -> bool:
@@ -135,7 +163,7 @@
 
     def _take_fleet(self, *, now: float, value: dict) -> list:
         told = json.loads(value["text"])
-        self.uplink.learn(cellars=told["cellars"])
+        self.uplink.learn(controllers=told["cellars"])
         self.directory.learn(rows=told["proxies"])
         self.scene.peers = {name: region for name, _, _, region, is_fit in told["proxies"] if is_fit}
         self.scene.proxies = max(1, len(self.scene.peers))
@@ -172,7 +200,7 @@
         place = self.place
         daemon = {
             "id": place.name,
-            "kind": place.kind,
+            "kind": KINDS_ON_WIRE[place.kind],
             "hall": place.hall,
             "region": place.region,
             "http": place.http,
@@ -182,7 +210,7 @@
         }
         lead = self.uplink.lead
         have = {name: [held.value["number"]] for name, held in self.held.held.items()}
-        # lists have numbers of each cellar's own: only the leading one's are wanted, and none before there is one
+        # lists have numbers of each controller's own: only the leading one's are wanted, and none before there is one
         have |= {
             name: [number if teller == lead else -1, lead or "none"] for name, (teller, number) in self.lists.items()
         }
@@ -199,7 +227,10 @@
         )
 
     def _take_paces(self) -> dict:
-        """{worker: [ms, ...]} for divided services: only of this region's workers, as others' times hold the way there."""
+        """Times in ms by worker, for divided services.
+
+        Only of this region's workers, as others' times hold the way there.
+        """
         workers = {key: self.evidence.shown[key].worker for key in self.evidence.shown}
         divided = {name for name, service in self.scene.plan.services.items() if service.ranged}
         return {
@@ -254,4 +285,5 @@
             "workers": workers,
             "tally": dict(self.forwarder.tally),
             "open": len(self.forwarder.calls),
+            "unexpected_events": dict(self.unexpected.counts),
         }
--- a/sailward/proxy/sommelier.py
+++ b/sailward/proxy/tenant_proxy.py
@@ -10,7 +10,24 @@
 from sailward.consensus.held import CONTROL, HeldBook, is_control
 from sailward.consensus.proposer import Accepted, Begin, Proposer
 from sailward.discovery.gossip import Place, Roster
-from sailward.events import Asked, Call, Called, Heard, Log, Stop, StopAsked, Tell
+from sailward.events import (
+    Asked,
+    Call,
+    Called,
+    CallerLeft,
+    Checked,
+    Command,
+    DiskFailed,
+    Event,
+    Heard,
+    Log,
+    Stop,
+    StopAsked,
+    Synced,
+    Tell,
+    Ticked,
+    UnexpectedEvents,
+)
 from sailward.routing.choosing import Chooser
 from sailward.routing.claims import PREFIX, Claims
 from sailward.routing.copies import Copies, Peer
@@ -28,7 +45,7 @@
 TOLD = ("promise", "voted", "nack", "told")
 
 
-class Sommelier:
+class TenantProxy:
     """Owner of a proxy process. `step` takes one event and gives commands."""
 
     def __init__(self, *, place: Place, nonce: str, start: int, rng: random.Random, now: float) -> None:
@@ -51,34 +68,47 @@
         self.stopping = STOPPING.initial
         self.stop_by = 0.0
         self.suspect = False
-        self.cellars: dict[str, tuple[float, int]] = {}
+        self.controllers: dict[str, tuple[float, int]] = {}
         self._reading: dict[str, str] = {}
+        self.unexpected = UnexpectedEvents()
         self._counted = -1e9
         self._ops = 0
 
-    def step(self, *, now: float, event: object) -> list:
+    def step(self, *, now: float, event: Event) -> list[Command]:
         """Answer one event with commands."""
-        if isinstance(event, Heard):
-            commands = self._hear(now=now, sender=event.sender, body=event.body)
-        elif isinstance(event, Asked):
-            commands = self._ask(now=now, event=event)
-        elif isinstance(event, Called):
-            commands = self._called(now=now, event=event)
-        elif isinstance(event, StopAsked):
-            self.stopping, self.stop_by = (
-                STOPPING.step(state=self.stopping, event="stop_asked"),
-                now + constants.STOP_GRACE,
-            )
-            commands = [Log(event="stopping", fields={"open": len(self.exchanges.live)})]
-        else:
-            commands = self._look_at_alarms(now=now)
         return [
-            replace(one, begin_by=self.lease.until(voters=self.held.voters()))
-            if isinstance(one, Call) and one.token.startswith("x ")
-            else one
-            for one in commands
+            replace(command, begin_by=self.lease.until(voters=self.held.voters()))
+            if isinstance(command, Call) and command.token.startswith("x ")
+            else command
+            for command in self._take(now=now, event=event)
         ]
 
+    def _take(self, *, now: float, event: Event) -> list[Command]:
+        match event:
+            case Heard():
+                return self._hear(now=now, sender=event.sender, body=event.body)
+            case Asked():
+                return self._ask(now=now, event=event)
+            case Called():
+                return self._called(now=now, event=event)
+            case StopAsked():
+                return self._begin_stop(now=now)
+            case Ticked():
+                return self._look_at_alarms(now=now)
+            case CallerLeft():
+                # what was claimed for it goes on: its result is kept for the caller's repeat
+                return []
+            case Synced() | DiskFailed() | Checked():
+                # a proxy has no disk, and checks no configuration
+                return self.unexpected.add(event=event)
+            case _:
+                return self.unexpected.add_unknown(event=event)
+
+    def _begin_stop(self, *, now: float) -> list[Command]:
+        self.stopping = STOPPING.step(state=self.stopping, event="stop_asked")
+        self.stop_by = now + constants.STOP_GRACE
+        return [Log(event="stopping", fields={"open": len(self.exchanges.live)})]
+
     def acting(self, *, now: float) -> bool:
         """May this proxy act on what it holds?"""
         return self.lease.is_held(now=now, voters=self.held.voters()) and self.world.book.revision[1] >= 0
@@ -90,7 +120,7 @@
             seen = explain(now=now, query=event.query, chooser=self.chooser, acting=self.acting(now=now))
             return [answer_json(token=event.token, code=200, body=seen)]
         if self.stopping not in STOPPING.marks["taking"]:
-            refusal = Refusal(code=503, reason="stopping", detail="this proxy is stopping: ask a concierge for another")
+            refusal = Refusal(code=503, reason="stopping", detail="this proxy is stopping: ask a directory for another")
             return [answer_refusal(token=event.token, refusal=refusal, not_run=is_promise_safe(event=event))]
         commands, begins = self.exchanges.step(now=now, event=event, acting=self.acting(now=now))
         return commands + self._begin(now=now, begins=begins)
@@ -124,12 +154,12 @@
 
     def _take_grant(self, *, now: float, sender: str, body: dict) -> list:
         self.world.keep_view(now=now, identity=body["identity"], view=body["view"])
-        self.cellars[sender] = (now, body["proxies"])
+        self.controllers[sender] = (now, body["proxies"])
         return self._step_lease(now=now, event=(sender, body))
 
     def _step_lease(self, *, now: float, event: tuple | None) -> list:
         voters = self.held.voters()
-        addresses = {*voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
+        addresses = {*voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="controller"))}
         epoch, revision = self.world.book.revision
         have = {**self.held.have(), "workers": [revision, str(epoch), [epoch, ""]]}
         report = {}
@@ -210,10 +240,10 @@
             self.chooser.bounds.forget(now=now, keep=set(self.world.book.workers))
         self.claims.peers = [
             Peer(name=one["id"], post=one["post"], region=one["region"], hall=one["hall"])
-            for one in self.roster.alive(kind="sommelier")
+            for one in self.roster.alive(kind="proxy")
             if one["version"] not in constants.WITHOUT_COPIES
         ]
-        heard = [count for at, count in self.cellars.values() if now - at < constants.SUBSCRIBER_LIFE]
+        heard = [count for at, count in self.controllers.values() if now - at < constants.SUBSCRIBER_LIFE]
         self.world.proxies = max([1, *heard])
         self.roster.fit = self.acting(now=now) and not self.suspect and self.stopping in STOPPING.marks["named"]
         return commands + self._look_at_stop(now=now)
@@ -246,7 +276,7 @@
                 if name == hall
             )
         }
-        suspect = len(stood) > constants.SUSPECT_SELF * len(halls) and len(self.cellars) > 0
+        suspect = len(stood) > constants.SUSPECT_SELF * len(halls) and len(self.controllers) > 0
         if suspect != self.suspect:
             self.suspect = suspect
             commands.append(Log(event="suspects-itself" if suspect else "trusts-itself", fields={"down": len(down)}))
@@ -278,4 +308,5 @@
             "workers": workers,
             "tally": dict(self.exchanges.tally),
             "open": len(self.exchanges.sent),
+            "unexpected_events": dict(self.unexpected.counts),
         }
--- a/sailward/transport/calls.py
+++ b/sailward/transport/calls.py
@@ -87,7 +87,8 @@
         """Whether a byte of the request may have left."""
         if self.handle.getinfo(pycurl.REQUEST_SIZE):
             return True
-        # the library shows no time of connecting for a connection that it kept: only for one that it opened does that tell
+        # the library shows no time of connecting for a connection that it kept: only for one that it opened does that
+        # tell
         is_unconnected = self.is_dialled and self.handle.getinfo(pycurl.CONNECT_TIME) == 0
         return errno != pycurl.E_COULDNT_CONNECT and not (errno == pycurl.E_OPERATION_TIMEDOUT and is_unconnected)
 
@@ -118,10 +119,8 @@
     def give(self, *, call: Call) -> None:
         """Put a call in line."""
         self._line.append(call)
-        try:
+        with contextlib.suppress(BlockingIOError):
             self._wake_out.send(b"x")
-        except BlockingIOError:
-            pass
 
     def run(self) -> None:
         """Make calls for ever."""
--- a/sailward/transport/exchange.py
+++ b/sailward/transport/exchange.py
@@ -20,7 +20,8 @@
 class Whole:
     """A whole answer. `idle` is how many s its connection may be kept idle, 0 if it must be closed.
 
-    It must be closed behind an answer that doesn't bear the id of its request: that may have been a surplus one, and the
+    It must be closed behind an answer that doesn't bear the id of its request: that may have been a surplus one, and
+    the
     request's own would then be taken for the next one's.
     """
 
--- a/sailward/transport/front_state.py
+++ b/sailward/transport/front_state.py
@@ -27,8 +27,10 @@
 class Connection:
     """One caller's connection; moments in s of the reactor's clock.
 
-    `exchanges` holds the requests whose answers are not written, in order; `reading` is the last of them while its body is
-    missing. `out` holds (bytes, answers that end with them). `idle_promise` is the idle time in force at the last answer.
+    `exchanges` holds the requests whose answers are not written, in order; `reading` is the last of them while its
+    body is
+    missing. `out` holds (bytes, answers that end with them). `idle_promise` is the idle time in force at the last
+    answer.
     """
 
     sock: socket.socket
--- a/simulation/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -1,4 +1,7 @@
-"""Calls of daemons to workers and to the list, as the product's edge for them acts: kept and fresh connections, refusals, silence."""
+"""Calls of daemons to workers and to the list, as the product's edge for them acts.
+
+Kept and fresh connections, refusals, silence.
+"""
 
 from __future__ import annotations
 
@@ -20,7 +23,10 @@
 
 @dataclass(kw_only=True, eq=False)
 class Connection:
-    """A connection to a worker, and the answers on it that belong to no request: they are read where the next one is due."""
+    """A connection to a worker, and the answers on it that belong to no request.
+
+    They are read where the next one is due.
+    """
 
     worker: Worker
     surplus: deque = field(default_factory=deque)
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -9,7 +9,7 @@
 from sailward import constants
 from sailward.config import history
 from sailward.consensus import proposer
-from sailward.control import granting, membership, shard_leases, write_ahead
+from sailward.control import controller, granting, membership, shard_leases, write_ahead
 from sailward.discovery import workers
 from sailward.events import Stop
 from sailward.proxy import proxy
@@ -126,7 +126,7 @@
     ),
     "cold-bound": _all(_patch(placing.Placer, "_bears", lambda old: lambda self, **fields: True)),
     "cold-news": _all(_patch(evidence.Evidence, "chill", lambda old: lambda self, **fields: None)),
-    "evacuation": _all(_patch(proxy, "read_orders", lambda old: lambda *, value: frozenset())),
+    "evacuation": _all(_patch(proxy, "read_orders", lambda old: frozenset)),
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
@@ -140,5 +140,13 @@
     "sync": _all(_patch(write_ahead.WriteAhead, "step", _told_unsynced)),
     "majority": _all(_patch(proposer, "majority_of", lambda old: lambda *, members: 1)),
     "stop": _all(_patch(proxy.Proxy, "_begin_stop", _stops_at_once)),
-    "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: [])),
+    # as before events were matched by type: what is not known is taken for a tick
+    "caller-left": _all(
+        _patch(
+            controller.Controller,
+            "_drop_order",
+            lambda old: lambda self, *, now, event: self._tick(now=now, event=event),
+        )
+    ),
+    "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: ([], []))),
 }
--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -10,11 +10,11 @@
 from sailward.config import check as check_module
 from sailward.config.check import Sound
 from sailward.consensus import held, proposer
-from sailward.control import admin_api, assigning, controller, copying, membership, witness, write_ahead
+from sailward.control import admin_api, assigning, copying, membership, voter, witness, write_ahead
 from sailward.discovery import gossip, workers
 from sailward.discovery import pages as pages_module
 from sailward.events import DiskFailed, Synced
-from sailward.proxy import sommelier
+from sailward.proxy import tenant_proxy
 from sailward.routing import (
     bounds,
     choosing,
@@ -217,7 +217,7 @@
             )
         ),
     ),
-    "new-identity": _method(controller, "make_identity", lambda old: lambda *, name, nonce: name),
+    "new-identity": _method(voter, "make_identity", lambda old: lambda *, name, nonce: name),
     "sync-final": _method(write_ahead.WriteAhead, "hear", _failures_unheard),
     "blocking": _method(lease, "blocking_of", lambda old: proposer.majority_of),
     "leaving": _method(workers.WorkerBook, "step", _never_leaving),
@@ -258,7 +258,7 @@
             lambda self, *, now: (
                 now
                 + self.walls[
-                    "cellar-1#" + next(name for name in self.walls if name.startswith("cellar-1")).split("#")[1]
+                    "controller-1#" + next(name for name in self.walls if name.startswith("controller-1")).split("#")[1]
                 ][1]
                 if self.walls
                 else None
@@ -270,7 +270,7 @@
         exchanges, "answer_refusal", lambda old: lambda **fields: dataclasses.replace(old(**fields), headers={})
     ),
     "gives-up": _method(exchanges.Exchanges, "_look_at_alarms", lambda old: lambda self, *, now, acting: []),
-    "stops": _method(sommelier.Sommelier, "_look_at_stop", lambda old: lambda self, *, now: []),
+    "stops": _method(tenant_proxy.TenantProxy, "_look_at_stop", lambda old: lambda self, *, now: []),
     "told-lost": _method(
         proposer.Proposer,
         "_judge_votes",
--- a/tests/forwarding_model.py
+++ b/tests/forwarding_model.py
@@ -1,4 +1,7 @@
-"""A bounded model of the forwarding owner: all orders of its events, and what the workers really did with each sending."""
+"""A bounded model of the forwarding owner.
+
+All orders of its events, and what the workers really did with each sending.
+"""
 
 from __future__ import annotations
 
@@ -116,7 +119,10 @@
         return self.bench.forwarder.end_all(now=self.bench.now)
 
     def _do_kill(self) -> list:
-        """The process is killed and started: its callers' connections end, and no end of a call is told to the new one."""
+        """The process is killed and started.
+
+        Its callers' connections end, and no end of a call is told to the new one.
+        """
         self.lives += 1
         old = self.bench.forwarder
         budget = RetryBudget(ratio=0.2, slack=60.0, window=10.0)
--- a/tests/front_harness.py
+++ b/tests/front_harness.py
@@ -1,4 +1,7 @@
-"""The HTTP server edge over loopback sockets, with the reactor on a thread of its own, for the tests of the server edge."""
+"""The HTTP server edge over loopback sockets, with the reactor on a thread of its own.
+
+For the tests of the server edge.
+"""
 
 from __future__ import annotations
 
--- a/tests/front_script.py
+++ b/tests/front_script.py
@@ -1,4 +1,7 @@
-"""A server edge on sockets that a script plays: callers' bytes cut anywhere, answers in any order, no thread and no real time."""
+"""A server edge on sockets that a script plays.
+
+Callers' bytes cut anywhere, answers in any order, no thread and no real time.
+"""
 
 from __future__ import annotations
 
@@ -67,7 +70,10 @@
 
 
 class FrontScript:
-    """Plays steps against a Front, and checks after each that every caller reads its own answers, in order and whole."""
+    """Plays steps against a Front, and checks after each that every caller reads its own answers.
+
+    In order and whole.
+    """
 
     def __init__(self) -> None:
         self.reactor = ScriptedReactor()
--- a/tests/outbound_script.py
+++ b/tests/outbound_script.py
@@ -1,4 +1,7 @@
-"""A client edge on sockets that a script plays: every byte, cut, reset and moment is the script's, no thread and no real time."""
+"""A client edge on sockets that a script plays.
+
+Every byte, cut, reset and moment is the script's, no thread and no real time.
+"""
 
 from __future__ import annotations
 
@@ -128,7 +131,10 @@
 
 
 class Script:
-    """Plays steps against an Outbound, and checks after each that nobody got another's answer and nothing went out twice."""
+    """Plays steps against an Outbound.
+
+    And checks after each that nobody got another's answer and nothing went out twice.
+    """
 
     def __init__(self) -> None:
         self.reactor = ScriptedReactor()
@@ -205,7 +211,10 @@
                 self._call(sock=sock, which=1)
 
     def do_answer(self, at: int, which: int, form: int) -> None:
-        """The peer answers one of the requests that came on a connection: the last (0) or an earlier one, late or once more."""
+        """The peer answers one of the requests that came on a connection.
+
+        The last (0) or an earlier one, late or once more.
+        """
         for sock in self._open_sockets(at):
             names = sock.requests()
             if names:
--- a/tests/test_calls_answers.py
+++ b/tests/test_calls_answers.py
@@ -1,4 +1,7 @@
-"""The HTTP library's edge of the product's own mode: no answer but to its call, and what may not be repeated is sent once."""
+"""The HTTP library's edge of the product's own mode.
+
+No answer but to its call, and what may not be repeated is sent once.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_front_properties.py
+++ b/tests/test_front_properties.py
@@ -1,4 +1,7 @@
-"""The server edge against scripts that hypothesis draws: callers' bytes cut anywhere, answers in any order, callers that leave."""
+"""The server edge against scripts that hypothesis draws.
+
+Callers' bytes cut anywhere, answers in any order, callers that leave.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_granting_surplus.py
+++ b/tests/test_granting_surplus.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sailward.control.granting import Granting
+from sailward.control.grant_calls import GrantCalls
 from sailward.events import Call, Called
 from tests.test_granting import KEYS, Granter, World
 
@@ -13,7 +13,10 @@
 
 
 class SurplusWorld(World):
-    """Each worker sends a second answer behind each grant; it is read where the next answer on that connection is due."""
+    """Each worker sends a second answer behind each grant.
+
+    It is read where the next answer on that connection is due.
+    """
 
     def call(self, *, granter: Granter, call: Call) -> None:
         super().call(granter=granter, call=call)
@@ -45,6 +48,6 @@
         object.__setattr__(given["commands"][-1], "fresh", False)
         return token
 
-    old = Granting._call
-    monkeypatch.setattr(Granting, "_call", call_on_kept)
+    old = GrantCalls._call
+    monkeypatch.setattr(GrantCalls, "_call", call_on_kept)
     assert any(drain_beside_surplus_answers(seed=seed).overlaps for seed in range(3))
--- a/tests/test_outbound_properties.py
+++ b/tests/test_outbound_properties.py
@@ -1,4 +1,7 @@
-"""The client edge against scripts that hypothesis draws: answers shuffled, extra, late, cut and reset, calls given up."""
+"""The client edge against scripts that hypothesis draws.
+
+Answers shuffled, extra, late, cut and reset, calls given up.
+"""
 
 from __future__ import annotations
 
@@ -96,7 +99,10 @@
 
 
 def keep_after_a_cancel() -> list:
-    """A call that is given up leaves its connection to the next one; the next call takes the first answer for its own."""
+    """A call that is given up leaves its connection to the next one.
+
+    The next call takes the first answer for its own.
+    """
 
     def cancel(self, *, token):
         running = self._running.get(token)
--- a/tests/test_outbound_tokens.py
+++ b/tests/test_outbound_tokens.py
@@ -1,4 +1,7 @@
-"""The client edge's table of calls: an answer belongs to the call that asked for it, whatever its token and its owner."""
+"""The client edge's table of calls.
+
+An answer belongs to the call that asked for it, whatever its token and its owner.
+"""
 
 from __future__ import annotations
 
