Scenarios: a step that names no role of ours is refused when it is read

Cause: after the rename of programs, 'kill sommelier@...' in a scenario found no process and did nothing, and the scenario went on to pass. Test: two such lines, both read without a word before (seen to fail), now refused by their line.

--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -14,6 +14,12 @@
     from simulation.hosted.world import World
 
 
+ROLES = ("proxy", "controller")
+"""The processes that a step can name."""
+PROCESS_VERBS = ("kill", "stop", "freeze")
+"""The steps whose first word names a process."""
+
+
 class MachineVerbs:
     """Processes, machines and links. A PROCESS is ROLE@MACHINE, ROLE@all or ROLE@ZONE."""
 
@@ -364,4 +370,7 @@
         inspect.signature(method).bind(None, *words)
     except TypeError as fault:
         return f"{verb}: {fault}"
-    return ""
+    if verb == "on-ack":
+        return find_fault(verb=words[0], words=words[1:])
+    role = words[0].partition("@")[0] if verb in PROCESS_VERBS else ROLES[0]
+    return "" if role in ROLES else f"{verb}: no role {role!r}"
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -37,6 +37,8 @@
     [
         "at 1 dance",
         "at 1 kill",
+        "at 1 kill waiter@all",
+        "at 1 on-ack stop waiter@all",
         "at 1 cut a b",
         "fails without nothing by TWICE",
         "sing",
