Routing by the field's names: fair_queues, claim_memory, health

lines.py -> fair_queues.py (Lines is FairQueues), kept.py -> claim_memory.py (Kept is ClaimMemory), status.py -> health.py; LINE_LENGTH is QUEUE_LENGTH, the safeguard fair-lines is fair-queues. The refusal's word line-full, which callers read, stays.

--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -98,7 +98,7 @@
 """s between looks at the slots."""
 MAX_OPEN = 128
 """exchanges a proxy has open at workers; more wait in line."""
-LINE_LENGTH = 64
+QUEUE_LENGTH = 64
 """exchanges that wait for one tenant; more are refused at once."""
 LINE_WAIT = 0.5
 """s that an exchange may wait in line before it is refused: never held."""
--- a/sailward/proxy/tenant_proxy.py
+++ b/sailward/proxy/tenant_proxy.py
@@ -34,10 +34,10 @@
 from sailward.routing.exchange import Refusal, answer_json, answer_refusal, is_promise_safe
 from sailward.routing.exchanges import Exchanges
 from sailward.routing.explain import explain
+from sailward.routing.health import Prober
 from sailward.routing.lease import Lease
 from sailward.routing.plan import read_plan
 from sailward.routing.slots import PREFIX as SLOTS
-from sailward.routing.status import Prober
 from sailward.routing.world import World, read_orders
 from sailward.state_machines import Chart
 
--- a/sailward/routing/kept.py
+++ b/sailward/routing/claim_memory.py
@@ -24,22 +24,22 @@
     body: bytes = b""
 
 
-class Kept:
-    """Owner of the memories, bounded by age and bytes. `step` lets old ones go."""
+class ClaimMemory:
+    """Owner of what is remembered, by the digest of its key, bounded by age and bytes. `step` lets old ones go."""
 
     def __init__(self) -> None:
-        self.memories: OrderedDict[str, Memory] = OrderedDict()
+        self.by_digest: OrderedDict[str, Memory] = OrderedDict()
         self._bytes = 0
 
     def step(self, *, now: float) -> None:
         """Forget what is older than a claim's life; drop the oldest results over the bound."""
-        while self.memories:
-            digest, memory = next(iter(self.memories.items()))
+        while self.by_digest:
+            digest, memory = next(iter(self.by_digest.items()))
             if now - memory.at < constants.CLAIM_LIFE:
                 break
-            del self.memories[digest]
+            del self.by_digest[digest]
             self._bytes -= len(memory.body)
-        for memory in self.memories.values():
+        for memory in self.by_digest.values():
             if self._bytes <= constants.KEPT_BYTES:
                 return
             self._bytes -= len(memory.body)
@@ -47,18 +47,18 @@
 
     def begin(self, *, now: float, digest: str, fingerprint: str, homes: frozenset, count: int) -> Memory:
         """Remember that the claim with this count is being made here; `first` is the first one remembered."""
-        old = self.memories.pop(digest, None)
+        old = self.by_digest.pop(digest, None)
         memory = Memory(
             state="claiming", fingerprint=fingerprint, at=now, homes=homes, first=old.first if old else count
         )
         if old is not None:
             self._bytes -= len(old.body)
-        self.memories[digest] = memory
+        self.by_digest[digest] = memory
         return memory
 
     def finish(self, *, digest: str, code: int, headers: dict, body: bytes, store: bool) -> None:
         """Remember the result; its content only if this place may `store` it."""
-        memory = self.memories.get(digest)
+        memory = self.by_digest.get(digest)
         if memory is None:
             return
         memory.state, memory.code = "done", code
@@ -68,7 +68,7 @@
 
     def peeked(self, *, token: str, digest: str, region: str, copy: Copy | None) -> dict:
         """The answer to another proxy in this region: of an own claim, or by a copy."""
-        memory = self.memories.get(digest)
+        memory = self.by_digest.get(digest)
         state = memory.state if memory else "unknown"
         body = {
             "kind": "peeked",
--- a/sailward/routing/claims.py
+++ b/sailward/routing/claims.py
@@ -9,9 +9,9 @@
 from sailward.consensus.acceptor import CLAIM as PREFIX
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled
 from sailward.events import Tell
+from sailward.routing.claim_memory import ClaimMemory, Memory
 from sailward.routing.copies import Copies, Peer, may_keep, spread_copy
 from sailward.routing.exchange import Exchange, Refusal
-from sailward.routing.kept import Kept, Memory
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -61,7 +61,7 @@
     hall: str
     copies: Copies
     peers: list[Peer] = field(default_factory=list)
-    kept: Kept = field(default_factory=Kept)
+    memory: ClaimMemory = field(default_factory=ClaimMemory)
     claiming: dict = field(default_factory=dict)
     peeking: dict = field(default_factory=dict)
     count: int = 0
@@ -80,14 +80,14 @@
             return [], [], []
         if body["kind"] == "peek":
             copy = self.copies.find(digest=body["key"], number=body["number"])
-            reply = self.kept.peeked(token=body["token"], digest=body["key"], region=body["region"], copy=copy)
+            reply = self.memory.peeked(token=body["token"], digest=body["key"], region=body["region"], copy=copy)
             return [Tell(to=sender, body=reply)], [], []
         return self._take_peeked(now=now, sender=sender, body=body)
 
     def finish(self, *, exchange: Exchange, code: int, headers: dict, body: bytes) -> list:
         """Keep the result for repeats, here if this place may, and with one proxy more."""
-        memory = self.kept.memories.get(exchange.digest)
-        self.kept.finish(
+        memory = self.memory.by_digest.get(exchange.digest)
+        self.memory.finish(
             digest=exchange.digest,
             code=code,
             headers=headers,
@@ -110,11 +110,11 @@
 
     def remembers(self, *, exchange: Exchange) -> bool:
         """Is the key known here as sent on before, so that no worker is needed?"""
-        memory = self.kept.memories.get(exchange.digest) if exchange.unsafe else None
+        memory = self.memory.by_digest.get(exchange.digest) if exchange.unsafe else None
         return memory is not None and memory.state != "unsent" and not exchange.claim
 
     def _begin(self, *, now: float, exchange: Exchange) -> tuple[list, list[Begin], list]:
-        memory = self.kept.memories.get(exchange.digest)
+        memory = self.memory.by_digest.get(exchange.digest)
         if memory is None:
             return [], [self._claim(now=now, exchange=exchange, expected=0)], []
         if memory.fingerprint != exchange.fingerprint:
@@ -131,7 +131,7 @@
 
     def _claim(self, *, now: float, exchange: Exchange, expected: int) -> Begin:
         self.count += 1
-        self.kept.begin(
+        self.memory.begin(
             now=now,
             digest=exchange.digest,
             fingerprint=exchange.fingerprint,
@@ -150,7 +150,7 @@
         exchange = self.claiming.pop(event.op, None)
         if exchange is None:
             return [], [], []
-        memory, outcome = self.kept.memories.get(exchange.digest), event.outcome
+        memory, outcome = self.memory.by_digest.get(exchange.digest), event.outcome
         if isinstance(outcome, Accepted):
             if memory is None or outcome.value["number"] != outcome.number:
                 return [], [], [Lost(exchange=exchange, refusal=Refusal(code=503, reason="claim-passed-on"))]
@@ -173,7 +173,7 @@
             return self._judge_state(
                 now=now, exchange=exchange, state="unsent" if known else "unknown", number=value["number"]
             )
-        self.kept.memories.pop(exchange.digest, None)
+        self.memory.by_digest.pop(exchange.digest, None)
         if claim["f"] != exchange.fingerprint:
             return [], [], [_lost_to_other(exchange=exchange)]
         copy = self.copies.find(digest=exchange.digest, number=value["number"])
@@ -255,7 +255,7 @@
                     detail="no proxy that can be reached has this key's result",
                 )
                 verdicts.append(Lost(exchange=peeking.exchange, refusal=refusal))
-        self.kept.step(now=now)
+        self.memory.step(now=now)
         self.copies.step(now=now, event=None)
         return verdicts
 
--- a/sailward/routing/exchange.py
+++ b/sailward/routing/exchange.py
@@ -84,8 +84,8 @@
         return self.method not in SAFE
 
     @property
-    def line(self) -> str:
-        """The line that it waits in."""
+    def queue_name(self) -> str:
+        """The queue that it waits in."""
         return f"{self.tenant.name}|{self.service.name}"
 
     @property
--- a/sailward/routing/exchanges.py
+++ b/sailward/routing/exchanges.py
@@ -18,7 +18,7 @@
     refit_exchange,
     take_exchange,
 )
-from sailward.routing.lines import Lines
+from sailward.routing.fair_queues import FairQueues
 from sailward.routing.tries import LOOK, Tries
 from sailward.routing.verify import Bad, Good, Unsent, WorkerRefused, judge_result
 
@@ -30,7 +30,7 @@
     identity: str
     chooser: Chooser
     claims: Claims
-    lines: Lines = field(default_factory=Lines)
+    queues: FairQueues = field(default_factory=FairQueues)
     tries: Tries = field(default_factory=Tries)
     live: dict = field(default_factory=dict)
     sent: dict = field(default_factory=dict)
@@ -92,7 +92,7 @@
             if taken.code == 503 and event.headers.get("sailward-try", "1") == "1":
                 self.tries.credit(now=now)
             return [answer_refusal(token=event.token, refusal=taken, not_run=promise)], []
-        memory = self.claims.kept.memories.get(taken.digest) if taken.key else None
+        memory = self.claims.memory.by_digest.get(taken.digest) if taken.key else None
         repeat = taken.turn > 1 or (memory is not None and memory.state == "unsent")
         replay = memory is not None and memory.state != "unsent"
         # a repeat whose claim is not known here swells nothing until it is sent on
@@ -119,12 +119,12 @@
                 )
             ], []
         self.live[taken.token] = taken
-        if replay or (len(self.sent) < constants.MAX_OPEN and not self.lines.waits(name=taken.line)):
+        if replay or (len(self.sent) < constants.MAX_OPEN and not self.queues.waits(name=taken.queue_name)):
             dispatched = self._dispatch(now=now, exchange=taken)
             if dispatched is not None:
                 return dispatched
         taken.state = "waiting"
-        if not self.lines.step(name=taken.line, item=taken.token, share=taken.tenant.share):
+        if not self.queues.step(name=taken.queue_name, item=taken.token, share=taken.tenant.share):
             return [self._refuse(exchange=taken, reason="line-full", detail="this tenant's line is full")], []
         return [], []
 
@@ -256,7 +256,7 @@
             # its worker may run on, though nobody hears of it
             self.lingering[self._place(exchange=exchange)] = exchange.sent_at + exchange.service.expiry
         if ran:
-            memory = self.claims.kept.memories.get(exchange.digest)
+            memory = self.claims.memory.by_digest.get(exchange.digest)
             if memory is not None:
                 memory.state = "unknown"
         elif isinstance(verdict, (Unsent, WorkerRefused)):
@@ -307,7 +307,7 @@
             self.tries.refund(now=self.now, paid=exchange.paid, swells=refusal.code != 503)
             exchange.paid = ""
         if exchange.state == "waiting":
-            self.lines.drop(item=exchange.token)
+            self.queues.drop(item=exchange.token)
         if exchange.claim and not exchange.sent:
             self._unsend(exchange=exchange)
         exchange.answered = True
@@ -316,7 +316,7 @@
         return answer_refusal(token=exchange.token, refusal=refusal, not_run=promise)
 
     def _unsend(self, *, exchange: Exchange) -> None:
-        memory = self.claims.kept.memories.get(exchange.digest)
+        memory = self.claims.memory.by_digest.get(exchange.digest)
         if memory is not None and memory.state == "running":
             memory.state = "unsent"
 
@@ -326,7 +326,7 @@
     def _pump(self, *, now: float, acting: bool) -> tuple[list, list]:
         commands, begins, blocked = [], [], set()
         while acting and len(self.sent) < constants.MAX_OPEN:
-            turn = self.lines.take(blocked=blocked)
+            turn = self.queues.take(blocked=blocked)
             if turn is None:
                 break
             exchange = self.live.get(turn[1])
@@ -334,7 +334,7 @@
                 continue
             dispatched = self._dispatch(now=now, exchange=exchange)
             if dispatched is None:
-                self.lines.put_back(name=turn[0], item=turn[1])
+                self.queues.put_back(name=turn[0], item=turn[1])
                 blocked.add(turn[0])
                 continue
             commands, begins = commands + dispatched[0], begins + dispatched[1]
--- a/sailward/routing/world.py
+++ b/sailward/routing/world.py
@@ -9,9 +9,9 @@
 from sailward.discovery.workers import WorkerBook
 from sailward.routing.draw import HallView
 from sailward.routing.halls import HallBook
+from sailward.routing.health import Prober
 from sailward.routing.plan import Plan, Tenant
 from sailward.routing.slots import SlotBook
-from sailward.routing.status import Prober
 
 
 @dataclass(kw_only=True)
--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -22,9 +22,9 @@
     copies,
     draw,
     exchanges,
+    fair_queues,
+    health,
     lease,
-    lines,
-    status,
     tries,
     verify,
     world,
@@ -148,7 +148,7 @@
     return judge
 
 
-def _one_line(old):
+def _one_queue(old):
     def step(self, *, name, item, share=1):
         return old(self, name="", item=item, share=1)
 
@@ -202,7 +202,7 @@
         ),
     ),
     "probes": _method(
-        status.Prober,
+        health.Prober,
         "_move",
         lambda old: lambda self, *, now, probed, event: old(self, now=now, probed=probed, event="pass"),
     ),
@@ -236,7 +236,7 @@
         ),
     ),
     "self-doubt": _constant("SUSPECT_SELF", 2.0),
-    "fair-lines": _method(lines.Lines, "step", _one_line),
+    "fair-queues": _method(fair_queues.FairQueues, "step", _one_queue),
     "hot-bound": _constant("HOT_KEY_SHARE", 1e9),
     "first-quorum": _method(proposer, "fast_of", lambda old: lambda *, members: 2),
     "majority-kept": _method(admin_api, "keeps_majority", lambda old: lambda *, text, well: True),
