--- a/sailward/programs/controller.py
+++ b/sailward/programs/controller.py
@@ -26,17 +26,16 @@
 from __future__ import annotations
 
 import random
-import sys
 import time
 from pathlib import Path
 
 from sailward import constants
 from sailward.control.controller import Controller
 from sailward.programs.common import make_nonce, make_place, make_start, read_flags, read_settings, start_edges
-from sailward.runtime.logs import write_log
+from sailward.programs.data_folder import open_folder
 from sailward.runtime.loop import Loop, end_process
 from sailward.runtime.startup import CONTROLLER
-from sailward.storage.disk import Damaged, Disk, Newer, Taken
+from sailward.storage.disk import Disk
 
 
 def main(argv: list[str] | None = None) -> None:
@@ -44,36 +43,7 @@
     settings = read_settings(flags=read_flags(doc=__doc__, argv=argv), schema=CONTROLLER)
     loop = Loop()
     disk = Disk(folder=Path(settings["data"]), tell=loop.tell)
-    try:
-        found = disk.open()
-    except OSError as fault:
-        write_log(event="disk-failed", fields={"reason": fault}, level="error")
-        sys.exit(constants.EXIT_DISK)
-    if isinstance(found, Damaged):
-        write_log(
-            event="disk-damaged",
-            fields={
-                "folder": settings["data"],
-                "offset": found.offset,
-                "todo": "move the folder away and bring this controller in anew",
-            },
-            level="error",
-        )
-        sys.exit(constants.EXIT_DISK)
-    if isinstance(found, Newer):
-        write_log(
-            event="disk-newer",
-            fields={
-                "folder": settings["data"],
-                "what": found.what,
-                "todo": "start the newer version again, or move the folder away and bring this controller in anew",
-            },
-            level="error",
-        )
-        sys.exit(constants.EXIT_DISK)
-    if isinstance(found, Taken):
-        write_log(event="folder-taken", fields={"folder": found.folder}, level="error")
-        sys.exit(constants.EXIT_TAKEN)
+    records = open_folder(disk=disk, folder=settings["data"])
     nonce = make_nonce()
     owner = Controller(
         place=make_place(settings=settings, kind="controller"),
@@ -81,7 +51,7 @@
         nonce=nonce,
         start=make_start(),
         rng=random.Random(nonce),
-        records=found.records,
+        records=records,
         now=time.monotonic(),
     )
     edges = start_edges(settings=settings, loop=loop, limit=constants.CONFIG_BYTES, calling=True, disk=disk)
--- a/sailward/programs/hosted_controller.py
+++ b/sailward/programs/hosted_controller.py
@@ -4,7 +4,6 @@
 
 import os
 import random
-import sys
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -13,18 +12,22 @@
 from sailward.config.check import check_config
 from sailward.control.controller import Controller
 from sailward.events import Check, Checked, Rewrite, Store, Synced
+from sailward.programs.data_folder import open_folder
 from sailward.programs.hosted import Hosted, answer_handlers, begin_host, open_front, serve_owner, start_number
 from sailward.routing.plan import Limits
 from sailward.runtime.host import Host
-from sailward.runtime.logs import write_log
-from sailward.storage.disk import Damaged, Disk, Newer, Taken
+from sailward.storage.disk import Disk
 
 
 def run_controller(*, hosted: Hosted) -> None:
     """Run a controller until it is told to stop."""
     reactor, host = begin_host(hosted=hosted)
-    disk = Disk(folder=Path(hosted.data), tell=host.tell_from_thread) if hosted.data else NoDisk(host=host)
-    records = _open_disk(hosted=hosted, disk=disk) if hosted.data else []
+    checks = ThreadPoolExecutor(max_workers=2)
+    disk: Disk | NoDisk = NoDisk(host=host)
+    records = []
+    if hosted.data:
+        disk = Disk(folder=Path(hosted.data), tell=host.tell_from_thread)
+        records = open_folder(disk=disk, folder=hosted.data)
     nonce = os.urandom(constants.NONCE_BYTES).hex()
     owner = Controller(
         place=hosted.place,
@@ -41,8 +44,7 @@
         edge: open_front(hosted=hosted, edge=edge, reactor=reactor, host=host, limits=lambda: limits)
         for edge in hosted.listen
     }
-    checks = ThreadPoolExecutor(max_workers=2)
-    if hosted.data:
+    if isinstance(disk, Disk):
         checks.submit(disk.run)
     handlers = {
         Store: lambda one: disk.give(command=one),
@@ -67,29 +69,6 @@
         self.host.tell(Synced(seq=command.seq))
 
 
-def _open_disk(*, hosted: Hosted, disk: Disk) -> list:
-    try:
-        found = disk.open()
-    except OSError as fault:
-        write_log(event="disk-failed", fields={"reason": fault}, level="error")
-        sys.exit(constants.EXIT_DISK)
-    if isinstance(found, (Damaged, Newer)):
-        write_log(
-            event="disk-damaged" if isinstance(found, Damaged) else "disk-newer",
-            fields={
-                "folder": hosted.data,
-                "what": found,
-                "todo": "move the folder away and bring this controller in anew",
-            },
-            level="error",
-        )
-        sys.exit(constants.EXIT_DISK)
-    if isinstance(found, Taken):
-        write_log(event="folder-taken", fields={"folder": found.folder}, level="error")
-        sys.exit(constants.EXIT_TAKEN)
-    return found.records
-
-
 def _check(host: Host, command: Check) -> None:
     verdict = check_config(config=command.config)
     host.tell_from_thread(Checked(token=command.token, verdict=verdict))
--- a/sailward/runtime/host.py
+++ b/sailward/runtime/host.py
@@ -4,13 +4,13 @@
 
 import signal
 import time
-import traceback
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.events import Command, Heard, Log, Stop, StopAsked, Ticked
+from sailward.events import Stop, StopAsked, Ticked
+from sailward.runtime.journal import Journal, carry_out
 from sailward.runtime.logs import write_log
 from sailward.runtime.reactor import Reactor
 
@@ -26,7 +26,7 @@
     changed: Callable | None = None
     _line: deque = field(default_factory=deque)
     _is_busy: bool = False
-    _journal: deque = field(default_factory=lambda: deque(maxlen=constants.JOURNAL))
+    _journal: Journal = field(default_factory=lambda: Journal(shown=constants.JOURNAL_SHOWN))
 
     def tell(self, event: object) -> None:
         """Give the owner an event, after those already in line. Only from the reactor's thread."""
@@ -62,7 +62,7 @@
 
     def _take(self, *, event: object) -> None:
         now = self.reactor.clock()
-        self._journal.append((now, event))
+        self._journal.add(now=now, event=event)
         try:
             for command in self.step(now=now, event=event):
                 if isinstance(command, Stop):
@@ -72,39 +72,8 @@
                     self._line.clear()
                     self.reactor.later(delay=constants.FLUSH_WAIT, call=self.reactor.stop)
                     return
-                self._carry_out(command=command)
+                carry_out(command=command, handlers=self.handlers)
         except Exception:  # noqa: BLE001 - any fault of the owner is logged, and ends the process
-            write_log(
-                event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error"
-            )
-            self._write_journal()
+            self._journal.write_fault(event=event)
             self.code = constants.EXIT_FAULT
             self.reactor.stop()
-
-    def _carry_out(self, *, command: Command) -> None:
-        if isinstance(command, Log):
-            write_log(event=command.event, fields=command.fields)
-            return
-        handler = self.handlers.get(type(command))
-        if handler is None:
-            # a mistake in the program, but none to die of
-            write_log(event="command-unexpected", fields={"type": type(command).__name__}, level="error")
-            return
-        handler(command)
-
-    def _write_journal(self) -> None:
-        """What the owner was given last, oldest first: kinds and names, nothing of a caller's."""
-        for at, event in list(self._journal)[-constants.JOURNAL_SHOWN :]:
-            told = (
-                {"from": event.sender, "kind": event.body["kind"]}
-                if isinstance(event, Heard)
-                else {
-                    name: getattr(event, name)
-                    for name in ("token", "method", "seq", "code", "fault")
-                    if hasattr(event, name)
-                }
-            )
-            if not isinstance(event, Ticked):
-                write_log(
-                    event="journal", fields={"at": f"{at:.3f}", "event": type(event).__name__, **told}, level="error"
-                )
--- a/sailward/runtime/loop.py
+++ b/sailward/runtime/loop.py
@@ -7,7 +7,6 @@
 import signal
 import time
 import traceback
-from collections import deque
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -19,10 +18,7 @@
     Call,
     Check,
     Checked,
-    Command,
     HangUp,
-    Heard,
-    Log,
     Rewrite,
     Stop,
     StopAsked,
@@ -30,6 +26,7 @@
     Tell,
     Ticked,
 )
+from sailward.runtime.journal import Journal, carry_out
 from sailward.runtime.logs import write_log
 
 
@@ -39,7 +36,7 @@
 
     handlers: dict[type, Callable] = field(default_factory=dict)
     line: queue.SimpleQueue = field(default_factory=queue.SimpleQueue)
-    journal: deque = field(default_factory=lambda: deque(maxlen=constants.JOURNAL))
+    journal: Journal = field(default_factory=Journal)
 
     def tell(self, event: object) -> None:
         """Put an event in the owner's line."""
@@ -60,49 +57,18 @@
                     event = self.line.get(timeout=tick_at - now)
                 except queue.Empty:
                     continue
-            self.journal.append((now, event))
+            self.journal.add(now=now, event=event)
             try:
                 commands = step(now=time.monotonic(), event=event)
                 for command in commands:
                     if isinstance(command, Stop):
                         write_log(event="stopped", fields={"code": command.code})
                         return command.code
-                    self._carry_out(command=command)
+                    carry_out(command=command, handlers=self.handlers)
             except Exception:  # noqa: BLE001 - any fault of the owner is logged, and ends the process
-                write_log(
-                    event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error"
-                )
-                self._write_journal()
+                self.journal.write_fault(event=event)
                 return constants.EXIT_FAULT
 
-    def _write_journal(self) -> None:
-        """What the owner was given last, oldest first: kinds and names, nothing of a tenant's."""
-        for at, event in self.journal:
-            told = (
-                {"from": event.sender, "kind": event.body["kind"]}
-                if isinstance(event, Heard)
-                else {
-                    name: getattr(event, name)
-                    for name in ("token", "method", "seq", "code", "fault")
-                    if hasattr(event, name)
-                }
-            )
-            if not isinstance(event, Ticked):
-                write_log(
-                    event="journal", fields={"at": f"{at:.3f}", "event": type(event).__name__, **told}, level="error"
-                )
-
-    def _carry_out(self, *, command: Command) -> None:
-        if isinstance(command, Log):
-            write_log(event=command.event, fields=command.fields)
-            return
-        handler = self.handlers.get(type(command))
-        if handler is None:
-            # a mistake in the program, but none to die of
-            write_log(event="command-unexpected", fields={"type": type(command).__name__}, level="error")
-            return
-        handler(command)
-
 
 @dataclass(kw_only=True)
 class Edges:
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,44 @@
+"""What is logged when an owner ends by a fault, and how commands reach the edges."""
+
+from __future__ import annotations
+
+import pytest
+
+from sailward.events import Called, Heard, Log, Stop, Ticked
+from sailward.runtime import journal
+from sailward.runtime.journal import Journal, carry_out
+
+
+@pytest.fixture
+def logged(monkeypatch: pytest.MonkeyPatch) -> list[tuple[str, dict]]:
+    rows: list[tuple[str, dict]] = []
+    monkeypatch.setattr(journal, "write_log", lambda *, event, fields, level="info": rows.append((event, fields)))
+    return rows
+
+
+def test_a_fault_is_logged_with_the_last_events_but_without_their_contents(logged: list) -> None:
+    kept = Journal(shown=3)
+    body = {"kind": "push", "value": "a tenant's"}
+    called = Called(token="t", code=500, headers={"x": "a caller's"}, body=b"a caller's", fault="", sent=True)
+    events = [Heard(sender="old", body=body), Ticked(wall=1.0), Heard(sender="new", body=body), called]
+    for at, event in enumerate(events):
+        kept.add(now=float(at), event=event)
+    try:
+        raise OSError("away")
+    except OSError:
+        kept.write_fault(event=events[-1])
+    (name, fault), *rows = logged
+    assert name == "fault" and fault["on"] == "Called" and "OSError: away" in fault["trace"]
+    assert rows == [
+        ("journal", {"at": "2.000", "event": "Heard", "from": "new", "kind": "push"}),
+        ("journal", {"at": "3.000", "event": "Called", "token": "t", "code": 500, "fault": ""}),
+    ]
+
+
+def test_a_command_goes_to_the_edge_for_its_type_and_an_unknown_one_is_logged(logged: list) -> None:
+    seen: list = []
+    carry_out(command=Stop(code=3), handlers={Stop: seen.append})
+    carry_out(command=Log(event="said", fields={"a": 1}), handlers={})
+    carry_out(command=Stop(code=4), handlers={})
+    assert [one.code for one in seen] == [3]
+    assert logged == [("said", {"a": 1}), ("command-unexpected", {"type": "Stop"})]
