Orders sent again: judged by what they build on and a history of 256 to 512 digests

A PUT with the current content on another base is another change: was 200, which confirmed two changes on top of one version.

Orders on zones bear no number. Brought about, each test seen to fail without its part: a copy whose change waited behind a cut undid the opposite that followed (counts a zone); an opposite that found its zone as wanted was acknowledged without a change, and a half accepted order was finished after it (each order is a change now); one whose caller left before its change began changed the zone all the same (CallerLeft, also on a half-closed desk connection).

--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -180,8 +180,15 @@
 """s that the leaving of a worker which is on no list any more is remembered."""
 COLD_RISE = 0.4
 """s by which a worker's told cold time must be over the expected one to be news: it counts down by itself."""
-LABELS_KEPT = 32
-"""changes that a labelled configuration remembers, so that one which is sent again is known."""
+HISTORY_SEGMENT = 256
+"""changes in one segment of a labelled configuration's history, 3 kB: two minutes at three changes a second."""
+HISTORY_SEGMENTS = 2
+"""segments of the history: one that fills, and a full one before it. So 256 to 512 changes are known when they are sent again."""
+ORDER_READ_WAIT = 1.0
+"""s that an order on a zone may wait before its change is begun: its operator has gone to another daemon by then, and a copy
+that begins later could undo what was ordered since."""
+ORDER_TURNS = 5
+"""times that an operators' change is tried on top of what others changed meanwhile, before its operator is asked to come back."""
 JOIN_WAIT = 6.0
 """s that a new voter may take to copy before another one is brought in for it, where the core founded itself."""
 REPAIR_TURN = 0.6
--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -1,4 +1,9 @@
-"""The operators' interface of a cellar: configurations and hall orders."""
+"""The operators' interface of a controller: configurations, and orders on zones and voters.
+
+Each order is read, judged by the register's value and tried as a compare-and-set. It is refused only if it can never be taken:
+it is invalid, or another change was taken on top of what it builds on. Whatever can't be told apart ends without a clear
+answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
+"""
 
 from __future__ import annotations
 
@@ -8,21 +13,27 @@
 from sailward import constants
 from sailward.config.check import Fault, Unsound
 from sailward.config.dialect import Dialect, Order, Outcome, OwnDialect, refused_unsound
-from sailward.config.history import Labelled, read_labelled, write_labelled
+from sailward.config.history import Labelled, Verdict, read_labelled, write_labelled
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled, Unknown
 from sailward.control.homes import find_homeless
 from sailward.control.repair import change_members, keeps_majority
-from sailward.events import Asked, Check, Checked, Log
+from sailward.control.zone_orders import read_zone_orders, write_zone_orders
+from sailward.events import Asked, CallerLeft, Check, Checked, Log
 
 
 @dataclass(kw_only=True)
 class Job:
-    """One operators' exchange under way; `number` and `text` are the register's as read for it."""
+    """One operators' exchange under way; `number` and `text` are the register's as read for it.
+
+    `taken`: how many orders of its kind the register counted for its zone at the first look. `is_left`: its caller is gone.
+    """
 
     token: str
     order: Order
     dialect: Dialect
     turns: int = 0
+    taken: int | None = None
+    is_left: bool = False
     number: int = 0
     text: str = ""
     written: dict = field(default_factory=dict)
@@ -45,8 +56,12 @@
     full: dict = field(default_factory=dict)
     cellars: dict = field(default_factory=dict)
 
-    def step(self, *, event: Asked | Settled | Checked) -> tuple[list, list]:
-        """Take an operator's exchange, the end of an operation begun for one, or of a check."""
+    def step(self, *, event: Asked | CallerLeft | Settled | Checked) -> tuple[list, list]:
+        """Take an operator's exchange, its caller's end, the end of an operation begun for one, or of a check."""
+        if isinstance(event, CallerLeft):
+            for job in self.jobs.values():
+                job.is_left = job.is_left or job.token == event.token
+            return [], []
         if isinstance(event, Checked):
             job = self.jobs.pop(event.token, None)
             return self._after_check(job=job, verdict=event.verdict) if job else ([], [])
@@ -79,7 +94,8 @@
         return Begin(op=op, register=job.order.register, **fields)
 
     def _begin_read(self, *, job: Job) -> Begin:
-        return self._begin(job=job, kind="read", wait=self.wait)
+        wait = min(self.wait, constants.ORDER_READ_WAIT) if job.order.register == "orders" else self.wait
+        return self._begin(job=job, kind="read", wait=wait)
 
     def _end(self, *, job: Job, outcome: Outcome) -> tuple[list, list]:
         return [job.dialect.answer(token=job.token, order=job.order, outcome=outcome)], []
@@ -105,26 +121,25 @@
             return self._end(job=job, outcome=_stale(number=job.number, detail=detail))
         if job.order.register in ("orders", "voters"):
             made = (self._make_orders if job.order.register == "orders" else self._make_voters)(job=job)
-            return (
-                self._end(job=job, outcome=made)
-                if isinstance(made, Outcome)
-                else ([], [self._begin_change(job=job, text=made)])
-            )
+            if isinstance(made, Outcome):
+                return self._end(job=job, outcome=made)
+            return [], [self._begin_change(job=job, text=made)]
         written = json.loads(job.text)["written"] if job.text else {}
         return self._begin_check(job=job, written=written)
 
     def _weigh_labelled(self, *, job: Job) -> tuple[list, list]:
         """Judge a change of a labelled configuration by the one that is current."""
         order, current = job.order, read_labelled(text=job.text)
-        is_same = order.kind == "put" and current.written is not None and order.given == current.written
-        if current.has(digest=order.digest) or is_same:
-            # taken before, maybe by another cellar: what is sent again is answered again
+        verdict = current.judge(expected=order.expected, digest=order.digest)
+        if verdict is Verdict.NEXT:
+            return self._begin_check(job=job, written=current.written or {}, current=current)
+        if verdict is Verdict.TAKEN:
+            # maybe by another controller: what is sent again is answered again
             return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
-        if order.expected != current.label:
-            return self._end(
-                job=job, outcome=_stale(number=current.label, detail=f"the current version is {current.label}")
-            )
-        return self._begin_check(job=job, written=current.written or {}, current=current)
+        if verdict is Verdict.LOST:
+            detail = f"the current version is {current.label}"
+            return self._end(job=job, outcome=_stale(number=current.label, detail=detail))
+        return self._end(job=job, outcome=_unjudged(verdict=verdict, order=order, current=current))
 
     def _begin_check(self, *, job: Job, written: dict, current: Labelled | None = None) -> tuple[list, list]:
         given = job.order.given
@@ -180,33 +195,34 @@
         return [], [self._begin_change(job=job, text=text)]
 
     def _make_orders(self, *, job: Job) -> str | Outcome:
-        emptied = set(json.loads(job.text)["emptied"]) if job.text else set()
-        hall, kind = job.order.given, job.order.kind
-        if (
-            hall not in self.full.get("halls", {})
-            and hall not in self.halls
-            and not (kind == "refill" and hall in emptied)
-        ):
+        """The register's text with this order taken, or why it is not."""
+        zone, kind = job.order.given, job.order.kind
+        orders = read_zone_orders(text=job.text)
+        is_known = zone in self.full.get("halls", {}) or zone in self.halls
+        if not is_known and not (kind == "refill" and zone in orders.emptied):
             return Outcome(
-                kind="refused", code=404, reason="hall-unknown", detail=f"no hall {hall!r} in the configuration"
+                kind="refused", code=404, reason="hall-unknown", detail=f"no hall {zone!r} in the configuration"
             )
-        if job.dialect.is_labelled and (hall in emptied) == (kind == "empty"):
-            # ordered before: a resent order needs no change
+        taken = orders.count(kind=kind, zone=zone)
+        if job.taken is not None and taken > job.taken:
+            # one alike was taken since this one came, maybe a copy of it: it stands for both
             return Outcome(kind="accepted", number=job.number)
-        if kind == "empty":
-            emptied |= {hall}
-            homeless = find_homeless(full=self.full, emptied=emptied)
-            if homeless and not job.order.is_confirmed:
-                return Outcome(
-                    kind="refused",
-                    code=409,
-                    reason="homes-left-empty",
-                    notes={"tenants": homeless},
-                    detail="these tenants would have no hall at home: confirm=yes empties it all the same",
-                )
-        else:
-            emptied -= {hall}
-        return json.dumps({"emptied": sorted(emptied)})
+        if job.is_left:
+            return Outcome(
+                kind="unavailable", code=503, reason="caller-left", detail="the caller left: nothing was changed"
+            )
+        job.taken = taken
+        wanted = orders.with_order(kind=kind, zone=zone)
+        homeless = find_homeless(full=self.full, emptied=wanted.emptied) if kind == "empty" else []
+        if homeless and not job.order.is_confirmed:
+            return Outcome(
+                kind="refused",
+                code=409,
+                reason="homes-left-empty",
+                notes={"tenants": homeless},
+                detail="these tenants would have no hall at home: confirm=yes empties it all the same",
+            )
+        return write_zone_orders(orders=wanted)
 
     def _make_voters(self, *, job: Job) -> str | Outcome:
         """One member more or less, by its identity or its name; never one that would cost the majority."""
@@ -237,10 +253,10 @@
 
     def _after_change(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
         if isinstance(outcome, Accepted):
-            log = Log(
-                event="accepted",
-                fields={"register": job.order.register, "number": outcome.number, "by": job.order.kind},
-            )
+            fields = {"register": job.order.register, "number": outcome.number, "by": job.order.kind}
+            if job.order.digest:
+                fields |= {"builds_on": job.order.expected, "digest": job.order.digest}
+            log = Log(event="accepted", fields=fields)
             commands, begins = self._end(
                 job=job, outcome=Outcome(kind="accepted", number=outcome.number, notes=job.notes)
             )
@@ -261,7 +277,7 @@
                 outcome=Outcome(kind="unavailable", code=503, reason=outcome.reason, detail="nothing was changed"),
             )
         job.turns += 1
-        if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < 5:
+        if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < constants.ORDER_TURNS:
             return [], [self._begin_read(job=job)]
         if job.dialect.is_labelled:
             # who won may have been this very change, taken by another cellar: nothing definite can be said
@@ -278,5 +294,17 @@
     return Outcome(kind="refused", code=412, reason="number", number=number, detail=detail)
 
 
+def _unjudged(*, verdict: Verdict, order: Order, current: Labelled) -> Outcome:
+    """The answer to a change that is neither taken by now nor lost for good, as far as the history tells."""
+    if verdict is Verdict.AHEAD:
+        detail = f"it builds on {order.expected}, the current version is {current.label}: nothing was changed by now"
+        return Outcome(kind="unavailable", code=503, reason="not-current-yet", number=current.label, detail=detail)
+    detail = (
+        f"it builds on {order.expected}, the history reaches back to {current.history[0].since}: read the configuration, "
+        f"and look for digest {order.digest} in the logs of what was accepted"
+    )
+    return Outcome(kind="unknown", code=504, reason="history-too-short", number=current.label, detail=detail)
+
+
 def _not_newer(*, label: int) -> Unsound:
     return Unsound(faults=(Fault(path="label", reason=f"must be over the current one, {label}"),))
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -25,7 +25,7 @@
 from sailward.control.write_ahead import WriteAhead
 from sailward.discovery.gossip import Place, Roster
 from sailward.discovery.pages import Pager
-from sailward.events import Asked, Called, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
+from sailward.events import Asked, Called, CallerLeft, Checked, DiskFailed, Heard, Log, Stop, StopAsked, Synced, Tell
 from sailward.routing.exchange import answer_json
 from sailward.routing.plan import plan_of, read_full
 
@@ -133,7 +133,7 @@
             commands += self.minding.step(now=now, event=event) if is_grant else self._page(now=now, event=event)
         elif isinstance(event, (Synced, DiskFailed)):
             commands += self.ledger.hear(event=event)
-        elif isinstance(event, Checked):
+        elif isinstance(event, (Checked, CallerLeft)):
             more, begins = self.desk.step(event=event)
             commands += more + self.begin(now=now, begins=begins)
         elif isinstance(event, StopAsked):
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -67,7 +67,14 @@
         host.tell(hosted.words.ask(event) if isinstance(event, Asked) and edge != "front" else event)
 
     try:
-        return Front(reactor=reactor, address=hosted.listen[edge], name=edge, tell=tell, limits=limits)
+        return Front(
+            reactor=reactor,
+            address=hosted.listen[edge],
+            name=edge,
+            tell=tell,
+            limits=limits,
+            tells_half_close=edge == "desk",
+        )
     except OSError as fault:
         write_log(
             event="address-taken", fields={"edge": edge, "address": hosted.listen[edge], "reason": fault}, level="error"
--- a/sailward/transport/front.py
+++ b/sailward/transport/front.py
@@ -23,16 +23,25 @@
 class Front:
     """Listens at `address` ("ip:port", port 0 for any), tells Asked and CallerLeft; all on the reactor's thread.
 
-    Raises OSError if the address can't be had. `limits` is asked for anew with each request.
+    Raises OSError if the address can't be had. `limits` is asked for anew with each request. With `tells_half_close`, a
+    caller that closes its side counts as left, as most that do have given up; one that still reads is answered all the same.
     """
 
     def __init__(
-        self, *, reactor: Reactor, address: str, name: str, tell: Callable[[object], None], limits: Callable[[], Limits]
+        self,
+        *,
+        reactor: Reactor,
+        address: str,
+        name: str,
+        tell: Callable[[object], None],
+        limits: Callable[[], Limits],
+        tells_half_close: bool = False,
     ) -> None:
         self._reactor = reactor
         self._name = name
         self._tell = tell
         self._limits = limits
+        self._tells_half_close = tells_half_close
         self._numbers = itertools.count(1)
         self._connections: set[Connection] = set()
         self._asked: dict[str, tuple[Connection, Exchange]] = {}
@@ -145,8 +154,15 @@
             self._close(connection=connection)
             return
         self._drop_reading(connection=connection)
+        if self._tells_half_close:
+            self._tell_left(connection=connection)
         self._flush(connection=connection)
 
+    def _tell_left(self, *, connection: Connection) -> None:
+        for exchange in connection.exchanges:
+            if exchange.token in self._asked:
+                self._reactor.soon(call=functools.partial(self._tell, CallerLeft(token=exchange.token)))
+
     def _advance(self, *, connection: Connection) -> None:
         if connection.is_busy or connection.is_gone:
             return
