A linearizability check of operators' histories in every simulated run of both worlds

In the simulated platform operators now lose acknowledgements, read and change on top of what they read, eight at once; what they sent arrives also after they gave up, with their connection's end behind it.

--- a/simulation/checker.py
+++ b/simulation/checker.py
@@ -15,6 +15,7 @@
     check_runs_once,
     check_stops,
 )
+from simulation.rules.operator_orders import check_operator_orders
 from simulation.rules.places import check_bounds, check_flood, check_homes, check_keys, check_left
 from simulation.rules.service import check_borne, check_fairness, check_recovery
 
@@ -32,6 +33,7 @@
         *check_left(history=history, runs=runs),
         *check_in_force(changes=changes, runs=runs),
         *check_registers(history=history, changes=changes),
+        *check_operator_orders(history=history),
         *check_weights(history=history, changes=changes, runs=runs, halls=halls),
         *check_emptied(history=history, runs=runs),
         *check_homes(history=history, runs=runs, halls=halls),
--- a/simulation/hosted/clients.py
+++ b/simulation/hosted/clients.py
@@ -336,13 +336,17 @@
         if answer != "silent" and process is not None:
             network.send(a=process.machine.spot, b=spot, act=lambda: end(answer), wait=15.0)
 
+    def is_void() -> bool:
+        # what an operator sent arrives also if it gave up meanwhile, and its connection's end right behind it
+        return state["over"] and edge != "desk"
+
     def arrive() -> None:
-        if state["over"]:
+        if is_void():
             return
         life = process.life
 
         def take() -> None:
-            if state["over"] or process.life != life:
+            if is_void() or process.life != life:
                 return
             if read:
                 read()
@@ -352,6 +356,8 @@
                 ),
                 answer=come_back,
             )
+            if state["over"]:
+                process.leave(token=token)
 
         if process.frozen is not None:
             process.frozen.append(take)
--- a/simulation/hosted/deployment.py
+++ b/simulation/hosted/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from dataclasses import dataclass, field
 
 ZONES = {"gdl-nave": "gdl", "gdl-oficina": "gdl", "ens-cava": "ens", "ens-lagar": "ens"}
@@ -146,7 +147,15 @@
     return Deployment(services=services, kinds=kinds)
 
 
-DEPLOYMENTS = {"small": make_small, "busy": lambda: make_small(rate=3.0)}
+def make_control() -> Deployment:
+    """The control machines of the small deployment and few workers, for long days of orders without traffic."""
+    small = make_small()
+    return dataclasses.replace(
+        small, plain=0, services=tuple(dataclasses.replace(one, a_zone=1) for one in small.services)
+    )
+
+
+DEPLOYMENTS = {"small": make_small, "busy": lambda: make_small(rate=3.0), "control": make_control}
 
 
 def make_written(
--- a/simulation/hosted/judge.py
+++ b/simulation/hosted/judge.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from simulation.hosted.judge_config import judge_config, judge_reads
+from simulation.hosted.judge_orders import judge_orders
 from simulation.hosted.judge_places import (
     judge_budget,
     judge_cold,
@@ -39,6 +40,7 @@
         *judge_drain(world=world, arrivals=arrivals, touch=touch),
         *judge_config(world=world, runs=runs, tries=tries, got=got, touch=touch),
         *judge_reads(world=world, touch=touch),
+        *judge_orders(world=world),
         *judge_budget(world=world, arrivals=arrivals, tries=tries),
         *judge_cold(world=world, arrivals=arrivals),
         *judge_homes(world=world, arrivals=arrivals, tries=tries),
--- a/simulation/hosted/judge_config.py
+++ b/simulation/hosted/judge_config.py
@@ -118,6 +118,7 @@
         patience = bounds["ack_s"] + (LARGE * operator.added)
         if (
             row["valid"]
+            and not row["lost"]
             and row["t"] - row["begun"] > patience
             and touch.settled(t=row["begun"])
             and touch.settled(t=row["t"])
@@ -139,11 +140,12 @@
                 rule="LOST", t=row["t"], detail=f"r{number} was read back after r{newest.number} had been acknowledged"
             )
         sent = [one for one in operator.versions.values() if one.number == number and one.outcome != "refused"]
-        if not any(_normal(written=one.written) == _normal(written=row["written"]) for one in sent):
+        if not any(normal_form(written=one.written) == normal_form(written=row["written"]) for one in sent):
             yield Broken(rule="CONFIG", t=row["t"], detail=f"what is read back as r{number} is not what was sent")
 
 
-def _normal(*, written: dict) -> tuple:
+def normal_form(*, written: dict) -> tuple:
+    """The same for the same configuration, in whatever order its items stand."""
     rules = sorted(
         (listener["hostname"], rule["name"], repr(sorted(rule.items(), key=lambda one: one[0])))
         for listener in written["listeners"]
--- /dev/null
+++ b/simulation/hosted/judge_orders.py
@@ -0,0 +1,89 @@
+"""Operators' orders on the users' platform, checked as one history: linearizable, or a breach."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from simulation.hosted.judge_config import normal_form
+from simulation.linearizability import Operation
+from simulation.operator_models import (
+    LabelledChange,
+    LabelledLoss,
+    LabelledRead,
+    LabelledRegister,
+    Zone,
+    ZoneOrder,
+    ZoneRead,
+    digest,
+)
+from simulation.rules import Broken
+from simulation.rules.operator_orders import judge_operations
+
+if TYPE_CHECKING:
+    from simulation.hosted.operators import Version
+    from simulation.hosted.world import World
+
+RULE = "LINEAR"
+LOST = 412
+
+
+def judge_orders(*, world: World) -> Iterator[Broken]:
+    """LINEAR: no order of the operators' calls explains what they were answered and what they read."""
+    changes = [one for one in map(_change, world.operator.versions.values()) if one is not None]
+    operations = [*changes, *_reads(world=world)]
+    yield from judge_operations(rule=RULE, what="config", operations=operations, model=LabelledRegister())
+    for zone, calls in _zone_operations(world=world).items():
+        yield from judge_operations(rule=RULE, what=zone, operations=calls, model=Zone())
+
+
+def _change(version: Version) -> Operation | None:
+    name = f"r{version.number} on r{version.base}: {version.outcome}"
+    if version.outcome == "refused":
+        if version.code != LOST or not version.is_valid:
+            return None
+        call = LabelledLoss(base=version.base)
+        return Operation(name=name, begun=version.sent, ended=version.ended, call=call)
+    if not version.is_valid and version.outcome != "acked":
+        return None
+    is_certain = version.outcome == "acked"
+    content = digest(content=normal_form(written=version.written))
+    return Operation(
+        name=name,
+        begun=version.sent,
+        ended=version.ended if is_certain else math.inf,
+        call=LabelledChange(base=version.base, label=version.number, content=content),
+        is_certain=is_certain,
+    )
+
+
+def _reads(*, world: World) -> Iterator[Operation]:
+    rows = [(row, row["written"]) for row in world.history.of(k="read-back") if row["code"] == 200]
+    rows += [(row, row["body"]) for row in world.history.of(k="config-read")]
+    for row, written in rows:
+        label = int(written["generation"][1:])
+        call = LabelledRead(label=label, content=digest(content=normal_form(written=written)))
+        yield Operation(name=f"read of r{label}", begun=row["begun"], ended=row["t"], call=call)
+
+
+def _zone_operations(*, world: World) -> dict[str, list[Operation]]:
+    zones: dict[str, list[Operation]] = {}
+    for row in world.history.of(k="ordered"):
+        if 400 <= row["code"] < 500:
+            continue
+        is_certain = row["code"] == 200
+        operation = Operation(
+            name=f"{row['kind']} of {row['begun'] - world.begin:.2f}: {row['code']}",
+            begun=row["begun"],
+            ended=row["t"] if is_certain else math.inf,
+            call=ZoneOrder(is_emptied=row["kind"] == "empty"),
+            is_certain=is_certain,
+        )
+        zones.setdefault(row["zone"], []).append(operation)
+    for row in world.history.of(k="orders-read"):
+        for zone, operations in zones.items():
+            call = ZoneRead(is_emptied=zone in row["body"]["orders"].get("emptied", ()))
+            name = f"read at {row['t'] - world.begin:.2f}: {call.is_emptied}"
+            operations.append(Operation(name=name, begun=row["begun"], ended=row["t"], call=call))
+    return zones
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -4,6 +4,7 @@
 
 import copy
 import json
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -18,14 +19,19 @@
 
 ENDS = (400, 409, 412, 413, 422)
 SILENCE, LARGE = 1.0, 100_000
-"""s without an answer before another daemon is asked, and bytes over which that is doubled."""
+"""s without an answer before the connection is closed and another daemon is asked, and bytes over which that is doubled."""
+AT_ONCE = 8
+"""orders that are under way at once at the most."""
 ORDER_TIME = 5.0
 """s for which an order that is no configuration is sent again."""
 
 
 @dataclass(kw_only=True)
 class Version:
-    """One configuration that was sent, and what became of it: open, acked, refused or unknown."""
+    """One configuration that was sent, and what became of it: open, acked, refused or unknown.
+
+    `ended` and `code` are those of its final answer, `lost` how many acknowledgements never reached the operator.
+    """
 
     number: int
     base: int
@@ -34,6 +40,9 @@
     is_valid: bool = True
     outcome: str = "open"
     acked: float = float("inf")
+    ended: float = float("inf")
+    code: int = 0
+    lost: int = 0
 
     def routes(self) -> dict:
         """{(host, prefix): (services that may run it, homes)}."""
@@ -62,6 +71,12 @@
     dropped: tuple = ()
     added: int = 0
     emptied: set = field(default_factory=set)
+    patience: float = SILENCE
+    lost_share: float = 0.0
+    under_way: int = 0
+
+    def __post_init__(self) -> None:
+        self._rng = random.Random(f"{self.world.seed}/operator")
 
     def newest(self) -> int:
         """The newest version that was acknowledged, 0 if none."""
@@ -97,7 +112,7 @@
         }
         self._send(number=number, base=base.number, written=written, method="PATCH", body=body, spoil=None, first=first)
 
-    def evacuate(self, *, zone: str, is_back: bool = False) -> None:
+    def evacuate(self, *, zone: str, is_back: bool = False, first: str = "") -> None:
         """Empty a zone, or take it back."""
         world, begun = self.world, self.world.clock.now
         kind = "refill" if is_back else "empty"
@@ -117,6 +132,7 @@
             body=b"",
             until=begun + ORDER_TIME,
             done=end,
+            first=first,
         )
 
     def read_back(self, *, where: str = "") -> None:
@@ -143,6 +159,68 @@
             wants_body=True,
         )
 
+    def edit(self, *, first: str = "", pause: float = 0.0) -> None:
+        """Read the configuration and change one route on top of it, as a whole or as a patch, if not too much is under way.
+
+        `pause` is how long the operator waits before it sends the change again, in place of the usual.
+        """
+        if self.under_way >= AT_ONCE:
+            return
+        self.under_way += 1
+
+        def take(code: int, body: bytes = b"") -> None:
+            if code != 200:
+                self.under_way -= 1
+                return
+            self._change(written=json.loads(body), first=first, pause=pause)
+
+        self._read(path="/config", kind="config-read", done=take)
+
+    def read_orders(self) -> None:
+        """Read which zones are emptied."""
+        self._read(path="/orders", kind="orders-read", done=lambda code, body=b"": None)
+
+    def _change(self, *, written: dict, first: str, pause: float) -> None:
+        base = int(written["generation"][1:])
+        number = max([base, *(one.number for one in self.versions.values())]) + self._rng.randrange(0, 3)
+        if number <= base:
+            number = base + 1
+        changed = copy.deepcopy(written)
+        changed["generation"] = f"r{number}"
+        listener = self._rng.choice(changed["listeners"])
+        rule = self._rng.choice(listener["ruleset"])
+        rule["target_s"] = round(self._rng.uniform(0.3, 1.5), 3)
+        method, body = "PUT", changed
+        if self._rng.random() < 0.5:
+            upsert = {"listeners": [{"hostname": listener["hostname"], "ruleset": [rule]}]}
+            method, body = "PATCH", {"generation": changed["generation"], "upsert": upsert}
+        self._send(
+            number=number,
+            base=base,
+            written=changed,
+            method=method,
+            body=body,
+            spoil=None,
+            first=first,
+            pause=pause,
+            then=self._edited,
+        )
+
+    def _edited(self) -> None:
+        self.under_way -= 1
+
+    def _read(self, *, path: str, kind: str, done: Callable) -> None:
+        world, begun = self.world, self.world.clock.now
+
+        def end(code: int, body: bytes = b"") -> None:
+            if code == 200:
+                world.history.add(t=world.clock.now, k=kind, begun=begun, body=json.loads(body))
+            done(code, body)
+
+        self._call(
+            method="GET", path=path, headers={}, body=b"", until=begun + ORDER_TIME, done=end, first="", wants_body=True
+        )
+
     def _send(
         self,
         *,
@@ -153,6 +231,8 @@
         body: dict,
         spoil: Callable | None,
         first: str,
+        pause: float = 0.0,
+        then: Callable[[], None] | None = None,
     ) -> None:
         world = self.world
         base = self.newest() if base is None else base
@@ -169,6 +249,7 @@
         def end(code: int) -> None:
             version.outcome = "acked" if code == 200 else "refused" if code in ENDS else "unknown"
             version.acked = world.clock.now if code == 200 else float("inf")
+            version.ended, version.code = world.clock.now, code
             world.history.add(
                 t=world.clock.now,
                 k="config-ended",
@@ -177,10 +258,16 @@
                 code=code,
                 valid=version.is_valid,
                 begun=version.sent,
+                lost=version.lost,
             )
+            if then:
+                then()
             if code == 200:
                 world.acknowledged()
 
+        def lose() -> None:
+            version.lost += 1
+
         headers = {"if-match": f"r{base}" if base else "0", "content-type": "application/json"}
         self._call(
             method=method,
@@ -190,6 +277,8 @@
             until=float("inf"),
             done=end,
             first=first,
+            pause=pause,
+            lost=lose,
         )
 
     def _call(
@@ -203,6 +292,8 @@
         done: Callable,
         first: str = "",
         wants_body: bool = False,
+        pause: float = 0.0,
+        lost: Callable[[], None] | None = None,
     ) -> None:
         world = self.world
         state = {"turn": 0, "odd": 0}
@@ -210,9 +301,19 @@
         def go(process: Process | None) -> None:
             settled = []
 
+            def give_up() -> None:
+                if not settled:
+                    world.history.add(t=world.clock.now, k="operator-left", method=method, path=path)
+                    leave()
+                    take(None)
+
             def take(answer: Answer | None) -> None:
                 if settled:
                     return
+                if answer is not None and answer.code == 200 and not wants_body and self._loses():
+                    if lost:
+                        lost()
+                    return
                 settled.append(1)
                 code = answer.code if answer is not None else 0
                 state["odd"] += 400 <= code < 500 and code not in (*ENDS, 408, 429)
@@ -220,13 +321,13 @@
                     done(code, answer.body) if wants_body else done(code)
                     return
                 state["turn"] += 1
-                pause = min(1.0, 0.1 * 1.6 ** state["turn"])
-                if world.clock.now + pause >= min(until, world.end):
+                after = pause or min(1.0, 0.1 * 1.6 ** state["turn"])
+                if world.clock.now + after >= min(until, world.end):
                     done(0)
                     return
-                world.clock.after(pause, lambda: go(self._pick(avoid=process)))
+                world.clock.after(after, lambda: go(self._pick(avoid=process)))
 
-            world.exchange(
+            leave = world.exchange(
                 spot=self.spot,
                 process=process,
                 edge="desk",
@@ -237,11 +338,14 @@
                 query={},
                 done=take,
             )
-            world.clock.after(SILENCE * (2 if len(body) > LARGE else 1), lambda: take(None))
+            world.clock.after(self.patience * (2 if len(body) > LARGE else 1), give_up)
 
         start = next((one for one in self._listed() if one.machine.spot.name == first), None)
         go(start or self._pick(avoid=None))
 
+    def _loses(self) -> bool:
+        return self.lost_share > 0 and self._rng.random() < self.lost_share
+
     def _listed(self) -> list:
         now, lag = self.world.clock.now, self.world.deployment.bounds["seed_lag_s"]
         return [
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -8,9 +8,9 @@
 from sailward import constants
 from sailward.config import history
 from sailward.consensus import proposer
-from sailward.control import granting, membership, shard_leases, write_ahead
+from sailward.control import admin_api, granting, membership, shard_leases, write_ahead, zone_orders
 from sailward.discovery import workers
-from sailward.events import Stop
+from sailward.events import CallerLeft, Stop
 from sailward.proxy import proxy
 from sailward.routing import evidence, forwarding, placing, plan, reply, retry_budget
 
@@ -87,6 +87,28 @@
     return begin_stop
 
 
+def _deaf_to_leaving(old):
+    def step(self, *, event):
+        return ([], []) if isinstance(event, CallerLeft) else old(self, event=event)
+
+    return step
+
+
+def _judged_by(*, change):
+    def make(old):
+        return lambda self, **fields: change(old(self, **fields))
+
+    return make
+
+
+def _forgotten_is_lost(verdict):
+    return history.Verdict.LOST if verdict is history.Verdict.FORGOTTEN else verdict
+
+
+def _lost_is_taken(verdict):
+    return history.Verdict.TAKEN if verdict is history.Verdict.LOST else verdict
+
+
 SABOTAGE: dict[str, Callable] = {
     "fence-wait": _all(
         _patch(granting.Granting, "_is_free", lambda old: lambda self, *, now, shard: True),
@@ -110,6 +132,12 @@
     "cold-bound": _all(_patch(placing.Placer, "_bears", lambda old: lambda self, **fields: True)),
     "cold-news": _all(_patch(evidence.Evidence, "chill", lambda old: lambda self, **fields: None)),
     "evacuation": _all(_patch(proxy, "read_orders", lambda old: lambda *, value: frozenset())),
+    "caller-left": _all(_patch(admin_api.AdminApi, "step", _deaf_to_leaving)),
+    "zone-counts": _all(_patch(zone_orders.ZoneOrders, "count", lambda old: lambda self, *, kind, zone: 0)),
+    "history": _all(
+        _constant("HISTORY_SEGMENT", 16), _patch(history.Labelled, "judge", _judged_by(change=_forgotten_is_lost))
+    ),
+    "one-winner": _all(_patch(history.Labelled, "judge", _judged_by(change=_lost_is_taken))),
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
--- a/simulation/hosted/scenario.py
+++ b/simulation/hosted/scenario.py
@@ -18,6 +18,10 @@
 """What every day begins with unless its file says otherwise: (verb, s, words)."""
 
 
+LAST_LOOK = 1.5
+"""s before the end of a day at which operators read which zones are emptied, if they gave orders on zones."""
+
+
 @dataclass(kw_only=True)
 class Scenario:
     """One scenario as its file tells it."""
@@ -101,6 +105,11 @@
         return _run(scenario=scenario, seed=seed)
 
 
+def _look_last(*, world: World) -> None:
+    if world.history.of(k="ordered"):
+        world.operator.read_orders()
+
+
 def _run(*, scenario: Scenario, seed: int) -> Outcome:
     world = World(deployment=DEPLOYMENTS[scenario.fleet](), seed=seed, end=scenario.end)
     parts = [part(world=world) for part in PARTS]
@@ -112,6 +121,7 @@
     for when, verb, words in steps:
         method = next(getattr(part, name_of(verb=verb)) for part in parts if hasattr(part, name_of(verb=verb)))
         world.clock.at(world.begin + when, lambda method=method, words=words: method(*words))
+    world.clock.at(world.end - LAST_LOOK, lambda: _look_last(world=world))
     world.clock.run(until=world.end)
     world.close()
     failed, figures = [], {}
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -285,13 +285,30 @@
         """An invalid configuration: `weight`, `service`, `tries`, `kind`, `host` or `older`."""
         self._world.operator.put(number=int(number), spoil=SPOILS[way])
 
-    def do_evacuate(self, zone: str) -> None:
-        """Empty a zone."""
-        self._world.operator.evacuate(zone=zone)
+    def do_evacuate(self, zone: str, *words: str) -> None:
+        """evacuate ZONE [at=MACHINE]: empty a zone."""
+        self._world.operator.evacuate(zone=zone, first=_given(words=words).get("at", ""))
 
-    def do_take_back(self, zone: str) -> None:
-        """Take a zone back."""
-        self._world.operator.evacuate(zone=zone, is_back=True)
+    def do_take_back(self, zone: str, *words: str) -> None:
+        """take-back ZONE [at=MACHINE]: take a zone back."""
+        self._world.operator.evacuate(zone=zone, is_back=True, first=_given(words=words).get("at", ""))
+
+    def do_edit(self, *words: str) -> None:
+        """edit [at=MACHINE] [pause=S]: read the configuration and change a route of it; it is sent again after so long."""
+        given = _given(words=words)
+        self._world.operator.edit(first=given.get("at", ""), pause=float(given.get("pause", 0)))
+
+    def do_lose_acks(self, share: str) -> None:
+        """From now on such a share of the acknowledgements never reaches the operator."""
+        self._world.operator.lost_share = float(share)
+
+    def do_read_orders(self) -> None:
+        """The operator reads which zones are emptied."""
+        self._world.operator.read_orders()
+
+    def do_hang_up(self, seconds: str) -> None:
+        """From now on the operator closes its connection after so long without an answer, and asks another daemon."""
+        self._world.operator.patience = float(seconds)
 
     def do_read_back(self, at: str = "") -> None:
         """The operator reads the newest configuration."""
--- /dev/null
+++ b/simulation/linearizability.py
@@ -0,0 +1,132 @@
+"""A linearizability check of histories: is there one order of all calls that explains each answer?
+
+Each call took effect at one moment between its sending and its answer, as if alone. A call without a clear answer may have
+taken effect at any moment after its sending, or not at all. The search is that of Wing and Gong ("Testing and verifying
+concurrent objects", 1993) with the memory of Lowe ("Testing for linearizability", 2017): calls are placed one by one, each
+only before those that were sent after its answer, and no set of placed calls is looked at twice with the same state. Calls
+that change nothing are placed as soon as they fit, and of equal calls without an answer only the first is tried.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+MOST_STEPS = 400_000
+"""states after which a search is given up: the longest histories of our runs take a few thousand."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Operation:
+    """One call: sent at `begun`, answered at `ended` (s). Without a clear answer it is not `is_certain`."""
+
+    name: str
+    begun: float
+    ended: float
+    call: Hashable
+    is_certain: bool = True
+
+
+class Model(Protocol):
+    """An object that is called by one at a time."""
+
+    initial: Hashable
+
+    def step(self, *, state: Hashable, call: Hashable) -> Hashable | None:
+        """The state after the call; None if its answer can't be got in this state."""
+
+    def is_read(self, *, call: Hashable) -> bool:
+        """Does this call leave every state as it is?"""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Violation:
+    """No order explains the history: after the longest that does, in `state`, none of `stuck` fits."""
+
+    placed: int
+    state: Hashable
+    stuck: tuple[str, ...]
+    t: float
+
+
+class Undecided(Exception):
+    """The search was given up."""
+
+
+def find_violation(*, operations: list[Operation], model: Model) -> Violation | None:
+    """The breach, or None if the history is linearizable. Raises Undecided after MOST_STEPS states."""
+    search = _Search(operations=operations, model=model)
+    return search.run()
+
+
+class _Search:
+    """One search, depth first. Sets of placed operations are the bits of a number."""
+
+    def __init__(self, *, operations: list[Operation], model: Model) -> None:
+        self._model = model
+        self._operations = sorted(operations, key=lambda one: one.begun)
+        certain = [at for at, one in enumerate(self._operations) if one.is_certain]
+        self._by_end = sorted(certain, key=lambda at: self._operations[at].ended)
+        self._seen: set = set()
+        self._best: tuple[int, int, Hashable] = (-1, 0, model.initial)
+
+    def run(self) -> Violation | None:
+        stack = [(0, self._model.initial)]
+        while stack:
+            placed, state = stack.pop()
+            placed = self._place_reads(placed=placed, state=state)
+            if (placed, state) in self._seen:
+                continue
+            self._seen.add((placed, state))
+            if len(self._seen) > MOST_STEPS:
+                raise Undecided(f"{len(self._operations)} operations")
+            if self._limit(placed=placed) == math.inf:
+                return None
+            self._best = max(self._best, (placed.bit_count(), placed, state), key=lambda one: one[0])
+            # those that are certain are tried first: they are pushed last
+            following = sorted(self._changes(placed=placed, state=state), key=lambda one: one[0])
+            stack += [(placed | 1 << at, after) for _, at, after in following]
+        return self._explain()
+
+    def _limit(self, *, placed: int) -> float:
+        """The first answer of those not placed: what was sent after it comes later."""
+        return next((self._operations[at].ended for at in self._by_end if not placed >> at & 1), math.inf)
+
+    def _candidates(self, *, placed: int) -> Iterator[tuple[int, Operation]]:
+        limit = self._limit(placed=placed)
+        for at, one in enumerate(self._operations):
+            if one.begun > limit:
+                return
+            if not placed >> at & 1:
+                yield at, one
+
+    def _place_reads(self, *, placed: int, state: Hashable) -> int:
+        before = -1
+        while placed != before:
+            before = placed
+            for at, one in self._candidates(placed=placed):
+                fits = one.is_certain and self._model.is_read(call=one.call)
+                if fits and self._model.step(state=state, call=one.call) is not None:
+                    placed |= 1 << at
+        return placed
+
+    def _changes(self, *, placed: int, state: Hashable) -> Iterator[tuple[bool, int, Hashable]]:
+        uncertain: set = set()
+        for at, one in self._candidates(placed=placed):
+            if self._model.is_read(call=one.call) or (not one.is_certain and one.call in uncertain):
+                continue
+            after = self._model.step(state=state, call=one.call)
+            if after is None or (not one.is_certain and after == state):
+                continue
+            if not one.is_certain:
+                uncertain.add(one.call)
+            yield one.is_certain, at, after
+
+    def _explain(self) -> Violation:
+        count, placed, state = self._best
+        stuck = [one for _, one in self._candidates(placed=placed) if one.is_certain]
+        return Violation(
+            placed=count, state=state, stuck=tuple(one.name for one in stuck[:6]), t=self._limit(placed=placed)
+        )
--- a/simulation/sim/operators.py
+++ b/simulation/sim/operators.py
@@ -110,6 +110,7 @@
                 patch=is_patch,
                 error=seen.get("error", ""),
                 cellar=cellar,
+                expected=int(if_match) if if_match else None,
             )
             if outcome == "accepted":
                 if isinstance(config, dict):
@@ -147,6 +148,17 @@
 
         self.ask(method="GET", path="/config", cellar=cellar, then=then)
 
+    def read_orders(self) -> None:
+        """Read which halls are emptied."""
+        world, begun = self._world, self._world.clock.now
+
+        def then(answer: Answer | None) -> None:
+            if answer is not None and answer.code == 200:
+                emptied = json.loads(answer.body)["orders"].get("emptied", [])
+                world.history.add(t=world.clock.now, k="orders-read", begun=begun, emptied=emptied)
+
+        self.ask(method="GET", path="/orders", then=then)
+
     def order(self, *, hall: str, empty: bool, confirm: bool = False, cellar: str = "") -> None:
         """Empty a hall, or take it back."""
         world, begun = self._world, self._world.clock.now
@@ -160,6 +172,8 @@
                     t=world.clock.now,
                     k="order-refused",
                     hall=hall,
+                    empty=empty,
+                    begun=begun,
                     code=answer.code if answer else 0,
                     error=seen.get("error", ""),
                 )
--- a/simulation/sim/scenario.py
+++ b/simulation/sim/scenario.py
@@ -17,6 +17,10 @@
 BEGIN = 1000.0
 
 
+LAST_LOOK = 1.5
+"""s before the end of a run at which operators read which halls are emptied, if they gave orders on halls."""
+
+
 @dataclass(kw_only=True)
 class Scenario:
     """One scenario as its file tells it."""
@@ -98,11 +102,17 @@
         return _run(scenario=scenario, seed=seed)
 
 
+def _look_last(*, world: World, faults: Faults) -> None:
+    if any(world.history.of(k=kind) for kind in ("emptied", "refilled")):
+        faults.step(verb="read-orders", words=[])
+
+
 def _run(*, scenario: Scenario, seed: int) -> Outcome:
     world = World(deployment=DEPLOYMENTS[scenario.fleet](), seed=seed)
     faults = Faults(world=world)
     for when, verb, words in scenario.steps:
         world.clock.at(BEGIN + when, lambda verb=verb, words=words: faults.step(verb=verb, words=words))
+    world.clock.at(BEGIN + scenario.end - LAST_LOOK, lambda: _look_last(world=world, faults=faults))
     world.clock.run(until=BEGIN + scenario.end)
     faults.note_stored()
     broken: list[Broken] = check_history(history=world.history, deployment=world.deployment)
--- a/simulation/sim/verbs/operators.py
+++ b/simulation/sim/verbs/operators.py
@@ -125,6 +125,9 @@
     def do_read_back(self, cellar: str = "") -> None:
         self.operators.read_back(cellar=cellar)
 
+    def do_read_orders(self) -> None:
+        self.operators.read_orders()
+
     def do_empty(self, hall: str, confirm: str = "") -> None:
         self.operators.order(hall=hall, empty=True, confirm=confirm == "confirm")
 
