Models of operators' orders: random and hypothesis histories over real proposers and acceptors, planted faults found

Copies of an order on a zone: none has an effect after the order was acknowledged, none at all if it comes after its operator left; the checker's uncertain calls may have an end for that.

--- a/simulation/hosted/judge_orders.py
+++ b/simulation/hosted/judge_orders.py
@@ -72,18 +72,25 @@
     for row in world.history.of(k="ordered"):
         if 400 <= row["code"] < 500:
             continue
-        is_certain = row["code"] == 200
-        operation = Operation(
-            name=f"{row['kind']} of {row['begun'] - world.begin:.2f}: {row['code']}",
-            begun=row["begun"],
-            ended=row["t"] if is_certain else math.inf,
-            call=ZoneOrder(is_emptied=row["kind"] == "empty"),
-            is_certain=is_certain,
-        )
-        zones.setdefault(row["zone"], []).append(operation)
+        zones.setdefault(row["zone"], []).extend(_zone_orders(row=row, begin=world.begin))
     for row in world.history.of(k="orders-read"):
         for zone, operations in zones.items():
             call = ZoneRead(is_emptied=zone in row["body"]["orders"].get("emptied", ()))
             name = f"read at {row['t'] - world.begin:.2f}: {call.is_emptied}"
             operations.append(Operation(name=name, begun=row["begun"], ended=row["t"], call=call))
     return zones
+
+
+def _zone_orders(*, row: dict, begin: float) -> Iterator[Operation]:
+    """One order and its copies. Nothing tells a copy from another order alike, so each that came in time may have an effect of
+    its own, but none after the order was acknowledged; one that came after its operator had left has none."""
+    name, call = (
+        f"{row['kind']} of {row['begun'] - begin:.2f}: {row['code']}",
+        ZoneOrder(is_emptied=row["kind"] == "empty"),
+    )
+    is_certain = row["code"] == 200
+    for arrival in row["arrivals"][:-1] if is_certain else row["arrivals"]:
+        ended = row["t"] if is_certain else math.inf
+        yield Operation(name=name, begun=arrival, ended=ended, call=call, is_certain=False)
+    if is_certain:
+        yield Operation(name=name, begun=row["begun"], ended=row["t"], call=call)
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -117,8 +117,12 @@
         world, begun = self.world, self.world.clock.now
         kind = "refill" if is_back else "empty"
 
+        arrivals: list[float] = []
+
         def end(code: int) -> None:
-            world.history.add(t=world.clock.now, k="ordered", kind=kind, zone=zone, code=code, begun=begun)
+            world.history.add(
+                t=world.clock.now, k="ordered", kind=kind, zone=zone, code=code, begun=begun, arrivals=arrivals
+            )
             if code == 200:
                 self.emptied = self.emptied - {zone} if is_back else self.emptied | {zone}
 
@@ -133,6 +137,7 @@
             until=begun + ORDER_TIME,
             done=end,
             first=first,
+            arrived=lambda: arrivals.append(world.clock.now),
         )
 
     def read_back(self, *, where: str = "") -> None:
@@ -294,6 +299,7 @@
         wants_body: bool = False,
         pause: float = 0.0,
         lost: Callable[[], None] | None = None,
+        arrived: Callable[[], None] | None = None,
     ) -> None:
         world = self.world
         state = {"turn": 0, "odd": 0}
@@ -301,6 +307,11 @@
         def go(process: Process | None) -> None:
             settled = []
 
+            def read() -> None:
+                # one that comes after the operator has left is to be dropped
+                if arrived and not settled:
+                    arrived()
+
             def give_up() -> None:
                 if not settled:
                     world.history.add(t=world.clock.now, k="operator-left", method=method, path=path)
@@ -337,6 +348,7 @@
                 body=body,
                 query={},
                 done=take,
+                read=read,
             )
             world.clock.after(self.patience * (2 if len(body) > LARGE else 1), give_up)
 
--- a/simulation/linearizability.py
+++ b/simulation/linearizability.py
@@ -20,7 +20,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Operation:
-    """One call: sent at `begun`, answered at `ended` (s). Without a clear answer it is not `is_certain`."""
+    """One call: sent at `begun`, answered at `ended` (s).
+
+    Without a clear answer it is not `is_certain`: it took effect by `ended`, which may be never, or not at all.
+    """
 
     name: str
     begun: float
@@ -94,6 +97,10 @@
         """The first answer of those not placed: what was sent after it comes later."""
         return next((self._operations[at].ended for at in self._by_end if not placed >> at & 1), math.inf)
 
+    def _latest(self, *, placed: int) -> float:
+        """The latest sending of those placed: what had ended before it comes earlier."""
+        return self._operations[placed.bit_length() - 1].begun if placed else -math.inf
+
     def _candidates(self, *, placed: int) -> Iterator[tuple[int, Operation]]:
         limit = self._limit(placed=placed)
         for at, one in enumerate(self._operations):
@@ -115,13 +122,16 @@
     def _changes(self, *, placed: int, state: Hashable) -> Iterator[tuple[bool, int, Hashable]]:
         uncertain: set = set()
         for at, one in self._candidates(placed=placed):
-            if self._model.is_read(call=one.call) or (not one.is_certain and one.call in uncertain):
+            same = (one.call, one.ended)
+            if self._model.is_read(call=one.call) or (not one.is_certain and same in uncertain):
+                continue
+            if one.ended < self._latest(placed=placed):
                 continue
             after = self._model.step(state=state, call=one.call)
             if after is None or (not one.is_certain and after == state):
                 continue
             if not one.is_certain:
-                uncertain.add(one.call)
+                uncertain.add(same)
             yield one.is_certain, at, after
 
     def _explain(self) -> Violation:
--- /dev/null
+++ b/tests/orders_net.py
@@ -0,0 +1,394 @@
+"""Three control machines cut down to what takes orders: acceptor, proposer and operators' interface, step by step.
+
+Messages and answers wait until a test lets them through, loses or doubles them. A crash ends the proposer and the operators'
+interface; what the acceptor voted stays. What operators saw is judged as one history by the linearizability check.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import random
+from dataclasses import dataclass, field
+
+from sailward.config.check import Sound
+from sailward.consensus.acceptor import Acceptor, Slots
+from sailward.consensus.proposer import Begin, Proposer
+from sailward.control.admin_api import AdminApi
+from sailward.events import Answer, Asked, CallerLeft, Check, Checked, Tell
+from simulation.linearizability import Operation, Violation, find_violation
+from simulation.operator_models import (
+    LabelledChange,
+    LabelledLoss,
+    LabelledRead,
+    LabelledRegister,
+    Zone,
+    ZoneOrder,
+    ZoneRead,
+)
+from tests.core_net import OPERATORS, ZONES
+
+NODES = 3
+VOTING = ("prepare", "accept", "read", "first")
+REFUSED = (400, 409, 412, 413, 422)
+AT_ONCE = 8
+"""orders that wait for an answer at once at the most."""
+TESTED_ZONES = ("gdl-a", "ens-a")
+
+
+@dataclass(kw_only=True, eq=False)
+class Call:
+    """One order of an operator, which may be sent several times. `code` is that of its first final answer."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    if_match: str = ""
+    base: int = 0
+    label: int = 0
+    content: str = ""
+    begun: int = 0
+    ended: float = math.inf
+    code: int = 0
+    answer: object = None
+    tokens: list = field(default_factory=list)
+    waits_on: str = ""
+    sendings: list = field(default_factory=list)
+
+    @property
+    def is_open(self) -> bool:
+        """Does its operator still wait for a clear answer?"""
+        return self.code == 0
+
+
+class Node:
+    """One machine; each start has a new identity."""
+
+    def __init__(self, *, name: str) -> None:
+        self.name, self.starts = name, 0
+        self.acceptor = Acceptor(slots=Slots())
+        self.start()
+
+    def start(self) -> None:
+        self.starts += 1
+        identity = f"{self.name}#{self.starts}"
+        self.proposer = Proposer(identity=identity, rng=random.Random(identity))
+        self.admin = AdminApi(identity=identity, dialect=OPERATORS.OperatorsDialect(zones=ZONES))
+        self.admin.halls = frozenset(ZONES)
+
+
+class OrdersNet:
+    """Nodes, messages under way, answers under way, and the calls of all operators."""
+
+    def __init__(self) -> None:
+        self.nodes = [Node(name=f"m{at}") for at in range(NODES)]
+        self.voters = {"number": 1, "members": {f"v{at}": one.name for at, one in enumerate(self.nodes)}}
+        self.now, self.moment = 0.0, 0
+        self.messages: list[tuple[str, str, dict]] = []
+        self.answers: list[Answer] = []
+        self.calls: list[Call] = []
+        self.at: dict[str, Node] = {}
+
+    # what operators do
+
+    def change(self, *, at: int, base: int, label: int, is_patch: bool, variant: int) -> Call:
+        """A configuration on top of a version."""
+        content = f"{0.1 + variant / 1000:.3f}"
+        rule = make_rule(target=float(content))
+        listeners = [{"hostname": "a.example", "ruleset": [rule]}]
+        whole = {"generation": f"r{label}", "listeners": listeners, "pools": [{"name": "red"}]}
+        patch = {"generation": f"r{label}", "upsert": {"listeners": listeners}}
+        call = Call(
+            method="PATCH" if is_patch else "PUT",
+            path="/config",
+            body=json.dumps(patch if is_patch else whole).encode(),
+            if_match=f"r{base}" if base else "0",
+            base=base,
+            label=label,
+            content=content,
+        )
+        return self._begin(call=call, at=at)
+
+    def order(self, *, at: int, zone: str, is_emptied: bool) -> Call:
+        """An order on a zone."""
+        return self._begin(call=Call(method="POST" if is_emptied else "DELETE", path=f"/evacuation/{zone}"), at=at)
+
+    def look(self, *, at: int, path: str) -> Call:
+        """A reading."""
+        return self._begin(call=Call(method="GET", path=path), at=at)
+
+    def resend(self, *, call: Call, at: int) -> None:
+        """The operator gives up the connections that it has, and sends the same to a machine."""
+        self.leave(call=call)
+        self.moment += 1
+        call.sendings.append(self.moment)
+        self._send(call=call, at=at)
+        call.waits_on = call.tokens[-1]
+
+    def leave(self, *, call: Call) -> None:
+        """The operator closes all connections of a call."""
+        for token in call.tokens:
+            self._admin(node=self.at[token], event=CallerLeft(token=token))
+
+    def send_late(self, *, call: Call, at: int) -> None:
+        """A copy that was under way for long arrives, and its connection's end right behind it."""
+        self._send(call=call, at=at)
+        self._admin(node=self.at[call.tokens[-1]], event=CallerLeft(token=call.tokens[-1]))
+
+    # what the network and the machines do
+
+    def deliver(self, *, index: int, is_doubled: bool = False) -> None:
+        """One message arrives."""
+        index %= len(self.messages)
+        to, sender, body = self.messages[index] if is_doubled else self.messages.pop(index)
+        node = next(one for one in self.nodes if one.name == to)
+        if body["kind"] in VOTING:
+            _, reply = node.acceptor.step(now=self.now, body=body)
+            self.messages.append((sender, to, reply))
+            return
+        commands, settled = node.proposer.step(now=self.now, voters=self.voters, event=(sender, body))
+        self._tell(node=node, commands=commands)
+        self._settle(node=node, settled=settled)
+
+    def lose(self, *, index: int) -> None:
+        """One message is lost."""
+        self.messages.pop(index % len(self.messages))
+
+    def answer(self, *, index: int, is_lost: bool) -> None:
+        """One answer arrives, or is lost."""
+        answer = self.answers.pop(index % len(self.answers))
+        call = next(one for one in self.calls if answer.token in one.tokens)
+        is_clear = answer.code == 200 or answer.code in REFUSED or (call.method == "GET" and answer.code == 404)
+        # what comes on a connection that the operator has closed reaches nobody
+        if not is_lost and answer.token == call.waits_on and call.is_open and is_clear:
+            self.moment += 1
+            call.code, call.ended, call.answer = answer.code, self.moment, json.loads(answer.body)
+
+    def crash(self, *, at: int) -> None:
+        """A machine's process ends and starts; its votes are on its disk."""
+        self.nodes[at].start()
+
+    def wait(self, *, seconds: float) -> None:
+        """Time goes on."""
+        self.now += seconds
+        for node in self.nodes:
+            commands, settled = node.proposer.step(now=self.now, voters=self.voters, event=None)
+            self._tell(node=node, commands=commands)
+            self._settle(node=node, settled=settled)
+
+    def calm(self, *, rounds: int = 40) -> None:
+        """All arrives in order, for a while."""
+        for _ in range(rounds):
+            for _ in range(200):
+                if not self.messages:
+                    break
+                self.deliver(index=0)
+            while self.answers:
+                self.answer(index=0, is_lost=False)
+            self.wait(seconds=0.1)
+
+    # what is judged
+
+    def finish(self) -> Violation | None:
+        """All calms down, everything is read at each machine; the first breach of any object."""
+        self.calm()
+        for at in range(NODES):
+            self.look(at=at, path="/config")
+            self.look(at=at, path="/orders")
+            self.calm(rounds=10)
+        found = [find_violation(operations=self._config(), model=LabelledRegister())]
+        found += [find_violation(operations=self._zone(zone=zone), model=Zone()) for zone in TESTED_ZONES]
+        return next((one for one in found if one is not None), None)
+
+    def _config(self) -> list[Operation]:
+        operations = []
+        for call in self.calls:
+            if call.path != "/config":
+                continue
+            name = f"{call.method} r{call.label} on r{call.base}: {call.code}"
+            if call.method == "GET":
+                if call.code:
+                    operations.append(_operation(call=call, name=name, act=_config_read(call=call)))
+            elif call.code == 412:
+                operations.append(_operation(call=call, name=name, act=LabelledLoss(base=call.base)))
+            elif call.code in (0, 200):
+                act = LabelledChange(base=call.base, label=call.label, content=call.content)
+                operations.append(_operation(call=call, name=name, act=act))
+        return operations
+
+    def _zone(self, *, zone: str) -> list[Operation]:
+        operations = []
+        for call in self.calls:
+            if call.path == f"/evacuation/{zone}":
+                operations += _zone_orders(call=call)
+            elif call.path == "/orders" and call.code:
+                is_emptied = zone in call.answer["orders"].get("emptied", ())
+                operations.append(_operation(call=call, name=f"read {is_emptied}", act=ZoneRead(is_emptied=is_emptied)))
+        return operations
+
+    def _begin(self, *, call: Call, at: int) -> Call:
+        self.moment += 1
+        call.begun = self.moment
+        call.sendings.append(self.moment)
+        self.calls.append(call)
+        self._send(call=call, at=at)
+        call.waits_on = call.tokens[-1]
+        return call
+
+    def _send(self, *, call: Call, at: int) -> None:
+        token = f"desk {len(self.at)}"
+        node = self.at[token] = self.nodes[at]
+        call.tokens.append(token)
+        headers = {"if-match": call.if_match} if call.if_match else {}
+        event = Asked(token=token, method=call.method, path=call.path, query={}, headers=headers, body=call.body)
+        self._admin(node=node, event=event)
+
+    def _admin(self, *, node: Node, event: object) -> None:
+        commands, begins = node.admin.step(event=event)
+        for command in commands:
+            if isinstance(command, Answer):
+                self.answers.append(command)
+            elif isinstance(command, Check):
+                verdict = Sound(written=command.config, full=command.config, warnings=())
+                self._admin(node=node, event=Checked(token=command.token, verdict=verdict))
+        for begin in begins:
+            self._propose(node=node, begin=begin)
+
+    def _propose(self, *, node: Node, begin: Begin) -> None:
+        commands, settled = node.proposer.step(now=self.now, voters=self.voters, event=begin)
+        self._tell(node=node, commands=commands)
+        self._settle(node=node, settled=settled)
+
+    def _tell(self, *, node: Node, commands: list) -> None:
+        self.messages += [(one.to, node.name, one.body) for one in commands if isinstance(one, Tell)]
+
+    def _settle(self, *, node: Node, settled: list) -> None:
+        for one in settled:
+            self._admin(node=node, event=one)
+
+
+def make_rule(*, target: float) -> dict:
+    """The one route; its target tells configurations apart."""
+    return {
+        "name": "r",
+        "route_kind": "idempotent",
+        "target_s": target,
+        "matcher": {"path_prefix": "/p/"},
+        "verdict": {"service": "red", "deadline_s": 2.0, "max_tries": 2},
+    }
+
+
+def _operation(*, call: Call, name: str, act: object) -> Operation:
+    return Operation(name=name, begun=call.begun, ended=call.ended, call=act, is_certain=not call.is_open)
+
+
+def _zone_orders(*, call: Call) -> list[Operation]:
+    """One order and its copies. Nothing tells a copy from another order alike, so each that came in time may have an effect of
+    its own, but none after the order was acknowledged; one that came late has none."""
+    name, act = f"{call.method}: {call.code}", ZoneOrder(is_emptied=call.method == "POST")
+    copies = call.sendings if call.is_open else call.sendings[:-1]
+    found = [Operation(name=name, begun=one, ended=call.ended, call=act, is_certain=False) for one in copies]
+    return found if call.is_open else [*found, _operation(call=call, name=name, act=act)]
+
+
+def _config_read(*, call: Call) -> LabelledRead:
+    if call.code == 404:
+        return LabelledRead(label=0)
+    rule = call.answer["listeners"][0]["ruleset"][0]
+    return LabelledRead(label=int(call.answer["generation"][1:]), content=f"{rule['target_s']:.3f}")
+
+
+class RandomOperators:
+    """A long random history: up to eight orders at once, most answers lost, messages lost, doubled and out of order.
+
+    `focus` has more of one thing: "zones" gives orders on one zone only, "chains" builds on changes that are not known to be taken.
+    """
+
+    def __init__(self, *, seed: int, answers_lost: float = 0.9, focus: str = "") -> None:
+        self.net, self.rng, self.answers_lost, self.focus = OrdersNet(), random.Random(seed), answers_lost, focus
+        self.label = 0
+
+    def run(self, *, steps: int) -> Violation | None:
+        """So many steps, then calm and judged."""
+        for _ in range(steps):
+            self._step()
+        return self.net.finish()
+
+    def _step(self) -> None:
+        net, rng = self.net, self.rng
+        self._pass_on(count=rng.randrange(60))
+        if self.focus == "zones":
+            self._step_zones()
+            return
+        chance = rng.random()
+        waiting = [one for one in net.calls if one.is_open and one.method != "GET"]
+        sent = [one for one in net.calls if one.method != "GET"]
+        if chance < 0.12 and len(waiting) < AT_ONCE:
+            self._change()
+        elif chance < 0.16 and len(waiting) < AT_ONCE:
+            net.order(at=rng.randrange(NODES), zone=rng.choice(TESTED_ZONES), is_emptied=rng.random() < 0.5)
+        elif chance < 0.40 and waiting:
+            net.resend(call=rng.choice(waiting), at=rng.randrange(NODES))
+        elif chance < 0.42 and sent:
+            net.send_late(call=rng.choice(sent), at=rng.randrange(NODES))
+        elif chance < 0.50:
+            net.look(at=rng.randrange(NODES), path=rng.choice(("/config", "/orders")))
+        elif chance < 0.51:
+            net.crash(at=rng.randrange(NODES))
+        elif chance < 0.60:
+            net.wait(seconds=rng.choice((0.02, 0.05, 0.35)))
+        elif net.messages and chance < 0.65:
+            net.lose(index=rng.randrange(len(net.messages)))
+
+    def _step_zones(self) -> None:
+        net, rng, chance = self.net, self.rng, self.rng.random()
+        waiting = [one for one in net.calls if one.is_open and one.method != "GET"]
+        sent = [one for one in net.calls if one.method != "GET"]
+        if chance < 0.2 and len(waiting) < 3:
+            net.order(at=rng.randrange(NODES), zone=TESTED_ZONES[0], is_emptied=rng.random() < 0.5)
+        elif chance < 0.35 and waiting:
+            net.resend(call=rng.choice(waiting), at=rng.randrange(NODES))
+        elif chance < 0.4 and sent:
+            net.send_late(call=rng.choice(sent), at=rng.randrange(NODES))
+        elif chance < 0.6:
+            net.look(at=rng.randrange(NODES), path="/orders")
+        elif chance < 0.62:
+            net.crash(at=rng.randrange(NODES))
+        elif chance < 0.7:
+            net.wait(seconds=rng.choice((0.02, 0.05, 0.35)))
+        elif net.messages and chance < 0.8:
+            net.lose(index=rng.randrange(len(net.messages)))
+
+    def _pass_on(self, *, count: int) -> None:
+        net, rng = self.net, self.rng
+        for _ in range(count):
+            if net.messages:
+                # mostly in order, as on connections, and seldom twice
+                span = 1 if rng.random() < 0.7 else len(net.messages)
+                net.deliver(index=rng.randrange(span), is_doubled=rng.random() < 0.02)
+        while net.answers and rng.random() < 0.8:
+            index = rng.randrange(len(net.answers))
+            is_read = any(net.answers[index].token in one.tokens and one.method == "GET" for one in net.calls)
+            net.answer(index=index, is_lost=not is_read and rng.random() < self.answers_lost)
+
+    def _change(self) -> None:
+        net, rng = self.net, self.rng
+        known = [one.label for one in net.calls if one.label and one.code == 200]
+        known += [
+            _config_read(call=one).label
+            for one in net.calls
+            if one.method == "GET" and one.path == "/config" and one.code == 200
+        ]
+        newest = max(known, default=0)
+        base = newest if rng.random() < 0.8 else rng.choice([0, *known])
+        if self.focus == "chains" and rng.random() < 0.5:
+            base = self.label
+        self.label = max(newest, self.label) + rng.randrange(0, 3)
+        self.label = max(self.label, base + 1)
+        net.change(
+            at=rng.randrange(NODES),
+            base=base,
+            label=self.label,
+            is_patch=base > 0 and rng.random() < 0.4,
+            variant=len(net.calls),
+        )
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -11,6 +11,9 @@
 from sailward import constants
 from sailward.config.dialect import OwnDialect
 from sailward.config.history import Segment, Verdict, digest_change, read_labelled, write_labelled
+from sailward.control import admin_api
+from sailward.control.admin_api import AdminApi
+from sailward.control.zone_orders import ZoneOrders
 from sailward.events import CallerLeft
 from tests.core_net import SYNC, ZONES, CoreNet, make_written
 
@@ -230,6 +233,31 @@
     assert orders_of(net)["emptied"] == []
 
 
+def without_change(old):
+    """An order that finds its zone as it wants it is acknowledged without a change."""
+
+    def make(self, *, job):
+        orders = admin_api.read_zone_orders(text=job.text)
+        if (job.order.given in orders.emptied) == (job.order.kind == "empty"):
+            return admin_api.Outcome(kind="accepted", number=job.number)
+        return old(self, job=job)
+
+    return make
+
+
+def test_both_fail_without_their_safeguards(net: CoreNet, monkeypatch) -> None:
+    with monkeypatch.context() as planted, pytest.raises(AssertionError):
+        planted.setattr(ZoneOrders, "count", lambda self, *, kind, zone: 0)
+        test_a_copy_of_an_order_that_waited_does_not_undo_the_opposite_that_followed(net)
+    fresh = CoreNet(zones=list(ZONES))
+    for machine in fresh.machines:
+        fresh.start(machine, bootstrap=True)
+    fresh.run(1.0)
+    with monkeypatch.context() as planted, pytest.raises(AssertionError):
+        planted.setattr(AdminApi, "_make_orders", without_change(AdminApi._make_orders))
+        test_an_order_that_was_left_half_accepted_is_not_finished_after_the_opposite(fresh)
+
+
 def is_voted(machine) -> bool:
     slot = machine.cellar.acceptor.slots.get("orders")
     return slot is not None and slot.value is not None
--- a/tests/test_linearizability.py
+++ b/tests/test_linearizability.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import math
 
@@ -185,6 +186,7 @@
 ZONED = st.one_of(
     st.builds(lambda span, kind: order(*span, kind), SPAN, st.booleans()),
     st.builds(lambda span, kind: order(span[0], NEVER, kind), SPAN, st.booleans()),
+    st.builds(lambda span, kind: dataclasses.replace(order(*span, kind), is_certain=False), SPAN, st.booleans()),
     st.builds(lambda span, kind: look(*span, kind), SPAN, st.booleans()),
 )
 
