--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -1,8 +1,8 @@
 """The operators' interface of a controller: configurations, and orders on zones and voters.
 
-Each order is read, judged by the register's value and tried as a compare-and-set. It is refused only if it can never be taken:
-it is invalid, or another change was taken on top of what it builds on. Whatever can't be told apart ends without a clear
-answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
+Each order is read, judged by the register's value and tried as a compare-and-set. It is refused only if it can never be
+taken: it is invalid, or another change was taken on top of what it builds on. Whatever can't be told apart ends without a
+clear answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 class Job:
     """One operators' exchange under way; `number` and `text` are the register's as read for it.
 
-    `taken`: how many orders of its kind the register counted for its zone at the first look. `is_left`: its caller is gone.
+    `taken`: how many orders of its kind the register counted for its zone at first. `is_left`: its caller is gone.
     """
 
     token: str
@@ -300,8 +300,8 @@
         detail = f"it builds on {order.expected}, the current version is {current.label}: nothing was changed by now"
         return Outcome(kind="unavailable", code=503, reason="not-current-yet", number=current.label, detail=detail)
     detail = (
-        f"it builds on {order.expected}, the history reaches back to {current.history[0].since}: read the configuration, "
-        f"and look for digest {order.digest} in the logs of what was accepted"
+        f"it builds on {order.expected}, the history reaches back to {current.history[0].since}: "
+        f"read the configuration, and look for digest {order.digest} in the logs of what was accepted"
     )
     return Outcome(kind="unknown", code=504, reason="history-too-short", number=current.label, detail=detail)
 
