--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -1,7 +1,8 @@
 """The operators' interface of a controller: configurations, and orders on zones and voters.
 
 Each order is read, judged by the register's value and tried as a compare-and-set. It is refused only if it can never be
-taken: it is invalid, or another change was taken on top of what it builds on. Whatever can't be told apart ends without a
+taken: it is invalid, or another change was taken on top of what it builds on. Whatever can't be told apart ends
+without a
 clear answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
 """
 
@@ -18,7 +19,7 @@
 from sailward.control.homes import find_homeless
 from sailward.control.repair import change_members, keeps_majority
 from sailward.control.zone_orders import read_zone_orders, write_zone_orders
-from sailward.events import Asked, CallerLeft, Check, Checked, Log
+from sailward.events import Asked, Check, Checked, Log
 
 
 @dataclass(kw_only=True)
@@ -54,19 +55,20 @@
     jobs: dict = field(default_factory=dict)
     count: int = 0
     full: dict = field(default_factory=dict)
-    cellars: dict = field(default_factory=dict)
+    controllers: dict = field(default_factory=dict)
 
-    def step(self, *, event: Asked | CallerLeft | Settled | Checked) -> tuple[list, list]:
-        """Take an operator's exchange, its caller's end, the end of an operation begun for one, or of a check."""
-        if isinstance(event, CallerLeft):
-            for job in self.jobs.values():
-                job.is_left = job.is_left or job.token == event.token
-            return [], []
-        if isinstance(event, Checked):
-            job = self.jobs.pop(event.token, None)
-            return self._after_check(job=job, verdict=event.verdict) if job else ([], [])
-        if isinstance(event, Asked):
-            return self._take(event=event)
+    def step(self, *, event: Asked | Settled | Checked) -> tuple[list, list]:
+        """Take an operator's exchange, the end of an operation begun for one, or of a check."""
+        match event:
+            case Asked():
+                return self._take(event=event)
+            case Checked():
+                job = self.jobs.pop(event.token, None)
+                return self._after_check(job=job, verdict=event.verdict) if job else ([], [])
+            case Settled():
+                return self._settle(event=event)
+
+    def _settle(self, *, event: Settled) -> tuple[list, list]:
         job = self.jobs.pop(event.op, None)
         if job is None:
             return [], []
@@ -74,6 +76,14 @@
             return self._after_read(job=job, outcome=event.outcome)
         return self._after_change(job=job, outcome=event.outcome)
 
+    def drop(self, *, token: str) -> None:
+        """The caller of this exchange has left: an order on a zone whose change has not begun never begins.
+
+        A configuration goes on: it is safe late, and a large one may take longer to check than its caller waits.
+        """
+        for job in self.jobs.values():
+            job.is_left = job.is_left or job.token == token
+
     def _take(self, *, event: Asked) -> tuple[list, list]:
         dialect, order = self.dialect, self.dialect.read(event=event)
         if order is None:
@@ -116,6 +126,8 @@
             return self._end(job=job, outcome=Outcome(kind="shown", value=outcome.value))
         if job.order.register == "config" and job.dialect.is_labelled:
             return self._weigh_labelled(job=job)
+        if job.is_left and job.order.register == "orders":
+            return self._drop(job=job)
         if job.order.expected is not None and job.order.expected != job.number:
             detail = f"the current number is {job.number}, not {job.order.expected}"
             return self._end(job=job, outcome=_stale(number=job.number, detail=detail))
@@ -127,6 +139,15 @@
         written = json.loads(job.text)["written"] if job.text else {}
         return self._begin_check(job=job, written=written)
 
+    def _drop(self, *, job: Job) -> tuple[list, list]:
+        log = Log(event="order-dropped", fields={"register": job.order.register, "by": job.order.kind})
+        # who closed only its side of the connection still reads
+        outcome = Outcome(
+            kind="unavailable", code=503, reason="caller-left", detail="the caller left: nothing was changed"
+        )
+        commands, begins = self._end(job=job, outcome=outcome)
+        return [log, *commands], begins
+
     def _weigh_labelled(self, *, job: Job) -> tuple[list, list]:
         """Judge a change of a labelled configuration by the one that is current."""
         order, current = job.order, read_labelled(text=job.text)
@@ -207,10 +228,6 @@
         if job.taken is not None and taken > job.taken:
             # one alike was taken since this one came, maybe a copy of it: it stands for both
             return Outcome(kind="accepted", number=job.number)
-        if job.is_left:
-            return Outcome(
-                kind="unavailable", code=503, reason="caller-left", detail="the caller left: nothing was changed"
-            )
         job.taken = taken
         wanted = orders.with_order(kind=kind, zone=zone)
         homeless = find_homeless(full=self.full, emptied=wanted.emptied) if kind == "empty" else []
@@ -228,19 +245,19 @@
         """One member more or less, by its identity or its name; never one that would cost the majority."""
         kind, given = job.order.kind, job.order.given
         members = json.loads(job.text)["members"] if job.text else {}
-        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.cellars)}
+        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.controllers)}
         identity = names.get(given, given)
         if kind == "join":
-            if identity in members or identity not in self.cellars:
+            if identity in members or identity not in self.controllers:
                 return Outcome(
-                    kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits"
+                    kind="refused", code=409, reason="not-waiting", detail=f"no empty controller {given!r} waits"
                 )
-            text = change_members(text=job.text, add=(identity, self.cellars[identity]["post"]))
+            text = change_members(text=job.text, add=(identity, self.controllers[identity]["post"]))
         else:
             if identity not in members:
                 return Outcome(kind="refused", code=404, reason="voter-unknown", detail=f"no voter {given!r}")
             text = change_members(text=job.text, drop=identity)
-        well = {name for name, entry in self.cellars.items() if entry["fit"]}
+        well = {name for name, entry in self.controllers.items() if entry["fit"]}
         if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
             return Outcome(
                 kind="refused",
@@ -280,7 +297,7 @@
         if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < constants.ORDER_TURNS:
             return [], [self._begin_read(job=job)]
         if job.dialect.is_labelled:
-            # who won may have been this very change, taken by another cellar: nothing definite can be said
+            # who won may have been this very change, taken by another controller: nothing definite can be said
             return self._end(
                 job=job,
                 outcome=Outcome(
--- a/sailward/transport/front.py
+++ b/sailward/transport/front.py
@@ -24,7 +24,8 @@
     """Listens at `address` ("ip:port", port 0 for any), tells Asked and CallerLeft; all on the reactor's thread.
 
     Raises OSError if the address can't be had. `limits` is asked for anew with each request. With `tells_half_close`, a
-    caller that closes its side counts as left, as most that do have given up; one that still reads is answered all the same.
+    caller that closes its side counts as left, as most that do have given up; one that still reads is answered all
+    the same.
     """
 
     def __init__(
@@ -74,7 +75,10 @@
         return not connection.is_gone
 
     def leave(self) -> None:
-        """Let each connection end behind the requests that were told; idle ones end now. New ones are still accepted."""
+        """Let each connection end behind the requests that were told; idle ones end now.
+
+        New ones are still accepted.
+        """
         self._is_leaving = True
         for connection in list(self._connections):
             told = [exchange for exchange in connection.exchanges if exchange is not connection.reading]
--- a/simulation/hosted/judge_orders.py
+++ b/simulation/hosted/judge_orders.py
@@ -82,8 +82,11 @@
 
 
 def _zone_orders(*, row: dict, begin: float) -> Iterator[Operation]:
-    """One order and its copies. Nothing tells a copy from another order alike, so each that came in time may have an effect of
-    its own, but none after the order was acknowledged; one that came after its operator had left has none."""
+    """One order and its copies.
+
+    Nothing tells a copy from another order alike, so each that came in time may have an effect of its own, but none
+    after the order was acknowledged; one that came after its operator had left has none.
+    """
     name, call = (
         f"{row['kind']} of {row['begun'] - begin:.2f}: {row['code']}",
         ZoneOrder(is_emptied=row["kind"] == "empty"),
--- /dev/null
+++ b/simulation/hosted/operator_call.py
@@ -0,0 +1,128 @@
+"""One call of an operator, sent to one controller after another until it has a clear answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sailward.events import Answer
+
+if TYPE_CHECKING:
+    from simulation.hosted.operators import Operator
+    from simulation.hosted.process import Process
+
+ENDS = (400, 409, 412, 413, 422)
+"""statuses on which an operator ends a call at once."""
+COME_BACK = (408, 429)
+"""statuses of 4xx that ask it to come back."""
+ODD_ANSWERS = 3
+"""other answers of 4xx after which it ends."""
+LARGE = 100_000
+"""bytes of a body over which it waits twice as long."""
+FIRST_PAUSE, PAUSE_GROWTH, LONGEST_PAUSE = 0.1, 1.6, 1.0
+"""s before it tries again, times what for each turn, and s at the most."""
+
+
+@dataclass(kw_only=True)
+class OperatorCall:
+    """What is sent, and what is done with the answer.
+
+    `until`: when it is given up. `first`: the machine asked first. `pause`: s between two sendings in place of the
+    usual. `lost` is called for each acknowledgement that does not reach the operator, `arrived` for each sending that
+    reaches a controller before the operator has left.
+    """
+
+    operator: Operator
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    until: float
+    done: Callable
+    first: str = ""
+    wants_body: bool = False
+    pause: float = 0.0
+    lost: Callable[[], None] | None = None
+    arrived: Callable[[], None] | None = None
+    turn: int = 0
+    odd: int = 0
+
+    def begin(self) -> None:
+        """Send it to the first machine, or to any."""
+        self._send(process=self.operator.named(machine=self.first) or self.operator.pick(avoid=None))
+
+    def _send(self, *, process: Process | None) -> None:
+        _Sending(call=self, process=process).begin()
+
+    def take(self, *, answer: Answer | None, process: Process | None) -> None:
+        """Judge the answer of one sending, None if none came: end, or go on to another controller."""
+        code = answer.code if answer is not None else 0
+        self.odd += 400 <= code < 500 and code not in (*ENDS, *COME_BACK)
+        if 200 <= code < 300 or code in ENDS or self.odd >= ODD_ANSWERS:
+            self.done(code, answer.body) if self.wants_body else self.done(code)
+            return
+        self.turn += 1
+        clock, end = self.operator.world.clock, self.operator.world.end
+        after = self.pause or min(LONGEST_PAUSE, FIRST_PAUSE * PAUSE_GROWTH**self.turn)
+        if clock.now + after >= min(self.until, end):
+            self.done(0)
+            return
+        clock.after(after, lambda: self._send(process=self.operator.pick(avoid=process)))
+
+    def patience(self) -> float:
+        """The s that it waits for an answer before it closes the connection."""
+        return self.operator.patience * (2 if len(self.body) > LARGE else 1)
+
+    def is_lost(self, *, answer: Answer | None) -> bool:
+        """Is this an acknowledgement that never reaches the operator?"""
+        if answer is None or answer.code != 200 or self.wants_body or not self.operator.loses():
+            return False
+        if self.lost:
+            self.lost()
+        return True
+
+
+@dataclass(kw_only=True)
+class _Sending:
+    """One sending on a connection of its own."""
+
+    call: OperatorCall
+    process: Process | None
+    is_settled: bool = False
+    leave: Callable[[], None] | None = None
+
+    def begin(self) -> None:
+        call, world = self.call, self.call.operator.world
+        self.leave = world.exchange(
+            spot=call.operator.spot,
+            process=self.process,
+            edge="desk",
+            path=call.path,
+            method=call.method,
+            headers=call.headers,
+            body=call.body,
+            query={},
+            done=self._take,
+            read=self._note_read,
+        )
+        world.clock.after(call.patience(), self._give_up)
+
+    def _note_read(self) -> None:
+        # one that comes after the operator has left is to be dropped
+        if self.call.arrived and not self.is_settled:
+            self.call.arrived()
+
+    def _give_up(self) -> None:
+        if self.is_settled:
+            return
+        world = self.call.operator.world
+        world.history.add(t=world.clock.now, k="operator-left", method=self.call.method, path=self.call.path)
+        self.leave()
+        self._take(None)
+
+    def _take(self, answer: Answer | None) -> None:
+        if self.is_settled or self.call.is_lost(answer=answer):
+            return
+        self.is_settled = True
+        self.call.take(answer=answer, process=self.process)
