--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -62,8 +62,6 @@
 """s between probes of a worker in doubt: settles a crash in about half a second."""
 PROBE_WAIT = 0.5
 """s. A probe without a result by then has failed."""
-PROBE_GRACE = 2.0
-"""s of listed time before an unprobed worker counts as unhealthy in its hall's fraction."""
 
 SPILL = 0.70
 """fraction healthy under which a hall spills (the source's failoverHealthThreshold)."""
@@ -180,7 +178,14 @@
 REWRITE_RECORDS = 20000
 """records. A data file with fewer is never rewritten."""
 REWRITE_FACTOR = 3
-"""times its live records at which a data file is rewritten."""
+"""times its live records, or the bytes of these, at which a data file is rewritten."""
+REWRITE_BYTES = 4 << 20
+"""bytes. A data file that is longer is rewritten, unless most of it is live.
+
+Some 30 changes of a 350-route configuration.
+"""
+RECORD_BYTES = 200
+"""bytes that a record takes beside its value's text: names, ballot, marks."""
 RESERVE_BYTES = 8 << 20
 """bytes kept aside on the disk, given up to make room for a rewrite when it is full."""
 JOURNAL = 512
--- a/sailward/control/voter.py
+++ b/sailward/control/voter.py
@@ -77,10 +77,11 @@
         )
         if remembered.known is not None and "v" in remembered.known:
             self.held.step(name="voters", ballot=remembered.known["b"], value=remembered.known["v"])
-        records = [{"k": "identity", "id": self.identity}] if is_new else []
+        self.ledger.start(records=records)
+        first_records = [{"k": "identity", "id": self.identity}] if is_new else []
         if is_founder and bootstrap is not None:
-            records += self._found_alone(now=now, value=bootstrap.value())
-        self.begun: list[Command] = self.ledger.step(records=records, replies=[])
+            first_records += self._found_alone(now=now, value=bootstrap.value())
+        self.begun: list[Command] = self.ledger.step(records=first_records, replies=[])
         self._swept = now
 
     @property
