--- a/tests/test_front_connections.py
+++ b/tests/test_front_connections.py
@@ -69,6 +69,20 @@
     assert reader.is_ended() and not edge.of(CallerLeft)
 
 
+def test_where_it_is_wanted_a_half_closed_caller_counts_as_left_and_is_answered(edge):
+    edge.front._tells_half_close = True
+    sock = edge.connect()
+    sock.sendall(get("/a") + get("/b"))
+    first, second = edge.wait(Asked, 2)
+    edge.answer(first, body=b"a")
+    sock.shutdown(socket.SHUT_WR)
+    assert edge.wait(CallerLeft, 1) == [CallerLeft(token=second.token)]
+    edge.answer(second, body=b"b")
+    reader = Reader(sock)
+    assert reader.response()[2] == b"a" and reader.response()[2] == b"b"
+    assert reader.is_ended() and len(edge.of(CallerLeft)) == 1
+
+
 @pytest.mark.parametrize("raw", [get("/", more="Connection: foo, Close\r\n"), b"GET / HTTP/1.0\r\n\r\n"])
 def test_callers_close_ends_reading(edge, raw):
     sock = edge.connect()
