--- a/sailward/config/history.py
+++ b/sailward/config/history.py
@@ -1,15 +1,12 @@
 """The register's text of a labelled configuration: what was written, its label, digests of the changes that made it.
 
-A change is a compare-and-set: it builds on one label and, when it is taken, gives the next. Labels only grow, so
-at most
-one change is ever taken on top of a label. The history holds the digest of each change taken from a known label on; so
-whether a change that is sent again was taken, or lost for good, is decided by what it builds on and by its digest,
-never by
-its number.
-
-A digest has `DIGEST_LENGTH` letters. The history is kept in segments, each with the label that its first change
-built on;
-the oldest segment is dropped as a whole, so no label is stored for each change.
+A change is a compare-and-set: it builds on one label and, when it is taken, gives the next. Labels only grow, so at
+most one change is ever taken on top of a label. The history holds the digest of each change taken from a known label
+on; so whether a change that is sent again was taken, or lost for good, is decided by what it builds on and by its
+digest, never by its number.
+
+A digest has `DIGEST_LENGTH` letters. The history is kept in segments, each with the label that its first change built
+on; the oldest segment is dropped as a whole, so no label is stored for each change.
 """
 
 from __future__ import annotations
--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -198,8 +198,7 @@
 sent again."""
 ORDER_READ_WAIT = 1.0
 """s that an order on a zone may wait before its change is begun: its operator has gone to another daemon by then,
-and a copy
-that begins later could undo what was ordered since."""
+and a copy that begins later could undo what was ordered since."""
 ORDER_TURNS = 5
 """times that an operators' change is tried on top of what others changed meanwhile, before its operator is asked
 to come back."""
--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -2,8 +2,7 @@
 
 Each order is read, judged by the register's value and tried as a compare-and-set. It is refused only if it can never be
 taken: it is invalid, or another change was taken on top of what it builds on. Whatever can't be told apart ends
-without a
-clear answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
+without a clear answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
 """
 
 from __future__ import annotations
@@ -151,7 +150,7 @@
     def _weigh_labelled(self, *, job: Job) -> tuple[list, list]:
         """Judge a change of a labelled configuration by the one that is current."""
         order, current = job.order, read_labelled(text=job.text)
-        verdict = current.judge(expected=order.expected, digest=order.digest)
+        verdict = current.judge(expected=order.expected or 0, digest=order.digest)
         if verdict is Verdict.NEXT:
             return self._begin_check(job=job, written=current.written or {}, current=current)
         if verdict is Verdict.TAKEN:
@@ -217,7 +216,7 @@
 
     def _make_orders(self, *, job: Job) -> str | Outcome:
         """The register's text with this order taken, or why it is not."""
-        zone, kind = job.order.given, job.order.kind
+        zone, kind = str(job.order.given), job.order.kind
         orders = read_zone_orders(text=job.text)
         is_known = zone in self.full.get("halls", {}) or zone in self.halls
         if not is_known and not (kind == "refill" and zone in orders.emptied):
--- a/sailward/control/zone_orders.py
+++ b/sailward/control/zone_orders.py
@@ -1,13 +1,10 @@
 """The register of the orders on zones: which are emptied, and how many orders of each kind were taken for each.
 
-An order on a zone bears no number and no body, so two orders alike can't be told apart by what they say. The
-counts tell an
-order that competes with others whether one of its own kind was taken since it first looked: then that one stands
-for it, and
-it is not put in force once more, perhaps on top of the opposite that followed. Every order is a change of the
-register, also
-one that finds its zone as it wants it: else an opposite order that was left half accepted could still be finished
-after it.
+An order on a zone bears no number and no body, so two orders alike can't be told apart by what they say. The counts
+tell an order that competes with others whether one of its own kind was taken since it first looked: then that one
+stands for it, and it is not put in force once more, perhaps on top of the opposite that followed. Every order is a
+change of the register, also one that finds its zone as it wants it: else an opposite order that was left half accepted
+could still be finished after it.
 """
 
 from __future__ import annotations
@@ -22,8 +19,8 @@
 class ZoneOrders:
     """What the register holds. `taken`: {zone: [orders to empty it, orders to take it back]}."""
 
-    emptied: frozenset = frozenset()
-    taken: dict = field(default_factory=dict)
+    emptied: frozenset[str] = frozenset()
+    taken: dict[str, list[int]] = field(default_factory=dict)
 
     def count(self, *, kind: str, zone: str) -> int:
         """How many orders of this kind were taken for a zone."""
