--- a/sailward/client/client.py
+++ b/sailward/client/client.py
@@ -37,7 +37,7 @@
 
     def step(self, *, method: str, path: str, body: bytes = b"", headers: dict | None = None) -> Reply | Unreachable:
         """One exchange. A change that may have arrived is not sent to another controller."""
-        reasons = []
+        reasons: list[str] = []
         for controller in self.controllers:
             reply = ask_once(address=controller, method=method, path=path, body=body, headers=headers or {})
             if isinstance(reply, Reply):
--- a/sailward/client/forecast.py
+++ b/sailward/client/forecast.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from sailward.config.homes import find_home_halls
@@ -40,7 +41,7 @@
     return shares
 
 
-def _find_moves(*, full: dict, old: dict):
+def _find_moves(*, full: dict, old: dict) -> Iterator[Finding]:
     before, after = shares_of(full=old), shares_of(full=full)
     for place in sorted({*before, *after}):
         left, right = before.get(place, 0.0), after.get(place, 0.0)
@@ -50,7 +51,7 @@
             )
 
 
-def _find_strangers(*, full: dict, workers: list):
+def _find_strangers(*, full: dict, workers: list) -> Iterator[Finding]:
     for service in full["services"]:
         if not any(one["service"] == service for one in workers):
             yield Finding(kind="warning", path=f"services.{service}", text="no worker of this service is listed")
@@ -66,7 +67,7 @@
         )
 
 
-def _find_empty_homes(*, full: dict, workers: list):
+def _find_empty_homes(*, full: dict, workers: list) -> Iterator[Finding]:
     for tenant, name, halls in find_home_halls(full=full):
         service = full["pools"][name]["service"]
         if not any(worker["service"] == service and worker["hall"] in halls for worker in workers):
@@ -77,7 +78,7 @@
             )
 
 
-def _find_short(*, full: dict, workers: list, rates: dict):
+def _find_short(*, full: dict, workers: list, rates: dict) -> Iterator[Finding]:
     losses = [("hall", hall, {hall}) for hall in full["halls"]]
     losses += [
         ("region", region, {hall for hall, one in full["halls"].items() if one["region"] == region})
--- a/sailward/config/check.py
+++ b/sailward/config/check.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from cerberus import Validator
 
 from sailward import constants
+from sailward.config.errors import list_errors
 from sailward.config.homes import list_halls
 from sailward.config.matches import sort_matches
 from sailward.config.schema import CONFIG
@@ -104,7 +106,7 @@
             errors = {
                 name: _place(errors=inner, odd=odd) if name == "matches" else inner for name, inner in errors.items()
             }
-        return list(_flatten(errors=errors, path="")), {}
+        return [Fault(path=path, reason=reason) for path, reason in list_errors(errors=errors)], {}
     full = validator.document
     if plain:
         rest = dict(zip(odd, full["matches"], strict=True))
@@ -115,7 +117,7 @@
     return [], full
 
 
-def _place(*, errors: object, odd: list) -> object:
+def _place(*, errors: list, odd: list) -> list:
     """The errors of the matches that took part, under the places that they were written at."""
     return [
         {odd[at] if isinstance(at, int) else at: inner for at, inner in one.items()} if isinstance(one, dict) else one
@@ -136,18 +138,7 @@
     return {**config, "pools": {**pools, **near}} if near else config
 
 
-def _flatten(*, errors: object, path: str):
-    if isinstance(errors, dict):
-        for name, inner in errors.items():
-            yield from _flatten(errors=inner, path=f"{path}.{name}" if path else str(name))
-    elif isinstance(errors, list):
-        for inner in errors:
-            yield from _flatten(errors=inner, path=path)
-    else:
-        yield Fault(path=path, reason=str(errors))
-
-
-def _check_pools(*, full: dict):
+def _check_pools(*, full: dict) -> Iterator[Fault]:
     for name, pool in full["pools"].items():
         if pool["service"] not in full["services"]:
             yield Fault(path=f"pools.{name}.service", reason=f"no service {pool['service']!r}")
@@ -159,7 +150,7 @@
                 yield Fault(path=f"pools.{name}", reason=f"hall {hall!r} is listed {listed.count(hall)} times")
 
 
-def _check_matches(*, full: dict):
+def _check_matches(*, full: dict) -> Iterator[Fault]:
     seen: dict = {}
     divided: dict = {}
     for index, match in enumerate(full["matches"]):
@@ -175,7 +166,7 @@
                     yield Fault(path=path, reason=f"the same as matches.{first}: it could never be used")
 
 
-def _check_pools_of_match(*, full: dict, match: dict, path: str, divided: dict):
+def _check_pools_of_match(*, full: dict, match: dict, path: str, divided: dict) -> Iterator[Fault]:
     """`divided` holds the pools that the matches of each divided service have had so far."""
     if sum(share["weight"] for share in match["pools"]) <= 0:
         yield Fault(path=path, reason="the weights add up to 0")
@@ -193,7 +184,7 @@
         yield Fault(path=path, reason="a pool is listed twice")
 
 
-def _check_homes(*, full: dict):
+def _check_homes(*, full: dict) -> Iterator[Fault]:
     regions = {hall["region"] for hall in full["halls"].values()}
     for name, tenant in full["tenants"].items():
         for home in tenant["homes"]:
@@ -216,13 +207,13 @@
                     )
 
 
-def _check_ranged(*, full: dict):
+def _check_ranged(*, full: dict) -> Iterator[Fault]:
     for name, service in full["services"].items():
         if service["keys"] == "ranged" and service["slots"]:
             yield Fault(path=f"services.{name}.slots", reason="keys in ranges know no slots: leave them at 0")
 
 
-def _check_shared_keys(*, full: dict):
+def _check_shared_keys(*, full: dict) -> Iterator[Fault]:
     for name, service in full["services"].items():
         if not service["slots"] or service["keys"] != "shared":
             continue
@@ -237,7 +228,7 @@
             yield Fault(path=f"services.{name}.keys", reason="shared by tenants that have no home in common")
 
 
-def _warn_of_homes(*, full: dict):
+def _warn_of_homes(*, full: dict) -> Iterator[Fault]:
     regions = {hall["region"] for hall in full["halls"].values()}
     for index, match in enumerate(full["matches"]):
         for home in match.get("homes", ()):
@@ -245,7 +236,7 @@
                 yield Fault(path=f"matches.{index}.homes", reason=f"no hall stands in region {home!r}")
 
 
-def _warn_of_caps(*, full: dict):
+def _warn_of_caps(*, full: dict) -> Iterator[Fault]:
     for name, pool in full["pools"].items():
         if pool.get("tiers") == "near":
             continue
--- a/sailward/config/matches.py
+++ b/sailward/config/matches.py
@@ -4,6 +4,8 @@
 
 import math
 import re
+from collections.abc import Callable
+from typing import Any
 
 from sailward.config.schema import HOST, KINDS, MATCH, METHOD, NAME, PATH
 
@@ -23,7 +25,7 @@
     return plain, [at for at in range(len(matches)) if at not in plain]
 
 
-def _is_plain(*, match: object) -> bool:
+def _is_plain(*, match: Any) -> bool:
     return (
         type(match) is dict
         and MATCH.keys() >= match.keys()
@@ -33,7 +35,7 @@
     )
 
 
-def _are_pools(*, pools: object) -> bool:
+def _are_pools(*, pools: Any) -> bool:
     return (
         type(pools) is list
         and 0 < len(pools) <= MATCH["pools"]["maxlength"]
@@ -48,20 +50,20 @@
     )
 
 
-def _is_text(*, given: object, like) -> bool:
+def _is_text(*, given: object, like: Callable[[str], re.Match[str] | None]) -> bool:
     # a newline at the end is told apart by the slow pass
     return type(given) is str and not given.endswith("\n") and like(given) is not None
 
 
-def _are_texts(*, given: object, like) -> bool:
+def _are_texts(*, given: object, like: Callable[[str], re.Match[str] | None]) -> bool:
     return type(given) is list and all(_is_text(given=one, like=like) for one in given)
 
 
-def _is_number(*, given: object, low: float, high: float) -> bool:
+def _is_number(*, given: Any, low: float, high: float) -> bool:
     return type(given) in (int, float) and math.isfinite(given) and low <= given <= high
 
 
-_FITS = {
+_FITS: dict[str, Callable[[Any], bool]] = {
     "methods": lambda given: _are_texts(given=given, like=_IS_METHOD),
     "tenants": lambda given: _are_texts(given=given, like=_IS_NAME),
     "homes": lambda given: _are_texts(given=given, like=_IS_NAME),
--- a/sailward/config/schema.py
+++ b/sailward/config/schema.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from sailward import constants
 
 NAME = {"type": "string", "regex": r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
@@ -33,7 +35,7 @@
 HOST = r"^[^\s/]{0,253}$"
 METHOD = "^[A-Z]{1,16}$"
 KINDS = ["", "repeatable", "once"]
-MATCH = {
+MATCH: dict[str, Any] = {
     "path": {"type": "string", "regex": PATH, "required": True},
     "methods": {"type": "list", "schema": {"type": "string", "regex": METHOD}, "default": []},
     "tenants": {"type": "list", "schema": NAME, "default": []},
--- a/sailward/programs/sailctl.py
+++ b/sailward/programs/sailctl.py
@@ -42,19 +42,20 @@
 import json
 import sys
 from pathlib import Path
+from typing import NoReturn
 from urllib.parse import quote, urlencode
 
 from sailward import constants
 from sailward.client.client import Client, Reply, Unreachable, ask_once
 from sailward.client.forecast import Finding, forecast
-from sailward.config.check import Unsound, check_config, read_config
+from sailward.config.check import Sound, Unsound, check_config, read_config
 from sailward.programs.common import read_flags
 
 
 def main(argv: list[str] | None = None) -> None:
     """Carry out one command of an operator."""
     flags = read_flags(doc=__doc__, argv=argv)
-    controllers = [one.strip() for one in flags["--controllers"].split(",") if one.strip()]
+    controllers = [address.strip() for address in flags["--controllers"].split(",") if address.strip()]
     if not controllers:
         _end(code=constants.EXIT_USAGE, message="--controllers names no controller")
     client = Client(controllers=controllers)
@@ -94,9 +95,8 @@
     if len(members) < len(controllers):
         _end(code=constants.EXIT_USAGE, message="a controller is named twice")
     for controller in controllers:
-        reply = ask_once(
-            address=controller, method="POST", path="/found", body=json.dumps({"members": members}).encode()
-        )
+        body = json.dumps({"members": members}).encode()
+        reply = ask_once(address=controller, method="POST", path="/found", body=body)
         if isinstance(reply, Unreachable):
             _end(code=constants.EXIT_UNKNOWN, message=f"{controller} did not answer: give the same command again")
         if reply.code != 200:
@@ -106,7 +106,7 @@
 
 def _found_anew(*, controllers: list[str], names: list[str], is_confirmed: bool) -> None:
     """Each survivor must answer before any is told; one takes the order and tells the others."""
-    answering = {}
+    answering: dict[str, str] = {}
     for controller in controllers:
         reply = ask_once(address=controller, method="GET", path="/status")
         if isinstance(reply, Reply) and "identity" in reply.body:
@@ -156,28 +156,30 @@
 
 
 def _ask_fleet(*, client: Client, full: dict) -> list[Finding]:
-    replies = [client.step(method="GET", path=path) for path in ("/config", "/workers", "/status")]
-    for reply in replies:
-        if isinstance(reply, Unreachable):
-            _show(reply=reply)
-        if reply.code not in (200, 404):
-            _end(
-                code=constants.EXIT_REFUSED,
-                message=f"{reply.controller}: {reply.body.get('error')}: {reply.body.get('detail')}",
-            )
-    config, workers, status = (reply.body for reply in replies)
+    config, workers, status = (_read_or_end(client=client, path=path) for path in ("/config", "/workers", "/status"))
     old = check_config(config=config["config"]) if config.get("config") else None
-    keys = [f"{one['id']}/{one['generation']}" for one in workers["workers"]]
+    keys = [f"{worker['id']}/{worker['generation']}" for worker in workers["workers"]]
     states = {key: key in status["well"] for key in keys} if status["well"] else {}
     return forecast(
         full=full,
-        now_full=old.full if old is not None else {},
+        now_full=old.full if isinstance(old, Sound) else {},
         workers=workers["workers"],
         rates=status["rates"],
         states=states,
     )
 
 
+def _read_or_end(*, client: Client, path: str) -> dict:
+    """What a controller shows; if none does, the process ends."""
+    reply = client.step(method="GET", path=path)
+    if isinstance(reply, Unreachable):
+        _end_unreachable(unreachable=reply)
+    if reply.code not in (200, 404):
+        message = f"{reply.controller}: {reply.body.get('error')}: {reply.body.get('detail')}"
+        _end(code=constants.EXIT_REFUSED, message=message)
+    return reply.body
+
+
 def _read(*, path: str) -> bytes:
     try:
         return sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
@@ -187,11 +189,7 @@
 
 def _show(*, reply: Reply | Unreachable) -> None:
     if isinstance(reply, Unreachable):
-        for reason in reply.reasons:
-            print(reason, file=sys.stderr)
-        if reply.sent:
-            _end(code=constants.EXIT_UNKNOWN, message="unknown: the change may be in force, now or later; read it back")
-        _end(code=constants.EXIT_UNREACHABLE, message="no controller answered; nothing was changed")
+        _end_unreachable(unreachable=reply)
     if reply.code < 300:
         print(json.dumps(reply.body, indent=2))
         return
@@ -205,7 +203,15 @@
     _end(code=1 if reply.body.get("faults") else constants.EXIT_REFUSED, message=message)
 
 
-def _end(*, code: int, message: str) -> None:
+def _end_unreachable(*, unreachable: Unreachable) -> NoReturn:
+    for reason in unreachable.reasons:
+        print(reason, file=sys.stderr)
+    if unreachable.sent:
+        _end(code=constants.EXIT_UNKNOWN, message="unknown: the change may be in force, now or later; read it back")
+    _end(code=constants.EXIT_UNREACHABLE, message="no controller answered; nothing was changed")
+
+
+def _end(*, code: int, message: str) -> NoReturn:
     print(message, file=sys.stderr)
     sys.exit(code)
 
--- a/sailward/runtime/startup.py
+++ b/sailward/runtime/startup.py
@@ -9,6 +9,8 @@
 
 from cerberus import Validator
 
+from sailward.config.errors import list_errors
+
 NAME = {"type": "string", "regex": r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
 
 
@@ -67,19 +69,5 @@
     validator = Validator(schema)
     if validator.validate(settings):
         return validator.document
-    return BadStartup(
-        faults=tuple(
-            f"{path or 'flags'}: {where}: {reason}" for where, reason in _flatten(errors=validator.errors, path="")
-        )
-    )
-
-
-def _flatten(*, errors: object, path: str):
-    if isinstance(errors, dict):
-        for name, inner in errors.items():
-            yield from _flatten(errors=inner, path=f"{path}.{name}" if path else str(name))
-    elif isinstance(errors, list):
-        for inner in errors:
-            yield from _flatten(errors=inner, path=path)
-    else:
-        yield path, errors
+    errors = list_errors(errors=validator.errors)
+    return BadStartup(faults=tuple(f"{path or 'flags'}: {where}: {reason}" for where, reason in errors))
