Members copy again where a set of voters grows smaller or takes one back

Two members taken out in a row lose a confirmed value. {a,b,c}: b and c vote for it; c is taken out, then b; a alone reads number 0 where 1 was confirmed. The same with five: an operator takes the fifth out, a repair then drops the lost fourth (sets of even size drop before they add), and the majority {a,b} of {a,b,c} lacks it. Registers are independent: no log carries old values on. 2. A member that was out and is in again without having heard of it (cut off one way) goes on with what it voted for before: {a,c} read number 0 where 1 was confirmed by {b,d} meanwhile. Waiting members are taken by gossip, under the identity that they had. Ruled out: the exchange at odd sizes, growth, and changes that race (searched whole, nothing broken).

Mend: the register's text says for each member from which set on it must have copied (joined); a member that was taken in must copy under that set or a later one; where a set grows smaller all its members copy, each from so many of the set before that every majority had one of them, its own votes counted. Files without that number count as copied under 0, texts without it ask for none.

--- a/sailward/consensus/held.py
+++ b/sailward/consensus/held.py
@@ -29,7 +29,7 @@
     """Owner of the chosen values; `step` folds one, and an older one never replaces a newer."""
 
     held: dict = field(default_factory=dict)
-    _voters: dict = field(default_factory=lambda: {"number": 0, "members": {}})
+    _voters: dict = field(default_factory=lambda: {"number": 0, "members": {}, "joined": {}, "before": None})
 
     def step(self, *, name: str, ballot: list, value: dict) -> bool:
         """Hold this value; is it news?"""
@@ -73,6 +73,15 @@
 
 
 def read_voters(*, value: dict) -> dict:
-    """The voters in a register's value."""
-    members = json.loads(value["text"])["members"] if value["text"] else {}
-    return {"number": value["number"], "members": members}
+    """The voters in a register's value.
+
+    `joined` gives for a member the number of the set under which it must have copied at the earliest; `before` is the set that a
+    smaller one took the place of, else None.
+    """
+    said = json.loads(value["text"]) if value["text"] else {}
+    return {
+        "number": value["number"],
+        "members": said.get("members", {}),
+        "joined": said.get("joined", {}),
+        "before": said.get("before"),
+    }
--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -219,11 +219,11 @@
                 return Outcome(
                     kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits"
                 )
-            text = change_members(text=job.text, add=(identity, self.cellars[identity]["post"]))
+            text = change_members(text=job.text, number=job.number, add=(identity, self.cellars[identity]["post"]))
         else:
             if identity not in members:
                 return Outcome(kind="refused", code=404, reason="voter-unknown", detail=f"no voter {given!r}")
-            text = change_members(text=job.text, drop=identity)
+            text = change_members(text=job.text, number=job.number, drop=identity)
         well = {name for name, entry in self.cellars.items() if entry["fit"]}
         if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
             return Outcome(
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -56,16 +56,17 @@
         self.options = options = options or ControllerOptions()
         slots = Slots()
         self.identity = ""
-        copied, opened, known = False, 0, None
+        copied, under, opened, known = False, 0, 0, None
         for record in records:
             if record["k"] == "identity":
                 self.identity = record["id"]
             elif record["k"] == "copied":
-                copied = True
+                # versions before this one don't say under which set: members of theirs need no later copy
+                copied, under = True, record.get("n", 0)
             elif record["k"] == "opened":
                 opened = record["n"]
             elif record["k"] == "left":
-                self.identity, copied, opened, slots = record["id"], False, 0, Slots()
+                self.identity, copied, under, opened, slots = record["id"], False, 0, 0, Slots()
             elif record.get("r") == KNOWN:
                 known = record
             else:
@@ -78,7 +79,9 @@
         self.place, self.start, self._nonce, self._left = place, start, nonce, 0
         self.held = HeldBook()
         self.acceptor = Acceptor(slots=slots)
-        self.ledger = WriteAhead(identity=self.identity, slots=slots, copied=copied, opened=opened, known=known)
+        self.ledger = WriteAhead(
+            identity=self.identity, slots=slots, copied=copied, under=under, opened=opened, known=known
+        )
         if known is not None and "v" in known:
             self.held.step(name="voters", ballot=known["b"], value=known["v"])
         self.proposer = Proposer(identity=f"{place.name}#{nonce}", rng=rng)
@@ -157,7 +160,7 @@
         """May this cellar vote and grant?"""
         return (
             self.identity in self.voters["members"]
-            and self.ledger.copied
+            and self.membership.is_whole()
             and self.ledger.usable
             and not self.membership.is_opening()
         )
--- a/sailward/control/copying.py
+++ b/sailward/control/copying.py
@@ -6,15 +6,15 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.consensus.acceptor import Slot
+from sailward.consensus.acceptor import FIRST, Slot
 from sailward.consensus.held import Held, read_voters
-from sailward.consensus.proposer import majority_of, newest_of
+from sailward.consensus.proposer import blocking_of, majority_of, newest_of
 from sailward.events import Tell
 
 
 @dataclass(kw_only=True)
 class Copying:
-    """Owner of one copy. `step` asks for pages, or folds one; it is over when a majority told all.
+    """Owner of one copy. `step` asks for pages, or folds one; it is over when enough voters told all.
 
     Each page is asked for with the set of voters that has the new one in it. Who tells a page keeps that
     set first, and so votes no more for changes under the set before: what they chose is in the copy.
@@ -23,6 +23,8 @@
     identity: str
     number: int = 0
     old: dict = field(default_factory=dict)
+    others: dict = field(default_factory=dict)
+    is_smaller: bool = False
     told: dict = field(default_factory=dict)
     cursors: dict = field(default_factory=dict)
     done: set = field(default_factory=set)
@@ -39,27 +41,56 @@
         if now < self.again:
             return []
         self.again = now + self.pause
-        return [self._ask(to=address, voters=voters) for address in self.old.values() if address not in self.done]
+        return [self._ask(to=address, voters=voters) for address in self.others.values() if address not in self.done]
 
-    def is_over(self) -> bool:
-        """Has a majority of the voters before told everything?"""
-        return bool(self.old) and len(self.done) >= majority_of(members=self.old)
+    def is_over(self, *, own: dict[str, Slot] | None = None) -> bool:
+        """Have enough voters told everything? `own` are this one's slots, if it was one of the set before and acted.
 
-    def slots(self, *, now: float) -> dict[str, Slot]:
-        """What may have been chosen under the set before, by what its majority told."""
-        sources = [self.told.get(address, {}) for address in sorted(self.done)]
+        For one that joins, a majority of those that it joins. For one that stays in a smaller set, so many of the set before that
+        every majority had one of them; under the first ballot these may leave open which value was chosen: then a majority.
+        """
+        if not self.old:
+            return False
+        count = len(self.done) + (own is not None)
+        if not self.is_smaller or count >= majority_of(members=self.old):
+            return count >= majority_of(members=self.old)
+        return count >= blocking_of(members=self.old) and not self._is_open(own=own)
+
+    def slots(self, *, now: float, own: dict[str, Slot] | None = None) -> dict[str, Slot]:
+        """What may have been chosen under the set before, by what these voters told."""
+        sources = self._sources(own=own)
         slots = {}
         for name in sorted({name for told in sources for name in told}):
             votes = [told.get(name, []) for told in sources]
             value = newest_of(votes=votes, members=self.old)
             if value["number"]:
                 ballot = max(vote[0] for vote in votes if vote)
-                slots[name] = Slot(promised=ballot, ballot=ballot, value=value, since=now)
+                promised = max(ballot, own[name].promised) if own is not None and name in own else ballot
+                slots[name] = Slot(promised=promised, ballot=ballot, value=value, since=now)
         return slots
 
+    def _sources(self, *, own: dict[str, Slot] | None) -> list[dict]:
+        """The votes of each voter that counts, by register."""
+        sources = [self.told.get(address, {}) for address in sorted(self.done)]
+        if own is not None:
+            sources.append({name: slot.vote() for name, slot in own.items() if slot.value is not None})
+        return sources
+
+    def _is_open(self, *, own: dict[str, Slot] | None) -> bool:
+        """Do some of these voters hold different values of a register under the first ballot?"""
+        marks: dict[str, set] = {}
+        for told in self._sources(own=own):
+            for name, (ballot, value) in told.items():
+                if ballot == FIRST:
+                    marks.setdefault(name, set()).add(value["mark"])
+        return any(len(one) > 1 for one in marks.values())
+
     def _restart(self, *, members: dict) -> None:
         self.number = members["number"]
-        self.old = {name: address for name, address in members["members"].items() if name != self.identity}
+        self.others = {name: address for name, address in members["members"].items() if name != self.identity}
+        # who joins copies from those that it joins; who stays in a smaller set copies from the larger one before
+        self.is_smaller = members["before"] is not None
+        self.old = members["before"]["members"] if self.is_smaller else self.others
         self.told, self.cursors, self.done = {}, {}, set()
 
     def _ask(self, *, to: str, voters: Held) -> Tell:
@@ -71,7 +102,7 @@
     def _fold(self, *, now: float, voters: Held, sender: str, body: dict) -> list:
         if (
             body["voters"] != self.number
-            or sender not in self.old.values()
+            or sender not in self.others.values()
             or sender in self.done
             or body["after"] != self.cursors.get(sender, "")
         ):
--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -49,6 +49,21 @@
         cellar.desk.cellars = {one["identity"]: one for one in [*cellars, cellar.roster.own_entry()]}
         return [*self._note_core(now=now, cellars=cellars), *self._mind(now=now, cellars=cellars)]
 
+    def is_whole(self) -> bool:
+        """Do this voter's slots hold what was chosen before the set that it must have copied under?"""
+        cellar = self._cellar
+        return cellar.ledger.copied and cellar.ledger.under >= cellar.voters["joined"].get(cellar.identity, 0)
+
+    def _may_tell(self) -> bool:
+        """May others copy from this one? Also if it must copy itself, if it could act under the larger set before."""
+        cellar = self._cellar
+        before = cellar.voters["before"] or {"members": {}, "joined": {}}
+        was_whole = cellar.ledger.copied and cellar.ledger.under >= before["joined"].get(cellar.identity, 0)
+        return cellar.ledger.usable and (
+            (cellar.identity in cellar.voters["members"] and self.is_whole())
+            or (cellar.identity in before["members"] and was_whole)
+        )
+
     def is_opening(self) -> bool:
         """Does a founding anew keep this cellar from acting?"""
         return read_founding(value=self._voters().value).number > self._cellar.ledger.opened
@@ -174,22 +189,23 @@
         old, cellar.identity = cellar.identity, cellar.new_identity()
         for part in (cellar.ledger, cellar.roster, self.copying, self.anew.copying):
             part.identity = cellar.identity
+        return [Log(event="taken-out", fields={"was": old, "waits-as": cellar.identity}), *self._forget()]
+
+    def _forget(self) -> list:
+        """What was voted for as a member of earlier sets is void."""
+        cellar = self._cellar
         for name in list(cellar.acceptor.slots):
             del cellar.acceptor.slots[name]
         cellar.acceptor.slots.control.clear()
-        cellar.ledger.copied, cellar.ledger.opened = False, 0
-        return [
-            Log(event="taken-out", fields={"was": old, "waits-as": cellar.identity}),
-            *cellar.ledger.step(records=[{"k": "left", "id": cellar.identity}], replies=[]),
-        ]
+        cellar.ledger.copied, cellar.ledger.under, cellar.ledger.opened = False, 0, 0
+        return cellar.ledger.step(records=[{"k": "left", "id": cellar.identity}], replies=[])
 
     def tell_page(self, *, now: float, sender: str, body: dict) -> list:
         """A page of all this voter has voted for, to one that copies under the same set."""
         cellar = self._cellar
         commands = cellar.keep(now=now, name="voters", ballot=body["ballot"], value=body["value"], tell=False)
         number = cellar.voters["number"]
-        may_tell = cellar.identity in cellar.voters["members"] and cellar.ledger.copied and cellar.ledger.usable
-        if not may_tell or number != body["value"]["number"]:
+        if not self._may_tell() or number != body["value"]["number"]:
             return commands
         if body["after"] == "" or sender not in self._names:
             # nothing is voted for under the old set from here on: one order for the whole copy
@@ -204,17 +220,27 @@
         cellar = self._cellar
         if "voters" not in cellar.held.held:
             return []
-        if cellar.ledger.copied:
+        if self.is_whole():
             return self._step_anew(now=now, event=event) if self.is_opening() else []
+        return self._step_copy(now=now, event=event)
+
+    def _step_copy(self, *, now: float, event: tuple | None) -> list:
+        cellar = self._cellar
+        own = cellar.acceptor.slots if self._may_tell() else None
         commands = self.copying.step(now=now, voters=self._voters(), event=event)
-        if not self.copying.is_over():
+        if not self.copying.is_over(own=own):
             return commands
-        cellar.ledger.copied, cellar.ledger.opened = True, read_founding(value=self._voters().value).number
-        slots = self.copying.slots(now=now)
+        slots = self.copying.slots(now=now, own=own)
+        if own is None:
+            commands += self._forget()
+        cellar.ledger.copied, cellar.ledger.under = True, self.copying.number
+        cellar.ledger.opened = read_founding(value=self._voters().value).number
         log = Log(event="copied", fields={"slots": len(slots), "under": self.copying.number})
         commands += [
             log,
-            *cellar.ledger.step(records=[*self._put(slots=slots), {"k": "copied"}, *self._opened()], replies=[]),
+            *cellar.ledger.step(
+                records=[*self._put(slots=slots), cellar.ledger.copied_record(), *self._opened()], replies=[]
+            ),
         ]
         return commands + (self._announce() if cellar.options.bootstrap else [])
 
@@ -295,8 +321,8 @@
             return [log, *cellar.begin(now=now, begins=[begin])]
         commands = []
         if cellar.identity in cellar.voters["members"] and "voters" in cellar.held.held:
-            if not cellar.ledger.copied:
-                return self.copying.step(now=now, voters=held, event=None)
+            if not self.is_whole():
+                return self._step_copy(now=now, event=None)
             if self.is_opening():
                 commands = self._step_anew(now=now, event=None)
         if now - self._asked >= self._ask_pause():
--- a/sailward/control/repair.py
+++ b/sailward/control/repair.py
@@ -3,7 +3,8 @@
 A core that founded itself exchanges the two in one change where its size is odd. It is safe because a newcomer acts only when it
 has copied from a majority of the set before, each of which keeps the new set before it tells. That leaves the old set no majority
 that could choose more, and the newcomer with all that it chose. A majority of the new set without the newcomer is one of the old
-set too, as the sizes are alike. And as the lost one's place is taken at once, a newcomer that dies before it has copied can be
+set too, as the sizes are alike. In a set of even size the newcomer's majority is one of an odd rest, and can lack what was chosen:
+see `may_exchange`. A set that grows smaller loses holders of what was chosen, so its members copy from the set before, too. And as the lost one's place is taken at once, a newcomer that dies before it has copied can be
 exchanged in its turn.
 """
 
@@ -39,16 +40,16 @@
         if now - self.looked < self.every or not text:
             return ""
         self.looked = now
-        members = voters["members"]
+        members, number = voters["members"], voters["number"]
         alive = {entry["identity"]: entry for entry in cellars}
         if self.is_brisk:
-            return self._step_brisk(now=now, own=own, number=voters["number"], text=text, members=members, alive=alive)
+            return self._step_brisk(now=now, own=own, number=number, text=text, members=members, alive=alive)
         for name in members:
             if name in alive:
                 self.seen[name] = now
             self.seen.setdefault(name, now)
         well = [name for name in members if name in alive and alive[name]["fit"]]
-        if choose_names(key=f"repair{voters['number']}", names=well, count=1) != [own]:
+        if choose_names(key=f"repair{number}", names=well, count=1) != [own]:
             return ""
         gone = self._gone(now=now, members=members, alive=alive)
         joining = [name for name in members if name in alive and not alive[name]["fit"]]
@@ -56,15 +57,15 @@
         waiting = sorted(name for name in alive if name not in members)
         if waiting and len(members) < size and not joining:
             # a core founded anew is brought back to its size
-            return change_members(text=text, add=(waiting[0], alive[waiting[0]]["post"]))
+            return change_members(text=text, number=number, add=(waiting[0], alive[waiting[0]]["post"]))
         if not gone:
             return ""
         if len(members) > size:
             # the newcomer must have copied everything before the lost one's part in it may go
-            text = change_members(text=text, drop=gone[0])
+            text = change_members(text=text, number=number, drop=gone[0])
             return "" if joining or not keeps_majority(text=text, well=set(well)) else text
         if waiting:
-            return change_members(text=text, add=(waiting[0], alive[waiting[0]]["post"]))
+            return change_members(text=text, number=number, add=(waiting[0], alive[waiting[0]]["post"]))
         return ""
 
     def _gone(self, *, now: float, members: dict, alive: dict) -> list[str]:
@@ -81,7 +82,11 @@
         well = [name for name in members if name in alive and alive[name]["fit"]]
         self.seen = {name: now if name in alive else self.seen.get(name, now) for name in members}
         self.well_at = {name: now if name in well else self.well_at.get(name, now) for name in members}
-        change = self._choose(now=now, text=text, members=members, alive=alive, well=well) if own in well else ""
+        change = (
+            self._choose(now=now, number=number, text=text, members=members, alive=alive, well=well)
+            if own in well
+            else ""
+        )
         if not change:
             self.due = (-1, now)
             return ""
@@ -94,7 +99,7 @@
         self.tried = (number, now)
         return change
 
-    def _choose(self, *, now: float, text: str, members: dict, alive: dict, well: list) -> str:
+    def _choose(self, *, now: float, number: int, text: str, members: dict, alive: dict, well: list) -> str:
         """The next change of the voters, one member added, dropped or exchanged; "" if there is none to make."""
         size = json.loads(text).get("size", len(members))
         gone = self._gone_brisk(now=now, members=members, alive=alive)
@@ -108,13 +113,15 @@
         add = (best, alive[best]["post"]) if best else None
         if gone and (add or len(members) > size):
             grows = len(members) % 2 == 0 and len(members) < size
-            swaps = len(members) % 2 == 1 and add is not None
-            made = change_members(text=text, add=add if grows or swaps else None, drop="" if grows else gone[0])
+            swaps = add is not None and may_exchange(members=members)
+            made = change_members(
+                text=text, number=number, add=add if grows or swaps else None, drop="" if grows else gone[0]
+            )
             if gone[0] in alive:
                 self.failed[gone[0]] = now
             return made if keeps_majority(text=made, well=set(well)) else ""
         if add and not gone and len(members) < size:
-            made = change_members(text=text, add=add)
+            made = change_members(text=text, number=number, add=add)
             return made if len(members) < 3 or keeps_majority(text=made, well=set(well)) else ""
         return ""
 
@@ -145,14 +152,33 @@
         )
 
 
-def change_members(*, text: str, add: tuple[str, str] | None = None, drop: str = "") -> str:
-    """The register's text with one member more, or one less."""
+def may_exchange(*, members: dict) -> bool:
+    """May one member be exchanged for another in one change? Only in sets of odd size.
+
+    A newcomer of an even set copies from a majority of an odd rest, and this can lack a value that was chosen under the first
+    ballot: of four voters three chose it, one of them goes, and two of the other three tell the newcomer.
+    """
+    return len(members) % 2 == 1
+
+
+def change_members(*, text: str, number: int, add: tuple[str, str] | None = None, drop: str = "") -> str:
+    """The text of the voters register after `number`, with one member more, one less, or one for another.
+
+    A newcomer must copy under the new set or a later one before it acts, also if it was a member before and has not heard that it
+    was taken out. A smaller set has fewer that hold what was chosen: all its members copy, each from a majority of the set before.
+    """
     value = json.loads(text)
-    members = dict(value["members"])
+    members, joined = dict(value["members"]), value.get("joined", {})
+    after = {name: said for name, said in value.items() if name not in ("before", "joined")}
     if add:
         members[add[0]] = add[1]
+        joined = {**joined, add[0]: number + 1}
     members.pop(drop, None)
-    return json.dumps({**value, "members": members}, sort_keys=True)
+    if drop and not add:
+        after["before"] = {"members": value["members"], "joined": joined}
+        joined = dict.fromkeys(members, number + 1)
+    after["joined"] = {name: at for name, at in joined.items() if name in members}
+    return json.dumps({**after, "members": members}, sort_keys=True)
 
 
 def count_core(*, members: dict, cellars: list[dict]) -> dict:
--- a/sailward/control/write_ahead.py
+++ b/sailward/control/write_ahead.py
@@ -12,11 +12,15 @@
 
 @dataclass(kw_only=True)
 class WriteAhead:
-    """Owner of the order between records and replies. `step` stores, syncs, fails or rewrites."""
+    """Owner of the order between records and replies. `step` stores, syncs, fails or rewrites.
+
+    `copied` says that the slots hold what was chosen under the voters numbered `under`, and before.
+    """
 
     identity: str
     slots: dict
     copied: bool = False
+    under: int = 0
     opened: int = 0
     known: dict | None = None
     seq: int = 0
@@ -46,11 +50,15 @@
         self.known = {"k": "promise", "r": KNOWN, "b": ballot, "v": value}
         return self.step(records=[self.known], replies=[]) if self.usable else []
 
+    def copied_record(self) -> dict:
+        """What is stored of the copy that the slots come from."""
+        return {"k": "copied", "n": self.under}
+
     def rewrite(self) -> Rewrite:
         """Replace the file by what is live."""
         records = [
             {"k": "identity", "id": self.identity},
-            *([{"k": "copied"}] if self.copied else []),
+            *([self.copied_record()] if self.copied else []),
             *([{"k": "opened", "n": self.opened}] if self.opened else []),
             *([self.known] if self.known else []),
         ]
--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -223,7 +223,7 @@
     "leaving": _method(workers.WorkerBook, "step", _never_leaving),
     "disk-votes": _method(write_ahead.WriteAhead, "hear", _failures_unheard),
     "last-resort": _method(choosing, "share_halls", _no_last_resort),
-    "copy": _method(copying.Copying, "slots", lambda old: lambda self, *, now: {}),
+    "copy": _method(copying.Copying, "slots", lambda old: lambda self, *, now, own=None: {}),
     "repair": _constant("REPLACE_AFTER", 1e9),
     "closing": _method(assigning.Assigning, "_judge", _opens_at_once),
     "witness": _method(witness.Witness, "look", lambda old: lambda self, *, closing, slot: None),
