--- /dev/null
+++ b/simulation/model/faults.py
@@ -0,0 +1,64 @@
+"""Faults planted into the product on purpose: the explorer, or a history that it once found, must show each."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from unittest import mock
+
+from sailward.control import copying, membership, repair, write_ahead
+from sailward.control.controller import Controller
+from simulation.model import changes
+
+
+def _answers_before_sync(old: Callable) -> Callable:
+    def step(self, *, records: list, replies: list) -> list:
+        return [*old(self, records=records, replies=[]), *replies]
+
+    return step
+
+
+def _acts_under_any_set(old: Callable) -> Callable:
+    def vote(self, *, now: float, sender: str, body: dict) -> list:
+        return old(self, now=now, sender=sender, body={**body, "voters": self.voters["number"]})
+
+    return vote
+
+
+def _no_copy_of_smaller_sets(old: Callable) -> Callable:
+    def change(*, text: str, number: int, add: tuple | None = None, drop: str = "") -> str:
+        made = json.loads(old(text=text, number=number, add=add, drop=drop))
+        if drop and not add:
+            made.pop("before")
+            made["joined"] = {name: at for name, at in made["joined"].items() if at <= number}
+        return json.dumps(made, sort_keys=True)
+
+    return change
+
+
+def _patch(owner: object, name: str, make: Callable) -> AbstractContextManager:
+    return mock.patch.object(owner, name, make(getattr(owner, name)))
+
+
+FAULTS: dict[str, Callable[[], list[AbstractContextManager]]] = {
+    # an acceptor answers before its disk has synced
+    "early-answer": lambda: [_patch(write_ahead.WriteAhead, "step", _answers_before_sync)],
+    # a newcomer copies from one voter
+    "copy-from-one": lambda: [mock.patch.object(copying, "majority_of", lambda *, members: 1)],
+    # a newcomer counts before it has copied
+    "counts-at-once": lambda: [mock.patch.object(membership.Membership, "is_whole", lambda self: True)],
+    # a member that was out and is in again goes on with what it voted for before
+    "keeps-old-slots": lambda: [
+        mock.patch.object(membership.Membership, "is_whole", lambda self: self._cellar.ledger.copied)
+    ],
+    # members of a smaller set go on without a copy
+    "smaller-without-copy": lambda: [
+        _patch(repair, "change_members", _no_copy_of_smaller_sets),
+        _patch(changes, "change_members", _no_copy_of_smaller_sets),
+    ],
+    # two members are exchanged in one change also in sets of even size
+    "even-exchange": lambda: [mock.patch.object(repair, "may_exchange", lambda *, members: True)],
+    # a voter votes under whatever set it is asked under
+    "any-set": lambda: [_patch(Controller, "_vote", _acts_under_any_set)],
+}
--- /dev/null
+++ b/simulation/model/node.py
@@ -0,0 +1,232 @@
+"""One controller under the explorer: built by the product's own class, stepped by single events, cloned by bytes."""
+
+from __future__ import annotations
+
+import copyreg
+import json
+import pickle
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sailward.consensus.acceptor import Slot, Slots
+from sailward.consensus.proposer import Operation, Proposer, Settled, majority_of
+from sailward.control.controller import Controller
+from sailward.control.options import ControllerOptions
+from sailward.discovery.gossip import Place
+from sailward.events import Asked, Heard, Rewrite, Store, Synced, Tell
+
+SHARED = frozenset(
+    {"options", "place", "desk", "roster", "moves", "pager", "listing", "subscribers", "standing", "fleet"}
+)
+"""Parts of a controller that the explored events don't depend on: all clones of a node share them."""
+TEMPLATES: dict[str, dict] = {}
+"""The shared parts by the node's name."""
+KEYS: dict[tuple, int] = {}
+"""A number for each state of a node: equal for states that act alike."""
+STEPS: dict[tuple, Stepped] = {}
+"""What came of an event at a node in a state: many global states share one of a node."""
+OPTIONS = ControllerOptions(copy_again=0.0)
+NEVER = 1e12
+"""s. An operation under the explorer expires only when an action says so."""
+
+
+def _make_slots(items: dict) -> Slots:
+    slots = Slots()
+    for name, slot in items.items():
+        slots[name] = slot
+    return slots
+
+
+copyreg.pickle(Slots, lambda slots: (_make_slots, (dict(slots),)))
+
+
+class FixedRandom:
+    """In place of a random generator: every pause is half of its bound."""
+
+    def random(self) -> float:
+        """The middle."""
+        return 0.5
+
+
+class RecordingProposer(Proposer):
+    """The product's proposer; what it settles is noted for the checks."""
+
+    settled: list[Settled]
+
+    def step(self, *, now: float, voters: dict, event: object) -> tuple[list, list[Settled]]:
+        """As the product's."""
+        commands, settled = super().step(now=now, voters=voters, event=event)
+        self.settled = [*getattr(self, "settled", []), *settled]
+        return commands, settled
+
+
+class ModelController(Controller):
+    """The product's controller; only its pickled form is smaller."""
+
+    def __getstate__(self) -> dict:
+        return {name: part for name, part in vars(self).items() if name not in SHARED}
+
+    def __setstate__(self, state: dict) -> None:
+        self.__dict__.update(state)
+        self.__dict__.update(TEMPLATES[state["model_name"]])
+
+
+@dataclass(frozen=True, kw_only=True)
+class Facts:
+    """What the explorer needs to know of a controller without opening it.
+
+    `live` are (operation, phase, answers that it still needs); `told` is how it tells the voters that it knows.
+    """
+
+    identity: str = ""
+    number: int = 0
+    members: tuple[tuple[str, str], ...] = ()
+    is_voting: bool = False
+    live: frozenset = frozenset()
+    told: dict = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Node:
+    """A controller at one moment, with its disk."""
+
+    name: str
+    starts: int
+    blob: bytes
+    key: int
+    facts: Facts
+    disk: tuple = ()
+
+    @property
+    def post(self) -> str:
+        """Its address."""
+        return f"{self.name}:1"
+
+    def open(self) -> ModelController:
+        """A controller to step: a clone."""
+        return pickle.loads(self.blob)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Stepped:
+    """What came of an event: the node after it, what it sent, and what its proposer settled."""
+
+    node: Node
+    sent: list
+    settled: list
+
+
+def boot(*, name: str, starts: int, disk: tuple) -> Node:
+    """Start a node on what its disk holds."""
+    post = f"{name}:1"
+    controller = ModelController(
+        place=Place(name=name, kind="cellar", hall="h", region="r", post=post, http=post),
+        platform="p:1",
+        nonce=f"n{starts}",
+        start=starts,
+        rng=FixedRandom(),
+        records=list(disk),
+        now=0.0,
+        options=OPTIONS,
+    )
+    controller.model_name = name
+    controller.proposer = RecordingProposer(identity=f"{name}#n{starts}", rng=FixedRandom())
+    TEMPLATES.setdefault(name, {part: vars(controller)[part] for part in SHARED})
+    node = Node(name=name, starts=starts, blob=b"", key=-1, facts=Facts(), disk=disk)
+    # the first event stores the identity
+    commands = controller.step(now=0.0, event=Synced(seq=0))
+    return _settle(node=node, controller=controller, commands=commands).node
+
+
+def found(*, node: Node, members: dict) -> Node:
+    """Let a node found a core with these members, by the operators' order."""
+    event = Asked(
+        token="t", method="POST", path="/found", query={}, headers={}, body=json.dumps({"members": members}).encode()
+    )
+    controller = node.open()
+    return _settle(node=node, controller=controller, commands=controller.step(now=0.0, event=event)).node
+
+
+def hear(*, node: Node, sender: str, word: str, body: dict, is_synced: bool = True) -> Stepped:
+    """Deliver a message of the node `sender`; `word` is its name, equal only for equal ones."""
+
+    def call(controller: ModelController) -> list:
+        return controller.step(now=0.0, event=Heard(sender=f"{sender}:1", body=body))
+
+    return act(node=node, word=f"{sender} {word}", call=call, is_synced=is_synced)
+
+
+def act(*, node: Node, word: str, call: Callable[[ModelController], list], is_synced: bool = True) -> Stepped:
+    """Let a part of the controller act by itself: `call(controller)` gives its commands; `word` names it."""
+    known = (node.name, node.key, word, is_synced)
+    if known not in STEPS:
+        controller = node.open()
+        STEPS[known] = _settle(node=node, controller=controller, commands=call(controller), is_synced=is_synced)
+    return STEPS[known]
+
+
+def forget_steps() -> None:
+    """Forget what was noted of earlier searches: the product may have been changed since."""
+    STEPS.clear()
+    KEYS.clear()
+
+
+def _settle(*, node: Node, controller: ModelController, commands: list, is_synced: bool = True) -> Stepped:
+    """Carry out the commands and close the node again; without `is_synced` its stores are never written."""
+    sent, disk, line = [], node.disk, list(commands)
+    while line:
+        command = line.pop(0)
+        if isinstance(command, Tell):
+            sent.append(command)
+        elif isinstance(command, (Store, Rewrite)) and is_synced:
+            disk = (disk if isinstance(command, Store) else ()) + tuple(command.records)
+            line = [*controller.step(now=0.0, event=Synced(seq=command.seq)), *line]
+    settled = getattr(controller.proposer, "settled", [])
+    controller.proposer.settled = []
+    after = Node(
+        name=node.name,
+        starts=node.starts,
+        blob=pickle.dumps(controller, protocol=5),
+        key=KEYS.setdefault((node.starts, fingerprint(controller=controller)), len(KEYS)),
+        facts=_facts(controller=controller),
+        disk=disk,
+    )
+    return Stepped(node=after, sent=sent, settled=settled)
+
+
+def _facts(*, controller: ModelController) -> Facts:
+    voters = controller.voters
+    told = controller.held.tell(to="", name="voters")
+    return Facts(
+        identity=controller.identity,
+        number=voters["number"],
+        members=tuple(sorted(voters["members"].items())),
+        is_voting=controller.voting,
+        live=frozenset(_work(op=op, work=work) for op, work in controller.proposer._live.items()),
+        told=told[0].body if told else {},
+    )
+
+
+def _work(*, op: str, work: Operation) -> tuple[str, str, int]:
+    return op, work.phase, majority_of(members=work.voters) - len(work.answers)
+
+
+def fingerprint(*, controller: ModelController) -> str:
+    """All that later steps depend on, as a text that is equal for equal states."""
+    ledger, copying = controller.ledger, controller.membership.copying
+    proposer = (controller.proposer._count, controller.proposer._round)
+    operations = sorted(
+        (op, work.phase, work.number, work.ballot, sorted(work.answers.items()), work.value, work.tries)
+        for op, work in controller.proposer._live.items()
+    )
+    slots = sorted((name, _slot(slot=slot)) for name, slot in controller.acceptor.slots.items())
+    held = sorted(
+        (name, one.ballot, one.value["number"], one.value["mark"]) for name, one in controller.held.held.items()
+    )
+    copied = (copying.number, sorted(copying.done), repr(sorted(copying.told.items())))
+    waiting = [(seq, len(replies)) for seq, replies in ledger.waiting]
+    return repr((controller.identity, ledger.copied, ledger.known, waiting, proposer, operations, slots, held, copied))
+
+
+def _slot(*, slot: Slot) -> tuple:
+    return slot.promised, slot.ballot, slot.value
--- /dev/null
+++ b/tests/test_model_explorer.py
@@ -0,0 +1,69 @@
+"""The explorer: small cases searched whole, histories that break with a planted fault, and only with it."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+
+from simulation.model.cases import CASES
+from simulation.model.explore import explore, replay, shorten, walk
+from simulation.model.faults import FAULTS
+from simulation.model.histories import HISTORIES, History
+from simulation.model.space import Bounds, State
+
+
+def play(history: History, *, fault: str) -> State | None:
+    """The state that a history ends in; None if the product makes one of its steps impossible."""
+    with contextlib.ExitStack() as stack:
+        for patch in FAULTS[fault]() if fault else []:
+            stack.enter_context(patch)
+        try:
+            return replay(bounds=history.bounds, trace=history.trace)
+        except ValueError:
+            return None
+
+
+@pytest.mark.parametrize("name", HISTORIES)
+def test_a_history_breaks_with_its_planted_fault_and_only_with_it(name: str) -> None:
+    history = HISTORIES[name]
+    with_fault = play(history, fault=history.fault)
+    assert with_fault is not None
+    assert with_fault.broken is not None
+    assert with_fault.broken.rule == history.rule
+    without = play(history, fault="")
+    assert without is None or without.broken is None
+
+
+def test_every_planted_fault_has_a_history() -> None:
+    assert {one.fault for one in HISTORIES.values()} == set(FAULTS)
+
+
+@pytest.mark.parametrize("name", ["small-crash", "small-larger", "small-smaller", "small-changes"])
+def test_a_small_case_is_searched_whole_and_nothing_breaks(name: str) -> None:
+    found = explore(bounds=CASES[name])
+    assert found.is_whole
+    assert found.broken is None
+
+
+def test_a_search_finds_an_answer_before_the_sync_by_itself_and_shortens_its_history() -> None:
+    with contextlib.ExitStack() as stack:
+        for patch in FAULTS["early-answer"]():
+            stack.enter_context(patch)
+        found = explore(bounds=CASES["small-crash"])
+        assert found.broken is not None
+        trace = shorten(bounds=CASES["small-crash"], trace=found.trace)
+        assert len(trace) <= len(found.trace)
+        assert replay(bounds=CASES["small-crash"], trace=trace).broken == found.broken
+
+
+def test_random_histories_are_the_same_for_the_same_seed() -> None:
+    bounds = Bounds(members=("a", "b", "c"), puts=("a",), reads=("b",))
+    first, again = (walk(bounds=bounds, walks=20, seed=3) for _ in range(2))
+    assert (first.states, first.steps) == (again.states, again.steps)
+    assert first.broken is None
+
+
+def test_a_step_that_is_not_possible_is_named() -> None:
+    with pytest.raises(ValueError, match="step 1"):
+        replay(bounds=CASES["race"], trace=("copy a 9 b",))
