--- a/simulation/model/actions.py
+++ b/simulation/model/actions.py
@@ -6,9 +6,10 @@
 from itertools import combinations
 
 from sailward.consensus.proposer import Begin, fast_of, majority_of
+from sailward.control.controller import Controller
 from simulation.model.changes import text_of
 from simulation.model.checks import note_outcome
-from simulation.model.node import NEVER, ModelController, Node, Stepped, act, boot, hear
+from simulation.model.node import NEVER, Node, Stepped, act, boot, hear
 from simulation.model.space import DATA, Bounds, State
 
 KINDS = ("put", "read", "change")
@@ -147,9 +148,9 @@
             return None
         start = Begin(op=op, register="voters", expected=state.node(name).facts.number, text=text, wait=NEVER)
 
-    def call(controller: ModelController) -> list:
-        controller._reading[start.op] = start.register
-        return controller.begin(now=0.0, begins=[start])
+    def call(controller: Controller) -> list:
+        controller.catch_up._reading[start.op] = start.register
+        return controller.registers.begin(now=0.0, begins=[start])
 
     node = state.node(name)
     if not node.facts.members:
@@ -225,7 +226,7 @@
 def _retry(state: State, bounds: Bounds, op: str) -> State | None:
     """The alarm of an operation: a new round, under the voters that are known now."""
 
-    def call(controller: ModelController) -> list:
+    def call(controller: Controller) -> list:
         commands, _ = controller.proposer.step(now=NEVER / 2, voters=controller.voters, event=None)
         return commands
 
@@ -246,7 +247,7 @@
 
 
 def _ask(*, state: State, name: str) -> Stepped:
-    def ask(controller: ModelController) -> list:
+    def ask(controller: Controller) -> list:
         return controller.membership._step_copy(now=0.0, event=None)
 
     return act(node=state.node(name), word="ask", call=ask)
--- a/simulation/model/faults.py
+++ b/simulation/model/faults.py
@@ -7,8 +7,8 @@
 from contextlib import AbstractContextManager
 from unittest import mock
 
-from sailward.control import copying, membership, repair, write_ahead
-from sailward.control.controller import Controller
+from sailward.control import copying, repair, write_ahead
+from sailward.control.voter import Voter
 from simulation.model import changes
 
 
@@ -20,10 +20,10 @@
 
 
 def _acts_under_any_set(old: Callable) -> Callable:
-    def vote(self, *, now: float, sender: str, body: dict) -> list:
+    def answer(self, *, now: float, sender: str, body: dict) -> list:
         return old(self, now=now, sender=sender, body={**body, "voters": self.voters["number"]})
 
-    return vote
+    return answer
 
 
 def _no_copy_of_smaller_sets(old: Callable) -> Callable:
@@ -47,11 +47,9 @@
     # a newcomer copies from one voter
     "copy-from-one": lambda: [mock.patch.object(copying, "majority_of", lambda *, members: 1)],
     # a newcomer counts before it has copied
-    "counts-at-once": lambda: [mock.patch.object(membership.Membership, "is_whole", lambda self: True)],
+    "counts-at-once": lambda: [mock.patch.object(Voter, "is_whole", property(lambda self: True))],
     # a member that was out and is in again goes on with what it voted for before
-    "keeps-old-slots": lambda: [
-        mock.patch.object(membership.Membership, "is_whole", lambda self: self._cellar.ledger.copied)
-    ],
+    "keeps-old-slots": lambda: [mock.patch.object(Voter, "is_whole", property(lambda self: self.ledger.copied))],
     # members of a smaller set go on without a copy
     "smaller-without-copy": lambda: [
         _patch(repair, "change_members", _no_copy_of_smaller_sets),
@@ -60,5 +58,5 @@
     # two members are exchanged in one change also in sets of even size
     "even-exchange": lambda: [mock.patch.object(repair, "may_exchange", lambda *, members: True)],
     # a voter votes under whatever set it is asked under
-    "any-set": lambda: [_patch(Controller, "_vote", _acts_under_any_set)],
+    "any-set": lambda: [_patch(Voter, "answer", _acts_under_any_set)],
 }
--- a/simulation/model/node.py
+++ b/simulation/model/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copyreg
+import io
 import json
 import pickle
 from collections.abc import Callable
@@ -15,12 +16,6 @@
 from sailward.discovery.gossip import Place
 from sailward.events import Asked, Heard, Rewrite, Store, Synced, Tell
 
-SHARED = frozenset(
-    {"options", "place", "desk", "roster", "moves", "pager", "listing", "subscribers", "standing", "fleet"}
-)
-"""Parts of a controller that the explored events don't depend on: all clones of a node share them."""
-TEMPLATES: dict[str, dict] = {}
-"""The shared parts by the node's name."""
 KEYS: dict[tuple, int] = {}
 """A number for each state of a node: equal for states that act alike."""
 STEPS: dict[tuple, Stepped] = {}
@@ -60,15 +55,57 @@
         return commands, settled
 
 
-class ModelController(Controller):
-    """The product's controller; only its pickled form is smaller."""
+class Mold:
+    """The controller of one start of a node, and the parts of it that change: a state of it is the bytes of these.
 
-    def __getstate__(self) -> dict:
-        return {name: part for name, part in vars(self).items() if name not in SHARED}
+    The parts stay the same objects, as others refer to them; what is not among them does not change what a voter does.
+    """
 
-    def __setstate__(self, state: dict) -> None:
-        self.__dict__.update(state)
-        self.__dict__.update(TEMPLATES[state["model_name"]])
+    def __init__(self, *, controller: Controller) -> None:
+        membership = controller.membership
+        self.controller = controller
+        self.parts = {
+            "voter": controller.voter,
+            "held": controller.held,
+            "acceptor": controller.acceptor,
+            "ledger": controller.ledger,
+            "proposer": controller.proposer,
+            "membership": membership,
+            "copying": membership.copying,
+            "anew": membership.anew,
+            "anew-copying": membership.anew.copying,
+            "catch-up": controller.catch_up,
+        }
+        shared = [
+            controller.options,
+            controller.roster,
+            controller.place,
+            membership.repair,
+            controller.proposer._rng,
+        ]
+        self.named = {**self.parts, **{f"shared-{at}": part for at, part in enumerate(shared)}}
+        self.names = {id(part): name for name, part in self.named.items()}
+
+    def dump(self) -> bytes:
+        """The bytes of this state."""
+        out = io.BytesIO()
+        pickler = pickle.Pickler(out, protocol=5)
+        pickler.persistent_id = lambda part: self.names.get(id(part))
+        pickler.dump([vars(part) for part in self.parts.values()])
+        return out.getvalue()
+
+    def load(self, *, blob: bytes) -> Controller:
+        """The controller in this state; it is the same object for every state."""
+        unpickler = pickle.Unpickler(io.BytesIO(blob))
+        unpickler.persistent_load = self.named.__getitem__
+        for part, state in zip(self.parts.values(), unpickler.load(), strict=True):
+            vars(part).clear()
+            vars(part).update(state)
+        return self.controller
+
+
+MOLDS: dict[tuple[str, int], Mold] = {}
+"""By name and start of a node."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -102,9 +139,9 @@
         """Its address."""
         return f"{self.name}:1"
 
-    def open(self) -> ModelController:
-        """A controller to step: a clone."""
-        return pickle.loads(self.blob)
+    def open(self) -> Controller:
+        """The controller in this state, to be stepped; until another state of this start is opened."""
+        return MOLDS[self.name, self.starts].load(blob=self.blob)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -119,7 +156,7 @@
 def boot(*, name: str, starts: int, disk: tuple) -> Node:
     """Start a node on what its disk holds."""
     post = f"{name}:1"
-    controller = ModelController(
+    controller = Controller(
         place=Place(name=name, kind="cellar", hall="h", region="r", post=post, http=post),
         platform="p:1",
         nonce=f"n{starts}",
@@ -129,9 +166,9 @@
         now=0.0,
         options=OPTIONS,
     )
-    controller.model_name = name
-    controller.proposer = RecordingProposer(identity=f"{name}#n{starts}", rng=FixedRandom())
-    TEMPLATES.setdefault(name, {part: vars(controller)[part] for part in SHARED})
+    recording = RecordingProposer(identity=controller.proposer.identity, rng=FixedRandom())
+    controller.proposer = controller.registers._proposer = recording
+    MOLDS[name, starts] = Mold(controller=controller)
     node = Node(name=name, starts=starts, blob=b"", key=-1, facts=Facts(), disk=disk)
     # the first event stores the identity
     commands = controller.step(now=0.0, event=Synced(seq=0))
@@ -150,13 +187,13 @@
 def hear(*, node: Node, sender: str, word: str, body: dict, is_synced: bool = True) -> Stepped:
     """Deliver a message of the node `sender`; `word` is its name, equal only for equal ones."""
 
-    def call(controller: ModelController) -> list:
+    def call(controller: Controller) -> list:
         return controller.step(now=0.0, event=Heard(sender=f"{sender}:1", body=body))
 
     return act(node=node, word=f"{sender} {word}", call=call, is_synced=is_synced)
 
 
-def act(*, node: Node, word: str, call: Callable[[ModelController], list], is_synced: bool = True) -> Stepped:
+def act(*, node: Node, word: str, call: Callable[[Controller], list], is_synced: bool = True) -> Stepped:
     """Let a part of the controller act by itself: `call(controller)` gives its commands; `word` names it."""
     known = (node.name, node.key, word, is_synced)
     if known not in STEPS:
@@ -171,7 +208,7 @@
     KEYS.clear()
 
 
-def _settle(*, node: Node, controller: ModelController, commands: list, is_synced: bool = True) -> Stepped:
+def _settle(*, node: Node, controller: Controller, commands: list, is_synced: bool = True) -> Stepped:
     """Carry out the commands and close the node again; without `is_synced` its stores are never written."""
     sent, disk, line = [], node.disk, list(commands)
     while line:
@@ -186,7 +223,7 @@
     after = Node(
         name=node.name,
         starts=node.starts,
-        blob=pickle.dumps(controller, protocol=5),
+        blob=MOLDS[node.name, node.starts].dump(),
         key=KEYS.setdefault((node.starts, fingerprint(controller=controller)), len(KEYS)),
         facts=_facts(controller=controller),
         disk=disk,
@@ -194,7 +231,7 @@
     return Stepped(node=after, sent=sent, settled=settled)
 
 
-def _facts(*, controller: ModelController) -> Facts:
+def _facts(*, controller: Controller) -> Facts:
     voters = controller.voters
     told = controller.held.tell(to="", name="voters")
     return Facts(
@@ -211,7 +248,7 @@
     return op, work.phase, majority_of(members=work.voters) - len(work.answers)
 
 
-def fingerprint(*, controller: ModelController) -> str:
+def fingerprint(*, controller: Controller) -> str:
     """All that later steps depend on, as a text that is equal for equal states."""
     ledger, copying = controller.ledger, controller.membership.copying
     proposer = (controller.proposer._count, controller.proposer._round)
