--- a/sailward/control/copying.py
+++ b/sailward/control/copying.py
@@ -45,7 +45,8 @@
     def is_over(self, *, own: dict[str, Slot] | None = None) -> bool:
         """Have enough voters told everything? `own` are this one's slots, if it was one of the set before and acted.
 
-        A majority of the set before is enough. For one that stays in a smaller set, so many that every majority had one of them,
+        A majority of the set before is enough. For one that stays in a smaller set, so many that every majority had
+        one of them,
         as more may not be left; under the first ballot these may leave open which value was chosen: then a majority.
         """
         if not self.old:
--- a/sailward/control/leaving.py
+++ b/sailward/control/leaving.py
@@ -14,7 +14,8 @@
 class Leaving:
     """Owner of the end. `begin` takes the order to stop, `step` says when this process may go.
 
-    It tells the other controllers that it leaves, votes on, and is copied from. It goes when another has taken its place and has
+    It tells the other controllers that it leaves, votes on, and is copied from. It goes when another has taken its
+    place and has
     copied, when none can, or when HAND_OVER s are over. `is_enabled` is false where operators change the voters.
     """
 
@@ -43,11 +44,11 @@
         self._told, roster = now, self._roster
         roster.beat += 1
         body = {"kind": "gossip", "entries": [roster.own_entry()], "reply": True}
-        return [Tell(to=one["post"], body=body) for one in roster.alive(kind="cellar")]
+        return [Tell(to=one["post"], body=body) for one in roster.alive(kind="controller")]
 
     def _is_of_use(self) -> bool:
         """Can another take this one's place, or is it still copying from this one?"""
-        voter, others = self._voter, {one["identity"]: one for one in self._roster.alive(kind="cellar")}
+        voter, others = self._voter, {one["identity"]: one for one in self._roster.alive(kind="controller")}
         members = voter.voters["members"]
         if not self._is_enabled or not voter.ledger.copied or not voter.ledger.usable:
             return False
--- a/sailward/control/registers.py
+++ b/sailward/control/registers.py
@@ -19,7 +19,10 @@
 
 
 class Registers:
-    """Owner of the operations under way. `begin` begins some, `hear` and `tick` move them on, `learn` takes a chosen value."""
+    """Owner of the operations under way.
+
+    `begin` begins some, `hear` and `tick` move them on, `learn` takes a chosen value.
+    """
 
     def __init__(
         self,
@@ -95,5 +98,8 @@
 
     def _tell_chosen(self, *, name: str, ballot: list, value: dict) -> list[Command]:
         body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
-        posts = {*self._voter.voters["members"].values(), *(one["post"] for one in self._roster.alive(kind="cellar"))}
+        posts = {
+            *self._voter.voters["members"].values(),
+            *(one["post"] for one in self._roster.alive(kind="controller")),
+        }
         return [Tell(to=post, body=body) for post in sorted(posts - {self._voter.place.post})]
--- a/sailward/control/repair.py
+++ b/sailward/control/repair.py
@@ -1,11 +1,15 @@
 """Replacing a voter that is lost for good: first the new one in, then the old one out, one at a time.
 
-A core that founded itself exchanges the two in one change. It is safe because a newcomer acts only when it has copied from a
-majority of the set before, each of which keeps the new set before it tells: that leaves the old set no majority that could choose
-more, and the newcomer with all that it chose. A majority of the new set without the newcomer is one of the old set too, as the
-sizes are alike. As the lost one's place is taken at once, a newcomer that dies before it has copied can be exchanged in its turn.
-A set that grows smaller loses holders of what was chosen, so its members copy from the set before, too. One that leaves on request
-is exchanged while it still acts, and stays as one to copy from.
+A core that founded itself exchanges the two in one change. It is safe because a newcomer acts only when it has
+copied from a
+majority of the set before, each of which keeps the new set before it tells: that leaves the old set no majority that
+could choose
+more, and the newcomer with all that it chose. A majority of the new set without the newcomer is one of the old set
+too, as the
+sizes are alike. As the lost one's place is taken at once, a newcomer that dies before it has copied can be exchanged
+in its turn.
+A set that grows smaller loses holders of what was chosen, so its members copy from the set before, too. One that
+leaves on request is exchanged while it still acts, and stays as one to copy from.
 """
 
 from __future__ import annotations
@@ -35,19 +39,16 @@
     due: tuple = (-1, 0.0)
     tried: tuple = (-1, 0.0)
 
-    def step(self, *, now: float, own: str, voters: dict, text: str, cellars: list[dict]) -> str:
-        """Judge by the roster's living `cellars`; only one of the voters, named by hashing, acts."""
+    def step(self, *, now: float, own: str, voters: dict, text: str, controllers: list[dict]) -> str:
+        """Judge by the roster's living `controllers`; only one of the voters, named by hashing, acts."""
         if now - self.looked < self.every or not text:
             return ""
         self.looked = now
         members, number = voters["members"], voters["number"]
-        alive = {entry["identity"]: entry for entry in cellars}
+        alive = {entry["identity"]: entry for entry in controllers}
         if self.is_brisk:
             return self._step_brisk(now=now, own=own, number=number, text=text, members=members, alive=alive)
-        for name in members:
-            if name in alive:
-                self.seen[name] = now
-            self.seen.setdefault(name, now)
+        self.seen = {name: now if name in alive else self.seen.get(name, now) for name in members}
         well = [name for name in members if name in alive and alive[name]["fit"]]
         if choose_names(key=f"repair{number}", names=well, count=1) != [own]:
             return ""
@@ -129,7 +130,10 @@
         return ""
 
     def _gone_brisk(self, *, now: float, members: dict, alive: dict) -> list[str]:
-        """Voters that are lost, back on an empty disk, that don't come to act, that leave, or have no disk; in this order."""
+        """Voters that are lost, back on an empty disk, that don't come to act, that leave, or have no disk.
+
+        In this order.
+        """
         posts = {entry["post"]: name for name, entry in alive.items() if name}
         wiped = {name for name in members if name not in alive and posts.get(members[name], name) != name}
         lost = {name for name in members if name not in alive and now - self.seen[name] > self.replace_after}
@@ -140,7 +144,10 @@
         return list(dict.fromkeys(name for kind in order for name in sorted(kind)))
 
     def _best(self, *, now: float, waiting: list, rest: list, alive: dict) -> str:
-        """The waiting cellar that spreads the voters most over halls and regions; of equal ones that which is up for longest."""
+        """The waiting controller that spreads the voters most over halls and regions.
+
+        Of equal ones that which is up for longest.
+        """
         halls = [alive[name]["hall"] for name in rest if name in alive]
         regions = [alive[name]["region"] for name in rest if name in alive]
         self.failed = {name: at for name, at in self.failed.items() if now - at < constants.FORGET}
@@ -160,8 +167,8 @@
 def change_members(*, text: str, number: int, add: tuple[str, str] | None = None, drop: str = "") -> str:
     """The text of the voters register after `number`, with one member more, one less, or one for another.
 
-    A newcomer must copy under the new set or a later one before it acts, also if it was a member before and has not heard that it
-    was taken out. A smaller set has fewer that hold what was chosen: all its members copy.
+    A newcomer must copy under the new set or a later one before it acts, also if it was a member before and has not
+    heard that it was taken out. A smaller set has fewer that hold what was chosen: all its members copy.
     """
     value = json.loads(text)
     members, joined = dict(value["members"]), value.get("joined", {})
@@ -181,9 +188,9 @@
     return bool(entry["identity"]) and entry["identity"] not in members and not (entry["fit"] or entry.get("leaving"))
 
 
-def count_core(*, members: dict, cellars: list[dict]) -> dict:
+def count_core(*, members: dict, controllers: list[dict]) -> dict:
     """How many voters are heard of as voting, how many a majority needs, and who is missing."""
-    well = {entry["identity"] for entry in cellars if entry["fit"]} & set(members)
+    well = {entry["identity"] for entry in controllers if entry["fit"]} & set(members)
     return {"voting": len(well), "needed": majority_of(members=members), "missing": sorted(set(members) - well)}
 
 
--- a/sailward/control/worker_list.py
+++ b/sailward/control/worker_list.py
@@ -14,7 +14,8 @@
 class WorkerList:
     """Owner of the list. `step` takes a page, or None for time going on; `hear` the list that another controller read.
 
-    `value` has the shape of a register's value, None until the first whole list; (`epoch`, `revision`) grows with each change.
+    `value` has the shape of a register's value, None until the first whole list; (`epoch`, `revision`) grows with each
+    change.
     """
 
     def __init__(self, *, platform: str, post: str, start: int, reader: ListReader | None, rate: float) -> None:
@@ -35,7 +36,7 @@
         commands, is_news = self._listing.step(
             now=now,
             event=event,
-            cellars=roster.alive(kind="cellar"),
+            controllers=roster.alive(kind="controller"),
             own=roster.own_entry(),
             is_wanted=is_wanted,
         )
--- a/sailward/events.py
+++ b/sailward/events.py
@@ -65,7 +65,7 @@
 class Called:
     """An HTTP call ended: `code` 0 with a `fault`, or the result whole.
 
-    `sent` says whether a byte of the exchange may have left, `reused` that it failed on a connection that had served before.
+    `sent` says whether a byte of the exchange may have left.
     """
 
     token: str
@@ -74,7 +74,6 @@
     body: bytes
     fault: str
     sent: bool
-    reused: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -129,7 +128,8 @@
 class Call:
     """Make an HTTP call. `owner` names whose connection it is; `fresh` asks for one of its own.
 
-    It is not begun after `begin_by`. `dial` is how long its connection may take to come up, in s; 0 for the usual bound.
+    It is not begun after `begin_by`. `dial` is how long its connection may take to come up, in s; 0 for the usual
+    bound.
     """
 
     token: str
@@ -190,7 +190,8 @@
 
 
 Event = Ticked | Heard | Synced | DiskFailed | Asked | CallerLeft | Called | Checked | StopAsked
-"""All that an edge can tell an owner. An owner's `step` matches each of them; the type checker finds one that is left out."""
+"""All that an edge can tell an owner. An owner's `step` matches each of them; the type checker finds one that is left
+out."""
 
 Command = Tell | Store | Rewrite | Answer | Call | CancelCall | Check | HangUp | Leave | Log | Stop
 """All that an owner can answer with."""
@@ -198,7 +199,10 @@
 
 @dataclass(kw_only=True)
 class UnexpectedEvents:
-    """Counts the events that reached an owner which has no use for them: a mistake in the program, but none to die of."""
+    """Counts the events that reached an owner which has no use for them.
+
+    A mistake in the program, but none to die of.
+    """
 
     counts: Counter = field(default_factory=Counter)
 
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -1,4 +1,7 @@
-"""The whole of a proxy for routes by host: what the core tells, the evidence on workers, requests, the directory, stopping."""
+"""The whole of a proxy for routes by host.
+
+What the core tells, the evidence on workers, requests, the directory, stopping.
+"""
 
 from __future__ import annotations
 
@@ -9,7 +12,7 @@
 
 from sailward import constants
 from sailward.consensus.held import HeldBook, is_control
-from sailward.discovery.gossip import Place
+from sailward.discovery.gossip import KINDS_ON_WIRE, Place
 from sailward.discovery.workers import WorkerBook
 from sailward.events import (
     Asked,
@@ -160,7 +163,7 @@
 
     def _take_fleet(self, *, now: float, value: dict) -> list:
         told = json.loads(value["text"])
-        self.uplink.learn(cellars=told["cellars"])
+        self.uplink.learn(controllers=told["cellars"])
         self.directory.learn(rows=told["proxies"])
         self.scene.peers = {name: region for name, _, _, region, is_fit in told["proxies"] if is_fit}
         self.scene.proxies = max(1, len(self.scene.peers))
@@ -197,7 +200,7 @@
         place = self.place
         daemon = {
             "id": place.name,
-            "kind": place.kind,
+            "kind": KINDS_ON_WIRE[place.kind],
             "hall": place.hall,
             "region": place.region,
             "http": place.http,
@@ -207,7 +210,7 @@
         }
         lead = self.uplink.lead
         have = {name: [held.value["number"]] for name, held in self.held.held.items()}
-        # lists have numbers of each cellar's own: only the leading one's are wanted, and none before there is one
+        # lists have numbers of each controller's own: only the leading one's are wanted, and none before there is one
         have |= {
             name: [number if teller == lead else -1, lead or "none"] for name, (teller, number) in self.lists.items()
         }
@@ -224,7 +227,10 @@
         )
 
     def _take_paces(self) -> dict:
-        """{worker: [ms, ...]} for divided services: only of this region's workers, as others' times hold the way there."""
+        """Times in ms by worker, for divided services.
+
+        Only of this region's workers, as others' times hold the way there.
+        """
         workers = {key: self.evidence.shown[key].worker for key in self.evidence.shown}
         divided = {name for name, service in self.scene.plan.services.items() if service.ranged}
         return {
--- a/sailward/runtime/host.py
+++ b/sailward/runtime/host.py
@@ -73,7 +73,7 @@
                     self.reactor.later(delay=constants.FLUSH_WAIT, call=self.reactor.stop)
                     return
                 self._carry_out(command=command)
-        except Exception:
+        except Exception:  # noqa: BLE001 - any fault of the owner is logged, and ends the process
             write_log(
                 event="fault", fields={"on": type(event).__name__, "trace": traceback.format_exc()}, level="error"
             )
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -18,7 +18,8 @@
 
 ENDS = (400, 409, 412, 413, 422)
 SILENCE, LARGE = 1.0, 100_000
-"""s without an answer before the connection is closed and another daemon is asked, and bytes over which that is doubled."""
+"""s without an answer before the connection is closed and another daemon is asked, and bytes over which that is
+doubled."""
 ORDER_TIME = 5.0
 """s for which an order that is no configuration is sent again."""
 
@@ -253,7 +254,7 @@
         now, lag = self.world.clock.now, self.world.deployment.bounds["seed_lag_s"]
         return [
             one
-            for one in self.world.cellars()
+            for one in self.world.controllers()
             if one.machine.listed_from <= now and now <= one.machine.listed_until + lag
         ]
 
--- a/simulation/model/actions.py
+++ b/simulation/model/actions.py
@@ -140,7 +140,7 @@
 
 
 def _begin(state: State, bounds: Bounds, op: str, number: str, *names: str) -> State | None:
-    kind, name = op.split("@")[0].rstrip("0123456789"), op.split("@")[1]
+    kind, name = op.split("@", maxsplit=1)[0].rstrip("0123456789"), op.split("@")[1]
     state = _learn(state=state, name=name, number=int(number))
     at = KINDS.index(kind)
     begun = tuple(done + (index == at) for index, done in enumerate(state.begun))
--- a/simulation/model/histories.py
+++ b/simulation/model/histories.py
@@ -1,4 +1,4 @@
-"""Histories that break the product with a planted fault, and must not without it. The explorer found or confirmed each."""
+"""Histories that break the product with a planted fault, and must not without it."""
 
 from __future__ import annotations
 
--- a/simulation/model/node.py
+++ b/simulation/model/node.py
@@ -157,7 +157,7 @@
     """Start a node on what its disk holds."""
     post = f"{name}:1"
     controller = Controller(
-        place=Place(name=name, kind="cellar", hall="h", region="r", post=post, http=post),
+        place=Place(name=name, kind="controller", hall="h", region="r", post=post, http=post),
         platform="p:1",
         nonce=f"n{starts}",
         start=starts,
--- a/simulation/model/space.py
+++ b/simulation/model/space.py
@@ -3,12 +3,12 @@
 What is left out, and why nothing is lost by it:
 
 - A message that is never delivered is a lost one, so loss needs no action of its own.
-- Each operation, and each copy, is a thread of actions. A history may leave a thread for good at no cost, which loses its other
-  messages, or leave it and return to it, which delays them; `Bounds.returns` says how often.
-- Answers to a prepare or a read reach the proposer with the delivery: what it does then shows only in its next messages, and these
-  are delivered when the history says so.
-- A vote more than a majority, or a promise less than one, only makes it harder to break agreement: a thread delivers the requests
-  of a phase to a smallest set that is enough, or votes to a smaller one.
+- Each operation, and each copy, is a thread of actions. A history may leave a thread for good at no cost, which
+loses its other messages, or leave it and return to it, which delays them; `Bounds.returns` says how often.
+- Answers to a prepare or a read reach the proposer with the delivery: what it does then shows only in its next
+messages, and these are delivered when the history says so.
+- A vote more than a majority, or a promise less than one, only makes it harder to break agreement: a thread delivers
+the requests of a phase to a smallest set that is enough, or votes to a smaller one.
 - Who is behind learns the voters just before it takes part under them. To learn them sooner only makes it refuse more.
 """
 
@@ -39,7 +39,8 @@
 class Bounds:
     """What the explorer may do in one history.
 
-    `puts`, `reads` and `changes` say where operations may begin, each kind in its order. `crashes` and `wipes` name the nodes that
+    `puts`, `reads` and `changes` say where operations may begin, each kind in its order. `crashes` and `wipes` name
+    the nodes that
     may lose their memory, or their disk as well, each once and in any order. `retries` are new rounds, `doubles` second
     deliveries of one request. With `is_first`, puts try the shared first ballot. With `keeps_old`,
     requests under a set reach also those that know a newer one: the product refuses them.
@@ -71,9 +72,10 @@
 class State:
     """All nodes, the messages under way, and what has been seen so far.
 
-    `requests` and `votes` are names of messages, `begun` how many operations of each kind there were, `left` the threads that
-    were left, `chosen` each value that was seen to be chosen, `confirmed` what a caller was told, `wanted` what each read must
-    give at least.
+    `requests` and `votes` are names of messages, `begun` how many operations of each kind there were, `left` the
+    threads that
+    were left, `chosen` each value that was seen to be chosen, `confirmed` what a caller was told, `wanted` what each
+    read must give at least.
     """
 
     nodes: tuple[Node, ...]
--- a/simulation/sim/verbs/operators.py
+++ b/simulation/sim/verbs/operators.py
@@ -35,9 +35,9 @@
         world = self._world
         for node in world.nodes.values():
             world.clock.after(world.rng.uniform(0.0, 0.5), node.start)
-        cellars = [node.place.name for node in world.nodes.values() if node.place.kind == "cellar"]
-        world.clock.after(1.5, lambda: self.operators.found(cellars=cellars))
-        world.clock.after(2.5, lambda: self.do_put())
+        controllers = [node.place.name for node in world.nodes.values() if node.place.kind == "controller"]
+        world.clock.after(1.5, lambda: self.operators.found(controllers=controllers))
+        world.clock.after(2.5, self.do_put)
         world.clock.after(8.0, lambda: self.step(verb="load", words=[rate]))
         self._note_config()
         self.operators.note_bounds(config=self.operators.config, begun=world.clock.now)
@@ -47,17 +47,18 @@
         homes = {name: one["homes"] for name, one in config["tenants"].items() if one.get("homes")}
         world.history.add(t=world.clock.now, k="homes", homes=homes)
 
-    def do_put(self, cellar: str = "", if_match: str = "") -> None:
-        self.operators.put(config=copy.deepcopy(self.operators.config), cellar=cellar, if_match=if_match)
+    def do_put(self, controller: str = "", if_match: str = "") -> None:
+        """Send the whole configuration."""
+        self.operators.put(config=copy.deepcopy(self.operators.config), controller=controller, if_match=if_match)
 
-    def do_split(self, service: str, first: str, second: str, cellar: str = "", if_match: str = "") -> None:
+    def do_split(self, service: str, first: str, second: str, controller: str = "", if_match: str = "") -> None:
         """Change a service's weights and send the whole."""
         for match in self.operators.config["matches"]:
             if match["path"] == f"/{service}":
                 match["pools"][0]["weight"], match["pools"][1]["weight"] = int(first), int(second)
-        self.do_put(cellar, if_match)
+        self.do_put(controller, if_match)
 
-    def do_pin(self, service: str, region: str, cellar: str = "", if_match: str = "") -> None:
+    def do_pin(self, service: str, region: str, controller: str = "", if_match: str = "") -> None:
         """Let a service run in one region only and send the whole: what ran elsewhere shows an older number."""
         config, halls = copy.deepcopy(self.operators.config), self._world.deployment.halls
         places = [hall for hall, one in halls.items() if one == region]
@@ -71,9 +72,9 @@
                     {"path": match["path"], "tenants": free, "pools": [{"pool": f"{service}-pin", "weight": 1}]}
                 )
         config["tenants"].setdefault("pins", {"share": 1 + len(self._world.history.of(k="put")) % 90})
-        self.operators.put(config=config, cellar=cellar, if_match=if_match)
+        self.operators.put(config=config, controller=controller, if_match=if_match)
 
-    def do_patch(self, path: str, value: str, cellar: str = "", if_match: str = "") -> None:
+    def do_patch(self, path: str, value: str, controller: str = "", if_match: str = "") -> None:
         """Send a small change: one field, by its path with dots, to a number, a word, a,list or null."""
         patch: dict = {}
         inner = patch
@@ -81,10 +82,10 @@
         for name in names:
             inner = inner.setdefault(name, {})
         inner[last] = _read_value(text=value)
-        self.operators.put(config=patch, cellar=cellar, if_match=if_match, is_patch=True)
+        self.operators.put(config=patch, controller=controller, if_match=if_match, is_patch=True)
 
     def do_put_stamped(self, *halls: str) -> None:
-        """Send the configuration with one tenant's route stamped out of a template, with these halls as its parameter."""
+        """Send the configuration with one tenant's route made from a template, with these halls as its parameter."""
         config = copy.deepcopy(self.operators.config)
         shape = {
             "pools": {"${stamp}": {"service": "notes", "preferred": "${halls}"}},
@@ -94,7 +95,7 @@
         config["stamps"] = {"hotels-notes": {"template": "route", "parameters": {"halls": list(halls)}}}
         self.operators.put(config=config)
 
-    def do_put_large(self, tenants: str, cellar: str = "") -> None:
+    def do_put_large(self, tenants: str, controller: str = "") -> None:
         """Send the configuration with so many tenants more, each stamped out of one template."""
         config = copy.deepcopy(self.operators.config)
         config["templates"] = {
@@ -107,9 +108,10 @@
             f"guest-{number}": {"template": "guest", "parameters": {"share": 1 + number % 9}}
             for number in range(int(tenants))
         }
-        self.operators.put(config=config, cellar=cellar)
+        self.operators.put(config=config, controller=controller)
 
-    def do_put_invalid(self, kind: str, cellar: str = "") -> None:
+    def do_put_invalid(self, kind: str, controller: str = "") -> None:
+        """Send a configuration that is wrong in the way named."""
         config: object = copy.deepcopy(self.operators.config)
         if kind == "weights":
             for share in config["matches"][0]["pools"]:
@@ -120,20 +122,23 @@
             config["speed"] = 3
         else:
             config = [kind]
-        self.operators.put(config=config, cellar=cellar, invalid=True)
+        self.operators.put(config=config, controller=controller, invalid=True)
 
-    def do_read_back(self, cellar: str = "") -> None:
-        self.operators.read_back(cellar=cellar)
+    def do_read_back(self, controller: str = "") -> None:
+        """Read the configuration."""
+        self.operators.read_back(controller=controller)
 
     def do_empty(self, hall: str, confirm: str = "") -> None:
+        """Order a hall to be emptied."""
         self.operators.order(hall=hall, empty=True, confirm=confirm == "confirm")
 
     def do_refill(self, hall: str) -> None:
+        """Order a hall to be filled again."""
         self.operators.order(hall=hall, empty=False)
 
     def do_found_anew(self, *words: str) -> None:
-        """found-anew CELLAR SURVIVOR ... [confirm]: the order is given to that cellar."""
-        cellar, *names = [word for word in words if word != "confirm"]
+        """`found-anew CONTROLLER SURVIVOR ... [confirm]`: the order is given to that controller."""
+        controller, *names = [word for word in words if word != "confirm"]
 
         def then(answer) -> None:
             code = answer.code if answer else 0
@@ -152,15 +157,17 @@
             method="POST",
             path="/found-anew",
             body={"survivors": names},
-            cellar=cellar,
+            controller=controller,
             then=then,
             query={"confirm": "yes"} if "confirm" in words else {},
         )
 
     def do_part(self, name: str) -> None:
+        """Take a voter out of the core."""
         self._change_voters(name=name, verb="part")
 
     def do_join(self, name: str) -> None:
+        """Take a voter into the core."""
         self._change_voters(name=name, verb="join")
 
     def _change_voters(self, *, name: str, verb: str) -> None:
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -12,6 +12,7 @@
 from simulation.hollow_fleet.added import measure_added
 from simulation.hollow_fleet.deployment import Size, list_pages, make_document, told_fleet, told_rows, zones_of
 from simulation.hollow_fleet.fit import fit_line, fit_power, plot_points
+from simulation.hollow_fleet.flags import check_size
 from simulation.hollow_fleet.fleet import HollowFleet, Plan
 from simulation.hollow_fleet.network import Member, Network, Scale
 from simulation.hollow_fleet.parts import NAMED, measure_part
@@ -121,7 +122,7 @@
     assert None not in result["changes"]["accepted_s"] + result["changes"]["in_force_s"] + result["failures"]["known_s"]
     assert result["zone"]["ready"] and result["cut"]["healed"]
     quiet = result["quiet"]
-    assert quiet["roles"]["proxy"]["out"][0] > 0 and quiet["roles"]["cellar"]["cpu"][0] > 0
+    assert quiet["roles"]["proxy"]["out"][0] > 0 and quiet["roles"]["controller"]["cpu"][0] > 0
     assert quiet["kinds"]["ask"] and quiet["kinds"]["grant"] and not quiet["lost"]
     assert sum(row[1] for row in quiet["links"].values()) > 0
 
@@ -187,11 +188,11 @@
 
 def test_what_is_said_to_fit_fits():
     size = Size(daemons=20000, workers=1000)
-    bad = hollow.check_size(size=size, memory=4e9)
+    bad = check_size(size=size, memory=4e9)
     fits = int(bad.reason.rsplit("about ", 1)[1].split()[0])
-    assert hollow.check_size(size=Size(daemons=fits, workers=1000), memory=4e9) is None
-    routes = int(hollow.check_size(size=Size(routes=90000), memory=1e12).reason.rsplit("about ", 1)[1].split()[0])
-    assert hollow.check_size(size=Size(routes=routes), memory=1e12) is None
+    assert check_size(size=Size(daemons=fits, workers=1000), memory=4e9) is None
+    routes = int(check_size(size=Size(routes=90000), memory=1e12).reason.rsplit("about ", 1)[1].split()[0])
+    assert check_size(size=Size(routes=routes), memory=1e12) is None
 
 
 def test_the_command_writes_its_results(tmp_path, capsys):
@@ -225,4 +226,4 @@
     told = json.loads(out.read_text("utf-8"))
     assert told["fleets"][0]["size"]["daemons"] == 4
     assert told["command"].startswith("hollow --daemons 4") and str(tmp_path) not in told["command"]
-    assert "cellar core share" in capsys.readouterr().out
+    assert "controller core share" in capsys.readouterr().out
--- a/tests/test_second_loss.py
+++ b/tests/test_second_loss.py
@@ -18,7 +18,7 @@
 
 def bears(net: CoreNet, *, losses: int) -> bool:
     """Would a majority of the newest set act on after so many more losses?"""
-    up = [one.cellar for one in net.machines if one.cellar is not None]
+    up = [one.controller for one in net.machines if one.controller is not None]
     newest = max((one.voters for one in up), key=lambda voters: voters["number"])
     acting = [one for one in up if one.voting and one.voters["number"] == newest["number"]]
     return len(acting) - losses >= majority_of(members=newest["members"])
@@ -35,7 +35,7 @@
 
 
 def time_until_borne(net: CoreNet, *, losses: int, most: float = 12.0) -> float:
-    """s until the core bears so many losses; `most` if it never does."""
+    """Seconds until the core bears so many losses; `most` if it never does."""
     begun = net.now
     return net.now - begun if net.run(most, until=lambda: bears(net, losses=losses)) else most
 
@@ -80,7 +80,7 @@
     old = a_voter(net)
     begun = net.now
     net.give(old, event=StopAsked())
-    assert net.run(5.0, until=lambda: old.cellar is None)
+    assert net.run(5.0, until=lambda: old.controller is None)
     assert net.now - begun < 1.5
     assert bears(net, losses=budget)
 
@@ -91,13 +91,13 @@
     leaving, lost, behind = net.voting()
     # reads of their own would spread the value
     for machine in net.machines:
-        machine.cellar.catch_up.step = lambda **_: []
+        machine.controller.catch_up.step = lambda **_: []
     net.cut = {behind.name}
     put(net, label=1, on="0")
     net.run(0.3)
     net.cut = set()
     net.give(leaving, event=StopAsked())
-    assert net.run(5.0, until=lambda: leaving.cellar is None)
+    assert net.run(5.0, until=lambda: leaving.controller is None)
     net.kill(leaving, wipe=True)
     net.kill(lost, wipe=True)
     net.run(0.2)
@@ -108,7 +108,7 @@
     net = found(zones=ZONES[:3])
     begun = net.now
     net.give(net.machines[0], event=StopAsked())
-    assert net.machines[0].cellar is None
+    assert net.machines[0].controller is None
     assert net.now == begun
 
 
@@ -117,7 +117,7 @@
     put(net, label=1, on="0")
     for machine in net.machines:
         net.give(machine, event=StopAsked())
-    assert net.run(4.5, until=lambda: not any(one.cellar for one in net.machines))
+    assert net.run(4.5, until=lambda: not any(one.controller for one in net.machines))
     for machine in net.machines:
         net.start(machine)
     assert net.run(4.0, until=lambda: len(net.voting()) == 3)
@@ -129,7 +129,7 @@
     put(net, label=1, on="0")
     for machine in list(net.machines):
         net.give(machine, event=StopAsked())
-        assert net.run(4.5, until=lambda machine=machine: machine.cellar is None)
+        assert net.run(4.5, until=lambda machine=machine: machine.controller is None)
         assert bears(net, losses=1)
         net.run(0.4)
         net.start(machine)
@@ -144,9 +144,9 @@
     waiting = [one for one in net.machines if one not in net.voting()]
     for one in waiting:
         # it never finishes its copy
-        one.cellar.membership.copying.step = lambda **_: []
+        one.controller.membership.copying.step = lambda **_: []
     net.give(leaving, event=StopAsked())
-    assert net.run(4.5, until=lambda: leaving.cellar is None)
+    assert net.run(4.5, until=lambda: leaving.controller is None)
     put(net, label=2, on="r1")
     for one in waiting:
         net.kill(one)
