--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -251,11 +251,11 @@
                 return Outcome(
                     kind="refused", code=409, reason="not-waiting", detail=f"no empty controller {given!r} waits"
                 )
-            text = change_members(text=job.text, add=(identity, self.controllers[identity]["post"]))
+            text = change_members(text=job.text, number=job.number, add=(identity, self.controllers[identity]["post"]))
         else:
             if identity not in members:
                 return Outcome(kind="refused", code=404, reason="voter-unknown", detail=f"no voter {given!r}")
-            text = change_members(text=job.text, drop=identity)
+            text = change_members(text=job.text, number=job.number, drop=identity)
         well = {name for name, entry in self.controllers.items() if entry["fit"]}
         if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
             return Outcome(
--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -56,8 +56,9 @@
         others = self._roster.alive(kind="controller")
         self.controllers = {one["identity"]: one for one in [*others, self._roster.own_entry()]}
         commands = self._note_core(now=now, others=others)
+        # one that does not act yet watches the voters too: when it joins it knows for how long each was lost
+        more, begins = self._repair(now=now, others=others)
         if self._voter.voting:
-            more, begins = self._repair(now=now, others=others)
             return commands + more, begins
         return commands + self._catch_up(now=now) + self._ask_for_news(now=now, others=others), []
 
@@ -164,18 +165,10 @@
             and value["number"] >= voter.voted_voters()["number"]
         )
 
-    def leave(self) -> list[Command]:
-        """Taken out of the core: it waits under a new identity."""
-        commands = self._voter.leave()
-        for part in (self._roster, self.copying, self.anew.copying):
-            part.identity = self._voter.identity
-        return commands
-
     def tell_page(self, *, sender: str, body: dict) -> list[Command]:
         """A page of all this voter has voted for, to one that copies under the same set."""
         voter, number = self._voter, self._voter.voters["number"]
-        may_tell = voter.is_member and voter.ledger.copied and voter.ledger.usable
-        if not may_tell or number != body["value"]["number"]:
+        if not voter.may_tell or number != body["value"]["number"]:
             return []
         if body["after"] == "" or sender not in self._names:
             # nothing is voted for under the old set from here on: one order for the whole copy
@@ -192,17 +185,28 @@
         voter = self._voter
         if "voters" not in voter.held.held:
             return []
-        if voter.ledger.copied:
+        if voter.is_whole:
             return self._step_anew(now=now, event=event) if voter.is_opening else []
+        return self._step_copy(now=now, event=event)
+
+    def _step_copy(self, *, now: float, event: tuple | None) -> list[Command]:
+        """Ask for pages, or fold one; the votes of this voter count as well if others may copy from it."""
+        voter = self._voter
+        own = voter.acceptor.slots if voter.may_tell else None
         commands = self.copying.step(now=now, voters=voter.held_voters(), event=event)
-        if not self.copying.is_over():
+        if not self.copying.is_over(own=own):
             return commands
-        voter.ledger.copied, voter.ledger.opened = True, read_founding(value=voter.held_voters().value).number
-        slots = self.copying.slots(now=now)
+        slots = self.copying.slots(now=now, own=own)
+        if own is None:
+            commands += voter.forget()
+        voter.ledger.copied, voter.ledger.under = True, self.copying.number
+        voter.ledger.opened = read_founding(value=voter.held_voters().value).number
         log = Log(event="copied", fields={"slots": len(slots), "under": self.copying.number})
         commands += [
             log,
-            *voter.ledger.step(records=[*voter.put(slots=slots), {"k": "copied"}, *self._opened()], replies=[]),
+            *voter.ledger.step(
+                records=[*voter.put(slots=slots), voter.ledger.copied_record(), *self._opened()], replies=[]
+            ),
         ]
         return commands + (self._announce() if self._options.bootstrap else [])
 
@@ -270,13 +274,13 @@
         voter = self._voter
         if not voter.is_member or "voters" not in voter.held.held:
             return []
-        if not voter.ledger.copied:
-            return self.copying.step(now=now, voters=voter.held_voters(), event=None)
+        if not voter.is_whole:
+            return self._step_copy(now=now, event=None)
         return self._step_anew(now=now, event=None) if voter.is_opening else []
 
     def _ask_for_news(self, *, now: float, others: list[dict]) -> list[Command]:
         voter = self._voter
-        is_copying = voter.is_member and "voters" in voter.held.held and not voter.ledger.copied
+        is_copying = voter.is_member and "voters" in voter.held.held and not voter.is_whole
         if is_copying or now - self._asked < self._ask_pause():
             return []
         self._asked = now
--- a/sailward/control/voter.py
+++ b/sailward/control/voter.py
@@ -11,7 +11,7 @@
 from sailward.control.disaster_recovery import read_founding
 from sailward.control.write_ahead import WriteAhead
 from sailward.discovery.gossip import Place
-from sailward.events import Command, Log, Tell
+from sailward.events import Command, Tell
 
 
 def make_identity(*, name: str, nonce: str) -> str:
@@ -25,6 +25,7 @@
 
     identity: str
     copied: bool
+    under: int
     opened: int
     known: dict | None
     slots: Slots
@@ -32,21 +33,22 @@
 
 def read_records(*, records: list[dict], now: float) -> Remembered:
     """Fold the records of the disk, oldest first."""
-    identity, copied, opened, known, slots = "", False, 0, None, Slots()
+    identity, copied, under, opened, known, slots = "", False, 0, 0, None, Slots()
     for record in records:
         if record["k"] == "identity":
             identity = record["id"]
         elif record["k"] == "copied":
-            copied = True
+            # versions before this one don't say under which set: members of theirs need no later copy
+            copied, under = True, record.get("n", 0)
         elif record["k"] == "opened":
             opened = record["n"]
         elif record["k"] == "left":
-            identity, copied, opened, slots = record["id"], False, 0, Slots()
+            identity, copied, under, opened, slots = record["id"], False, 0, 0, Slots()
         elif record.get("r") == KNOWN:
             known = record
         else:
             fold_record(slots=slots, record=record, now=now)
-    return Remembered(identity=identity, copied=copied, opened=opened, known=known, slots=slots)
+    return Remembered(identity=identity, copied=copied, under=under, opened=opened, known=known, slots=slots)
 
 
 class Voter:
@@ -60,7 +62,7 @@
         self, *, place: Place, nonce: str, records: list[dict], now: float, bootstrap: Bootstrap | None
     ) -> None:
         remembered = read_records(records=records, now=now)
-        self.place, self._nonce, self._left = place, nonce, 0
+        self.place = place
         is_new = not remembered.identity
         is_founder = is_new and bootstrap is not None and bootstrap.is_founder(post=place.post)
         self.identity = remembered.identity or (
@@ -72,6 +74,7 @@
             identity=self.identity,
             slots=remembered.slots,
             copied=remembered.copied,
+            under=remembered.under,
             opened=remembered.opened,
             known=remembered.known,
         )
@@ -106,7 +109,23 @@
     @property
     def voting(self) -> bool:
         """May this process vote and grant?"""
-        return self.is_member and self.ledger.copied and self.ledger.usable and not self.is_opening
+        return self.is_member and self.is_whole and self.ledger.usable and not self.is_opening
+
+    @property
+    def is_whole(self) -> bool:
+        """Do the slots hold what was chosen before the set that this voter must have copied under?"""
+        return self.ledger.copied and self.ledger.under >= self.voters["joined"].get(self.identity, 0)
+
+    @property
+    def may_tell(self) -> bool:
+        """May others copy from this one?
+
+        Also if it must copy itself or was taken out, if it could act under the set before.
+        """
+        before = self.voters["before"] or {"members": {}, "joined": {}}
+        was_whole = self.ledger.copied and self.ledger.under >= before["joined"].get(self.identity, 0)
+        is_source = (self.is_member and self.is_whole) or (self.identity in before["members"] and was_whole)
+        return is_source and self.ledger.usable
 
     def held_voters(self) -> Held:
         """The register of the voters as it is known to be chosen."""
@@ -121,10 +140,8 @@
         """Judge one prepare, accept, first or read; the reply goes when what it tells is synced."""
         if not self.voting:
             return []
-        known, slot = self.voters["number"], self.acceptor.slots.get("voters")
-        floor = slot.value["number"] if slot and slot.value and body["register"] != "voters" else known
-        if body["voters"] != known or body["voters"] < floor:
-            # a voter acts under one set at a time, and under none older than one that it voted for
+        if body["voters"] != self.voters["number"]:
+            # a voter acts under one set at a time: the newest that it knows to be chosen
             return [self._refuse_set(sender=sender, body=body)]
         records, reply = self.acceptor.step(now=now, body=body)
         return self.ledger.step(records=records, replies=[Tell(to=sender, body=reply)])
@@ -146,20 +163,13 @@
             records += slot_records(name=name, slot=slot)
         return records
 
-    def leave(self) -> list[Command]:
-        """Taken out of the voters: what was voted for is void, and the old identity never acts again."""
-        old = self.identity
-        self._left += 1
-        self.identity = make_identity(name=self.place.name, nonce=f"{self._nonce}.{self._left}")
-        self.ledger.identity = self.identity
+    def forget(self) -> list[Command]:
+        """What was voted for as a member of earlier sets is void."""
         for name in list(self.acceptor.slots):
             del self.acceptor.slots[name]
         self.acceptor.slots.control.clear()
-        self.ledger.copied, self.ledger.opened = False, 0
-        return [
-            Log(event="taken-out", fields={"was": old, "waits-as": self.identity}),
-            *self.ledger.step(records=[{"k": "left", "id": self.identity}], replies=[]),
-        ]
+        self.ledger.copied, self.ledger.under, self.ledger.opened = False, 0, 0
+        return self.ledger.step(records=[{"k": "left", "id": self.identity}], replies=[])
 
     def sweep_claims(self, *, now: float) -> list[Command]:
         """Forget the claims whose life is over."""
