--- a/sailward/consensus/held.py
+++ b/sailward/consensus/held.py
@@ -31,6 +31,10 @@
     held: dict = field(default_factory=dict)
     _voters: dict = field(default_factory=lambda: {"number": 0, "members": {}})
 
+    def is_news(self, *, name: str, value: dict) -> bool:
+        """Is this value newer than what is held?"""
+        return value["number"] > self.number(name=name)
+
     def step(self, *, name: str, ballot: list, value: dict) -> bool:
         """Hold this value; is it news?"""
         held = self.held.get(name) or Held()
--- a/sailward/consensus/messages.py
+++ b/sailward/consensus/messages.py
@@ -1,40 +1,221 @@
-"""The messages between sailward's processes: their fields, encoding and check."""
+"""The messages between sailward's processes: their fields, encoding and check.
+
+What passes the check can be given to any owner: an owner looks at no field's type again.
+"""
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass
+from functools import lru_cache
 
 from flatbuffers import flexbuffers
 
-BALLOT = list
-FIELDS: dict[str, dict[str, type]] = {
-    "prepare": {"op": str, "register": str, "ballot": BALLOT, "voters": int},
-    "promise": {"op": str, "register": str, "ballot": BALLOT, "vote": list},
-    "accept": {"op": str, "register": str, "ballot": BALLOT, "voters": int, "value": dict},
-    "first": {"op": str, "register": str, "voters": int, "value": dict},
-    "voted": {"op": str, "register": str, "ballot": BALLOT},
-    "nack": {"op": str, "register": str, "ballot": BALLOT, "reason": str, "round": int, "voters": list},
-    "read": {"op": str, "register": str, "voters": int},
-    "told": {"op": str, "register": str, "vote": list},
-    "chosen": {"register": str, "ballot": BALLOT, "value": dict},
-    "want": {"register": str},
-    "ask": {"seq": int, "have": dict, "report": dict, "daemon": dict},
-    "grant": {"seq": int, "newest": dict, "identity": str, "voting": bool, "proxies": int, "view": dict},
-    "push": {"seq": int, "name": str, "number": int, "ballot": BALLOT, "value": dict},
-    "ack": {"seq": int, "name": str, "number": int},
-    "gossip": {"entries": list, "reply": bool},
-    "peek": {"token": str, "key": str, "number": int, "region": str},
-    "peeked": {"token": str, "state": str, "code": int, "headers": dict, "body": bytes},
-    "keep": {"key": str, "number": int, "print": str, "homes": list, "code": int, "headers": dict, "body": bytes},
-    "list": {"number": int, "rows": str},
-    "beat": {"id": str, "start": int, "beat": int, "fit": bool, "identity": str},
-    "confirm": {"seq": int, "voters": int, "registers": list},
-    "confirmed": {"seq": int, "identity": str, "newest": dict},
-    "fleet": {"number": int, "rows": list, "loads": dict, "down": dict},
-    "copy": {"after": str, "ballot": BALLOT, "value": dict},
-    "copied": {"after": str, "voters": int, "slots": list, "next": str},
+from sailward import constants
+from sailward.consensus.acceptor import KNOWN
+from sailward.discovery.rows import is_proxy
+from sailward.shapes import (
+    Check,
+    either_of,
+    is_amount,
+    is_anything,
+    is_bytes,
+    is_count,
+    is_flag,
+    is_number,
+    is_text,
+    is_whole,
+    list_of,
+    map_of,
+    record_of,
+    row_of,
+)
+
+SLOTS = "slots/"
+"""What the name of a divided service's register begins with."""
+OWN_LISTS = ("workers", "fleet")
+"""What is told under a number of the teller's own, with its teller's name."""
+
+
+def is_ballot(given: object) -> bool:
+    """Is it [round, proposer]?"""
+    return isinstance(given, list) and len(given) == 2 and is_whole(given[0]) and isinstance(given[1], str)
+
+
+VALUE: dict[str, Check] = {"number": is_count, "mark": is_text, "trail": list_of(is_text), "text": is_text}
+"""The fields of a register's value, and no others: a vote is written to the disk as it came."""
+
+
+def is_value(given: object) -> bool:
+    """Is it a register's value?"""
+    return (
+        isinstance(given, dict)
+        and given.keys() == VALUE.keys()
+        and all(fits(given[name]) for name, fits in VALUE.items())
+    )
+
+
+def is_vote(given: object) -> bool:
+    """Is it [ballot, value]?"""
+    return isinstance(given, list) and len(given) == 2 and is_ballot(given[0]) and is_value(given[1])
+
+
+def is_vote_or_none(given: object) -> bool:
+    """Is it a vote, or empty for none?"""
+    return given == [] or is_vote(given)
+
+
+def is_register(given: object) -> bool:
+    """Is it a register's name? One name is kept for a record of the disk."""
+    return isinstance(given, str) and given != KNOWN
+
+
+def is_bucket(given: object) -> bool:
+    """Is it the number of a bucket of keys?"""
+    return is_count(given) and given < constants.LOAD_BUCKETS  # type: ignore[operator]
+
+
+def is_bucket_name(given: object) -> bool:
+    """Is it the number of a bucket of keys, as the name of a field?"""
+    is_digits = isinstance(given, str) and given.isascii() and given.isdigit() and len(given) < 10
+    return is_digits and is_bucket(int(given))  # type: ignore[call-overload]
+
+
+def is_place(given: object) -> bool:
+    """Is it SERVICE|ZONE?"""
+    return isinstance(given, str) and "|" in given
+
+
+def is_rates(given: object) -> bool:
+    """Is it a whole in tenths, then at least two ends of parts; or empty?"""
+    return given == [] or (
+        isinstance(given, list) and len(given) >= 3 and is_count(given[0]) and all(map(is_bucket, given[1:]))
+    )
+
+
+_is_digest = row_of(is_whole, is_text, is_ballot)
+"""Number, mark and ballot of a value."""
+_is_held = either_of(row_of(is_whole), row_of(is_whole, is_text), _is_digest)
+"""What an asker holds of a register: its number, and maybe more."""
+_is_health = row_of(is_count, is_count, is_text)
+"""Listed workers, healthy ones, and the state of a zone."""
+
+
+def is_have(given: object) -> bool:
+    """Is it what an asker holds, by name?"""
+    return (
+        isinstance(given, dict)
+        and all(isinstance(name, str) and _is_held(held) for name, held in given.items())
+        and all(len(given[name]) > 1 for name in OWN_LISTS if name in given)
+    )
+
+
+is_report = record_of(
+    needed={},
+    optional={
+        "halls": map_of(_is_health, names=is_place),
+        "warm": map_of(is_amount),
+        "suspect": is_flag,
+        "busy": list_of(is_text),
+        "rates": map_of(is_amount),
+        "down": list_of(is_text),
+        "turn": is_whole,
+        "lead": is_text,
+        "loads": map_of(map_of(is_amount, names=is_bucket_name)),
+        "paces": map_of(list_of(is_amount)),
+    },
+)
+is_daemon = record_of(
+    needed={"id": is_text, "kind": is_text, "hall": is_text, "region": is_text, "http": is_text, "fit": is_flag},
+    optional={
+        "start": is_whole,
+        "post": is_text,
+        "beat": is_whole,
+        "version": is_text,
+        "identity": is_text,
+        "asks": is_text,
+        "disk": is_flag,
+    },
+)
+is_view = record_of(
+    needed={},
+    optional={
+        "place": row_of(is_text, is_text),
+        "drained": list_of(is_text),
+        "warm": map_of(is_amount),
+        "doubt": is_flag,
+        "wall": is_number,
+    },
+)
+is_loads = record_of(
+    needed={},
+    optional={
+        "rates": map_of(is_rates),
+        "paces": map_of(lambda given: row_of(is_amount, is_count)(given) and given[1] > 0),
+    },
+)
+
+MESSAGES: dict[str, dict[str, Check]] = {
+    "prepare": {"op": is_text, "register": is_register, "ballot": is_ballot, "voters": is_whole},
+    "promise": {"op": is_text, "register": is_register, "ballot": is_ballot, "vote": is_vote_or_none},
+    "accept": {"op": is_text, "register": is_register, "ballot": is_ballot, "voters": is_whole, "value": is_value},
+    "first": {"op": is_text, "register": is_register, "voters": is_whole, "value": is_value},
+    "voted": {"op": is_text, "register": is_register, "ballot": is_ballot},
+    "nack": {
+        "op": is_text,
+        "register": is_register,
+        "ballot": is_ballot,
+        "reason": is_text,
+        "round": is_whole,
+        "voters": is_vote_or_none,
+    },
+    "read": {"op": is_text, "register": is_register, "voters": is_whole},
+    "told": {"op": is_text, "register": is_register, "vote": is_vote_or_none},
+    "chosen": {"register": is_register, "ballot": is_ballot, "value": is_value},
+    "want": {"register": is_text},
+    "ask": {"seq": is_whole, "have": is_have, "report": is_report, "daemon": is_daemon},
+    "grant": {
+        "seq": is_whole,
+        "newest": map_of(_is_digest),
+        "identity": is_text,
+        "voting": is_flag,
+        "proxies": is_count,
+        "view": is_view,
+    },
+    "push": {"seq": is_whole, "name": is_register, "number": is_whole, "ballot": is_ballot, "value": is_value},
+    "ack": {"seq": is_whole, "name": is_text, "number": is_whole},
+    "gossip": {"entries": list_of(is_anything), "reply": is_flag},
+    "peek": {"token": is_text, "key": is_text, "number": is_whole, "region": is_text},
+    "peeked": {"token": is_text, "state": is_text, "code": is_count, "headers": map_of(is_text), "body": is_bytes},
+    "keep": {
+        "key": is_text,
+        "number": is_whole,
+        "print": is_text,
+        "homes": list_of(is_text),
+        "code": is_count,
+        "headers": map_of(is_text),
+        "body": is_bytes,
+    },
+    "list": {"number": is_whole, "rows": is_text},
+    "beat": {"id": is_text, "start": is_whole, "beat": is_whole, "fit": is_flag, "identity": is_text},
+    "confirm": {"seq": is_whole, "voters": is_whole, "registers": list_of(is_text)},
+    "confirmed": {"seq": is_whole, "identity": is_text, "newest": map_of(_is_digest)},
+    "fleet": {
+        "number": is_whole,
+        "rows": either_of(lambda given: given == ["same"], list_of(is_proxy)),
+        "loads": is_loads,
+        "down": map_of(is_count),
+    },
+    "copy": {"after": is_text, "ballot": is_ballot, "value": is_value},
+    "copied": {
+        "after": is_text,
+        "voters": is_whole,
+        "slots": list_of(row_of(is_register, is_ballot, is_value)),
+        "next": is_text,
+    },
 }
-VALUE = {"number": int, "mark": str, "trail": list, "text": str}
+"""Each kind's fields in the order in which a frame carries them, with the check of each."""
+FIELDS: dict[str, tuple[str, ...]] = {kind: tuple(fields) for kind, fields in MESSAGES.items()}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -59,45 +240,89 @@
 
 
 def check_message(*, body: object) -> dict | BadMessage:
-    """The message itself if its fields are all there and of their types."""
+    """The message itself if its fields are all there and fit; else which one does not."""
     if not isinstance(body, dict):
         return BadMessage(reason="not-a-map")
-    fields = FIELDS.get(body.get("kind", ""))
+    kind = body.get("kind")
+    fields = MESSAGES.get(kind) if isinstance(kind, str) else None
     if fields is None:
         return BadMessage(reason="unknown-kind")
-    for name, kind in fields.items():
-        if not _fits(given=body.get(name), kind=kind):
-            return BadMessage(reason=f"field:{body['kind']}.{name}")
-    if "ballot" in fields and not is_ballot(given=body["ballot"]):
-        return BadMessage(reason=f"field:{body['kind']}.ballot")
-    if "value" in fields and not is_value(given=body["value"]):
-        return BadMessage(reason=f"field:{body['kind']}.value")
-    for row in body["slots"] if "slots" in fields else ():
-        if not (isinstance(row, list) and len(row) == 3 and isinstance(row[0], str) and is_vote(given=row[1:])):
-            return BadMessage(reason=f"field:{body['kind']}.slots")
-    if "voters" in fields and fields["voters"] is list and body["voters"] and not is_vote(given=body["voters"]):
-        return BadMessage(reason=f"field:{body['kind']}.voters")
-    if body.get("vote") and not is_vote(given=body["vote"]):
-        return BadMessage(reason=f"field:{body['kind']}.vote")
+    for name, fits in fields.items():
+        if name not in body or not fits(body[name]):
+            return BadMessage(reason=f"field:{kind}.{name}")
+    for register, value in _values_in(body=body):
+        if not is_readable(register=register, text=value["text"]):
+            return BadMessage(reason=f"text:{kind}.{register}"[:200])
     return body
 
 
-def is_ballot(*, given: object) -> bool:
-    """Is it [round, proposer]?"""
-    return isinstance(given, list) and len(given) == 2 and _fits(given=given[0], kind=int) and isinstance(given[1], str)
+def _values_in(*, body: dict) -> list[tuple[str, dict]]:
+    """Each value that the message carries, with the register that it belongs to."""
+    match body["kind"]:
+        case "accept" | "first" | "chosen":
+            return [(body["register"], body["value"])]
+        case "push":
+            return [(body["name"], body["value"])]
+        case "copy":
+            return [("voters", body["value"])]
+        case "nack":
+            return [("voters", body["voters"][1])] if body["voters"] else []
+        case "promise" | "told":
+            return [(body["register"], body["vote"][1])] if body["vote"] else []
+        case "copied":
+            return [(register, value) for register, _, value in body["slots"]]
+    return []
 
 
-def is_value(*, given: object) -> bool:
-    """Is it a register's value?"""
-    return isinstance(given, dict) and all(_fits(given=given.get(n), kind=k) for n, k in VALUE.items())
+def is_readable(*, register: str, text: str) -> bool:
+    """Can a control register's text be read? The configuration, which is large, is checked where it is read."""
+    if register in ("voters", "orders") or register.startswith(SLOTS):
+        return text == "" or _is_readable(register=register.split("/")[0], text=text)
+    return True
 
 
-def is_vote(*, given: object) -> bool:
-    """Is it [ballot, value]?"""
-    return isinstance(given, list) and len(given) == 2 and is_ballot(given=given[0]) and is_value(given=given[1])
+@lru_cache(maxsize=64)
+def _is_readable(*, register: str, text: str) -> bool:
+    try:
+        inner = json.loads(text)
+    except (ValueError, RecursionError):
+        return False
+    return _TEXTS[register](inner)
 
 
-def _fits(*, given: object, kind: type) -> bool:
-    if kind is int:
-        return isinstance(given, int) and not isinstance(given, bool)
-    return isinstance(given, kind)
+_TEXTS: dict[str, Check] = {
+    "voters": record_of(
+        needed={"members": map_of(is_text)},
+        optional={
+            "size": is_count,
+            "anew": either_of(
+                lambda given: given is None,
+                record_of(
+                    needed={
+                        "number": is_count,
+                        "survivors": list_of(is_text),
+                        "doubt": is_flag,
+                        "base": map_of(is_text),
+                    }
+                ),
+            ),
+        },
+    ),
+    "orders": record_of(needed={"emptied": list_of(is_text)}),
+    "slots": either_of(
+        record_of(
+            needed={
+                "granter": is_text,
+                "since": is_whole,
+                "fence": is_whole,
+                "ranges": list_of(
+                    either_of(
+                        row_of(is_count, is_count, is_text, is_whole, is_text),
+                        row_of(is_count, is_count, is_text, is_whole, is_text, is_text),
+                    )
+                ),
+            }
+        ),
+        record_of(needed={"spaces": map_of(list_of(row_of(is_text, is_whole, is_whole)))}),
+    ),
+}
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -34,6 +34,7 @@
     DiskFailed,
     Event,
     Heard,
+    RefusedInput,
     Stop,
     StopAsked,
     Synced,
@@ -62,6 +63,7 @@
     ) -> None:
         self.options = options = options or ControllerOptions()
         self.place, self.start = place, start
+        self.unexpected, self.refused = UnexpectedEvents(), RefusedInput()
         self.voter = Voter(place=place, nonce=nonce, records=records, now=now, bootstrap=options.bootstrap)
         self.held, self.acceptor, self.ledger = self.voter.held, self.voter.acceptor, self.voter.ledger
         op_prefix = f"{place.name}#{nonce}"
@@ -87,7 +89,12 @@
         self.catch_up = CatchUp(voter=self.voter, op_prefix=op_prefix, every=options.read_every)
         self.moves = Moves()
         self.worker_list = WorkerList(
-            platform=platform, post=place.post, start=start, reader=options.reader, rate=options.list_rate
+            platform=platform,
+            post=place.post,
+            start=start,
+            reader=options.reader,
+            rate=options.list_rate,
+            refused=self.refused,
         )
         self.subscribers = Subscribers(post=place.post if options.reader else "")
         self.standing = Standing()
@@ -104,7 +111,6 @@
             options=options,
         )
         self.shard_leases = self._make_shard_leases(op_prefix=op_prefix) if options.grants else None
-        self.unexpected = UnexpectedEvents()
         self._status = StatusSources(
             voter=self.voter,
             roster=self.roster,
@@ -113,6 +119,7 @@
             standing=self.standing,
             worker_list=self.worker_list,
             unexpected=self.unexpected,
+            refused=self.refused,
         )
         self.registers = Registers(
             voter=self.voter,
@@ -125,6 +132,7 @@
             serving=self.serving,
             shard_leases=self.shard_leases,
             expand=options.expand,
+            refused=self.refused,
         )
         self.messages = MessageHandlers(
             voter=self.voter,
@@ -304,6 +312,7 @@
             held=self.held,
             standing=self.standing,
             workers=self.worker_list.value,
+            epoch=self.worker_list.epoch,
             proxies=self.subscribers.proxies(),
         )
         begins = []
--- a/sailward/control/listing.py
+++ b/sailward/control/listing.py
@@ -9,7 +9,8 @@
 from sailward.control.incarnations import Incarnations
 from sailward.discovery.pages import Pager
 from sailward.discovery.rendezvous import choose_names
-from sailward.events import Called, Log, Tell
+from sailward.discovery.rows import UNREADABLE_LIST, is_life, read_workers
+from sailward.events import Called, Log, RefusedInput, Tell
 
 
 @dataclass(kw_only=True)
@@ -24,6 +25,7 @@
     lives: Incarnations
     heard: float = -1e9
     told: dict = field(default_factory=dict)
+    refused: RefusedInput = field(default_factory=RefusedInput)
 
     def step(
         self, *, now: float, event: Called | None, cellars: list[dict], own: dict, is_wanted: bool
@@ -51,7 +53,9 @@
         self.heard = now
         if not body["rows"]:
             return [], False
-        rows = json.loads(body["rows"])
+        rows = read_workers(text=body["rows"], check=is_life)
+        if rows is None:
+            return self.refused.add(kind="list", reason=UNREADABLE_LIST), False
         is_news = self.lives.step(now=now, rows=rows)
         return (
             [Log(event="list-news", fields={"revision": self.lives.number, "workers": len(rows)})] if is_news else []
--- a/sailward/control/message_handlers.py
+++ b/sailward/control/message_handlers.py
@@ -60,11 +60,10 @@
             "list": self._hear_list,
             **dict.fromkeys(("confirm", "confirmed"), self._hear_confirmation),
             "copy": self._hear_copy,
-            "copied": lambda now, sender, body: self._membership.take_page(now=now, event=(sender, body)),
+            "copied": self._hear_copied,
             "ask": self._serving.answer,
             "ack": self._serving.acknowledge,
-            # the answer to this process's own asking for news: what it lacks is pushed
-            "grant": lambda now, sender, body: [],
+            "grant": self._hear_grant,
             **dict.fromkeys(("gossip", "beat"), self._hear_gossip),
         }
 
@@ -108,6 +107,13 @@
         commands = self._registers.learn(now=now, name="voters", ballot=body["ballot"], value=body["value"], tell=False)
         return commands + self._membership.tell_page(sender=sender, body=body)
 
+    def _hear_copied(self, *, now: float, sender: str, body: dict) -> list[Command]:
+        return self._membership.take_page(now=now, event=(sender, body))
+
+    def _hear_grant(self, *, now: float, sender: str, body: dict) -> list[Command]:
+        """The answer to this process's own asking for news: what it lacks is pushed."""
+        return []
+
     def _hear_gossip(self, *, now: float, sender: str, body: dict) -> list[Command]:
         commands = self._roster.step(now=now, event=(sender, body))
         if self._is_mesh and any(isinstance(command, Log) for command in commands):
--- a/sailward/control/moves.py
+++ b/sailward/control/moves.py
@@ -36,17 +36,18 @@
         held: HeldBook,
         standing: Standing,
         workers: dict | None,
+        epoch: int,
         proxies: list[Subscriber],
     ) -> list[tuple[str, int, str]]:
-        """Look at each divided service that this cellar minds."""
+        """Look at each divided service that this controller minds; `epoch` is that of the list of workers."""
         if now - self.looked < constants.ASSIGN_EVERY or workers is None:
             return []
         self.looked = now
         divided = [service for service in self.plan.services.values() if service.slots]
         if not divided:
             return []
-        if (int(workers["mark"]), workers["number"]) > self.book.revision:
-            self.book.step(epoch=int(workers["mark"]), revision=workers["number"], workers=json.loads(workers["text"]))
+        if (epoch, workers["number"]) > self.book.revision:
+            self.book.step(epoch=epoch, revision=workers["number"], workers=json.loads(workers["text"]))
         well = {one["identity"] for one in cellars if one["fit"]}
         scene = self._scene(held=held, standing=standing, proxies=proxies)
         changes = []
--- a/sailward/control/registers.py
+++ b/sailward/control/registers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from sailward.consensus.held import is_control
-from sailward.consensus.proposer import Begin, Proposer, Settled
+from sailward.consensus.proposer import EMPTY, Begin, Proposer, Refused, Settled
 from sailward.control.admin_api import AdminApi
 from sailward.control.catch_up import CatchUp
 from sailward.control.membership import Membership
@@ -14,8 +14,8 @@
 from sailward.control.shard_leases import ShardLeases
 from sailward.control.voter import Voter
 from sailward.discovery.gossip import Roster
-from sailward.events import Called, Command, Log, Tell
-from sailward.routing.plan import plan_of, read_full
+from sailward.events import Called, Command, Log, RefusedInput, Tell
+from sailward.routing.plan import Plan, Unreadable, load_config
 
 
 class Registers:
@@ -34,10 +34,13 @@
         serving: Serving,
         shard_leases: ShardLeases | None,
         expand: Callable[[dict], dict] | None,
+        refused: RefusedInput,
     ) -> None:
         self._voter, self._proposer, self._desk, self._roster = voter, proposer, desk, roster
         self._membership, self._catch_up, self._moves = membership, catch_up, moves
         self._serving, self._shard_leases, self._expand = serving, shard_leases, expand
+        self._refused = refused
+        self._unreadable_mark: str | None = None
 
     def tick(self, *, now: float) -> list[Command]:
         """Time goes on: operations are tried again, or expire."""
@@ -66,20 +69,30 @@
 
     def learn(self, *, now: float, name: str, ballot: list, value: dict, tell: bool) -> list[Command]:
         """Hold a value that is known to have been chosen, push it on, and `tell` the other controllers."""
-        if not is_control(name=name) or not self._voter.held.step(name=name, ballot=ballot, value=value):
+        if not is_control(name=name):
+            return []
+        config = self._load_config(name=name, value=value)
+        if isinstance(config, Unreadable):
+            self._unreadable_mark = value["mark"]
+            return self._refused.add(kind="config", reason=config.reason, number=value["number"])
+        if not self._voter.held.step(name=name, ballot=ballot, value=value):
             return []
         log = Log(event="in-force", fields={"register": name, "number": value["number"]})
         if name == "voters" and self._membership.is_out(value=value):
             return [log, *self._membership.leave()]
-        if name == "config":
-            self._desk.full = read_full(value=value, expand=self._expand)
-            self._moves.plan = plan_of(full=self._desk.full, number=value["number"])
+        if config is not None:
+            self._desk.full, self._moves.plan = config
         commands = self._voter.ledger.know(ballot=ballot, value=value) if name == "voters" else []
         commands += self._serving.push(now=now)
         if tell:
             commands += self._tell_chosen(name=name, ballot=ballot, value=value)
         return [log, *self.step_shard_leases(now=now, event=None), *commands]
 
+    def _load_config(self, *, name: str, value: dict) -> tuple[dict, Plan] | Unreadable | None:
+        if name != "config" or not self._voter.held.is_news(name=name, value=value):
+            return None
+        return load_config(value=value, expand=self._expand)
+
     def _settle(self, *, now: float, settled: list[Settled]) -> list[Command]:
         """Take the ends of operations: learn the value each of them found, and tell who began it."""
         commands = []
@@ -88,7 +101,8 @@
             if is_control(name=end.register) and value and value["number"]:
                 commands += self.learn(now=now, name=end.register, ballot=ballot, value=value, tell=True)
             if not self._catch_up.is_own(op=end.op):
-                more, begins = self._desk.step(event=end)
+                is_unreadable = end.register == "config" and bool(value) and value["mark"] == self._unreadable_mark
+                more, begins = self._desk.step(event=_without_value(end=end) if is_unreadable else end)
                 commands += more + self.begin(now=now, begins=begins)
         return commands
 
@@ -96,3 +110,9 @@
         body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
         posts = {*self._voter.voters["members"].values(), *(one["post"] for one in self._roster.alive(kind="cellar"))}
         return [Tell(to=post, body=body) for post in sorted(posts - {self._voter.place.post})]
+
+
+def _without_value(*, end: Settled) -> Settled:
+    """The end of an operation that found a value which can't be read: it is as if none had been found."""
+    outcome = Refused(reason="unreadable", value=EMPTY, ballot=[0, ""])
+    return Settled(op=end.op, register=end.register, outcome=outcome)
--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -13,7 +13,7 @@
 from sailward.control.voter import Voter
 from sailward.control.worker_list import WorkerList
 from sailward.discovery.gossip import Roster
-from sailward.events import UnexpectedEvents
+from sailward.events import RefusedInput, UnexpectedEvents
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -27,6 +27,7 @@
     standing: Standing
     worker_list: WorkerList
     unexpected: UnexpectedEvents
+    refused: RefusedInput
 
 
 def show_status(*, sources: StatusSources, now: float) -> dict:
@@ -80,6 +81,7 @@
         "rates": _sum_rates(proxies=subscribers.proxies()),
         "well": sorted(sources.standing.warm),
         "unexpected_events": dict(sources.unexpected.counts),
+        "refused_input": dict(sources.refused.counts),
     }
 
 
--- a/sailward/control/subscribers.py
+++ b/sailward/control/subscribers.py
@@ -116,7 +116,9 @@
             return self._push_own(
                 now=now, address=address, member=member, name=name, given=given, number=number, value=value
             )
-        had = (given[2][0], given[0]) if name == "workers" and given else (0, given[0] if given else -1)
+        had = (_epoch_of(given=given), given[0] if given else -1)
+        if name != "workers":
+            had = (0, had[1])
         at = (ballot[0], number) if name == "workers" else (0, number)
         acked = name != "workers" and member.acked.get(name, -1) >= number
         if had >= at or acked:
@@ -147,3 +149,8 @@
         member.pushed[name] = (at, now)
         body = {"kind": "push", "seq": self.seq, "name": name, "number": at[1], "ballot": ballot, "value": value}
         return [Tell(to=address, body=body)]
+
+
+def _epoch_of(*, given: list | None) -> int:
+    """The epoch in [number, mark, ballot] as an asker tells it; 0 where it tells less."""
+    return given[2][0] if given is not None and len(given) > 2 else 0
--- a/sailward/control/worker_list.py
+++ b/sailward/control/worker_list.py
@@ -8,7 +8,7 @@
 from sailward.control.listing import Listing
 from sailward.discovery.gossip import Roster
 from sailward.discovery.pages import ListReader, Pager
-from sailward.events import Called, Command, Log
+from sailward.events import Called, Command, Log, RefusedInput
 
 
 class WorkerList:
@@ -17,12 +17,21 @@
     `value` has the shape of a register's value, None until the first whole list; (`epoch`, `revision`) grows with each change.
     """
 
-    def __init__(self, *, platform: str, post: str, start: int, reader: ListReader | None, rate: float) -> None:
+    def __init__(
+        self,
+        *,
+        platform: str,
+        post: str,
+        start: int,
+        reader: ListReader | None,
+        rate: float,
+        refused: RefusedInput,
+    ) -> None:
         self.epoch, self.revision = -1, -1
         self.value: dict | None = None
         self._has_reader = reader is not None
         self._pager = Pager(platform=platform, reader=reader, rate=rate)
-        self._listing = Listing(pager=self._pager, lives=Incarnations(post=post, number=start))
+        self._listing = Listing(pager=self._pager, lives=Incarnations(post=post, number=start), refused=refused)
 
     def rows(self) -> list:
         """The workers of the list."""
--- /dev/null
+++ b/sailward/discovery/rows.py
@@ -0,0 +1,59 @@
+"""Texts of lists that one daemon tells another, read and checked: the workers, and the fleet."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from sailward.shapes import Check, is_amount, is_count, is_flag, is_text, is_whole, list_of, record_of, row_of
+
+UNREADABLE_LIST = "rows of a told list can't be read"
+"""Why what another daemon told of workers or the fleet is dropped."""
+_PLACE = {
+    "id": is_text,
+    "service": is_text,
+    "address": is_text,
+    "hall": is_text,
+    "leaving": is_flag,
+    "generation": is_whole,
+}
+is_generation = record_of(needed=_PLACE)
+"""A worker of a list that tells generations."""
+is_life = record_of(needed={**_PLACE, "capacity": is_count, "cold_s": is_amount})
+"""A worker of a list in which each start has an id of its own."""
+is_proxy = row_of(is_text, is_text, is_text, is_text, is_flag)
+"""[name, address, zone, region, is it fit]."""
+_is_fleet = record_of(
+    needed={"proxies": list_of(is_proxy), "cellars": list_of(row_of(is_text, is_text, is_text))},
+    optional={"down": list_of(is_text)},
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class FleetRows:
+    """The fleet as it was told: proxies, controllers as [post, zone, region], and workers that several proxies call unreachable."""
+
+    proxies: list
+    controllers: list
+    down: list
+
+
+def read_workers(*, text: str, check: Check) -> list[dict] | None:
+    """The rows of a list of workers; None if the text is none, or a row does not fit."""
+    rows = _load(text=text)
+    return rows if isinstance(rows, list) and all(map(check, rows)) else None
+
+
+def read_fleet(*, text: str) -> FleetRows | None:
+    """The fleet in a text; None if it is none."""
+    told = _load(text=text)
+    if not _is_fleet(told):
+        return None
+    return FleetRows(proxies=told["proxies"], controllers=told["cellars"], down=told.get("down", []))
+
+
+def _load(*, text: str) -> object:
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError):
+        return None
--- a/sailward/events.py
+++ b/sailward/events.py
@@ -196,6 +196,20 @@
 """All that an owner can answer with."""
 
 
+@dataclass(kw_only=True)
+class RefusedInput:
+    """Counts what came from outside and could not be read, by its kind. It is dropped whole: nothing of it is acted on."""
+
+    counts: Counter = field(default_factory=Counter)
+
+    def add(self, *, kind: str, reason: str, **fields: object) -> list[Command]:
+        """Count one and write it to the log with the reason."""
+        self.counts[kind] += 1
+        return [
+            Log(event="input-refused", fields={"kind": kind, "reason": reason, "count": self.counts[kind], **fields})
+        ]
+
+
 @dataclass(kw_only=True)
 class UnexpectedEvents:
     """Counts the events that reached an owner which has no use for them: a mistake in the program, but none to die of."""
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +9,7 @@
 from sailward import constants
 from sailward.consensus.held import HeldBook, is_control
 from sailward.discovery.gossip import Place
+from sailward.discovery.rows import UNREADABLE_LIST, is_life, read_fleet, read_workers
 from sailward.discovery.workers import WorkerBook
 from sailward.events import (
     Asked,
@@ -22,6 +22,7 @@
     Heard,
     Leave,
     Log,
+    RefusedInput,
     Stop,
     StopAsked,
     Synced,
@@ -36,7 +37,7 @@
 from sailward.routing.forwarding import Forwarder
 from sailward.routing.halls import HallBook
 from sailward.routing.placing import Placer, Scene
-from sailward.routing.plan import read_plan
+from sailward.routing.plan import Unreadable, load_config
 from sailward.routing.retry_budget import RetryBudget
 from sailward.routing.slots import PREFIX as SLOTS
 from sailward.routing.world import read_orders
@@ -85,7 +86,7 @@
         self.directory = Directory(place=place)
         self.stopping, self.stop_at = STOPPING.initial, 0.0
         self.lists: dict = {"workers": ("", -1), "fleet": ("", -1)}
-        self.unexpected = UnexpectedEvents()
+        self.unexpected, self.refused = UnexpectedEvents(), RefusedInput()
         self._counted = -1e9
         self._beat = 0
 
@@ -142,14 +143,22 @@
         if name in self.lists:
             if sender != self.uplink.lead or self.lists[name] == (sender, value["number"]):
                 return [ack]
+            commands = (self._take_workers if name == "workers" else self._take_fleet)(now=now, value=value)
+            if commands is None:
+                # what can't be read is not acknowledged: it is pushed again
+                return self.refused.add(kind=name, reason=UNREADABLE_LIST)
             self.lists[name] = (sender, value["number"])
-            return [*(self._take_workers if name == "workers" else self._take_fleet)(now=now, value=value), ack]
+            return [*commands, ack]
         if not is_control(name=name):
             return [Log(event="push-unexpected", fields={"name": name})]
-        return [*self._keep(now=now, name=name, ballot=body["ballot"], value=value), ack]
+        commands = self._keep(now=now, name=name, ballot=body["ballot"], value=value)
+        return [*commands, ack] if self.held.number(name=name) >= value["number"] else commands
 
-    def _take_workers(self, *, now: float, value: dict) -> list:
-        came, went = self.book.replace(now=now, workers=json.loads(value["text"]))
+    def _take_workers(self, *, now: float, value: dict) -> list[Command] | None:
+        rows = read_workers(text=value["text"], check=is_life)
+        if rows is None:
+            return None
+        came, went = self.book.replace(now=now, workers=rows)
         commands = self.evidence.follow(now=now, workers=self.book.workers)
         self.scene.follow(workers=self.book.workers)
         if came or went:
@@ -158,20 +167,28 @@
             )
         return commands + self._count_halls(now=now)
 
-    def _take_fleet(self, *, now: float, value: dict) -> list:
-        told = json.loads(value["text"])
-        self.uplink.learn(cellars=told["cellars"])
-        self.directory.learn(rows=told["proxies"])
-        self.scene.peers = {name: region for name, _, _, region, is_fit in told["proxies"] if is_fit}
+    def _take_fleet(self, *, now: float, value: dict) -> list[Command] | None:
+        told = read_fleet(text=value["text"])
+        if told is None:
+            return None
+        self.uplink.learn(cellars=told.controllers)
+        self.directory.learn(rows=told.proxies)
+        self.scene.peers = {name: region for name, _, _, region, is_fit in told.proxies if is_fit}
         self.scene.proxies = max(1, len(self.scene.peers))
-        self.evidence.hint(now=now, down=told.get("down", []))
+        self.evidence.hint(now=now, down=told.down)
         return []
 
     def _keep(self, *, now: float, name: str, ballot: list, value: dict) -> list:
+        plan = self.scene.plan
+        if name == "config" and self.held.is_news(name=name, value=value):
+            config = load_config(value=value, expand=self.options.expand)
+            if isinstance(config, Unreadable):
+                return self.refused.add(kind="config", reason=config.reason, number=value["number"])
+            _, plan = config
         if not self.held.step(name=name, ballot=ballot, value=value):
             return []
         if name == "config":
-            self.scene.plan = read_plan(value=value, expand=self.options.expand)
+            self.scene.plan = plan
         elif name == "orders":
             emptied = read_orders(value=value)
             for hall in self.scene.emptied - emptied:
@@ -280,4 +297,5 @@
             "tally": dict(self.forwarder.tally),
             "open": len(self.forwarder.calls),
             "unexpected_events": dict(self.unexpected.counts),
+            "refused_input": dict(self.refused.counts),
         }
--- a/sailward/proxy/sommelier.py
+++ b/sailward/proxy/sommelier.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 from dataclasses import replace
 
@@ -10,6 +9,7 @@
 from sailward.consensus.held import CONTROL, HeldBook, is_control
 from sailward.consensus.proposer import Accepted, Begin, Proposer
 from sailward.discovery.gossip import Place, Roster
+from sailward.discovery.rows import UNREADABLE_LIST, is_generation, read_workers
 from sailward.events import (
     Asked,
     Call,
@@ -21,6 +21,7 @@
     Event,
     Heard,
     Log,
+    RefusedInput,
     Stop,
     StopAsked,
     Synced,
@@ -35,7 +36,7 @@
 from sailward.routing.exchanges import Exchanges
 from sailward.routing.explain import explain
 from sailward.routing.lease import Lease
-from sailward.routing.plan import read_plan
+from sailward.routing.plan import Unreadable, load_config
 from sailward.routing.slots import PREFIX as SLOTS
 from sailward.routing.status import Prober
 from sailward.routing.world import World, read_orders
@@ -70,7 +71,7 @@
         self.suspect = False
         self.cellars: dict[str, tuple[float, int]] = {}
         self._reading: dict[str, str] = {}
-        self.unexpected = UnexpectedEvents()
+        self.unexpected, self.refused = UnexpectedEvents(), RefusedInput()
         self._counted = -1e9
         self._ops = 0
 
@@ -183,27 +184,38 @@
         name, value = body["name"], body["value"]
         ack = Tell(to=sender, body={"kind": "ack", "seq": body["seq"], "name": name, "number": body["number"]})
         if name == "workers":
-            return [*self._take_list(now=now, value=value), ack]
+            commands = self._take_list(now=now, value=value)
+            # what can't be read is not acknowledged: it is pushed again
+            return [*commands, ack] if commands is not None else self.refused.add(kind=name, reason=UNREADABLE_LIST)
         if not is_control(name=name):
             return [Log(event="push-unexpected", fields={"name": name})]
-        return [*self._keep(now=now, name=name, ballot=body["ballot"], value=value), ack]
+        commands = self._keep(now=now, name=name, ballot=body["ballot"], value=value)
+        return [*commands, ack] if self.held.number(name=name) >= value["number"] else commands
 
-    def _take_list(self, *, now: float, value: dict) -> list:
-        came, went = self.world.book.step(
-            epoch=int(value["mark"]), revision=value["number"], workers=json.loads(value["text"])
-        )
+    def _take_list(self, *, now: float, value: dict) -> list[Command] | None:
+        rows = read_workers(text=value["text"], check=is_generation)
+        epoch = value["mark"]
+        if rows is None or not (epoch.isascii() and epoch.removeprefix("-").isdigit() and len(epoch) < 20):
+            return None
+        came, went = self.world.book.step(epoch=int(epoch), revision=value["number"], workers=rows)
         commands = self.world.prober.follow(now=now, workers=self.world.book.workers, warm=self.world.warm())
         if came or went:
             commands.append(Log(event="workers", fields={"came": len(came), "went": len(went)}))
         return commands + self._count_halls(now=now)
 
     def _keep(self, *, now: float, name: str, ballot: list, value: dict) -> list:
-        news = self.held.step(name=name, ballot=ballot, value=value)
+        plan = self.world.plan
+        if name == "config" and self.held.is_news(name=name, value=value):
+            config = load_config(value=value)
+            if isinstance(config, Unreadable):
+                return self.refused.add(kind="config", reason=config.reason, number=value["number"])
+            _, plan = config
+        is_news = self.held.step(name=name, ballot=ballot, value=value)
         self.lease.review()
-        if not news:
+        if not is_news:
             return []
         if name == "config":
-            self.world.plan = read_plan(value=value)
+            self.world.plan = plan
         elif name == "orders":
             self.world.emptied = read_orders(value=value)
         elif name.startswith(SLOTS):
@@ -309,4 +321,5 @@
             "tally": dict(self.exchanges.tally),
             "open": len(self.exchanges.sent),
             "unexpected_events": dict(self.unexpected.counts),
+            "refused_input": dict(self.refused.counts),
         }
--- a/sailward/routing/plan.py
+++ b/sailward/routing/plan.py
@@ -118,6 +118,22 @@
     return path.split("/", 2)[1] if path.startswith("/") else ""
 
 
+@dataclass(frozen=True, kw_only=True)
+class Unreadable:
+    """A register's value that this version can't make a configuration of."""
+
+    reason: str
+
+
+def load_config(*, value: dict, expand: Callable[[dict], dict] | None = None) -> tuple[dict, Plan] | Unreadable:
+    """(full form, plan) of the configuration in a register's value; whatever its text is, nothing is raised."""
+    try:
+        full = read_full(value=value, expand=expand)
+        return full, plan_of(full=full, number=value["number"]) if value["text"] else Plan()
+    except Exception as fault:  # it comes from outside, and may be of any shape
+        return Unreadable(reason=f"{type(fault).__name__}: {fault}"[:200])
+
+
 def read_plan(*, value: dict, expand: Callable[[dict], dict] | None = None) -> Plan:
     """The plan in a register's value; `expand` makes the full form of one that holds only what was written."""
     return plan_of(full=read_full(value=value, expand=expand), number=value["number"]) if value["text"] else Plan()
--- /dev/null
+++ b/tests/fuzz_kit.py
@@ -0,0 +1,118 @@
+"""Values of every kind that decoders give, and near-valid variants of valid ones, for property tests of the edges."""
+
+from __future__ import annotations
+
+import copy
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+
+BOUNDED = settings(
+    derandomize=True,
+    max_examples=200,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+"""The same examples on every machine, and no bound of wall time."""
+ODD = st.sampled_from(
+    [
+        None,
+        True,
+        False,
+        0,
+        -1,
+        1,
+        2**31,
+        2**62,
+        2**63 - 1,
+        -(2**63),
+        10**400,
+        0.0,
+        -0.5,
+        1e308,
+        float("nan"),
+        float("inf"),
+        float("-inf"),
+        "",
+        "|",
+        "0",
+        "-1",
+        "r1",
+        "\x00",
+        "\ud800",
+        "\r\nx: y",
+        "é",
+        "{}",
+        "[]",
+        "null",
+        '{"members": 5}',
+        '{"emptied": [[]]}',
+        '{"written": 5, "full": 5}',
+        "[" * 5000,
+        "voters",
+        "config",
+        "slots/x",
+        "known/voters",
+        b"",
+        b"\xff",
+        [],
+        {},
+        [[]],
+        [{}],
+        {"": []},
+        ["same"],
+    ]
+)
+SCALARS = ODD | st.integers() | st.floats() | st.text(max_size=8) | st.binary(max_size=8)
+ANYTHING = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=6), inner, max_size=4),
+    max_leaves=6,
+)
+
+
+def places(value: object, path: tuple = ()) -> list[tuple]:
+    """Every place in a value: the value itself, each field, each item."""
+    found = [path]
+    if isinstance(value, dict):
+        for name in value:
+            found += places(value[name], (*path, name))
+    elif isinstance(value, list):
+        for at in range(min(len(value), 3)):
+            found += places(value[at], (*path, at))
+    return found
+
+
+def put(value: object, path: tuple, fresh: object) -> object:
+    """The value with another one in a place of it."""
+    if not path:
+        return fresh
+    inner = value
+    for step in path[:-1]:
+        inner = inner[step]
+    inner[path[-1]] = fresh
+    return value
+
+
+def drop(value: object, path: tuple) -> object:
+    """The value without what is in a place of it."""
+    inner = value
+    for step in path[:-1]:
+        inner = inner[step]
+    if path:
+        del inner[path[-1]]
+    return value
+
+
+@st.composite
+def near(draw: st.DrawFn, valid: st.SearchStrategy) -> object:
+    """A valid value with one to three places of it replaced or taken out."""
+    value = copy.deepcopy(draw(valid))
+    for _ in range(draw(st.integers(1, 3))):
+        path = draw(st.sampled_from(places(value)[1:] or [()]))
+        if draw(st.integers(0, 5)) == 0:
+            value = drop(value, path)
+        else:
+            value = put(value, path, copy.deepcopy(draw(ANYTHING)))
+    return value
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -88,7 +88,7 @@
 
 def test_each_public_class_of_the_module_is_an_event_or_a_command() -> None:
     public = {one for _, one in inspect.getmembers(events, inspect.isclass) if one.__module__ == events.__name__}
-    assert public - {events.UnexpectedEvents} == {*events.Event.__args__, *events.Command.__args__}
+    assert public - {events.UnexpectedEvents, events.RefusedInput} == {*events.Event.__args__, *events.Command.__args__}
 
 
 @pytest.mark.parametrize("owner", OWNERS)
--- /dev/null
+++ b/tests/test_fuzz_messages.py
@@ -0,0 +1,168 @@
+"""What check_message accepts, no owner trips over; what it refuses, it refuses with a reason."""
+
+from __future__ import annotations
+
+import copy
+import functools
+import json
+import random
+from pathlib import Path
+
+from flatbuffers import flexbuffers
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sailward.consensus.messages import FIELDS, BadMessage, check_message, pack_message, read_message
+from sailward.control.controller import Controller
+from sailward.discovery.gossip import Place
+from sailward.events import Answer, Heard, Ticked
+from sailward.proxy.concierge import Concierge
+from sailward.proxy.proxy import Proxy, ProxyOptions
+from sailward.proxy.sommelier import Sommelier
+from sailward.transport.courier import LENGTH, PLAIN, pack_body, read_body
+from tests.core_net import CONFIG, ZONES, CoreNet, make_written
+from tests.fuzz_kit import ANYTHING, BOUNDED, near
+
+EXAMPLES = json.loads((Path(__file__).parent / "fixtures" / "message-examples.json").read_text("utf-8"))
+
+
+def _with_bytes(value: object) -> object:
+    if isinstance(value, dict):
+        return bytes(value["$bytes"]) if "$bytes" in value else {name: _with_bytes(one) for name, one in value.items()}
+    return [_with_bytes(one) for one in value] if isinstance(value, list) else value
+
+
+VALID = [_with_bytes(body) for rows in EXAMPLES.values() for body in rows]
+
+
+def make_place(*, kind: str) -> Place:
+    return Place(
+        name="d1",
+        kind=kind,
+        hall="gdl-a",
+        region="gdl",
+        post="10.0.0.8:7620",
+        http="10.0.0.8:80",
+        seeds=("10.0.0.1:7620",),
+    )
+
+
+@functools.cache
+def whole_net() -> CoreNet:
+    net = CoreNet(zones=list(ZONES)[:3])
+    for machine in net.machines:
+        net.start(machine, bootstrap=True)
+    assert net.run(30.0, until=lambda: len(net.voting()) == 3)
+    code, _, _ = net.ask(net.machines[0], method="PUT", path="/config", body=make_written(label=7), if_match="0")
+    assert code == 200
+    net.run(2.0)
+    return net
+
+
+@functools.cache
+def owners() -> dict:
+    """One owner of each kind, as it stands in a fleet, and a controller that has just started on an empty disk."""
+    net = whole_net()
+    proxy = Proxy(
+        place=make_place(kind="sommelier"),
+        start=1,
+        rng=random.Random(1),
+        options=ProxyOptions(expand=lambda given: CONFIG.expand(given, ZONES), regions=tuple(ZONES.items())),
+    )
+    for name, held in net.machines[0].cellar.held.held.items():
+        body = {"kind": "push", "seq": 1, "name": name, "number": 1, "ballot": held.ballot, "value": held.value}
+        proxy.step(now=net.now, event=Heard(sender="10.0.0.1:7620", body=body))
+    return {
+        "voter": net.machines[0].cellar,
+        "fresh": Controller(
+            place=make_place(kind="cellar"), platform="", nonce="1", start=1, rng=random.Random(1), records=[], now=0.0
+        ),
+        "proxy": proxy,
+        "sommelier": Sommelier(place=make_place(kind="sommelier"), nonce="1", start=1, rng=random.Random(1), now=0.0),
+        "concierge": Concierge(place=make_place(kind="concierge"), start=1, rng=random.Random(1)),
+    }
+
+
+def deliver(*, bodies: list) -> None:
+    """Give messages to an owner of each kind, and let time go on behind them."""
+    now = whole_net().now
+    for name, owner in owners().items():
+        made = copy.deepcopy(owner)
+        for at, body in enumerate(bodies):
+            sender = "10.0.0.1:7620" if at % 2 else "10.0.0.2:7620"
+            commands = made.step(now=now, event=Heard(sender=sender, body=copy.deepcopy(body)))
+            assert not [one for one in commands if isinstance(one, Answer)], name
+        for beat in range(1, 60, 6):
+            made.step(now=now + 0.05 * beat, event=Ticked(wall=7.0 + beat))
+
+
+def over_the_wire(*, body: object) -> dict | BadMessage | None:
+    """The body as the other side reads it; None if it can't be put into a frame."""
+    try:
+        frame = pack_body(body=body)
+    except Exception:  # what can't be sent can't come
+        return None
+    _, form = LENGTH.unpack_from(frame)
+    return read_body(payload=frame[LENGTH.size :], form=form)
+
+
+def test_each_example_is_accepted_and_every_kind_has_one() -> None:
+    assert set(EXAMPLES) == set(FIELDS)
+    for body in VALID:
+        assert check_message(body=body) is body
+        assert over_the_wire(body=body) == body
+        assert read_message(payload=pack_message(body=body)) == body
+    deliver(bodies=VALID)
+
+
+@settings(BOUNDED, max_examples=400)
+@given(bodies=st.lists(near(st.sampled_from(VALID)), min_size=1, max_size=3))
+def test_what_the_check_accepts_no_owner_trips_over(bodies: list) -> None:
+    accepted = []
+    for body in bodies:
+        checked = check_message(body=body)
+        if isinstance(checked, BadMessage):
+            assert checked.reason
+            continue
+        came = over_the_wire(body=body)
+        if came is not None:
+            assert isinstance(came, BadMessage) or came["kind"] == body["kind"]
+            accepted += [came] if isinstance(came, dict) else []
+    if accepted:
+        deliver(bodies=accepted)
+
+
+@settings(BOUNDED, max_examples=400)
+@given(body=ANYTHING | st.fixed_dictionaries({"kind": st.sampled_from(sorted(FIELDS)) | ANYTHING}))
+def test_the_check_refuses_any_other_value_with_a_reason(body: object) -> None:
+    checked = check_message(body=body)
+    assert checked is body or checked.reason
+
+
+@settings(BOUNDED, max_examples=600)
+@given(payload=st.binary(max_size=200), form=st.integers(0, 255))
+def test_random_bytes_are_refused_with_a_reason(payload: bytes, form: int) -> None:
+    for read in (read_message(payload=payload), read_body(payload=payload, form=form)):
+        assert isinstance(read, dict) or read.reason
+
+
+@settings(BOUNDED, max_examples=300)
+@given(body=st.sampled_from(VALID), cuts=st.lists(st.tuples(st.integers(0, 10**6), st.integers(0, 255)), max_size=4))
+def test_damaged_frames_are_refused_or_pass_the_check(body: dict, cuts: list) -> None:
+    frame = bytearray(pack_body(body=body))
+    _, form = LENGTH.unpack_from(frame)
+    payload = frame[LENGTH.size :]
+    for at, value in cuts:
+        payload[at % len(payload)] = value
+    read = read_body(payload=bytes(payload), form=form)
+    if isinstance(read, BadMessage):
+        assert read.reason
+    else:
+        deliver(bodies=[read])
+
+
+def test_a_register_whose_name_is_kept_for_the_disk_is_refused() -> None:
+    body = {**_with_bytes(EXAMPLES["accept"][0]), "register": "known/voters"}
+    assert check_message(body=body) == BadMessage(reason="field:accept.register")
+    # a frame's other form is read by the same check
+    assert PLAIN == 0 and flexbuffers.Loads(pack_message(body=body))["register"] == "known/voters"
