--- a/sailward/config/check.py
+++ b/sailward/config/check.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 
 from cerberus import Validator
 
 from sailward import constants
 from sailward.config.homes import list_halls
+from sailward.config.json_text import BadJson, load_json
 from sailward.config.matches import sort_matches
 from sailward.config.schema import CONFIG
 from sailward.config.stamps import expand_stamps
@@ -44,11 +44,9 @@
         return Unsound(faults=(Fault(path="", reason=f"longer than {constants.CONFIG_BYTES} bytes"),))
     twice: list[str] = []
     try:
-        config = json.loads(
-            text, object_pairs_hook=lambda pairs: _no_name_twice(pairs=pairs, twice=twice), parse_constant=_no_constant
-        )
-    except (ValueError, RecursionError) as fault:
-        return Unsound(faults=(Fault(path="", reason=f"not JSON: {fault}"),))
+        config = load_json(text=text, twice=twice)
+    except BadJson as fault:
+        return Unsound(faults=(Fault(path="", reason=str(fault)),))
     if twice:
         return Unsound(faults=tuple(Fault(path=name, reason="given twice") for name in twice))
     if not isinstance(config, dict):
@@ -76,16 +74,6 @@
     return Sound(written=config, full=full, warnings=(*_warn_of_caps(full=full), *_warn_of_homes(full=full)))
 
 
-def _no_name_twice(*, pairs: list, twice: list) -> dict:
-    names = [name for name, _ in pairs]
-    twice += sorted({name for name in names if names.count(name) > 1}) if len(set(names)) < len(names) else []
-    return dict(pairs)
-
-
-def _no_constant(name: str) -> None:
-    raise ValueError(f"{name} is not JSON")
-
-
 def _check_shape(*, config: dict) -> tuple[list[Fault], dict]:
     """The faults of a shape, or the document with its defaults filled in: both come of one pass, which is slow.
 
--- /dev/null
+++ b/sailward/config/json_text.py
@@ -0,0 +1,87 @@
+"""JSON from outside, read strictly: what passes can be walked, compared, encoded and written again without surprises."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+
+from sailward import constants
+
+_SURROGATE = re.compile(r"\\u[dD][89a-fA-F]")
+
+
+class BadJson(ValueError):
+    """The text is no JSON that is taken here; its words say why."""
+
+
+def load_json(*, text: bytes | str, twice: list[str] | None = None) -> object:
+    """The value in a text (UTF-8). Raises BadJson, and nothing else, whatever the text is.
+
+    Refused besides what is no JSON: nesting deeper than JSON_DEPTH, numbers of more than JSON_DIGITS digits or past
+    what a float holds, and halves of surrogate pairs. Names that are given twice in one object are added to `twice`.
+    """
+    try:
+        decoded = text.decode("utf-8-sig") if isinstance(text, bytes) else text
+        value = json.loads(
+            decoded,
+            object_pairs_hook=None if twice is None else lambda pairs: _note_twice(pairs=pairs, twice=twice),
+            parse_constant=_refuse_constant,
+            parse_int=_read_whole,
+            parse_float=_read_float,
+        )
+    except (ValueError, RecursionError) as fault:
+        raise BadJson(f"not JSON: {fault}") from fault
+    _check_depth(value=value)
+    if _SURROGATE.search(decoded):
+        _check_unicode(value=value)
+    return value
+
+
+def _note_twice(*, pairs: list, twice: list[str]) -> dict:
+    names = [name for name, _ in pairs]
+    if len(set(names)) < len(names):
+        twice += sorted({name for name in names if names.count(name) > 1})
+    return dict(pairs)
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
+def _read_whole(digits: str) -> int:
+    if len(digits) > constants.JSON_DIGITS:
+        raise ValueError(f"a number of {len(digits)} digits")
+    return int(digits)
+
+
+def _read_float(digits: str) -> float:
+    number = float(digits)
+    if not math.isfinite(number):
+        raise ValueError(f"a number out of range: {digits[:20]}")
+    return number
+
+
+def _check_depth(*, value: object) -> None:
+    level = [value]
+    for _ in range(constants.JSON_DEPTH + 1):
+        level = (
+            [
+                child
+                for one in level
+                for child in (one.values() if isinstance(one, dict) else one)
+                if isinstance(child, (dict, list))
+            ]
+            if isinstance(value, (dict, list))
+            else []
+        )
+        if not level:
+            return
+    raise BadJson(f"nested deeper than {constants.JSON_DEPTH}")
+
+
+def _check_unicode(*, value: object) -> None:
+    try:
+        json.dumps(value, ensure_ascii=False).encode()
+    except UnicodeEncodeError as fault:
+        raise BadJson("half of a surrogate pair stands alone") from fault
--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -140,6 +140,10 @@
 """bytes of a worker's result; over it 502: results are read whole before a byte is sent."""
 CONFIG_BYTES = 1 << 20
 """bytes of a configuration; over it 413."""
+JSON_DEPTH = 64
+"""levels of nesting in JSON from outside: several times what a configuration has, and far from the interpreter's bound."""
+JSON_DIGITS = 18
+"""digits of a whole number in JSON from outside: what 64 bits hold."""
 KEPT_BYTES = 64 << 20
 """bytes of results that a proxy keeps for repeats."""
 COPIES_BYTES = 64 << 20
--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from sailward import constants
+from sailward.config.check import Unsound, read_config
 from sailward.consensus.acceptor import Slot, fold_record
 from sailward.consensus.held import is_control, read_voters
 from sailward.consensus.proposer import Begin
@@ -23,6 +24,10 @@
 from sailward.discovery.gossip import Roster
 from sailward.events import Answer, Asked, Command, Log, Tell
 from sailward.routing.exchange import answer_json
+from sailward.shapes import is_text, list_of, map_of
+
+is_members = map_of(is_text)
+is_names = list_of(is_text)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -73,12 +78,8 @@
     def found(self, *, now: float, event: Asked) -> list:
         """Join new cellars into a core: the same value at each of them."""
         voter = self._voter
-        try:
-            members = json.loads(event.body or b"")["members"]
-            sound = bool(members) and all(isinstance(k, str) and isinstance(v, str) for k, v in members.items())
-        except (ValueError, KeyError, TypeError, AttributeError):
-            sound = False
-        if not sound or voter.identity not in members:
+        members = _read_field(event=event, name="members")
+        if not is_members(members) or voter.identity not in members:
             return [
                 _refuse(
                     event=event,
@@ -110,12 +111,8 @@
     def found_anew(self, *, now: float, event: Asked) -> Answer | Refounding:
         """Take an operator's order to go on with the named survivors alone: the refusal, or what is to be done."""
         voter = self._voter
-        try:
-            names = json.loads(event.body or b"")["survivors"]
-            sound = isinstance(names, list) and all(isinstance(one, str) for one in names)
-        except (ValueError, KeyError, TypeError):
-            sound = False
-        if not sound:
+        names = _read_field(event=event, name="survivors")
+        if not is_names(names):
             return _refuse(event=event, code=422, reason="survivors", detail="give survivors: a list of cellars' names")
         newest = max((voter.held_voters().value, voter.voted_voters()), key=lambda value: value["number"])
         made = make_founding(
@@ -309,5 +306,11 @@
         ]
 
 
+def _read_field(*, event: Asked, name: str) -> object:
+    """One field of the JSON object that an operator sent; None if there is no such object, or no such field in it."""
+    given = read_config(text=event.body or b"")
+    return None if isinstance(given, Unsound) else given.get(name)
+
+
 def _refuse(*, event: Asked, code: int, reason: str, detail: str) -> Answer:
     return answer_json(token=event.token, code=code, body={"outcome": "refused", "error": reason, "detail": detail})
--- a/sailward/routing/lease.py
+++ b/sailward/routing/lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from sailward import constants
 from sailward.consensus.held import HeldBook
