--- a/sailward/discovery/pages.py
+++ b/sailward/discovery/pages.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass, field
 from typing import Protocol
+from urllib.parse import quote
 
 from sailward import constants
+from sailward.config.json_text import BadJson, load_json
+from sailward.discovery.rows import is_generation, is_life
 from sailward.events import Call, Called, Log
+from sailward.shapes import is_anything, is_text, is_whole, list_of, record_of
 
 LIFE = {
     "id": str,
@@ -20,7 +23,6 @@
     "cold_s": float,
 }
 """What a row of a reader's page has; `generation` is 0, as each start of a worker has an id of its own."""
-WORKER = {"id": str, "generation": int, "service": str, "address": str, "hall": str, "leaving": bool}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -101,7 +103,7 @@
         page = (
             BrokenPass(reason=event.fault or f"code:{event.code}")
             if event.code != 200
-            else self.reader.read(body=event.body)
+            else _check_rows(page=self.reader.read(body=event.body))
         )
         if isinstance(page, BrokenPass):
             self.broken += 1
@@ -129,7 +131,11 @@
 
     def _ask(self, *, after: str) -> Call:
         self.token = f"list.{self.passes}.{len(self.pages)}"
-        path = self.reader.path(token=after) if self.reader else f"/workers?limit={constants.LIST_PAGE}&after={after}"
+        path = (
+            self.reader.path(token=after)
+            if self.reader
+            else f"/workers?limit={constants.LIST_PAGE}&after={quote(after)}"
+        )
         return Call(
             token=self.token,
             owner="platform",
@@ -148,6 +154,8 @@
             return self._break_off(fault=page)
         self.pages.append(page)
         if page["next"]:
+            if len(self.pages) >= constants.LIST_PAGES:
+                return self._break_off(fault=BrokenPass(reason="endless"))
             return [self._ask(after=page["next"])], None
         self.token = ""
         whole = join_pages(pages=self.pages)
@@ -164,21 +172,35 @@
         return commands, None
 
 
+_is_page = record_of(
+    needed={
+        "epoch": is_whole,
+        "revision": is_whole,
+        "total": is_whole,
+        "next": is_text,
+        "workers": list_of(is_anything),
+    }
+)
+
+
+def _check_rows(*, page: ListPage | BrokenPass) -> ListPage | BrokenPass:
+    """A reader's page, if it can be told to others as it is."""
+    if isinstance(page, ListPage) and not all(map(is_life, page.rows)):
+        return BrokenPass(reason="worker-fields")
+    return page
+
+
 def read_page(*, event: Called) -> dict | BrokenPass:
     """One page of the list, checked."""
     if event.code != 200:
         return BrokenPass(reason=event.fault or f"code:{event.code}")
     try:
-        page = json.loads(event.body)
-    except ValueError:
+        page = load_json(text=event.body)
+    except BadJson:
         return BrokenPass(reason="not-json")
-    fields = {"epoch": int, "revision": int, "total": int, "next": str, "workers": list}
-    if not isinstance(page, dict) or not all(isinstance(page.get(n), k) for n, k in fields.items()):
+    if not _is_page(page):
         return BrokenPass(reason="page-fields")
-    for worker in page["workers"]:
-        if not isinstance(worker, dict) or not all(isinstance(worker.get(n), k) for n, k in WORKER.items()):
-            return BrokenPass(reason="worker-fields")
-    return page
+    return page if all(map(is_generation, page["workers"])) else BrokenPass(reason="worker-fields")
 
 
 def join_pages(*, pages: list) -> WholeList | BrokenPass:
--- a/sailward/discovery/rows.py
+++ b/sailward/discovery/rows.py
@@ -9,10 +9,23 @@
 
 UNREADABLE_LIST = "rows of a told list can't be read"
 """Why what another daemon told of workers or the fleet is dropped."""
+
+
+def is_address(given: object) -> bool:
+    """Is it HOST:PORT?"""
+    if not isinstance(given, str):
+        return False
+    host, _, port = given.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) < 6 and 0 < int(port) < 65536
+    return (
+        is_port and bool(host) and host.isascii() and host.isprintable() and not any(sign in host for sign in " /@#?")
+    )
+
+
 _PLACE = {
     "id": is_text,
     "service": is_text,
-    "address": is_text,
+    "address": is_address,
     "hall": is_text,
     "leaving": is_flag,
     "generation": is_whole,
--- a/sailward/runtime/startup.py
+++ b/sailward/runtime/startup.py
@@ -58,14 +58,18 @@
             settings = tomllib.loads(Path(path).read_text("utf-8"))
         except OSError as fault:
             return BadStartup(faults=(f"{path}: {fault.strerror}",))
-        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+        except (ValueError, RecursionError) as fault:
             return BadStartup(faults=(f"{path}: not TOML: {fault}",))
     for name in schema:
         given = flags.get("--" + name.replace("_", "-"))
         if given is not None:
             settings[name] = given.split(",") if name == "seeds" else given
     validator = Validator(schema)
-    if validator.validate(settings):
+    try:
+        is_sound = validator.validate(settings)
+    except Exception as fault:  # cerberus trips over some foreign shapes
+        return BadStartup(faults=(f"{path or 'flags'}: unreadable shape: {fault}",))
+    if is_sound:
         return validator.document
     return BadStartup(
         faults=tuple(
--- a/sailward/storage/disk.py
+++ b/sailward/storage/disk.py
@@ -16,15 +16,15 @@
 
 from sailward import constants
 from sailward.events import DiskFailed, Rewrite, Store, Synced
+from sailward.storage.records import RECORDS, is_record
 
 HEAD = struct.Struct(">4sII")
 MAGIC = b"swf1"
-RECORDS = frozenset({"identity", "copied", "opened", "left", "promise", "vote", "drop"})
 
 
 @dataclass(frozen=True, kw_only=True)
 class Damaged:
-    """The file is damaged before its end."""
+    """The file is damaged before its end, or holds records that are none."""
 
     offset: int
 
@@ -71,14 +71,26 @@
                     return Damaged(offset=at)
                 follows = data.find(MAGIC, follows + 1)
             break
-        records += json.loads(body)
+        found = _records_in(body=body)
+        if found is None:
+            return Damaged(offset=at)
+        records += found
         at += HEAD.size + len(body)
-    unknown = sorted({str(record["k"]) for record in records} - RECORDS)
+    unknown = sorted({record["k"] for record in records} - set(RECORDS))
     if unknown:
         return Newer(what=f"records {','.join(unknown)}")
     return Read(records=records, length=at)
 
 
+def _records_in(*, body: bytes) -> list | None:
+    """The records of a frame; None if they are none, though the checksum is right."""
+    try:
+        found = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    return found if isinstance(found, list) and all(map(is_record, found)) else None
+
+
 def _is_newer(*, data: bytes, at: int) -> bool:
     """Does a frame of another form stand here? In the middle only if it is whole: a torn one may look like anything."""
     magic = data[at : at + len(MAGIC)]
--- a/sailward/transport/calls.py
+++ b/sailward/transport/calls.py
@@ -68,7 +68,7 @@
         """Make calls for ever."""
         while True:
             while self._line:
-                self._begin(call=self._line.popleft())
+                self._begin_or_refuse(call=self._line.popleft())
             while self._multi.perform()[0] == pycurl.E_CALL_MULTI_PERFORM:
                 pass
             self._collect()
@@ -82,6 +82,13 @@
             if self._wake_in in ready:
                 self._wake_in.recv(4096)
 
+    def _begin_or_refuse(self, *, call: Call) -> None:
+        """Begin a call, or say at once that it can't be made: its address or headers may be of any shape."""
+        try:
+            self._begin(call=call)
+        except (ValueError, TypeError, pycurl.error):
+            self._tell(Called(token=call.token, code=0, headers={}, body=b"", fault="malformed", sent=False))
+
     def _begin(self, *, call: Call) -> None:
         if time.monotonic() > call.begin_by:
             self._tell(Called(token=call.token, code=0, headers={}, body=b"", fault="too-late", sent=False))
--- a/sailward/transport/courier.py
+++ b/sailward/transport/courier.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import ipaddress
 import socket
 import struct
 import zlib
@@ -57,7 +58,13 @@
             return
         if peer.sock is None and not self._dial(to=to, peer=peer):
             return
-        payload = pack_body(body=body)
+        try:
+            payload = pack_body(body=body)
+        except Exception as fault:  # the encoder raises many kinds on what it can't carry
+            self.counts["unsendable"] += 1
+            fields = {"to": to, "kind": body["kind"], "reason": fault, "count": self.counts["unsendable"]}
+            write_log(event="message-unsendable", fields=fields, level="error")
+            return
         self.counts["sent"] += 1
         self.counts["sent-bytes"] += len(payload) + LENGTH.size
         self.counts[f"sent-{body['kind']}"] += len(payload) + LENGTH.size
@@ -74,10 +81,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(constants.LEASE * 1000))
         try:
-            sock.connect(split_address(address=to))
+            host, port = split_address(address=to)
+            # a name would be looked up, and the whole process would wait for that
+            sock.connect((str(ipaddress.IPv4Address(host)), port))
         except BlockingIOError:
             pass
-        except (OSError, ValueError):
+        except (OSError, ValueError, TypeError, OverflowError):
             sock.close()
             self._pause(peer=peer)
             return False
