--- a/sailward/config/json_text.py
+++ b/sailward/config/json_text.py
@@ -1,10 +1,11 @@
-"""JSON from outside, read strictly: what passes can be walked, compared, encoded and written again without surprises."""
+"""JSON from outside, read strictly: what passes can be walked, compared and written again without surprises."""
 
 from __future__ import annotations
 
 import json
 import math
 import re
+from typing import Any
 
 from sailward import constants
 
@@ -15,7 +16,7 @@
     """The text is no JSON that is taken here; its words say why."""
 
 
-def load_json(*, text: bytes | str, twice: list[str] | None = None) -> object:
+def load_json(*, text: bytes | str, twice: list[str] | None = None) -> Any:
     """The value in a text (UTF-8). Raises BadJson, and nothing else, whatever the text is.
 
     Refused besides what is no JSON: nesting deeper than JSON_DEPTH, numbers of more than JSON_DIGITS digits or past
@@ -62,7 +63,7 @@
     return number
 
 
-def _check_depth(*, value: object) -> None:
+def _check_depth(*, value: Any) -> None:
     level = [value]
     for _ in range(constants.JSON_DEPTH + 1):
         level = (
--- a/sailward/consensus/held.py
+++ b/sailward/consensus/held.py
@@ -33,7 +33,7 @@
 
     def is_news(self, *, name: str, value: dict) -> bool:
         """Is this value newer than what is held?"""
-        return value["number"] > self.number(name=name)
+        return bool(value["number"] > self.number(name=name))
 
     def step(self, *, name: str, ballot: list, value: dict) -> bool:
         """Hold this value; is it news?"""
--- a/sailward/consensus/messages.py
+++ b/sailward/consensus/messages.py
@@ -8,6 +8,7 @@
 import json
 from dataclasses import dataclass
 from functools import lru_cache
+from typing import Any
 
 from flatbuffers import flexbuffers
 
@@ -93,6 +94,14 @@
     )
 
 
+_is_pace = row_of(is_amount, is_count)
+
+
+def is_pace(given: Any) -> bool:
+    """Is it a pace and how many times are behind it, one at least?"""
+    return _is_pace(given) and given[1] > 0
+
+
 _is_digest = row_of(is_whole, is_text, is_ballot)
 """Number, mark and ballot of a value."""
 _is_held = either_of(row_of(is_whole), row_of(is_whole, is_text), _is_digest)
@@ -151,7 +160,7 @@
     needed={},
     optional={
         "rates": map_of(is_rates),
-        "paces": map_of(lambda given: row_of(is_amount, is_count)(given) and given[1] > 0),
+        "paces": map_of(is_pace),
     },
 )
 
@@ -234,7 +243,7 @@
     """The message in these bytes, or what is wrong with them."""
     try:
         body = flexbuffers.Loads(payload)
-    except Exception as fault:  # the decoder raises many kinds on foreign bytes
+    except Exception as fault:  # noqa: BLE001 - the decoder raises many kinds on foreign bytes
         return BadMessage(reason=f"undecodable:{type(fault).__name__}")
     return check_message(body=body)
 
@@ -277,7 +286,7 @@
 def is_readable(*, register: str, text: str) -> bool:
     """Can a control register's text be read? The configuration, which is large, is checked where it is read."""
     if register in ("voters", "orders") or register.startswith(SLOTS):
-        return text == "" or _is_readable(register=register.split("/")[0], text=text)
+        return text == "" or _is_readable(register=register.split("/", maxsplit=1)[0], text=text)
     return True
 
 
--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -26,9 +26,10 @@
 KEY_AHEAD = 10.0
 """s that a caller's clock may be ahead of the core's: a key further on would outlive its claim."""
 KEY_MARGIN = 60.0
-"""s before the end of a claim's life from which a key that tells its time is too old: KEY_AHEAD, and the clocks' spread."""
+"""s before the end of a claim's life from which a key that tells its time is too old: KEY_AHEAD, and the clocks'
+spread."""
 CLOCK_LIFE = 30.0
-"""s that a cellar's clock counts after it was heard of last: clocks of one rate, so only jumps make it wrong."""
+"""s that a controller's clock counts after it was heard of last: clocks of one rate, so only jumps make it wrong."""
 CLAIM_SWEEP = 10.0
 """s between sweeps of claims that have outlived CLAIM_LIFE."""
 TRAIL = 8
@@ -61,8 +62,6 @@
 """s between probes of a worker in doubt: settles a crash in about half a second."""
 PROBE_WAIT = 0.5
 """s. A probe without a result by then has failed."""
-PROBE_GRACE = 2.0
-"""s of listed time before an unprobed worker counts as unhealthy in its hall's fraction."""
 
 SPILL = 0.70
 """fraction healthy under which a hall spills (the source's failoverHealthThreshold)."""
@@ -90,9 +89,9 @@
 OWNER_GRACE = 1.5
 """s that a slot's owner may be unwell before its slots move: a move closes them for longer."""
 ASKS_LIFE = 9.0
-"""s that a cellar tells of a proxy after its last asking: the longest expiry (5 s), a lease, and the telling."""
+"""s that a controller tells of a proxy after its last asking: the longest expiry (5 s), a lease, and the telling."""
 ASKS_BEATS = 19
-"""beats (of GOSSIP) after its start before what a cellar tells of the proxies is whole: over ASKS_LIFE."""
+"""beats (of GOSSIP) after its start before what a controller tells of the proxies is whole: over ASKS_LIFE."""
 ASSIGN_EVERY = 0.25
 """s between looks at the slots."""
 MAX_OPEN = 128
@@ -106,7 +105,8 @@
 TRY_SHARE = 0.15
 """of first tries may be tried again in TRY_WINDOW: with callers' own under the rules' fifth."""
 LOOK_SHARE = 1.0
-"""of first tries in TRY_WINDOW that repeats of unsafe exchanges may look up their claim: it reaches no worker, only the core."""
+"""of first tries in TRY_WINDOW that repeats of unsafe exchanges may look up their claim: it reaches no worker, only the
+core."""
 TRY_WINDOW = 10.0
 """s. The window that the rules name."""
 TRY_FLOOR = 2
@@ -141,13 +141,14 @@
 CONFIG_BYTES = 1 << 20
 """bytes of a configuration; over it 413."""
 JSON_DEPTH = 64
-"""levels of nesting in JSON from outside: several times what a configuration has, and far from the interpreter's bound."""
+"""levels of nesting in JSON from outside: several times what a configuration has, far from the interpreter's bound."""
 JSON_DIGITS = 18
 """digits of a whole number in JSON from outside: what 64 bits hold."""
 KEPT_BYTES = 64 << 20
 """bytes of results that a proxy keeps for repeats."""
 COPIES_BYTES = 64 << 20
-"""bytes of other proxies' results that a proxy keeps copies of: a brief's day of claims (900 s of 40/s of 1 kB) is 36 MB."""
+"""bytes of other proxies' results that a proxy keeps copies of: a brief's day of claims (900 s of 40/s of 1 kB) is 36
+MB."""
 WITHOUT_COPIES = ("0.1.0",)
 """versions of proxies that do not know the message of a copy, and would close the connection over it."""
 COPY_BYTES = 256 << 10
@@ -164,7 +165,7 @@
 STOP_GRACE = 5.0
 """s in which a stopping proxy finishes what it took: within the platform's 6 s."""
 LEAVE_WAIT = 2.0
-"""s that a stopping proxy still serves, until the concierges have stopped naming it."""
+"""s that a stopping proxy still serves, until the directories have stopped naming it."""
 ANSWER_WAIT = 30.0
 """s that an HTTP thread waits for its owner: far beyond every expiry, so only a fault ends it."""
 FLUSH_WAIT = 0.5
@@ -181,7 +182,14 @@
 REWRITE_RECORDS = 20000
 """records. A data file with fewer is never rewritten."""
 REWRITE_FACTOR = 3
-"""times its live records at which a data file is rewritten."""
+"""times its live records, or the bytes of these, at which a data file is rewritten."""
+REWRITE_BYTES = 4 << 20
+"""bytes. A data file that is longer is rewritten, unless most of it is live.
+
+Some 30 changes of a 350-route configuration.
+"""
+RECORD_BYTES = 200
+"""bytes that a record takes beside its value's text: names, ballot, marks."""
 RESERVE_BYTES = 8 << 20
 """bytes kept aside on the disk, given up to make room for a rewrite when it is full."""
 JOURNAL = 512
@@ -192,7 +200,7 @@
 ANEW_PLACES = 500
 """places in that gap: two foundings on two sides of a cut get different numbers, 1000 changes apart."""
 REPLACE_AFTER = 20.0
-"""s that a voter must be lost before a waiting empty cellar takes its place: longer than a roll of its machine."""
+"""s that a voter must be lost before a waiting empty controller takes its place: longer than a roll of its machine."""
 COPY_AGAIN = 0.5
 """s. A page of a copy that has not come by then is asked for again."""
 COPY_PAGE = 200
@@ -200,9 +208,9 @@
 REPAIR_EVERY = 1.0
 """s between looks at whether a voter must be replaced."""
 READ_EVERY = 5.0
-"""s between a cellar's own reads of the control registers: finds what it missed."""
+"""s between a controller's own reads of the control registers: finds what it missed."""
 STALLED = 0.5
-"""s that a vote may stand unchosen before a cellar reads, and so finishes or disproves it."""
+"""s that a vote may stand unchosen before a controller reads, and so finishes or disproves it."""
 WARM_TELL = 3.0
 """s after its first asking in which a proxy is told how long workers have been warm."""
 NONCE_BYTES = 6
@@ -211,16 +219,16 @@
 EXIT_USAGE = 2
 """exit code: flags or settings are wrong."""
 EXIT_UNREACHABLE = 3
-"""exit code of steward: no cellar answered."""
+"""exit code of sailctl: no controller answered."""
 EXIT_REFUSED = 4
-"""exit code of steward: the fleet refused."""
+"""exit code of sailctl: the fleet refused."""
 EXIT_DISK = 5
 """exit code: the disk failed to sync, or its file is damaged in the middle."""
 EXIT_UNKNOWN = 6
-"""exit code of steward: the change may or may not be in force."""
+"""exit code of sailctl: the change may or may not be in force."""
 EXIT_TAKEN = 7
 """exit code: an address or the data folder is in use."""
 EXIT_FAULT = 70
 """exit code: an owner failed; the process ends rather than run on with broken state."""
-STEWARD_WAIT = 8.0
-"""s that steward waits for a cellar: over OPERATION_EXPIRY for a read and a change."""
+SAILCTL_WAIT = 8.0
+"""s that sailctl waits for a controller: over OPERATION_EXPIRY for a read and a change."""
--- a/sailward/control/fleet.py
+++ b/sailward/control/fleet.py
@@ -1,4 +1,7 @@
-"""The fleet as the core tells it: the proxies that ask any cellar, where the cellars are, and what proxies report of workers."""
+"""The fleet as the core tells it.
+
+The proxies that ask any controller, where the controllers are, and what proxies report of workers.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +19,7 @@
 
 @dataclass(kw_only=True)
 class Told:
-    """What one other cellar said last of its own proxies."""
+    """What one other controller said last of its own proxies."""
 
     at: float
     number: int
@@ -27,9 +30,10 @@
 
 @dataclass(kw_only=True)
 class Fleet:
-    """Owner of the fleet's view. `step` folds another cellar's word, or tells the others what is new here.
+    """Owner of the fleet's view. `step` folds another controller's word, or tells the others what is new here.
 
-    `readers` are the posts of the cellars that place keys: only these are told how busy the keys are (all, where it is None).
+    `readers` are the posts of the controllers that place keys: only these are told how busy the keys are (all, where it
+    is None).
     """
 
     post: str
@@ -52,8 +56,11 @@
     rates_told: dict = field(default_factory=dict)
     loads_at: float = -1e9
 
-    def step(self, *, now: float, event: tuple | None, proxies: list[Subscriber], cellars: list[dict]) -> list:
-        """A (sender, body) of kind fleet or want, or None for time going on; `cellars` are those of the roster that are not lost."""
+    def step(self, *, now: float, event: tuple | None, proxies: list[Subscriber], controllers: list[dict]) -> list:
+        """A (sender, body) of kind fleet or want, or None for time going on.
+
+        `controllers` are those of the roster that are not lost.
+        """
         if event is not None:
             sender, body = event
             if body["kind"] == "want":
@@ -71,11 +78,12 @@
         if now - self.last.get("looked", -1e9) < constants.FLEET_LOOK:
             return []
         self.last["looked"] = now
+        self._forget_gone(now=now, posts={one["post"] for one in controllers})
         own = self._own_rows(now=now, proxies=proxies)
-        self._compose(now=now, own=own, cellars=cellars, down=self._agreed(now=now, proxies=proxies))
+        self._compose(now=now, own=own, controllers=controllers, down=self._agreed(now=now, proxies=proxies))
         down = self._own_down(proxies=proxies)
         changed = own != self.own or down != self.own_down
-        others = [one for one in cellars if one["post"] != self.post]
+        others = [one for one in controllers if one["post"] != self.post]
         if now - self.told_at < (constants.FLEET_LEAST if changed else constants.FLEET_EVERY):
             readers = [one for one in others if self._reads(to=one)]
             return self._tell_all(now=now, to=readers) if readers and self._is_load_due(now=now) else []
@@ -83,6 +91,15 @@
         self.told_at, self.own, self.own_down = now, own, down
         return self._tell_all(now=now, to=others)
 
+    def _forget_gone(self, *, now: float, posts: set) -> None:
+        """Drop what was told by and to controllers that are gone.
+
+        As machines are replaced, there are ever more of them.
+        """
+        self.others = {post: told for post, told in self.others.items() if now - told.at < constants.FORGET}
+        # one that comes back is told all rows again
+        self.told_to = {post: version for post, version in self.told_to.items() if post in posts}
+
     def _reads(self, *, to: dict) -> bool:
         return self.readers is None or to["post"] in self.readers
 
@@ -117,7 +134,7 @@
         )
 
     def _tell_again(self, *, now: float, to: str) -> list:
-        """Tell the rows to a cellar that lacks them."""
+        """Tell the rows to a controller that lacks them."""
         self.told_to.pop(to, None)
         loads = self._own_loads(now=now) if self._reads(to={"post": to}) else {}
         return [
@@ -194,6 +211,8 @@
 
     def _note_loads(self, *, now: float, proxies: list[Subscriber]) -> None:
         is_new = False
+        names = {one.entry["id"] for one in proxies}
+        self.seen = {name: turn for name, turn in self.seen.items() if name in names}
         for one in proxies:
             turn = one.report.get("turn")
             if turn is None or self.seen.get(one.entry["id"]) == turn:
@@ -218,12 +237,12 @@
             if count >= max(constants.DOWN_LEAST, constants.DOWN_SHARE * voices)
         )
 
-    def _compose(self, *, now: float, own: list, cellars: list[dict], down: list) -> None:
+    def _compose(self, *, now: float, own: list, controllers: list[dict], down: list) -> None:
         rows = {
             row[0]: row for told in self.others.values() if now - told.at < constants.FLEET_LIFE for row in told.rows
         }
         rows |= {row[0]: row for row in own}
-        posts = sorted([one["post"], one["hall"], one["region"]] for one in cellars)
+        posts = sorted([one["post"], one["hall"], one["region"]] for one in controllers)
         text = json.dumps(
             {"proxies": [rows[name] for name in sorted(rows)], "cellars": posts, "down": down}, separators=(",", ":")
         )
@@ -235,7 +254,7 @@
 
 
 def read_loads(*, told: dict) -> dict:
-    """What another cellar told of the loads of keys, and of the paces of workers."""
+    """What another controller told of the loads of keys, and of the paces of workers."""
     return {
         "rates": {service: read_rates(told=rates) for service, rates in told.get("rates", {}).items()},
         "paces": told.get("paces", {}),
--- a/sailward/control/listing.py
+++ b/sailward/control/listing.py
@@ -1,4 +1,4 @@
-"""The platform's list of workers in a cellar: read by one cellar, told to all others."""
+"""The platform's list of workers in a controller: read by one controller, told to all others."""
 
 from __future__ import annotations
 
@@ -15,10 +15,12 @@
 
 @dataclass(kw_only=True)
 class Listing:
-    """Owner of the list as this cellar tells it. `step` takes a page, or None for time going on; `hear` another's list.
+    """Owner of the list as this controller tells it.
 
-    The one of the living cellars that hashing names reads the platform's list. It tells the others of each pass, with rows
-    only where they are new; who hears of none for LIST_SILENT, as after a cut, reads the list itself.
+    `step` takes a page, or None for time going on; `hear` another's list.
+
+    The one of the living controllers that hashing names reads the platform's list. It tells the others of each pass,
+    with rows only where they are new; who hears of none for LIST_SILENT, as after a cut, reads the list itself.
     """
 
     pager: Pager
@@ -28,10 +30,13 @@
     refused: RefusedInput = field(default_factory=RefusedInput)
 
     def step(
-        self, *, now: float, event: Called | None, cellars: list[dict], own: dict, is_wanted: bool
+        self, *, now: float, event: Called | None, controllers: list[dict], own: dict, is_wanted: bool
     ) -> tuple[list, bool]:
-        """(commands, is the list news). `cellars` are the others that live; `is_wanted`: does anyone read it here?"""
-        names = [own["id"], *(one["id"] for one in cellars)]
+        """(commands, is the list news).
+
+        `controllers` are the others that live; `is_wanted`: does anyone read it here?
+        """
+        names = [own["id"], *(one["id"] for one in controllers)]
         is_reader = choose_names(key="list", names=names, count=1) == [own["id"]]
         if event is None and (not is_wanted or (not is_reader and now - self.heard < constants.LIST_SILENT)):
             return [], False
@@ -45,7 +50,9 @@
                 Log(event="list-news", fields={"revision": self.lives.number, "workers": len(whole.workers)})
             )
         if is_reader:
-            commands += [self._tell(to=one, rows=whole.workers) for one in cellars]
+            posts = {one["post"] for one in controllers}
+            self.told = {post: version for post, version in self.told.items() if post in posts}
+            commands += [self._tell(to=one, rows=whole.workers) for one in controllers]
         return commands, is_news
 
     def hear(self, *, now: float, body: dict) -> tuple[list, bool]:
--- a/sailward/control/moves.py
+++ b/sailward/control/moves.py
@@ -1,4 +1,4 @@
-"""The slot moves of all divided services, each minded by the one cellar that hashing names."""
+"""The slot moves of all divided services, each minded by the one controller that hashing names."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
         *,
         now: float,
         own: str,
-        cellars: list[dict],
+        controllers: list[dict],
         held: HeldBook,
         standing: Standing,
         workers: dict | None,
@@ -48,7 +48,7 @@
             return []
         if (epoch, workers["number"]) > self.book.revision:
             self.book.step(epoch=epoch, revision=workers["number"], workers=json.loads(workers["text"]))
-        well = {one["identity"] for one in cellars if one["fit"]}
+        well = {one["identity"] for one in controllers if one["fit"]}
         scene = self._scene(held=held, standing=standing, proxies=proxies)
         changes = []
         for service in divided:
@@ -62,7 +62,7 @@
                 service=service.name,
                 number=value["number"],
                 members=held.voters()["members"],
-                cellars=cellars,
+                controllers=controllers,
                 proxies=proxies,
             )
             text = assigning.step(now=now, service=service, text=value["text"], scene=scene, witness=witness)
--- a/sailward/control/registers.py
+++ b/sailward/control/registers.py
@@ -19,7 +19,10 @@
 
 
 class Registers:
-    """Owner of the operations under way. `begin` begins some, `hear` and `tick` move them on, `learn` takes a chosen value."""
+    """Owner of the operations under way.
+
+    `begin` begins some, `hear` and `tick` move them on, `learn` takes a chosen value.
+    """
 
     def __init__(
         self,
@@ -101,14 +104,18 @@
             if is_control(name=end.register) and value and value["number"]:
                 commands += self.learn(now=now, name=end.register, ballot=ballot, value=value, tell=True)
             if not self._catch_up.is_own(op=end.op):
-                is_unreadable = end.register == "config" and bool(value) and value["mark"] == self._unreadable_mark
+                mark = value["mark"] if value else None
+                is_unreadable = end.register == "config" and mark is not None and mark == self._unreadable_mark
                 more, begins = self._desk.step(event=_without_value(end=end) if is_unreadable else end)
                 commands += more + self.begin(now=now, begins=begins)
         return commands
 
     def _tell_chosen(self, *, name: str, ballot: list, value: dict) -> list[Command]:
         body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
-        posts = {*self._voter.voters["members"].values(), *(one["post"] for one in self._roster.alive(kind="cellar"))}
+        posts = {
+            *self._voter.voters["members"].values(),
+            *(one["post"] for one in self._roster.alive(kind="controller")),
+        }
         return [Tell(to=post, body=body) for post in sorted(posts - {self._voter.place.post})]
 
 
--- a/sailward/control/shard_leases.py
+++ b/sailward/control/shard_leases.py
@@ -1,4 +1,7 @@
-"""A controller's part in the keys of services that are divided by number: who acts, how fresh it is, and what it grants from."""
+"""A controller's part in the keys of services that are divided by number.
+
+Who acts, how fresh it is, and what it grants from.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +13,9 @@
 from sailward.control.catch_up import CatchUp
 from sailward.control.fleet import Fleet
 from sailward.control.freshness import Freshness, newest_vote
-from sailward.control.granting import Granting, GrantScene
+from sailward.control.grant_calls import GrantCodec
+from sailward.control.grant_targets import GrantScene
+from sailward.control.granting import Granting
 from sailward.control.moves import Moves
 from sailward.control.subscribers import Subscribers
 from sailward.control.voter import Voter
@@ -36,7 +41,7 @@
         worker_list: WorkerList,
         fleet: Fleet,
         subscribers: Subscribers,
-        codec: object,
+        codec: GrantCodec,
         hold_max: float,
         op_prefix: str,
     ) -> None:
@@ -54,7 +59,7 @@
         self._ops = 0
 
     def hear(self, *, now: float, sender: str, body: dict) -> list:
-        """Answer another cellar's asking, or fold an answer."""
+        """Answer another controller's asking, or fold an answer."""
         voter = self._voter
         if body["kind"] == "confirm":
             known, held = voter.voters["number"], voter.held.held.get("voters")
@@ -103,7 +108,7 @@
         self._look(now=now)
         well = {
             one["identity"]: one["post"]
-            for one in [*self._roster.alive(kind="cellar"), self._roster.own_entry()]
+            for one in [*self._roster.alive(kind="controller"), self._roster.own_entry()]
             if one["fit"]
         }
         leads = (
--- a/sailward/control/voter.py
+++ b/sailward/control/voter.py
@@ -52,8 +52,8 @@
 class Voter:
     """Owner of one voter. `answer` votes under the set of voters that it knows; `begun` is to be carried out first.
 
-    The parts `held` (chosen values), `acceptor` (votes) and `ledger` (order between records and replies) stay the same objects
-    for as long as the process lives.
+    The parts `held` (chosen values), `acceptor` (votes) and `ledger` (order between records and replies) stay the same
+    objects for as long as the process lives.
     """
 
     def __init__(
@@ -77,10 +77,11 @@
         )
         if remembered.known is not None and "v" in remembered.known:
             self.held.step(name="voters", ballot=remembered.known["b"], value=remembered.known["v"])
-        records = [{"k": "identity", "id": self.identity}] if is_new else []
+        self.ledger.start(records=records)
+        first_records = [{"k": "identity", "id": self.identity}] if is_new else []
         if is_founder and bootstrap is not None:
-            records += self._found_alone(now=now, value=bootstrap.value())
-        self.begun: list[Command] = self.ledger.step(records=records, replies=[])
+            first_records += self._found_alone(now=now, value=bootstrap.value())
+        self.begun: list[Command] = self.ledger.step(records=first_records, replies=[])
         self._swept = now
 
     @property
--- a/sailward/discovery/rows.py
+++ b/sailward/discovery/rows.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from typing import Any
 
 from sailward.shapes import Check, is_amount, is_count, is_flag, is_text, is_whole, list_of, record_of, row_of
 
@@ -22,7 +23,7 @@
     )
 
 
-_PLACE = {
+_PLACE: dict[str, Check] = {
     "id": is_text,
     "service": is_text,
     "address": is_address,
@@ -44,7 +45,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FleetRows:
-    """The fleet as it was told: proxies, controllers as [post, zone, region], and workers that several proxies call unreachable."""
+    """The fleet as it was told: proxies, controllers as [post, zone, region], workers that several can't reach."""
 
     proxies: list
     controllers: list
@@ -65,7 +66,7 @@
     return FleetRows(proxies=told["proxies"], controllers=told["cellars"], down=told.get("down", []))
 
 
-def _load(*, text: str) -> object:
+def _load(*, text: str) -> Any:
     try:
         return json.loads(text)
     except (ValueError, RecursionError):
--- a/sailward/routing/plan.py
+++ b/sailward/routing/plan.py
@@ -130,7 +130,7 @@
     try:
         full = read_full(value=value, expand=expand)
         return full, plan_of(full=full, number=value["number"]) if value["text"] else Plan()
-    except Exception as fault:  # it comes from outside, and may be of any shape
+    except Exception as fault:  # noqa: BLE001 - it comes from outside, and may be of any shape
         return Unreadable(reason=f"{type(fault).__name__}: {fault}"[:200])
 
 
--- a/sailward/runtime/startup.py
+++ b/sailward/runtime/startup.py
@@ -35,7 +35,7 @@
     "seeds": {"type": "list", "schema": ADDRESS, "required": True, "minlength": 1, "maxlength": 3},
     "log_level": {"type": "string", "allowed": ["debug", "info", "warning", "error"], "default": "info"},
 }
-CELLAR = {
+CONTROLLER = {
     **COMMON,
     "data": {"type": "string", "minlength": 1, "required": True},
     "platform": {**ADDRESS, "required": True},
@@ -67,7 +67,7 @@
     validator = Validator(schema)
     try:
         is_sound = validator.validate(settings)
-    except Exception as fault:  # cerberus trips over some foreign shapes
+    except Exception as fault:  # noqa: BLE001 - cerberus trips over some foreign shapes
         return BadStartup(faults=(f"{path or 'flags'}: unreadable shape: {fault}",))
     if is_sound:
         return validator.document
--- a/sailward/shapes.py
+++ b/sailward/shapes.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 Check = Callable[[object], bool]
 
@@ -73,8 +73,8 @@
     return lambda given: isinstance(given, dict) and all(map(names, given)) and all(map(check, given.values()))
 
 
-def record_of(*, needed: dict[str, Check], optional: dict[str, Check] | None = None) -> Check:
-    """A map with all the needed fields, and the optional ones fitting where they are there; further fields are ignored."""
+def record_of(*, needed: Mapping[str, Check], optional: Mapping[str, Check] | None = None) -> Check:
+    """A map with all the needed fields, and optional ones that fit where they are there; others are ignored."""
     allowed = optional or {}
 
     def check(given: object) -> bool:
--- a/tests/fuzz_kit.py
+++ b/tests/fuzz_kit.py
@@ -111,8 +111,6 @@
     value = copy.deepcopy(draw(valid))
     for _ in range(draw(st.integers(1, 3))):
         path = draw(st.sampled_from(places(value)[1:] or [()]))
-        if draw(st.integers(0, 5)) == 0:
-            value = drop(value, path)
-        else:
-            value = put(value, path, copy.deepcopy(draw(ANYTHING)))
+        is_dropped = draw(st.integers(0, 5)) == 0
+        value = drop(value, path) if is_dropped else put(value, path, copy.deepcopy(draw(ANYTHING)))
     return value
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -7,171 +7,30 @@
 import pytest
 
 from simulation.checker import check_history
-from simulation.deployments import make_arriaga
 from simulation.history import History
-from simulation.sim.operators import digest_of
-
-FLEET = make_arriaga()
-CONFIG = FLEET.config
-
-
-def run(t: float, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "run",
-        "worker": "stock-gdl-a-0/1",
-        "service": "stock",
-        "asked": "stock",
-        "hall": "gdl-a",
-        "region": "guadalajara",
-        "key": "",
-        "tenant": "hotels",
-        "nonce": f"n{t}",
-        "turn": 1,
-        "path": "/stock/?n=1",
-        "unsafe": False,
-        "proxy": "sommelier-0",
-        "until": t + 0.01,
-        "slot_key": "",
-        **fields,
-    }
-
-
-def order(t: float, **fields: object) -> dict:
-    return run(t, worker="orders-gdl-a-0/1", service="orders", asked="orders", path="/orders/", unsafe=True, **fields)
-
-
-def sent(t: float, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "sent",
-        "nonce": f"n{t}",
-        "key": "",
-        "turn": 1,
-        "tenant": "hotels",
-        "path": "/stock",
-        "unsafe": False,
-        "proxy": "sommelier-0",
-        "region": "ensenada",
-        **fields,
-    }
-
-
-def got(t: float, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "got",
-        "nonce": f"n{t}",
-        "key": "",
-        "turn": 1,
-        "code": 200,
-        "tenant": "hotels",
-        "path": "/stock",
-        "unsafe": False,
-        "proxy": "sommelier-0",
-        "ran": "",
-        "verdict": "good",
-        "reason": "",
-        "held": False,
-        "taken": True,
-        "retry_after": "",
-        **fields,
-    }
-
-
-def refused(t: float, **fields: object) -> dict:
-    return got(t, **{"code": 503, "ran": "not-run", "verdict": "", "reason": "no-room", "retry_after": "1", **fields})
-
-
-def put(t: float, number: int, config: object = CONFIG, **fields: object) -> dict:
-    return {
-        "t": t,
-        "k": "put",
-        "begun": t - 0.1,
-        "outcome": "accepted",
-        "number": number,
-        "code": 200,
-        "invalid": False,
-        "digest": digest_of(config=config),
-        "given": config,
-        "patch": False,
-        "error": "",
-        "cellar": "",
-        **fields,
-    }
-
-
-def read(t: float, number: int, config: object = CONFIG) -> dict:
-    return {
-        "t": t,
-        "k": "read-back",
-        "begun": t - 0.1,
-        "number": number,
-        "digest": digest_of(config=config),
-        "config": config,
-    }
-
-
-def row(t: float, k: str, **fields: object) -> dict:
-    return {"t": t, "k": k, **fields}
-
-
-def changed(path: str, value: object) -> dict:
-    config = copy.deepcopy(CONFIG)
-    *names, last = path.split(".")
-    inner = config
-    for name in names:
-        inner = inner[int(name)] if name.isdigit() else inner[name]
-    if value is None:
-        del inner[last]
-    else:
-        inner[last] = value
-    return config
-
-
-def stamped(halls: list) -> dict:
-    shape = {
-        "pools": {"${stamp}": {"service": "stock", "preferred": "${halls}"}},
-        "tenants": {"${stamp}": {}},
-        "matches": [{"path": "/${stamp}", "pools": [{"pool": "${stamp}", "weight": 1}]}],
-    }
-    return {
-        **CONFIG,
-        "templates": {"t": {"parameters": {"halls": {"type": "list"}}, "shape": shape}},
-        "stamps": {"azul": {"template": "t", "parameters": {"halls": halls}}},
-    }
-
-
-HOMES = row(0, "homes", homes={"tapatia": ["guadalajara"]})
-BOUND = row(0, "cold-bound", service="stock", cold=4, rate=20, ramp=10, begun=0)
-PINNED = changed("pools.stock-guadalajara.fallback", [])
-PINNED["matches"][0]["pools"][1]["weight"] = 0
-MOVED = changed("pools.stock-guadalajara.service", "notes")
-MOVED["pools"]["stock-ensenada"]["service"] = "notes"
-STARTED = row(20, "worker-started", worker="stock-gdl-a-0/1")
-FIRSTS = [one for at in range(60) for one in (sent(50 + at / 10, nonce=f"m{at}"), got(50.01 + at / 10, nonce=f"m{at}"))]
-ALL_DOWN = [row(20, "daemon-down", daemon=name) for _, name, _ in FLEET.daemons]
-ALL_UP = [row(35, "daemon-up", daemon=name) for _, name, _ in FLEET.daemons]
-
-
-def lose(rows: list, count: int, begin: float = 0.0) -> list:
-    """The same, with this many first tries of it refused."""
-    left, made = count, []
-    for one in rows:
-        bad = one["k"] == "got" and one["t"] >= begin and left > 0
-        left -= bad
-        made.append(
-            {**one, "code": 503, "verdict": "", "ran": "not-run", "retry_after": "1", "reason": "x"} if bad else one
-        )
-    return made
-
-
-def flood(rival_good: int) -> list:
-    rows = [got(50 + at / 100, nonce=f"f{at}", tenant="shops") for at in range(300)]
-    rows = lose(rows, 100)
-    mine = lose([got(50 + at / 20, nonce=f"r{at}") for at in range(60)], 60 - rival_good)
-    return rows + mine
-
+from tests.history_rows import (
+    ALL_DOWN,
+    ALL_UP,
+    BOUND,
+    FIRSTS,
+    FLEET,
+    HOMES,
+    MOVED,
+    PINNED,
+    STARTED,
+    changed,
+    flood,
+    got,
+    lose,
+    order,
+    put,
+    read,
+    refused,
+    row,
+    run,
+    sent,
+    stamped,
+)
 
 PAIRS = {
     "runs-twice": ([order(1, key="a"), order(2, key="b")], [order(1, key="a"), order(2, key="a")]),
@@ -200,14 +59,14 @@
     "held:never": (
         [
             sent(1, nonce="a"),
-            row(2, "daemon-down", daemon="sommelier-0"),
+            row(2, "daemon-down", daemon="proxy-0"),
             got(9, nonce="a", code=0, verdict="", held=True),
         ],
         [sent(1, nonce="a"), got(9, nonce="a", code=0, verdict="", held=True)],
     ),
     "unanswered": (
-        [sent(1, nonce="a"), row(2, "daemon-down", daemon="sommelier-0"), got(2, nonce="a", code=0, verdict="")],
-        [sent(1, nonce="a"), row(2, "daemon-down", daemon="sommelier-1"), got(2, nonce="a", code=0, verdict="")],
+        [sent(1, nonce="a"), row(2, "daemon-down", daemon="proxy-0"), got(2, nonce="a", code=0, verdict="")],
+        [sent(1, nonce="a"), row(2, "daemon-down", daemon="proxy-1"), got(2, nonce="a", code=0, verdict="")],
     ),
     "unanswered:lost": ([sent(1, nonce="a"), got(2, nonce="a"), row(30, "end")], [sent(1, nonce="a"), row(30, "end")]),
     "left-worker-served": (
@@ -359,18 +218,18 @@
         [HOMES, run(1, slot_key="a", until=2), run(1.9, slot_key="a", worker="o", tenant="tapatia")],
         [HOMES, run(1, slot_key="a", until=2), run(1.9, slot_key="a", worker="o", tenant="shops")],
     ),
-    "crash": ([row(1, "daemon-down", daemon="cellar-0")], [row(1, "crash", daemon="cellar-0", fault="x")]),
+    "crash": ([row(1, "daemon-down", daemon="controller-0")], [row(1, "crash", daemon="controller-0", fault="x")]),
     "stop-dropped": (
         [
-            row(1, "planned-stop", daemon="sommelier-0"),
-            row(4, "stopped", daemon="sommelier-0"),
+            row(1, "planned-stop", daemon="proxy-0"),
+            row(4, "stopped", daemon="proxy-0"),
             sent(2, nonce="a"),
             got(3, nonce="a"),
         ],
         [
-            row(1, "planned-stop", daemon="sommelier-0"),
-            row(4, "stopped", daemon="sommelier-0"),
-            row(4, "daemon-down", daemon="sommelier-0"),
+            row(1, "planned-stop", daemon="proxy-0"),
+            row(4, "stopped", daemon="proxy-0"),
+            row(4, "daemon-down", daemon="proxy-0"),
             sent(2, nonce="a"),
             got(4, nonce="a", code=0, verdict=""),
         ],
@@ -385,10 +244,14 @@
         [row(35, "trouble", verb="heal", words=[]), *lose(FIRSTS, 10)],
     ),
     "not-borne": (
-        [row(50, "trouble", verb="kill", words=["cellar-0"]), row(50, "daemon-down", daemon="cellar-0"), *FIRSTS],
         [
-            row(50, "trouble", verb="kill", words=["cellar-0"]),
-            row(50, "daemon-down", daemon="cellar-0"),
+            row(50, "trouble", verb="kill", words=["controller-0"]),
+            row(50, "daemon-down", daemon="controller-0"),
+            *FIRSTS,
+        ],
+        [
+            row(50, "trouble", verb="kill", words=["controller-0"]),
+            row(50, "daemon-down", daemon="controller-0"),
             *lose(FIRSTS, 4),
         ],
     ),
@@ -415,6 +278,6 @@
 @pytest.mark.parametrize("name", PAIRS)
 def test_the_judge_tells_a_sound_history_from_a_broken_one(name: str) -> None:
     sound, broken = PAIRS[name]
-    rule = name.split(":")[0]
+    rule = name.split(":", maxsplit=1)[0]
     assert rule not in judge(sound)
     assert rule in judge(broken)
--- a/tests/test_fuzz_edges.py
+++ b/tests/test_fuzz_edges.py
@@ -1,4 +1,4 @@
-"""The other edges: the list's pages, the data file, settings files, answers to grants, request heads, addresses of messages."""
+"""The other edges: list pages, the data file, settings files, answers to grants, request heads, addresses."""
 
 from __future__ import annotations
 
@@ -23,14 +23,14 @@
 from sailward.events import Call, Called, Ticked
 from sailward.runtime.adapter import load_part
 from sailward.runtime.reactor import Reactor
-from sailward.runtime.startup import CELLAR, BadStartup, read_startup
+from sailward.runtime.startup import CONTROLLER, BadStartup, read_startup
 from sailward.storage.disk import Damaged, Newer, Read, pack_frame, read_frames
 from sailward.transport.calls import Calls
 from sailward.transport.courier import Courier
 from sailward.transport.front_head import Head, Refused, read_head
 from tests.core_net import FOLDER, WORKERS
 from tests.fuzz_kit import ANYTHING, BOUNDED, near
-from tests.test_granting import Codec, Listed
+from tests.granting_world import Codec, Listed
 from tests.test_settings import GIVEN
 
 SETTINGS = load_part(folder=FOLDER, name="settings")
@@ -114,7 +114,7 @@
     """Read a data file, and let a controller start on what it holds."""
     found = read_frames(data=data)
     if isinstance(found, Read):
-        place = Place(name="c1", kind="cellar", hall="z", region="r", post="10.0.0.1:1", http="10.0.0.1:2")
+        place = Place(name="c1", kind="controller", hall="z", region="r", post="10.0.0.1:1", http="10.0.0.1:2")
         owner = Controller(
             place=place, platform="", nonce="1", start=1, rng=random.Random(1), records=found.records, now=0.0
         )
@@ -151,7 +151,7 @@
 
 
 @settings(BOUNDED, max_examples=300)
-@given(given_settings=near(st.just(GIVEN)) | ANYTHING, role=st.sampled_from(["cellar", "sommelier"]))
+@given(given_settings=near(st.just(GIVEN)) | ANYTHING, role=st.sampled_from(["controller", "proxy"]))
 def test_any_platform_settings_make_a_host_or_give_faults(given_settings: object, role: str) -> None:
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings.yaml"
@@ -174,9 +174,9 @@
     path = tmp_path / name
     path.write_text(text, "utf-8")
     if name.endswith("yaml"):
-        assert SETTINGS.read_settings(role="cellar", path=str(path)).faults
+        assert SETTINGS.read_settings(role="controller", path=str(path)).faults
     else:
-        assert read_startup(flags={"--settings": str(path)}, schema=CELLAR).faults
+        assert read_startup(flags={"--settings": str(path)}, schema=CONTROLLER).faults
 
 
 @settings(BOUNDED, max_examples=200)
@@ -185,7 +185,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "settings.toml"
         path.write_bytes(text.encode("utf-8", "surrogatepass"))
-        read = read_startup(flags={"--settings": str(path)}, schema=CELLAR)
+        read = read_startup(flags={"--settings": str(path)}, schema=CONTROLLER)
     assert isinstance(read, BadStartup) and read.faults
 
 
--- a/tests/test_fuzz_messages.py
+++ b/tests/test_fuzz_messages.py
@@ -16,9 +16,9 @@
 from sailward.control.controller import Controller
 from sailward.discovery.gossip import Place
 from sailward.events import Answer, Heard, Ticked
-from sailward.proxy.concierge import Concierge
+from sailward.proxy.directory_server import DirectoryServer
 from sailward.proxy.proxy import Proxy, ProxyOptions
-from sailward.proxy.sommelier import Sommelier
+from sailward.proxy.tenant_proxy import TenantProxy
 from sailward.transport.courier import LENGTH, PLAIN, pack_body, read_body
 from tests.core_net import CONFIG, ZONES, CoreNet, make_written
 from tests.fuzz_kit import ANYTHING, BOUNDED, near
@@ -64,22 +64,28 @@
     """One owner of each kind, as it stands in a fleet, and a controller that has just started on an empty disk."""
     net = whole_net()
     proxy = Proxy(
-        place=make_place(kind="sommelier"),
+        place=make_place(kind="proxy"),
         start=1,
         rng=random.Random(1),
         options=ProxyOptions(expand=lambda given: CONFIG.expand(given, ZONES), regions=tuple(ZONES.items())),
     )
-    for name, held in net.machines[0].cellar.held.held.items():
+    for name, held in net.machines[0].controller.held.held.items():
         body = {"kind": "push", "seq": 1, "name": name, "number": 1, "ballot": held.ballot, "value": held.value}
         proxy.step(now=net.now, event=Heard(sender="10.0.0.1:7620", body=body))
     return {
-        "voter": net.machines[0].cellar,
+        "voter": net.machines[0].controller,
         "fresh": Controller(
-            place=make_place(kind="cellar"), platform="", nonce="1", start=1, rng=random.Random(1), records=[], now=0.0
+            place=make_place(kind="controller"),
+            platform="",
+            nonce="1",
+            start=1,
+            rng=random.Random(1),
+            records=[],
+            now=0.0,
         ),
         "proxy": proxy,
-        "sommelier": Sommelier(place=make_place(kind="sommelier"), nonce="1", start=1, rng=random.Random(1), now=0.0),
-        "concierge": Concierge(place=make_place(kind="concierge"), start=1, rng=random.Random(1)),
+        "tenant proxy": TenantProxy(place=make_place(kind="proxy"), nonce="1", start=1, rng=random.Random(1), now=0.0),
+        "directory": DirectoryServer(place=make_place(kind="directory"), start=1, rng=random.Random(1)),
     }
 
 
@@ -100,7 +106,7 @@
     """The body as the other side reads it; None if it can't be put into a frame."""
     try:
         frame = pack_body(body=body)
-    except Exception:  # what can't be sent can't come
+    except Exception:  # noqa: BLE001 - what can't be sent can't come
         return None
     _, form = LENGTH.unpack_from(frame)
     return read_body(payload=frame[LENGTH.size :], form=form)
--- a/tests/test_fuzz_operators.py
+++ b/tests/test_fuzz_operators.py
@@ -1,4 +1,4 @@
-"""Operators' calls of any shape: one answer each, with a reason where it is refused, and a refused one changes nothing."""
+"""Operators' calls of any shape: one answer each, with a reason where it is refused; then nothing is changed."""
 
 from __future__ import annotations
 
@@ -68,7 +68,7 @@
             bootstrap=options.bootstrap,
             zones=options.zones,
         )
-    place = Place(name="c1", kind="cellar", hall="gdl-a", region="gdl", post=POST, http=POST, seeds=(POST,))
+    place = Place(name="c1", kind="controller", hall="gdl-a", region="gdl", post=POST, http=POST, seeds=(POST,))
     owner = Controller(
         place=place, platform="", nonce="1", start=1, rng=random.Random(1), records=[], now=0.0, options=options
     )
