--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -35,6 +35,7 @@
     DiskFailed,
     Event,
     Heard,
+    RefusedInput,
     StopAsked,
     Synced,
     Ticked,
@@ -62,6 +63,7 @@
     ) -> None:
         self.options = options = options or ControllerOptions()
         self.place, self.start = place, start
+        self.unexpected, self.refused = UnexpectedEvents(), RefusedInput()
         self.voter = Voter(place=place, nonce=nonce, records=records, now=now, bootstrap=options.bootstrap)
         self.held, self.acceptor, self.ledger = self.voter.held, self.voter.acceptor, self.voter.ledger
         op_prefix = f"{place.name}#{nonce}"
@@ -88,7 +90,12 @@
         self.leaving = Leaving(voter=self.voter, roster=self.roster, is_enabled=options.bootstrap is not None)
         self.moves = Moves()
         self.worker_list = WorkerList(
-            platform=platform, post=place.post, start=start, reader=options.reader, rate=options.list_rate
+            platform=platform,
+            post=place.post,
+            start=start,
+            reader=options.reader,
+            rate=options.list_rate,
+            refused=self.refused,
         )
         self.subscribers = Subscribers(post=place.post if options.reader else "")
         self.standing = Standing()
@@ -105,7 +112,6 @@
             options=options,
         )
         self.shard_leases = self._make_shard_leases(op_prefix=op_prefix) if options.grants else None
-        self.unexpected = UnexpectedEvents()
         self._status = StatusSources(
             voter=self.voter,
             roster=self.roster,
@@ -114,6 +120,7 @@
             standing=self.standing,
             worker_list=self.worker_list,
             unexpected=self.unexpected,
+            refused=self.refused,
         )
         self.registers = Registers(
             voter=self.voter,
@@ -126,6 +133,7 @@
             serving=self.serving,
             shard_leases=self.shard_leases,
             expand=options.expand,
+            refused=self.refused,
         )
         self.messages = MessageHandlers(
             voter=self.voter,
@@ -306,6 +314,7 @@
             held=self.held,
             standing=self.standing,
             workers=self.worker_list.value,
+            epoch=self.worker_list.epoch,
             proxies=self.subscribers.proxies(),
         )
         begins = []
