--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -214,8 +214,9 @@
         return self.ledger.step(records=[order.record], replies=replies)
 
     def _drop_order(self, *, now: float, event: CallerLeft) -> list[Command]:
-        """The caller will read no answer: what has not begun for it never begins."""
-        return self.desk.drop(token=event.token)
+        """The caller has gone, most likely to another controller: its order on a zone, if not begun, never begins."""
+        self.desk.drop(token=event.token)
+        return []
 
     # calls to the platform's list and to workers
 
