--- a/sailward/control/grant_calls.py
+++ b/sailward/control/grant_calls.py
@@ -100,11 +100,11 @@
     def _releasing_of(self, *, shard: Shard) -> Releasing | None:
         return next(
             (
-                replace(one, shard=shard)
-                for one in self._moving
-                if (one.shard.owner, one.shard.fence) == (shard.owner, shard.fence)
-                and one.shard.start <= shard.start
-                and shard.end <= one.shard.end
+                replace(releasing, shard=shard)
+                for releasing in self._moving
+                if (releasing.shard.owner, releasing.shard.fence) == (shard.owner, shard.fence)
+                and releasing.shard.start <= shard.start
+                and shard.end <= releasing.shard.end
             ),
             None,
         )
@@ -123,11 +123,12 @@
             self._failing[owner] = (self._failing.get(owner, (sent.since, now))[0], now)
         if sent.is_grant:
             return self._take_grant(now=now, shard=sent.shard, event=event)
-        for one in self._moving:
-            if one.token == event.token:
-                one.due, one.token = now + constants.GRANT_AGAIN, ""
-                one.is_released = one.is_released or event.code == 200
-                one.handover = self.codec.handover(headers=event.headers) if event.code == 200 else one.handover
+        for releasing in self._moving:
+            if releasing.token == event.token:
+                releasing.due, releasing.token = now + constants.GRANT_AGAIN, ""
+                if event.code == 200:
+                    releasing.is_released = True
+                    releasing.handover = self.codec.handover(headers=event.headers)
         return [] if event.code == 200 else [self._complain(shard=sent.shard, event=event, name="release-failed")]
 
     def _take_grant(self, *, now: float, shard: Shard, event: Called) -> list:
@@ -189,19 +190,19 @@
     def release(self, *, now: float, sole_at: float, fresh_until: float) -> list:
         """Ask the owners of moving shards to let go; not before `sole_at`, when no other granter's grants arrive."""
         commands: list = []
-        for one in self._moving:
-            shard = one.shard
+        for releasing in self._moving:
+            shard = releasing.shard
             if (
-                one.token
-                or one.is_released
-                or now < max(one.due, sole_at)
+                releasing.token
+                or releasing.is_released
+                or now < max(releasing.due, sole_at)
                 or shard.owner in self.ended
                 or shard.owner not in self.addresses
                 or self._may_arrive(now=now, shard=shard)
             ):
                 continue
             made = self.codec.release(start=shard.start, end=shard.end, fence=shard.fence, owner=shard.owner)
-            one.token = self._call(
+            releasing.token = self._call(
                 now=now,
                 kind=RELEASE,
                 shard=shard,
@@ -250,8 +251,8 @@
 
     def is_free(self, *, now: float, shard: Shard, sole_at: float) -> bool:
         """Has the owner of a moving shard certainly let go?"""
-        one = self._releasing_of(shard=shard) or Releasing(shard=shard, since=now)
-        if one.is_released or shard.owner in self.ended:
+        releasing = self._releasing_of(shard=shard) or Releasing(shard=shard, since=now)
+        if releasing.is_released or shard.owner in self.ended:
             return True
         ends = [
             sent.until + constants.GRANT_FLIGHT
@@ -259,13 +260,13 @@
             if sent.is_grant and sent.shard.owner == shard.owner
         ]
         last = max([sole_at, self._arrived.get(shard.owner, NEVER), *ends])
-        last = min(last, one.since + constants.GRANT_QUIET)
+        last = min(last, releasing.since + constants.GRANT_QUIET)
         return now >= last + constants.GRANT_HOLD * constants.GRANT_SLOW + constants.GRANT_MARGIN
 
     def handover_of(self, *, shard: Shard) -> str:
         """What the owner of a moving shard handed over, or ""."""
-        one = self._releasing_of(shard=shard)
-        return one.handover if one else ""
+        releasing = self._releasing_of(shard=shard)
+        return releasing.handover if releasing else ""
 
     def is_failing(self, *, now: float, key: str) -> bool:
         """Have calls to this worker failed for a while, and lately?"""
--- a/sailward/control/grant_targets.py
+++ b/sailward/control/grant_targets.py
@@ -42,17 +42,20 @@
     def wanted(self, *, now: float, shards: tuple[Shard, ...], sole_at: float, scene: GrantScene) -> list[Span]:
         """Where all keys should be; what is moving counts as where it goes."""
         spans = [
-            Span(start=one.start, end=one.end, owner=one.owner if one.is_open else one.next_owner) for one in shards
+            Span(start=shard.start, end=shard.end, owner=shard.owner if shard.is_open else shard.next_owner)
+            for shard in shards
         ]
         able = self.able(now=now, scene=scene)
         if not able:
             listed = self.listed(scene=scene)
             return [
-                one if one.owner in listed and self._may_stay(key=one.owner, scene=scene) else replace(one, owner="")
-                for one in spans
+                span
+                if span.owner in listed and self._may_stay(key=span.owner, scene=scene)
+                else replace(span, owner="")
+                for span in spans
             ]
         wanted = place(spans=spans, able=able, loads=scene.loads, is_balancing=False)
-        if any(not one.is_open for one in shards) or now < sole_at:
+        if any(not shard.is_open for shard in shards) or now < sole_at:
             self._uneven_since = None
             return wanted
         even = place(spans=spans, able=able, loads=scene.loads, is_balancing=True)
--- a/sailward/control/granting.py
+++ b/sailward/control/granting.py
@@ -162,22 +162,22 @@
 
     def _redraw(self, *, now: float, shard: Shard, parts: list[Span], is_sole: bool) -> list[Shard]:
         """What becomes of a shard; a fence of 0 stands for a new one."""
-        fresh = [Shard(start=one.start, end=one.end, owner=one.owner, fence=0, state=OPEN) for one in parts]
+        fresh = [Shard(start=part.start, end=part.end, owner=part.owner, fence=0, state=OPEN) for part in parts]
         if not shard.is_open:
             if self._is_free(now=now, shard=shard):
                 return fresh
-            largest = max(parts, key=lambda one: one.end - one.start).owner
+            largest = max(parts, key=lambda part: part.end - part.start).owner
             return [replace(shard, next_owner=largest)]
         if shard in self._calls.outrun and shard.owner not in self._calls.ended:
             return [replace(shard, fence=0)]
         if shard.owner == "" or shard.owner in self._calls.ended:
-            return fresh if any(one.owner != shard.owner for one in parts) else [shard]
-        if not is_sole or all(one.owner == shard.owner for one in parts):
+            return fresh if any(part.owner != shard.owner for part in parts) else [shard]
+        if not is_sole or all(part.owner == shard.owner for part in parts):
             return [shard]
-        kept = [replace(shard, start=part.start, end=part.end) for part in parts]
+        cut = [replace(shard, start=part.start, end=part.end) for part in parts]
         return [
-            one if part.owner == shard.owner else replace(one, state=MOVING, next_owner=part.owner)
-            for part, one in zip(parts, kept, strict=True)
+            moved if part.owner == shard.owner else replace(moved, state=MOVING, next_owner=part.owner)
+            for part, moved in zip(parts, cut, strict=True)
         ]
 
     def _join(self, *, shards: list[Shard], fence: int) -> tuple[list[Shard], int]:
@@ -186,17 +186,17 @@
         What is new may have a handover to come.
         """
         joined: list[Shard] = []
-        for one in shards:
+        for shard in shards:
             last = joined[-1] if joined else None
             if (
                 last
-                and last.owner == one.owner
-                and self._calls.is_granted(shard=one)
+                and last.owner == shard.owner
+                and self._calls.is_granted(shard=shard)
                 and ((last.fence == fence - 1 and last not in shards) or self._calls.is_granted(shard=last))
             ):
                 if last in shards:
                     fence += 1
-                joined[-1] = replace(last, end=one.end, fence=fence - 1)
+                joined[-1] = replace(last, end=shard.end, fence=fence - 1)
             else:
-                joined.append(one)
+                joined.append(shard)
         return joined, fence
