--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -9,7 +9,7 @@
 from sailward import constants
 from sailward.config import history
 from sailward.consensus import proposer
-from sailward.control import controller, granting, membership, shard_leases, write_ahead
+from sailward.control import admin_api, controller, granting, membership, shard_leases, write_ahead, zone_orders
 from sailward.discovery import workers
 from sailward.events import Stop
 from sailward.proxy import proxy
@@ -104,6 +104,21 @@
     return begin_stop
 
 
+def _judged_by(*, change):
+    def make(old):
+        return lambda self, **fields: change(old(self, **fields))
+
+    return make
+
+
+def _forgotten_is_lost(verdict):
+    return history.Verdict.LOST if verdict is history.Verdict.FORGOTTEN else verdict
+
+
+def _lost_is_taken(verdict):
+    return history.Verdict.TAKEN if verdict is history.Verdict.LOST else verdict
+
+
 SABOTAGE: dict[str, Callable] = {
     "fence-wait": _all(
         _patch(granting.Granting, "_is_free", lambda old: lambda self, *, now, shard: True),
@@ -127,6 +142,12 @@
     "cold-bound": _all(_patch(placing.Placer, "_bears", lambda old: lambda self, **fields: True)),
     "cold-news": _all(_patch(evidence.Evidence, "chill", lambda old: lambda self, **fields: None)),
     "evacuation": _all(_patch(proxy, "read_orders", lambda old: frozenset)),
+    "late-orders": _all(_patch(admin_api.AdminApi, "drop", lambda old: lambda self, *, token: None)),
+    "zone-counts": _all(_patch(zone_orders.ZoneOrders, "count", lambda old: lambda self, *, kind, zone: 0)),
+    "history": _all(
+        _constant("HISTORY_SEGMENT", 16), _patch(history.Labelled, "judge", _judged_by(change=_forgotten_is_lost))
+    ),
+    "one-winner": _all(_patch(history.Labelled, "judge", _judged_by(change=_lost_is_taken))),
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -14,6 +14,12 @@
     from simulation.hosted.world import World
 
 
+ROLES = ("proxy", "controller")
+"""The processes that a step can name."""
+PROCESS_VERBS = ("kill", "stop", "freeze")
+"""The steps whose first word names a process."""
+
+
 class MachineVerbs:
     """Processes, machines and links. A PROCESS is ROLE@MACHINE, ROLE@all or ROLE@ZONE."""
 
@@ -303,13 +309,26 @@
         """An invalid configuration: `weight`, `service`, `tries`, `kind`, `host` or `older`."""
         self._world.operator.put(number=int(number), spoil=SPOILS[way])
 
-    def do_evacuate(self, zone: str) -> None:
-        """Empty a zone."""
-        self._world.operator.evacuate(zone=zone)
+    def do_evacuate(self, zone: str, *words: str) -> None:
+        """Evacuate ZONE [at=MACHINE]: empty a zone."""
+        self._world.operator.evacuate(zone=zone, first=_given(words=words).get("at", ""))
+
+    def do_take_back(self, zone: str, *words: str) -> None:
+        """take-back ZONE [at=MACHINE]: take a zone back."""
+        self._world.operator.evacuate(zone=zone, is_back=True, first=_given(words=words).get("at", ""))
+
+    def do_edit(self, *words: str) -> None:
+        """Edit [at=MACHINE] [pause=S]: read the configuration and change a route; `pause` till it is sent again."""
+        given = _given(words=words)
+        self._world.operator.edit(first=given.get("at", ""), pause=float(given.get("pause", 0)))
+
+    def do_lose_acks(self, share: str) -> None:
+        """From now on such a share of the acknowledgements never reaches the operator."""
+        self._world.operator.lost_share = float(share)
 
-    def do_take_back(self, zone: str) -> None:
-        """Take a zone back."""
-        self._world.operator.evacuate(zone=zone, is_back=True)
+    def do_read_orders(self) -> None:
+        """The operator reads which zones are emptied."""
+        self._world.operator.read_orders()
 
     def do_hang_up(self, seconds: str) -> None:
         """From now on the operator closes its connection after so long without an answer, and asks another daemon."""
@@ -364,4 +383,7 @@
         inspect.signature(method).bind(None, *words)
     except TypeError as fault:
         return f"{verb}: {fault}"
-    return ""
+    if verb == "on-ack":
+        return find_fault(verb=words[0], words=words[1:])
+    role = words[0].partition("@")[0] if verb in PROCESS_VERBS else ROLES[0]
+    return "" if role in ROLES else f"{verb}: no role {role!r}"
--- a/simulation/sim/verbs/operators.py
+++ b/simulation/sim/verbs/operators.py
@@ -128,6 +128,10 @@
         """Read the configuration."""
         self.operators.read_back(controller=controller)
 
+    def do_read_orders(self) -> None:
+        """Read which halls are emptied."""
+        self.operators.read_orders()
+
     def do_empty(self, hall: str, confirm: str = "") -> None:
         """Order a hall to be emptied."""
         self.operators.order(hall=hall, empty=True, confirm=confirm == "confirm")
