--- a/sailward/programs/common.py
+++ b/sailward/programs/common.py
@@ -15,6 +15,7 @@
 from sailward.runtime.logs import start_logs, write_log
 from sailward.runtime.loop import Edges, Loop, run_guarded
 from sailward.runtime.startup import BadStartup, read_startup
+from sailward.storage.disk import Disk
 from sailward.transport.calls import Calls
 from sailward.transport.post import Post
 from sailward.transport.web import Web
@@ -23,7 +24,7 @@
 def read_flags(*, doc: str, argv: list[str] | None) -> dict:
     """The flags; wrong ones end the process with the usage and code 2."""
     try:
-        return docopt(doc, argv=argv, version=f"sailward {sailward.__version__}")
+        return dict(docopt(doc, argv=argv, version=f"sailward {sailward.__version__}"))
     except DocoptExit as fault:
         print(fault.code, file=sys.stderr)
         sys.exit(constants.EXIT_USAGE)
@@ -64,7 +65,7 @@
     return time.time_ns() // 1000
 
 
-def start_edges(*, settings: dict, loop: Loop, limit: int, calling: bool, disk: object | None = None) -> Edges:
+def start_edges(*, settings: dict, loop: Loop, limit: int, calling: bool, disk: Disk | None = None) -> Edges:
     """Open the sockets and begin to serve; an address in use ends the process."""
     threads = ThreadPoolExecutor(max_workers=2 * constants.HTTP_THREADS)
     try:
--- a/sailward/runtime/startup.py
+++ b/sailward/runtime/startup.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -14,7 +15,7 @@
 NAME = {"type": "string", "regex": r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"}
 
 
-def _check_address(field: str, value: object, error) -> None:
+def _check_address(field: str, value: object, error: Callable[[str, str], None]) -> None:
     if not isinstance(value, str):
         return
     host, _, port = value.rpartition(":")
@@ -68,6 +69,7 @@
             settings[name] = given.split(",") if name == "seeds" else given
     validator = Validator(schema)
     if validator.validate(settings):
-        return validator.document
+        document: dict = validator.document
+        return document
     errors = list_errors(errors=validator.errors)
     return BadStartup(faults=tuple(f"{path or 'flags'}: {where}: {reason}" for where, reason in errors))
