--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -161,6 +161,17 @@
 """askings without an answer after which another cellar is asked in its place."""
 CELLAR_SILENT = 1.3
 """s without an answer after which a cellar's lists are not waited for any more: two askings and a round trip."""
+CONTACT_LIFE = 2.0
+"""s, from the moment of asking, for which an answer of a majority of the voters lets a controller serve. Heartbeats come each
+half second and answer the last one: calm answers are up to 1.2 s old, so one lost heartbeat is borne. A proxy then still has a
+second for news of a change within the 2.5 s that are allowed."""
+OPERATOR_PATIENCE = 0.75
+"""s that an operator waits for a majority: he asks another controller after one second of silence, and comes back sooner if told."""
+CONTROLLERS_NAMED = 12
+"""other controllers that one without contact names to a proxy: more than may be lost at once, and few bytes."""
+LAST_RESORT_AFTER = 2.5
+"""s without an answer of a controller in contact with a majority, after which a proxy follows one without: long enough to ask all
+that it knows twice, short against the time that workers serve on an old list."""
 CELLARS_ASKED = 2
 """cellars that a proxy asks: one may be lost without a gap in the pushes."""
 JOURNAL_SHOWN = 60
--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -27,6 +27,8 @@
     text: str = ""
     written: dict = field(default_factory=dict)
     notes: dict = field(default_factory=dict)
+    seen_at: float | None = None
+    is_answered: bool = False
 
 
 @dataclass(kw_only=True)
@@ -81,7 +83,25 @@
     def _begin_read(self, *, job: Job) -> Begin:
         return self._begin(job=job, kind="read", wait=self.wait)
 
+    def give_up(self, *, now: float, is_lost: bool) -> list:
+        """Answer those that have waited for OPERATOR_PATIENCE, and all if contact is lost, with nothing definite: 503, come back.
+
+        What was begun goes on and is not undone: a change that comes through is known when it is sent again.
+        """
+        commands = []
+        for job in list(self.jobs.values()):
+            job.seen_at = now if job.seen_at is None else job.seen_at
+            patience = constants.OPERATOR_PATIENCE + len(job.text) * constants.ROUND_PER_BYTE * 2
+            if job.is_answered or not (is_lost or now - job.seen_at > patience):
+                continue
+            outcome = Outcome(kind="unknown", code=504, reason="no-answer", detail="no majority answered in time")
+            commands += self._end(job=job, outcome=outcome)[0]
+            job.is_answered = True
+        return commands
+
     def _end(self, *, job: Job, outcome: Outcome) -> tuple[list, list]:
+        if job.is_answered:
+            return [], []
         return [job.dialect.answer(token=job.token, order=job.order, outcome=outcome)], []
 
     def _after_read(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -9,7 +9,7 @@
 from sailward.config.dialect import OwnDialect
 from sailward.consensus.acceptor import CLAIM, KNOWN, Acceptor, Slots, fold_record
 from sailward.consensus.held import CONTROL, HeldBook, is_control, read_voters
-from sailward.consensus.proposer import Begin, Proposer
+from sailward.consensus.proposer import Accepted, Begin, Proposer
 from sailward.control.admin_api import AdminApi
 from sailward.control.bootstrap import make_founder
 from sailward.control.fleet import Fleet
@@ -18,10 +18,12 @@
 from sailward.control.membership import Membership
 from sailward.control.moves import Moves
 from sailward.control.options import ControllerOptions
+from sailward.control.quorum_contact import QuorumContact
 from sailward.control.shard_leases import ShardLeases
 from sailward.control.standing import Standing
 from sailward.control.status_report import show_status
 from sailward.control.subscribers import Subscribers
+from sailward.control.turning_away import other_controllers, turn_away
 from sailward.control.write_ahead import WriteAhead
 from sailward.discovery.gossip import Place, Roster
 from sailward.discovery.pages import Pager
@@ -97,6 +99,7 @@
             is_mesh=options.is_mesh,
             has_disk=options.has_disk,
         )
+        self.contact = QuorumContact(started=now)
         self.membership = Membership(cellar=self, now=now)
         self.moves = Moves()
         self.pager = Pager(platform=platform, reader=options.reader, rate=options.list_rate)
@@ -115,6 +118,7 @@
             records=[{"k": "identity", "id": self.identity}, *founding] if new else [], replies=[]
         )
         self._reading: dict[str, str] = {}
+        self._read_begun: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
         self._behind: dict[str, float] = {}
         self._swept = now
@@ -162,6 +166,17 @@
             and not self.membership.is_opening()
         )
 
+    def may_serve(self, *, now: float) -> bool:
+        """May control state be told? Only in contact with a majority, where heartbeats show contact."""
+        if not self.options.is_mesh:
+            return True
+        return self.contact.may_serve(now=now, members=self.voters["members"], own=self.own_vote)
+
+    @property
+    def own_vote(self) -> str:
+        """The identity under which this controller's own memory counts as a voter's; empty if it does not."""
+        return self.identity if self.identity in self.voters["members"] and self.ledger.copied else ""
+
     def new_identity(self) -> str:
         """A further identity of this start: the one before never acts again."""
         self._left += 1
@@ -174,6 +189,8 @@
         if kind in TOLD:
             if kind == "nack" and body["voters"]:
                 return self.keep(now=now, name="voters", ballot=body["voters"][0], value=body["voters"][1], tell=False)
+            if kind != "nack":
+                self.contact.hear_answer(peer=sender, question=body["op"])
             commands, settled = self.proposer.step(now=now, voters=self.voters, event=(sender, body))
             return commands + self._settle(now=now, settled=settled)
         if kind == "chosen":
@@ -203,6 +220,8 @@
             return self.subscribers.step(now=now, event=(sender, body), news={})
         if kind in ("gossip", "beat"):
             commands = self.roster.step(now=now, event=(sender, body))
+            if kind == "beat" and self.voters["members"].get(body["identity"]) == sender:
+                self.contact.hear_answer(peer=sender, question=body.get("echo", 0))
             if self.options.is_mesh and any(isinstance(one, Log) for one in commands):
                 self._read_at.clear()  # one that was lost is back, or this one is: all registers are read with the next tick
             return commands
@@ -241,25 +260,9 @@
             self._behind.setdefault("voters", now - constants.STALLED)
 
     def _grant(self, *, now: float, sender: str, body: dict) -> list:
-        commands = self.subscribers.step(now=now, event=(sender, body), news=self._news())
         if self.options.tells_fleet and body["daemon"].get("kind") != "cellar":
-            commands += self._note_have(now=now, sender=sender, have=body["have"])
-            # no lease is asked for: only that this cellar is there, and where it stands
-            return [
-                *commands,
-                Tell(
-                    to=sender,
-                    body={
-                        "kind": "grant",
-                        "seq": body["seq"],
-                        "newest": {},
-                        "identity": self.identity,
-                        "voting": self.voting,
-                        "proxies": 0,
-                        "view": {"place": [self.place.hall, self.place.region]},
-                    },
-                ),
-            ]
+            return self._answer_proxy(now=now, sender=sender, body=body)
+        commands = self.subscribers.step(now=now, event=(sender, body), news=self._news())
         newest = {}
         for name in self.acceptor.slots.control:
             slot = self.acceptor.slots[name]
@@ -288,6 +291,33 @@
         }
         return [*commands, Tell(to=sender, body=reply)]
 
+    def _answer_proxy(self, *, now: float, sender: str, body: dict) -> list:
+        """No lease is asked for: only that this controller is there, where it stands, and whether it may serve."""
+        may_serve = self.may_serve(now=now)
+        is_last_resort = body["report"].get("last_resort") is True
+        commands = self.subscribers.step(
+            now=now, event=(sender, body), news=self._news() if may_serve or is_last_resort else {}
+        )
+        if not may_serve:
+            for one in commands:
+                one.body["contact"] = False
+        commands += self._note_have(now=now, sender=sender, have=body["have"])
+        grant = {
+            "kind": "grant",
+            "seq": body["seq"],
+            "newest": {},
+            "identity": self.identity,
+            "voting": self.voting,
+            "proxies": 0,
+            "view": {"place": [self.place.hall, self.place.region]},
+            "contact": may_serve,
+        }
+        if not may_serve:
+            grant["cellars"] = other_controllers(
+                roster=self.roster, members=self.voters["members"], own=self.place.post
+            )
+        return [*commands, Tell(to=sender, body=grant)]
+
     def _note_have(self, *, now: float, sender: str, have: dict) -> list:
         """One that asks holds something newer than this cellar: it is read at once."""
         commands = []
@@ -307,6 +337,10 @@
             return []
         return self.roster.step(now=now, event=(sender, {"entries": [daemon], "reply": True}))
 
+    def _push_news(self, *, now: float) -> list:
+        """Push what is due to all that follow this controller, if it may serve."""
+        return self.subscribers.step(now=now, event=None, news=self._news() if self.may_serve(now=now) else {})
+
     def _news(self) -> dict:
         news = {
             name: (held.value["number"], held.ballot, held.value)
@@ -324,16 +358,18 @@
     def _ask(self, *, now: float, event: Asked) -> list:
         if event.path == "/status" and event.method == "GET":
             return [answer_json(token=event.token, code=200, body=show_status(cellar=self, now=now))]
+        if event.path == "/found" and event.method == "POST":
+            return self.membership.found(now=now, event=event)
+        if event.path == "/found-anew" and event.method == "POST":
+            return self.membership.found_anew(now=now, event=event)
+        if not self.may_serve(now=now) and not self.contact.is_starting(now=now):
+            return [turn_away(event=event, dialect=self.desk.dialect, roster=self.roster)]
         if event.path == "/workers" and event.method == "GET":
             epoch, revision, value = self.workers
             rows = json.loads(value["text"]) if value else []
             return [
                 answer_json(token=event.token, code=200, body={"epoch": epoch, "revision": revision, "workers": rows})
             ]
-        if event.path == "/found" and event.method == "POST":
-            return self.membership.found(now=now, event=event)
-        if event.path == "/found-anew" and event.method == "POST":
-            return self.membership.found_anew(now=now, event=event)
         commands, begins = self.desk.step(event=event)
         return commands + self.begin(now=now, begins=begins)
 
@@ -346,7 +382,7 @@
             value = {"number": whole.revision, "mark": str(whole.epoch), "trail": [], "text": json.dumps(rows)}
             self.workers = (whole.epoch, whole.revision, value)
             commands.append(Log(event="list-news", fields={"revision": whole.revision, "workers": len(rows)}))
-            commands += self.subscribers.step(now=now, event=None, news=self._news())
+            commands += self._push_news(now=now)
         return commands
 
     def _page_lives(self, *, now: float, event: Called | None) -> list:
@@ -363,12 +399,13 @@
 
     def _take_lives(self, *, now: float, is_news: bool) -> list:
         self.workers = (0, self.listing.lives.number, self.listing.lives.value)
-        return self.subscribers.step(now=now, event=None, news=self._news()) if is_news else []
+        return self._push_news(now=now) if is_news else []
 
     def begin(self, *, now: float, begins: list[Begin]) -> list:
         """Begin operations on registers."""
         commands = []
         for begin in begins:
+            self.contact.ask(now=now, question=begin.op)
             more, settled = self.proposer.step(now=now, voters=self.voters, event=begin)
             commands += more + self._settle(now=now, settled=settled)
         return commands
@@ -379,7 +416,12 @@
             ballot, value = getattr(one.outcome, "ballot", [0, ""]), getattr(one.outcome, "value", None)
             if is_control(name=one.register) and value and value["number"]:
                 commands += self.keep(now=now, name=one.register, ballot=ballot, value=value, tell=True)
-            if self._reading.pop(one.op, None) is None:
+            if one.op in self._reading:
+                del self._reading[one.op]
+                begun = self._read_begun.pop(one.op)
+                if isinstance(one.outcome, Accepted):
+                    self.contact.finish_read(now=now, register=one.register, begun=begun)
+            else:
                 more, begins = self.desk.step(event=one)
                 commands += more + self.begin(now=now, begins=begins)
         return commands
@@ -397,7 +439,7 @@
             self.desk.full = read_full(value=value, expand=self.options.expand)
             self.moves.plan = plan_of(full=self.desk.full, number=value["number"])
         commands = self.ledger.know(ballot=ballot, value=value) if name == "voters" else []
-        commands += self.subscribers.step(now=now, event=None, news=self._news())
+        commands += self._push_news(now=now)
         if tell:
             body = {"kind": "chosen", "register": name, "ballot": ballot, "value": value}
             others = {*self.voters["members"].values(), *(one["post"] for one in self.roster.alive(kind="cellar"))}
@@ -407,9 +449,10 @@
         return [Log(event="in-force", fields={"register": name, "number": value["number"]}), *commands]
 
     def _look_at_alarms(self, *, now: float) -> list:
-        commands, settled = self.proposer.step(now=now, voters=self.voters, event=None)
-        commands += self._settle(now=now, settled=settled)
-        commands += self.roster.step(now=now, event=None) + self._page(now=now, event=None)
+        commands = self._look_at_contact(now=now)
+        more, settled = self.proposer.step(now=now, voters=self.voters, event=None)
+        commands += more + self._settle(now=now, settled=settled)
+        commands += self._tell_heartbeats(now=now) + self._page(now=now, event=None)
         commands += self._move_slots(now=now)
         if self.options.tells_fleet:
             cellars = [*self.roster.alive(kind="cellar"), self.roster.own_entry()]
@@ -424,7 +467,7 @@
             self.roster.identity = self.identity if may_act else ""
         if now - self._judged >= constants.JUDGE_EVERY:
             self._judged = now
-            commands += self.subscribers.step(now=now, event=None, news=self._news())
+            commands += self._push_news(now=now)
             commands += self.standing.step(now=now, proxies=self.subscribers.proxies())
         if (
             not self.ledger.usable
@@ -435,6 +478,26 @@
             commands.append(self.ledger.rewrite())
         return commands
 
+    def _look_at_contact(self, *, now: float) -> list:
+        """Find out whether there is contact with a majority; operators are not kept waiting for it."""
+        if not self.options.is_mesh:
+            return []
+        had_contact = self.contact.had_contact
+        if self.contact.step(now=now, members=self.voters["members"], own=self.own_vote):
+            self._read_at.clear()  # what was chosen during the gap was not told here: all registers are read at once
+        is_lost = had_contact and not self.contact.had_contact
+        commands = self.desk.give_up(now=now, is_lost=is_lost)
+        if had_contact != self.contact.had_contact:
+            commands.append(Log(event="contact-lost" if is_lost else "contact-found"))
+        return commands
+
+    def _tell_heartbeats(self, *, now: float) -> list:
+        before, self.roster.contact = self.roster.beat, self.may_serve(now=now)
+        commands = self.roster.step(now=now, event=None)
+        if self.roster.beat != before:
+            self.contact.ask(now=now, question=self.roster.echo_number())
+        return commands
+
     def _move_slots(self, *, now: float) -> list:
         if not self.voting:
             return []
@@ -463,10 +526,11 @@
         return self.begin(now=now, begins=begins)
 
     def _read_what_is_due(self, *, now: float) -> list:
-        if self.identity not in self.voters["members"]:
+        is_voter, unread = self.identity in self.voters["members"], self.contact.unread
+        if not self.voters["members"] or not (is_voter or self.options.is_mesh):
             return []
         begins = []
-        for name in sorted({*CONTROL, *self.acceptor.slots.control}):
+        for name in sorted({*CONTROL, *self.acceptor.slots.control} if is_voter else unread):
             slot = self.acceptor.slots.get(name)
             vote = [slot.value["number"], slot.value["mark"], slot.ballot] if slot and slot.value else [0, "", [0, ""]]
             if self.held.covers(name=name, newest=vote):
@@ -475,12 +539,13 @@
             else:
                 self._behind.setdefault(name, now)
             stalled = name in self._behind and now - self._behind[name] >= constants.STALLED
+            stalled = stalled or (name in unread and self.contact.had_contact)
             due = now - self._read_at.get(name, -1e9) >= (constants.STALLED if stalled else self.options.read_every)
             if due and name not in self._reading.values():
                 self._ops, self._read_at[name] = self._ops + 1, now
                 self._behind.pop(name, None)
                 op = f"{self.proposer.identity}/own{self._ops}"
-                self._reading[op] = name
+                self._reading[op], self._read_begun[op] = name, now
                 begins.append(Begin(op=op, register=name))
         return self.begin(now=now, begins=begins)
 
--- /dev/null
+++ b/sailward/control/turning_away.py
@@ -0,0 +1,42 @@
+"""What a controller without contact with a majority says: who else may be asked, and answers that settle nothing."""
+
+from __future__ import annotations
+
+from sailward import constants
+from sailward.config.dialect import Dialect, Outcome
+from sailward.discovery.gossip import Roster
+from sailward.events import Answer, Asked
+from sailward.routing.exchange import answer_json
+
+
+def other_controllers(*, roster: Roster, members: dict[str, str], own: str) -> list[list[str]]:
+    """[[post, hall, region], ...] of the controllers known here, also those that are out of reach from here."""
+    places = {
+        known.entry["post"]: [known.entry["post"], known.entry["hall"], known.entry["region"]]
+        for known in roster.known.values()
+        if known.entry["kind"] == roster.place.kind
+    }
+    for post in members.values():
+        places.setdefault(post, [post, "", ""])
+    places.pop(own, None)
+    return [places[post] for post in sorted(places)[: constants.CONTROLLERS_NAMED]]
+
+
+def turn_away(*, event: Asked, dialect: Dialect, roster: Roster) -> Answer:
+    """307 to a controller that was heard to have contact of late, or 503 with when to come back; nothing definite."""
+    able = [entry for entry in roster.alive(kind=roster.place.kind) if entry["fit"] and entry.get("contact", False)]
+    if able:
+        place = roster.place
+        nearest = min(
+            able, key=lambda entry: (entry["region"] != place.region, entry["hall"] != place.hall, entry["id"])
+        )
+        headers = {"Location": f"http://{nearest['http']}{event.target or event.path}"}
+        body = {"outcome": "elsewhere", "detail": "this controller has no contact with a majority of the voters"}
+        return answer_json(token=event.token, code=307, body=body, headers=headers)
+    outcome = Outcome(
+        kind="unavailable",
+        code=503,
+        reason="no-contact",
+        detail="this controller has no contact with a majority of the voters; nothing was read or changed",
+    )
+    return dialect.answer(token=event.token, order=None, outcome=outcome)
--- a/sailward/discovery/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -40,11 +40,12 @@
 
 @dataclass(kw_only=True)
 class Known:
-    """One daemon as it is known here."""
+    """One daemon as it is known here; `heard` is the echo number of the last heartbeat that came from it directly, 0 for none."""
 
     entry: dict
     seen: float
     lost: bool = False
+    heard: int = 0
 
 
 @dataclass(kw_only=True)
@@ -57,6 +58,7 @@
     identity: str = ""
     asks: str = ""
     beat: int = 0
+    contact: bool = True
     known: dict = field(default_factory=dict)
     told: float = -1e9
     is_mesh: bool = False
@@ -70,7 +72,7 @@
             return self._fold_beat(now=now, sender=event[0], body=event[1])
         if event is not None:
             sender, body = event
-            commands = self._fold(now=now, entries=body["entries"])
+            commands = self._fold(now=now, entries=body["entries"], sender=sender)
             if not body["reply"]:
                 reply = {"kind": "gossip", "entries": self._entries(now=now), "reply": True}
                 commands.append(Tell(to=sender, body=reply))
@@ -94,8 +96,9 @@
             "beat": self.beat,
             "fit": self.fit,
             "identity": self.identity,
+            **({} if self.contact else {"contact": False}),
         }
-        commands = [Tell(to=known.entry["post"], body=body) for known in alive]
+        commands = [Tell(to=known.entry["post"], body=self._with_echo(body=body, known=known)) for known in alive]
         lost = sorted(known.entry["post"] for known in self.known.values() if known.lost)
         if lost:
             # each lost one in turn: after a cut both sides find each other with the next beats
@@ -108,6 +111,14 @@
             ]
         return commands
 
+    def echo_number(self) -> int:
+        """By what an answer to this heartbeat is known: no other beat of any start has the same."""
+        return self.start + self.beat
+
+    def _with_echo(self, *, body: dict, known: Known) -> dict:
+        """A voter's heartbeat answers the last one that came from its receiver itself."""
+        return {**body, "echo": known.heard} if self.fit and known.heard else body
+
     def _fold_beat(self, *, now: float, sender: str, body: dict) -> list:
         known = self.known.get(body["id"])
         if known is None or known.entry["start"] != body["start"] or known.entry["post"] != sender:
@@ -115,9 +126,15 @@
             return [Tell(to=sender, body={"kind": "gossip", "entries": [self.own_entry()], "reply": False})]
         if body["beat"] <= known.entry["beat"]:
             return []
-        entry = {**known.entry, "beat": body["beat"], "fit": body["fit"], "identity": body["identity"]}
+        entry = {
+            **known.entry,
+            "beat": body["beat"],
+            "fit": body["fit"],
+            "identity": body["identity"],
+            "contact": body.get("contact") is not False,
+        }
         commands = [Log(event="daemon-found", fields={"daemon": body["id"], "at": sender})] if known.lost else []
-        self.known[body["id"]] = Known(entry=entry, seen=now)
+        self.known[body["id"]] = Known(entry=entry, seen=now, heard=body["start"] + body["beat"])
         return commands
 
     def own_entry(self) -> dict:
@@ -156,7 +173,7 @@
         fresh = [known.entry for known in self.known.values() if not known.lost]
         return [self.own_entry(), *fresh]
 
-    def _fold(self, *, now: float, entries: list) -> list:
+    def _fold(self, *, now: float, entries: list, sender: str) -> list:
         commands = []
         for entry in entries:
             if not is_entry(given=entry) or entry["id"] == self.place.name:
@@ -166,7 +183,10 @@
                 continue
             if known is None or known.lost:
                 commands.append(Log(event="daemon-found", fields={"daemon": entry["id"], "at": entry["post"]}))
-            self.known[entry["id"]] = Known(entry=entry, seen=now)
+            heard = known.heard if known else 0
+            if entry["post"] == sender:
+                heard = entry["start"] + entry["beat"]
+            self.known[entry["id"]] = Known(entry=entry, seen=now, heard=heard)
         return commands
 
     def _judge(self, *, now: float) -> list:
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -112,6 +112,8 @@
             return self.held.tell(to=sender, name=body["register"])
         if body["kind"] != "push":
             return [Log(event="message-unexpected", fields={"kind": body["kind"], "from": sender})]
+        if body.get("contact") is False and not self.uplink.is_last_resort(now=now):
+            return []
         name, value = body["name"], body["value"]
         ack = Tell(to=sender, body={"kind": "ack", "seq": body["seq"], "name": name, "number": body["number"]})
         if name in self.lists:
@@ -193,6 +195,7 @@
             "turn": self._beat,
             "lead": lead,
             "paces": self._take_paces(),
+            **({"last_resort": True} if self.uplink.is_last_resort(now=now) else {}),
         }
         return self.uplink.step(
             now=now, sender=None, body={"kind": "ask", "have": have, "report": report, "daemon": daemon}
@@ -250,6 +253,7 @@
             "label": self.scene.plan.label,
             "lead": self.uplink.lead,
             "in_touch": self.uplink.answers(now=now),
+            "last_resort": self.uplink.is_last_resort(now=now),
             "proxies": self.scene.proxies,
             "workers": workers,
             "tally": dict(self.forwarder.tally),
--- a/sailward/proxy/uplink.py
+++ b/sailward/proxy/uplink.py
@@ -1,4 +1,10 @@
-"""A proxy's way to the core: the two nearest cellars that answer, asked for news in turn."""
+"""A proxy's way to the core: the two nearest cellars that answer and may serve, asked for news in turn.
+
+Each answer says whether its cellar has contact with a majority of the voters (an answer of the last version, which does not
+say, counts as yes). One that has none is not followed while another can be reached. If for LAST_RESORT_AFTER none with
+contact answered, the nearest that answers at all is followed: what it holds was chosen once, and serving on with the last
+known state is better than not serving.
+"""
 
 from __future__ import annotations
 
@@ -20,6 +26,7 @@
     asked: float = NEVER
     unanswered: int = 0
     heard: float = NEVER
+    has_contact: bool = True
 
 
 @dataclass(kw_only=True)
@@ -34,12 +41,16 @@
     seq: int = 0
     next_at: float = NEVER
     began: float = NEVER
+    trusted_at: float = NEVER
 
     def step(self, *, now: float, sender: str | None, body: dict) -> list:
         """Note who answered, or ask those whose turn it is with this body."""
         if sender is not None:
             known = self.known.setdefault(sender, Known(post=sender))
             known.heard, known.unanswered = now, 0
+            known.has_contact = body.get("contact") is not False
+            self.trusted_at = now if known.has_contact else self.trusted_at
+            self._note_named(cellars=body.get("cellars", []))
             place = body.get("view", {}).get("place")
             if isinstance(place, list) and len(place) == 2:
                 known.hall, known.region = place
@@ -72,6 +83,19 @@
             if post in told or post in self.seeds or known.unanswered < constants.ASKS_LOST
         }
 
+    def _note_named(self, *, cellars: object) -> None:
+        """Note the other cellars that one without contact names."""
+        for row in cellars if isinstance(cellars, list) else ():
+            if isinstance(row, list) and len(row) == 3 and all(isinstance(word, str) for word in row):
+                post, hall, region = row
+                if post not in self.known:
+                    self.known[post] = Known(post=post, hall=hall, region=region)
+                    self.next_at = NEVER
+
+    def is_last_resort(self, *, now: float) -> bool:
+        """Has no cellar with contact answered for so long that one without is followed?"""
+        return now - max(self.began, self.trusted_at) > constants.LAST_RESORT_AFTER
+
     def answers(self, *, now: float) -> bool:
         """Has any cellar answered of late?"""
         return any(now - known.heard < constants.CELLAR_SILENT for known in self.known.values())
@@ -80,10 +104,15 @@
         return (known.hall != self.hall, known.region != self.region, known.hall == "", known.post)
 
     def _is_silent(self, *, known: Known, now: float) -> bool:
+        """Is it one that is only tried now and then?"""
+        if not known.has_contact and (known.post != self.lead or not self.is_last_resort(now=now)):
+            return True
         return known.unanswered >= constants.ASKS_LOST and now - known.heard > constants.CELLAR_SILENT
 
     def _choose_lead(self, *, now: float) -> list:
         able = [known for known in self.known.values() if now - known.heard < constants.CELLAR_SILENT]
+        trusted = [known for known in able if known.has_contact]
+        able = trusted if trusted or not self.is_last_resort(now=now) else able
         lead = self.known.get(self.lead)
         best = min(able, key=self._rank, default=None)
         if best is None or best.post == self.lead:
