--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -165,6 +165,8 @@
 """s, from the moment of asking, for which an answer of a majority of the voters lets a controller serve. Heartbeats come each
 half second and answer the last one: calm answers are up to 1.2 s old, so one lost heartbeat is borne. A proxy then still has a
 second for news of a change within the 2.5 s that are allowed."""
+ECHO_NUMBERS = (1 << 31) - 2
+"""numbers by which heartbeats are answered: as many as fit into four bytes."""
 OPERATOR_PATIENCE = 0.75
 """s that an operator waits for a majority: he asks another controller after one second of silence, and comes back sooner if told."""
 CONTROLLERS_NAMED = 12
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -13,6 +13,7 @@
 from sailward.control.admin_api import AdminApi
 from sailward.control.bootstrap import make_founder
 from sailward.control.fleet import Fleet
+from sailward.control.freshness import newest_vote
 from sailward.control.incarnations import Incarnations
 from sailward.control.listing import Listing
 from sailward.control.membership import Membership
@@ -33,6 +34,8 @@
 
 VOTING = ("prepare", "accept", "read", "first")
 TOLD = ("promise", "voted", "nack", "told")
+SERVED = ("config", "orders")
+"""The registers whose newest numbers voters tell with their heartbeats."""
 
 
 def make_identity(*, name: str, nonce: str) -> str:
@@ -220,13 +223,25 @@
             return self.subscribers.step(now=now, event=(sender, body), news={})
         if kind in ("gossip", "beat"):
             commands = self.roster.step(now=now, event=(sender, body))
-            if kind == "beat" and self.voters["members"].get(body["identity"]) == sender:
-                self.contact.hear_answer(peer=sender, question=body.get("echo", 0))
+            if kind == "beat":
+                self._hear_echo(now=now, sender=sender, body=body)
             if self.options.is_mesh and any(isinstance(one, Log) for one in commands):
                 self._read_at.clear()  # one that was lost is back, or this one is: all registers are read with the next tick
             return commands
         return [Log(event="message-unexpected", fields={"kind": kind, "from": sender})]
 
+    def _hear_echo(self, *, now: float, sender: str, body: dict) -> None:
+        """A voter's heartbeat answers one from here, and tells the numbers of the newest votes for what is served."""
+        echo = body.get("echo")
+        is_voter = self.voters["members"].get(body["identity"]) == sender
+        if not is_voter or not isinstance(echo, list) or not all(isinstance(one, int) for one in echo):
+            return
+        number, *voted = echo
+        self.contact.hear_answer(peer=sender, question=number)
+        for name, newest in zip(SERVED, voted):
+            if newest > self.held.number(name=name):
+                self._behind.setdefault(name, now)
+
     def _vote(self, *, now: float, sender: str, body: dict) -> list:
         self._note_newer(now=now, number=body["voters"])
         if not self.voting:
@@ -306,13 +321,13 @@
             "kind": "grant",
             "seq": body["seq"],
             "newest": {},
-            "identity": self.identity,
+            "identity": "",
             "voting": self.voting,
             "proxies": 0,
             "view": {"place": [self.place.hall, self.place.region]},
-            "contact": may_serve,
         }
         if not may_serve:
+            grant["contact"] = False
             grant["cellars"] = other_controllers(
                 roster=self.roster, members=self.voters["members"], own=self.place.post
             )
@@ -493,6 +508,7 @@
 
     def _tell_heartbeats(self, *, now: float) -> list:
         before, self.roster.contact = self.roster.beat, self.may_serve(now=now)
+        self.roster.voted = [newest_vote(slots=self.acceptor.slots, name=name)[0] for name in SERVED]
         commands = self.roster.step(now=now, event=None)
         if self.roster.beat != before:
             self.contact.ask(now=now, question=self.roster.echo_number())
@@ -530,7 +546,7 @@
         if not self.voters["members"] or not (is_voter or self.options.is_mesh):
             return []
         begins = []
-        for name in sorted({*CONTROL, *self.acceptor.slots.control} if is_voter else unread):
+        for name in sorted({*CONTROL, *self.acceptor.slots.control} if is_voter else {*unread, *self._behind}):
             slot = self.acceptor.slots.get(name)
             vote = [slot.value["number"], slot.value["mark"], slot.ballot] if slot and slot.value else [0, "", [0, ""]]
             if self.held.covers(name=name, newest=vote):
--- a/sailward/discovery/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -59,6 +59,7 @@
     asks: str = ""
     beat: int = 0
     contact: bool = True
+    voted: list = field(default_factory=list)
     known: dict = field(default_factory=dict)
     told: float = -1e9
     is_mesh: bool = False
@@ -112,12 +113,12 @@
         return commands
 
     def echo_number(self) -> int:
-        """By what an answer to this heartbeat is known: no other beat of any start has the same."""
-        return self.start + self.beat
+        """By what an answer to this heartbeat is known."""
+        return echo_number(start=self.start, beat=self.beat)
 
     def _with_echo(self, *, body: dict, known: Known) -> dict:
-        """A voter's heartbeat answers the last one that came from its receiver itself."""
-        return {**body, "echo": known.heard} if self.fit and known.heard else body
+        """A voter's heartbeat answers the last one that came from its receiver itself, and tells the numbers voted for."""
+        return {**body, "echo": [known.heard, *self.voted]} if self.fit and known.heard else body
 
     def _fold_beat(self, *, now: float, sender: str, body: dict) -> list:
         known = self.known.get(body["id"])
@@ -134,7 +135,7 @@
             "contact": body.get("contact") is not False,
         }
         commands = [Log(event="daemon-found", fields={"daemon": body["id"], "at": sender})] if known.lost else []
-        self.known[body["id"]] = Known(entry=entry, seen=now, heard=body["start"] + body["beat"])
+        self.known[body["id"]] = Known(entry=entry, seen=now, heard=echo_number(start=body["start"], beat=body["beat"]))
         return commands
 
     def own_entry(self) -> dict:
@@ -185,7 +186,7 @@
                 commands.append(Log(event="daemon-found", fields={"daemon": entry["id"], "at": entry["post"]}))
             heard = known.heard if known else 0
             if entry["post"] == sender:
-                heard = entry["start"] + entry["beat"]
+                heard = echo_number(start=entry["start"], beat=entry["beat"])
             self.known[entry["id"]] = Known(entry=entry, seen=now, heard=heard)
         return commands
 
@@ -200,6 +201,11 @@
         return commands
 
 
+def echo_number(*, start: int, beat: int) -> int:
+    """The number by which a heartbeat is answered, never 0: two starts share one by a chance of one in ECHO_NUMBERS."""
+    return (start + beat) % constants.ECHO_NUMBERS + 1
+
+
 def _is_newer(*, entry: dict, known: Known) -> bool:
     if known.lost and entry["start"] != known.entry["start"]:
         # a start is a wall time: after the clock was turned back, the new one is the lower
