--- a/simulation/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -132,6 +132,14 @@
         if worker.is_up and not worker.is_draining:
             self._kept[(line.process, line.command.owner, line.command.address)] = worker
 
+    def sever(self) -> None:
+        """What goes across a cut that resets connections is reset."""
+        network = self.world.network
+        for (process, _), line in list(self.lines.items()):
+            if line.worker is not None and network.is_refused(a=process.machine.spot, b=line.worker.spot):
+                self.world.count["lines-reset"] += 1
+                line.fail(fault="connection-lost")
+
     def _take_kept(self, *, line: Line) -> Worker | None:
         worker = self._kept.pop((line.process, line.command.owner, line.command.address), None)
         if worker is None or (not worker.is_up and not worker.is_silent):
@@ -141,9 +149,9 @@
     def _dial(self, *, line: Line) -> None:
         world, here = self.world, line.process.machine.spot
         worker = world.by_address.get(line.command.address)
-        if worker is None or worker.is_silent or world.network.is_cut(a=here, b=worker.spot):
+        if worker is None or worker.is_silent or world.network.is_severed(a=here, b=worker.spot):
             # nobody answers: a machine without power, a cut, or an address that nobody has
-            is_dead = worker is None
+            is_dead = worker is None or world.network.is_refused(a=here, b=worker.spot)
             world.clock.after(
                 0.002 if is_dead else constants.DIAL_WAIT,
                 lambda: line.fail(fault="refused" if is_dead else "connect-timeout"),
@@ -169,7 +177,10 @@
         line.worker, line.is_sent, line.sent_at = worker, True, self.world.clock.now
         here, network = line.process.machine.spot, self.world.network
         is_held = network.is_cut(a=here, b=worker.spot)
-        if is_held or worker.is_silent:
+        if network.is_refused(a=here, b=worker.spot):
+            self.world.clock.after(0.001, lambda: line.fail(fault="connection-lost"))
+            return
+        if network.is_severed(a=here, b=worker.spot) or worker.is_silent:
             # what is not acknowledged for so long ends the connection
             self.world.clock.after(constants.LEASE, lambda: line.fail(fault="connection-lost"))
         # bytes that a cut holds are lost with a connection that is given up; those on their way arrive
@@ -180,7 +191,7 @@
     def _ask_list(self, *, line: Line) -> None:
         world = self.world
         world.count["list-calls"] += 1
-        if world.network.is_cut(a=line.process.machine.spot, b=world.list_spot):
+        if world.network.is_severed(a=line.process.machine.spot, b=world.list_spot):
             return
         query = parse_qs(urlsplit(line.command.path).query)
         code, body = world.listing.page(now=world.clock.now, token=query.get("page_token", [""])[0])
--- a/simulation/hosted/clients.py
+++ b/simulation/hosted/clients.py
@@ -361,7 +361,9 @@
             take()
 
     def connect() -> None:
-        if process is None or process.machine.is_dark or network.is_cut(a=spot, b=process.machine.spot):
+        if process is not None and network.is_refused(a=spot, b=process.machine.spot):
+            clock.after(network.delay(a=spot, b=process.machine.spot), lambda: end(None))
+        elif process is None or process.machine.is_dark or network.is_severed(a=spot, b=process.machine.spot):
             clock.after(wait, lambda: end(None))
         elif process.owner is None or (process.is_shut and edge == "front"):
             clock.after(2 * network.delay(a=spot, b=process.machine.spot), lambda: end(None))
--- a/simulation/hosted/judge.py
+++ b/simulation/hosted/judge.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from simulation.hosted.judge_config import judge_config, judge_reads
+from simulation.hosted.judge_contact import judge_contact
 from simulation.hosted.judge_places import (
     judge_budget,
     judge_cold,
@@ -44,6 +45,7 @@
         *judge_homes(world=world, arrivals=arrivals, tries=tries),
         *judge_evacuations(world=world, arrivals=arrivals, touch=touch),
         *judge_owners(world=world, runs=runs),
+        *judge_contact(world=world),
         *judge_recovery(world=world),
         *judge_faults(world=world),
     ]
--- /dev/null
+++ b/simulation/hosted/judge_contact.py
@@ -0,0 +1,98 @@
+"""CONTACT: what a controller that is cut off from a majority of the voters hands out and answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from simulation.rules import Broken
+
+if TYPE_CHECKING:
+    from simulation.hosted.process import Machine
+    from simulation.hosted.world import World
+
+BOUND = 2.3
+"""s after it was cut off by when a controller must know it: the life of its contact, an alarm, and a message's way."""
+ANSWER = 0.95
+"""s in which a controller that is being cut off answers an operator: before he turns to another."""
+SEARCH = 4.0
+"""s in which a proxy finds a controller with contact if it can reach one all the time."""
+LARGE = 100_000
+"""bytes of an order that operators wait longer for."""
+DEFINITE = (200, 404, 409, 412, 422)
+"""codes that tell of the state: confirmed, shown, or refused for good."""
+
+
+def judge_contact(*, world: World):
+    """Every push and every operator's answer of a controller that had been cut off for BOUND, and every answer that came late."""
+    links = Links(world=world)
+    for row in world.history.of(k="push"):
+        machine = world.machines[row["machine"]]
+        if not links.is_cut_off(machine=machine, since=row["t"] - BOUND, until=row["t"]):
+            continue
+        if row["contact"]:
+            detail = f"{row['machine']}, cut off, pushed {row['name']} {row['number']} to {row['to']} as current"
+            yield Broken(rule="CONTACT", t=row["t"], detail=detail)
+        elif links.reaches_other(proxy=world.machines[row["to"]], since=row["t"] - SEARCH, until=row["t"]):
+            detail = f"{row['to']} took {row['name']} {row['number']} from {row['machine']}, cut off, beside others"
+            yield Broken(rule="CONTACT", t=row["t"], detail=detail)
+    for row in world.history.of(k="desk"):
+        machine = world.machines[row["machine"]]
+        if row["code"] in DEFINITE and links.is_cut_off(machine=machine, since=row["t"] - BOUND, until=row["ended"]):
+            detail = f"{row['machine']}, cut off, answered {row['method']} {row['path']} with {row['code']}"
+            yield Broken(rule="CONTACT", t=row["ended"], detail=detail)
+        late = row["ended"] - row["t"] > ANSWER and row["size"] <= LARGE and row["t"] + ANSWER < world.end
+        if late and links.is_cut_off(machine=machine, since=row["t"], until=row["t"] + ANSWER) and row["code"] != 0:
+            detail = f"{row['machine']}, cut off, kept {row['method']} {row['path']} waiting"
+            yield Broken(rule="CONTACT", t=row["t"] + ANSWER, detail=detail)
+
+
+class Links:
+    """Who could reach whom, by the cuts of the day. Only cuts are looked at: other troubles make fewer breaches of this rule."""
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+        self._voters = voters_of(world=world)
+
+    def is_cut_off(self, *, machine: Machine, since: float, until: float) -> bool:
+        """Could this controller reach no majority of the voters, both ways, in all of this span?"""
+        voters = self._voters
+        apart = [one for one in voters if self._are_parted(a=machine, b=one, since=since, until=until)]
+        return 2 * (len(voters) - len(apart)) <= len(voters) and bool(apart)
+
+    def reaches_other(self, *, proxy: Machine, since: float, until: float) -> bool:
+        """Could this proxy reach one controller with contact in all of this span, which ran all the time?"""
+        ups = {(row["machine"], row["role"]): row["t"] for row in self._world.history.of(k="up") if row["t"] <= until}
+        if ups.get((proxy.spot.name, "sommelier"), 0.0) > since:
+            return False
+        return any(
+            ups.get((one.spot.name, "cellar"), float("inf")) <= since
+            and self._has_majority(machine=one, since=since, until=until)
+            and not self._is_touched(a=proxy, b=one, since=since, until=until)
+            for one in self._voters
+            if one.processes["cellar"].owner is not None
+        )
+
+    def _has_majority(self, *, machine: Machine, since: float, until: float) -> bool:
+        voters = self._voters
+        near = [one for one in voters if not self._is_touched(a=machine, b=one, since=since, until=until)]
+        return 2 * len(near) > len(voters)
+
+    def _are_parted(self, *, a: Machine, b: Machine, since: float, until: float) -> bool:
+        return any(
+            cut.begin <= since and until <= cut.end and cut.parts(a=a.spot, b=b.spot)
+            for cut in self._world.network.cuts
+        )
+
+    def _is_touched(self, *, a: Machine, b: Machine, since: float, until: float) -> bool:
+        """Did any cut lie between these in this span?"""
+        return any(
+            cut.begin <= until and since <= cut.end and cut.parts(a=a.spot, b=b.spot)
+            for cut in self._world.network.cuts
+        )
+
+
+def voters_of(*, world: World) -> list[Machine]:
+    """The machines of the newest set of voters that any controller holds at the end of the day."""
+    owners = [one.owner for one in world.cellars() if one.owner is not None]
+    newest = max((one.voters for one in owners), key=lambda voters: voters["number"], default={"members": {}})
+    return [world.by_post[post].machine for post in newest["members"].values()]
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -19,6 +19,8 @@
 ENDS = (400, 409, 412, 413, 422)
 SILENCE, LARGE = 1.0, 100_000
 """s without an answer before another daemon is asked, and bytes over which that is doubled."""
+MOVES = 2
+"""redirects that are followed at once."""
 ORDER_TIME = 5.0
 """s for which an order that is no configuration is sent again."""
 
@@ -205,7 +207,7 @@
         wants_body: bool = False,
     ) -> None:
         world = self.world
-        state = {"turn": 0, "odd": 0}
+        state = {"turn": 0, "odd": 0, "moved": 0}
 
         def go(process: Process | None) -> None:
             settled = []
@@ -215,6 +217,10 @@
                     return
                 settled.append(1)
                 code = answer.code if answer is not None else 0
+                if code == 307 and state["moved"] < MOVES:
+                    state["moved"] += 1
+                    go(world.by_desk(location=answer.headers["Location"]))
+                    return
                 state["odd"] += 400 <= code < 500 and code not in (*ENDS, 408, 429)
                 if 200 <= code < 300 or code in ENDS or state["odd"] >= 3:
                     done(code, answer.body) if wants_body else done(code)
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -202,10 +202,26 @@
         if self.owner is None:
             answer("silent" if self.machine.is_dark else None)
             return
-        self.waiting[event.token] = answer
+        self.waiting[event.token] = self._noted(event=event, answer=answer)
         edge = event.token.split(" ", 1)[0]
         self.give(event=event if edge == "front" else self.hosted.words.ask(event))
 
+    def _noted(self, *, event: Asked, answer: Callable) -> Callable:
+        """An operator's exchange, written down with its answer as it leaves the controller."""
+        if not event.token.startswith("desk "):
+            return answer
+        history, clock = self.world.history, self.world.clock
+        row = {"t": clock.now, "k": "desk", "machine": self.machine.spot.name, "life": self.life, "path": event.path}
+        row |= {"method": event.method, "size": len(event.body or b""), "code": None, "ended": float("inf")}
+        history.add(**row)
+        row = history.rows[-1]
+
+        def end(command: object) -> None:
+            row["ended"], row["code"] = clock.now, getattr(command, "code", 0)
+            answer(command)
+
+        return end
+
     def leave(self, *, token: str) -> None:
         """A caller closed its connection."""
         if self.waiting.pop(token, None) is not None:
@@ -267,6 +283,7 @@
         if isinstance(body, BadMessage):
             raise AssertionError(f"{self.name} sent a bad message: {body.reason} {command.body}")
         self.world.count[f"told-{body['kind']}"] += 1
+        self._note_push(to=to, body=body)
         event, life, own = Heard(sender=self.hosted.place.post, body=body), to.life, self.life
         self.world.network.send(
             a=self.machine.spot,
@@ -275,6 +292,21 @@
             act=lambda: to.give(event=event) if to.life == life else None,
         )
 
+    def _note_push(self, *, to: Process, body: dict) -> None:
+        """Write down what a controller hands to a proxy, and who voted then by the newest set that any controller holds."""
+        if body["kind"] != "push" or self.role != "cellar" or to.role != "sommelier":
+            return
+        self.world.history.add(
+            t=self.world.clock.now,
+            k="push",
+            machine=self.machine.spot.name,
+            to=to.machine.spot.name,
+            life=to.life,
+            name=body["name"],
+            number=body["number"],
+            contact=body.get("contact") is not False,
+        )
+
     def _store(self, *, command: Store | Rewrite) -> None:
         disk, life, clock = self.machine.disk, self.life, self.world.clock
         if not disk.takes(command=command):
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -8,10 +8,18 @@
 from sailward import constants
 from sailward.config import history
 from sailward.consensus import proposer
-from sailward.control import granting, membership, shard_leases, write_ahead
+from sailward.control import (
+    admin_api,
+    controller,
+    granting,
+    membership,
+    quorum_contact,
+    shard_leases,
+    write_ahead,
+)
 from sailward.discovery import workers
 from sailward.events import Stop
-from sailward.proxy import proxy
+from sailward.proxy import proxy, uplink
 from sailward.routing import evidence, forwarding, placing, plan, reply, retry_budget
 
 
@@ -87,6 +95,14 @@
     return begin_stop
 
 
+def _forgets_to_read(old):
+    def lose(self, *, now):
+        old(self, now=now)
+        self.unread = set()
+
+    return lose
+
+
 SABOTAGE: dict[str, Callable] = {
     "fence-wait": _all(
         _patch(granting.Granting, "_is_free", lambda old: lambda self, *, now, shard: True),
@@ -113,6 +129,12 @@
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
+    "contact": _all(
+        _patch(controller.Controller, "may_serve", lambda old: lambda self, *, now: bool(self.voters["members"]))
+    ),
+    "contact-word": _all(_patch(uplink.Uplink, "is_last_resort", lambda old: lambda self, *, now: True)),
+    "contact-read": _all(_patch(quorum_contact.QuorumContact, "_lose", _forgets_to_read)),
+    "patience": _all(_patch(admin_api.AdminApi, "give_up", lambda old: lambda self, *, now, is_lost: [])),
     "seal": _all(_patch(forwarding, "judge_reply", _believes_all)),
     "sync": _all(_patch(write_ahead.WriteAhead, "step", _told_unsynced)),
     "majority": _all(_patch(proposer, "majority_of", lambda old: lambda *, members: 1)),
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -7,6 +7,7 @@
 
 from simulation.hosted.chaos import Chaos
 from simulation.hosted.process import RESTART
+from simulation.hosted.world import DESK
 
 if TYPE_CHECKING:
     from simulation.hosted.process import Machine, Process
@@ -72,10 +73,28 @@
         self._note(machine=fresh, seconds=1.0)
         world.clock.after(1.0, fresh.start)
 
-    def do_cut(self, left: str, right: str, seconds: str) -> None:
-        """Nothing passes between two sides (names of machines, zones, regions or kinds, joined by +) for some seconds."""
-        self._world.network.cut(left=frozenset(left.split("+")), right=frozenset(right.split("+")))
-        self._world.clock.after(float(seconds), self._world.network.heal)
+    def do_cut(self, left: str, right: str, seconds: str, *how: str) -> None:
+        """Nothing passes between two sides (names of machines, zones, regions or kinds, joined by +) for some seconds.
+
+        `one_way`: nothing from left to right. Silent unless `reset` is said.
+        """
+        network = self._world.network
+        made = network.cut(
+            left=frozenset(left.split("+")),
+            right=frozenset(right.split("+")),
+            is_one_way="one_way" in how,
+            is_loud="reset" in how,
+        )
+        if made.is_loud:
+            self._world.calls.sever()
+        self._world.clock.after(float(seconds), lambda: network.heal(cut=made))
+
+    def do_seeds(self, *machines: str) -> None:
+        """The settings name other seeds, these first; a start makes daemons read them."""
+        world = self._world
+        chosen = [one for word in machines for one in self._machines(word) if "cellar" in one.processes]
+        rest = [one for one in world.machines.values() if "cellar" in one.processes and one not in chosen]
+        world.seeds = [f"{one.ip}:{DESK}" for one in [*chosen, *rest]][:3]
 
     def do_fill(self, machine: str, seconds: str) -> None:
         """Disks are full for some seconds."""
--- a/simulation/hosted/world.py
+++ b/simulation/hosted/world.py
@@ -218,6 +218,10 @@
         """The daemons that take operators' calls."""
         return [one.processes["cellar"] for one in self.machines.values() if "cellar" in one.processes]
 
+    def by_desk(self, *, location: str) -> Process | None:
+        """The controller that a redirect names."""
+        return next((one for one in self.cellars() if location.startswith(f"http://{one.machine.ip}:{DESK}/")), None)
+
     def acknowledged(self) -> None:
         """A configuration was acknowledged: what waits for that happens."""
         waiting, self.on_ack = self.on_ack, []
