--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -238,6 +238,10 @@
             return
         number, *voted = echo
         self.contact.hear_answer(peer=sender, question=number)
+        self._note_voted(now=now, voted=voted)
+
+    def _note_voted(self, *, now: float, voted: list) -> None:
+        """A voter voted for something newer than what is held here: if it was not told by then, it is read after a moment."""
         for name, newest in zip(SERVED, voted):
             if newest > self.held.number(name=name):
                 self._behind.setdefault(name, now)
--- a/sailward/proxy/uplink.py
+++ b/sailward/proxy/uplink.py
@@ -94,7 +94,7 @@
 
     def is_last_resort(self, *, now: float) -> bool:
         """Has no cellar with contact answered for so long that one without is followed?"""
-        return now - max(self.began, self.trusted_at) > constants.LAST_RESORT_AFTER
+        return self.began != NEVER and now - max(self.began, self.trusted_at) > constants.LAST_RESORT_AFTER
 
     def answers(self, *, now: float) -> bool:
         """Has any cellar answered of late?"""
--- a/simulation/hosted/judge_contact.py
+++ b/simulation/hosted/judge_contact.py
@@ -14,6 +14,11 @@
 """s after it was cut off by when a controller must know it: the life of its contact, an alarm, and a message's way."""
 ANSWER = 0.95
 """s in which a controller that is being cut off answers an operator: before he turns to another."""
+STALE = 3.2
+"""s after a value of a register was first in force anywhere, by when no controller hands out an older one as current: BOUND, the
+wait for a vote to be chosen, a round between regions."""
+SERVED = ("config", "orders")
+"""The registers whose values voters tell with their heartbeats."""
 SEARCH = 4.0
 """s in which a proxy finds a controller with contact if it can reach one all the time."""
 LARGE = 100_000
@@ -24,9 +29,15 @@
 
 def judge_contact(*, world: World):
     """Every push and every operator's answer of a controller that had been cut off for BOUND, and every answer that came late."""
-    links = Links(world=world)
+    links, chosen = Links(world=world), chosen_at(world=world)
     for row in world.history.of(k="push"):
         machine = world.machines[row["machine"]]
+        newer = [number for number, t in chosen.get(row["name"], {}).items() if t < row["t"] - STALE]
+        if row["contact"] and max(newer, default=0) > row["number"]:
+            detail = (
+                f"{row['machine']} pushed {row['name']} {row['number']} as current, after {max(newer)} was in force"
+            )
+            yield Broken(rule="CONTACT", t=row["t"], detail=detail)
         if not links.is_cut_off(machine=machine, since=row["t"] - BOUND, until=row["t"]):
             continue
         if row["contact"]:
@@ -52,6 +63,7 @@
     def __init__(self, *, world: World) -> None:
         self._world = world
         self._voters = voters_of(world=world)
+        self._up_rows = [row for row in world.history.of(k="up") if row["role"] == "cellar"]
 
     def is_cut_off(self, *, machine: Machine, since: float, until: float) -> bool:
         """Could this controller reach no majority of the voters, both ways, in all of this span?"""
@@ -60,12 +72,10 @@
         return 2 * (len(voters) - len(apart)) <= len(voters) and bool(apart)
 
     def reaches_other(self, *, proxy: Machine, since: float, until: float) -> bool:
-        """Could this proxy reach one controller with contact in all of this span, which ran all the time?"""
-        ups = {(row["machine"], row["role"]): row["t"] for row in self._world.history.of(k="up") if row["t"] <= until}
-        if ups.get((proxy.spot.name, "sommelier"), 0.0) > since:
-            return False
+        """Was there a way from this proxy's machine to one controller with contact in all of this span, which ran all the time?"""
+        ups = {row["machine"]: row["t"] for row in self._up_rows if row["t"] <= until}
         return any(
-            ups.get((one.spot.name, "cellar"), float("inf")) <= since
+            ups.get(one.spot.name, float("inf")) <= since
             and self._has_majority(machine=one, since=since, until=until)
             and not self._is_touched(a=proxy, b=one, since=since, until=until)
             for one in self._voters
@@ -91,6 +101,17 @@
         )
 
 
+def chosen_at(*, world: World) -> dict[str, dict[int, float]]:
+    """{register: {number: when it was first in force at any controller}}."""
+    found: dict[str, dict[int, float]] = {}
+    for process in world.cellars():
+        for t, event, fields in process.logs:
+            if event == "in-force" and fields["register"] in SERVED:
+                numbers = found.setdefault(fields["register"], {})
+                numbers[fields["number"]] = min(t, numbers.get(fields["number"], t))
+    return found
+
+
 def voters_of(*, world: World) -> list[Machine]:
     """The machines of the newest set of voters that any controller holds at the end of the day."""
     owners = [one.owner for one in world.cellars() if one.owner is not None]
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -95,6 +95,13 @@
     return begin_stop
 
 
+def _reads_once(old):
+    def read_what_is_due(self, *, now):
+        return old(self, now=now) if self.contact.lost_at == quorum_contact.NEVER else []
+
+    return read_what_is_due
+
+
 def _forgets_to_read(old):
     def lose(self, *, now):
         old(self, now=now)
@@ -133,7 +140,10 @@
         _patch(controller.Controller, "may_serve", lambda old: lambda self, *, now: bool(self.voters["members"]))
     ),
     "contact-word": _all(_patch(uplink.Uplink, "is_last_resort", lambda old: lambda self, *, now: True)),
-    "contact-read": _all(_patch(quorum_contact.QuorumContact, "_lose", _forgets_to_read)),
+    "contact-read": _all(
+        _patch(quorum_contact.QuorumContact, "_lose", _forgets_to_read),
+        _patch(controller.Controller, "_read_what_is_due", _reads_once),
+    ),
     "patience": _all(_patch(admin_api.AdminApi, "give_up", lambda old: lambda self, *, now, is_lost: [])),
     "seal": _all(_patch(forwarding, "judge_reply", _believes_all)),
     "sync": _all(_patch(write_ahead.WriteAhead, "step", _told_unsynced)),
