--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -167,6 +167,9 @@
 second for news of a change within the 2.5 s that are allowed."""
 ECHO_NUMBERS = (1 << 31) - 2
 """numbers by which heartbeats are answered: as many as fit into four bytes."""
+CONTACT_HEARD = 1.2
+"""s since its last heartbeat in which another controller is believed to have contact: two heartbeats and a way between regions.
+Where nothing has come since a cut, contact ends later than this, so operators aren't sent behind it."""
 OPERATOR_PATIENCE = 0.75
 """s that an operator waits for a majority: he asks another controller after one second of silence, and comes back sooner if told."""
 CONTROLLERS_NAMED = 12
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -382,7 +382,7 @@
         if event.path == "/found-anew" and event.method == "POST":
             return self.membership.found_anew(now=now, event=event)
         if not self.may_serve(now=now) and not self.contact.is_starting(now=now):
-            return [turn_away(event=event, dialect=self.desk.dialect, roster=self.roster)]
+            return [turn_away(now=now, event=event, dialect=self.desk.dialect, roster=self.roster)]
         if event.path == "/workers" and event.method == "GET":
             epoch, revision, value = self.workers
             rows = json.loads(value["text"]) if value else []
--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -4,6 +4,7 @@
 
 import sailward
 from sailward.control.disaster_recovery import read_founding
+from sailward.control.quorum_contact import NEVER
 from sailward.control.repair import count_core
 
 
@@ -49,6 +50,7 @@
         "post": cellar.place.post,
         "voting": cellar.voting,
         "disk_usable": cellar.ledger.usable,
+        "contact": _show_contact(cellar=cellar, now=now),
         "voters": cellar.voters,
         "registers": registers,
         "daemons": sorted(daemons, key=lambda one: one["id"]),
@@ -61,6 +63,25 @@
     }
 
 
+def _show_contact(*, cellar, now: float) -> dict:
+    """Is a majority of the voters in reach, how long ago did it answer last, and what must be read before this controller serves.
+
+    While it serves, `served_age_s` bounds the age of what it serves: any configuration that is newer was accepted since then.
+    """
+    shown_at = cellar.contact.shown_at(now=now, members=cellar.voters["members"], own=cellar.own_vote)
+    age = round(now - shown_at, 2) if shown_at > NEVER else None
+    served = cellar.held.held.get("config")
+    may_serve = cellar.may_serve(now=now)
+    return {
+        "majority": cellar.contact.has_contact(now=now, members=cellar.voters["members"], own=cellar.own_vote),
+        "serves": may_serve,
+        "majority_age_s": age,
+        "to_read": sorted(cellar.contact.unread),
+        "config": served.value["number"] if served else 0,
+        "served_age_s": age,
+    }
+
+
 def _show_founding(*, cellar, now: float) -> dict:
     founding = read_founding(value=cellar.held.held["voters"].value) if "voters" in cellar.held.held else None
     if founding is None or not founding.number:
--- a/sailward/control/turning_away.py
+++ b/sailward/control/turning_away.py
@@ -22,9 +22,16 @@
     return [places[post] for post in sorted(places)[: constants.CONTROLLERS_NAMED]]
 
 
-def turn_away(*, event: Asked, dialect: Dialect, roster: Roster) -> Answer:
-    """307 to a controller that was heard to have contact of late, or 503 with when to come back; nothing definite."""
-    able = [entry for entry in roster.alive(kind=roster.place.kind) if entry["fit"] and entry.get("contact", False)]
+def turn_away(*, now: float, event: Asked, dialect: Dialect, roster: Roster) -> Answer:
+    """307 to a controller that was heard to have contact just now, or 503 with when to come back; nothing definite."""
+    able = [
+        known.entry
+        for known in roster.known.values()
+        if known.entry["kind"] == roster.place.kind
+        and now - known.seen <= constants.CONTACT_HEARD
+        and known.entry["fit"]
+        and known.entry.get("contact", False)
+    ]
     if able:
         place = roster.place
         nearest = min(
