--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -10,6 +10,8 @@
 from sailward.consensus import proposer
 from sailward.control import (
     admin_api,
+    catch_up,
+    contact_watch,
     controller,
     granting,
     membership,
@@ -96,10 +98,10 @@
 
 
 def _reads_once(old):
-    def read_what_is_due(self, *, now):
-        return old(self, now=now) if self.contact.lost_at == quorum_contact.NEVER else []
+    def step(self, *, now):
+        return old(self, now=now) if self._contact.lost_at == quorum_contact.NEVER else []
 
-    return read_what_is_due
+    return step
 
 
 def _forgets_to_read(old):
@@ -110,6 +112,10 @@
     return lose
 
 
+def _always_serves(old):
+    return lambda self, *, now: bool(self._voter.voters["members"])
+
+
 SABOTAGE: dict[str, Callable] = {
     "fence-wait": _all(
         _patch(granting.Granting, "_is_free", lambda old: lambda self, *, now, shard: True),
@@ -136,18 +142,24 @@
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
-    "contact": _all(
-        _patch(controller.Controller, "may_serve", lambda old: lambda self, *, now: bool(self.voters["members"]))
-    ),
+    "contact": _all(_patch(contact_watch.ContactWatch, "may_serve", _always_serves)),
     "contact-word": _all(_patch(uplink.Uplink, "is_last_resort", lambda old: lambda self, *, now: True)),
     "contact-read": _all(
         _patch(quorum_contact.QuorumContact, "_lose", _forgets_to_read),
-        _patch(controller.Controller, "_read_what_is_due", _reads_once),
+        _patch(catch_up.CatchUp, "step", _reads_once),
     ),
     "patience": _all(_patch(admin_api.AdminApi, "give_up", lambda old: lambda self, *, now, is_lost: [])),
     "seal": _all(_patch(forwarding, "judge_reply", _believes_all)),
     "sync": _all(_patch(write_ahead.WriteAhead, "step", _told_unsynced)),
     "majority": _all(_patch(proposer, "majority_of", lambda old: lambda *, members: 1)),
     "stop": _all(_patch(proxy.Proxy, "_begin_stop", _stops_at_once)),
-    "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: [])),
+    # as before events were matched by type: what is not known is taken for a tick
+    "caller-left": _all(
+        _patch(
+            controller.Controller,
+            "_drop_order",
+            lambda old: lambda self, *, now, event: self._tick(now=now, event=event),
+        )
+    ),
+    "repair": _all(_patch(membership.Membership, "step", lambda old: lambda self, *, now: ([], []))),
 }
--- a/tests/test_quorum_contact.py
+++ b/tests/test_quorum_contact.py
@@ -107,7 +107,9 @@
 
 
 def serving(net: CoreNet) -> list[str]:
-    return [one.name for one in net.machines if one.cellar is not None and one.cellar.may_serve(now=net.now)]
+    return [
+        one.name for one in net.machines if one.cellar is not None and one.cellar.contact_watch.may_serve(now=net.now)
+    ]
 
 
 def test_all_controllers_of_a_calm_core_serve_all_the_time() -> None:
@@ -187,7 +189,7 @@
     net = found(replace_after=99.0)
     put(net, label=1, on="0")
     cellar = net.machines[0].cellar
-    cellar.contact.reached.clear()
+    cellar.contact_watch.contact.reached.clear()
     event = Asked(token="desk x", method="GET", path="/config", query={}, headers={}, body=b"")
     [answer] = cellar.step(now=net.now, event=event)
     assert answer.code == 307
@@ -207,7 +209,7 @@
     cut = net.machines[0].cellar
 
     def serves() -> bool:
-        if not cut.may_serve(now=net.now):
+        if not cut.contact_watch.may_serve(now=net.now):
             return False
         assert cut.held.number(name="config") == 2
         return True
