--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -1,4 +1,4 @@
-"""The operators' interface of a cellar: configurations and hall orders."""
+"""The operators' interface of a controller: configurations and hall orders."""
 
 from __future__ import annotations
 
@@ -28,7 +28,6 @@
     written: dict = field(default_factory=dict)
     notes: dict = field(default_factory=dict)
     seen_at: float | None = None
-    is_answered: bool = False
 
 
 @dataclass(kw_only=True)
@@ -45,7 +44,7 @@
     jobs: dict = field(default_factory=dict)
     count: int = 0
     full: dict = field(default_factory=dict)
-    cellars: dict = field(default_factory=dict)
+    controllers: dict = field(default_factory=dict)
 
     def step(self, *, event: Asked | Settled | Checked) -> tuple[list, list]:
         """Take an operator's exchange, the end of an operation begun for one, or of a check."""
@@ -98,24 +97,21 @@
         return self._begin(job=job, kind="read", wait=self.wait)
 
     def give_up(self, *, now: float, is_lost: bool) -> list:
-        """Answer those that have waited for OPERATOR_PATIENCE, and all if contact is lost, with nothing definite: 503, come back.
+        """Answer those that have waited for OPERATOR_PATIENCE, and all if contact is lost: 503, nothing definite.
 
-        What was begun goes on and is not undone: a change that comes through is known when it is sent again.
+        What has not begun to change anything never does; a change under way goes on, and is known when it is sent again.
         """
         commands = []
-        for job in list(self.jobs.values()):
+        for op, job in list(self.jobs.items()):
             job.seen_at = now if job.seen_at is None else job.seen_at
             patience = constants.OPERATOR_PATIENCE + len(job.text) * constants.ROUND_PER_BYTE * 2
-            if job.is_answered or not (is_lost or now - job.seen_at > patience):
-                continue
-            outcome = Outcome(kind="unknown", code=504, reason="no-answer", detail="no majority answered in time")
-            commands += self._end(job=job, outcome=outcome)[0]
-            job.is_answered = True
+            if is_lost or now - job.seen_at > patience:
+                del self.jobs[op]
+                outcome = Outcome(kind="unknown", code=504, reason="no-answer", detail="no majority answered in time")
+                commands += self._end(job=job, outcome=outcome)[0]
         return commands
 
     def _end(self, *, job: Job, outcome: Outcome) -> tuple[list, list]:
-        if job.is_answered:
-            return [], []
         return [job.dialect.answer(token=job.token, order=job.order, outcome=outcome)], []
 
     def _after_read(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
@@ -152,7 +148,7 @@
         order, current = job.order, read_labelled(text=job.text)
         is_same = order.kind == "put" and current.written is not None and order.given == current.written
         if current.has(digest=order.digest) or is_same:
-            # taken before, maybe by another cellar: what is sent again is answered again
+            # taken before, maybe by another controller: what is sent again is answered again
             return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
         if order.expected != current.label:
             return self._end(
@@ -246,19 +242,19 @@
         """One member more or less, by its identity or its name; never one that would cost the majority."""
         kind, given = job.order.kind, job.order.given
         members = json.loads(job.text)["members"] if job.text else {}
-        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.cellars)}
+        names = {one.split("#")[0]: one for one in (members if kind == "part" else self.controllers)}
         identity = names.get(given, given)
         if kind == "join":
-            if identity in members or identity not in self.cellars:
+            if identity in members or identity not in self.controllers:
                 return Outcome(
-                    kind="refused", code=409, reason="not-waiting", detail=f"no empty cellar {given!r} waits"
+                    kind="refused", code=409, reason="not-waiting", detail=f"no empty controller {given!r} waits"
                 )
-            text = change_members(text=job.text, add=(identity, self.cellars[identity]["post"]))
+            text = change_members(text=job.text, add=(identity, self.controllers[identity]["post"]))
         else:
             if identity not in members:
                 return Outcome(kind="refused", code=404, reason="voter-unknown", detail=f"no voter {given!r}")
             text = change_members(text=job.text, drop=identity)
-        well = {name for name, entry in self.cellars.items() if entry["fit"]}
+        well = {name for name, entry in self.controllers.items() if entry["fit"]}
         if len(members) + (1 if kind == "join" else -1) < 1 or not keeps_majority(text=text, well=well):
             return Outcome(
                 kind="refused",
@@ -298,7 +294,7 @@
         if (job.order.register == "orders" or job.dialect.is_labelled) and job.turns < 5:
             return [], [self._begin_read(job=job)]
         if job.dialect.is_labelled:
-            # who won may have been this very change, taken by another cellar: nothing definite can be said
+            # who won may have been this very change, taken by another controller: nothing definite can be said
             return self._end(
                 job=job,
                 outcome=Outcome(
--- a/sailward/control/catch_up.py
+++ b/sailward/control/catch_up.py
@@ -14,7 +14,8 @@
 class CatchUp:
     """Owner of a controller's own reads. `step` begins those that are due; `finish` takes the end of an operation.
 
-    Each register is read every `every` s, and sooner where a newer value is known to exist: after STALLED s, in which the
+    Each register is read every `every` s, and sooner where a newer value is known to exist: after STALLED s, in
+    which the
     chosen value comes by itself as a rule. With `contact`, what must be read before it may be served is read again each
     STALLED s until it is, also by a controller that is no voter.
     """
--- a/sailward/control/contact_watch.py
+++ b/sailward/control/contact_watch.py
@@ -40,7 +40,10 @@
         return not self._is_required or self.contact.may_serve(now=now, members=members, own=self._own_vote())
 
     def may_try(self, *, now: float) -> bool:
-        """May an operator's call be tried at a majority? Also by a process that is too young to know whether it has contact."""
+        """May an operator's call be tried at a majority?
+
+        Also by a process that is too young to know whether it has contact.
+        """
         return self.may_serve(now=now) or self.contact.is_starting(now=now)
 
     def shown_at(self, *, now: float) -> float:
--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -53,7 +53,7 @@
 
     def step(self, *, now: float) -> tuple[list[Command], list[Begin]]:
         """Say when the core is short; copy, found anew, repair, or ask for news."""
-        others = self._roster.alive(kind="cellar")
+        others = self._roster.alive(kind="controller")
         self.controllers = {one["identity"]: one for one in [*others, self._roster.own_entry()]}
         commands = self._note_core(now=now, others=others)
         if self._voter.voting:
@@ -71,7 +71,7 @@
         self._asked = -1e9
 
     def found(self, *, now: float, event: Asked) -> list:
-        """Join new cellars into a core: the same value at each of them."""
+        """Join new controllers into a core: the same value at each of them."""
         voter = self._voter
         try:
             members = json.loads(event.body or b"")["members"]
@@ -95,7 +95,9 @@
         }
         slot = voter.acceptor.slots.get("voters")
         if slot is not None and slot.value != value:
-            return [_refuse(event=event, code=409, reason="founded", detail="this cellar belongs to a core already")]
+            return [
+                _refuse(event=event, code=409, reason="founded", detail="this controller belongs to a core already")
+            ]
         record = {"k": "vote", "r": "voters", "b": [0, "founder"], "v": value}
         if slot is None:
             fold_record(slots=voter.acceptor.slots, record=record, now=now)
@@ -116,7 +118,9 @@
         except (ValueError, KeyError, TypeError):
             sound = False
         if not sound:
-            return _refuse(event=event, code=422, reason="survivors", detail="give survivors: a list of cellars' names")
+            return _refuse(
+                event=event, code=422, reason="survivors", detail="give survivors: a list of controllers' names"
+            )
         newest = max((voter.held_voters().value, voter.voted_voters()), key=lambda value: value["number"])
         made = make_founding(
             own=voter.identity,
@@ -124,7 +128,7 @@
             is_confirmed=event.query.get("confirm") == "yes",
             value=newest,
             opened=voter.ledger.opened,
-            cellars=self.controllers,
+            controllers=self.controllers,
         )
         if isinstance(made, NotFounded):
             return _refuse(event=event, code=made.code, reason=made.reason, detail=made.detail)
@@ -133,7 +137,7 @@
                 event=event,
                 code=503,
                 reason="not-usable",
-                detail="this cellar can't write, or never had the core's registers",
+                detail="this controller can't write, or never had the core's registers",
             )
         number = made["number"]
         record = {"k": "vote", "r": "voters", "b": [number, "founder"], "v": made}
@@ -152,7 +156,7 @@
         return Refounding(record=record, ballot=[number, "founder"], value=made, answer=answer)
 
     def is_out(self, *, value: dict) -> bool:
-        """Does this chosen set of voters take this cellar out? An older one, told late, does not."""
+        """Does this chosen set of voters take this controller out? An older one, told late, does not."""
         voter = self._voter
         return (
             voter.ledger.copied
@@ -182,7 +186,7 @@
         return voter.ledger.step(records=[], replies=[Tell(to=sender, body=page)])
 
     def take_page(self, *, now: float, event: tuple) -> list:
-        """Fold a page; with the last one this cellar may act."""
+        """Fold a page; with the last one this controller may act."""
         voter = self._voter
         if "voters" not in voter.held.held:
             return []
@@ -221,7 +225,7 @@
         told = list(self.anew.copying.told.values())
         slots = merge_survivors(slots=voter.acceptor.slots, told=told, now=now)
         for name, held in voter.held.held.items():
-            # what proxies and other cellars were told, if no survivor's vote is as new
+            # what proxies and other controllers were told, if no survivor's vote is as new
             slot = slots.get(name)
             if is_control(name=name) and (
                 slot is None or slot.value is None or slot.value["number"] < held.value["number"]
@@ -246,7 +250,7 @@
             own=voter.identity,
             voters=voter.voters,
             text=voter.held_voters().value["text"],
-            cellars=[*others, self._roster.own_entry()],
+            controllers=[*others, self._roster.own_entry()],
         )
         if not text:
             return [], []
@@ -290,7 +294,7 @@
     def _note_core(self, *, now: float, others: list[dict]) -> list[Command]:
         """Say so when too much is lost for any change, and when it is back."""
         members = self._voter.voters["members"]
-        core = count_core(members=members, cellars=[*others, self._roster.own_entry()])
+        core = count_core(members=members, controllers=[*others, self._roster.own_entry()])
         short = bool(members) and core["voting"] < core["needed"]
         if not short:
             self._short_since = now
--- a/sailward/control/options.py
+++ b/sailward/control/options.py
@@ -1,4 +1,4 @@
-"""How a cellar is set up: the defaults are the product's own ways."""
+"""How a controller is set up: the defaults are the product's own ways."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from sailward import constants
+from sailward.control.grant_calls import GrantCodec
 
 if TYPE_CHECKING:
     from sailward.config.dialect import Dialect
@@ -18,14 +19,14 @@
 class ControllerOptions:
     """What a deployment may set otherwise.
 
-    `dialect`: the operators' words; None for the product's own JSON. `expand`: written configuration -> full form, for a
-    dialect that keeps no full form in the register. `reader`: the words of the platform's list of workers; None for the
-    product's own. `bootstrap`: None where an operator founds the core. `list_rate`: calls/s that the platform bears from all
-    daemons together, 0 if no bound is known. `zones`: every hall known from the settings, with its region. `grants`: the words of
-    grants to workers, None where no service is divided by number. `tells_fleet`: proxies are told of each other for the directory.
-    `is_mesh`: cellars send each other beats instead of whole rosters; for cores whose proxies don't gossip.
-    `has_disk`: without one a cellar serves proxies and operators, and votes only if it is a founder, until one with a disk takes its place.
-    All others in s.
+    `dialect`: the operators' words; None for the product's own JSON. `expand`: written configuration -> full form, for
+    a dialect that keeps no full form in the register. `reader`: the words of the platform's list of workers; None for
+    the product's own. `bootstrap`: None where an operator founds the core. `list_rate`: calls/s that the platform bears
+    from all daemons together, 0 if no bound is known. `zones`: every hall known from the settings, with its region.
+    `grants`: the words of grants to workers, None where no service is divided by number. `tells_fleet`: proxies are
+    told of each other for the directory. `is_mesh`: controllers send each other beats instead of whole rosters; for
+    cores whose proxies don't gossip. `has_disk`: without one a controller serves proxies and operators, and votes only
+    if it is a founder, until one with a disk takes its place. All others in s.
     """
 
     dialect: Dialect | None = None
@@ -41,7 +42,7 @@
     suspect_after: float = field(default_factory=lambda: constants.SUSPECT)
     read_every: float = field(default_factory=lambda: constants.READ_EVERY)
     operation_wait: float = field(default_factory=lambda: constants.OPERATION_EXPIRY)
-    grants: object = None
+    grants: GrantCodec | None = None
     hold_max: float = field(default_factory=lambda: constants.GRANT_HOLD)
     tells_fleet: bool = False
     is_mesh: bool = False
--- a/sailward/control/quorum_contact.py
+++ b/sailward/control/quorum_contact.py
@@ -1,16 +1,16 @@
 """Contact with a majority of the voters, shown by answers to questions of a known age.
 
-A controller may be cut off without any sign of it: connections stay open and nothing arrives. So it counts as in contact
-only while a majority of the voters (itself among them, if it is one) answered something that it sent within the last
-`CONTACT_LIFE` seconds. The age of an answer is that of its question: an answer that was under way for long, or that waited
-while this process stood still, shows no more than that the question once arrived (the rule of read leases in Raft and of
-master leases in Paxos, Chandra et al., "Paxos Made Live", 2007).
+A controller may be cut off without any sign of it: connections stay open and nothing arrives. So it counts as in
+contact only while a majority of the voters (itself among them, if it is one) answered something that it sent within
+the last `CONTACT_LIFE` seconds. The age of an answer is that of its question: an answer that was under way for long,
+or that waited while this process stood still, shows no more than that the question once arrived (the rule of read
+leases: Chandra et al., "Paxos Made Live", 2007; Ongaro, "Consensus: Bridging Theory and Practice", 2014, 6.4).
 
-No message is sent for this. Each heartbeat of a voter echoes the last heartbeat that it heard from its receiver, and the
-answers to reads and changes of registers count as well.
+No message is sent for this. Each heartbeat of a voter echoes the last heartbeat that it heard from its receiver, and
+the answers to reads and changes of registers count as well.
 
-Contact alone does not make held values new: what was chosen during a gap was not told here. After each gap every control
-register is read at a majority once before anything is served again.
+Contact alone does not make held values new: what was chosen during a gap was not told here. After each gap every
+control register is read at a majority once before anything is served again.
 """
 
 from __future__ import annotations
@@ -28,8 +28,9 @@
 class QuorumContact:
     """Owner of what shows contact. All times are of this process's steady clock, in s.
 
-    `started` is when this process began; `reached` holds for each peer's address when the newest question that it answered was sent; `unread` the control
-    registers that must be read before this controller serves; `lost_at` when contact was last found to be missing.
+    `started` is when this process began; `reached` holds for each peer's address when the newest question that it
+    answered was sent; `unread` the control registers that must be read before this controller serves;
+    `lost_at` when contact was last found to be missing.
     """
 
     started: float
@@ -44,15 +45,19 @@
         self._questions.setdefault(question, now)
 
     def hear_answer(self, *, peer: str, question: int | str) -> None:
-        """Note that the voter at this address answered a question; one that was never sent, or is long past, shows nothing."""
+        """Note that the voter at this address answered a question.
+
+        One that was never sent, or is long past, shows nothing.
+        """
         asked = self._questions.get(question)
         if asked is not None:
             self.reached[peer] = max(self.reached.get(peer, NEVER), asked)
 
     def shown_at(self, *, now: float, members: dict[str, str], own: str) -> float:
-        """The latest moment at which a majority of these voters ({identity: address}) was reached; NEVER if there is none.
+        """The latest moment at which a majority of these voters was reached; NEVER if there is none.
 
-        `own` is this controller's identity if it is a voter that keeps what it voted for, or empty.
+        `members` is {identity: address}, `own` this controller's identity if it is a voter that keeps what it voted
+        for, or empty.
         """
         if not members:
             return NEVER
@@ -81,11 +86,17 @@
         return self.had_contact and not before
 
     def is_starting(self, *, now: float) -> bool:
-        """Did this process start so recently that contact can't be judged? An operator's call is then tried at a majority."""
+        """Did this process start so recently that contact can't be judged?
+
+        An operator's call is then tried at a majority.
+        """
         return not self.had_contact and self.lost_at == NEVER and now - self.started <= constants.CONTACT_LIFE
 
     def finish_read(self, *, now: float, register: str, begun: float) -> None:
-        """A read of a register at a majority has ended well. One begun before contact was lost, or long ago, proves nothing."""
+        """A read of a register at a majority has ended well.
+
+        One begun before contact was lost, or long ago, proves nothing.
+        """
         if begun >= self.lost_at and now - begun <= constants.CONTACT_LIFE:
             self.unread.discard(register)
 
--- a/sailward/control/serving.py
+++ b/sailward/control/serving.py
@@ -1,4 +1,7 @@
-"""What a controller gives the daemons that ask it: leases, the numbers of the newest values, and pushes of what is new."""
+"""What a controller gives the daemons that ask it.
+
+Leases, the numbers of the newest values, and pushes of what is new.
+"""
 
 from __future__ import annotations
 
@@ -14,12 +17,14 @@
 from sailward.control.turning_away import other_controllers
 from sailward.control.voter import Voter
 from sailward.control.worker_list import WorkerList
-from sailward.discovery.gossip import Roster
+from sailward.discovery.gossip import Roster, kind_of
 from sailward.events import Command, Tell
 
 
 class Serving:
-    """Owner of the answers to askers. `answer` grants, `acknowledge` folds an acknowledgement, `push` sends what is new.
+    """Owner of the answers to askers.
+
+    `answer` grants, `acknowledge` folds an acknowledgement, `push` sends what is new.
 
     `wall_offset`: s from this process's steady clock to the machine's time of day, set with each tick.
     """
@@ -46,7 +51,7 @@
 
     def answer(self, *, now: float, sender: str, body: dict) -> list[Command]:
         """Answer one `ask`: push what it lacks, and grant."""
-        if self._tells_fleet and body["daemon"].get("kind") != "cellar":
+        if self._tells_fleet and kind_of(entry=body["daemon"]) != "controller":
             return self._answer_proxy(now=now, sender=sender, body=body)
         commands = self._subscribers.step(now=now, event=(sender, body), news=self.news())
         # before the joiner is heard: what is granted from is what was known when it asked
@@ -85,7 +90,10 @@
         return news
 
     def _answer_proxy(self, *, now: float, sender: str, body: dict) -> list[Command]:
-        """Push what a proxy lacks; without contact with a majority only to one that finds no other controller, and marked so."""
+        """Push what a proxy lacks.
+
+        Without contact with a majority only to one that finds no other controller, and marked so.
+        """
         may_serve = self._contact_watch.may_serve(now=now)
         is_last_resort = body["report"].get("last_resort") is True
         news = self.news() if may_serve or is_last_resort else {}
@@ -113,7 +121,7 @@
         if not may_serve:
             grant["contact"] = False
             members = self._voter.voters["members"]
-            grant["cellars"] = other_controllers(roster=self._roster, members=members, own=place.post)
+            grant["controllers"] = other_controllers(roster=self._roster, members=members, own=place.post)
         return Tell(to=sender, body=grant)
 
     def _grant(self, *, now: float, sender: str, body: dict, newest: dict) -> Tell:
@@ -147,6 +155,6 @@
         return commands
 
     def _hear_joiner(self, *, now: float, sender: str, daemon: dict) -> list[Command]:
-        if daemon.get("kind") != "cellar":
+        if kind_of(entry=daemon) != "controller":
             return []
         return self._roster.step(now=now, event=(sender, {"entries": [daemon], "reply": True}))
--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -15,7 +15,7 @@
 from sailward.control.subscribers import Subscribers
 from sailward.control.voter import Voter
 from sailward.control.worker_list import WorkerList
-from sailward.discovery.gossip import Roster
+from sailward.discovery.gossip import Roster, kind_of
 from sailward.events import UnexpectedEvents
 
 
@@ -51,7 +51,7 @@
     daemons = [
         {
             "id": known.entry["id"],
-            "kind": known.entry["kind"],
+            "kind": kind_of(entry=known.entry),
             "hall": known.entry["hall"],
             "fit": known.entry["fit"],
             "lost": known.lost,
@@ -64,7 +64,9 @@
         f"{service}|{hall}": {"state": state.state, "fraction": state.fraction, "for_s": round(now - state.since, 1)}
         for (service, hall), state in sources.standing.book.halls.items()
     }
-    core = count_core(members=voter.voters["members"], cellars=[*roster.alive(kind="cellar"), roster.own_entry()])
+    core = count_core(
+        members=voter.voters["members"], controllers=[*roster.alive(kind="controller"), roster.own_entry()]
+    )
     return {
         "id": voter.place.name,
         "core": core,
@@ -89,9 +91,10 @@
 
 
 def _show_contact(*, sources: StatusSources, now: float) -> dict:
-    """Does this controller serve, how long ago was a majority of the voters in reach, and what must be read before it serves.
+    """Whether this controller serves, how long ago a majority was in reach, and what it must read before it serves.
 
-    While it serves, `served_age_s` bounds the age of the configuration that it hands out: one that is newer was accepted since.
+    While it serves, `served_age_s` bounds the age of the configuration that it hands out: one that is newer was
+    accepted since.
     """
     watch = sources.contact_watch
     shown_at = watch.shown_at(now=now)
--- a/sailward/control/turning_away.py
+++ b/sailward/control/turning_away.py
@@ -4,7 +4,7 @@
 
 from sailward import constants
 from sailward.config.dialect import Dialect, Outcome
-from sailward.discovery.gossip import Roster
+from sailward.discovery.gossip import Roster, kind_of
 from sailward.events import Answer, Asked
 from sailward.routing.exchange import answer_json
 
@@ -14,7 +14,7 @@
     places = {
         known.entry["post"]: [known.entry["post"], known.entry["hall"], known.entry["region"]]
         for known in roster.known.values()
-        if known.entry["kind"] == roster.place.kind
+        if kind_of(entry=known.entry) == "controller"
     }
     for post in members.values():
         places.setdefault(post, [post, "", ""])
@@ -27,10 +27,10 @@
     able = [
         known.entry
         for known in roster.known.values()
-        if known.entry["kind"] == roster.place.kind
+        if kind_of(entry=known.entry) == "controller"
         and now - known.seen <= constants.CONTACT_HEARD
         and known.entry["fit"]
-        and known.entry.get("contact", False)
+        and known.contact
     ]
     if able:
         place = roster.place
--- a/sailward/discovery/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -23,6 +23,16 @@
     "asks": str,
 }
 
+KINDS_ON_WIRE = {"controller": "cellar", "proxy": "sommelier", "directory": "concierge"}
+"""A daemon's kind as entries give it: daemons of 0.2.0 and before know no other words. Read by either word."""
+KINDS = {word: kind for kind, word in KINDS_ON_WIRE.items()}
+
+
+def kind_of(*, entry: dict) -> str:
+    """The kind of the daemon that an entry is of, whatever version wrote it; "" if it gives none."""
+    word = str(entry.get("kind", ""))
+    return KINDS.get(word, word)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Place:
@@ -40,12 +50,17 @@
 
 @dataclass(kw_only=True)
 class Known:
-    """One daemon as it is known here; `heard` is the echo number of the last heartbeat that came from it directly, 0 for none."""
+    """One daemon as it is known here.
+
+    `heard` is the echo number of the last heartbeat that came from it directly, 0 for none; `contact` whether that
+    one said that it has contact with a majority of the voters.
+    """
 
     entry: dict
     seen: float
     lost: bool = False
     heard: int = 0
+    contact: bool = False
 
 
 @dataclass(kw_only=True)
@@ -88,7 +103,10 @@
         return commands
 
     def _tell_mesh(self, *, now: float) -> list:
-        """A beat to every daemon known to live; the whole roster to the seeds now and then, and to all lost ones in turn."""
+        """A beat to every daemon known to live.
+
+        The whole roster to the seeds now and then, and to all lost ones in turn.
+        """
         alive = [known for known in self.known.values() if not known.lost]
         body = {
             "kind": "beat",
@@ -117,7 +135,10 @@
         return echo_number(start=self.start, beat=self.beat)
 
     def _with_echo(self, *, body: dict, known: Known) -> dict:
-        """A voter's heartbeat answers the last one that came from its receiver itself, and tells the numbers voted for."""
+        """A voter's heartbeat answers the last one that came from its receiver itself.
+
+        And tells the numbers voted for.
+        """
         return {**body, "echo": [known.heard, *self.voted]} if self.fit and known.heard else body
 
     def _fold_beat(self, *, now: float, sender: str, body: dict) -> list:
@@ -127,15 +148,14 @@
             return [Tell(to=sender, body={"kind": "gossip", "entries": [self.own_entry()], "reply": False})]
         if body["beat"] <= known.entry["beat"]:
             return []
-        entry = {
-            **known.entry,
-            "beat": body["beat"],
-            "fit": body["fit"],
-            "identity": body["identity"],
-            "contact": body.get("contact") is not False,
-        }
+        entry = {**known.entry, "beat": body["beat"], "fit": body["fit"], "identity": body["identity"]}
         commands = [Log(event="daemon-found", fields={"daemon": body["id"], "at": sender})] if known.lost else []
-        self.known[body["id"]] = Known(entry=entry, seen=now, heard=echo_number(start=body["start"], beat=body["beat"]))
+        self.known[body["id"]] = Known(
+            entry=entry,
+            seen=now,
+            heard=echo_number(start=body["start"], beat=body["beat"]),
+            contact=body.get("contact") is not False,
+        )
         return commands
 
     def own_entry(self) -> dict:
@@ -143,7 +163,7 @@
         place = self.place
         return {
             "id": place.name,
-            "kind": place.kind,
+            "kind": KINDS_ON_WIRE.get(place.kind, place.kind),
             "hall": place.hall,
             "region": place.region,
             "post": place.post,
@@ -159,7 +179,7 @@
 
     def alive(self, *, kind: str) -> list[dict]:
         """The entries of the daemons of this kind that are not lost."""
-        return [known.entry for known in self.known.values() if known.entry["kind"] == kind and not known.lost]
+        return [known.entry for known in self.known.values() if kind_of(entry=known.entry) == kind and not known.lost]
 
     def _watched(self) -> list[str]:
         others = {known.entry["id"]: known.entry["post"] for known in self.known.values()}
--- a/sailward/proxy/uplink.py
+++ b/sailward/proxy/uplink.py
@@ -1,9 +1,10 @@
-"""A proxy's way to the core: the two nearest cellars that answer and may serve, asked for news in turn.
+"""A proxy's way to the core: the two nearest controllers that answer and may serve, asked for news in turn.
 
-Each answer says whether its cellar has contact with a majority of the voters (an answer of the last version, which does not
+Each answer says whether its controller has contact with a majority of the voters (an answer of the last version,
+which does not
 say, counts as yes). One that has none is not followed while another can be reached. If for LAST_RESORT_AFTER none with
-contact answered, the nearest that answers at all is followed: what it holds was chosen once, and serving on with the last
-known state is better than not serving.
+contact answered, the nearest that answers at all is followed: what it holds was chosen once, and serving on with the
+last known state is better than not serving.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 @dataclass(kw_only=True)
 class Known:
-    """One cellar as this proxy knows it."""
+    """One controller as this proxy knows it."""
 
     post: str
     hall: str = ""
@@ -31,7 +32,10 @@
 
 @dataclass(kw_only=True)
 class Uplink:
-    """Owner of the askings. `step` takes an answer's sender, or None for time going on; `lead` is whose lists are believed."""
+    """Owner of the askings.
+
+    `step` takes an answer's sender, or None for time going on; `lead` is whose lists are believed.
+    """
 
     hall: str
     region: str
@@ -50,7 +54,7 @@
             known.heard, known.unanswered = now, 0
             known.has_contact = body.get("contact") is not False
             self.trusted_at = now if known.has_contact else self.trusted_at
-            self._note_named(cellars=body.get("cellars", []))
+            self._note_named(named=body.get("controllers", []))
             place = body.get("view", {}).get("place")
             if isinstance(place, list) and len(place) == 2:
                 known.hall, known.region = place
@@ -71,9 +75,12 @@
             commands.append(Tell(to=known.post, body={**body, "seq": self.seq}))
         return commands
 
-    def learn(self, *, cellars: list) -> None:
-        """Take the core as a cellar tells it: [[post, hall, region], ...]. Those it does not name go, unless they answer or are seeds."""
-        told = {post: (hall, region) for post, hall, region in cellars}
+    def learn(self, *, controllers: list) -> None:
+        """Take the core as a controller tells it: [[post, hall, region], ...].
+
+        Those it does not name go, unless they answer or are seeds.
+        """
+        told = {post: (hall, region) for post, hall, region in controllers}
         for post, (hall, region) in told.items():
             known = self.known.setdefault(post, Known(post=post))
             known.hall, known.region = hall, region
@@ -83,9 +90,9 @@
             if post in told or post in self.seeds or known.unanswered < constants.ASKS_LOST
         }
 
-    def _note_named(self, *, cellars: object) -> None:
-        """Note the other cellars that one without contact names."""
-        for row in cellars if isinstance(cellars, list) else ():
+    def _note_named(self, *, named: object) -> None:
+        """Note the other controllers that one without contact names."""
+        for row in named if isinstance(named, list) else ():
             if isinstance(row, list) and len(row) == 3 and all(isinstance(word, str) for word in row):
                 post, hall, region = row
                 if post not in self.known:
@@ -93,12 +100,12 @@
                     self.next_at = NEVER
 
     def is_last_resort(self, *, now: float) -> bool:
-        """Has no cellar with contact answered for so long that one without is followed?"""
+        """Has no controller with contact answered for so long that one without is followed?"""
         return self.began != NEVER and now - max(self.began, self.trusted_at) > constants.LAST_RESORT_AFTER
 
     def answers(self, *, now: float) -> bool:
-        """Has any cellar answered of late?"""
-        return any(now - known.heard < constants.CELLAR_SILENT for known in self.known.values())
+        """Has any controller answered of late?"""
+        return any(now - known.heard < constants.CONTROLLER_SILENT for known in self.known.values())
 
     def _rank(self, known: Known) -> tuple:
         return (known.hall != self.hall, known.region != self.region, known.hall == "", known.post)
@@ -107,10 +114,10 @@
         """Is it one that is only tried now and then?"""
         if not known.has_contact and (known.post != self.lead or not self.is_last_resort(now=now)):
             return True
-        return known.unanswered >= constants.ASKS_LOST and now - known.heard > constants.CELLAR_SILENT
+        return known.unanswered >= constants.ASKS_LOST and now - known.heard > constants.CONTROLLER_SILENT
 
     def _choose_lead(self, *, now: float) -> list:
-        able = [known for known in self.known.values() if now - known.heard < constants.CELLAR_SILENT]
+        able = [known for known in self.known.values() if now - known.heard < constants.CONTROLLER_SILENT]
         trusted = [known for known in able if known.has_contact]
         able = trusted if trusted or not self.is_last_resort(now=now) else able
         lead = self.known.get(self.lead)
@@ -123,13 +130,13 @@
         if lead is not None and lead in able and self._rank(lead)[:2] <= self._rank(best)[:2]:
             return []
         self.lead = best.post
-        return [Log(event="leads", fields={"cellar": best.post, "hall": best.hall or "unknown"})]
+        return [Log(event="leads", fields={"controller": best.post, "hall": best.hall or "unknown"})]
 
     def _to_ask(self, *, now: float) -> list[Known]:
         able = sorted(
             (known for known in self.known.values() if not self._is_silent(known=known, now=now)), key=self._rank
         )
-        chosen = able[: constants.CELLARS_ASKED]
+        chosen = able[: constants.CONTROLLERS_ASKED]
         # who is silent is tried now and then, the nearest and the longest unasked first
         silent = sorted(
             (
@@ -139,6 +146,6 @@
             ),
             key=lambda known: (known.asked, self._rank(known)),
         )
-        if len(able) < constants.CELLARS_ASKED:
+        if len(able) < constants.CONTROLLERS_ASKED:
             return chosen + silent
         return chosen + silent[:1]
--- a/simulation/hosted/judge_contact.py
+++ b/simulation/hosted/judge_contact.py
@@ -15,8 +15,8 @@
 ANSWER = 0.95
 """s in which a controller that is being cut off answers an operator: before he turns to another."""
 STALE = 3.2
-"""s after a value of a register was first in force anywhere, by when no controller hands out an older one as current: BOUND, the
-wait for a vote to be chosen, a round between regions."""
+"""s after a value of a register was first in force anywhere, by when no controller hands out an older one as
+current: BOUND, the wait for a vote to be chosen, a round between regions."""
 SERVED = ("config", "orders")
 """The registers whose values voters tell with their heartbeats."""
 SEARCH = 4.0
@@ -28,7 +28,7 @@
 
 
 def judge_contact(*, world: World):
-    """Every push and every operator's answer of a controller that had been cut off for BOUND, and every answer that came late."""
+    """Pushes and operators' answers of controllers that had been cut off for BOUND, and answers that came late."""
     links, chosen = Links(world=world), chosen_at(world=world)
     for row in world.history.of(k="push"):
         machine = world.machines[row["machine"]]
@@ -58,12 +58,15 @@
 
 
 class Links:
-    """Who could reach whom, by the cuts of the day. Only cuts are looked at: other troubles make fewer breaches of this rule."""
+    """Who could reach whom, by the cuts of the day.
+
+    Only cuts are looked at: other troubles make fewer breaches of this rule.
+    """
 
     def __init__(self, *, world: World) -> None:
         self._world = world
         self._voters = voters_of(world=world)
-        self._up_rows = [row for row in world.history.of(k="up") if row["role"] == "cellar"]
+        self._up_rows = [row for row in world.history.of(k="up") if row["role"] == "controller"]
 
     def is_cut_off(self, *, machine: Machine, since: float, until: float) -> bool:
         """Could this controller reach no majority of the voters, both ways, in all of this span?"""
@@ -72,14 +75,17 @@
         return 2 * (len(voters) - len(apart)) <= len(voters) and bool(apart)
 
     def reaches_other(self, *, proxy: Machine, since: float, until: float) -> bool:
-        """Was there a way from this proxy's machine to one controller with contact in all of this span, which ran all the time?"""
+        """Was there a way from this proxy's machine to one controller with contact in all of this span.
+
+        Which ran all the time?
+        """
         ups = {row["machine"]: row["t"] for row in self._up_rows if row["t"] <= until}
         return any(
             ups.get(one.spot.name, float("inf")) <= since
             and self._has_majority(machine=one, since=since, until=until)
             and not self._is_touched(a=proxy, b=one, since=since, until=until)
             for one in self._voters
-            if one.processes["cellar"].owner is not None
+            if one.processes["controller"].owner is not None
         )
 
     def _has_majority(self, *, machine: Machine, since: float, until: float) -> bool:
@@ -104,7 +110,7 @@
 def chosen_at(*, world: World) -> dict[str, dict[int, float]]:
     """{register: {number: when it was first in force at any controller}}."""
     found: dict[str, dict[int, float]] = {}
-    for process in world.cellars():
+    for process in world.controllers():
         for t, event, fields in process.logs:
             if event == "in-force" and fields["register"] in SERVED:
                 numbers = found.setdefault(fields["register"], {})
@@ -114,6 +120,6 @@
 
 def voters_of(*, world: World) -> list[Machine]:
     """The machines of the newest set of voters that any controller holds at the end of the day."""
-    owners = [one.owner for one in world.cellars() if one.owner is not None]
+    owners = [one.owner for one in world.controllers() if one.owner is not None]
     newest = max((one.voters for one in owners), key=lambda voters: voters["number"], default={"members": {}})
     return [world.by_post[post].machine for post in newest["members"].values()]
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -68,7 +68,7 @@
         old.lose_power(wipe=True)
         old.is_gone, old.listed_until = True, world.clock.now
         name = f"{machine}-new"
-        fresh = world.add_machine(name=name, zone=old.spot.zone, has_disk="cellar" in old.processes)
+        fresh = world.add_machine(name=name, zone=old.spot.zone, has_disk="controller" in old.processes)
         fresh.listed_from = world.clock.now + world.deployment.bounds["seed_lag_s"]
         self._note(machine=fresh, seconds=1.0)
         world.clock.after(1.0, fresh.start)
@@ -92,8 +92,8 @@
     def do_seeds(self, *machines: str) -> None:
         """The settings name other seeds, these first; a start makes daemons read them."""
         world = self._world
-        chosen = [one for word in machines for one in self._machines(word) if "cellar" in one.processes]
-        rest = [one for one in world.machines.values() if "cellar" in one.processes and one not in chosen]
+        chosen = [one for word in machines for one in self._machines(word) if "controller" in one.processes]
+        rest = [one for one in world.machines.values() if "controller" in one.processes and one not in chosen]
         world.seeds = [f"{one.ip}:{DESK}" for one in [*chosen, *rest]][:3]
 
     def do_fill(self, machine: str, seconds: str) -> None:
@@ -126,7 +126,7 @@
 
     def _note(self, *, machine: Machine, seconds: float, planned: bool = False) -> None:
         self._world.trouble(
-            names={machine.spot.name}, seconds=seconds, core="cellar" in machine.processes, planned=planned
+            names={machine.spot.name}, seconds=seconds, core="controller" in machine.processes, planned=planned
         )
 
     def _machines(self, word: str) -> list[Machine]:
@@ -157,7 +157,10 @@
         self._chaos.deal(seconds=float(seconds))
 
     def do_closing(self) -> None:
-        """A closing fault at the very moment of an acknowledgement; all is back 6 s later, and is read back 24 s later."""
+        """A closing fault at the very moment of an acknowledgement.
+
+        All is back 6 s later, and is read back 24 s later.
+        """
         self._chaos.close()
 
 
@@ -268,14 +271,14 @@
             client.is_eager = at < float(share) * len(self._world.clients)
 
     def do_put(self, number: str, *words: str) -> None:
-        """put NUMBER [base=N] [at=MACHINE]: the whole configuration."""
+        """`put NUMBER [base=N] [at=MACHINE]`: the whole configuration."""
         given = _given(words=words)
         self._world.operator.put(
             number=int(number), base=int(given["base"]) if "base" in given else None, first=given.get("at", "")
         )
 
     def do_patch(self, number: str, route: str, *words: str) -> None:
-        """patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE]."""
+        """`patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE]`."""
         given = _given(words=words)
         first = given.pop("at", "")
         self._world.operator.patch(
--- a/tests/test_quorum_contact.py
+++ b/tests/test_quorum_contact.py
@@ -108,7 +108,9 @@
 
 def serving(net: CoreNet) -> list[str]:
     return [
-        one.name for one in net.machines if one.cellar is not None and one.cellar.contact_watch.may_serve(now=net.now)
+        one.name
+        for one in net.machines
+        if one.controller is not None and one.controller.contact_watch.may_serve(now=net.now)
     ]
 
 
@@ -124,7 +126,7 @@
 def test_a_controller_without_a_disk_outside_of_the_voters_serves_too() -> None:
     net = found(bare=frozenset({"m3"}))
     net.run(2.0)
-    assert "m3" in serving(net) and "m3" not in {name for name in net.members()}
+    assert "m3" in serving(net) and "m3" not in net.members()
 
 
 def test_one_that_is_cut_off_says_so_in_time_and_answers_nothing_definite() -> None:
@@ -163,12 +165,12 @@
     put(net, label=1, on="0")
     net.cut = {"m0"}
     net.run(LIFE + 0.1)
-    cut = net.machines[0].cellar
+    cut = net.machines[0].controller
 
     def ask(**report: object) -> list[dict]:
         daemon = {
             "id": "p",
-            "kind": "sommelier",
+            "kind": "proxy",
             "hall": "gdl-a",
             "region": "gdl",
             "http": "h",
@@ -180,7 +182,7 @@
 
     [grant] = ask()
     assert grant["kind"] == "grant" and grant["contact"] is False
-    assert {post for post, _, _ in grant["cellars"]} == {one.post for one in net.machines[1:]}
+    assert {post for post, _, _ in grant["controllers"]} == {one.post for one in net.machines[1:]}
     *pushes, _ = ask(last_resort=True)
     assert "config" in {one["name"] for one in pushes} and all(one["contact"] is False for one in pushes)
 
@@ -188,7 +190,7 @@
 def test_one_that_hears_the_others_sends_operators_there() -> None:
     net = found(replace_after=99.0)
     put(net, label=1, on="0")
-    cellar = net.machines[0].cellar
+    cellar = net.machines[0].controller
     cellar.contact_watch.contact.reached.clear()
     event = Asked(token="desk x", method="GET", path="/config", query={}, headers={}, body=b"")
     [answer] = cellar.step(now=net.now, event=event)
@@ -206,7 +208,7 @@
     net.run(20.0)
     net.cut = set()
     healed = net.now
-    cut = net.machines[0].cellar
+    cut = net.machines[0].controller
 
     def serves() -> bool:
         if not cut.contact_watch.may_serve(now=net.now):
@@ -221,7 +223,7 @@
     net = found(replace_after=99.0)
     put(net, label=1, on="0")
     net.run(1.0)
-    behind = net.machines[0].cellar
+    behind = net.machines[0].controller
     hear = behind.step
     lost = {"prepare", "accept", "chosen", "read"}
     behind.step = lambda *, now, event: (
@@ -248,7 +250,7 @@
 
 
 def grant(uplink: Uplink, *, now: float, sender: str, hall: str, **more: object) -> None:
-    uplink.step(now=now, sender=sender, body={"view": {"place": [hall, hall.split("-")[0]]}, **more})
+    uplink.step(now=now, sender=sender, body={"view": {"place": [hall, hall.partition("-")[0]]}, **more})
 
 
 def test_a_proxy_leaves_a_lead_that_lost_contact_at_once_and_asks_those_that_it_names() -> None:
@@ -257,7 +259,7 @@
     grant(uplink, now=1.1, sender="near", hall="north-a")
     grant(uplink, now=1.1, sender="far", hall="south-a")
     assert uplink.lead == "near"
-    grant(uplink, now=1.5, sender="near", hall="north-a", contact=False, cellars=[["third", "north-b", "north"]])
+    grant(uplink, now=1.5, sender="near", hall="north-a", contact=False, controllers=[["third", "north-b", "north"]])
     assert uplink.lead == "far" and "third" in uplink.known
     asked = {one.to for one in uplink.step(now=1.5, sender=None, body={"kind": "ask"}) if hasattr(one, "to")}
     assert "third" in asked
@@ -287,8 +289,8 @@
     assert uplink.lead == "near"
 
 
-@pytest.mark.parametrize("cellars", [None, 3, "x", [3], [["a"]], [["a", 1, "c"]], [["a", "b", "c", "d"]]])
-def test_names_of_others_that_are_no_names_are_passed_over(cellars: object) -> None:
+@pytest.mark.parametrize("controllers", [None, 3, "x", [3], [["a"]], [["a", 1, "c"]], [["a", "b", "c", "d"]]])
+def test_names_of_others_that_are_no_names_are_passed_over(controllers: object) -> None:
     uplink = make_uplink()
-    grant(uplink, now=1.1, sender="near", hall="north-a", contact=False, cellars=cellars)
+    grant(uplink, now=1.1, sender="near", hall="north-a", contact=False, controllers=controllers)
     assert set(uplink.known) == {"near"}
