--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -99,7 +99,7 @@
     def give_up(self, *, now: float, is_lost: bool) -> list:
         """Answer those that have waited for OPERATOR_PATIENCE, and all if contact is lost: 503, nothing definite.
 
-        What has not begun to change anything never does; a change under way goes on, and is known when it is sent again.
+        What has not begun to change anything never does; a change under way goes on, and is known if it is sent again.
         """
         commands = []
         for op, job in list(self.jobs.items()):
