--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from unittest import mock
 
 from sailward import constants
@@ -18,11 +19,13 @@
     quorum_contact,
     shard_leases,
     write_ahead,
+    zone_orders,
 )
 from sailward.discovery import workers
 from sailward.events import Stop
 from sailward.proxy import proxy, uplink
 from sailward.routing import evidence, forwarding, placing, plan, reply, retry_budget
+from simulation.hosted import calls as hosted_calls
 
 
 def _method(owner: object, name: str, make: Callable) -> object:
@@ -90,6 +93,21 @@
     return judge_reply
 
 
+def _by_order_alone(old):
+    def judge_reply(*, request, worker, event, names):
+        named = replace(event, headers={**event.headers, names.exchange: request.name})
+        return old(request=request, worker=worker, event=named, names=names)
+
+    return judge_reply
+
+
+def _on_kept_connections(old):
+    def call(self, *, now, request, worker):
+        return [replace(command, fresh=False) for command in old(self, now=now, request=request, worker=worker)]
+
+    return call
+
+
 def _stops_at_once(old):
     def begin_stop(self, *, now):
         return [*old(self, now=now), Stop(code=0)]
@@ -116,6 +134,21 @@
     return lambda self, *, now: bool(self._voter.voters["members"])
 
 
+def _judged_by(*, change):
+    def make(old):
+        return lambda self, **fields: change(old(self, **fields))
+
+    return make
+
+
+def _forgotten_is_lost(verdict):
+    return history.Verdict.LOST if verdict is history.Verdict.FORGOTTEN else verdict
+
+
+def _lost_is_taken(verdict):
+    return history.Verdict.TAKEN if verdict is history.Verdict.LOST else verdict
+
+
 SABOTAGE: dict[str, Callable] = {
     "fence-wait": _all(
         _patch(granting.Granting, "_is_free", lambda old: lambda self, *, now, shard: True),
@@ -139,6 +172,12 @@
     "cold-bound": _all(_patch(placing.Placer, "_bears", lambda old: lambda self, **fields: True)),
     "cold-news": _all(_patch(evidence.Evidence, "chill", lambda old: lambda self, **fields: None)),
     "evacuation": _all(_patch(proxy, "read_orders", lambda old: frozenset)),
+    "late-orders": _all(_patch(admin_api.AdminApi, "drop", lambda old: lambda self, *, token: None)),
+    "zone-counts": _all(_patch(zone_orders.ZoneOrders, "count", lambda old: lambda self, *, kind, zone: 0)),
+    "history": _all(
+        _constant("HISTORY_SEGMENT", 16), _patch(history.Labelled, "judge", _judged_by(change=_forgotten_is_lost))
+    ),
+    "one-winner": _all(_patch(history.Labelled, "judge", _judged_by(change=_lost_is_taken))),
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
@@ -150,6 +189,12 @@
     ),
     "patience": _all(_patch(admin_api.AdminApi, "give_up", lambda old: lambda self, *, now, is_lost: [])),
     "seal": _all(_patch(forwarding, "judge_reply", _believes_all)),
+    "answer-name": _all(
+        lambda: mock.patch.object(hosted_calls, "names_another", lambda *, asked, echoed: False),
+        _patch(forwarding, "judge_reply", _by_order_alone),
+    ),
+    "fresh": _all(_patch(forwarding.Forwarder, "_call", _on_kept_connections)),
+    "hang-up": _all(_patch(hosted_calls.Calls, "may_keep", lambda old: lambda self, *, code, is_named: True)),
     "sync": _all(_patch(write_ahead.WriteAhead, "step", _told_unsynced)),
     "majority": _all(_patch(proposer, "majority_of", lambda old: lambda *, members: 1)),
     "stop": _all(_patch(proxy.Proxy, "_begin_stop", _stops_at_once)),
