--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -38,6 +38,9 @@
     text: str = ""
     written: dict = field(default_factory=dict)
     notes: dict = field(default_factory=dict)
+    waits_since: float | None = None
+    is_answered: bool = False
+    size: int = 0
 
 
 @dataclass(kw_only=True)
@@ -99,14 +102,35 @@
     def _begin(self, *, job: Job, kind: str, **fields: object) -> Begin:
         self.count += 1
         op = f"{self.identity}/desk{self.count}/{kind}"
-        self.jobs[op] = job
+        self.jobs[op], job.waits_since, job.size = job, None, len(str(fields.get("text", "")))
         return Begin(op=op, register=job.order.register, **fields)
 
     def _begin_read(self, *, job: Job) -> Begin:
         wait = min(self.wait, constants.ORDER_READ_WAIT) if job.order.register == "orders" else self.wait
         return self._begin(job=job, kind="read", wait=wait)
 
+    def give_up(self, *, now: float, is_lost: bool) -> list:
+        """Answer those for which no majority answered in OPERATOR_PATIENCE, and all if contact is lost: 503, come back.
+
+        An order on a zone whose change has not begun never begins. A configuration goes on, also after its answer: it
+        is safe late, and is known if it is sent again. A check asks no other controller: it has no bound here.
+        """
+        commands = []
+        for op, job in list(self.jobs.items()):
+            job.waits_since = now if job.waits_since is None else job.waits_since
+            is_late = not op.endswith("/check") and now - job.waits_since > _patience(job=job)
+            if job.is_answered or not (is_lost or is_late):
+                continue
+            outcome = Outcome(kind="unknown", code=504, reason="no-answer", detail="no majority answered in time")
+            commands += self._end(job=job, outcome=outcome)[0]
+            job.is_answered = True
+            if job.order.register != "config" and not op.endswith("/change"):
+                del self.jobs[op]
+        return commands
+
     def _end(self, *, job: Job, outcome: Outcome) -> tuple[list, list]:
+        if job.is_answered:
+            return [], []
         return [job.dialect.answer(token=job.token, order=job.order, outcome=outcome)], []
 
     def _after_read(self, *, job: Job, outcome: Accepted | Refused | Unknown) -> tuple[list, list]:
@@ -306,6 +330,11 @@
         return self._end(job=job, outcome=_stale(number=outcome.value["number"], detail="another change was first"))
 
 
+def _patience(*, job: Job) -> float:
+    """The s that an operator waits for a round at a majority: callers wait longer for large orders."""
+    return constants.OPERATOR_PATIENCE + job.size * constants.ROUND_PER_BYTE
+
+
 def _stale(*, number: int, detail: str) -> Outcome:
     return Outcome(kind="refused", code=412, reason="number", number=number, detail=detail)
 
--- a/sailward/control/catch_up.py
+++ b/sailward/control/catch_up.py
@@ -4,24 +4,26 @@
 
 from sailward import constants
 from sailward.consensus.held import CONTROL
-from sailward.consensus.proposer import Begin
+from sailward.consensus.proposer import Accepted, Begin, Settled
+from sailward.control.quorum_contact import QuorumContact
 from sailward.control.voter import Voter
 
 NEVER = -1e9
 
 
 class CatchUp:
-    """Owner of a controller's own reads.
+    """Owner of a controller's own reads. `step` begins those that are due; `finish` takes the end of an operation.
 
-    `step` begins those that are due; `is_own` tells whether an operation was one of them.
-
-    Each register is read every `every` s, and sooner where a newer value is known to exist: after STALLED s, in which
-    the chosen value comes by itself as a rule.
+    Each register is read every `every` s, and sooner where a newer value is known to exist: after STALLED s, in
+    which the
+    chosen value comes by itself as a rule. With `contact`, what must be read before it may be served is read again each
+    STALLED s until it is, also by a controller that is no voter.
     """
 
-    def __init__(self, *, voter: Voter, op_prefix: str, every: float) -> None:
-        self._voter, self._op_prefix, self._every = voter, op_prefix, every
+    def __init__(self, *, voter: Voter, op_prefix: str, every: float, contact: QuorumContact | None) -> None:
+        self._voter, self._op_prefix, self._every, self._contact = voter, op_prefix, every, contact
         self._reading: dict[str, str] = {}
+        self._begun: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
         self._behind: dict[str, float] = {}
         self._count = 0
@@ -30,20 +32,33 @@
         """What is held of this register is known to be old: it is read with the next tick."""
         self._behind.setdefault(name, now - constants.STALLED)
 
+    def note_untold(self, *, now: float, name: str) -> None:
+        """Something newer of this register was voted for: it is read if it is not told soon."""
+        self._behind.setdefault(name, now)
+
     def read_all_soon(self) -> None:
         """All registers are read with the next tick."""
         self._read_at.clear()
 
-    def is_own(self, *, op: str) -> bool:
-        """Was this operation, which has ended, one of these reads?"""
-        return self._reading.pop(op, None) is not None
+    def finish(self, *, now: float, end: Settled) -> bool:
+        """Was this operation, which has ended, one of these reads? One that ended well is noted."""
+        if self._reading.pop(end.op, None) is None:
+            return False
+        begun = self._begun.pop(end.op)
+        if self._contact is not None and isinstance(end.outcome, Accepted):
+            self._contact.finish_read(now=now, register=end.register, begun=begun)
+        return True
 
     def step(self, *, now: float) -> list[Begin]:
-        """Begin the reads that are due; only a voter reads."""
-        if not self._voter.is_member:
-            return []
-        names = sorted({*CONTROL, *self._voter.acceptor.slots.control})
-        return [self._begin(now=now, name=name) for name in names if self._is_due(now=now, name=name)]
+        """Begin the reads that are due."""
+        return [self._begin(now=now, name=name) for name in self._names() if self._is_due(now=now, name=name)]
+
+    def _names(self) -> list[str]:
+        if self._voter.is_member:
+            return sorted({*CONTROL, *self._voter.acceptor.slots.control})
+        if self._contact is not None and self._voter.voters["members"]:
+            return sorted({*self._contact.unread, *self._behind})
+        return []
 
     def _is_due(self, *, now: float, name: str) -> bool:
         slot = self._voter.acceptor.slots.get(name)
@@ -53,7 +68,8 @@
         elif self._behind.get(name, now) >= now:
             self._behind.pop(name, None)
         is_stalled = name in self._behind and now - self._behind[name] >= constants.STALLED
-        pause = constants.STALLED if is_stalled else self._every
+        is_wanted = self._contact is not None and self._contact.had_contact and name in self._contact.unread
+        pause = constants.STALLED if is_stalled or is_wanted else self._every
         return now - self._read_at.get(name, NEVER) >= pause and name not in self._reading.values()
 
     def _begin(self, *, now: float, name: str) -> Begin:
@@ -61,5 +77,5 @@
         self._read_at[name] = now
         self._behind.pop(name, None)
         op = f"{self._op_prefix}/own{self._count}"
-        self._reading[op] = name
+        self._reading[op], self._begun[op] = name, now
         return Begin(op=op, register=name)
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -9,6 +9,7 @@
 from sailward.consensus.proposer import Begin, Proposer
 from sailward.control.admin_api import AdminApi
 from sailward.control.catch_up import CatchUp
+from sailward.control.contact_watch import ContactWatch
 from sailward.control.disaster_recovery import log_founding
 from sailward.control.fleet import Fleet
 from sailward.control.leaving import Leaving
@@ -16,12 +17,14 @@
 from sailward.control.message_handlers import MessageHandlers
 from sailward.control.moves import Moves
 from sailward.control.options import ControllerOptions
+from sailward.control.quorum_contact import QuorumContact
 from sailward.control.registers import Registers
 from sailward.control.serving import Serving
 from sailward.control.shard_leases import ShardLeases
 from sailward.control.standing import Standing
 from sailward.control.status_report import StatusSources, show_status
 from sailward.control.subscribers import Subscribers
+from sailward.control.turning_away import turn_away
 from sailward.control.voter import Voter
 from sailward.control.worker_list import WorkerList
 from sailward.discovery.gossip import Place, Roster
@@ -86,7 +89,22 @@
         self.membership = Membership(
             voter=self.voter, roster=self.roster, options=options, op_prefix=op_prefix, now=now
         )
-        self.catch_up = CatchUp(voter=self.voter, op_prefix=op_prefix, every=options.read_every)
+        contact = QuorumContact(started=now)
+        shown_contact = contact if options.is_mesh else None
+        self.catch_up = CatchUp(
+            voter=self.voter,
+            op_prefix=op_prefix,
+            every=options.read_every,
+            contact=shown_contact,
+        )
+        self.contact_watch = ContactWatch(
+            contact=contact,
+            voter=self.voter,
+            roster=self.roster,
+            catch_up=self.catch_up,
+            desk=self.desk,
+            is_required=options.is_mesh,
+        )
         self.leaving = Leaving(voter=self.voter, roster=self.roster, is_enabled=options.bootstrap is not None)
         self.moves = Moves()
         self.worker_list = WorkerList(
@@ -105,6 +123,7 @@
             roster=self.roster,
             membership=self.membership,
             catch_up=self.catch_up,
+            contact_watch=self.contact_watch,
             subscribers=self.subscribers,
             worker_list=self.worker_list,
             standing=self.standing,
@@ -116,6 +135,7 @@
             voter=self.voter,
             roster=self.roster,
             membership=self.membership,
+            contact_watch=self.contact_watch,
             subscribers=self.subscribers,
             standing=self.standing,
             worker_list=self.worker_list,
@@ -125,6 +145,7 @@
         self.registers = Registers(
             voter=self.voter,
             proposer=self.proposer,
+            contact=shown_contact,
             desk=self.desk,
             roster=self.roster,
             membership=self.membership,
@@ -141,6 +162,7 @@
             registers=self.registers,
             membership=self.membership,
             catch_up=self.catch_up,
+            contact_watch=self.contact_watch,
             serving=self.serving,
             worker_list=self.worker_list,
             fleet=self.fleet,
@@ -199,12 +221,14 @@
         match (event.method, event.path):
             case ("GET", "/status"):
                 return [answer_json(token=event.token, code=200, body=show_status(sources=self._status, now=now))]
-            case ("GET", "/workers"):
-                return [self._show_workers(event=event)]
             case ("POST", "/found"):
                 return self.membership.found(now=now, event=event)
             case ("POST", "/found-anew"):
                 return self._found_anew(now=now, event=event)
+        if not self.contact_watch.may_try(now=now):
+            return [turn_away(now=now, event=event, dialect=self.desk.dialect, roster=self.roster)]
+        if (event.method, event.path) == ("GET", "/workers"):
+            return [self._show_workers(event=event)]
         commands, begins = self.desk.step(event=event)
         return commands + self.registers.begin(now=now, begins=begins)
 
@@ -258,8 +282,9 @@
 
     def _tick(self, *, now: float, event: Ticked) -> list[Command]:
         self.serving.wall_offset = event.wall - now
-        commands = self.registers.tick(now=now)
-        commands += self.roster.step(now=now, event=None)
+        commands = self.contact_watch.step(now=now)
+        commands += self.registers.tick(now=now)
+        commands += self.contact_watch.send_heartbeats(now=now)
         commands += self._step_list(now=now, event=None)
         commands += self._move_slots(now=now)
         commands += self._step_fleet(now=now)
--- a/sailward/control/message_handlers.py
+++ b/sailward/control/message_handlers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from sailward.control.catch_up import CatchUp
+from sailward.control.contact_watch import ContactWatch
 from sailward.control.fleet import Fleet
 from sailward.control.membership import Membership
 from sailward.control.options import ControllerOptions
@@ -28,6 +29,7 @@
         registers: Registers,
         membership: Membership,
         catch_up: CatchUp,
+        contact_watch: ContactWatch,
         serving: Serving,
         worker_list: WorkerList,
         fleet: Fleet,
@@ -36,6 +38,7 @@
     ) -> None:
         self._voter, self._roster, self._registers, self._membership = voter, roster, registers, membership
         self._catch_up, self._serving, self._worker_list = catch_up, serving, worker_list
+        self._contact_watch = contact_watch
         self._fleet, self._shard_leases = fleet, shard_leases
         self._is_bootstrapped, self._is_mesh = options.bootstrap is not None, options.is_mesh
         self._handlers = self._table()
@@ -119,4 +122,6 @@
         if self._is_mesh and any(isinstance(command, Log) for command in commands):
             # one that was lost is back, or this one is
             self._catch_up.read_all_soon()
+        if body["kind"] == "beat":
+            self._contact_watch.hear_heartbeat(now=now, sender=sender, body=body)
         return commands
--- a/sailward/control/registers.py
+++ b/sailward/control/registers.py
@@ -10,6 +10,7 @@
 from sailward.control.catch_up import CatchUp
 from sailward.control.membership import Membership
 from sailward.control.moves import Moves
+from sailward.control.quorum_contact import QuorumContact
 from sailward.control.serving import Serving
 from sailward.control.shard_leases import ShardLeases
 from sailward.control.voter import Voter
@@ -29,6 +30,7 @@
         *,
         voter: Voter,
         proposer: Proposer,
+        contact: QuorumContact | None,
         desk: AdminApi,
         roster: Roster,
         membership: Membership,
@@ -40,6 +42,7 @@
         refused: RefusedInput,
     ) -> None:
         self._voter, self._proposer, self._desk, self._roster = voter, proposer, desk, roster
+        self._contact = contact
         self._membership, self._catch_up, self._moves = membership, catch_up, moves
         self._serving, self._shard_leases, self._expand = serving, shard_leases, expand
         self._refused = refused
@@ -51,7 +54,9 @@
         return commands + self._settle(now=now, settled=settled)
 
     def hear(self, *, now: float, sender: str, body: dict) -> list[Command]:
-        """Take a voter's answer to an operation."""
+        """Take a voter's answer to an operation; only one of a voter of the same set shows contact."""
+        if self._contact is not None and body["kind"] != "nack":
+            self._contact.hear_answer(peer=sender, question=body["op"])
         commands, settled = self._proposer.step(now=now, voters=self._voter.voters, event=(sender, body))
         return commands + self._settle(now=now, settled=settled)
 
@@ -59,6 +64,8 @@
         """Begin operations."""
         commands = []
         for begin in begins:
+            if self._contact is not None:
+                self._contact.ask(now=now, question=begin.op)
             more, settled = self._proposer.step(now=now, voters=self._voter.voters, event=begin)
             commands += more + self._settle(now=now, settled=settled)
         return commands
@@ -104,7 +111,7 @@
             ballot, value = getattr(end.outcome, "ballot", [0, ""]), getattr(end.outcome, "value", None)
             if is_control(name=end.register) and value and value["number"]:
                 commands += self.learn(now=now, name=end.register, ballot=ballot, value=value, tell=True)
-            if not self._catch_up.is_own(op=end.op):
+            if not self._catch_up.finish(now=now, end=end):
                 mark = value["mark"] if value else None
                 is_unreadable = end.register == "config" and mark is not None and mark == self._unreadable_mark
                 more, begins = self._desk.step(event=_without_value(end=end) if is_unreadable else end)
--- a/sailward/control/serving.py
+++ b/sailward/control/serving.py
@@ -8,11 +8,13 @@
 from sailward import constants
 from sailward.consensus.held import is_control
 from sailward.control.catch_up import CatchUp
+from sailward.control.contact_watch import ContactWatch
 from sailward.control.fleet import Fleet
 from sailward.control.membership import Membership
 from sailward.control.options import ControllerOptions
 from sailward.control.standing import Standing
 from sailward.control.subscribers import Subscribers
+from sailward.control.turning_away import other_controllers
 from sailward.control.voter import Voter
 from sailward.control.worker_list import WorkerList
 from sailward.discovery.gossip import Roster, kind_of
@@ -34,6 +36,7 @@
         roster: Roster,
         membership: Membership,
         catch_up: CatchUp,
+        contact_watch: ContactWatch,
         subscribers: Subscribers,
         worker_list: WorkerList,
         standing: Standing,
@@ -42,15 +45,15 @@
     ) -> None:
         self._voter, self._roster, self._membership, self._catch_up = voter, roster, membership, catch_up
         self._subscribers, self._worker_list, self._standing, self._fleet = subscribers, worker_list, standing, fleet
+        self._contact_watch = contact_watch
         self._tells_fleet, self._is_bootstrapped = options.tells_fleet, options.bootstrap is not None
         self.wall_offset = 0.0
 
     def answer(self, *, now: float, sender: str, body: dict) -> list[Command]:
         """Answer one `ask`: push what it lacks, and grant."""
-        commands = self._subscribers.step(now=now, event=(sender, body), news=self.news())
         if self._tells_fleet and kind_of(entry=body["daemon"]) != "controller":
-            commands += self._note_have(now=now, sender=sender, have=body["have"])
-            return [*commands, self._say_present(sender=sender, body=body)]
+            return self._answer_proxy(now=now, sender=sender, body=body)
+        commands = self._subscribers.step(now=now, event=(sender, body), news=self.news())
         # before the joiner is heard: what is granted from is what was known when it asked
         newest = self._voter.newest()
         if self._is_bootstrapped:
@@ -67,8 +70,9 @@
         return self._subscribers.step(now=now, event=(sender, body), news={})
 
     def push(self, *, now: float) -> list[Command]:
-        """Push to each daemon what it lacks."""
-        return self._subscribers.step(now=now, event=None, news=self.news())
+        """Push to each daemon what it lacks, unless nothing may be served."""
+        news = self.news() if self._contact_watch.may_serve(now=now) else {}
+        return self._subscribers.step(now=now, event=None, news=news)
 
     def news(self) -> dict[str, tuple]:
         """{name: (number, ballot, value)} of all that is pushed."""
@@ -85,21 +89,40 @@
             news["fleet"] = (fleet["number"], [0, ""], fleet)
         return news
 
-    def _say_present(self, *, sender: str, body: dict) -> Tell:
-        """No lease is asked for: only that this controller is there, and where it stands."""
+    def _answer_proxy(self, *, now: float, sender: str, body: dict) -> list[Command]:
+        """Push what a proxy lacks.
+
+        Without contact with a majority only to one that finds no other controller, and marked so.
+        """
+        may_serve = self._contact_watch.may_serve(now=now)
+        is_last_resort = body["report"].get("last_resort") is True
+        news = self.news() if may_serve or is_last_resort else {}
+        commands = self._subscribers.step(now=now, event=(sender, body), news=news)
+        if not may_serve:
+            commands = [Tell(to=push.to, body={**push.body, "contact": False}) for push in commands]
+        commands += self._note_have(now=now, sender=sender, have=body["have"])
+        return [*commands, self._say_present(sender=sender, body=body, may_serve=may_serve)]
+
+    def _say_present(self, *, sender: str, body: dict, may_serve: bool) -> Tell:
+        """No lease is asked for: only that this controller is there, where it stands, and whether it has contact.
+
+        An answer that does not say has contact. One without names the other controllers that may be asked.
+        """
         place = self._voter.place
-        return Tell(
-            to=sender,
-            body={
-                "kind": "grant",
-                "seq": body["seq"],
-                "newest": {},
-                "identity": self._voter.identity,
-                "voting": self._voter.voting,
-                "proxies": 0,
-                "view": {"place": [place.hall, place.region]},
-            },
-        )
+        grant = {
+            "kind": "grant",
+            "seq": body["seq"],
+            "newest": {},
+            "identity": "",
+            "voting": self._voter.voting,
+            "proxies": 0,
+            "view": {"place": [place.hall, place.region]},
+        }
+        if not may_serve:
+            grant["contact"] = False
+            members = self._voter.voters["members"]
+            grant["controllers"] = other_controllers(roster=self._roster, members=members, own=place.post)
+        return Tell(to=sender, body=grant)
 
     def _grant(self, *, now: float, sender: str, body: dict, newest: dict) -> Tell:
         is_warm = now - self._subscribers.members[sender].first < constants.WARM_TELL
--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -5,8 +5,11 @@
 from dataclasses import dataclass
 
 import sailward
+from sailward import constants
+from sailward.control.contact_watch import ContactWatch
 from sailward.control.disaster_recovery import read_founding
 from sailward.control.membership import Membership
+from sailward.control.quorum_contact import NEVER
 from sailward.control.repair import count_core
 from sailward.control.standing import Standing
 from sailward.control.subscribers import Subscribers
@@ -23,6 +26,7 @@
     voter: Voter
     roster: Roster
     membership: Membership
+    contact_watch: ContactWatch
     subscribers: Subscribers
     standing: Standing
     worker_list: WorkerList
@@ -73,6 +77,7 @@
         "post": voter.place.post,
         "voting": voter.voting,
         "disk_usable": voter.ledger.usable,
+        "contact": _show_contact(sources=sources, now=now),
         "voters": voter.voters,
         "registers": registers,
         "daemons": sorted(daemons, key=lambda one: one["id"]),
@@ -87,6 +92,24 @@
     }
 
 
+def _show_contact(*, sources: StatusSources, now: float) -> dict:
+    """Whether this controller serves, how long ago a majority was in reach, and what it must read before it serves.
+
+    While it serves, `served_age_s` bounds the age of the configuration that it hands out: one that is newer was
+    accepted since.
+    """
+    watch = sources.contact_watch
+    shown_at = watch.shown_at(now=now)
+    age = round(now - shown_at, 2) if shown_at > NEVER else None
+    return {
+        "majority": now - shown_at <= constants.CONTACT_LIFE,
+        "serves": watch.may_serve(now=now),
+        "to_read": sorted(watch.contact.unread),
+        "config": sources.voter.held.number(name="config"),
+        "served_age_s": age,
+    }
+
+
 def _show_founding(*, sources: StatusSources, now: float) -> dict:
     founding = read_founding(value=sources.voter.held_voters().value)
     if not founding.number:
--- a/sailward/discovery/gossip.py
+++ b/sailward/discovery/gossip.py
@@ -50,11 +50,17 @@
 
 @dataclass(kw_only=True)
 class Known:
-    """One daemon as it is known here."""
+    """One daemon as it is known here.
+
+    `heard` is the echo number of the last heartbeat that came from it directly, 0 for none; `contact` whether that
+    one said that it has contact with a majority of the voters.
+    """
 
     entry: dict
     seen: float
     lost: bool = False
+    heard: int = 0
+    contact: bool = False
 
 
 @dataclass(kw_only=True)
@@ -67,6 +73,8 @@
     identity: str = ""
     asks: str = ""
     beat: int = 0
+    contact: bool = True
+    voted: list = field(default_factory=list)
     known: dict = field(default_factory=dict)
     told: float = -1e9
     is_mesh: bool = False
@@ -81,7 +89,7 @@
             return self._fold_beat(now=now, sender=event[0], body=event[1])
         if event is not None:
             sender, body = event
-            commands = self._fold(now=now, entries=body["entries"])
+            commands = self._fold(now=now, entries=body["entries"], sender=sender)
             if not body["reply"]:
                 reply = {"kind": "gossip", "entries": self._entries(now=now), "reply": True}
                 commands.append(Tell(to=sender, body=reply))
@@ -108,8 +116,9 @@
             "beat": self.beat,
             "fit": self.fit,
             "identity": self.identity,
+            **({} if self.contact else {"contact": False}),
         }
-        commands = [Tell(to=known.entry["post"], body=body) for known in alive]
+        commands = [Tell(to=known.entry["post"], body=self._with_echo(body=body, known=known)) for known in alive]
         lost = sorted(known.entry["post"] for known in self.known.values() if known.lost)
         if lost:
             # each lost one in turn: after a cut both sides find each other with the next beats
@@ -122,6 +131,17 @@
             ]
         return commands
 
+    def echo_number(self) -> int:
+        """By what an answer to this heartbeat is known."""
+        return echo_number(start=self.start, beat=self.beat)
+
+    def _with_echo(self, *, body: dict, known: Known) -> dict:
+        """A voter's heartbeat answers the last one that came from its receiver itself.
+
+        And tells the numbers voted for.
+        """
+        return {**body, "echo": [known.heard, *self.voted]} if self.fit and known.heard else body
+
     def _fold_beat(self, *, now: float, sender: str, body: dict) -> list:
         known = self.known.get(body["id"])
         if known is None or known.entry["start"] != body["start"] or known.entry["post"] != sender:
@@ -131,7 +151,12 @@
             return []
         entry = {**known.entry, "beat": body["beat"], "fit": body["fit"], "identity": body["identity"]}
         commands = [Log(event="daemon-found", fields={"daemon": body["id"], "at": sender})] if known.lost else []
-        self.known[body["id"]] = Known(entry=entry, seen=now)
+        self.known[body["id"]] = Known(
+            entry=entry,
+            seen=now,
+            heard=echo_number(start=body["start"], beat=body["beat"]),
+            contact=body.get("contact") is not False,
+        )
         return commands
 
     def own_entry(self) -> dict:
@@ -171,7 +196,7 @@
         fresh = [known.entry for known in self.known.values() if not known.lost]
         return [self.own_entry(), *fresh]
 
-    def _fold(self, *, now: float, entries: list) -> list:
+    def _fold(self, *, now: float, entries: list, sender: str) -> list:
         commands = []
         for entry in entries:
             if not is_entry(given=entry) or entry["id"] == self.place.name:
@@ -181,7 +206,10 @@
                 continue
             if known is None or known.lost:
                 commands.append(Log(event="daemon-found", fields={"daemon": entry["id"], "at": entry["post"]}))
-            self.known[entry["id"]] = Known(entry=entry, seen=now)
+            heard = known.heard if known else 0
+            if entry["post"] == sender:
+                heard = echo_number(start=entry["start"], beat=entry["beat"])
+            self.known[entry["id"]] = Known(entry=entry, seen=now, heard=heard)
         return commands
 
     def _judge(self, *, now: float) -> list:
@@ -195,6 +223,11 @@
         return commands
 
 
+def echo_number(*, start: int, beat: int) -> int:
+    """The number by which a heartbeat is answered, never 0: two starts share one by a chance of one in ECHO_NUMBERS."""
+    return (start + beat) % constants.ECHO_NUMBERS + 1
+
+
 def _is_newer(*, entry: dict, known: Known) -> bool:
     if known.lost and entry["start"] != known.entry["start"]:
         # a start is a wall time: after the clock was turned back, the new one is the lower
--- a/simulation/hosted/exchange.py
+++ b/simulation/hosted/exchange.py
@@ -46,6 +46,10 @@
         """Connect; gives how the client closes the connection."""
         self.token = f"{self.edge} {next(self.world.numbers)}"
         clock, process = self.world.clock, self.process
+        network = self.world.network
+        if process is not None and network.is_refused(a=self.spot, b=process.machine.spot):
+            clock.after(network.delay(a=self.spot, b=process.machine.spot), lambda: self._end(None))
+            return self._leave
         if process is None or process.machine.is_dark or self._is_cut():
             clock.after(self.wait, lambda: self._end(None))
             return self._leave
@@ -57,7 +61,7 @@
         return self._leave
 
     def _is_cut(self) -> bool:
-        return self.world.network.is_cut(a=self.spot, b=self.process.machine.spot)
+        return self.world.network.is_severed(a=self.spot, b=self.process.machine.spot)
 
     def _end(self, answer: object) -> None:
         if answer == "silent" or self.is_over:
--- a/simulation/hosted/operator_call.py
+++ b/simulation/hosted/operator_call.py
@@ -18,6 +18,8 @@
 """statuses of 4xx that ask it to come back."""
 ODD_ANSWERS = 3
 """other answers of 4xx after which it ends."""
+MOVED, REDIRECTS = 307, 2
+"""the status that names another controller, and how often an operator follows it at once."""
 LARGE = 100_000
 """bytes of a body over which it waits twice as long."""
 FIRST_PAUSE, PAUSE_GROWTH, LONGEST_PAUSE = 0.1, 1.6, 1.0
@@ -47,6 +49,7 @@
     arrived: Callable[[], None] | None = None
     turn: int = 0
     odd: int = 0
+    moves: int = 0
 
     def begin(self) -> None:
         """Send it to the first machine, or to any."""
@@ -58,6 +61,10 @@
     def take(self, *, answer: Answer | None, process: Process | None) -> None:
         """Judge the answer of one sending, None if none came: end, or go on to another controller."""
         code = answer.code if answer is not None else 0
+        if code == MOVED and self.moves < REDIRECTS:
+            self.moves += 1
+            self._send(process=self.operator.world.by_desk(location=answer.headers["Location"]))
+            return
         self.odd += 400 <= code < 500 and code not in (*ENDS, *COME_BACK)
         if 200 <= code < 300 or code in ENDS or self.odd >= ODD_ANSWERS:
             self.done(code, answer.body) if self.wants_body else self.done(code)
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -9,10 +9,21 @@
 from sailward import constants
 from sailward.config import history
 from sailward.consensus import proposer
-from sailward.control import admin_api, controller, granting, membership, shard_leases, write_ahead, zone_orders
+from sailward.control import (
+    admin_api,
+    catch_up,
+    contact_watch,
+    controller,
+    granting,
+    membership,
+    quorum_contact,
+    shard_leases,
+    write_ahead,
+    zone_orders,
+)
 from sailward.discovery import workers
 from sailward.events import Stop
-from sailward.proxy import proxy
+from sailward.proxy import proxy, uplink
 from sailward.routing import evidence, forwarding, placing, plan, reply, retry_budget
 from simulation.hosted import calls as hosted_calls
 
@@ -104,6 +115,25 @@
     return begin_stop
 
 
+def _reads_once(old):
+    def step(self, *, now):
+        return old(self, now=now) if self._contact.lost_at == quorum_contact.NEVER else []
+
+    return step
+
+
+def _forgets_to_read(old):
+    def lose(self, *, now):
+        old(self, now=now)
+        self.unread = set()
+
+    return lose
+
+
+def _always_serves(old):
+    return lambda self, *, now: bool(self._voter.voters["members"])
+
+
 def _judged_by(*, change):
     def make(old):
         return lambda self, **fields: change(old(self, **fields))
@@ -151,6 +181,13 @@
     "resent": _all(_patch(history.Labelled, "has", lambda old: lambda self, *, digest: False)),
     "expect": _all(_patch(forwarding, "headers_to_worker", _without_expect)),
     "budget": _all(_patch(retry_budget.RetryBudget, "step", lambda old: lambda self, **fields: True)),
+    "contact": _all(_patch(contact_watch.ContactWatch, "may_serve", _always_serves)),
+    "contact-word": _all(_patch(uplink.Uplink, "is_last_resort", lambda old: lambda self, *, now: True)),
+    "contact-read": _all(
+        _patch(quorum_contact.QuorumContact, "_lose", _forgets_to_read),
+        _patch(catch_up.CatchUp, "step", _reads_once),
+    ),
+    "patience": _all(_patch(admin_api.AdminApi, "give_up", lambda old: lambda self, *, now, is_lost: [])),
     "seal": _all(_patch(forwarding, "judge_reply", _believes_all)),
     "answer-name": _all(
         lambda: mock.patch.object(hosted_calls, "names_another", lambda *, asked, echoed: False),
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -7,6 +7,7 @@
 
 from simulation.hosted.chaos import Chaos
 from simulation.hosted.process import RESTART
+from simulation.hosted.world import DESK
 
 if TYPE_CHECKING:
     from simulation.hosted.process import Machine, Process
@@ -78,13 +79,28 @@
         self._note(machine=fresh, seconds=1.0)
         world.clock.after(1.0, fresh.start)
 
-    def do_cut(self, left: str, right: str, seconds: str) -> None:
-        """Nothing passes between two sides for some seconds.
+    def do_cut(self, left: str, right: str, seconds: str, *how: str) -> None:
+        """Nothing passes between two sides (names of machines, zones, regions or kinds, joined by +) for some seconds.
 
-        A side is names of machines, zones, regions or kinds, joined by +.
+        `one_way`: nothing from left to right. Silent unless `reset` is said.
         """
-        self._world.network.cut(left=frozenset(left.split("+")), right=frozenset(right.split("+")))
-        self._world.clock.after(float(seconds), self._world.network.heal)
+        network = self._world.network
+        made = network.cut(
+            left=frozenset(left.split("+")),
+            right=frozenset(right.split("+")),
+            is_one_way="one_way" in how,
+            is_loud="reset" in how,
+        )
+        if made.is_loud:
+            self._world.calls.sever()
+        self._world.clock.after(float(seconds), lambda: network.heal(cut=made))
+
+    def do_seeds(self, *machines: str) -> None:
+        """The settings name other seeds, these first; a start makes daemons read them."""
+        world = self._world
+        chosen = [one for word in machines for one in self._machines(word) if "controller" in one.processes]
+        rest = [one for one in world.machines.values() if "controller" in one.processes and one not in chosen]
+        world.seeds = [f"{one.ip}:{DESK}" for one in [*chosen, *rest]][:3]
 
     def do_reset_conns(self, machine: str, share: str) -> None:
         """A share of the machines' connections to workers is reset, kept ones and those of calls under way."""
