--- a/sailward/config/check.py
+++ b/sailward/config/check.py
@@ -8,10 +8,10 @@
 
 from sailward import constants
 from sailward.config.homes import list_halls
-from sailward.config.json_text import BadJson, load_json
 from sailward.config.matches import sort_matches
 from sailward.config.schema import CONFIG
 from sailward.config.stamps import expand_stamps
+from sailward.json_text import BadJson, load_json
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/consensus/messages.py
+++ b/sailward/consensus/messages.py
@@ -14,7 +14,6 @@
 
 from sailward import constants
 from sailward.consensus.acceptor import KNOWN
-from sailward.discovery.rows import is_proxy
 from sailward.shapes import (
     Check,
     either_of,
@@ -24,6 +23,7 @@
     is_count,
     is_flag,
     is_number,
+    is_proxy_row,
     is_text,
     is_whole,
     list_of,
@@ -211,7 +211,7 @@
     "confirmed": {"seq": is_whole, "identity": is_text, "newest": map_of(_is_digest)},
     "fleet": {
         "number": is_whole,
-        "rows": either_of(lambda given: given == ["same"], list_of(is_proxy)),
+        "rows": either_of(lambda given: given == ["same"], list_of(is_proxy_row)),
         "loads": is_loads,
         "down": map_of(is_count),
     },
--- a/sailward/discovery/rows.py
+++ b/sailward/discovery/rows.py
@@ -6,7 +6,18 @@
 from dataclasses import dataclass
 from typing import Any
 
-from sailward.shapes import Check, is_amount, is_count, is_flag, is_text, is_whole, list_of, record_of, row_of
+from sailward.shapes import (
+    Check,
+    is_amount,
+    is_count,
+    is_flag,
+    is_proxy_row,
+    is_text,
+    is_whole,
+    list_of,
+    record_of,
+    row_of,
+)
 
 UNREADABLE_LIST = "rows of a told list can't be read"
 """Why what another daemon told of workers or the fleet is dropped."""
@@ -35,10 +46,8 @@
 """A worker of a list that tells generations."""
 is_life = record_of(needed={**_PLACE, "capacity": is_count, "cold_s": is_amount})
 """A worker of a list in which each start has an id of its own."""
-is_proxy = row_of(is_text, is_text, is_text, is_text, is_flag)
-"""[name, address, zone, region, is it fit]."""
 _is_fleet = record_of(
-    needed={"proxies": list_of(is_proxy), "cellars": list_of(row_of(is_text, is_text, is_text))},
+    needed={"proxies": list_of(is_proxy_row), "cellars": list_of(row_of(is_text, is_text, is_text))},
     optional={"down": list_of(is_text)},
 )
 
--- a/sailward/shapes.py
+++ b/sailward/shapes.py
@@ -90,3 +90,7 @@
 def either_of(*checks: Check) -> Check:
     """What fits one of them."""
     return lambda given: any(check(given) for check in checks)
+
+
+is_proxy_row = row_of(is_text, is_text, is_text, is_text, is_flag)
+"""A proxy as controllers tell it: [name, address, zone, region, is it fit]."""
