--- a/simulation/sim/scenario.py
+++ b/simulation/sim/scenario.py
@@ -13,6 +13,8 @@
 BEGIN = 1000.0
 
 
+LAST_LOOK = 1.5
+"""s before the end of a run at which operators read which halls are emptied, if they gave orders on halls."""
 GRAMMAR = Grammar(
     fleet="arriaga",
     seeds=range(1, 4),
@@ -32,11 +34,17 @@
     return GRAMMAR.run(scenario=scenario, seed=seed, without=without, play=_play)
 
 
+def _look_last(*, world: World, faults: Faults) -> None:
+    if any(world.history.of(k=kind) for kind in ("emptied", "refilled")):
+        faults.step(verb="read-orders", words=[])
+
+
 def _play(*, scenario: Scenario, seed: int) -> Outcome:
     world = World(deployment=DEPLOYMENTS[scenario.fleet](), seed=seed)
     faults = Faults(world=world)
     for when, verb, words in scenario.steps:
         world.clock.at(BEGIN + when, lambda verb=verb, words=words: faults.step(verb=verb, words=words))
+    world.clock.at(BEGIN + scenario.end - LAST_LOOK, lambda: _look_last(world=world, faults=faults))
     world.clock.run(until=BEGIN + scenario.end)
     faults.note_stored()
     broken: list[Broken] = check_history(history=world.history, deployment=world.deployment)
