--- a/tests/test_group_machine.py
+++ b/tests/test_group_machine.py
@@ -68,15 +68,15 @@
 
 def hold_own_vote_at_start(monkeypatch: pytest.MonkeyPatch) -> None:
     """A start takes the last vote on its disk for what is in force."""
-    old = controller.Controller._look_at_alarms
+    old = controller.Controller._tick
 
-    def look(self, *, now):
+    def tick(self, *, now, event):
         slot = self.acceptor.slots.get("config")
         if "config" not in self.held.held and slot is not None and slot.value is not None:
             self.held.step(name="config", ballot=slot.ballot, value=slot.value)
-        return old(self, now=now)
+        return old(self, now=now, event=event)
 
-    monkeypatch.setattr(controller.Controller, "_look_at_alarms", look)
+    monkeypatch.setattr(controller.Controller, "_tick", tick)
 
 
 def keep_identity_without_data(monkeypatch: pytest.MonkeyPatch) -> None:
