--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -85,6 +85,7 @@
                 kind="refused", code=404, reason="unknown", detail="configurations are written in another dialect here"
             )
         if isinstance(order, Outcome):
+            self.outcomes[order.kind] += 1
             return [dialect.answer(token=event.token, order=None, outcome=order)], []
         return [], [self._begin_read(job=Job(token=event.token, order=order, dialect=dialect))]
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -87,7 +87,7 @@
     first = net.machines[0]
     assert net.ask(first, method="PUT", path="/config", body=make_written(label=3), if_match="0")[0] == 200
     net.cut = {one.name for one in net.machines[1:]}
-    net.ask(first, method="PUT", path="/config", body=make_written(label=4), if_match="3")
+    net.ask(first, method="PUT", path="/config", body=make_written(label=4), if_match="r3")
     values = read_metrics(controller=first.cellar, now=net.now)
     assert values[("operations_total", "accepted")] == 1
     assert values.get(("operations_total", "unavailable"), 0) + values.get(("operations_total", "unknown"), 0) == 1
