--- a/sailward/control/catch_up.py
+++ b/sailward/control/catch_up.py
@@ -11,10 +11,12 @@
 
 
 class CatchUp:
-    """Owner of a controller's own reads. `step` begins those that are due; `is_own` tells whether an operation was one of them.
+    """Owner of a controller's own reads.
 
-    Each register is read every `every` s, and sooner where a newer value is known to exist: after STALLED s, in which the
-    chosen value comes by itself as a rule.
+    `step` begins those that are due; `is_own` tells whether an operation was one of them.
+
+    Each register is read every `every` s, and sooner where a newer value is known to exist: after STALLED s, in which
+    the chosen value comes by itself as a rule.
     """
 
     def __init__(self, *, voter: Voter, op_prefix: str, every: float) -> None:
--- a/sailward/control/controller.py
+++ b/sailward/control/controller.py
@@ -269,12 +269,12 @@
     def _step_fleet(self, *, now: float) -> list[Command]:
         if not self.options.tells_fleet:
             return []
-        controllers = [*self.roster.alive(kind="cellar"), self.roster.own_entry()]
-        return self.fleet.step(now=now, event=None, proxies=self.subscribers.proxies(), cellars=controllers)
+        controllers = [*self.roster.alive(kind="controller"), self.roster.own_entry()]
+        return self.fleet.step(now=now, event=None, proxies=self.subscribers.proxies(), controllers=controllers)
 
     def _step_membership(self, *, now: float) -> list[Command]:
         commands, begins = self.membership.step(now=now)
-        self.desk.cellars = self.membership.controllers
+        self.desk.controllers = self.membership.controllers
         return commands + self.registers.begin(now=now, begins=begins)
 
     def _describe_itself(self, *, now: float) -> None:
@@ -305,7 +305,7 @@
         changes = self.moves.step(
             now=now,
             own=self.identity,
-            cellars=[*self.roster.alive(kind="cellar"), self.roster.own_entry()],
+            controllers=[*self.roster.alive(kind="controller"), self.roster.own_entry()],
             held=self.held,
             standing=self.standing,
             workers=self.worker_list.value,
--- a/sailward/control/metrics.py
+++ b/sailward/control/metrics.py
@@ -1,8 +1,8 @@
 """A controller's metrics, as typed samples and in the OpenMetrics text format.
 
-The text is written here and not by a client library: importing that costs each start of a process 45 ms of processor time and
-1.2 MB, and all values are read at the moment of the question from the parts that own them. The tests read the text with the
-library's parser.
+The text is written here and not by a client library: importing that costs each start of a process 45 ms of processor
+time and 1.2 MB, and all values are read at the moment of the question from the parts that own them. The tests read the
+text with the library's parser.
 """
 
 from __future__ import annotations
@@ -80,8 +80,8 @@
 def _collect_voters(*, sources: StatusSources) -> list[Family]:
     voter, roster = sources.voter, sources.roster
     members = voter.voters["members"]
-    controllers = [*roster.alive(kind="cellar"), roster.own_entry()]
-    core = count_core(members=members, cellars=controllers)
+    controllers = [*roster.alive(kind="controller"), roster.own_entry()]
+    core = count_core(members=members, controllers=controllers)
     copying = sorted(one["id"] for one in controllers if one["identity"] in members and not one["fit"])
     return [
         _gauge("voting", "Whether this controller votes.", voter.voting),
--- a/sailward/control/status_report.py
+++ b/sailward/control/status_report.py
@@ -15,7 +15,7 @@
 from sailward.control.subscribers import Subscribers
 from sailward.control.voter import Voter
 from sailward.control.worker_list import WorkerList
-from sailward.discovery.gossip import Roster
+from sailward.discovery.gossip import Roster, kind_of
 from sailward.events import UnexpectedEvents
 
 
@@ -52,7 +52,7 @@
     daemons = [
         {
             "id": known.entry["id"],
-            "kind": known.entry["kind"],
+            "kind": kind_of(entry=known.entry),
             "hall": known.entry["hall"],
             "fit": known.entry["fit"],
             "lost": known.lost,
@@ -65,7 +65,9 @@
         f"{service}|{hall}": {"state": state.state, "fraction": state.fraction, "for_s": round(now - state.since, 1)}
         for (service, hall), state in sources.standing.book.halls.items()
     }
-    core = count_core(members=voter.voters["members"], cellars=[*roster.alive(kind="cellar"), roster.own_entry()])
+    core = count_core(
+        members=voter.voters["members"], controllers=[*roster.alive(kind="controller"), roster.own_entry()]
+    )
     return {
         "id": voter.place.name,
         "core": core,
--- a/sailward/control/write_ahead.py
+++ b/sailward/control/write_ahead.py
@@ -1,4 +1,4 @@
-"""A cellar's place on the disk: records synced in order, and what waits for them."""
+"""A controller's place on the disk: records synced in order, and what waits for them."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
         return commands
 
     def start(self, *, records: list) -> None:
-        """Take the records of a start as what the file holds: without it, a file that outlives many starts would grow with them."""
+        """Take the records of a start as what the file holds: it must not grow with the number of starts."""
         self.count, self.size = len(records), estimate_bytes(records=records)
         self.live_size = estimate_bytes(records=self._live_records())
 
--- a/simulation/simulated_files.py
+++ b/simulation/simulated_files.py
@@ -48,7 +48,7 @@
 
 
 class SimulatedFiles:
-    """The calls of `sailward.storage.files.Files` on memory. `room` are the bytes that may still be written, None for no bound.
+    """The calls of `sailward.storage.files.Files` on memory. `room`: bytes that may still be written.
 
     `lose_power_at` is the number of the call before which power is lost; calls that only read don't count.
     """
@@ -152,7 +152,7 @@
         return len(self.changes) + sum(len(inode.unsynced) for inode in self._inodes())
 
     def lose_power(self, *, choose: Callable[[tuple], object]) -> None:
-        """Go back to what lasts; `choose` picks what becomes of each name (True: kept) and each write (LOST, TORN, WHOLE)."""
+        """Go back to what lasts; `choose` picks each name's fate (True: kept) and each write's (LOST, TORN, WHOLE)."""
         inodes = self._inodes()
         names = dict(self.lasting)
         for change in self.changes:
--- a/tests/group_machine.py
+++ b/tests/group_machine.py
@@ -1,4 +1,4 @@
-"""A control group of whole controllers, driven by hypothesis: changes, kills, losses of power, wipes, cuts, lossy networks."""
+"""A control group of whole controllers, driven by hypothesis: changes, kills, lost power, wipes, cuts, lossy links."""
 
 from __future__ import annotations
 
@@ -113,7 +113,7 @@
     @precondition(lambda self: self._is_whole())
     @rule(order=st.permutations(range(4)))
     def lose_two_in_turn(self, order: list[int]) -> None:
-        """One is behind in its votes, the next loses its disk, and the moment its successor votes the one after it is lost."""
+        """One is behind in its votes, the next loses its disk; the moment its successor votes, a third is lost."""
         behind, wiped, lost, at = order
         self.leave_one_behind(behind=behind, at=at)
         self.wipe(at=wiped, seconds=0.0)
@@ -128,7 +128,7 @@
         self.change(at=at, seconds=0.4)
 
     def teardown(self) -> None:
-        """All is well again: all catch up, and once more from their disks alone, as memory may hide what the voters lost."""
+        """All is well again: all catch up, and once more from their disks, as memory may hide what was lost."""
         if not hasattr(self, "group") or not self.is_sound:
             return
         self.network = "calm"
--- a/tests/storage_machine.py
+++ b/tests/storage_machine.py
@@ -1,7 +1,8 @@
-"""A whole controller over simulated files, driven by hypothesis: messages to a voter, syncs, kills, losses of power, a full disk."""
+"""A whole controller over simulated files, driven by hypothesis: votes, syncs, kills, lost power, a full disk."""
 
 from __future__ import annotations
 
+import contextlib
 import random
 from pathlib import Path
 
@@ -85,10 +86,8 @@
     def lose_power(self, calls: int, data: st.DataObject) -> None:
         """Power is lost after so many calls of what the disk has in line."""
         self.files.lose_power_at = self.files.steps + calls
-        try:
+        with contextlib.suppress(PowerLost):
             self.work()
-        except PowerLost:
-            pass
         self.files.lose_power(choose=lambda options: data.draw(st.sampled_from(options)))
         self._start()
 
@@ -110,7 +109,7 @@
         self.files.room = room
         assert isinstance(found, Read), found
         self.controller = Controller(
-            place=Place(name="v", kind="cellar", hall="z", region="r", post=POST, http=POST, seeds=(POST,)),
+            place=Place(name="v", kind="controller", hall="z", region="r", post=POST, http=POST, seeds=(POST,)),
             platform="10.9.9.9:1",
             nonce=f"{self.lives}",
             start=self.lives,
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -1,4 +1,4 @@
-"""What a controller and a proxy remember does not grow with the number of changes, nor with the daemons that came and went."""
+"""What a controller and a proxy remember does not grow with the number of changes, nor with daemons that are gone."""
 
 from __future__ import annotations
 
@@ -66,13 +66,12 @@
 
     def read(self, *, body: bytes) -> None:
         """Nothing."""
-        return None
 
 
 def make_hosted_controller() -> Controller:
     post = "10.0.0.1:7620"
     return Controller(
-        place=Place(name="c0", kind="cellar", hall="z", region="r", post=post, http=post, seeds=(post,)),
+        place=Place(name="c0", kind="controller", hall="z", region="r", post=post, http=post, seeds=(post,)),
         platform="10.9.9.9:1",
         nonce="1",
         start=1,
@@ -87,13 +86,17 @@
     """Proxies and controllers that each say something once, and are never heard of again."""
     for number in range(first, first + count):
         now += 0.1
-        entry = {"id": f"p{number}", "kind": "sommelier", "hall": "z", "region": "r", "http": f"10.1.{number}.1:1"}
+        entry = {"id": f"p{number}", "kind": "proxy", "hall": "z", "region": "r", "http": f"10.1.{number}.1:1"}
         entry |= {"start": number, "fit": True, "version": "", "post": f"10.1.{number}.1:2", "beat": 1, "identity": ""}
         report = {"turn": 1, "lead": controller.place.post, "loads": {}, "paces": {}, "down": []}
         sender = entry["post"]
         events = [
             {"kind": "ask", "seq": 1, "have": {}, "report": report, "daemon": entry},
-            {"kind": "gossip", "entries": [{**entry, "kind": "cellar", "asks": "", "id": f"c{number}"}], "reply": True},
+            {
+                "kind": "gossip",
+                "entries": [{**entry, "kind": "controller", "asks": "", "id": f"c{number}"}],
+                "reply": True,
+            },
             {"kind": "fleet", "number": 1, "rows": [], "loads": {}, "down": {}},
             {"kind": "list", "number": 1, "rows": json.dumps([])},
             {
@@ -151,7 +154,7 @@
 
 def test_a_proxy_remembers_no_more_after_400_changes_and_400_workers_than_after_100() -> None:
     post = "10.1.0.1:7621"
-    place = Place(name="p0", kind="sommelier", hall="z", region="r", post=post, http=post, seeds=("10.0.0.1:7620",))
+    place = Place(name="p0", kind="proxy", hall="z", region="r", post=post, http=post, seeds=("10.0.0.1:7620",))
     proxy = Proxy(
         place=place,
         start=1,
