--- a/sailward/control/fleet.py
+++ b/sailward/control/fleet.py
@@ -92,7 +92,10 @@
         return self._tell_all(now=now, to=others)
 
     def _forget_gone(self, *, now: float, posts: set) -> None:
-        """Drop what was told by and to controllers that are gone: replaced machines are ever more."""
+        """Drop what was told by and to controllers that are gone.
+
+        As machines are replaced, there are ever more of them.
+        """
         self.others = {post: told for post, told in self.others.items() if now - told.at < constants.FORGET}
         # one that comes back is told all rows again
         self.told_to = {post: version for post, version in self.told_to.items() if post in posts}
--- a/sailward/control/write_ahead.py
+++ b/sailward/control/write_ahead.py
@@ -45,7 +45,10 @@
         return commands
 
     def start(self, *, records: list) -> None:
-        """Take the records of a start as what the file holds: it must not grow with the number of starts."""
+        """Take the records of a start as what the file holds.
+
+        Without it, a file that outlives many starts would grow with them.
+        """
         self.count, self.size = len(records), estimate_bytes(records=records)
         self.live_size = estimate_bytes(records=self._live_records())
 
