Data file: what was stored behind a rewrite is cleared away when that ends

Seen in the measurement: a member that had slept through 1,000 or 10,000 changes took 2,000 waiting messages at once and was left with a file of 61.8 MB until the next change, as a rewrite was only thought of with new records. Also: the start's records were counted twice after the merge of the voter's split (no harm, one call removed).

--- a/sailward/control/voter.py
+++ b/sailward/control/voter.py
@@ -75,7 +75,6 @@
             opened=remembered.opened,
             known=remembered.known,
         )
-        self.ledger.start(records=records)
         if remembered.known is not None and "v" in remembered.known:
             self.held.step(name="voters", ballot=remembered.known["b"], value=remembered.known["v"])
         self.ledger.start(records=records)
--- a/sailward/control/write_ahead.py
+++ b/sailward/control/write_ahead.py
@@ -98,6 +98,9 @@
         self.synced = max(self.synced, event.seq)
         while self.waiting and self.waiting[0][0] <= self.synced:
             commands += self.waiting.popleft()[1]
+        if self.usable and not self.rewriting and self._is_long():
+            # what was stored behind a rewrite, as after a long sleep, is not left for the next change to clear away
+            commands.append(self.rewrite())
         return commands
 
 
--- a/tests/test_data_file.py
+++ b/tests/test_data_file.py
@@ -88,6 +88,19 @@
     assert voter.ledger.rewrites <= 12 / (constants.REWRITE_FACTOR - 1) + 2
 
 
+def test_what_was_stored_behind_a_rewrite_is_cleared_away_without_a_further_change() -> None:
+    files = SimulatedFiles()
+    voter = Voter(files=files)
+    commands: list = []
+    for number in range(1, 201):
+        body = {"kind": "accept", "register": "config", "op": "o", "ballot": [number, "p"]}
+        records, _ = voter.acceptor.step(now=0.0, body={**body, "value": make_value(number=number)})
+        commands += voter.ledger.step(records=records, replies=[])
+    voter.work(commands=commands)
+    assert files.size(name="registers") <= constants.REWRITE_BYTES * 1.2
+    assert Voter(files=files).acceptor.slots["config"].value["number"] == 200
+
+
 def run_rewrite(*, files: SimulatedFiles) -> tuple[list[int], list[int]]:
     """Two stores, a rewrite and two more; (what was given, what was acknowledged) by number."""
     events: list = []
