--- a/simulation/hosted/expect.py
+++ b/simulation/hosted/expect.py
@@ -118,6 +118,19 @@
     return ("" if count >= int(words[0]) else f"voters: {count}"), count
 
 
+def _judge_caught_up(*, words: list[str], world: World) -> tuple[str, object]:
+    """caught-up: every controller and proxy that runs holds the newest configuration at the end."""
+    numbers = {
+        process.name: process.owner.held.number(name="config")
+        for machine in world.machines.values()
+        for process in machine.processes.values()
+        if process.owner is not None
+    }
+    newest = max(numbers.values())
+    behind = {name: number for name, number in numbers.items() if number < newest}
+    return (f"caught-up: {behind} behind {newest}" if behind else ""), (newest, len(numbers))
+
+
 def _judge_count(*, words: list[str], world: World) -> tuple[str, object]:
     """`count WHAT MOST`: calls to the list, probes, new connections, or messages of a kind."""
     count = world.count[words[0]]
@@ -141,5 +154,6 @@
     "rows": _judge_rows,
     "says": _judge_says,
     "voters": _judge_voters,
+    "caught-up": _judge_caught_up,
     "count": _judge_count,
 }
