--- /dev/null
+++ b/simulation/hosted/drawn_deployment.py
@@ -0,0 +1,41 @@
+"""Deployments that nobody has seen: sizes, places, budgets and bounds drawn by seed, of the kinds that the users describe."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from simulation.hosted.deployment import BOUNDS, Deployment, make_small
+
+REGIONS = ("gdl", "ens", "mex")
+SIZES = {3: (3, 1, 0), 4: (4, 1, 0), 5: (3, 1, 2), 6: (3, 2, 0), 7: (4, 1, 3), 8: (4, 2, 0)}
+"""Machines that hold state: (zones, of them in each, zones with one more)."""
+
+
+def draw_deployment(*, seed: int) -> Deployment:
+    """3 to 8 machines that hold state in 3 to 5 zones of 1 to 3 regions, of which 1 or 2 may be lost at once."""
+    rng = random.Random(f"{seed}/deployment")
+    zone_count, disks, more = SIZES[rng.choice(sorted(SIZES))]
+    core = zone_count * disks + more
+    regions = REGIONS[: rng.randrange(2, 4)] if zone_count > 3 or rng.random() < 0.7 else REGIONS[:1]
+    zones = {f"{regions[at % len(regions)]}-z{at}": regions[at % len(regions)] for at in range(zone_count)}
+    bounds = {
+        **BOUNDS,
+        "contact_s": rng.choice((4, 5)),
+        "catch_up_s": rng.choice((4, 5)),
+        "drain_s": rng.choice((2.5, 3)),
+        "grace_s": rng.choice((5, 6, 7)),
+        "seed_lag_s": rng.choice((2, 3)),
+        "evacuate_s": rng.choice((5, 6)),
+    }
+    made = make_small(home=zones[next(iter(zones))])
+    return dataclasses.replace(
+        made,
+        zones=zones,
+        bounds=bounds,
+        disks=disks,
+        more_disks=tuple(list(zones)[:more]),
+        plain=rng.choice((1, 1, 2)),
+        machines=2 if core >= 5 and rng.random() < 0.5 else 1,
+        list_lag=rng.choice((0.5, 0.8, 1.0)),
+    )
--- /dev/null
+++ b/simulation/hosted/link_verbs.py
@@ -0,0 +1,82 @@
+"""Steps of scenarios on links: cuts of every kind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from simulation.hosted.choosing import choose_spots
+
+if TYPE_CHECKING:
+    from simulation.hosted.network import Cut
+    from simulation.hosted.world import World
+
+LOUD = ("reset", "refuse")
+"""Ways of a cut that is noticed at once."""
+
+
+class LinkVerbs:
+    """A SIDE is names of machines, zones, regions, kinds, `leader`, `seed`, workers (SERVICE@ZONE), joined by +.
+
+    Clients stand in zones too; `in:ZONE` and `out:ZONE` are the machines and workers there and elsewhere, without them.
+    """
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+
+    def do_cut(self, left: str, right: str, seconds: str, *how: str) -> None:
+        """Nothing passes between two sides for some seconds; `one_way`: nothing from left to right.
+
+        Silent unless `reset` or `refuse` is said.
+        """
+        self._cut(left=left, right=right, seconds=seconds, how=how)
+
+    def do_cut_core(self, machine: str, seconds: str, *how: str) -> None:
+        """Machines are cut off from the others that hold state; `in`: nothing gets in, `out`: nothing gets out.
+
+        `seeds`: new seeds begin with them, and some other machines are restarted. `both`: they are restarted during the cut,
+        then the others that hold state.
+        """
+        world = self._world
+        names = sorted(choose_spots(world=world, word=machine))
+        apart = "+".join(names)
+        others = "+".join(
+            one.spot.name
+            for one in world.machines.values()
+            if "cellar" in one.processes and not one.is_gone and one.spot.name not in names
+        )
+        left, right = (others, apart) if "in" in how else (apart, others)
+        one_way = ("one_way",) if {"in", "out", "one_way"} & set(how) else ()
+        self._cut(left=left, right=right, seconds=seconds, how=(*how, *one_way))
+        part = float(seconds) / 3
+        if "seeds" in how:
+            world.step("seeds", (apart,))
+            plain = [one.spot.name for one in world.machines.values() if "cellar" not in one.processes]
+            chosen = "+".join(world.rng.sample(plain, min(2, len(plain)))) if plain else ""
+            if chosen:
+                world.clock.after(part, lambda: world.step("kill", (f"sommelier@{chosen}",)))
+        if "both" in how:
+            world.clock.after(part, lambda: world.step("kill", (f"all@{apart}",)))
+            world.clock.after(2 * part, lambda: world.step("kill", (f"all@{others}",)))
+
+    def do_cut_zone(self, zone: str, seconds: str, *how: str) -> None:
+        """A zone is cut off from the others, or with `in` or `out` in one direction; clients still reach it."""
+        left, right = (f"out:{zone}", f"in:{zone}") if "in" in how else (f"in:{zone}", f"out:{zone}")
+        one_way = ("one_way",) if {"in", "out"} & set(how) else ()
+        self._cut(left=left, right=right, seconds=seconds, how=(*how, *one_way))
+
+    def do_cut_path(self, zone: str, to_zone: str, seconds: str) -> None:
+        """Nothing passes from one zone to another; clients still reach both."""
+        self._cut(left=f"in:{zone}", right=f"in:{to_zone}", seconds=seconds, how=("one_way",))
+
+    def _cut(self, *, left: str, right: str, seconds: str, how: tuple) -> Cut:
+        world = self._world
+        made = world.network.cut(
+            left=choose_spots(world=world, word=left),
+            right=choose_spots(world=world, word=right),
+            is_one_way="one_way" in how,
+            is_loud=bool(set(LOUD) & set(how)),
+        )
+        if made.is_loud:
+            world.calls.sever()
+        world.clock.after(float(seconds), lambda: world.network.heal(cut=made))
+        return made
--- /dev/null
+++ b/simulation/hosted/people_verbs.py
@@ -0,0 +1,141 @@
+"""Steps of scenarios by clients and operators."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from simulation.hosted.bad_configs import SPOILS, SPOILT_BODIES
+from simulation.hosted.choosing import ROLES, resolve_role
+from simulation.hosted.operators import SILENCE
+
+if TYPE_CHECKING:
+    from simulation.hosted.world import World
+
+
+class PeopleVerbs:
+    """Clients and operators."""
+
+    def __init__(self, *, world: World) -> None:
+        self._world = world
+
+    def do_load(self, seconds: str, times: str = "1", *kinds: str) -> None:
+        """Clients send at the deployment's rates, or so many times as much, of all kinds or some."""
+        chosen = tuple(kind for kind in self._world.deployment.kinds if not kinds or kind.name in kinds)
+        self._world.load(until=self._world.clock.now + float(seconds), times=float(times), kinds=chosen)
+
+    def do_hot_key(self, seconds: str, times: str, key: str) -> None:
+        """One key of the divided services gets much of the traffic."""
+        divided = {one.name for one in self._world.deployment.services if one.is_sharded}
+        chosen = tuple(kind for kind in self._world.deployment.kinds if kind.service in divided)
+        self._world.load(until=self._world.clock.now + float(seconds), times=float(times), kinds=chosen, key=int(key))
+
+    def do_eager(self, share: str, seconds: str = "") -> None:
+        """So many of the clients try again at once, and often."""
+        for at, client in enumerate(self._world.clients):
+            client.is_eager = at < float(share) * len(self._world.clients)
+        if seconds:
+            self._world.clock.after(float(seconds), lambda: self.do_eager("0"))
+
+    def do_put(self, number: str, *words: str) -> None:
+        """put NUMBER [base=N] [at=MACHINE] [only]: the whole configuration; `only`: to this machine until it answers."""
+        given = _given(words=words)
+        self._world.operator.put(
+            number=int(number),
+            base=int(given["base"]) if "base" in given else None,
+            first=self._first(given=given),
+            only="only" in words,
+        )
+
+    def do_patch(self, number: str, route: str, *words: str) -> None:
+        """patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE] [only]."""
+        given = _given(words=words)
+        first = self._first(given=given)
+        given.pop("at", "")
+        self._world.operator.patch(
+            number=int(number),
+            route=route,
+            weights={name: float(weight) for name, weight in given.items()},
+            first=first,
+            only="only" in words,
+        )
+
+    def do_deadline(self, route: str, seconds: str) -> None:
+        """The next whole configuration holds requests of a route at most so long."""
+        self._world.operator.deadlines = {**self._world.operator.deadlines, route: float(seconds)}
+
+    def do_idle(self, seconds: str) -> None:
+        """The next whole configuration lets connections rest so long."""
+        self._world.operator.idle = float(seconds)
+
+    def do_lose_acks(self, share: str, seconds: str) -> None:
+        """So many of the acknowledgements to the operator are lost for some seconds."""
+        world = self._world
+        world.operator.ack_loss = (float(share), world.clock.now + float(seconds))
+        world.trouble(names={"operator"}, seconds=float(seconds))
+
+    def do_impatient(self, wait: str, seconds: str) -> None:
+        """For some seconds the operator closes its connection after waiting so long, and sends to another."""
+        world = self._world
+        world.operator.patience = float(wait)
+        world.trouble(names={"operator"}, seconds=float(seconds))
+        world.clock.after(float(seconds), lambda: setattr(world.operator, "patience", SILENCE))
+
+    def do_shift(self, zone: str, to_zone: str, share: str, seconds: str) -> None:
+        """A share of a zone's clients move to another zone, and back."""
+        world = self._world
+        there = next(one.spot for one in world.clients if one.spot.zone == to_zone)
+        movers = [one for one in world.clients if one.spot.zone == zone]
+        for one in movers[: max(1, round(float(share) * len(movers)))]:
+            home = one.spot
+            one.spot = dataclasses.replace(home, zone=there.zone, region=there.region, names=there.names | {home.name})
+            one.until = 0.0
+            world.clock.after(float(seconds), lambda one=one, home=home: setattr(one, "spot", home))
+
+    def do_read_config(self, at: str = "") -> None:
+        """The operator reads the newest configuration in the middle of a day."""
+        self._world.operator.read_back(where=at, row="read-config")
+
+    def do_drop(self, route: str) -> None:
+        """The next whole configuration lacks this route."""
+        self._world.operator.dropped += (route,)
+
+    def do_split(self, route: str, *words: str) -> None:
+        """The next whole configuration splits a route so."""
+        self._world.operator.weights = {
+            **self._world.operator.weights,
+            route: {name: float(weight) for name, weight in _given(words=words).items()},
+        }
+
+    def do_grow(self, routes: str) -> None:
+        """The next whole configuration has so many further routes."""
+        self._world.operator.added = int(routes)
+
+    def do_put_invalid(self, number: str, way: str) -> None:
+        """An invalid configuration (the ways of bad_configs.py), or a sound one on top of a version that isn't current (`stale`)."""
+        operator = self._world.operator
+        if way == "stale":
+            operator.put(number=int(number), base=operator.older())
+            return
+        number = str(operator.newest()) if way == "same" else number
+        operator.put(number=int(number), spoil=SPOILS.get(way), spoil_body=SPOILT_BODIES.get(way))
+
+    def do_evacuate(self, zone: str) -> None:
+        """Empty a zone."""
+        self._world.operator.evacuate(zone=zone)
+
+    def do_take_back(self, zone: str) -> None:
+        """Take a zone back."""
+        self._world.operator.evacuate(zone=zone, is_back=True)
+
+    def do_read_back(self, at: str = "") -> None:
+        """The operator reads the newest configuration."""
+        self._world.operator.read_back(where=at)
+
+    def _first(self, *, given: dict) -> str:
+        where = given.get("at", "")
+        return resolve_role(world=self._world, word=where) if where in ROLES else where
+
+
+def _given(*, words: tuple) -> dict:
+    return dict(word.split("=", 1) for word in words if "=" in word)
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -88,9 +88,13 @@
         self.frozen: list | None = None
         self.is_shut = False
         self.is_stopping = False
+        self.is_leaving = False
         self.waiting: dict = {}
         self.logs: list = []
-        self._sync_end = 0.0
+        self.orders: set = set()
+        self.lag = 0.0
+        self._sync_end = self._stalled_until = 0.0
+        self._lag_end = 0.0
         self._base = 0.0
 
     @property
@@ -104,7 +108,7 @@
 
     def start(self) -> None:
         """Start on what the disk holds, with the settings of this moment."""
-        if self.owner is not None or self.machine.is_dark or self.machine.is_gone:
+        if self.owner is not None or self.machine.is_dark or self.machine.is_gone or self.is_leaving:
             return
         self.life += 1
         self.is_shut = self.is_stopping = False
@@ -172,8 +176,35 @@
         for answer in waiting.values():
             answer(None if not is_dark else "silent")
 
+    def reset(self, *, share: float) -> None:
+        """So many of its connections are reset."""
+        rng = self.world.rng
+        for token, answer in list(self.waiting.items()):
+            if rng.random() < share:
+                self.world.count["callers-reset"] += 1
+                answer(None)
+                self.leave(token=token)
+        self.world.calls.reset(process=self, share=share)
+
+    def stall(self, *, until: float) -> None:
+        """Its disk answers nothing until then."""
+        self._stalled_until = until
+
+    def hang_up_signal(self) -> None:
+        """SIGHUP: the settings file has changed. The proxies read the seeds again, as their host does."""
+        if self.owner is not None and self.role == "sommelier":
+            self.owner.uplink.seeds = self.world.host(machine=self.machine, role=self.role).place.seeds
+
     def give(self, *, event: object) -> None:
-        """Let the owner answer an event."""
+        """Let the owner answer an event; on a slowed machine it comes late, in order."""
+        clock, life = self.world.clock, self.life
+        if self.lag or clock.now < self._lag_end:
+            self._lag_end = max(clock.now + self.machine.rng.uniform(0.2, 1.0) * self.lag, self._lag_end + 1e-6)
+            clock.at(self._lag_end, lambda: self._take(event=event) if self.life == life else None)
+        else:
+            self._take(event=event)
+
+    def _take(self, *, event: object) -> None:
         if self.owner is None:
             return
         if self.frozen is not None:
@@ -204,6 +235,13 @@
             return
         self.waiting[event.token] = answer
         edge = event.token.split(" ", 1)[0]
+        if edge == "desk" and event.method != "GET":
+            self.orders.add(event.token)
+        elif edge == "front":
+            self.world.taker = self.machine.spot.name
+            self.world.happens(moment="taken")
+            if self.owner is None:
+                return
         self.give(event=event if edge == "front" else self.hosted.words.ask(event))
 
     def leave(self, *, token: str) -> None:
@@ -235,6 +273,7 @@
         elif isinstance(command, Answer):
             answer = self.waiting.pop(command.token, None)
             if answer is not None:
+                self._note_order(command=command)
                 answer(command if command.token.startswith("front ") else self.hosted.words.answer(command))
         elif isinstance(command, Call):
             calls.give(process=self, command=command)
@@ -259,6 +298,15 @@
             self.end(is_dark=False)
             self.world.clock.after(RESTART, self.start)
 
+    def _note_order(self, *, command: Answer) -> None:
+        if command.token not in self.orders:
+            return
+        self.orders.discard(command.token)
+        if 200 <= command.code < 300:
+            self.world.leader = self.machine.spot.name
+            # the daemon's answer leaves it before the moment comes
+            self.world.clock.after(self.world.rng.uniform(0.0, 0.004), lambda: self.world.happens(moment="answered"))
+
     def _tell(self, *, command: Tell) -> None:
         to = self.world.by_post.get(command.to)
         if to is None:
@@ -290,5 +338,5 @@
             self.give(event=Synced(seq=command.seq))
 
         # syncs end in order
-        self._sync_end = max(self._sync_end, clock.now + disk.write(command=command))
+        self._sync_end = max(self._sync_end, max(clock.now, self._stalled_until) + disk.write(command=command))
         clock.at(self._sync_end, synced)
--- a/simulation/hosted/touch.py
+++ b/simulation/hosted/touch.py
@@ -8,6 +8,10 @@
     from simulation.hosted.world import World
 
 
+STEP = 0.1
+"""s between two looks at whether the core is settled."""
+
+
 class Touch:
     """Answers for any moment. Where the definition needs more than is written down, it says no: rules then bind less."""
 
@@ -26,6 +30,24 @@
             for moment in (cut.begin, cut.end)
         )
 
+    def is_acked_late(self, *, begun: float, ended: float, patience: float) -> bool:
+        """Was there a stretch of so many s between these in which the core was settled and no link was in trouble?"""
+        if ended - begun <= patience:
+            return False
+        since, t = None, begun
+        while t < ended:
+            is_well = self.settled(t=t) and not self._is_any_link_troubled(t=t)
+            since = (t if since is None else since) if is_well else None
+            if since is not None and t - since >= patience:
+                return True
+            t += STEP
+        return False
+
+    def _is_any_link_troubled(self, *, t: float) -> bool:
+        if any(cut.begin <= t <= cut.end for cut in self._world.network.cuts):
+            return True
+        return any("operator" in row["names"] and row["t"] <= t <= row["until"] for row in self._world.troubles)
+
     def holds(self, *, machine: str, t: float) -> bool:
         """Was the machine in touch at this moment?"""
         if not machine or not self.settled(t=t):
