--- a/simulation/hosted/drawn_deployment.py
+++ b/simulation/hosted/drawn_deployment.py
@@ -10,6 +10,8 @@
 REGIONS = ("gdl", "ens", "mex")
 SIZES = {3: (3, 1, 0), 4: (4, 1, 0), 5: (3, 1, 2), 6: (3, 2, 0), 7: (4, 1, 3), 8: (4, 2, 0)}
 """Machines that hold state: (zones, of them in each, zones with one more)."""
+UNSHARDED = 0.5
+"""of the deployments have no service that is split by key."""
 
 
 def draw_deployment(*, seed: int) -> Deployment:
@@ -29,6 +31,10 @@
         "evacuate_s": rng.choice((5, 6)),
     }
     made = make_small(home=zones[next(iter(zones))])
+    if rng.random() < UNSHARDED:
+        made = dataclasses.replace(
+            made, services=tuple(dataclasses.replace(one, is_sharded=False) for one in made.services)
+        )
     return dataclasses.replace(
         made,
         zones=zones,
