--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -18,7 +18,7 @@
 
 ENDS = (400, 409, 412, 413, 422)
 SILENCE, LARGE = 1.0, 100_000
-"""s without an answer before another daemon is asked, and bytes over which that is doubled."""
+"""s without an answer before the connection is closed and another daemon is asked, and bytes over which that is doubled."""
 ORDER_TIME = 5.0
 """s for which an order that is no configuration is sent again."""
 
@@ -269,13 +269,18 @@
         def go(process: Process | None) -> None:
             settled = []
 
+            def give_up() -> None:
+                if not settled:
+                    world.history.add(t=world.clock.now, k="operator-left", method=method, path=path)
+                    leave()
+                    take(None)
+
             def take(answer: Answer | None) -> None:
                 if settled:
                     return
                 if answer is not None and 200 <= answer.code < 300 and method != "GET" and self._loses_ack():
                     return
                 settled.append(1)
-                leave()
                 code = answer.code if answer is not None else 0
                 state["odd"] += 400 <= code < 500 and code not in (*ENDS, 408, 429)
                 if 200 <= code < 300 or code in ENDS or state["odd"] >= 3:
@@ -300,7 +305,7 @@
                 done=take,
                 made=made,
             )
-            world.clock.after(self.patience * (2 if len(body) > LARGE else 1), lambda: take(None))
+            world.clock.after(self.patience * (2 if len(body) > LARGE else 1), give_up)
 
         start = next((one for one in self._listed() if one.machine.spot.name == first), None)
         go(start or self._pick(avoid=None))
