--- a/simulation/hosted/draw.py
+++ b/simulation/hosted/draw.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,6 +20,8 @@
 """s beyond `catch_up_s` for which a machine that was lost still counts as lost."""
 CLOSING, LIGHT, READ, END = 1.0, 10.0, 26.0, 32.0
 """s of the closing fault, of power for all, of the read and of the end, after the last trouble is over."""
+PATIENCE = 3
+"""turns after which what waits comes first: no other machine that counts is lost before it has had its turn."""
 WAIT = 8.0
 """s that a trouble waits for the moment that it is tied to."""
 
@@ -32,6 +35,7 @@
     now: float = FIRST
     steps: list = field(default_factory=list)
     emptied: str = ""
+    is_reserved: bool = False
     _number: int = 1
     _lost: list = field(default_factory=list)
     _core: list = field(default_factory=list)
@@ -53,7 +57,7 @@
     def loses(self, *, seconds: float, count: int = 1) -> bool:
         """May so many more machines that count be lost for so long? They count until they have caught up."""
         lost = sum(until > self.now for until in self._lost)
-        if lost + count > self.deployment.machines:
+        if self.is_reserved or lost + count > self.deployment.machines:
             return False
         self._lost += [self.now + seconds + self.deployment.bounds["catch_up_s"] + MARGIN] * count
         return True
@@ -137,16 +141,21 @@
     rng, until = day.rng, FIRST + seconds
     deck: list[str] = []
     waiting: list[str] = []
+    waits: collections.Counter = collections.Counter()
     while day.now < until:
         turn = waiting + (deck if deck else rng.sample(sorted(kinds), len(kinds)))
+        first = turn[0] if waits[turn[0]] >= PATIENCE else ""
         waiting, deck = [], []
         for at, kind in enumerate(turn):
+            day.is_reserved = bool(first) and kind != first
             day.steps.append((round(day.now, 3), "mark", kind.split()))
             if kinds[kind](day):
                 deck = turn[at + 1 :]
+                waits[kind] = 0
                 break
             day.steps.pop()
             waiting.append(kind)
+            waits[kind] += 1
         day.now += day.seconds(*GAP)
     if day.emptied:
         day.at(0.0, "take-back", day.emptied)
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -148,6 +148,9 @@
 
         def end(code: int) -> None:
             world.history.add(t=world.clock.now, k="ordered", kind=kind, zone=zone, code=code, begun=begun)
+            if is_back:
+                # one of its sendings may have taken effect only now
+                world.history.add(t=world.clock.now, k="refilling", zone=zone)
             if code == 200:
                 self.emptied = self.emptied - {zone} if is_back else self.emptied | {zone}
 
--- a/simulation/hosted/shrink.py
+++ b/simulation/hosted/shrink.py
@@ -35,7 +35,6 @@
     *,
     scenario: Scenario,
     seed: int,
-    without: str = "",
     run_all: Callable,
     say: Callable[[str], None] = lambda text: None,
 ) -> Shrunk | None:
--- /dev/null
+++ b/tests/test_hosted_judge.py
@@ -0,0 +1,153 @@
+"""The judge of the simulated platform on histories written by hand: each rule broken once, and kept in the case beside it."""
+
+from __future__ import annotations
+
+import pytest
+
+from simulation.hosted.deployment import make_small, make_written
+from simulation.hosted.judge_config import judge_reads
+from simulation.hosted.judge_places import judge_evacuations
+from simulation.hosted.operators import Version
+from simulation.hosted.touch import Touch
+from simulation.hosted.world import World
+
+
+class Day:
+    """A world that never ran, and its history by hand. Times are in s from the begin of the day."""
+
+    def __init__(self) -> None:
+        self.world = World(deployment=make_small(), seed=1, end=60.0)
+
+    def version(
+        self, *, number: int, base: int = 0, sent: float = 1.0, outcome: str = "acked", acked: float = 2.0
+    ) -> None:
+        written = make_written(deployment=self.world.deployment, number=number)
+        versions, begin = self.world.operator.versions, self.world.begin
+        versions[(number, len(versions))] = Version(
+            number=number,
+            base=base,
+            written=written,
+            sent=begin + sent,
+            outcome=outcome,
+            acked=begin + acked if outcome == "acked" else float("inf"),
+        )
+
+    def row(self, *, k: str, t: float, **fields: object) -> None:
+        if "begun" in fields:
+            fields["begun"] = self.world.begin + fields["begun"]
+        self.world.history.add(t=self.world.begin + t, k=k, **fields)
+
+    def written(self, *, number: int) -> dict:
+        return make_written(deployment=self.world.deployment, number=number)
+
+    def cut(self, *, begin: float, end: float) -> None:
+        made = self.world.network.cut(left=frozenset({"gdl-nave-0"}), right=frozenset({"core"}))
+        made.begin, made.end = self.world.begin + begin, self.world.begin + end
+
+    def reads(self) -> list:
+        return [one.rule for one in judge_reads(world=self.world, touch=Touch(world=self.world))]
+
+    def evacuations(self, *, arrivals: list) -> list:
+        found = judge_evacuations(world=self.world, arrivals=arrivals, touch=Touch(world=self.world))
+        return [one.rule for one in found]
+
+
+def test_a_change_that_was_taken_and_is_refused_when_sent_again() -> None:
+    day = Day()
+    day.version(number=3)
+    assert day.reads() == []
+    day.row(k="refused-taken", t=9.0, number=3, base=0, code=412)
+    assert day.reads() == ["CONFIG"]
+
+
+def test_two_different_changes_acknowledged_under_one_number() -> None:
+    day = Day()
+    day.version(number=3)
+    day.version(number=5, base=3)
+    assert day.reads() == []
+    day.version(number=5, base=2)
+    assert day.reads() == ["CONFIG"]
+
+
+def test_two_changes_acknowledged_on_top_of_one_version() -> None:
+    day = Day()
+    day.version(number=3)
+    day.version(number=5, base=3)
+    day.version(number=6, base=3)
+    assert day.reads() == ["CONFIG"]
+
+
+@pytest.mark.parametrize(("begun", "number", "rules"), [(8.0, 3, ["LOST"]), (8.0, 5, []), (3.5, 3, [])])
+def test_an_old_configuration_is_read_after_a_newer_one_was_acknowledged(
+    begun: float, number: int, rules: list
+) -> None:
+    day = Day()
+    day.version(number=3)
+    day.version(number=5, base=3, sent=3.0, acked=4.0)
+    day.row(k="read-config", t=9.0, begun=begun, code=200, written=day.written(number=number))
+    assert day.reads() == rules
+
+
+def test_a_read_that_was_not_answered_in_the_middle_of_a_day_breaks_nothing_but_at_its_end_it_does() -> None:
+    day = Day()
+    day.version(number=3)
+    day.row(k="read-config", t=9.0, begun=8.0, code=503, written=None)
+    assert day.reads() == []
+    day.row(k="read-back", t=9.0, begun=8.0, code=503, written=None)
+    assert day.reads() == ["CONFIG"]
+
+
+@pytest.mark.parametrize(("other", "rules"), [(None, ["DUTY"]), (4, ["DUTY"]), (5, []), (9, [])])
+def test_a_sound_change_is_refused_as_invalid(other: int | None, rules: list) -> None:
+    """It is invalid, too, if a version that may be in force has its number or a higher one."""
+    day = Day()
+    day.version(number=3)
+    day.version(number=5, base=3, sent=3.0, outcome="refused")
+    if other is not None:
+        day.version(number=other, base=3, sent=3.1, outcome="unknown")
+    day.row(k="config-ended", t=3.5, begun=3.0, number=5, base=3, code=400, valid=True)
+    assert day.reads() == rules
+
+
+@pytest.mark.parametrize(
+    ("cut", "ended", "rules"),
+    [
+        (None, 24.0, []),
+        (None, 25.2, ["ACK"]),
+        ((21.0, 22.0), 29.0, []),
+        ((21.0, 22.0), 31.5, ["ACK"]),
+        ((10.0, 40.0), 38.0, []),
+    ],
+)
+def test_an_order_waits_for_its_acknowledgement_in_one_settled_stretch(
+    cut: tuple | None, ended: float, rules: list
+) -> None:
+    """`ack_s` is 5 s; a cut between core machines unsettles for its begin and end and `contact_s` (4 s) after each."""
+    day = Day()
+    day.version(number=3, sent=20.0, acked=ended)
+    if cut:
+        day.cut(begin=cut[0], end=cut[1])
+    day.row(k="config-ended", t=ended, begun=20.0, number=3, base=0, code=200, valid=True)
+    assert day.reads() == rules
+
+
+def _arrival(day: Day, t: float) -> dict:
+    return {"t": day.world.begin + t, "zone": "ens-cava", "worker": "i-1", "proxy": "gdl-nave-1", "code": 0}
+
+
+@pytest.mark.parametrize(("t", "rules"), [(14.0, []), (16.5, ["EVAC"]), (21.0, [])])
+def test_requests_reach_a_zone_that_was_evacuated(t: float, rules: list) -> None:
+    day = Day()
+    day.row(k="ordered", t=11.0, kind="empty", zone="ens-cava", code=200, begun=10.5)
+    day.row(k="refilling", t=20.0, zone="ens-cava")
+    assert day.evacuations(arrivals=[_arrival(day, t)]) == rules
+
+
+def test_an_evacuation_sent_again_while_its_taking_back_is_under_way_promises_nothing() -> None:
+    day = Day()
+    day.row(k="refilling", t=10.0, zone="ens-cava")
+    day.row(k="ordered", t=11.0, kind="empty", zone="ens-cava", code=200, begun=7.0)
+    day.row(k="ordered", t=12.0, kind="refill", zone="ens-cava", code=200, begun=10.0)
+    assert day.evacuations(arrivals=[_arrival(day, 20.0)]) == ["EVAC"]
+    day.row(k="refilling", t=12.0, zone="ens-cava")
+    assert day.evacuations(arrivals=[_arrival(day, 20.0)]) == []
