--- a/sailward/control/message_handlers.py
+++ b/sailward/control/message_handlers.py
@@ -95,7 +95,7 @@
         return self._voter.held.tell(to=sender, name=body["register"])
 
     def _hear_fleet(self, *, now: float, sender: str, body: dict) -> list[Command]:
-        return self._fleet.step(now=now, event=(sender, body), proxies=[], cellars=[])
+        return self._fleet.step(now=now, event=(sender, body), proxies=[], controllers=[])
 
     def _hear_list(self, *, now: float, sender: str, body: dict) -> list[Command]:
         commands, is_news = self._worker_list.hear(now=now, body=body)
--- a/sailward/control/serving.py
+++ b/sailward/control/serving.py
@@ -1,4 +1,7 @@
-"""What a controller gives the daemons that ask it: leases, the numbers of the newest values, and pushes of what is new."""
+"""What a controller gives the daemons that ask it.
+
+Leases, the numbers of the newest values, and pushes of what is new.
+"""
 
 from __future__ import annotations
 
@@ -12,12 +15,14 @@
 from sailward.control.subscribers import Subscribers
 from sailward.control.voter import Voter
 from sailward.control.worker_list import WorkerList
-from sailward.discovery.gossip import Roster
+from sailward.discovery.gossip import Roster, kind_of
 from sailward.events import Command, Tell
 
 
 class Serving:
-    """Owner of the answers to askers. `answer` grants, `acknowledge` folds an acknowledgement, `push` sends what is new.
+    """Owner of the answers to askers.
+
+    `answer` grants, `acknowledge` folds an acknowledgement, `push` sends what is new.
 
     `wall_offset`: s from this process's steady clock to the machine's time of day, set with each tick.
     """
@@ -43,7 +48,7 @@
     def answer(self, *, now: float, sender: str, body: dict) -> list[Command]:
         """Answer one `ask`: push what it lacks, and grant."""
         commands = self._subscribers.step(now=now, event=(sender, body), news=self.news())
-        if self._tells_fleet and body["daemon"].get("kind") != "cellar":
+        if self._tells_fleet and kind_of(entry=body["daemon"]) != "controller":
             commands += self._note_have(now=now, sender=sender, have=body["have"])
             return [*commands, self._say_present(sender=sender, body=body)]
         # before the joiner is heard: what is granted from is what was known when it asked
@@ -127,6 +132,6 @@
         return commands
 
     def _hear_joiner(self, *, now: float, sender: str, daemon: dict) -> list[Command]:
-        if daemon.get("kind") != "cellar":
+        if kind_of(entry=daemon) != "controller":
             return []
         return self._roster.step(now=now, event=(sender, {"entries": [daemon], "reply": True}))
--- a/sailward/control/voter.py
+++ b/sailward/control/voter.py
@@ -52,8 +52,8 @@
 class Voter:
     """Owner of one voter. `answer` votes under the set of voters that it knows; `begun` is to be carried out first.
 
-    The parts `held` (chosen values), `acceptor` (votes) and `ledger` (order between records and replies) stay the same objects
-    for as long as the process lives.
+    The parts `held` (chosen values), `acceptor` (votes) and `ledger` (order between records and replies) stay the same
+    objects for as long as the process lives.
     """
 
     def __init__(
--- a/simulation/hosted/__main__.py
+++ b/simulation/hosted/__main__.py
@@ -21,54 +21,41 @@
 
 import collections
 import sys
-import time
-import traceback
-from concurrent.futures import ProcessPoolExecutor, as_completed
+from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 from pathlib import Path
 
 from docopt import docopt
 
-from simulation.hosted.scenario import Outcome, Scenario, read_scenario, run_scenario
+from simulation.hosted.scenario import explicit_scenario, read_scenario, run_scenario
 from simulation.hosted.shrink import rules_broken, shrink, write_scenario
+from simulation.hosted.world import World
+from simulation.scenarios import Scenario, Sweep, show_logs
 
 
-def run_one(*, path: str, seed: int, without: str, logs: bool) -> tuple[bool, str, collections.Counter]:
-    """Run one seed of one file: (is it sound, what to print, how often each kind of trouble was drawn)."""
-    scenario = read_scenario(text=Path(path).read_text("utf-8"))
-    began = time.perf_counter()
-    try:
-        outcome = run_scenario(scenario=scenario, seed=seed, without=without)
-    except Exception:  # a fault of the stand-ins is no sound run, and must not end the sweep
-        return False, f"{Path(path).stem} seed {seed}: fault\n{traceback.format_exc()}", collections.Counter()
-    lines = [
-        f"{Path(path).stem} seed {seed}: {len(outcome.broken)} broken, {len(outcome.failed)} failed, "
-        f"{scenario.end / (time.perf_counter() - began):.1f} times real time"
-    ]
-    lines += [f"  broken {one.rule} at {one.t - outcome.world.begin:.2f}: {one.detail}" for one in outcome.broken[:8]]
-    lines += [f"  failed {one}" for one in outcome.failed]
-    lines += [f"  {name}: {figure}" for name, figure in outcome.figures.items()]
-    if logs:
-        lines += _show_logs(outcome=outcome)
-    kinds = collections.Counter(row["kind"] for row in outcome.world.history.of(k="chaos"))
-    return not outcome.broken and not outcome.failed, "\n".join(lines), kinds
-
-
-def _show_logs(*, outcome: Outcome) -> list[str]:
-    world = outcome.world
+def _logs_of(world: World) -> list[str]:
     rows = [
-        (t, process.name, event, fields)
+        (moment, process.name, *rest)
         for machine in world.machines.values()
         for process in machine.processes.values()
-        for t, event, fields in process.logs
+        for moment, *rest in process.logs
     ]
     ends = collections.Counter((row["kind"], row["why"]) for row in world.history.of(k="end") if not row["good"])
     codes = collections.Counter((row["code"], row["reason"] or row["why"]) for row in world.history.of(k="got"))
-    lines = [
-        f"  {t - world.begin:8.3f} {name} {event} {fields}"
-        for t, name, event, fields in sorted(rows, key=lambda row: row[0])
+    return [
+        *show_logs(rows=rows, begin=world.begin),
+        f"  not served {dict(ends)}",
+        f"  answers {dict(codes)}",
+        f"  counts {dict(world.count)}",
     ]
-    return [*lines, f"  not served {dict(ends)}", f"  answers {dict(codes)}", f"  counts {dict(world.count)}"]
+
+
+def _begin_of(world: World) -> float:
+    return world.begin
+
+
+def _kinds_of(world: World) -> collections.Counter:
+    return collections.Counter(row["kind"] for row in world.history.of(k="chaos"))
 
 
 def _rules_of(scenario: Scenario, seed: int, without: str) -> frozenset:
@@ -99,45 +86,32 @@
     return 0
 
 
+def draw_file(*, path: str, seed: int) -> None:
+    """Print the steps that a seed draws, as a scenario."""
+    scenario = read_scenario(text=Path(path).read_text("utf-8"))
+    explicit = explicit_scenario(scenario=scenario, seed=seed)
+    print(write_scenario(scenario=explicit, title=scenario.title, rule=scenario.rule), end="")
+
+
+SWEEP = Sweep(read=read_scenario, run=run_scenario, begin_of=_begin_of, logs_of=_logs_of, kinds_of=_kinds_of)
+
+
 def main() -> None:
-    """Run all files with all their seeds, or shrink one run."""
+    """Run all files with all their seeds, or shrink or draw one run."""
     flags = docopt(__doc__)
-    if flags["shrink"]:
-        sys.exit(
-            shrink_file(
-                path=flags["FILE"][0],
-                seed=int(flags["--seed"]),
-                without=flags["--without"] or "",
-                workers=int(flags["--jobs"]),
-                out=flags["--out"] or "",
-            )
-        )
     if flags["draw"]:
-        scenario = read_scenario(text=Path(flags["FILE"][0]).read_text("utf-8")).explicit(seed=int(flags["--seed"]))
-        print(write_scenario(scenario=scenario, title=scenario.title, rule=scenario.rule), end="")
-        return
-    jobs = []
-    for path in flags["FILE"]:
-        seeds = read_scenario(text=Path(path).read_text("utf-8")).seeds
-        if flags["--seeds"]:
-            low, _, high = flags["--seeds"].partition("-")
-            seeds = range(int(low), int(high or low) + 1)
-        jobs += [(path, seed) for seed in seeds]
-    bad, kinds = 0, collections.Counter()
-    with ProcessPoolExecutor(max_workers=int(flags["--jobs"])) as pool:
-        futures = [
-            pool.submit(run_one, path=path, seed=seed, without=flags["--without"] or "", logs=flags["--logs"])
-            for path, seed in jobs
-        ]
-        for done, future in enumerate(as_completed(futures), start=1):
-            sound, text, drawn = future.result()
-            bad += not sound
-            kinds += drawn
-            print(f"[{done}/{len(jobs)}, {bad} not sound] {text}", flush=True)
-    for kind, times in sorted(kinds.items()):
-        print(f"{times:6} {kind}")
-    print(f"{len(jobs)} runs, {sum(kinds.values())} troubles, {bad} not sound")
-    sys.exit(1 if bad else 0)
+        draw_file(path=flags["FILE"][0], seed=int(flags["--seed"]))
+    elif flags["shrink"]:
+        code = shrink_file(
+            path=flags["FILE"][0],
+            seed=int(flags["--seed"]),
+            without=flags["--without"] or "",
+            workers=int(flags["--jobs"]),
+            out=flags["--out"] or "",
+        )
+        sys.exit(code)
+    else:
+        SWEEP.run_all(flags=flags)
 
 
 if __name__ == "__main__":
--- a/simulation/hosted/choosing.py
+++ b/simulation/hosted/choosing.py
@@ -21,7 +21,7 @@
 def resolve_role(*, world: World, word: str) -> str:
     """The name of the machine that a role stands for now; of the first that holds state if nobody has played it yet."""
     there = {one.spot.name: one for one in world.machines.values() if not one.is_gone}
-    core = [name for name, one in there.items() if "cellar" in one.processes]
+    core = [name for name, one in there.items() if "controller" in one.processes]
     if word == "seed":
         posts = {one.ip: name for name, one in there.items()}
         return next((posts[seed.split(":")[0]] for seed in world.seeds if seed.split(":")[0] in posts), core[0])
--- a/simulation/hosted/draw.py
+++ b/simulation/hosted/draw.py
@@ -92,7 +92,7 @@
 
     def replaced(self, *, machine: str) -> None:
         """A machine was replaced: the next steps name the new one."""
-        base = machine.split("-new")[0]
+        base = machine.split("-new", maxsplit=1)[0]
         self._replaced[base] = self._replaced.get(base, 0) + 1
         self._core = [f"{base}-new{self._replaced[base]}" if name == machine else name for name in self._core]
 
--- a/simulation/hosted/draw_machines.py
+++ b/simulation/hosted/draw_machines.py
@@ -23,7 +23,7 @@
     if how == "hard":
         day.change(delay=back / 2, words=(f"at={machine}", "only"))
     if how == "drain":
-        zone = machine.rsplit("-", 1)[0] if machine.split("-new")[0][:-2] in day.deployment.zones else day.zone()
+        zone = machine.rsplit("-", 1)[0] if machine.split("-new", maxsplit=1)[0][:-2] in day.deployment.zones else day.zone()
         day.at(back + 0.5, "drain", f"{day.service()}@{zone}")
 
 
@@ -37,7 +37,7 @@
 
 
 def _kill_plain(day: Day) -> bool:
-    day.at(0.0, "kill", f"sommelier@{day.plain()}")
+    day.at(0.0, "kill", f"proxy@{day.plain()}")
     return True
 
 
@@ -65,7 +65,7 @@
 
 def _term_plain(day: Day) -> bool:
     for turn in range(2):
-        day.at(turn * 1.0, "stop", f"sommelier@{day.plain()}")
+        day.at(turn * 1.0, "stop", f"proxy@{day.plain()}")
     return True
 
 
@@ -203,7 +203,7 @@
     for machine in {day.core(), day.plain(), day.plain()}:
         day.at(0.0, "clock-step", machine, sign * day.seconds(1.0, 8.0), day.seconds(1.0, 6.0))
     if day.rng.random() < 0.4:
-        day.at(0.3, "kill", f"sommelier@{day.plain()}")
+        day.at(0.3, "kill", f"proxy@{day.plain()}")
     return True
 
 
--- a/simulation/hosted/link_verbs.py
+++ b/simulation/hosted/link_verbs.py
@@ -42,7 +42,7 @@
         others = "+".join(
             one.spot.name
             for one in world.machines.values()
-            if "cellar" in one.processes and not one.is_gone and one.spot.name not in names
+            if "controller" in one.processes and not one.is_gone and one.spot.name not in names
         )
         left, right = (others, apart) if "in" in how else (apart, others)
         one_way = ("one_way",) if {"in", "out", "one_way"} & set(how) else ()
@@ -50,10 +50,10 @@
         part = float(seconds) / 3
         if "seeds" in how:
             world.step("seeds", (apart,))
-            plain = [one.spot.name for one in world.machines.values() if "cellar" not in one.processes]
+            plain = [one.spot.name for one in world.machines.values() if "controller" not in one.processes]
             chosen = "+".join(world.rng.sample(plain, min(2, len(plain)))) if plain else ""
             if chosen:
-                world.clock.after(part, lambda: world.step("kill", (f"sommelier@{chosen}",)))
+                world.clock.after(part, lambda: world.step("kill", (f"proxy@{chosen}",)))
         if "both" in how:
             world.clock.after(part, lambda: world.step("kill", (f"all@{apart}",)))
             world.clock.after(2 * part, lambda: world.step("kill", (f"all@{others}",)))
--- a/simulation/hosted/machine_verbs.py
+++ b/simulation/hosted/machine_verbs.py
@@ -126,11 +126,11 @@
     def do_seeds(self, *machines: str) -> None:
         """The settings name other seeds, these first; `hup` or a start makes daemons read them."""
         world = self._world
-        chosen = [one for word in machines for one in self._machines(word) if "cellar" in one.processes]
+        chosen = [one for word in machines for one in self._machines(word) if "controller" in one.processes]
         rest = [
             one
             for one in world.machines.values()
-            if "cellar" in one.processes and not one.is_gone and one not in chosen
+            if "controller" in one.processes and not one.is_gone and one not in chosen
         ]
         world.rng.shuffle(rest)
         world.set_seeds(machines=[*chosen, *rest])
@@ -218,7 +218,7 @@
         name = next(
             name for at in range(1, 100) if (name := f"{old.spot.name.split('-new')[0]}-new{at}") not in world.machines
         )
-        fresh = world.add_machine(name=name, zone=old.spot.zone, has_disk="cellar" in old.processes)
+        fresh = world.add_machine(name=name, zone=old.spot.zone, has_disk="controller" in old.processes)
         fresh.listed_from = world.clock.now + delay + world.deployment.bounds["seed_lag_s"]
         self._note(machine=fresh, seconds=delay)
         fresh.is_dark = True
@@ -234,7 +234,7 @@
         return self._world.trouble(
             names={machine.spot.name},
             seconds=seconds,
-            core="cellar" in machine.processes,
+            core="controller" in machine.processes,
             planned=planned,
             slowed=slowed,
         )
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -326,7 +326,9 @@
 
     def _listed(self) -> list:
         now, lag = self.world.clock.now, self.world.deployment.bounds["seed_lag_s"]
-        return [one for one in self.world.cellars() if one.machine.listed_from <= now <= one.machine.listed_until + lag]
+        return [
+            one for one in self.world.controllers() if one.machine.listed_from <= now <= one.machine.listed_until + lag
+        ]
 
     def _pick(self, *, avoid: Process | None) -> Process | None:
         choice = [one for one in self._listed() if one is not avoid]
--- a/simulation/hosted/people_verbs.py
+++ b/simulation/hosted/people_verbs.py
@@ -38,7 +38,7 @@
             self._world.clock.after(float(seconds), lambda: self.do_eager("0"))
 
     def do_put(self, number: str, *words: str) -> None:
-        """put NUMBER [base=N] [at=MACHINE] [only] [again=S]: the whole configuration.
+        """Put NUMBER [base=N] [at=MACHINE] [only] [again=S]: the whole configuration.
 
         `only`: to this machine until it answers; `again`: the first acknowledgement is lost, and it is sent again S s later.
         """
@@ -50,7 +50,7 @@
         )
 
     def do_patch(self, number: str, route: str, *words: str) -> None:
-        """patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE] [only] [again=S]."""
+        """Patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE] [only] [again=S]."""
         given = _given(words=words)
         how = self._how(given=given, words=words)
         given = {name: weight for name, weight in given.items() if name not in ("at", "again")}
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -116,7 +116,7 @@
         self._base = self.world.clock.now - 50.0 - self.machine.rng.random()
         nonce = f"{self.machine.rng.getrandbits(48):012x}"
         start = int((self.world.wall() + self.machine.skew) * 1e6)
-        if self.role == "cellar":
+        if self.role == "controller":
             found = self.machine.disk.read()
             self.owner = Controller(
                 place=self.hosted.place,
@@ -192,7 +192,7 @@
 
     def hang_up_signal(self) -> None:
         """SIGHUP: the settings file has changed. The proxies read the seeds again, as their host does."""
-        if self.owner is not None and self.role == "sommelier":
+        if self.owner is not None and self.role == "proxy":
             self.owner.uplink.seeds = self.world.host(machine=self.machine, role=self.role).place.seeds
 
     def give(self, *, event: object) -> None:
@@ -214,7 +214,7 @@
         life = self.life
         try:
             commands = self.owner.step(now=self.now(), event=event)
-        except Exception as fault:  # a real process would end with code 70
+        except Exception as fault:  # noqa: BLE001 - a real process would end with code 70
             self.world.history.add(
                 t=self.world.clock.now,
                 k="crash",
--- a/simulation/hosted/scenario.py
+++ b/simulation/hosted/scenario.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
-from dataclasses import dataclass, field, replace
-from unittest import mock
+from dataclasses import replace
 
-from sailward import constants
 from simulation.hosted.deployment import DEPLOYMENTS, Deployment
 from simulation.hosted.draw import draw_day
 from simulation.hosted.draw_others import ALL_KINDS
@@ -16,117 +13,48 @@
 from simulation.hosted.sabotage import SABOTAGE
 from simulation.hosted.verbs import Verbs, find_fault
 from simulation.hosted.world import World
+from simulation.scenarios import Grammar, Outcome, Scenario
 
 WARM_UP = (("start", 0.5, []), ("put", 2.0, ["1"]))
 """What every day begins with unless its file says otherwise: (verb, s, words)."""
+DRAWN = "drawn"
+"""The name of a fleet that is drawn by the run's seed; `drawn-N` is the one that seed N draws."""
 
 
-@dataclass(kw_only=True)
-class Scenario:
-    """One scenario as its file tells it."""
-
-    title: str = ""
-    rule: str = ""
-    fleet: str = "small"
-    seeds: range = range(1, 3)
-    steps: list = field(default_factory=list)
-    expects: list = field(default_factory=list)
-    constants: dict = field(default_factory=dict)
-    fails: list = field(default_factory=list)
-    end: float = 30.0
-    drawn: float = 0.0
-    kinds: tuple = ()
-
-    def deployment(self, *, seed: int) -> Deployment:
-        """That of the name; `drawn` draws one by the run's seed, `drawn-N` by N."""
-        if self.fleet.startswith("drawn"):
-            return draw_deployment(seed=int(self.fleet.partition("-")[2] or seed))
-        return DEPLOYMENTS[self.fleet]()
-
-    def explicit(self, *, seed: int) -> Scenario:
-        """The same with the steps that this seed draws written out."""
-        if not self.drawn:
-            return self
-        kinds = {name: act for name, act in ALL_KINDS.items() if not self.kinds or name.split()[0] in self.kinds}
-        steps, end = draw_day(deployment=self.deployment(seed=seed), seed=seed, seconds=self.drawn, kinds=kinds)
-        fleet = f"drawn-{seed}" if self.fleet == "drawn" else self.fleet
-        return replace(self, steps=[*self.steps, *steps], end=end, drawn=0.0, fleet=fleet)
-
-
-@dataclass(frozen=True, kw_only=True)
-class Outcome:
-    """What a run showed."""
-
-    broken: list
-    failed: list
-    figures: dict
-    world: World
+GRAMMAR = Grammar(
+    fleet="small", seeds=range(1, 3), comment="#!", find_fault=find_fault, safeguards=SABOTAGE, can_draw=True
+)
 
 
 def read_scenario(*, text: str) -> Scenario:
     """The scenario in a text; a ValueError names the line and word that is wrong."""
-    scenario = Scenario()
-    for number, line in enumerate(text.splitlines(), start=1):
-        words = line.split("#!")[0].split()
-        if not words:
-            continue
-        head, rest = words[0], words[1:]
-        if head in ("title", "rule"):
-            setattr(scenario, head, " ".join(rest))
-        elif head == "fleet":
-            scenario.fleet = rest[0]
-        elif head == "seeds":
-            low, _, high = rest[0].partition("-")
-            scenario.seeds = range(int(low), int(high or low) + 1)
-        elif head == "at":
-            _add(scenario=scenario, number=number, times=[float(rest[0])], verb=rest[1], words=rest[2:])
-        elif head == "every":
-            step, begin, end = float(rest[0]), float(rest[2]), float(rest[4])
-            times = [begin + step * at for at in range(int(round((end - begin) / step)))]
-            _add(scenario=scenario, number=number, times=times, verb=rest[5], words=rest[6:])
-        elif head == "with":
-            # with CONSTANT VALUE: another value for this run
-            if not hasattr(constants, rest[0]):
-                raise ValueError(f"line {number}: no constant {rest[0]!r}")
-            scenario.constants[rest[0]] = float(rest[1])
-        elif head == "draw":
-            # draw SECONDS [KIND ...]: so many s of troubles of all kinds, or of some, drawn by the run's seed
-            scenario.drawn, scenario.kinds = float(rest[0]), tuple(rest[1:])
-        elif head == "end":
-            scenario.end = float(rest[0])
-        elif head == "expect":
-            scenario.expects.append(rest)
-        elif head == "fails":
-            # fails without SAFEGUARD by RULE
-            if rest[1] not in SABOTAGE:
-                raise ValueError(f"line {number}: no safeguard {rest[1]!r}")
-            scenario.fails.append((rest[1], rest[3]))
-        else:
-            raise ValueError(f"line {number}: unknown word {head!r}")
-    return scenario
-
-
-def _add(*, scenario: Scenario, number: int, times: list, verb: str, words: list) -> None:
-    fault = find_fault(verb=verb, words=words)
-    if fault:
-        raise ValueError(f"line {number}: {fault}")
-    scenario.steps += [(when, verb, words) for when in times]
+    return GRAMMAR.read(text=text)
 
 
 def run_scenario(*, scenario: Scenario, seed: int, without: str = "") -> Outcome:
     """Run once with this seed; `without` takes a safeguard out first."""
-    with contextlib.ExitStack() as stack:
-        for name, value in scenario.constants.items():
-            stack.enter_context(mock.patch.object(constants, name, value))
-        if without:
-            for one in SABOTAGE[without]():
-                stack.enter_context(one)
-        return _run(scenario=scenario, seed=seed)
-
-
-def _run(*, scenario: Scenario, seed: int) -> Outcome:
-    scenario = scenario.explicit(seed=seed)
-    world = World(deployment=scenario.deployment(seed=seed), seed=seed, end=scenario.end)
+    return GRAMMAR.run(scenario=scenario, seed=seed, without=without, play=_play)
+
+
+def explicit_scenario(*, scenario: Scenario, seed: int) -> Scenario:
+    """The same with the steps and the fleet that this seed draws written out."""
+    if not scenario.drawn:
+        return scenario
+    kinds = {name: act for name, act in ALL_KINDS.items() if not scenario.kinds or name.split()[0] in scenario.kinds}
+    deployment = _deployment_of(fleet=scenario.fleet, seed=seed)
+    steps, end = draw_day(deployment=deployment, seed=seed, seconds=scenario.drawn, kinds=kinds)
+    fleet = f"{DRAWN}-{seed}" if scenario.fleet == DRAWN else scenario.fleet
+    return replace(scenario, steps=[*scenario.steps, *steps], end=end, drawn=0.0, fleet=fleet)
+
+
+def _deployment_of(*, fleet: str, seed: int) -> Deployment:
+    name, _, number = fleet.partition("-")
+    return draw_deployment(seed=int(number or seed)) if name == DRAWN else DEPLOYMENTS[fleet]()
+
+
+def _play(*, scenario: Scenario, seed: int) -> Outcome:
+    scenario = explicit_scenario(scenario=scenario, seed=seed)
+    world = World(deployment=_deployment_of(fleet=scenario.fleet, seed=seed), seed=seed, end=scenario.end)
     verbs = Verbs(world=world)
     given = {verb for _, verb, _ in scenario.steps}
     steps = [
--- a/simulation/hosted/shrink.py
+++ b/simulation/hosted/shrink.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
-from simulation.hosted.scenario import Scenario, run_scenario
+from simulation.hosted.scenario import explicit_scenario, run_scenario
+from simulation.scenarios import Scenario
 
 QUIET = ("mark",)
 """Verbs that only write into the history: left out before anything else."""
@@ -42,7 +43,7 @@
 
     `run_all` maps a list of scenarios to the rules that each breaks, maybe several at once; `say` is told of the progress.
     """
-    whole = replace(scenario.explicit(seed=seed), expects=[], fails=[])
+    whole = replace(explicit_scenario(scenario=scenario, seed=seed), expects=[], fails=[])
     [rules] = run_all([whole])
     if not rules:
         return None
--- a/simulation/hosted/world.py
+++ b/simulation/hosted/world.py
@@ -14,8 +14,9 @@
 from sailward.runtime.adapter import load_part
 from simulation.history import History
 from simulation.hosted.calls import Calls
-from simulation.hosted.clients import Client, exchange
+from simulation.hosted.clients import Client
 from simulation.hosted.deployment import Deployment, Kind
+from simulation.hosted.exchange import Exchange
 from simulation.hosted.listing import CRASHED_STAYS, Listing
 from simulation.hosted.network import Network, Spot
 from simulation.hosted.operators import Operator
@@ -62,7 +63,7 @@
             disks = deployment.disks + (zone in deployment.more_disks)
             for at in range(disks + deployment.plain):
                 self.add_machine(name=f"{zone}-{at}", zone=zone, has_disk=at < disks)
-        self.set_seeds(machines=[one for one in self.machines.values() if "cellar" in one.processes])
+        self.set_seeds(machines=[one for one in self.machines.values() if "controller" in one.processes])
         for service in deployment.services:
             for zone in deployment.zones:
                 for _ in range(service.a_zone):
@@ -70,7 +71,9 @@
         names = frozenset({"operator"})
         self.operator = Operator(
             world=self,
-            spot=Spot(name="operator", zone="", region=list(deployment.zones.values())[0], names=names, is_client=True),
+            spot=Spot(
+                name="operator", zone="", region=next(iter(deployment.zones.values())), names=names, is_client=True
+            ),
         )
         self.clients = [
             Client(
@@ -90,13 +93,13 @@
         zones = self.deployment.zones
         spot = _spot(name=name, zone=zone, region=zones[zone], kind=kind, zones=zones)
         machine = Machine(
-            world=self, spot=spot, ip=f"10.0.{at}.1", roles=("cellar", "sommelier") if has_disk else ("sommelier",)
+            world=self, spot=spot, ip=f"10.0.{at}.1", roles=("controller", "proxy") if has_disk else ("proxy",)
         )
         machine.listed_from, machine.listed_until = self.clock.now, float("inf")
         self.machines[name] = machine
         for role, process in machine.processes.items():
-            self.by_post[f"{machine.ip}:{INNER if role == 'cellar' else INNER + 1}"] = process
-            if role == "sommelier":
+            self.by_post[f"{machine.ip}:{INNER if role == 'controller' else INNER + 1}"] = process
+            if role == "proxy":
                 self.by_front[f"{machine.ip}:{FRONT}"] = process
         return machine
 
@@ -130,7 +133,7 @@
             "inner_port_range": [INNER, INNER + 15],
             "seed_nodes": list(self.seeds),
             "bootstrap": machine.is_first,
-            "data_dir": "/data" if role == "cellar" else "",
+            "data_dir": "/data" if role == "controller" else "",
             "fault_budget": {"machines": self.deployment.machines, "zones": 1},
             "bounds": dict(bounds),
             "cloud_api": {
@@ -234,15 +237,15 @@
 
     def exchange(self, **fields: object) -> Callable[[], None]:
         """One exchange of somebody outside with an edge of a daemon."""
-        return exchange(world=self, **fields)
+        return Exchange(world=self, **fields).begin()
 
     def directories(self) -> list[Process]:
         """The daemons that answer who asks where to go, as told to clients from outside."""
-        return [one.processes["sommelier"] for one in self.machines.values() if not one.is_gone]
+        return [one.processes["proxy"] for one in self.machines.values() if not one.is_gone]
 
-    def cellars(self) -> list[Process]:
+    def controllers(self) -> list[Process]:
         """The daemons that take operators' calls."""
-        return [one.processes["cellar"] for one in self.machines.values() if "cellar" in one.processes]
+        return [one.processes["controller"] for one in self.machines.values() if "controller" in one.processes]
 
     def acknowledged(self) -> None:
         """A configuration was acknowledged: what waits for that happens."""
--- a/simulation/measure.py
+++ b/simulation/measure.py
@@ -40,7 +40,7 @@
 def time_kind(*, fleet: Fleet, kind: str, count: int, start: int) -> list[float]:
     """Seconds of each of `count` exchanges, one after the other."""
     worker = fleet.workers["orders-gdl-a-0"]
-    proxy = fleet.https["sommelier-0"]
+    proxy = fleet.https["proxy-0"]
     times = []
     for number in range(start, start + count):
         headers = {"Sailward-Tenant": "hotels", "X-Caller": f"m{number}", "Sailward-Try": "1"}
@@ -96,7 +96,8 @@
                 f"{name} {seconds / rounds / count * 1000:.2f}" for name, seconds in sorted(used[kind].items())
             )
             print(
-                f"{kind}: median ms {min(values):.1f} to {max(values):.1f} (middle {statistics.median(values):.1f}); CPU ms each: {cpu}"
+                f"{kind}: median ms {min(values):.1f} to {max(values):.1f} "
+                f"(middle {statistics.median(values):.1f}); CPU ms each: {cpu}"
             )
     finally:
         fleet.end()
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -14,9 +14,9 @@
 from sailward.control.controller import Controller
 from sailward.discovery.gossip import Place
 from sailward.events import Answer, Asked, CallerLeft, Log, Tell, Ticked
-from sailward.proxy.concierge import Concierge
+from sailward.proxy.directory_server import DirectoryServer
 from sailward.proxy.proxy import Proxy, ProxyOptions
-from sailward.proxy.sommelier import Sommelier
+from sailward.proxy.tenant_proxy import TenantProxy
 from tests.core_net import ZONES, CoreNet
 
 MESSAGE = {"kind": "want", "register": "config"}
@@ -64,22 +64,27 @@
 
 
 def make_controller() -> Controller:
-    return make_net().machines[0].cellar
+    return make_net().machines[0].controller
 
 
 def make_proxy() -> Proxy:
-    return Proxy(place=make_place(kind="sommelier"), start=1, rng=random.Random(1), options=ProxyOptions())
+    return Proxy(place=make_place(kind="proxy"), start=1, rng=random.Random(1), options=ProxyOptions())
 
 
-def make_sommelier() -> Sommelier:
-    return Sommelier(place=make_place(kind="sommelier"), nonce="n", start=1, rng=random.Random(1), now=0.0)
+def make_tenant_proxy() -> TenantProxy:
+    return TenantProxy(place=make_place(kind="proxy"), nonce="n", start=1, rng=random.Random(1), now=0.0)
 
 
-def make_concierge() -> Concierge:
-    return Concierge(place=make_place(kind="concierge"), start=1, rng=random.Random(1))
+def make_directory() -> DirectoryServer:
+    return DirectoryServer(place=make_place(kind="directory"), start=1, rng=random.Random(1))
 
 
-OWNERS = {"controller": make_controller, "proxy": make_proxy, "sommelier": make_sommelier, "concierge": make_concierge}
+OWNERS = {
+    "controller": make_controller,
+    "proxy": make_proxy,
+    "tenant-proxy": make_tenant_proxy,
+    "directory": make_directory,
+}
 
 
 def test_the_union_of_events_names_every_event_that_an_edge_can_tell() -> None:
@@ -120,7 +125,7 @@
 def test_an_order_whose_caller_leaves_before_it_has_begun_is_dropped() -> None:
     net = make_net()
     machine = net.voting()[0]
-    controller = machine.cellar
+    controller = machine.controller
     token = "desk left"
     event = Asked(token=token, method="POST", path="/evacuation/gdl-b", query={}, headers={}, body=b"")
     net.give(machine, event=event)
@@ -135,7 +140,7 @@
 def test_an_order_that_has_begun_goes_on_when_its_caller_leaves() -> None:
     net = make_net()
     machine = net.voting()[0]
-    controller = machine.cellar
+    controller = machine.controller
     token = "desk left"
     event = Asked(token=token, method="POST", path="/evacuation/gdl-b", query={}, headers={}, body=b"")
     net.give(machine, event=event)
@@ -160,10 +165,10 @@
     net.give(machine, event=CallerLeft(token="desk gdl-b"))
     net.run(10.0)
     assert net.answers["desk ens-b"].code == 200
-    assert json.loads(machine.cellar.held.held["orders"].value["text"])["emptied"] == ["ens-b"]
+    assert json.loads(machine.controller.held.held["orders"].value["text"])["emptied"] == ["ens-b"]
 
 
-@pytest.mark.parametrize("owner", [Controller, Proxy, Sommelier, Concierge])
+@pytest.mark.parametrize("owner", [Controller, Proxy, TenantProxy, DirectoryServer])
 def test_each_owner_names_every_event_in_its_match(owner: type) -> None:
     """The type checker proves the same by `Never` at the end of the match; this one needs no type checker."""
     tree = ast.parse(inspect.getsource(inspect.getmodule(owner)))
--- a/tests/test_hosted_draw.py
+++ b/tests/test_hosted_draw.py
@@ -164,13 +164,13 @@
     world.clock.run(until=world.begin + 3.0)
     verbs.do("replace", ["gdl-nave-0", "2", "planned"])
     world.clock.run(until=world.begin + 4.0)
-    assert world.machines["gdl-nave-0-new1"].processes["cellar"].owner is not None
-    assert world.machines["gdl-nave-0"].processes["cellar"].owner is not None
+    assert world.machines["gdl-nave-0-new1"].processes["controller"].owner is not None
+    assert world.machines["gdl-nave-0"].processes["controller"].owner is not None
     world.clock.run(until=world.begin + 13.0)
     assert world.machines["gdl-nave-0"].is_gone
     verbs.do("replace", ["ens-cava-0", "1"])
     assert world.machines["ens-cava-0"].is_gone
     world.clock.run(until=world.begin + 13.5)
-    assert world.machines["ens-cava-0-new1"].processes["cellar"].owner is None
+    assert world.machines["ens-cava-0-new1"].processes["controller"].owner is None
     world.clock.run(until=world.begin + 14.5)
-    assert world.machines["ens-cava-0-new1"].processes["cellar"].owner is not None
+    assert world.machines["ens-cava-0-new1"].processes["controller"].owner is not None
--- a/tests/test_hosted_shrink.py
+++ b/tests/test_hosted_shrink.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from simulation.hosted.scenario import Scenario, read_scenario, run_scenario
+from simulation.hosted.scenario import explicit_scenario, read_scenario, run_scenario
 from simulation.hosted.shrink import rules_broken, shrink, write_scenario
+from simulation.scenarios import Scenario
 
 PLANTED = """
 title a planted fault
@@ -73,6 +74,6 @@
 
 def test_a_drawn_day_written_out_is_the_same_run() -> None:
     drawn = read_scenario(text=DRAWN)
-    written = write_scenario(scenario=drawn.explicit(seed=2), title="drawn", rule="none")
+    written = write_scenario(scenario=explicit_scenario(scenario=drawn, seed=2), title="drawn", rule="none")
     first, second = run_scenario(scenario=drawn, seed=2), run_scenario(scenario=read_scenario(text=written), seed=2)
     assert first.world.history.rows == second.world.history.rows
