--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -221,6 +221,8 @@
         )
         world.history.add(t=world.clock.now, k="config-sent", number=number, base=base, valid=version.is_valid)
 
+        again = how.again if how else 0.0
+
         def end(code: int) -> None:
             version.outcome = "acked" if code == 200 else "refused" if code in ENDS else "unknown"
             version.acked = world.clock.now if code == 200 else float("inf")
@@ -232,6 +234,7 @@
                 code=code,
                 valid=version.is_valid,
                 begun=version.sent,
+                waits_from=version.sent + (again + SILENCE if again else 0.0),
             )
             if code == 200:
                 world.acknowledged()
--- a/tests/test_hosted_judge.py
+++ b/tests/test_hosted_judge.py
@@ -35,6 +35,7 @@
     def row(self, *, k: str, t: float, **fields: object) -> None:
         if "begun" in fields:
             fields["begun"] = self.world.begin + fields["begun"]
+            fields.setdefault("waits_from", fields["begun"])
         self.world.history.add(t=self.world.begin + t, k=k, **fields)
 
     def written(self, *, number: int) -> dict:
