--- a/sailward/control/membership.py
+++ b/sailward/control/membership.py
@@ -179,6 +179,8 @@
             return []
         if body["after"] == "" or sender not in self._names:
             # nothing is voted for under the old set from here on: one order for the whole copy
+            copiers = {*voter.voters["members"].values()}
+            self._names = {post: names for post, names in self._names.items() if post in copiers}
             self._names[sender] = sorted(voter.acceptor.slots)
         page = copy_page(slots=voter.acceptor.slots, names=self._names[sender], after=body["after"], number=number)
         if not page["next"]:
--- a/simulation/hosted/ailments.py
+++ b/simulation/hosted/ailments.py
@@ -8,7 +8,7 @@
 import random
 from dataclasses import dataclass, field
 
-LOSE, GARBLE, EXTRA = "lose", "garble", "extra"
+LOSE, GARBLE, EXTRA = "lose", "garble", "repeat"
 """Its answers get lost; they are spoilt; a second one follows a whole one."""
 GREY = ("errors", "shed", "busy", "hang", "reset", "mute", "slow")
 """How a share of the requests fails while the health answers stay good."""
--- a/simulation/hosted/draw_others.py
+++ b/simulation/hosted/draw_others.py
@@ -245,7 +245,7 @@
     "idle_race": _idle_race,
     "answer_lost": partial(_ail, verb="lose", share="0.3"),
     "garble": partial(_ail, verb="garble", share="0.3"),
-    "garble extra": partial(_ail, verb="extra", share="0.5"),
+    "garble extra": partial(_ail, verb="repeat", share="0.5"),
     **{f"config_change {way}": partial(_change, way=way) for way in ("route", "weights", "timeout", "idle")},
     "config_storm": _storm,
     "config_race": partial(_at_once, count=2),
--- a/simulation/hosted/machine_verbs.py
+++ b/simulation/hosted/machine_verbs.py
@@ -144,8 +144,15 @@
             for process in one.processes.values():
                 process.hang_up_signal()
 
+    def do_reset_conns(self, machine: str, share: str) -> None:
+        """A share of the machines' connections to workers is reset, kept ones and those of calls under way."""
+        for one in self._machines(machine):
+            self._note(machine=one, seconds=0.0)
+            for process in one.processes.values():
+                self._world.calls.reset(process=process, share=float(share))
+
     def do_reset_connections(self, machine: str, share: str) -> None:
-        """So many of the connections of machines are reset."""
+        """So many of the connections of machines are reset, those of callers too."""
         for one in self._machines(machine):
             self._note(machine=one, seconds=0.0)
             for process in one.processes.values():
--- a/simulation/hosted/worker_verbs.py
+++ b/simulation/hosted/worker_verbs.py
@@ -80,8 +80,8 @@
         """Workers hand out wrong bytes, to a share of the requests."""
         self._ail(worker=worker, name=GARBLE, seconds=seconds, share=share)
 
-    def do_extra(self, worker: str, seconds: str, share: str = "1") -> None:
-        """Workers send a second answer after a whole one; it waits on the connection until its next call."""
+    def do_repeat(self, worker: str, seconds: str, share: str = "0.5") -> None:
+        """Workers send further answers behind a share of whole ones, which come where the next answer is due."""
         self._ail(worker=worker, name=EXTRA, seconds=seconds, share=share)
 
     def do_grey(self, worker: str, way: str, seconds: str, share: str = "0.4", zone: str = "") -> None:
--- a/simulation/hosted/workers.py
+++ b/simulation/hosted/workers.py
@@ -230,9 +230,6 @@
             self.world.count["garbled"] += 1
             self._garble(line=line)
         else:
-            if self.ailments.strikes(now=now, name=EXTRA):
-                name = line.headers.get("attempt-id", "")
-                line.surplus = {"attempt-id": name, "server-seal": f"{self.id}.{name}.200"}
             self._answer(line=line, code=code, headers={})
         self._go_on()
 
@@ -253,7 +250,17 @@
         seal = f"{self.id}.{name}.{code}"
         self._note(k="done", line=line, code=code, seal=seal, not_run="not-executed" in headers)
         body = f"body of {name}".encode() if code == 200 else b""
-        line.answer(code=code, headers={"attempt-id": name, "server-seal": seal, **headers}, body=body)
+        headers = {"attempt-id": name, "server-seal": seal, **headers}
+        line.answer(code=code, headers=headers, body=body)
+        if self.ailments.strikes(now=self.world.clock.now, name=EXTRA):
+            self._repeat(line=line, code=code, headers=headers, body=body)
+
+    def _repeat(self, *, line: Line, code: int, headers: dict, body: bytes) -> None:
+        """Send a further answer: the same once more, or a refusal that names no request."""
+        if self.rng.random() < 0.5:
+            line.leave_surplus(code=code, headers=headers, body=body)
+        else:
+            line.leave_surplus(code=503, headers={"not-executed": "1"}, body=b"")
 
     def _go_on(self) -> None:
         while self.line and len(self.running) < self.capacity and self.is_up:
--- a/tests/test_hosted_draw.py
+++ b/tests/test_hosted_draw.py
@@ -102,7 +102,7 @@
     ("lose-acks 1 9; put 7", "acks-lost"),
     ("lose notes@all 6", "answers-lost"),
     ("garble notes@all 6", "garbled"),
-    ("extra notes@all 6", "surplus-answers"),
+    ("repeat notes@all 6", "surplus"),
     ("forget notes@all 0.05 6", "idle-races"),
     ("grey notes@all errors 6 1", "grey-errors"),
     ("grey notes@all mute 6 1 ens-z1", "grey-mute"),
