--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -122,13 +122,22 @@
             idle=self.idle,
         )
 
-    def patch(self, *, number: int, route: str, weights: dict, how: Sending | None = None) -> None:
-        """Change one route by name."""
+    def patch(
+        self, *, number: int, route: str, weights: dict, how: Sending | None = None, informed: bool = False
+    ) -> None:
+        """Change one route by name; `informed`: on top of what was taken, acknowledged to this operator or not."""
         self.weights = {**self.weights, route: weights}
         wanted = self._wanted(number=number)
         listener = next(one for one in wanted["listeners"] if any(rule["name"] == route for rule in one["ruleset"]))
         rule = next(rule for rule in listener["ruleset"] if rule["name"] == route)
-        base = max((one for one in self.versions.values() if one.outcome == "acked"), key=lambda one: one.number)
+        base = max(
+            (
+                one
+                for one in self.versions.values()
+                if one.outcome == "acked" or (informed and one.taken < float("inf"))
+            ),
+            key=lambda one: one.number,
+        )
         # all that the patch does not name stays as it is in the version that it builds on
         written = {**copy.deepcopy(base.written), "generation": wanted["generation"]}
         for one in written["listeners"]:
--- a/simulation/hosted/people_verbs.py
+++ b/simulation/hosted/people_verbs.py
@@ -71,16 +71,20 @@
         self._world.operator.idle = float(seconds)
 
     def do_storm(self, number: str, count: str, gap: str) -> None:
-        """So many changes under the next numbers, one at least every so many s, each once the one before has ended."""
+        """So many changes under the next numbers, one at least every so many s, each once the one before has ended.
+
+        They are another operator's, who reads the configuration first: it builds on what was taken, too, where its
+        acknowledgement was lost.
+        """
         world, operator = self._world, self._world.operator
 
         def go(turn: int) -> None:
             last = int(number) + turn - 1
-            if any(one.number == last and one.outcome == "open" for one in operator.versions.values()):
+            if turn and any(one.number == last and one.outcome == "open" for one in operator.versions.values()):
                 world.clock.after(float(gap), lambda: go(turn))
             elif turn < int(count):
                 weights = {"notes": 1.0, "tracks": float(turn % 4)}
-                operator.patch(number=last + 1, route="notes-read", weights=weights)
+                operator.patch(number=last + 1, route="notes-read", weights=weights, informed=True)
                 world.clock.after(float(gap), lambda: go(turn + 1))
 
         go(0)
