--- a/simulation/hosted/scenario.py
+++ b/simulation/hosted/scenario.py
@@ -21,6 +21,8 @@
 """The name of a fleet that is drawn by the run's seed; `drawn-N` is the one that seed N draws."""
 
 
+LAST_LOOK = 1.5
+"""s before the end of a day at which operators read which zones are emptied, if they gave orders on zones."""
 GRAMMAR = Grammar(
     fleet="small", seeds=range(1, 3), comment="#!", find_fault=find_fault, safeguards=SABOTAGE, can_draw=True
 )
@@ -52,6 +54,11 @@
     return draw_deployment(seed=int(number or seed)) if name == DRAWN else DEPLOYMENTS[fleet]()
 
 
+def _look_last(*, world: World) -> None:
+    if world.history.of(k="ordered"):
+        world.operator.read_orders()
+
+
 def _play(*, scenario: Scenario, seed: int) -> Outcome:
     scenario = explicit_scenario(scenario=scenario, seed=seed)
     world = World(deployment=_deployment_of(fleet=scenario.fleet, seed=seed), seed=seed, end=scenario.end)
@@ -63,6 +70,7 @@
     ]
     for when, verb, words in steps:
         world.clock.at(world.begin + when, lambda verb=verb, words=words: verbs.do(verb, words))
+    world.clock.at(world.end - LAST_LOOK, lambda: _look_last(world=world))
     world.clock.run(until=world.end)
     world.close()
     failed, figures = [], {}
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -33,6 +33,10 @@
         self._chaos.close()
 
 
+ROLES = ("proxy", "controller", "all")
+"""The processes that a step can name."""
+PROCESS_VERBS = ("kill", "stop", "freeze")
+"""The steps whose first word names a process."""
 PARTS = (MachineVerbs, LinkVerbs, WorkerVerbs, PeopleVerbs, ChaosVerbs)
 
 
@@ -63,4 +67,7 @@
         inspect.signature(method).bind(None, *words)
     except TypeError as fault:
         return f"{verb}: {fault}"
-    return ""
+    if verb == "on-ack":
+        return find_fault(verb=words[0], words=words[1:])
+    role = words[0].partition("@")[0] if verb in PROCESS_VERBS else ROLES[0]
+    return "" if role in ROLES else f"{verb}: no role {role!r}"
--- a/tests/test_hosted_judge.py
+++ b/tests/test_hosted_judge.py
@@ -33,6 +33,7 @@
         )
 
     def row(self, *, k: str, t: float, **fields: object) -> None:
+        fields.setdefault("lost", 0)
         if "begun" in fields:
             fields["begun"] = self.world.begin + fields["begun"]
             fields.setdefault("waits_from", fields["begun"])
