Sabotage: no zone emptied, as a function that takes its argument

The linter's rewrite of 'lambda *, value: frozenset()' into 'frozenset' made the planted fault a crash (TypeError, FAULT) instead of the breach (EVAC): seen by the shrinker's test on a planted fault, which found FAULT where EVAC was planted.

--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -97,6 +97,13 @@
     return call
 
 
+def _no_zone_emptied(old):
+    def read_orders(*, value):
+        return frozenset()
+
+    return read_orders
+
+
 def _stops_at_once(old):
     def begin_stop(self, *, now):
         return [*old(self, now=now), Stop(code=0)]
@@ -141,7 +148,7 @@
     ),
     "cold-bound": _all(_patch(placing.Placer, "_bears", lambda old: lambda self, **fields: True)),
     "cold-news": _all(_patch(evidence.Evidence, "chill", lambda old: lambda self, **fields: None)),
-    "evacuation": _all(_patch(proxy, "read_orders", lambda old: frozenset)),
+    "evacuation": _all(_patch(proxy, "read_orders", _no_zone_emptied)),
     "late-orders": _all(_patch(admin_api.AdminApi, "drop", lambda old: lambda self, *, token: None)),
     "zone-counts": _all(_patch(zone_orders.ZoneOrders, "count", lambda old: lambda self, *, kind, zone: 0)),
     "history": _all(
