--- a/simulation/hosted/__main__.py
+++ b/simulation/hosted/__main__.py
@@ -1,24 +1,37 @@
 """Run scenarios of the users' platform in virtual time.
 
 Usage:
+  hosted shrink [options] FILE
+  hosted draw [options] FILE
   hosted [options] FILE...
 
+`shrink` looks for the fewest steps of a failing run that still break one of its rules, shows its progress, and
+writes them as a scenario. `draw` writes out the steps that a seed draws.
+
 Options:
   --seeds RANGE        As in 1-50; by default those that the file names.
   --without SAFEGUARD  Take a safeguard out first.
   --logs               Show the daemons' logs.
   --jobs N             Seeds run at once [default: 4].
+  --seed N             The seed of the run.
+  --out PATH           Where the small scenario goes; by default it is printed.
 """
 
 from __future__ import annotations
 
 import collections
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from functools import partial
+from pathlib import Path
 
 from docopt import docopt
 
-from simulation.hosted.scenario import read_scenario, run_scenario
+from simulation.hosted.scenario import explicit_scenario, read_scenario, run_scenario
+from simulation.hosted.shrink import rules_broken, shrink, write_scenario
 from simulation.hosted.world import World
-from simulation.scenarios import Sweep, show_logs
+from simulation.scenarios import Scenario, Sweep, show_logs
 
 
 def _logs_of(world: World) -> list[str]:
@@ -42,12 +55,64 @@
     return world.begin
 
 
-SWEEP = Sweep(read=read_scenario, run=run_scenario, begin_of=_begin_of, logs_of=_logs_of)
+def _kinds_of(world: World) -> collections.Counter:
+    return collections.Counter(row["kind"] for row in world.history.of(k="chaos"))
+
+
+def _rules_of(scenario: Scenario, seed: int, without: str) -> frozenset:
+    return rules_broken(scenario=scenario, seed=seed, without=without)
+
+
+def shrink_file(*, path: str, seed: int, without: str, workers: int, out: str) -> int:
+    """Shrink a failing run: the exit code."""
+    scenario = read_scenario(text=Path(path).read_text("utf-8"))
+    with ProcessPoolExecutor(max_workers=workers) as pool:
+        run = partial(_rules_of, seed=seed, without=without)
+        found = shrink(
+            scenario=scenario,
+            seed=seed,
+            run_all=lambda candidates: list(pool.map(run, candidates)),
+            say=lambda text: print(text, file=sys.stderr, flush=True),
+        )
+    if found is None:
+        print(f"{path} seed {seed}: no rule is broken")
+        return 1
+    rule = " ".join(sorted(found.rules))
+    text = write_scenario(scenario=found.scenario, title=f"Shrunk from seed {seed} of {Path(path).stem}", rule=rule)
+    if out:
+        Path(out).write_text(text, "utf-8")
+    else:
+        print(text, end="")
+    print(f"{len(found.scenario.steps)} steps, {found.runs} runs", file=sys.stderr)
+    return 0
+
+
+def draw_file(*, path: str, seed: int) -> None:
+    """Print the steps that a seed draws, as a scenario."""
+    scenario = read_scenario(text=Path(path).read_text("utf-8"))
+    explicit = replace(explicit_scenario(scenario=scenario, seed=seed), seeds=range(seed, seed + 1))
+    print(write_scenario(scenario=explicit, title=scenario.title, rule=scenario.rule), end="")
+
+
+SWEEP = Sweep(read=read_scenario, run=run_scenario, begin_of=_begin_of, logs_of=_logs_of, kinds_of=_kinds_of)
 
 
 def main() -> None:
-    """Run all files with all their seeds."""
-    SWEEP.run_all(flags=docopt(__doc__))
+    """Run all files with all their seeds, or shrink or draw one run."""
+    flags = docopt(__doc__)
+    if flags["draw"]:
+        draw_file(path=flags["FILE"][0], seed=int(flags["--seed"]))
+    elif flags["shrink"]:
+        code = shrink_file(
+            path=flags["FILE"][0],
+            seed=int(flags["--seed"]),
+            without=flags["--without"] or "",
+            workers=int(flags["--jobs"]),
+            out=flags["--out"] or "",
+        )
+        sys.exit(code)
+    else:
+        SWEEP.run_all(flags=flags)
 
 
 if __name__ == "__main__":
--- a/simulation/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -30,6 +30,7 @@
 
     worker: Worker
     surplus: deque = field(default_factory=deque)
+    rested_since: float = float("inf")
 
 
 class Line:
@@ -45,6 +46,7 @@
         self.due, self.key = float("inf"), -1
         self.worker: Worker | None = None
         self.connection: Connection | None = None
+        self.grey = ""
 
     def answer(self, *, code: int = 0, headers: dict | None = None, body: bytes = b"", fault: str = "") -> None:
         """The other side says this, or breaks off. What is left on the connection from an earlier call comes first."""
@@ -157,6 +159,7 @@
         self._kept = {key: one for key, one in self._kept.items() if key[0] is not process or rng.random() >= share}
         for (owner, _), line in list(self.lines.items()):
             if owner is process and line.worker is not None and rng.random() < share:
+                self.world.count["lines-reset"] += 1
                 line.fail(fault="connection-lost")
 
     def sever(self) -> None:
@@ -175,6 +178,7 @@
         """The connection of a call stays open."""
         worker = line.connection.worker
         if worker.is_up and not worker.is_draining:
+            line.connection.rested_since = self.world.clock.now
             self._kept[(line.process, line.command.owner, line.command.address)] = line.connection
 
     def _take_kept(self, *, line: Line) -> Connection | None:
@@ -218,6 +222,12 @@
         if network.is_refused(a=here, b=worker.spot):
             self.world.clock.after(0.001, lambda: line.fail(fault="connection-lost"))
             return
+        now = self.world.clock.now
+        if now < worker.forgets and now - connection.rested_since > worker.forgets_after:
+            self.world.count["idle-races"] += 1
+            trip = 2 * network.delay(a=here, b=worker.spot)
+            self.world.clock.after(trip, lambda: line.fail(fault="connection-lost"))
+            return
         if network.is_severed(a=here, b=worker.spot) or worker.is_silent:
             # what is not acknowledged for so long ends the connection
             self.world.clock.after(constants.LEASE, lambda: line.fail(fault="connection-lost"))
@@ -229,6 +239,7 @@
     def _ask_list(self, *, line: Line) -> None:
         world = self.world
         world.count["list-calls"] += 1
+        world.reader = line.process.machine.spot.name
         if world.network.is_severed(a=line.process.machine.spot, b=world.list_spot):
             return
         query = parse_qs(urlsplit(line.command.path).query)
--- a/simulation/hosted/exchange.py
+++ b/simulation/hosted/exchange.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from sailward.events import Asked
+from sailward.events import Answer, Asked
 from simulation.hosted.network import Spot
 
 if TYPE_CHECKING:
@@ -24,7 +24,8 @@
     """One exchange with an edge of a daemon: a new connection, the request, its answer.
 
     `done` is called once with the answer, None where the connection ended without one; `read` when the daemon has taken
-    the request. `wait` is how long, in s, a connection is tried that nobody answers.
+    the request; `made` with each answer as the daemon gives it, whether or not it arrives. `wait` is how long, in s, a
+    connection is tried that nobody answers.
     """
 
     world: World
@@ -39,6 +40,7 @@
     done: Callable
     read: Callable | None = None
     wait: float = CONNECT
+    made: Callable | None = None
     token: str = ""
     is_over: bool = False
 
@@ -70,6 +72,8 @@
         self.done(answer)
 
     def _come_back(self, answer: object) -> None:
+        if self.made is not None and isinstance(answer, Answer):
+            self.made(answer)
         if answer != "silent" and self.process is not None:
             self.world.network.send(
                 a=self.process.machine.spot, b=self.spot, act=lambda: self._end(answer), wait=BACK_WAIT
--- a/simulation/hosted/judge_config.py
+++ b/simulation/hosted/judge_config.py
@@ -108,6 +108,11 @@
     acked = [one for one in world.operator.versions.values() if one.outcome == "acked"]
     yield from _judge_acknowledged(acked=acked)
     yield from _judge_ended(world=world, touch=touch)
+    for row in world.history.of(k="refused-taken"):
+        told = f"r{row['number']} on r{row['base']} had been taken, was sent again and got {row['code']}"
+        yield Broken(rule="CONFIG", t=row["t"], detail=told)
+    for row in world.history.of(k="read-config"):
+        yield from _judge_read(acked=acked, row=row)
     for row in world.history.of(k="read-back"):
         yield from _judge_read_back(world=world, acked=acked, row=row)
 
@@ -120,19 +125,32 @@
         winners = sorted({one.number for one in acked if one.base == base})
         if len(winners) > 1 or sum(one.base == base for one in acked) > 1:
             yield Broken(rule="CONFIG", t=0.0, detail=f"{winners} were all acknowledged on top of r{base}")
+    for number in {one.number for one in acked}:
+        if sum(one.number == number for one in acked) > 1:
+            yield Broken(rule="CONFIG", t=0.0, detail=f"two different changes were both acknowledged as r{number}")
 
 
 def _judge_ended(*, world: World, touch: Touch):
     patience = world.deployment.bounds["ack_s"] + LARGE * world.operator.added
     for row in world.history.of(k="config-ended"):
-        took = row["t"] - row["begun"]
-        is_late = took > patience and not row["lost"]
-        if row["valid"] and is_late and touch.settled(t=row["begun"]) and touch.settled(t=row["t"]):
+        begun = row["waits_from"]
+        took = row["t"] - begun
+        is_late = not row["lost"] and touch.is_acked_late(begun=begun, ended=row["t"], patience=patience)
+        if row["valid"] and is_late:
             yield Broken(rule="ACK", t=row["t"], detail=f"r{row['number']}: {row['code']} after {took:.2f} s")
-        if row["valid"] and 400 <= row["code"] < 500 and row["code"] != 412:
+        is_refused = 400 <= row["code"] < 500 and row["code"] != 412
+        if row["valid"] and is_refused and not _is_passed(row=row, world=world):
             yield Broken(rule="DUTY", t=row["t"], detail=f"r{row['number']} is valid and got {row['code']}")
 
 
+def _judge_read(*, acked: list, row: dict):
+    """A read in the middle of a day may fail; what it gives is no older than what was acknowledged before it began."""
+    newest = max((one.number for one in acked if one.acked <= row["begun"]), default=0)
+    if row["code"] == 200 and int(row["written"]["generation"][1:]) < newest:
+        told = f"{row['written']['generation']} was read after r{newest} had been acknowledged"
+        yield Broken(rule="LOST", t=row["t"], detail=told)
+
+
 def _judge_read_back(*, world: World, acked: list, row: dict):
     newest = max((one for one in acked if one.acked <= row["begun"]), key=lambda one: one.number, default=None)
     if row["code"] != 200:
@@ -149,6 +167,18 @@
         yield Broken(rule="CONFIG", t=row["t"], detail=f"what is read back as r{number} is not what was sent")
 
 
+def _is_passed(*, row: dict, world: World) -> bool:
+    """May a version with this number or a higher one have been in force when this one was refused?
+
+    Then it was invalid, whatever it built on.
+    """
+    return any(
+        one.number >= row["number"] and one.sent < row["t"] and one.outcome != "refused" and one.is_valid
+        for one in world.operator.versions.values()
+        if (one.number, one.sent) != (row["number"], row["begun"])
+    )
+
+
 def normal_form(*, written: dict) -> tuple:
     """The same for the same configuration, in whatever order its items stand."""
     rules = sorted(
--- a/simulation/hosted/network.py
+++ b/simulation/hosted/network.py
@@ -45,9 +45,9 @@
         )
 
     def blocks(self, *, a: Spot, b: Spot, now: float) -> bool:
-        """Do bytes from `a` to `b` stay behind it? What is never acknowledged ends a connection.
+        """Do bytes from `a` to `b` stay behind it?
 
-        So both ways end after a while.
+        What is never acknowledged ends a connection, so both ways end after a while.
         """
         if not self.is_one_way or now > self.begin + constants.LEASE:
             return self.parts(a=a, b=b)
--- a/simulation/hosted/operator_call.py
+++ b/simulation/hosted/operator_call.py
@@ -30,9 +30,10 @@
 class OperatorCall:
     """What is sent, and what is done with the answer.
 
-    `until`: when it is given up. `first`: the machine asked first. `pause`: s between two sendings in place of the
-    usual. `lost` is called for each acknowledgement that does not reach the operator, `arrived` for each sending that
-    reaches a controller before the operator has left.
+    `until`: when it is given up. `first`: the machine asked first; `only`: no other is asked. `pause`: s between two
+    sendings in place of the usual; `again`: s before the second, as the first acknowledgement is lost. `made` hears of
+    each answer as a controller gives it. `lost` is called for each acknowledgement that does not reach the operator,
+    `arrived` for each sending that reaches a controller before the operator has left.
     """
 
     operator: Operator
@@ -45,6 +46,9 @@
     first: str = ""
     wants_body: bool = False
     pause: float = 0.0
+    again: float = 0.0
+    only: bool = False
+    made: Callable | None = None
     lost: Callable[[], None] | None = None
     arrived: Callable[[], None] | None = None
     turn: int = 0
@@ -71,11 +75,12 @@
             return
         self.turn += 1
         clock, end = self.operator.world.clock, self.operator.world.end
-        after = self.pause or min(LONGEST_PAUSE, FIRST_PAUSE * PAUSE_GROWTH**self.turn)
+        is_late = self.again and self.turn == 1
+        after = self.again if is_late else self.pause or min(LONGEST_PAUSE, FIRST_PAUSE * PAUSE_GROWTH**self.turn)
         if clock.now + after >= min(self.until, end):
             self.done(0)
             return
-        clock.after(after, lambda: self._send(process=self.operator.pick(avoid=process)))
+        clock.after(after, lambda: self._send(process=process if self.only else self.operator.pick(avoid=process)))
 
     def patience(self) -> float:
         """The s that it waits for an answer before it closes the connection."""
@@ -83,7 +88,11 @@
 
     def is_lost(self, *, answer: Answer | None) -> bool:
         """Is this an acknowledgement that never reaches the operator?"""
-        if answer is None or answer.code != 200 or self.wants_body or not self.operator.loses():
+        if answer is None or answer.code != 200 or self.wants_body:
+            return False
+        is_late = bool(self.again) and self.turn == 0
+        self.operator.world.count["late-orders"] += is_late
+        if not is_late and not self.operator.loses():
             return False
         if self.lost:
             self.lost()
@@ -112,6 +121,7 @@
             query={},
             done=self._take,
             read=self._note_read,
+            made=call.made,
         )
         world.clock.after(call.patience(), self._give_up)
 
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from sailward.events import Answer
 from simulation.hosted.deployment import make_written
 from simulation.hosted.network import Spot
 from simulation.hosted.operator_call import ENDS, OperatorCall
@@ -25,11 +26,24 @@
 """s for which an order that is no configuration is sent again."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class Sending:
+    """How an order is sent: to the machine `first`, with `only` to no other.
+
+    With `again`, its first acknowledgement is lost, and it is sent again so many s later.
+    """
+
+    first: str = ""
+    only: bool = False
+    again: float = 0.0
+
+
 @dataclass(kw_only=True)
 class Version:
     """One configuration that was sent, and what became of it: open, acked, refused or unknown.
 
-    `ended` and `code` are those of its final answer, `lost` how many acknowledgements never reached the operator.
+    `taken` is when a controller first acknowledged it, heard or not; `ended` and `code` are those of its final answer,
+    `lost` how many acknowledgements never reached the operator.
     """
 
     number: int
@@ -39,6 +53,7 @@
     is_valid: bool = True
     outcome: str = "open"
     acked: float = float("inf")
+    taken: float = float("inf")
     ended: float = float("inf")
     code: int = 0
     lost: int = 0
@@ -69,6 +84,8 @@
     weights: dict = field(default_factory=dict)
     dropped: tuple = ()
     added: int = 0
+    deadlines: dict = field(default_factory=dict)
+    idle: float = 15
     emptied: set = field(default_factory=set)
     patience: float = SILENCE
     lost_share: float = 0.0
@@ -81,26 +98,60 @@
         """The newest version that was acknowledged, 0 if none."""
         return max((one.number for one in self.versions.values() if one.outcome == "acked"), default=0)
 
+    def older(self) -> int:
+        """The version that was acknowledged before the newest."""
+        acked = sorted(one.number for one in self.versions.values() if one.outcome == "acked")
+        return acked[-2] if len(acked) > 1 else 0
+
     def put(
-        self, *, number: int, base: int | None = None, spoil: Callable[[dict], None] | None = None, first: str = ""
+        self,
+        *,
+        number: int,
+        base: int | None = None,
+        spoil: Callable[[dict], None] | None = None,
+        spoil_body: Callable[[bytes], bytes] | None = None,
+        how: Sending | None = None,
     ) -> None:
-        """Send a whole configuration as the operator now wants it; `spoil` makes it invalid."""
-        written = make_written(
+        """Send a whole configuration as the operator now wants it; `spoil` and `spoil_body` make it invalid."""
+        written = self._wanted(number=number)
+        self._send(
+            number=number,
+            base=base,
+            written=written,
+            method="PUT",
+            body=written,
+            spoil=spoil,
+            spoil_body=spoil_body,
+            how=how,
+        )
+
+    def _wanted(self, *, number: int) -> dict:
+        return make_written(
             deployment=self.world.deployment,
             number=number,
             weights=self.weights,
             dropped=self.dropped,
             added=self.added,
+            deadlines=self.deadlines,
+            idle=self.idle,
         )
-        self._send(number=number, base=base, written=written, method="PUT", body=written, spoil=spoil, first=first)
 
-    def patch(self, *, number: int, route: str, weights: dict, first: str = "") -> None:
-        """Change one route by name."""
+    def patch(
+        self, *, number: int, route: str, weights: dict, how: Sending | None = None, informed: bool = False
+    ) -> None:
+        """Change one route by name; `informed`: on top of what was taken, acknowledged to this operator or not."""
         self.weights = {**self.weights, route: weights}
-        wanted = make_written(deployment=self.world.deployment, number=number, weights=self.weights)
+        wanted = self._wanted(number=number)
         listener = next(one for one in wanted["listeners"] if any(rule["name"] == route for rule in one["ruleset"]))
         rule = next(rule for rule in listener["ruleset"] if rule["name"] == route)
-        base = max((one for one in self.versions.values() if one.outcome == "acked"), key=lambda one: one.number)
+        base = max(
+            (
+                one
+                for one in self.versions.values()
+                if one.outcome == "acked" or (informed and one.taken < float("inf"))
+            ),
+            key=lambda one: one.number,
+        )
         # all that the patch does not name stays as it is in the version that it builds on
         written = {**copy.deepcopy(base.written), "generation": wanted["generation"]}
         for one in written["listeners"]:
@@ -109,7 +160,7 @@
             "generation": written["generation"],
             "upsert": {"listeners": [{"hostname": listener["hostname"], "ruleset": [rule]}]},
         }
-        self._send(number=number, base=base.number, written=written, method="PATCH", body=body, spoil=None, first=first)
+        self._send(number=number, base=base.number, written=written, method="PATCH", body=body, how=how)
 
     def evacuate(self, *, zone: str, is_back: bool = False, first: str = "") -> None:
         """Empty a zone, or take it back."""
@@ -122,6 +173,9 @@
             world.history.add(
                 t=world.clock.now, k="ordered", kind=kind, zone=zone, code=code, begun=begun, arrivals=arrivals
             )
+            if is_back:
+                # one of its sendings may have taken effect only now
+                world.history.add(t=world.clock.now, k="refilling", zone=zone)
             if code == 200:
                 self.emptied = self.emptied - {zone} if is_back else self.emptied | {zone}
 
@@ -139,14 +193,14 @@
             arrived=lambda: arrivals.append(world.clock.now),
         )
 
-    def read_back(self, *, where: str = "") -> None:
-        """Read the newest configuration."""
+    def read_back(self, *, where: str = "", row: str = "read-back") -> None:
+        """Read the newest configuration; `row` is what the history calls it."""
         world, begun = self.world, self.world.clock.now
 
         def end(code: int, body: bytes = b"") -> None:
             world.history.add(
                 t=world.clock.now,
-                k="read-back",
+                k=row,
                 code=code,
                 begun=begun,
                 written=json.loads(body) if code == 200 else None,
@@ -205,8 +259,7 @@
             written=changed,
             method=method,
             body=body,
-            spoil=None,
-            first=first,
+            how=Sending(first=first),
             pause=pause,
             then=self._edited,
         )
@@ -234,12 +287,13 @@
         written: dict,
         method: str,
         body: dict,
-        spoil: Callable | None,
-        first: str,
+        spoil: Callable | None = None,
+        spoil_body: Callable | None = None,
+        how: Sending | None = None,
         pause: float = 0.0,
         then: Callable[[], None] | None = None,
     ) -> None:
-        world = self.world
+        world, how = self.world, how or Sending()
         base = self.newest() if base is None else base
         if spoil:
             written = copy.deepcopy(written)
@@ -247,7 +301,7 @@
             body = written
         key = (number, len(self.versions))
         version = self.versions[key] = Version(
-            number=number, base=base, written=written, sent=world.clock.now, is_valid=spoil is None
+            number=number, base=base, written=written, sent=world.clock.now, is_valid=spoil is spoil_body is None
         )
         world.history.add(t=world.clock.now, k="config-sent", number=number, base=base, valid=version.is_valid)
 
@@ -264,6 +318,7 @@
                 valid=version.is_valid,
                 begun=version.sent,
                 lost=version.lost,
+                waits_from=version.sent + (how.again + SILENCE if how.again else 0.0),
             )
             if then:
                 then()
@@ -273,15 +328,28 @@
         def lose() -> None:
             version.lost += 1
 
+        def made(answer: Answer) -> None:
+            now = world.clock.now
+            if answer.code == 200:
+                version.taken = min(version.taken, now)
+            elif answer.code in ENDS and version.taken < float("inf"):
+                world.history.add(t=now, k="refused-taken", number=number, base=base, code=answer.code)
+
+        world.happens(moment="sent")
+        text = json.dumps(body).encode()
+
         headers = {"if-match": f"r{base}" if base else "0", "content-type": "application/json"}
         self._call(
             method=method,
             path="/config",
             headers=headers,
-            body=json.dumps(body).encode(),
+            body=spoil_body(text) if spoil_body else text,
             until=float("inf"),
             done=end,
-            first=first,
+            first=how.first,
+            only=how.only,
+            again=how.again,
+            made=made,
             pause=pause,
             lost=lose,
         )
@@ -300,7 +368,9 @@
 
     def loses(self) -> bool:
         """Is the next acknowledgement lost?"""
-        return self.lost_share > 0 and self._rng.random() < self.lost_share
+        is_lost = self.lost_share > 0 and self._rng.random() < self.lost_share
+        self.world.count["acks-lost"] += is_lost
+        return is_lost
 
     def _listed(self) -> list:
         now, lag = self.world.clock.now, self.world.deployment.bounds["seed_lag_s"]
--- a/simulation/hosted/scenario.py
+++ b/simulation/hosted/scenario.py
@@ -2,21 +2,30 @@
 
 from __future__ import annotations
 
-from simulation.hosted.deployment import DEPLOYMENTS
+from dataclasses import replace
+
+from simulation.hosted.deployment import DEPLOYMENTS, Deployment
+from simulation.hosted.draw import draw_day
+from simulation.hosted.draw_others import ALL_KINDS
+from simulation.hosted.drawn_deployment import draw_deployment
 from simulation.hosted.expect import judge_expectation
 from simulation.hosted.judge import judge
 from simulation.hosted.sabotage import SABOTAGE
-from simulation.hosted.verbs import PARTS, find_fault, name_of
+from simulation.hosted.verbs import Verbs, find_fault
 from simulation.hosted.world import World
 from simulation.scenarios import Grammar, Outcome, Scenario
 
 WARM_UP = (("start", 0.5, []), ("put", 2.0, ["1"]))
 """What every day begins with unless its file says otherwise: (verb, s, words)."""
+DRAWN = "drawn"
+"""The name of a fleet that is drawn by the run's seed; `drawn-N` is the one that seed N draws."""
 
 
 LAST_LOOK = 1.5
 """s before the end of a day at which operators read which zones are emptied, if they gave orders on zones."""
-GRAMMAR = Grammar(fleet="small", seeds=range(1, 3), comment="#!", find_fault=find_fault, safeguards=SABOTAGE)
+GRAMMAR = Grammar(
+    fleet="small", seeds=range(1, 3), comment="#!", find_fault=find_fault, safeguards=SABOTAGE, can_draw=True
+)
 
 
 def read_scenario(*, text: str) -> Scenario:
@@ -29,22 +38,38 @@
     return GRAMMAR.run(scenario=scenario, seed=seed, without=without, play=_play)
 
 
+def explicit_scenario(*, scenario: Scenario, seed: int) -> Scenario:
+    """The same with the steps and the fleet that this seed draws written out."""
+    if not scenario.drawn:
+        return scenario
+    kinds = {name: act for name, act in ALL_KINDS.items() if not scenario.kinds or name.split()[0] in scenario.kinds}
+    deployment = _deployment_of(fleet=scenario.fleet, seed=seed)
+    steps, end = draw_day(deployment=deployment, seed=seed, seconds=scenario.drawn, kinds=kinds)
+    fleet = f"{DRAWN}-{seed}" if scenario.fleet == DRAWN else scenario.fleet
+    return replace(scenario, steps=[*scenario.steps, *steps], end=end, drawn=0.0, fleet=fleet)
+
+
+def _deployment_of(*, fleet: str, seed: int) -> Deployment:
+    name, _, number = fleet.partition("-")
+    return draw_deployment(seed=int(number or seed)) if name == DRAWN else DEPLOYMENTS[fleet]()
+
+
 def _look_last(*, world: World) -> None:
     if world.history.of(k="ordered"):
         world.operator.read_orders()
 
 
 def _play(*, scenario: Scenario, seed: int) -> Outcome:
-    world = World(deployment=DEPLOYMENTS[scenario.fleet](), seed=seed, end=scenario.end)
-    parts = [part(world=world) for part in PARTS]
+    scenario = explicit_scenario(scenario=scenario, seed=seed)
+    world = World(deployment=_deployment_of(fleet=scenario.fleet, seed=seed), seed=seed, end=scenario.end)
+    verbs = Verbs(world=world)
     given = {verb for _, verb, _ in scenario.steps}
     steps = [
         *((when, verb, words) for verb, when, words in WARM_UP if verb not in given or verb == "put"),
         *scenario.steps,
     ]
     for when, verb, words in steps:
-        method = next(getattr(part, name_of(verb=verb)) for part in parts if hasattr(part, name_of(verb=verb)))
-        world.clock.at(world.begin + when, lambda method=method, words=words: method(*words))
+        world.clock.at(world.begin + when, lambda verb=verb, words=words: verbs.do(verb, words))
     world.clock.at(world.end - LAST_LOOK, lambda: _look_last(world=world))
     world.clock.run(until=world.end)
     world.close()
--- a/simulation/scenarios.py
+++ b/simulation/scenarios.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import sys
 import time
 import traceback
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import ProcessPoolExecutor, as_completed
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -18,7 +19,10 @@
 
 @dataclass(kw_only=True)
 class Scenario:
-    """One scenario as its file describes it; `steps` are (s from the begin, verb, words)."""
+    """One scenario as its file describes it; `steps` are (s from the begin, verb, words).
+
+    `drawn`: for so many s further steps are drawn by the run's seed, of these `kinds`, or of all.
+    """
 
     title: str = ""
     rule: str = ""
@@ -29,6 +33,8 @@
     constants: dict = field(default_factory=dict)
     fails: list = field(default_factory=list)
     end: float = 30.0
+    drawn: float = 0.0
+    kinds: tuple = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -54,6 +60,7 @@
     comment: str
     find_fault: Callable[..., str]
     safeguards: dict[str, Callable]
+    can_draw: bool = False
 
     def read(self, *, text: str) -> Scenario:
         """The scenario in a text; a ValueError names the line and word that is wrong."""
@@ -70,6 +77,8 @@
             "expect": self._read_expectation,
             "fails": self._read_safeguard,
         }
+        if self.can_draw:
+            readers["draw"] = self._read_draw
         for number, line in enumerate(text.splitlines(), start=1):
             words = line.split(self.comment)[0].split()
             if not words:
@@ -110,6 +119,10 @@
             raise ValueError(f"no constant {words[1]!r}")
         scenario.constants[words[1]] = float(words[2])
 
+    def _read_draw(self, *, scenario: Scenario, words: list[str]) -> None:
+        """`draw SECONDS [KIND ...]`: so many s of troubles drawn by the run's seed."""
+        scenario.drawn, scenario.kinds = float(words[1]), tuple(words[2:])
+
     def _read_end(self, *, scenario: Scenario, words: list[str]) -> None:
         scenario.end = float(words[1])
 
@@ -149,16 +162,17 @@
     run: Callable[..., Outcome]
     begin_of: Callable[[Any], float]
     logs_of: Callable[[Any], list[str]]
+    kinds_of: Callable[[Any], collections.Counter] | None = None
 
-    def run_one(self, *, path: str, seed: int, without: str, logs: bool) -> tuple[bool, str]:
-        """Run one seed of one file: (is it sound, what to print)."""
+    def run_one(self, *, path: str, seed: int, without: str, logs: bool) -> tuple[bool, str, collections.Counter]:
+        """Run one seed of one file: (is it sound, what to print, how often each kind of trouble was drawn)."""
         scenario = self.read(text=Path(path).read_text("utf-8"))
         name = f"{Path(path).stem} seed {seed}"
         began = time.perf_counter()
         try:
             outcome = self.run(scenario=scenario, seed=seed, without=without)
         except Exception:  # noqa: BLE001 - a fault of the stand-ins is no sound run, and must not end the sweep
-            return False, f"{name}: fault\n{traceback.format_exc()}"
+            return False, f"{name}: fault\n{traceback.format_exc()}", collections.Counter()
         pace = scenario.end / (time.perf_counter() - began)
         begin = self.begin_of(outcome.world)
         lines = [
@@ -168,7 +182,8 @@
             *(f"  {words}: {figure}" for words, figure in outcome.figures.items()),
             *(self.logs_of(outcome.world) if logs else ()),
         ]
-        return not outcome.broken and not outcome.failed, "\n".join(lines)
+        kinds = self.kinds_of(outcome.world) if self.kinds_of else collections.Counter()
+        return not outcome.broken and not outcome.failed, "\n".join(lines), kinds
 
     def run_all(self, *, flags: dict) -> None:
         """Run all files with all their seeds, print what they showed, and end the process: 1 if a run was not sound."""
@@ -177,16 +192,19 @@
             seeds = self.read(text=Path(path).read_text("utf-8")).seeds
             seeds = read_range(text=flags["--seeds"]) if flags["--seeds"] else seeds
             jobs += [(path, seed) for seed in seeds]
-        unsound = 0
+        unsound, kinds = 0, collections.Counter()
         with ProcessPoolExecutor(max_workers=int(flags["--jobs"])) as pool:
             futures = [
                 pool.submit(self.run_one, path=path, seed=seed, without=flags["--without"] or "", logs=flags["--logs"])
                 for path, seed in jobs
             ]
-            for future in futures:
-                is_sound, text = future.result()
+            for done, future in enumerate(as_completed(futures), start=1):
+                is_sound, text, drawn = future.result()
                 unsound += not is_sound
-                print(text, flush=True)
+                kinds += drawn
+                print(f"[{done}/{len(jobs)}, {unsound} not sound] {text}", flush=True)
+        for kind, times in sorted(kinds.items()):
+            print(f"{times:6} {kind}")
         print(f"{len(jobs)} runs, {unsound} not sound")
         sys.exit(1 if unsound else 0)
 
