--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -104,7 +104,8 @@
         return Begin(op=op, register=job.order.register, **fields)
 
     def _begin_read(self, *, job: Job) -> Begin:
-        wait = min(self.wait, constants.ORDER_READ_WAIT) if job.order.register == "orders" else self.wait
+        is_zone_order = job.order.register == "orders" and job.dialect.is_labelled
+        wait = min(self.wait, constants.ORDER_READ_WAIT) if is_zone_order else self.wait
         return self._begin(job=job, kind="read", wait=wait)
 
     def _end(self, *, job: Job, outcome: Outcome) -> tuple[list, list]:
