--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.config.check import Fault, Unsound
+from sailward.config.check import Fault, Sound, Unsound
 from sailward.config.dialect import Dialect, Order, Outcome, OwnDialect, refused_unsound
 from sailward.config.history import Labelled, Verdict, read_labelled, write_labelled
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled, Unknown
@@ -152,7 +152,7 @@
     def _weigh_labelled(self, *, job: Job) -> tuple[list, list]:
         """Judge a change of a labelled configuration by the one that is current."""
         order, current = job.order, read_labelled(text=job.text)
-        verdict = current.judge(expected=order.expected, digest=order.digest)
+        verdict = current.judge(expected=order.expected or 0, digest=order.digest)
         if verdict is Verdict.NEXT:
             return self._begin_check(job=job, written=current.written or {}, current=current)
         if verdict is Verdict.TAKEN:
@@ -187,7 +187,7 @@
             wait=self.wait + len(text) * constants.ROUND_PER_BYTE,
         )
 
-    def _after_check(self, *, job: Job, verdict: object) -> tuple[list, list]:
+    def _after_check(self, *, job: Job, verdict: Sound | Unsound) -> tuple[list, list]:
         if isinstance(verdict, Unsound):
             return self._end(job=job, outcome=refused_unsound(unsound=verdict))
         job.notes = {"warnings": [{"path": one.path, "reason": one.reason} for one in verdict.warnings]}
@@ -218,7 +218,7 @@
 
     def _make_orders(self, *, job: Job) -> str | Outcome:
         """The register's text with this order taken, or why it is not."""
-        zone, kind = job.order.given, job.order.kind
+        zone, kind = str(job.order.given), job.order.kind
         orders = read_zone_orders(text=job.text)
         is_known = zone in self.full.get("halls", {}) or zone in self.halls
         if not is_known and not (kind == "refill" and zone in orders.emptied):
@@ -231,7 +231,7 @@
             return Outcome(kind="accepted", number=job.number)
         job.taken = taken
         wanted = orders.with_order(kind=kind, zone=zone)
-        homeless = find_homeless(full=self.full, emptied=wanted.emptied) if kind == "empty" else []
+        homeless = find_homeless(full=self.full, emptied=set(wanted.emptied)) if kind == "empty" else []
         if homeless and not job.order.is_confirmed:
             return Outcome(
                 kind="refused",
--- a/sailward/control/zone_orders.py
+++ b/sailward/control/zone_orders.py
@@ -27,7 +27,8 @@
 
     def count(self, *, kind: str, zone: str) -> int:
         """How many orders of this kind were taken for a zone."""
-        return self.taken.get(zone, [0, 0])[KINDS.index(kind)]
+        counts: list[int] = self.taken.get(zone, [0, 0])
+        return counts[KINDS.index(kind)]
 
     def with_order(self, *, kind: str, zone: str) -> ZoneOrders:
         """What it holds after one order more."""
