--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -158,7 +158,10 @@
         if verdict is Verdict.TAKEN:
             # maybe by another controller: what is sent again is answered again
             return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
-        if verdict is Verdict.LOST:
+        # one that does not go beyond what it builds on is invalid whenever that comes
+        label = job.dialect.label(written=order.given) if isinstance(order.given, dict) else 0
+        is_void = verdict is Verdict.AHEAD and label <= (order.expected or 0)
+        if verdict is Verdict.LOST or is_void:
             detail = f"the current version is {current.label}"
             return self._end(job=job, outcome=_stale(number=current.label, detail=detail))
         return self._end(job=job, outcome=_unjudged(verdict=verdict, order=order, current=current))
--- a/tests/test_dialect.py
+++ b/tests/test_dialect.py
@@ -274,6 +274,9 @@
 def test_what_builds_on_a_version_to_come_is_not_refused_as_it_may_still_be_taken(net: CoreNet) -> None:
     assert put(net, make_written(label=1), "0") == 200
     assert put(net, make_written(label=12, weight=3), "r9") == 503
+    # one that does not go beyond what it builds on never will be
+    assert put(net, make_written(label=9, weight=3), "r9") == 412
+    assert put(net, make_written(label=4, weight=3), "r9") == 412
     assert shown(net)["generation"] == "r1"
     assert put(net, make_written(label=9, weight=4), "r1") == 200
     assert put(net, make_written(label=12, weight=3), "r9", at=2) == 200
