--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -2,8 +2,7 @@
 
 Each order is read, judged by the register's value and tried as a compare-and-set. It is refused only if it can never be
 taken: it is invalid, or another change was taken on top of what it builds on. Whatever can't be told apart ends
-without a
-clear answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
+without a clear answer, as "unavailable" (this exchange changed nothing) or "unknown" (it may have, or may still).
 """
 
 from __future__ import annotations
