--- a/sailward/control/admin_api.py
+++ b/sailward/control/admin_api.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.config.check import Fault, Unsound
+from sailward.config.check import Fault, Sound, Unsound
 from sailward.config.dialect import Dialect, Order, Outcome, OwnDialect, refused_unsound
 from sailward.config.history import Labelled, Verdict, read_labelled, write_labelled
 from sailward.consensus.proposer import Accepted, Begin, Refused, Settled, Unknown
@@ -109,7 +109,8 @@
         return Begin(op=op, register=job.order.register, **fields)
 
     def _begin_read(self, *, job: Job) -> Begin:
-        wait = min(self.wait, constants.ORDER_READ_WAIT) if job.order.register == "orders" else self.wait
+        is_zone_order = job.order.register == "orders" and job.dialect.is_labelled
+        wait = min(self.wait, constants.ORDER_READ_WAIT) if is_zone_order else self.wait
         return self._begin(job=job, kind="read", wait=wait)
 
     def give_up(self, *, now: float, is_lost: bool) -> list:
@@ -184,7 +185,10 @@
         if verdict is Verdict.TAKEN:
             # maybe by another controller: what is sent again is answered again
             return self._end(job=job, outcome=Outcome(kind="accepted", number=job.number))
-        if verdict is Verdict.LOST:
+        # one that does not go beyond what it builds on is invalid whenever that comes
+        label = job.dialect.label(written=order.given) if isinstance(order.given, dict) else 0
+        is_void = verdict is Verdict.AHEAD and label <= (order.expected or 0)
+        if verdict is Verdict.LOST or is_void:
             detail = f"the current version is {current.label}"
             return self._end(job=job, outcome=_stale(number=current.label, detail=detail))
         return self._end(job=job, outcome=_unjudged(verdict=verdict, order=order, current=current))
@@ -213,7 +217,7 @@
             wait=self.wait + len(text) * constants.ROUND_PER_BYTE,
         )
 
-    def _after_check(self, *, job: Job, verdict: object) -> tuple[list, list]:
+    def _after_check(self, *, job: Job, verdict: Sound | Unsound) -> tuple[list, list]:
         if isinstance(verdict, Unsound):
             return self._end(job=job, outcome=refused_unsound(unsound=verdict))
         job.notes = {"warnings": [{"path": one.path, "reason": one.reason} for one in verdict.warnings]}
@@ -257,7 +261,7 @@
             return Outcome(kind="accepted", number=job.number)
         job.taken = taken
         wanted = orders.with_order(kind=kind, zone=zone)
-        homeless = find_homeless(full=self.full, emptied=wanted.emptied) if kind == "empty" else []
+        homeless = find_homeless(full=self.full, emptied=set(wanted.emptied)) if kind == "empty" else []
         if homeless and not job.order.is_confirmed:
             return Outcome(
                 kind="refused",
