--- a/tests/test_platform_real.py
+++ b/tests/test_platform_real.py
@@ -284,6 +284,8 @@
     assert sorted(one[2] for one in ran) == [f"o{at}" for at in range(8)]
     assert ask(fleet.at("proxy-0", "front"), "GET", "/none/", Host="shop", Attempt_Id="n", Time_Budget="1000")[0] == 404
     assert ask(desk, "PUT", "/config", json.dumps(make_config(label=2)).encode(), If_Match="r7")[0] == 412
+    # a version that is not current yet may come and be built upon: nothing definite can be said of this change
+    assert ask(desk, "PUT", "/config", json.dumps(make_config(label=9)).encode(), If_Match="r7")[0] == 503
     assert ask(desk, "PUT", "/config", b'{"generation":"r3"', If_Match="r1")[0] == 400
 
     # an evacuation: nothing more for the zone's workers; a change through another controller; the same sent again is
@@ -296,6 +298,8 @@
             until(lambda: ask(fleet.at("controller-2", "control_plane"), "PATCH", "/config", change, If_Match="r1")[0])
             == 200
         )
+    # another change on top of the version that was replaced has lost for good
+    assert ask(desk, "PUT", "/config", json.dumps(make_config(label=9)).encode(), If_Match="r1")[0] == 412
     until(
         lambda: (
             ask(
