--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -9,7 +9,7 @@
 from sailward import constants
 from sailward.config import history
 from sailward.consensus import proposer
-from sailward.control import controller, granting, membership, shard_leases, write_ahead
+from sailward.control import controller, granting, leaving, membership, shard_leases, write_ahead
 from sailward.discovery import workers
 from sailward.events import Stop
 from sailward.proxy import proxy
@@ -139,6 +139,7 @@
     "hang-up": _all(_patch(hosted_calls.Calls, "may_keep", lambda old: lambda self, *, code, is_named: True)),
     "sync": _all(_patch(write_ahead.WriteAhead, "step", _told_unsynced)),
     "majority": _all(_patch(proposer, "majority_of", lambda old: lambda *, members: 1)),
+    "hand-over": _all(_patch(leaving.Leaving, "begin", lambda old: lambda self, *, now: [Stop(code=0)])),
     "stop": _all(_patch(proxy.Proxy, "_begin_stop", _stops_at_once)),
     # as before events were matched by type: what is not known is taken for a tick
     "caller-left": _all(
--- a/simulation/hosted/verbs.py
+++ b/simulation/hosted/verbs.py
@@ -60,18 +60,33 @@
                 one.start()
         self._world.history.add(t=self._world.clock.now, k="back")
 
-    def do_replace(self, machine: str) -> None:
-        """A machine is gone for good; another with its roles, a new address and an empty disk comes in its place."""
+    def do_replace(self, machine: str, *how: str) -> None:
+        """A machine is gone for good; another with its roles, a new address and an empty disk comes in its place.
+
+        `planned`: the new one starts first, the old one gets SIGTERM 2 s later, and is gone when it has ended.
+        """
         world, old = self._world, self._world.machines[machine]
-        self._note(machine=old, seconds=float("inf"))
-        old.lose_power(wipe=True)
-        old.is_gone, old.listed_until = True, world.clock.now
+        if "planned" in how:
+            world.clock.after(3.0, lambda: self._retire(machine=old))
+        else:
+            self._note(machine=old, seconds=float("inf"))
+            old.lose_power(wipe=True)
+            old.is_gone, old.listed_until = True, world.clock.now
         name = f"{machine}-new"
         fresh = world.add_machine(name=name, zone=old.spot.zone, has_disk="controller" in old.processes)
         fresh.listed_from = world.clock.now + world.deployment.bounds["seed_lag_s"]
         self._note(machine=fresh, seconds=1.0)
         world.clock.after(1.0, fresh.start)
 
+    def _retire(self, *, machine: Machine) -> None:
+        """SIGTERM to all its processes; what still runs at the end of the grace is killed, and none starts again."""
+        grace = self._world.deployment.bounds["grace_s"]
+        self._note(machine=machine, seconds=float("inf"), planned=True)
+        machine.is_gone, machine.listed_until = True, self._world.clock.now
+        for process in machine.processes.values():
+            process.stop()
+        self._world.clock.after(grace + 0.1, machine.lose_power)
+
     def do_cut(self, left: str, right: str, seconds: str) -> None:
         """Nothing passes between two sides for some seconds.
 
