--- a/tests/test_group_machine.py
+++ b/tests/test_group_machine.py
@@ -59,7 +59,7 @@
 
 
 def copy_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(copying.Copying, "slots", lambda self, *, now: {})
+    monkeypatch.setattr(copying.Copying, "slots", lambda self, *, now, own=None: {})
 
 
 def propose_to_one(monkeypatch: pytest.MonkeyPatch) -> None:
