--- a/simulation/hosted/exchange.py
+++ b/simulation/hosted/exchange.py
@@ -74,8 +74,12 @@
     def _send(self) -> None:
         self.world.network.send(a=self.spot, b=self.process.machine.spot, act=self._arrive)
 
+    def _is_void(self) -> bool:
+        # what an operator sent arrives also if it gave up meanwhile, and its connection's end right behind it
+        return self.is_over and self.edge != "desk"
+
     def _arrive(self) -> None:
-        if self.is_over:
+        if self._is_void():
             return
         process, life = self.process, self.process.life
         if process.frozen is not None:
@@ -86,7 +90,7 @@
             self._take(life=life)
 
     def _take(self, *, life: int) -> None:
-        if self.is_over or self.process.life != life:
+        if self._is_void() or self.process.life != life:
             return
         if self.read:
             self.read()
@@ -100,6 +104,8 @@
             target=self.path,
         )
         self.process.ask(event=event, answer=self._come_back)
+        if self.is_over:
+            self.process.leave(token=self.token)
 
     def _leave(self) -> None:
         self.is_over = True
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -4,29 +4,33 @@
 
 import copy
 import json
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from sailward.events import Answer
 from simulation.hosted.deployment import make_written
 from simulation.hosted.network import Spot
+from simulation.hosted.operator_call import ENDS, OperatorCall
 
 if TYPE_CHECKING:
     from simulation.hosted.process import Process
     from simulation.hosted.world import World
 
-ENDS = (400, 409, 412, 413, 422)
-SILENCE, LARGE = 1.0, 100_000
-"""s without an answer before the connection is closed and another daemon is asked, and bytes over which that is
-doubled."""
+SILENCE = 1.0
+"""s without an answer before the connection is closed and another daemon is asked."""
+AT_ONCE = 8
+"""orders that are under way at once at the most."""
 ORDER_TIME = 5.0
 """s for which an order that is no configuration is sent again."""
 
 
 @dataclass(kw_only=True)
 class Version:
-    """One configuration that was sent, and what became of it: open, acked, refused or unknown."""
+    """One configuration that was sent, and what became of it: open, acked, refused or unknown.
+
+    `ended` and `code` are those of its final answer, `lost` how many acknowledgements never reached the operator.
+    """
 
     number: int
     base: int
@@ -35,6 +39,9 @@
     is_valid: bool = True
     outcome: str = "open"
     acked: float = float("inf")
+    ended: float = float("inf")
+    code: int = 0
+    lost: int = 0
 
     def routes(self) -> dict:
         """{(host, prefix): (services that may run it, homes)}."""
@@ -64,6 +71,11 @@
     added: int = 0
     emptied: set = field(default_factory=set)
     patience: float = SILENCE
+    lost_share: float = 0.0
+    under_way: int = 0
+
+    def __post_init__(self) -> None:
+        self._rng = random.Random(f"{self.world.seed}/operator")
 
     def newest(self) -> int:
         """The newest version that was acknowledged, 0 if none."""
@@ -99,13 +111,17 @@
         }
         self._send(number=number, base=base.number, written=written, method="PATCH", body=body, spoil=None, first=first)
 
-    def evacuate(self, *, zone: str, is_back: bool = False) -> None:
+    def evacuate(self, *, zone: str, is_back: bool = False, first: str = "") -> None:
         """Empty a zone, or take it back."""
         world, begun = self.world, self.world.clock.now
         kind = "refill" if is_back else "empty"
 
+        arrivals: list[float] = []
+
         def end(code: int) -> None:
-            world.history.add(t=world.clock.now, k="ordered", kind=kind, zone=zone, code=code, begun=begun)
+            world.history.add(
+                t=world.clock.now, k="ordered", kind=kind, zone=zone, code=code, begun=begun, arrivals=arrivals
+            )
             if code == 200:
                 self.emptied = self.emptied - {zone} if is_back else self.emptied | {zone}
 
@@ -119,6 +135,8 @@
             body=b"",
             until=begun + ORDER_TIME,
             done=end,
+            first=first,
+            arrived=lambda: arrivals.append(world.clock.now),
         )
 
     def read_back(self, *, where: str = "") -> None:
@@ -145,6 +163,69 @@
             wants_body=True,
         )
 
+    def edit(self, *, first: str = "", pause: float = 0.0) -> None:
+        """Read the configuration and change one route on top of it, if not too much is under way.
+
+        It is sent as a whole or as a patch. `pause` is how long the operator waits before it sends it again, in place
+        of the usual.
+        """
+        if self.under_way >= AT_ONCE:
+            return
+        self.under_way += 1
+
+        def take(code: int, body: bytes = b"") -> None:
+            if code != 200:
+                self.under_way -= 1
+                return
+            self._change(written=json.loads(body), first=first, pause=pause)
+
+        self._read(path="/config", kind="config-read", done=take)
+
+    def read_orders(self) -> None:
+        """Read which zones are emptied."""
+        self._read(path="/orders", kind="orders-read", done=lambda code, body=b"": None)
+
+    def _change(self, *, written: dict, first: str, pause: float) -> None:
+        base = int(written["generation"][1:])
+        number = max([base, *(one.number for one in self.versions.values())]) + self._rng.randrange(0, 3)
+        if number <= base:
+            number = base + 1
+        changed = copy.deepcopy(written)
+        changed["generation"] = f"r{number}"
+        listener = self._rng.choice(changed["listeners"])
+        rule = self._rng.choice(listener["ruleset"])
+        rule["target_s"] = round(self._rng.uniform(0.3, 1.5), 3)
+        method, body = "PUT", changed
+        if self._rng.random() < 0.5:
+            upsert = {"listeners": [{"hostname": listener["hostname"], "ruleset": [rule]}]}
+            method, body = "PATCH", {"generation": changed["generation"], "upsert": upsert}
+        self._send(
+            number=number,
+            base=base,
+            written=changed,
+            method=method,
+            body=body,
+            spoil=None,
+            first=first,
+            pause=pause,
+            then=self._edited,
+        )
+
+    def _edited(self) -> None:
+        self.under_way -= 1
+
+    def _read(self, *, path: str, kind: str, done: Callable) -> None:
+        world, begun = self.world, self.world.clock.now
+
+        def end(code: int, body: bytes = b"") -> None:
+            if code == 200:
+                world.history.add(t=world.clock.now, k=kind, begun=begun, body=json.loads(body))
+            done(code, body)
+
+        self._call(
+            method="GET", path=path, headers={}, body=b"", until=begun + ORDER_TIME, done=end, first="", wants_body=True
+        )
+
     def _send(
         self,
         *,
@@ -155,6 +236,8 @@
         body: dict,
         spoil: Callable | None,
         first: str,
+        pause: float = 0.0,
+        then: Callable[[], None] | None = None,
     ) -> None:
         world = self.world
         base = self.newest() if base is None else base
@@ -171,6 +254,7 @@
         def end(code: int) -> None:
             version.outcome = "acked" if code == 200 else "refused" if code in ENDS else "unknown"
             version.acked = world.clock.now if code == 200 else float("inf")
+            version.ended, version.code = world.clock.now, code
             world.history.add(
                 t=world.clock.now,
                 k="config-ended",
@@ -179,10 +263,16 @@
                 code=code,
                 valid=version.is_valid,
                 begun=version.sent,
+                lost=version.lost,
             )
+            if then:
+                then()
             if code == 200:
                 world.acknowledged()
 
+        def lose() -> None:
+            version.lost += 1
+
         headers = {"if-match": f"r{base}" if base else "0", "content-type": "application/json"}
         self._call(
             method=method,
@@ -192,63 +282,25 @@
             until=float("inf"),
             done=end,
             first=first,
+            pause=pause,
+            lost=lose,
         )
 
-    def _call(
-        self,
-        *,
-        method: str,
-        path: str,
-        headers: dict,
-        body: bytes,
-        until: float,
-        done: Callable,
-        first: str = "",
-        wants_body: bool = False,
-    ) -> None:
-        world = self.world
-        state = {"turn": 0, "odd": 0}
-
-        def go(process: Process | None) -> None:
-            settled = []
-
-            def give_up() -> None:
-                if not settled:
-                    world.history.add(t=world.clock.now, k="operator-left", method=method, path=path)
-                    leave()
-                    take(None)
-
-            def take(answer: Answer | None) -> None:
-                if settled:
-                    return
-                settled.append(1)
-                code = answer.code if answer is not None else 0
-                state["odd"] += 400 <= code < 500 and code not in (*ENDS, 408, 429)
-                if 200 <= code < 300 or code in ENDS or state["odd"] >= 3:
-                    done(code, answer.body) if wants_body else done(code)
-                    return
-                state["turn"] += 1
-                pause = min(1.0, 0.1 * 1.6 ** state["turn"])
-                if world.clock.now + pause >= min(until, world.end):
-                    done(0)
-                    return
-                world.clock.after(pause, lambda: go(self._pick(avoid=process)))
-
-            leave = world.exchange(
-                spot=self.spot,
-                process=process,
-                edge="desk",
-                path=path,
-                method=method,
-                headers=headers,
-                body=body,
-                query={},
-                done=take,
-            )
-            world.clock.after(self.patience * (2 if len(body) > LARGE else 1), give_up)
+    def _call(self, **fields: object) -> None:
+        OperatorCall(operator=self, **fields).begin()
+
+    def named(self, *, machine: str) -> Process | None:
+        """The controller of this machine, if it is listed."""
+        return next((one for one in self._listed() if one.machine.spot.name == machine), None)
+
+    def pick(self, *, avoid: Process | None) -> Process | None:
+        """Any controller that is listed but this one."""
+        choice = [one for one in self._listed() if one is not avoid]
+        return self.world.rng.choice(choice) if choice else None
 
-        start = next((one for one in self._listed() if one.machine.spot.name == first), None)
-        go(start or self._pick(avoid=None))
+    def loses(self) -> bool:
+        """Is the next acknowledgement lost?"""
+        return self.lost_share > 0 and self._rng.random() < self.lost_share
 
     def _listed(self) -> list:
         now, lag = self.world.clock.now, self.world.deployment.bounds["seed_lag_s"]
@@ -257,7 +309,3 @@
             for one in self.world.controllers()
             if one.machine.listed_from <= now and now <= one.machine.listed_until + lag
         ]
-
-    def _pick(self, *, avoid: Process | None) -> Process | None:
-        choice = [one for one in self._listed() if one is not avoid]
-        return self.world.rng.choice(choice) if choice else None
