--- a/simulation/hosted/world.py
+++ b/simulation/hosted/world.py
@@ -36,6 +36,7 @@
     def __init__(self, *, deployment: Deployment, seed: int, end: float) -> None:
         self.deployment, self.seed = deployment, seed
         self.rng = random.Random(f"{seed}/world")
+        self.moments = random.Random(f"{seed}/moments")
         self.clock = Clock()
         self.begin = self.clock.now
         self.end = self.begin + end
