--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -324,7 +324,9 @@
         if 200 <= command.code < 300:
             self.world.leader = self.machine.spot.name
             # the daemon's answer leaves it before the moment comes
-            self.world.clock.after(self.world.moments.uniform(0.0, 0.004), lambda: self.world.happens(moment="answered"))
+            self.world.clock.after(
+                self.world.moments.uniform(0.0, 0.004), lambda: self.world.happens(moment="answered")
+            )
 
     def _tell(self, *, command: Tell) -> None:
         to = self.world.by_post.get(command.to)
