--- a/sailward/control/key_loads.py
+++ b/sailward/control/key_loads.py
@@ -117,7 +117,7 @@
     if not told:
         return rates
     part = told[0] / 10 / (len(told) - 2)
-    for first, last in itertools.pairwise(told):
+    for first, last in itertools.pairwise(told[1:]):
         inside = range(first + 1, last + 1) if last > first else (last,)
         for bucket in inside:
             rates[bucket] = rates.get(bucket, 0.0) + part / len(inside)
