--- a/sailward/control/catch_up.py
+++ b/sailward/control/catch_up.py
@@ -15,9 +15,8 @@
     """Owner of a controller's own reads. `step` begins those that are due; `finish` takes the end of an operation.
 
     Each register is read every `every` s, and sooner where a newer value is known to exist: after STALLED s, in
-    which the
-    chosen value comes by itself as a rule. With `contact`, what must be read before it may be served is read again each
-    STALLED s until it is, also by a controller that is no voter.
+    which the chosen value comes by itself as a rule. With `contact`, what must be read before it may be served is read
+    again each STALLED s until it is, also by a controller that is no voter.
     """
 
     def __init__(self, *, voter: Voter, op_prefix: str, every: float, contact: QuorumContact | None) -> None:
