--- a/simulation/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -160,7 +160,7 @@
                 line.fail(fault="connection-lost")
 
     def _is_stale(self, *, line: Line, worker: Worker) -> bool:
-        """A kept connection that the worker has forgotten meanwhile, or on which a surplus answer of an earlier call waits."""
+        """Has the worker forgotten a kept connection? A surplus answer of an earlier call waiting on it comes now."""
         place = (line.process, line.command.owner, line.command.address)
         since, surplus = self._rested.pop(place, (self.world.clock.now, None))
         now = self.world.clock.now
--- a/simulation/hosted/draw_others.py
+++ b/simulation/hosted/draw_others.py
@@ -262,4 +262,7 @@
     "read": _read,
 }
 ALL_KINDS: dict[str, Callable[[Day], bool]] = {**MACHINE_KINDS, **OTHER_KINDS}
-"""Every kind and variant by the bench's names (some are ours: goes_cold, list_down, evacuate twice, operator_leaves, read)."""
+"""Every kind and variant by the bench's names.
+
+Some are ours: goes_cold, list_down, evacuate twice, ack_lost late, operator_leaves, read.
+"""
--- a/simulation/hosted/exchange.py
+++ b/simulation/hosted/exchange.py
@@ -24,7 +24,8 @@
     """One exchange with an edge of a daemon: a new connection, the request, its answer.
 
     `done` is called once with the answer, None where the connection ended without one; `read` when the daemon has taken
-    the request, `made` with each answer as the daemon gives it, whether or not it arrives. `wait` is how long, in s, a connection is tried that nobody answers.
+    the request; `made` with each answer as the daemon gives it, whether or not it arrives. `wait` is how long, in s, a
+    connection is tried that nobody answers.
     """
 
     world: World
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -18,15 +18,17 @@
 
 ENDS = (400, 409, 412, 413, 422)
 SILENCE, LARGE = 1.0, 100_000
-"""s without an answer before the connection is closed and another daemon is asked, and bytes over which that is doubled."""
+"""s without an answer before the connection is closed and another daemon is asked, and bytes over which that is
+doubled."""
 ORDER_TIME = 5.0
 """s for which an order that is no configuration is sent again."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class Sending:
-    """How an order is sent: to the machine `first`, with `only` to no other; if `again`, the first acknowledgement is lost and it
-    is sent again so many s later.
+    """How an order is sent: to the machine `first`, with `only` to no other.
+
+    With `again`, its first acknowledgement is lost, and it is sent again so many s later.
     """
 
     first: str = ""
--- a/simulation/hosted/people_verbs.py
+++ b/simulation/hosted/people_verbs.py
@@ -38,9 +38,10 @@
             self._world.clock.after(float(seconds), lambda: self.do_eager("0"))
 
     def do_put(self, number: str, *words: str) -> None:
-        """Put NUMBER [base=N] [at=MACHINE] [only] [again=S]: the whole configuration.
+        """`put NUMBER [base=N] [at=MACHINE] [only] [again=S]`: the whole configuration.
 
-        `only`: to this machine until it answers; `again`: the first acknowledgement is lost, and it is sent again S s later.
+        `only`: to this machine until it answers; `again`: the first acknowledgement is lost, and it is sent again
+        S s later.
         """
         given = _given(words=words)
         self._world.operator.put(
@@ -50,7 +51,7 @@
         )
 
     def do_patch(self, number: str, route: str, *words: str) -> None:
-        """Patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE] [only] [again=S]."""
+        """`patch NUMBER ROUTE SERVICE=WEIGHT ... [at=MACHINE] [only] [again=S]`: one route."""
         given = _given(words=words)
         how = self._how(given=given, words=words)
         given = {name: weight for name, weight in given.items() if name not in ("at", "again")}
@@ -128,7 +129,7 @@
         self._world.operator.added = int(routes)
 
     def do_put_invalid(self, number: str, way: str) -> None:
-        """An invalid configuration (the ways of bad_configs.py), or a sound one on top of a version that isn't current (`stale`)."""
+        """An invalid configuration (the ways of bad_configs.py), or with `stale` a sound one on an older version."""
         operator = self._world.operator
         if way == "stale":
             operator.put(number=int(number), base=operator.older())
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -1,4 +1,7 @@
-"""One machine, and a daemon's process on it: the product's owner, stepped and served as its host does on real sockets."""
+"""One machine, and a daemon's process on it.
+
+The product's owner, stepped and served as its host does on real sockets.
+"""
 
 from __future__ import annotations
 
@@ -229,7 +232,10 @@
             self._carry_out(command=command)
 
     def ask(self, *, event: Asked, answer: Callable) -> None:
-        """An exchange arrived at an edge. `answer` gets an Answer, None when the connection closed, or "silent" when nothing comes."""
+        """An exchange arrived at an edge.
+
+        `answer` gets an Answer, None when the connection closed, or "silent" when nothing comes.
+        """
         if self.owner is None:
             answer("silent" if self.machine.is_dark else None)
             return
@@ -267,36 +273,49 @@
         self.world.clock.after(constants.TICK * self.machine.rng.uniform(0.98, 1.1), lambda: self._tick(life=life))
 
     def _carry_out(self, *, command: object) -> None:
-        calls = self.world.calls
         if isinstance(command, Tell):
             self._tell(command=command)
         elif isinstance(command, Answer):
-            answer = self.waiting.pop(command.token, None)
-            if answer is not None:
-                self._note_order(command=command)
-                answer(command if command.token.startswith("front ") else self.hosted.words.answer(command))
-        elif isinstance(command, Call):
-            calls.give(process=self, command=command)
-        elif isinstance(command, CancelCall):
-            calls.cancel(process=self, token=command.token)
-        elif isinstance(command, HangUp):
-            calls.hang_up(process=self, owner=command.owner)
+            self._answer(command=command)
+        elif isinstance(command, (Call, CancelCall, HangUp)):
+            self._change_calls(command=command)
         elif isinstance(command, (Store, Rewrite)):
             self._store(command=command)
         elif isinstance(command, Check):
-            life = self.life
-            verdict = check_config(config=command.config)
-            self.world.clock.after(
-                CHECK_TIME,
-                lambda: self.give(event=Checked(token=command.token, verdict=verdict)) if self.life == life else None,
-            )
+            self._check(command=command)
         elif isinstance(command, Leave):
             self.is_shut = self.is_shut or command.shut
         elif isinstance(command, Log):
             self.logs.append((self.world.clock.now, command.event, command.fields))
         elif isinstance(command, Stop):
-            self.end(is_dark=False)
-            self.world.clock.after(RESTART, self.start)
+            self._stop()
+
+    def _change_calls(self, *, command: Call | CancelCall | HangUp) -> None:
+        calls = self.world.calls
+        if isinstance(command, Call):
+            calls.give(process=self, command=command)
+        elif isinstance(command, CancelCall):
+            calls.cancel(process=self, token=command.token)
+        else:
+            calls.hang_up(process=self, owner=command.owner)
+
+    def _stop(self) -> None:
+        self.end(is_dark=False)
+        self.world.clock.after(RESTART, self.start)
+
+    def _answer(self, *, command: Answer) -> None:
+        answer = self.waiting.pop(command.token, None)
+        if answer is not None:
+            self._note_order(command=command)
+            answer(command if command.token.startswith("front ") else self.hosted.words.answer(command))
+
+    def _check(self, *, command: Check) -> None:
+        life = self.life
+        verdict = check_config(config=command.config)
+        self.world.clock.after(
+            CHECK_TIME,
+            lambda: self.give(event=Checked(token=command.token, verdict=verdict)) if self.life == life else None,
+        )
 
     def _note_order(self, *, command: Answer) -> None:
         if command.token not in self.orders:
