--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import functools
 import itertools
 import json
@@ -14,10 +13,10 @@
 from sailward.routing.plan import Limits
 from sailward.runtime.reactor import Reactor
 from sailward.transport.http_server_head import Refused, write_response
+from sailward.transport.http_server_listener import Listener
 from sailward.transport.http_server_state import Connection, Exchange
 from sailward.transport.http_server_timing import Verdict, judge_time
 
-_FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 TOO_SLOW = {Verdict.HEAD_TOO_SLOW: "head too slow", Verdict.BODY_TOO_SLOW: "body too slow"}
 """What a caller is told that sends too slowly."""
@@ -45,7 +44,7 @@
     ) -> None:
         self._reactor = reactor
         self._name = name
-        self._send_update = deliver
+        self._deliver = deliver
         self._limits = limits
         self._tells_half_close = tells_half_close
         self._numbers = itertools.count(1)
@@ -53,18 +52,8 @@
         self._pending: dict[str, tuple[Connection, Exchange]] = {}
         self._open = 0
         self._is_leaving = False
-        host, _, port = address.rpartition(":")
-        self._listener: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._listener.setblocking(False)
-            self._listener.bind((host, int(port)))
-            self._listener.listen(constants.FRONT_BACKLOG)
-        except OSError:
-            self._listener.close()
-            raise
-        self.port = self._listener.getsockname()[1]
-        self._reactor.watch(sock=self._listener, readable=self._accept)
+        self._listener = Listener(reactor=reactor, address=address, accepted=self._accept)
+        self.port = self._listener.port
         self._reactor.later(delay=constants.FRONT_SWEEP, call=self._sweep)
 
     def answer(self, *, command: Respond) -> bool:
@@ -98,10 +87,7 @@
 
     def close_listener(self) -> None:
         """Accept no more connections."""
-        if self._listener is not None:
-            self._reactor.watch(sock=self._listener)
-            self._listener.close()
-            self._listener = None
+        self._listener.close()
 
     def open_count(self) -> int:
         """Requests whose head is read and whose answer is not wholly written."""
@@ -111,33 +97,18 @@
         """Connections held, those being drained included."""
         return len(self._connections)
 
-    def _accept(self) -> None:
-        while self._listener is not None:
-            try:
-                sock, _ = self._listener.accept()
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as error:
-                if error.errno in _FULL:
-                    self._reactor.watch(sock=self._listener)
-                    self._reactor.later(delay=constants.FRONT_ACCEPT_BACKOFF, call=self._accept_again)
-                    return
-                continue
-            if len(self._connections) >= constants.FRONT_CONNECTIONS:
-                sock.close()
-                continue
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            now = self._reactor.clock()
-            connection = Connection(sock=sock, since=now, moved=now)
-            connection.readable = functools.partial(self._read, connection=connection)
-            connection.writable = functools.partial(self._write, connection=connection)
-            self._connections.add(connection)
-            self._update(connection=connection)
-
-    def _accept_again(self) -> None:
-        if self._listener is not None:
-            self._reactor.watch(sock=self._listener, readable=self._accept)
+    def _accept(self, sock: socket.socket) -> None:
+        if len(self._connections) >= constants.FRONT_CONNECTIONS:
+            sock.close()
+            return
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        now = self._reactor.clock()
+        connection = Connection(sock=sock, since=now, moved=now)
+        connection.readable = functools.partial(self._read, connection=connection)
+        connection.writable = functools.partial(self._write, connection=connection)
+        self._connections.add(connection)
+        self._update(connection=connection)
 
     def _read(self, *, connection: Connection) -> None:
         if connection.is_gone:
@@ -170,7 +141,7 @@
     def _report_disconnect(self, *, connection: Connection) -> None:
         for exchange in connection.exchanges:
             if exchange.token in self._pending:
-                self._reactor.soon(call=functools.partial(self._send_update, ClientDisconnected(token=exchange.token)))
+                self._reactor.soon(call=functools.partial(self._deliver, ClientDisconnected(token=exchange.token)))
 
     def _advance(self, *, connection: Connection) -> None:
         if connection.is_busy or connection.is_gone:
@@ -225,7 +196,7 @@
             connection.is_ending = True
             connection.reader.clear()
         self._pending[exchange.token] = (connection, exchange)
-        self._send_update(
+        self._deliver(
             RequestReceived(
                 token=exchange.token,
                 method=head.method,
@@ -356,7 +327,7 @@
     def _forget(self, *, exchange: Exchange) -> None:
         self._open -= 1
         if self._pending.pop(exchange.token, None) is not None:
-            self._reactor.soon(call=functools.partial(self._send_update, ClientDisconnected(token=exchange.token)))
+            self._reactor.soon(call=functools.partial(self._deliver, ClientDisconnected(token=exchange.token)))
 
     def _close(self, *, connection: Connection) -> None:
         if connection.is_gone:
--- /dev/null
+++ b/sailward/transport/http_server_listener.py
@@ -0,0 +1,60 @@
+"""The listening socket of an HTTP server: accepts connections, and pauses while the process has no descriptors left."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Callable
+
+from sailward import constants
+from sailward.runtime.reactor import Reactor
+
+_FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Listener:
+    """Listens at `address` ("ip:port", port 0 for any) and gives each connection to `accepted`.
+
+    Raises OSError if the address can't be had.
+    """
+
+    def __init__(self, *, reactor: Reactor, address: str, accepted: Callable[[socket.socket], None]) -> None:
+        self._reactor = reactor
+        self._accepted = accepted
+        host, _, port = address.rpartition(":")
+        self._socket: socket.socket | None = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._socket.setblocking(False)
+            self._socket.bind((host, int(port)))
+            self._socket.listen(constants.FRONT_BACKLOG)
+        except OSError:
+            self._socket.close()
+            raise
+        self.port: int = self._socket.getsockname()[1]
+        self._reactor.watch(sock=self._socket, readable=self._accept)
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        if self._socket is not None:
+            self._reactor.watch(sock=self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def _accept(self) -> None:
+        while self._socket is not None:
+            try:
+                connection, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno in _FULL:
+                    self._reactor.watch(sock=self._socket)
+                    self._reactor.later(delay=constants.FRONT_ACCEPT_BACKOFF, call=self._accept_again)
+                    return
+                continue
+            self._accepted(connection)
+
+    def _accept_again(self) -> None:
+        if self._socket is not None:
+            self._reactor.watch(sock=self._socket, readable=self._accept)
