--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -299,7 +299,11 @@
         if request is None:
             return []
         self.tally["left"] += 1
-        return self._end(request=request)
+        commands = self._end(request=request)
+        self.tally["left-cancelled"] += len(commands)
+        self.tally["left-going-on"] += len(request.attempts)
+        fields = {"route": request.match.path, "cancelled": len(commands), "going_on": len(request.attempts)}
+        return [LogEvent(event="caller-left", fields=fields), *commands]
 
     def _refusal(self, *, token: str, refusal: Refusal) -> Respond:
         headers = (
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -11,7 +11,9 @@
 from sailward import constants
 from sailward.events import ClientDisconnected, RequestReceived, Respond
 from sailward.routing.plan import Limits
+from sailward.runtime.logs import write_log
 from sailward.runtime.reactor import Reactor
+from sailward.transport.http_server_departures import DepartureCounts
 from sailward.transport.http_server_head import Refused, write_response
 from sailward.transport.http_server_listener import Listener
 from sailward.transport.http_server_state import Connection, Exchange
@@ -52,6 +54,8 @@
         self._pending: dict[str, tuple[Connection, Exchange]] = {}
         self._open = 0
         self._is_leaving = False
+        self.departures = DepartureCounts()
+        self._departures_logged = DepartureCounts()
         self._listener = Listener(reactor=reactor, address=address, accepted=self._accept)
         self.port = self._listener.port
         self._reactor.later(delay=constants.FRONT_SWEEP, call=self._sweep)
@@ -134,14 +138,16 @@
             self._close(connection=connection)
             return
         self._drop_reading(connection=connection)
+        unanswered = [exchange for exchange in connection.exchanges if exchange.token in self._pending]
+        self.departures.closed += len(unanswered)
         if self._tells_half_close:
-            self._report_disconnect(connection=connection)
+            for exchange in unanswered:
+                self._report_disconnect(exchange=exchange)
         self._flush(connection=connection)
 
-    def _report_disconnect(self, *, connection: Connection) -> None:
-        for exchange in connection.exchanges:
-            if exchange.token in self._pending:
-                self._reactor.soon(call=functools.partial(self._deliver, ClientDisconnected(token=exchange.token)))
+    def _report_disconnect(self, *, exchange: Exchange) -> None:
+        self.departures.reported += 1
+        self._reactor.soon(call=functools.partial(self._deliver, ClientDisconnected(token=exchange.token)))
 
     def _advance(self, *, connection: Connection) -> None:
         if connection.is_busy or connection.is_gone:
@@ -327,7 +333,8 @@
     def _forget(self, *, exchange: Exchange) -> None:
         self._open -= 1
         if self._pending.pop(exchange.token, None) is not None:
-            self._reactor.soon(call=functools.partial(self._deliver, ClientDisconnected(token=exchange.token)))
+            self.departures.reset += 1
+            self._report_disconnect(exchange=exchange)
 
     def _close(self, *, connection: Connection) -> None:
         if connection.is_gone:
@@ -350,6 +357,9 @@
 
     def _sweep(self) -> None:
         self._reactor.later(delay=constants.FRONT_SWEEP, call=self._sweep)
+        changes = self.departures.take_changes(logged=self._departures_logged)
+        if changes:
+            write_log(event="callers-left", fields={"edge": self._name, **changes})
         now, limits = self._reactor.clock(), self._limits()
         for connection in list(self._connections):
             verdict = judge_time(connection=connection, now=now, limits=limits, is_leaving=self._is_leaving)
