A caller's close counts as its departure on every edge, and ends what may be repeated

Now each edge reports it, once for each request without an answer. The forwarder gives what may be repeated, or has not been sent, a final answer (502 if it was sent, else 503 with Retry-After), as a caller that closed one side only still reads; its attempts are cancelled. What may run only once and is under way goes on, and is not sent a second time.

--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -78,7 +78,6 @@
             name=edge,
             deliver=deliver,
             limits=limits,
-            tells_half_close=edge == "desk",
         )
     except OSError as fault:
         write_log(
--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -55,7 +55,7 @@
             case CallFinished():
                 return self._return(now=now, event=event) + self._dispatch_waiting(now=now)
             case ClientDisconnected():
-                return self._leave(token=event.token)
+                return self._leave(now=now, token=event.token)
             case None:
                 return self._on_timer(now=now)
 
@@ -202,7 +202,7 @@
             self.by_worker.pop(worker, None)
 
     def _may_retry(self, *, now: float, request: Request, verdict: object) -> bool:
-        if now >= request.expiry - constants.LEAST_LEFT:
+        if request.is_left or now >= request.expiry - constants.LEAST_LEFT:
             return False
         if isinstance(verdict, NotSent):
             return request.unsent <= constants.MAX_UNSENT
@@ -294,16 +294,22 @@
                 commands.append(CancelCall(token=token))
         return commands
 
-    def _leave(self, *, token: str) -> list[Command]:
+    def _leave(self, *, now: float, token: str) -> list[Command]:
+        """Its caller has closed the connection, or at least its own side of that: nothing more is begun for it.
+
+        What may run only once goes on if it is under way. Anything else is given up, with a final answer for a caller
+        that still reads.
+        """
         request = self.live.get(token)
         if request is None:
             return []
+        request.is_left = True
         self.tally["left"] += 1
-        commands = self._end(request=request)
-        self.tally["left-cancelled"] += len(commands)
-        self.tally["left-going-on"] += len(request.attempts)
-        fields = {"route": request.match.path, "cancelled": len(commands), "going_on": len(request.attempts)}
-        return [LogEvent(event="caller-left", fields=fields), *commands]
+        if request.attempts and not request.match.is_repeatable:
+            self.tally["left-going-on"] += 1
+            return []
+        code = 502 if request.sent else 503
+        return self._give_up(now=now, request=request, refusal=Refusal(code=code, reason="caller-left"))
 
     def _refusal(self, *, token: str, refusal: Refusal) -> Respond:
         headers = (
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -27,11 +27,12 @@
 class HttpServer:
     """Listens at `address` ("ip:port", port 0 for any); all on the reactor's thread.
 
-    Delivers RequestReceived and ClientDisconnected.
+    Delivers RequestReceived and ClientDisconnected. Raises OSError if the address can't be had. `limits` is asked for
+    anew with each request.
 
-    Raises OSError if the address can't be had. `limits` is asked for anew with each request. With `tells_half_close`, a
-    caller that closes its side counts as left, as most that do have given up; one that still reads is answered all
-    the same.
+    The end of a caller's bytes counts as its departure, as most that close have given up and a close of one side alone
+    looks the same from here: ClientDisconnected is delivered for each request without an answer. Such a request still
+    awaits its `answer`, which reaches a caller that closed one side only; its connection ends behind it.
     """
 
     def __init__(
@@ -42,13 +43,11 @@
         name: str,
         deliver: Callable[[object], None],
         limits: Callable[[], Limits],
-        tells_half_close: bool = False,
     ) -> None:
         self._reactor = reactor
         self._name = name
         self._deliver = deliver
         self._limits = limits
-        self._tells_half_close = tells_half_close
         self._numbers = itertools.count(1)
         self._connections: set[Connection] = set()
         self._pending: dict[str, tuple[Connection, Exchange]] = {}
@@ -140,12 +139,14 @@
         self._drop_reading(connection=connection)
         unanswered = [exchange for exchange in connection.exchanges if exchange.token in self._pending]
         self.departures.closed += len(unanswered)
-        if self._tells_half_close:
-            for exchange in unanswered:
-                self._report_disconnect(exchange=exchange)
+        for exchange in unanswered:
+            self._report_disconnect(exchange=exchange)
         self._flush(connection=connection)
 
     def _report_disconnect(self, *, exchange: Exchange) -> None:
+        if exchange.is_reported:
+            return
+        exchange.is_reported = True
         self.departures.reported += 1
         self._reactor.soon(call=functools.partial(self._deliver, ClientDisconnected(token=exchange.token)))
 
@@ -333,7 +334,7 @@
     def _forget(self, *, exchange: Exchange) -> None:
         self._open -= 1
         if self._pending.pop(exchange.token, None) is not None:
-            self.departures.reset += 1
+            self.departures.reset += not exchange.is_reported
             self._report_disconnect(exchange=exchange)
 
     def _close(self, *, connection: Connection) -> None:
--- a/sailward/transport/http_server_state.py
+++ b/sailward/transport/http_server_state.py
@@ -15,12 +15,16 @@
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class Exchange:
-    """One request and, once given, its answer; the connection ends behind it if `is_last`."""
+    """One request and, once given, its answer; the connection ends behind it if `is_last`.
+
+    `is_reported`: the owner was told that its caller has left.
+    """
 
     head: Head | None = None
     token: str = ""
     answer: Respond | None = None
     is_last: bool = False
+    is_reported: bool = False
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/tests/test_http_server_properties.py
+++ b/tests/test_http_server_properties.py
@@ -86,6 +86,17 @@
     return [mock.patch.object(http_server.HttpServer, "_forget", lambda self, *, exchange: None)]
 
 
+def keep_silent_of_callers_that_closed() -> list:
+    """The end of a caller's bytes is not told of; that of its connection is."""
+
+    def meet_eof(self, *, connection):
+        with mock.patch.object(http_server.HttpServer, "_report_disconnect", lambda self, *, exchange: None):
+            old(self, connection=connection)
+
+    old = http_server.HttpServer._meet_eof
+    return [mock.patch.object(http_server.HttpServer, "_meet_eof", meet_eof)]
+
+
 def read_on_behind_the_last() -> list:
     """What comes behind a request that ends its connection is read as well."""
 
@@ -105,6 +116,7 @@
         (answer_in_order_of_arrival, "got the answer to"),
         (reuse_tokens, "a token that was given before"),
         (keep_silent_of_callers_that_left, "a request whose caller left was not told of"),
+        (keep_silent_of_callers_that_closed, "a request whose caller left was not told of"),
         # what is read behind it is told, or its answer is dropped with the connection
         (read_on_behind_the_last, "read behind a request that ends|an answer to a caller that is there was lost"),
     ],
