HTTP server: a connection is read on behind sixteen requests, so that a close there is seen

It is read on now up to FRONT_AHEAD_BYTES. Time limits count as before: what is held is not timed, and its time begins anew when a request may be begun again. Left: behind 16 KiB of unread requests a close is seen only once an answer has left.

--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -48,6 +48,9 @@
 """connections that wait to be accepted: a burst of callers after a neighbour's loss."""
 FRONT_DEPTH = 16
 """requests of one connection that are unanswered or unwritten; with more it is not read on."""
+FRONT_AHEAD_BYTES = 16 << 10
+"""bytes that are read ahead of one connection with that many requests: a caller's close is seen behind them. With all
+connections held at once, 47 MB."""
 FRONT_SWEEP = 0.25
 """s between two looks at the connections' time limits: well under the shortest of them."""
 FRONT_BODY_IDLE = 10.0
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -303,14 +303,14 @@
     def _update(self, *, connection: Connection) -> None:
         if connection.is_gone:
             return
-        may_read = not connection.is_eof and (
-            connection.is_ending or connection.reading is not None or not connection.is_full()
-        )
-        interest = (may_read, bool(connection.out))
+        is_held = connection.is_full() and connection.reading is None and not connection.is_ending
+        if connection.is_held and not is_held:
+            # what its caller sent meanwhile was not read by our doing
+            connection.moved = self._reactor.clock()
+        connection.is_held = is_held
+        interest = (connection.may_read(), bool(connection.out))
         if interest == connection.watched:
             return
-        if may_read and not connection.watched[0]:
-            connection.moved = self._reactor.clock()
         connection.watched = interest
         self._reactor.watch(
             sock=connection.sock,
--- a/sailward/transport/http_server_reading.py
+++ b/sailward/transport/http_server_reading.py
@@ -25,6 +25,11 @@
         """Whether bytes wait to be read."""
         return bool(self._raw)
 
+    @property
+    def byte_count(self) -> int:
+        """Bytes that wait to be read."""
+        return len(self._raw)
+
     def feed(self, *, data: bytes) -> None:
         """Take bytes that came."""
         self._raw += data
--- a/sailward/transport/http_server_state.py
+++ b/sailward/transport/http_server_state.py
@@ -33,7 +33,7 @@
 
     `exchanges` holds the requests whose answers are not written, in order; `reading` is the last of them while its body
     is missing. `out` holds (bytes, answers that end with them). `idle_promise` is the idle time in force at the last
-    answer.
+    answer. `is_held`: no further request is begun until an answer has left.
     """
 
     sock: socket.socket
@@ -46,6 +46,7 @@
     reading: Exchange | None = None
     out: collections.deque = field(default_factory=collections.deque)
     may_continue: bool = False
+    is_held: bool = False
     is_ending: bool = False
     is_eof: bool = False
     is_gone: bool = False
@@ -60,6 +61,13 @@
         """Whether no further request may be read."""
         return len(self.exchanges) + len(self.out) >= constants.FRONT_DEPTH
 
+    def may_read(self) -> bool:
+        """Whether bytes are read.
+
+        A held connection is read on for a while, so that its caller's close is seen behind requests that wait.
+        """
+        return not self.is_eof and (not self.is_held or self.reader.byte_count < constants.FRONT_AHEAD_BYTES)
+
     def is_idle(self) -> bool:
         """Whether nothing is read, unanswered or unwritten."""
         return not (self.exchanges or self.out or self.reader.has_bytes or self.is_ending)
--- a/sailward/transport/http_server_timing.py
+++ b/sailward/transport/http_server_timing.py
@@ -31,7 +31,7 @@
     if connection.reading is not None:
         is_slow = quiet > max(limits.head_wait, constants.FRONT_BODY_IDLE)
         return Verdict.BODY_TOO_SLOW if is_slow else Verdict.STAYS
-    is_in_head = connection.reader.has_bytes and connection.watched[0]
+    is_in_head = connection.reader.has_bytes and not connection.is_held
     return Verdict.HEAD_TOO_SLOW if is_in_head and quiet > limits.head_wait else Verdict.STAYS
 
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 
 from sailward import constants
@@ -41,3 +43,17 @@
     path.settle()
     assert path.calls.empty(), "a request reached the worker after its caller had left"
     path.until(lambda: path.front.connection_count() == 0)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_request_whose_caller_left_before_it_was_read_is_never_sent(make_path, method: str) -> None:
+    """A proxy that was held up finds the request and the close of its caller in one look."""
+    path = make_path(kind="once" if method == "POST" else "repeatable")
+    is_sent = threading.Event()
+    path.reactor.give(call=lambda: is_sent.wait(PATIENCE))
+    path.send(request("1", method=method)).close()
+    is_sent.set()
+    path.settle()
+    assert path.calls.empty(), "a request reached the worker though its caller had left before"
+    assert not path.bench.forwarder.live
+    path.until(lambda: path.front.connection_count() == 0)
