What has not begun when its caller leaves never begins: read to the end first, and calls taken back

Now a connection is read until nothing is left, its close is reported at once, before the call that its request led to begins, and WithdrawCall takes back a call of which no byte has left (CallFinished says `withdrawn`, which is no evidence about the worker); what has left goes on. The planted silence about closes was adapted to the new signature and is still found.

--- a/sailward/events.py
+++ b/sailward/events.py
@@ -152,6 +152,13 @@
     token: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class WithdrawCall:
+    """Give up a call of which no byte has left: its CallFinished says `withdrawn`. Any other call goes on."""
+
+    token: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class ValidateConfig:
     """Check a configuration, beside the owner: a large one takes seconds."""
@@ -210,6 +217,7 @@
     | Respond
     | StartCall
     | CancelCall
+    | WithdrawCall
     | ValidateConfig
     | CloseConnections
     | DrainConnections
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -12,7 +12,15 @@
 import sailward
 from sailward import constants
 from sailward.discovery.peer_table import Location
-from sailward.events import CancelCall, CloseConnections, RequestReceived, Respond, SendMessage, StartCall
+from sailward.events import (
+    CancelCall,
+    CloseConnections,
+    RequestReceived,
+    Respond,
+    SendMessage,
+    StartCall,
+    WithdrawCall,
+)
 from sailward.routing.plan import Limits
 from sailward.runtime.host import Host
 from sailward.runtime.logs import start_logs, write_log
@@ -108,6 +116,7 @@
         SendMessage: lambda command: message_transport.send(to=command.to, body=command.body),
         StartCall: lambda command: http_client.give(call=command),
         CancelCall: lambda command: http_client.cancel(token=command.token),
+        WithdrawCall: lambda command: http_client.withdraw(token=command.token),
         CloseConnections: lambda command: http_client.close_connections(owner=command.owner),
         **handlers,
     }
--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -16,6 +16,7 @@
     RequestReceived,
     Respond,
     StartCall,
+    WithdrawCall,
 )
 from sailward.routing.endpoint_selection import EndpointSelector
 from sailward.routing.passive_health import EVENTS
@@ -28,6 +29,9 @@
 SHORT = frozenset({"no-room", "key-moving", "key-unowned", "owner-lost", "owner-cold", "no-worker"})
 """Refusals that may be over in a moment: the request waits for that long."""
 
+OUR_OWN_FAULTS = frozenset({"too-late", "withdrawn"})
+"""Ends of a call that tell nothing of its worker."""
+
 
 @dataclass(kw_only=True)
 class Forwarder:
@@ -236,7 +240,7 @@
         elif isinstance(verdict, WorkerRejected):
             event = verdict.why if verdict.why in ("full", "stranger") else ""
         else:
-            event = EVENTS.get(verdict.reason, "" if verdict.reason == "too-late" else "fail")
+            event = EVENTS.get(verdict.reason, "" if verdict.reason in OUR_OWN_FAULTS else "fail")
         if isinstance(verdict, (Broken, NotSent, WorkerRejected)):
             self.tally[f"{type(verdict).__name__}-{getattr(verdict, 'reason', getattr(verdict, 'why', ''))}"] += 1
         return (
@@ -297,8 +301,8 @@
     def _leave(self, *, now: float, token: str) -> list[Command]:
         """Its caller has closed the connection, or at least its own side of that: nothing more is begun for it.
 
-        What may run only once goes on if it is under way. Anything else is given up, with a final answer for a caller
-        that still reads.
+        What may run only once goes on if a byte of it has been sent. Anything else is given up, with a final answer for
+        a caller that still reads.
         """
         request = self.live.get(token)
         if request is None:
@@ -307,7 +311,7 @@
         self.tally["left"] += 1
         if request.attempts and not request.match.is_repeatable:
             self.tally["left-going-on"] += 1
-            return []
+            return [WithdrawCall(token=token) for token in request.attempts]
         code = 502 if request.sent else 503
         return self._give_up(now=now, request=request, refusal=Refusal(code=code, reason="caller-left"))
 
--- a/sailward/transport/http_client.py
+++ b/sailward/transport/http_client.py
@@ -92,6 +92,12 @@
         if running is not None:
             self._forget(running=running, is_aborted=True)
 
+    def withdraw(self, *, token: str) -> None:
+        """Fail a call with `withdrawn` if the system has accepted no byte of it; one that has left goes on."""
+        running = self._running.get(token)
+        if running is not None and not running.is_sent:
+            self._fail(running=running, fault="withdrawn")
+
     def close_connections(self, *, owner: str) -> None:
         """Close the owner's idle connections now, its busy ones behind their answers."""
         for connection in self._idle.pop(owner, []):
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -114,22 +114,29 @@
         self._update(connection=connection)
 
     def _read(self, *, connection: Connection) -> None:
-        if connection.is_gone:
-            return
-        try:
-            data = connection.sock.recv(constants.FRONT_READ_BYTES)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            self._close(connection=connection)
-            return
-        if not data:
-            self._meet_eof(connection=connection)
-        elif not connection.is_ending:
-            if not connection.reader.has_bytes or connection.reading is not None:
-                connection.moved = self._reactor.clock()
-            connection.reader.feed(data=data)
-            self._advance(connection=connection)
+        """Read until nothing is left, so that a caller's close is seen before its requests have been sent on."""
+        while not connection.is_gone and connection.may_read():
+            try:
+                data = connection.sock.recv(constants.FRONT_READ_BYTES)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                self._close(connection=connection)
+                return
+            if not data:
+                self._meet_eof(connection=connection)
+                return
+            if not connection.is_ending:
+                self._take_bytes(connection=connection, data=data)
+            if len(data) == constants.FRONT_READ_BYTES:
+                # the other connections come first
+                return
+
+    def _take_bytes(self, *, connection: Connection, data: bytes) -> None:
+        if not connection.reader.has_bytes or connection.reading is not None:
+            connection.moved = self._reactor.clock()
+        connection.reader.feed(data=data)
+        self._advance(connection=connection)
 
     def _meet_eof(self, *, connection: Connection) -> None:
         connection.is_eof = connection.is_ending = True
@@ -140,15 +147,18 @@
         unanswered = [exchange for exchange in connection.exchanges if exchange.token in self._pending]
         self.departures.closed += len(unanswered)
         for exchange in unanswered:
-            self._report_disconnect(exchange=exchange)
+            # at once, before a call that the request has just led to is begun
+            self._report_disconnect(exchange=exchange, deliver=self._deliver)
         self._flush(connection=connection)
 
-    def _report_disconnect(self, *, exchange: Exchange) -> None:
-        if exchange.is_reported:
-            return
-        exchange.is_reported = True
-        self.departures.reported += 1
-        self._reactor.soon(call=functools.partial(self._deliver, ClientDisconnected(token=exchange.token)))
+    def _report_disconnect(self, *, exchange: Exchange, deliver: Callable[[object], None]) -> None:
+        if not exchange.is_reported:
+            exchange.is_reported = True
+            self.departures.reported += 1
+            deliver(ClientDisconnected(token=exchange.token))
+
+    def _deliver_soon(self, event: object) -> None:
+        self._reactor.soon(call=functools.partial(self._deliver, event))
 
     def _advance(self, *, connection: Connection) -> None:
         if connection.is_busy or connection.is_gone:
@@ -335,7 +345,7 @@
         self._open -= 1
         if self._pending.pop(exchange.token, None) is not None:
             self.departures.reset += not exchange.is_reported
-            self._report_disconnect(exchange=exchange)
+            self._report_disconnect(exchange=exchange, deliver=self._deliver_soon)
 
     def _close(self, *, connection: Connection) -> None:
         if connection.is_gone:
--- a/simulation/hollow_fleet/added.py
+++ b/simulation/hollow_fleet/added.py
@@ -14,7 +14,7 @@
 import statistics
 import time
 
-from sailward.events import CancelCall, CloseConnections, MessageReceived, Respond, SendMessage, StartCall
+from sailward.events import CancelCall, CloseConnections, MessageReceived, Respond, SendMessage, StartCall, WithdrawCall
 from sailward.proxy.proxy import Proxy
 from sailward.runtime.host import Host
 from sailward.runtime.reactor import Reactor
@@ -257,6 +257,7 @@
         StartCall: lambda one: http_client.give(call=one),
         SendMessage: lambda one: None,
         CancelCall: lambda one: http_client.cancel(token=one.token),
+        WithdrawCall: lambda one: http_client.withdraw(token=one.token),
         CloseConnections: lambda one: http_client.close_connections(owner=one.owner),
     }
 
--- a/simulation/hosted/calls.py
+++ b/simulation/hosted/calls.py
@@ -142,6 +142,12 @@
         if line is not None:
             line.finish(called=None, is_aborted=True)
 
+    def withdraw(self, *, process: Process, token: str) -> None:
+        """Give a call up if no byte of it has left."""
+        line = self.lines.get((process, token))
+        if line is not None and not line.is_sent:
+            line.fail(fault="withdrawn")
+
     def end(self, *, process: Process, is_dark: bool) -> None:
         """The process is gone; its connections close, unless its machine is dark."""
         self._kept = {key: worker for key, worker in self._kept.items() if key[0] is not process}
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -34,6 +34,7 @@
     StartCall,
     TimerFired,
     ValidateConfig,
+    WithdrawCall,
 )
 from sailward.proxy.proxy import Proxy
 from simulation.hosted.environment import Environment
@@ -290,7 +291,7 @@
             self._send_update(command=command)
         elif isinstance(command, Respond):
             self._answer(command=command)
-        elif isinstance(command, (StartCall, CancelCall, CloseConnections)):
+        elif isinstance(command, (StartCall, CancelCall, WithdrawCall, CloseConnections)):
             self._change_calls(command=command)
         elif isinstance(command, (AppendRecords, RewriteRecords)):
             self._store(command=command)
@@ -303,12 +304,14 @@
         elif isinstance(command, ExitProcess):
             self._stop()
 
-    def _change_calls(self, *, command: StartCall | CancelCall | CloseConnections) -> None:
+    def _change_calls(self, *, command: StartCall | CancelCall | WithdrawCall | CloseConnections) -> None:
         calls = self.world.calls
         if isinstance(command, StartCall):
             calls.give(process=self, command=command)
         elif isinstance(command, CancelCall):
             calls.cancel(process=self, token=command.token)
+        elif isinstance(command, WithdrawCall):
+            calls.withdraw(process=self, token=command.token)
         else:
             calls.close_connections(process=self, owner=command.owner)
 
--- a/tests/proxy_path.py
+++ b/tests/proxy_path.py
@@ -13,7 +13,7 @@
 
 from sailward import constants
 from sailward.discovery.peer_table import Location
-from sailward.events import CancelCall, StartCall, TimerFired
+from sailward.events import CancelCall, StartCall, TimerFired, WithdrawCall
 from sailward.programs.hosted import Hosted, answer_handlers, open_front
 from sailward.routing.plan import Limits
 from sailward.runtime.host import Host
@@ -75,6 +75,7 @@
         self.host.handlers = {
             StartCall: lambda command: self.client.give(call=command),
             CancelCall: lambda command: self.client.cancel(token=command.token),
+            WithdrawCall: lambda command: self.client.withdraw(token=command.token),
             **answer_handlers(hosted=hosted, fronts={"front": self.front}),
         }
         self.host.step = self._step
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sailward import constants
-from sailward.events import ClientDisconnected
+from sailward.events import ClientDisconnected, WithdrawCall
 from tests.proxy_kit import Bench, answers, calls, cancels, logs, make_plan, make_worker
 
 PROMISES = (408, 421, 429, 503)
@@ -242,6 +242,7 @@
     [call] = calls(bench.ask(method="POST"))
     commands = bench.forwarder.step(now=bench.now, event=ClientDisconnected(token="front 1"))
     assert not cancels(commands) and not answers(commands)
+    assert [command.token for command in commands] == [call.token] and isinstance(commands[0], WithdrawCall)
     assert [answer.code for answer in answers(bench.back(call=call))] == [200]
     assert not bench.endpoint_selector.open and not bench.forwarder.live and not bench.forwarder.calls
 
@@ -255,6 +256,18 @@
     assert [answer.code for answer in answers(commands)] == [503]
 
 
+def test_once_only_work_of_which_nothing_was_sent_is_taken_back_when_its_caller_leaves() -> None:
+    bench = make(kind="once", tries=3)
+    [call] = calls(bench.ask(method="POST"))
+    bench.forwarder.step(now=bench.now, event=ClientDisconnected(token="front 1"))
+    shown = bench.passive_health.shown[call.owner]
+    before = (shown.state, shown.window, shown.busy_until)
+    commands = bench.fail(call=call, fault="withdrawn", sent=False)
+    assert [answer.code for answer in answers(commands)] == [503] and not calls(commands)
+    assert (shown.state, shown.window, shown.busy_until) == before, "it tells nothing of the worker"
+    assert not bench.endpoint_selector.open and not bench.forwarder.live and not bench.forwarder.calls
+
+
 @pytest.mark.parametrize("kind", ["repeatable", "once"])
 def test_what_waits_when_its_caller_leaves_is_never_sent(kind: str) -> None:
     bench = make(kind=kind, workers=1)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -253,6 +253,39 @@
     assert peer.get()[1].startswith(b"GET /next")
 
 
+def test_a_call_withdrawn_before_a_byte_has_left_is_never_begun(edge: Edge) -> None:
+    peer = edge.speaker(OK)
+
+    def give_and_withdraw() -> None:
+        edge.http_client.give(call=make_call(token="x", address=peer.address))
+        edge.http_client.withdraw(token="x")
+
+    edge.do(give_and_withdraw)
+    called = edge.told.get(timeout=WAIT)
+    assert (called.token, called.code, called.fault, called.sent) == ("x", 0, "withdrawn", False)
+    assert edge.counts()["calls"] == 0
+    assert edge.ask(address=peer.address, path="/next").code == 200
+    assert peer.get()[1].startswith(b"GET /next")
+
+
+def test_a_call_that_has_left_is_not_withdrawn(edge: Edge) -> None:
+    is_withdrawn = threading.Event()
+
+    def serve(line: Line) -> None:
+        peer.seen.put(line.read())
+        assert is_withdrawn.wait(WAIT)
+        line.say(OK)
+
+    peer = edge.peer(serve=serve)
+    token = edge.give(address=peer.address)
+    peer.get()
+    edge.do(lambda: edge.http_client.withdraw(token=token))
+    edge.do(lambda: edge.http_client.withdraw(token="never given"))
+    is_withdrawn.set()
+    called = edge.told.get(timeout=WAIT)
+    assert (called.token, called.code) == (token, 200)
+
+
 @pytest.mark.parametrize("wait", [0.1, 0.4])
 def test_a_call_that_takes_too_long_is_aborted(edge: Edge, wait: float) -> None:
     def serve(line: Line) -> None:
--- a/tests/test_http_server_properties.py
+++ b/tests/test_http_server_properties.py
@@ -90,7 +90,7 @@
     """The end of a caller's bytes is not told of; that of its connection is."""
 
     def meet_eof(self, *, connection):
-        with mock.patch.object(http_server.HttpServer, "_report_disconnect", lambda self, *, exchange: None):
+        with mock.patch.object(http_server.HttpServer, "_report_disconnect", lambda self, *, exchange, deliver: None):
             old(self, connection=connection)
 
     old = http_server.HttpServer._meet_eof
