Invariants that the running code checks: departures are reported, watched for, and end what may be repeated

A violation is counted, logged as invariant-violated and shown in a proxy's /status; it ends nothing. In tests any violation fails the test in whose process it came, but for those that plant faults. tests/test_invariants.py: each is violated by the fault it is there for.

--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -33,6 +33,7 @@
     TimerFired,
     UnexpectedEvents,
 )
+from sailward.invariants import violations
 from sailward.proxy.control_client import ControlClient
 from sailward.proxy.directory import Directory
 from sailward.routing.endpoint_selection import EndpointSelector, SelectionContext
@@ -321,5 +322,6 @@
             "tally": dict(self.forwarder.tally),
             "open": len(self.forwarder.calls),
             "unexpected_events": dict(self.unexpected.counts),
+            "invariant_violations": dict(violations),
             "refused_input": dict(self.refused.counts),
         }
--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -18,6 +18,7 @@
     StartCall,
     WithdrawCall,
 )
+from sailward.invariants import Invariant, check
 from sailward.routing.endpoint_selection import EndpointSelector
 from sailward.routing.passive_health import EVENTS
 from sailward.routing.proxied_request import Refusal, answer_json
@@ -135,6 +136,7 @@
 
     def _call(self, *, now: float, request: Request, worker: Worker) -> list[Command]:
         """One attempt: the call to this worker, and all that is noted of it."""
+        violation = check(invariant=Invariant.DEPARTED_NOT_SERVED, holds=not request.is_left, route=request.match.path)
         self.count += 1
         token = f"x {self.count}"
         request.sent, request.waits_since = request.sent + 1, -1.0
@@ -149,6 +151,7 @@
         self.tally["sent"] += 1
         context, left = self.endpoint_selector.context, request.expiry - now
         return [
+            *violation,
             StartCall(
                 token=token,
                 owner=worker.key,
@@ -162,7 +165,7 @@
                 # twice
                 fresh=not request.match.is_repeatable,
                 dial=constants.DIAL_NEAR if context.regions.get(worker.zone) == context.region else 0.0,
-            )
+            ),
         ]
 
     def _hedge_after(self, *, request: Request) -> float:
@@ -332,8 +335,17 @@
                 commands += self._select_and_forward(now=now, request=request)
         return commands
 
+    def _check_departed(self) -> list[Command]:
+        """Check that nothing repeatable runs for requests that are over or whose callers have left."""
+        running = [
+            request
+            for request in self.calls.values()
+            if request.match.is_repeatable and (request.is_left or request.token not in self.live)
+        ]
+        return [*check(invariant=Invariant.DEPARTED_NOT_RUNNING, holds=not running, attempts=len(running))]
+
     def _on_timer(self, *, now: float) -> list[Command]:
-        commands = self._dispatch_waiting(now=now)
+        commands = self._dispatch_waiting(now=now) + self._check_departed()
         for request in list(self.live.values()):
             if now >= request.expiry:
                 code = 504 if request.sent else 503
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -13,7 +13,7 @@
 from sailward.routing.plan import Limits
 from sailward.runtime.logs import write_log
 from sailward.runtime.reactor import Reactor
-from sailward.transport.http_server_departures import DepartureCounts
+from sailward.transport.http_server_departures import DepartureCounts, check_departures
 from sailward.transport.http_server_head import Refused, write_response
 from sailward.transport.http_server_listener import Listener
 from sailward.transport.http_server_state import Connection, Exchange
@@ -368,11 +368,10 @@
 
     def _sweep(self) -> None:
         self._reactor.later(delay=constants.FRONT_SWEEP, call=self._sweep)
-        changes = self.departures.take_changes(logged=self._departures_logged)
-        if changes:
-            write_log(event="callers-left", fields={"edge": self._name, **changes})
+        self._log_departures()
         now, limits = self._reactor.clock(), self._limits()
         for connection in list(self._connections):
+            self._check_invariants(connection=connection)
             verdict = judge_time(connection=connection, now=now, limits=limits, is_leaving=self._is_leaving)
             if verdict is Verdict.ENDS:
                 self._close(connection=connection)
@@ -380,3 +379,12 @@
                 self._close_idle(connection=connection)
             elif verdict is not Verdict.STAYS:
                 self._refuse(connection=connection, refused=Refused(code=408, reason=TOO_SLOW[verdict]))
+
+    def _log_departures(self) -> None:
+        changes = self.departures.take_changes(logged=self._departures_logged)
+        if changes:
+            write_log(event="callers-left", fields={"edge": self._name, **changes})
+
+    def _check_invariants(self, *, connection: Connection) -> None:
+        for log in check_departures(connection=connection, pending=self._pending):
+            write_log(event=log.event, fields={"edge": self._name, **log.fields}, level="error")
--- a/sailward/transport/http_server_departures.py
+++ b/sailward/transport/http_server_departures.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
+from sailward.events import LogEvent
+from sailward.invariants import Invariant, check
+from sailward.transport.http_server_state import Connection
+
 
 @dataclass(kw_only=True)
 class DepartureCounts:
@@ -25,3 +30,15 @@
             return {}
         logged.closed, logged.reset, logged.reported = self.closed, self.reset, self.reported
         return {name: count - before[name] for name, count in now.items()}
+
+
+def check_departures(*, connection: Connection, pending: Collection[str]) -> list[LogEvent]:
+    """Check a connection; `pending` are the tokens of the requests that have no answer."""
+    unanswered = [exchange for exchange in connection.exchanges if exchange.token in pending]
+    if not unanswered:
+        return []
+    if connection.is_eof:
+        is_reported = all(exchange.is_reported for exchange in unanswered)
+        return check(invariant=Invariant.DEPARTURES_REPORTED, holds=is_reported, unanswered=len(unanswered))
+    is_watched = connection.watched[0] or not connection.may_read()
+    return check(invariant=Invariant.CALLERS_WATCHED, holds=is_watched, unanswered=len(unanswered))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
 
+from sailward.invariants import violations
+
 MOST = 3
 """Lines that the list may have: these tests are mended first, before others join them."""
 
@@ -48,6 +51,21 @@
     return read_known_red(text=path.read_text("utf-8")) if path and path.exists() else []
 
 
+@pytest.fixture(autouse=True)
+def no_invariant_is_violated(request: pytest.FixtureRequest) -> Iterator[None]:
+    """Fail a test in whose process an invariant was violated, unless it plants faults."""
+    violations.clear()
+    yield
+    if request.node.get_closest_marker("plants_faults") is None:
+        assert not violations, f"invariants violated: {dict(violations)}"
+    violations.clear()
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Register the project's marker."""
+    config.addinivalue_line("markers", "plants_faults: takes a safeguard out, so that invariants may be violated")
+
+
 def pytest_addoption(parser: pytest.Parser) -> None:
     """Add the option; a file that doesn't exist lists nothing."""
     parser.addoption("--known-red", metavar="FILE", default="", help="pass over the failures of the tests listed there")
--- a/tests/test_forwarding_model.py
+++ b/tests/test_forwarding_model.py
@@ -68,6 +68,7 @@
     return end
 
 
+@pytest.mark.plants_faults
 @pytest.mark.parametrize(
     ("owner", "name", "make", "breach"),
     [
--- a/tests/test_http_server_properties.py
+++ b/tests/test_http_server_properties.py
@@ -110,6 +110,7 @@
     return [mock.patch.object(http_server.HttpServer, "_deliver_request", ask)]
 
 
+@pytest.mark.plants_faults
 @pytest.mark.parametrize(
     ("plant", "breach"),
     [
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,102 @@
+"""Each invariant is violated by the fault that it is there for, and is counted, logged and shown."""
+
+from __future__ import annotations
+
+import socket
+from unittest import mock
+
+import pytest
+
+from sailward import constants
+from sailward.events import ClientDisconnected, RequestReceived
+from sailward.invariants import Invariant, check, violations
+from sailward.routing.forwarding import Forwarder
+from sailward.transport.http_server import HttpServer
+from sailward.transport.http_server_departures import check_departures
+from tests.http_server_harness import Harness, get
+from tests.proxy_kit import Bench, calls, logs, make_plan, make_worker
+
+pytestmark = pytest.mark.plants_faults
+
+
+@pytest.fixture
+def edge():
+    harness = Harness()
+    yield harness
+    harness.end()
+
+
+def make(**match: object) -> Bench:
+    return Bench(workers=[make_worker("w0")], plan=make_plan(**match))
+
+
+def leave(bench: Bench, token: str) -> list:
+    return bench.forwarder.step(now=bench.now, event=ClientDisconnected(token=token))
+
+
+def test_what_holds_is_neither_counted_nor_logged() -> None:
+    assert not check(invariant=Invariant.CALLERS_WATCHED, holds=True) and not violations
+
+
+def test_a_close_that_is_not_reported_violates(edge) -> None:
+    with mock.patch.object(HttpServer, "_report_disconnect", lambda self, *, exchange, deliver: None):
+        sock = edge.connect()
+        sock.sendall(get())
+        edge.wait(RequestReceived, 1)
+        sock.shutdown(socket.SHUT_WR)
+        edge.until(lambda: violations[Invariant.DEPARTURES_REPORTED.value] > 0)
+
+
+def test_a_close_that_is_reported_violates_nothing(edge) -> None:
+    sock = edge.connect()
+    sock.sendall(get())
+    edge.wait(RequestReceived, 1)
+    sock.shutdown(socket.SHUT_WR)
+    edge.wait(ClientDisconnected, 1)
+    edge.pass_time(seconds=2 * constants.FRONT_SWEEP)
+    assert not violations
+
+
+def test_a_connection_that_is_not_watched_violates(edge) -> None:
+    sock = edge.connect()
+    sock.sendall(get())
+    edge.wait(RequestReceived, 1)
+
+    def stop_watching() -> list:
+        [connection] = edge.front._connections
+        connection.watched = (False, False)
+        return check_departures(connection=connection, pending=edge.front._pending)
+
+    [log] = edge.on_reactor(stop_watching)
+    assert (log.event, log.fields["invariant"]) == ("invariant-violated", "callers-watched")
+    assert violations[Invariant.CALLERS_WATCHED.value] == 1
+
+
+def test_an_attempt_for_a_caller_that_has_left_violates() -> None:
+    bench = make()
+    while calls(bench.ask()):
+        pass
+    [waiting] = bench.forwarder.waiting.values()
+    waiting.is_left = True
+    first = next(iter(bench.forwarder.calls))
+    call = mock.Mock(token=first, headers={"x-id": bench.forwarder.calls[first].name})
+    [log] = logs(bench.back(call=call), event="invariant-violated")
+    assert log.fields["invariant"] == "departed-not-served" and violations == {"departed-not-served": 1}
+
+
+def test_a_run_that_is_not_ended_violates() -> None:
+    bench = make()
+    bench.ask()
+    with mock.patch.object(Forwarder, "_end", lambda self, *, request: []):
+        leave(bench, "front 1")
+    [log] = logs(bench.wait(constants.TICK), event="invariant-violated")
+    assert log.fields == {"invariant": "departed-not-running", "attempts": 1}
+
+
+@pytest.mark.parametrize("kind", ["repeatable", "once"])
+def test_a_departure_that_is_dealt_with_violates_nothing(kind: str) -> None:
+    bench = make(kind=kind)
+    bench.ask()
+    leave(bench, "front 1")
+    bench.wait(constants.TICK)
+    assert not violations
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -19,6 +19,7 @@
     assert not outcome.failed, outcome.failed
 
 
+@pytest.mark.plants_faults
 @pytest.mark.parametrize(
     ("name", "safeguard", "rule"), [(name, *fail) for name, one in SCENARIOS.items() for fail in one.fails]
 )
