Soak: real daemons on loopback under overlapping kills, pauses, cuts and lost answers, with callers that leave

Callers close, reset, half-close or leave behind 3 or 24 pipelined requests whose work lasts 75 s, so that only the end of their connection ends it; the judge looks for GONE, TWICE, REFUSED, MIXED, UNASKED, HELD, an unserved proxy, a lost change, a process that ended by itself, and any violated invariant in the logs. The fleet of tests/test_platform_real.py moved to simulation/real/hosted_fleet.py, used by both.

--- /dev/null
+++ b/simulation/real/hosted_fleet.py
@@ -0,0 +1,180 @@
+"""A fleet of the daemons as the users' platform runs them: real processes on loopback, through the adapter's entry.
+
+The platform's list and the workers are the caller's.
+"""
+
+from __future__ import annotations
+
+import http.client
+import http.server
+import json
+import os
+import random
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import yaml
+
+ROOT = Path(__file__).parent.parent.parent
+PATIENCE = 60.0
+"""s that something is waited for before it counts as never coming."""
+ZONES = {"north-a": "north", "south-a": "south", "north-b": "north"}
+
+
+class EndpointListHandler(http.server.BaseHTTPRequestHandler):
+    """The platform's list: `rows` of its server, by zone."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self) -> None:
+        """Give the whole list on one page."""
+        body = json.dumps({"instances": self.server.rows, "next_token": None}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *given: object) -> None:
+        """Say nothing."""
+
+
+def ask(address: str, method: str, path: str, body: bytes = b"", **headers: str) -> tuple[int, dict, bytes]:
+    """One request and its answer; code 0 if none came. An underscore in a header's name stands for a dash."""
+    connection = http.client.HTTPConnection(address, timeout=10)
+    try:
+        connection.request(
+            method, path, body=body or None, headers={name.replace("_", "-"): value for name, value in headers.items()}
+        )
+        answer = connection.getresponse()
+        return answer.status, {name.lower(): value for name, value in answer.getheaders()}, answer.read()
+    except (OSError, http.client.HTTPException):
+        return 0, {}, b""
+    finally:
+        connection.close()
+
+
+def until(question: Callable[[], object], *, what: str = "it") -> object:
+    """What this gives, once that is true."""
+    end = time.monotonic() + PATIENCE
+    while time.monotonic() < end:
+        found = question()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise AssertionError(f"{what} never came")
+
+
+def list_row(*, name: str, service: str, address: str) -> dict:
+    """A worker as the platform's list gives it."""
+    return {
+        "id": name,
+        "service": service,
+        "address": address,
+        "generation": "v1",
+        "capacity": 4,
+        "state": "admitted",
+        "cold_left_s": 0,
+    }
+
+
+class HostedFleet:
+    """Three controllers and two proxies, each at an address of its own. It ends only what it started."""
+
+    def __init__(self, *, folder: Path, list_address: str) -> None:
+        self.folder, self._list_address = folder, list_address
+        self.net, self.port = random.randrange(2, 250), random.randrange(20000, 30000, 16)
+        self.settings = {}
+        for at, zone in enumerate(ZONES):
+            self.settings[f"controller-{at}"] = self._make(role="controller", at=at, zone=zone)
+        for at, zone in enumerate(("north-a", "south-a")):
+            self.settings[f"proxy-{at}"] = self._make(role="proxy", at=10 + at, zone=zone)
+        self.running: dict[str, subprocess.Popen] = {}
+
+    def names(self, *, role: str) -> list[str]:
+        """The daemons of a role."""
+        return [name for name, one in self.settings.items() if one["role"] == role]
+
+    def start(self, name: str) -> None:
+        """Start a daemon with its settings; the first start of a controller founds the group."""
+        file = self.folder / f"{name}.yaml"
+        file.write_text(yaml.safe_dump(self.settings[name]), "utf-8")
+        self.settings[name]["bootstrap"] = False
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "daemon.py"), self.settings[name]["role"]],
+                cwd=ROOT,
+                env={**os.environ, "SAILWARD_NODE_FILE": str(file)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def at(self, name: str, edge: str) -> str:
+        """The address of one of a daemon's listeners."""
+        return self.settings[name]["listen"][edge]
+
+    def end(self) -> None:
+        """Kill all daemons."""
+        for process in self.running.values():
+            process.kill()
+            process.wait()
+
+    def _make(self, *, role: str, at: int, zone: str) -> dict:
+        address = f"127.{self.net}.1.{at + 1}"
+        names = ["control_plane"] if role == "controller" else ["front", "readiness", "directory"]
+        return {
+            "role": role,
+            "node_name": f"{role}-{at}",
+            "ip": address,
+            "zone": zone,
+            "region": ZONES[zone],
+            "zones": ZONES,
+            "listen": {name: f"{address}:{self.port + 10 + location}" for location, name in enumerate(names)},
+            "inner_port_range": [self.port, self.port + 8],
+            "bootstrap": True,
+            "fault_budget": {"machines": 1},
+            "seed_nodes": [f"127.{self.net}.1.{one + 1}:{self.port + 10}" for one in range(3)],
+            "data_dir": str(self.folder / f"{role}-{at}") if role == "controller" else "",
+            "bounds": {"retry_slack": 60},
+            "cloud_api": {"address": self._list_address, "rate_per_s": 40},
+        }
+
+
+def make_config(*, label: int, sharded: bool = True, deadline: float = 8) -> dict:
+    """A configuration with a route to each of two services, `stock` divided by key unless said otherwise."""
+
+    def rule(name: str, path: str, kind: str, service: str) -> dict:
+        return {
+            "name": name,
+            "route_kind": kind,
+            "target_s": 1,
+            "priority": 1,
+            "matcher": {"path_prefix": path},
+            "verdict": {"service": service, "deadline_s": deadline, "max_tries": 2, "home_regions": []},
+        }
+
+    pool = {
+        "health_path": "/health",
+        "max_conns": 100,
+        "protocol": "h1",
+        "tls": False,
+        "cold_s": 3.0,
+        "cold_rate_s": 5.0,
+    }
+    keys = {"sharded": True, "warm_s": 1.0, "grants": "direct_call"} if sharded else {}
+    return {
+        "generation": f"r{label}",
+        "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_s": 3, "idle_timeout_s": 15},
+        "listeners": [
+            {
+                "hostname": "shop",
+                "ruleset": [
+                    rule("stock", "/stock/", "idempotent", "stock"),
+                    rule("order", "/order/", "nonidempotent", "orders"),
+                ],
+            }
+        ],
+        "pools": [{"name": "stock", **pool, **keys}, {"name": "orders", **pool}],
+    }
--- /dev/null
+++ b/simulation/soak/__main__.py
@@ -0,0 +1,45 @@
+"""Soak the platform's daemons as real processes on loopback.
+
+Usage:
+  soak [--seeds LIST] [--seconds S] [--keep FOLDER]
+
+Options:
+  --seeds LIST     A seed, or the first and last of a range, as in 3-7 [default: 1].
+  --seconds S      How long troubles begin in each soak [default: 15].
+  --keep FOLDER    Where the logs of soaks that broke something are kept [default: /tmp/sailward-soak].
+
+Exit codes: 0 nothing broken; 1 something broken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+from docopt import docopt
+
+from simulation.soak.run import Soak
+
+
+def main() -> None:
+    """Run the soaks of all seeds, one after the other."""
+    flags = docopt(__doc__)
+    first, _, last = flags["--seeds"].partition("-")
+    is_broken = False
+    for seed in range(int(first), int(last or first) + 1):
+        with tempfile.TemporaryDirectory() as folder:
+            verdict = asyncio.run(Soak(seed=seed, seconds=float(flags["--seconds"]), folder=Path(folder)).run())
+            print(seed, "BROKEN" if verdict.broken else "sound", verdict.figures, flush=True)
+            for breach in verdict.broken[:10]:
+                print("   ", breach, flush=True)
+            if verdict.broken:
+                is_broken = True
+                shutil.copytree(folder, Path(flags["--keep"], f"seed-{seed}"), dirs_exist_ok=True)
+    sys.exit(int(is_broken))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/simulation/soak/http_head.py
@@ -0,0 +1,32 @@
+"""Heads and bodies of HTTP/1.1 messages on a stream, as far as the soak's own callers and workers need them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+HEAD_END = b"\r\n\r\n"
+
+
+@dataclass(frozen=True, kw_only=True)
+class HttpMessage:
+    """A message: the words of its first line, its headers by lower-case name, its body."""
+
+    first: tuple[str, ...]
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_message(*, reader: asyncio.StreamReader) -> HttpMessage:
+    """The next message. Raises IncompleteReadError if the stream ends first, OSError if its connection is reset."""
+    first, *lines = (await reader.readuntil(HEAD_END)).decode("latin-1").strip().split("\r\n")
+    pairs = (line.partition(":") for line in lines)
+    headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return HttpMessage(first=tuple(first.split()), headers=headers, body=body)
+
+
+def write_message(*, first: str, headers: dict[str, str], body: bytes = b"") -> bytes:
+    """The bytes of a message."""
+    lines = [first, *(f"{name}: {value}" for name, value in headers.items()), f"Content-Length: {len(body)}"]
+    return "\r\n".join(lines).encode() + HEAD_END + body
--- /dev/null
+++ b/simulation/soak/worker.py
@@ -0,0 +1,107 @@
+"""A worker of the soak: it runs a request until its work is done or its connection closes.
+
+It can be cut off, and lose answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+from simulation.soak.http_head import HttpMessage, read_message, write_message
+from simulation.soak.records import Records, Run, RunEnd
+
+WORK = "x-soak-work"
+"""The header in which a caller says how many s its request takes."""
+BREAKS = (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError)
+"""Ends of a connection before a message is complete."""
+
+
+class SoakWorker:
+    """One worker, listening on loopback. `start` gives its address."""
+
+    def __init__(self, *, name: str, records: Records, rng: random.Random) -> None:
+        self.name, self._records, self._rng = name, records, rng
+        self.lost_share = 0.0
+        self._is_reachable = asyncio.Event()
+        self._is_reachable.set()
+        self._server: asyncio.Server | None = None
+        self._serving: set[asyncio.Task] = set()
+
+    async def start(self) -> str:
+        """Listen; gives "ip:port"."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def end(self) -> None:
+        """Accept no more connections and end those that are open."""
+        if self._server is not None:
+            self._server.close()
+        for task in self._serving:
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+
+    async def cut(self, *, seconds: float) -> None:
+        """Neither read nor answer anything for some seconds; what waits is dealt with afterwards."""
+        self._is_reachable.clear()
+        await asyncio.sleep(seconds)
+        self._is_reachable.set()
+
+    async def lose_answers(self, *, seconds: float, share: float) -> None:
+        """For some seconds reset the connections of a share of the requests that ran."""
+        self.lost_share = share
+        await asyncio.sleep(seconds)
+        self.lost_share = 0.0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        try:
+            with contextlib.suppress(*BREAKS, asyncio.CancelledError):
+                while await self._serve_one(reader=reader, writer=writer):
+                    pass
+        finally:
+            self._serving.discard(task)
+            writer.close()
+
+    async def _serve_one(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Serve one request; False if the connection ends behind it."""
+        message = await read_message(reader=reader)
+        await self._is_reachable.wait()
+        headers = {"Instance-Id": self.name}
+        if message.first[1] == "/health":
+            writer.write(write_message(first="HTTP/1.1 200 OK", headers=headers))
+            return True
+        if message.headers.get("expect-instance", self.name) != self.name:
+            writer.write(write_message(first="HTTP/1.1 421 Other", headers={**headers, "Not-Executed": "1"}))
+            return True
+        name = message.headers["attempt-id"]
+        run = self._records.run(name=name, worker=self.name)
+        if not await self._work(message=message, reader=reader):
+            run.end = RunEnd.CLOSED
+            return False
+        return self._answer(name=name, run=run, writer=writer)
+
+    async def _work(self, *, message: HttpMessage, reader: asyncio.StreamReader) -> bool:
+        """Take as long as the request says; False if its connection ends before."""
+        closing = asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait({closing}, timeout=float(message.headers.get(WORK, "0")))
+            await self._is_reachable.wait()
+            return not closing.done()
+        finally:
+            closing.cancel()
+            await asyncio.gather(closing, return_exceptions=True)
+
+    def _answer(self, *, name: str, run: Run, writer: asyncio.StreamWriter) -> bool:
+        if self._rng.random() < self.lost_share:
+            run.end = RunEnd.LOST
+            writer.transport.abort()
+            return False
+        run.end = RunEnd.ANSWERED
+        headers = {"Instance-Id": self.name, "Attempt-Id": name, "Server-Seal": f"seal {name}"}
+        writer.write(write_message(first="HTTP/1.1 200 OK", headers=headers, body=f"body of {name}".encode()))
+        return True
--- a/tests/test_platform_real.py
+++ b/tests/test_platform_real.py
@@ -2,25 +2,31 @@
 
 from __future__ import annotations
 
-import http.client
 import http.server
 import json
 import os
-import random
 import signal
 import subprocess
 import sys
 import threading
 import time
-from collections.abc import Callable
 from pathlib import Path
 
 import pytest
-import yaml
 
-ROOT = Path(__file__).parent.parent
-PATIENCE = 60.0
-ZONES = {"north-a": "north", "south-a": "south", "north-b": "north"}
+from simulation.real.hosted_fleet import (
+    PATIENCE,
+    ROOT,
+    ZONES,
+    EndpointListHandler,
+    HostedFleet,
+    ask,
+    list_row,
+    make_config,
+    until,
+)
+
+SERVICES = ("orders", "stock")
 
 
 class Worker(http.server.BaseHTTPRequestHandler):
@@ -62,22 +68,6 @@
         return None
 
 
-class EndpointListHandler(http.server.BaseHTTPRequestHandler):
-    """The platform's list."""
-
-    protocol_version = "HTTP/1.1"
-
-    def do_GET(self) -> None:
-        body = json.dumps({"instances": self.server.rows, "next_token": None}).encode()
-        self.send_response(200)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-
-    def log_message(self, *given: object) -> None:
-        return None
-
-
 def serve(handler: type, **fields: object) -> http.server.ThreadingHTTPServer:
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
     for name, value in fields.items():
@@ -86,137 +76,24 @@
     return server
 
 
-def ask(address: str, method: str, path: str, body: bytes = b"", **headers: str) -> tuple[int, dict, bytes]:
-    connection = http.client.HTTPConnection(address, timeout=10)
-    try:
-        connection.request(
-            method, path, body=body or None, headers={name.replace("_", "-"): value for name, value in headers.items()}
-        )
-        answer = connection.getresponse()
-        return answer.status, {name.lower(): value for name, value in answer.getheaders()}, answer.read()
-    except OSError:
-        return 0, {}, b""
-    finally:
-        connection.close()
-
-
-def until(question: Callable[[], object]) -> object:
-    end = time.monotonic() + PATIENCE
-    while time.monotonic() < end:
-        found = question()
-        if found:
-            return found
-        time.sleep(0.05)
-    raise AssertionError("it never came")
-
-
-class Fleet:
+class Fleet(HostedFleet):
     """Three controllers and two proxies, each at an address of its own, and four workers of two services."""
 
     def __init__(self, *, folder: Path) -> None:
-        self.folder, self.net, self.port = folder, random.randrange(2, 250), random.randrange(20000, 30000, 16)
         self.workers = [serve(Worker, name=f"i-{at}", ran=[], held=[], work=0.0) for at in range(4)]
         rows: dict = {zone: [] for zone in ZONES}
         for at, worker in enumerate(self.workers):
-            rows["north-a" if at % 2 == 0 else "north-b"].append(
-                {
-                    "id": worker.name,
-                    "service": "stock" if at < 2 else "orders",
-                    "address": f"127.0.0.1:{worker.server_port}",
-                    "generation": "v1",
-                    "capacity": 4,
-                    "state": "admitted",
-                    "cold_left_s": 0,
-                }
-            )
+            row = list_row(name=worker.name, service=SERVICES[at < 2], address=f"127.0.0.1:{worker.server_port}")
+            rows["north-a" if at % 2 == 0 else "north-b"].append(row)
         self.listing = serve(EndpointListHandler, rows=rows)
-        self.settings = {}
-        for at, zone in enumerate(ZONES):
-            self.settings[f"controller-{at}"] = self.make("controller", at, zone)
-        for at, zone in enumerate(("north-a", "south-a")):
-            self.settings[f"proxy-{at}"] = self.make("proxy", 10 + at, zone)
-        self.running: dict[str, subprocess.Popen] = {}
-
-    def make(self, role: str, at: int, zone: str) -> dict:
-        address = f"127.{self.net}.1.{at + 1}"
-        names = ["control_plane"] if role == "controller" else ["front", "readiness", "directory"]
-        return {
-            "role": role,
-            "node_name": f"{role}-{at}",
-            "ip": address,
-            "zone": zone,
-            "region": ZONES[zone],
-            "zones": ZONES,
-            "listen": {name: f"{address}:{self.port + 10 + location}" for location, name in enumerate(names)},
-            "inner_port_range": [self.port, self.port + 8],
-            "bootstrap": True,
-            "fault_budget": {"machines": 1},
-            "seed_nodes": [f"127.{self.net}.1.{one + 1}:{self.port + 10}" for one in range(3)],
-            "data_dir": str(self.folder / f"{role}-{at}") if role == "controller" else "",
-            "bounds": {"retry_slack": 60},
-            "cloud_api": {"address": f"127.0.0.1:{self.listing.server_port}", "rate_per_s": 40},
-        }
-
-    def start(self, name: str) -> None:
-        file = self.folder / f"{name}.yaml"
-        file.write_text(yaml.safe_dump(self.settings[name]), "utf-8")
-        self.settings[name]["bootstrap"] = False
-        with (self.folder / f"{name}.log").open("ab") as log:
-            self.running[name] = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "daemon.py"), self.settings[name]["role"]],
-                cwd=ROOT,
-                env={**os.environ, "SAILWARD_NODE_FILE": str(file)},
-                stdout=log,
-                stderr=log,
-            )
-
-    def at(self, name: str, edge: str) -> str:
-        return self.settings[name]["listen"][edge]
+        super().__init__(folder=folder, list_address=f"127.0.0.1:{self.listing.server_port}")
 
     def end(self) -> None:
-        for process in self.running.values():
-            process.kill()
-            process.wait()
+        super().end()
         for server in (*self.workers, self.listing):
             server.shutdown()
 
 
-def make_config(*, label: int, sharded: bool = True) -> dict:
-    def rule(name: str, path: str, kind: str, service: str) -> dict:
-        return {
-            "name": name,
-            "route_kind": kind,
-            "target_s": 1,
-            "priority": 1,
-            "matcher": {"path_prefix": path},
-            "verdict": {"service": service, "deadline_s": 8, "max_tries": 2, "home_regions": []},
-        }
-
-    pool = {
-        "health_path": "/health",
-        "max_conns": 100,
-        "protocol": "h1",
-        "tls": False,
-        "cold_s": 3.0,
-        "cold_rate_s": 5.0,
-    }
-    keys = {"sharded": True, "warm_s": 1.0, "grants": "direct_call"} if sharded else {}
-    return {
-        "generation": f"r{label}",
-        "limits": {"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_s": 3, "idle_timeout_s": 15},
-        "listeners": [
-            {
-                "hostname": "shop",
-                "ruleset": [
-                    rule("stock", "/stock/", "idempotent", "stock"),
-                    rule("order", "/order/", "nonidempotent", "orders"),
-                ],
-            }
-        ],
-        "pools": [{"name": "stock", **pool, **keys}, {"name": "orders", **pool}],
-    }
-
-
 @pytest.fixture
 def fleet(tmp_path: Path):
     made = Fleet(folder=tmp_path)
