--- a/sailward/constants/hosted.py
+++ b/sailward/constants/hosted.py
@@ -70,6 +70,8 @@
 """s without accepting when the process has no descriptors left."""
 FRONT_READ_BYTES = 64 << 10
 """bytes read at once: one connection does not hold up the others."""
+FRONT_READS = 3
+"""reads of one connection at a time: a request in two pieces and its caller's close behind it, and no more."""
 FRONT_RETRY_AFTER = 0.2
 """s that a request which came too slowly is asked to wait."""
 REQUEST_EXPIRY = 30.0
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -114,8 +114,10 @@
         self._update(connection=connection)
 
     def _read(self, *, connection: Connection) -> None:
-        """Read until nothing is left, so that a caller's close is seen before its requests have been sent on."""
-        while not connection.is_gone and connection.may_read():
+        """Read what has come, so that a caller's close is seen before its requests have been sent on."""
+        for _ in range(constants.FRONT_READS):
+            if connection.is_gone or not connection.may_read():
+                return
             try:
                 data = connection.sock.recv(constants.FRONT_READ_BYTES)
             except (BlockingIOError, InterruptedError):
@@ -128,9 +130,6 @@
                 return
             if not connection.is_ending:
                 self._take_bytes(connection=connection, data=data)
-            if len(data) == constants.FRONT_READ_BYTES:
-                # the other connections come first
-                return
 
     def _take_bytes(self, *, connection: Connection, data: bytes) -> None:
         if not connection.reader.has_bytes or connection.reading is not None:
