The product's own proxy ends what runs for a caller that left, unless it is unsafe and was sent

Now the edge looks at a caller's connection each 0.2 s of a wait (also behind bytes that wait to be read) and reports its end once; the proxy gives up what is safe or was not sent, with a final answer, and cancels its call; an unsafe request that was sent goes on, as its result is kept for the repeat. A shard stays in use for as long as a cancelled run may last (ShardsInUse, a module of its own now).

--- a/sailward/constants/base.py
+++ b/sailward/constants/base.py
@@ -171,6 +171,9 @@
 """s that a stopping proxy still serves, until the directories have stopped naming it."""
 ANSWER_WAIT = 30.0
 """s that an HTTP thread waits for its owner: far beyond every expiry, so only a fault ends it."""
+CALLER_LOOK = 0.2
+"""s between two looks at a caller whose answer is not there yet: most answers come before the first; half of the half
+second after which nothing may run on for one that has left."""
 FLUSH_WAIT = 0.5
 """s that an ending process leaves its last results to be written."""
 IDLE_CALL = 10
--- a/sailward/proxy/tenant_proxy.py
+++ b/sailward/proxy/tenant_proxy.py
@@ -99,8 +99,7 @@
             case TimerFired():
                 return self._on_timer(now=now)
             case ClientDisconnected():
-                # what was claimed for it goes on: its result is kept for the caller's repeat
-                return []
+                return self.exchanges.leave(now=now, token=event.token)
             case RecordsSynced() | DiskWriteFailed() | ConfigValidated():
                 # a proxy has no disk, and checks no configuration
                 return self.unexpected.add(event=event)
--- a/sailward/routing/proxied_requests.py
+++ b/sailward/routing/proxied_requests.py
@@ -7,7 +7,7 @@
 
 from sailward import constants
 from sailward.consensus.proposer import OperationFinished
-from sailward.events import CallFinished, Command, LogEvent, RequestReceived, Respond, StartCall
+from sailward.events import CallFinished, CancelCall, Command, LogEvent, RequestReceived, Respond, StartCall
 from sailward.routing.attempt_budget import LOOKUP, AttemptBudget
 from sailward.routing.fair_queues import FairQueues
 from sailward.routing.idempotency import Claims, Lost, Replayed, Won
@@ -23,6 +23,7 @@
     take_exchange,
 )
 from sailward.routing.response_check import Bad, Good, Unsent, WorkerRefused, judge_result
+from sailward.routing.shards_in_use import ShardsInUse
 from sailward.wire_types import Message
 
 
@@ -41,7 +42,7 @@
     tally: Counter = field(default_factory=Counter)
     count: int = 0
     now: float = 0.0
-    lingering: dict = field(default_factory=dict)
+    shards_in_use: ShardsInUse = field(default_factory=ShardsInUse)
     loads: deque = field(default_factory=deque)
 
     def step(
@@ -76,12 +77,25 @@
 
     def busy(self, *, now: float) -> list[str]:
         """The slots in which something sent on from here may still run."""
-        self.lingering = {shard: end for shard, end in self.lingering.items() if now < end}
-        sent = {self._shard_label(exchange=row) for row in self.sent.values() if row.slot >= 0}
-        return sorted({*sent, *self.lingering})
+        return self.shards_in_use.labels(now=now, sent=self.sent.values())
 
-    def _shard_label(self, *, exchange: ProxiedRequest) -> str:
-        return f"{exchange.service.name}|{exchange.space}/{exchange.slot}"
+    def leave(self, *, now: float, token: str) -> list[Command]:
+        """Its caller has closed the connection: what is safe, or was not sent, is given up with a final answer.
+
+        What is unsafe and was sent goes on: its result is kept for the caller's repeat.
+        """
+        self.now = now
+        exchange = self.live.get(token)
+        if exchange is None or (exchange.unsafe and exchange.sent):
+            return []
+        under_way = [call for call, other in self.sent.items() if other is exchange]
+        for call in under_way:
+            del self.sent[call]
+            self.calls.pop(call, None)
+            self.load_balancer.left(key=exchange.worker)
+            self.shards_in_use.linger(exchange=exchange)
+        refusal = self._refuse(exchange=exchange, reason="caller-left", detail="its connection was closed")
+        return [*(CancelCall(token=call) for call in under_way), refusal]
 
     def _arrive(self, *, now: float, event: RequestReceived, acting: bool) -> tuple[list, list]:
         self.count += 1
@@ -266,9 +280,8 @@
         """Keep what the verdict says of the exchange; True if it is unsafe and may have run without a whole answer."""
         ran = exchange.unsafe and isinstance(verdict, Bad)
         exchange.may_have_run = exchange.may_have_run or isinstance(verdict, (Bad, Good))
-        if exchange.slot >= 0 and isinstance(verdict, Bad):
-            # its worker may run on, though nobody hears of it
-            self.lingering[self._shard_label(exchange=exchange)] = exchange.sent_at + exchange.service.expiry
+        if isinstance(verdict, Bad):
+            self.shards_in_use.linger(exchange=exchange)
         if ran:
             memory = self.claims.memory.by_digest.get(exchange.digest)
             if memory is not None:
--- a/sailward/runtime/loop.py
+++ b/sailward/runtime/loop.py
@@ -10,11 +10,13 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from sailward import constants
 from sailward.config.check import Fault, Unsound, check_config
 from sailward.events import (
     AppendRecords,
+    CancelCall,
     CloseConnections,
     ConfigValidated,
     ExitProcess,
@@ -70,6 +72,16 @@
                 return constants.EXIT_FAULT
 
 
+class CallMaker(Protocol):
+    """An edge that makes calls."""
+
+    def give(self, *, call: StartCall) -> None:
+        """Make a call."""
+
+    def cancel(self, *, token: str) -> None:
+        """Give a call up."""
+
+
 @dataclass(kw_only=True)
 class Edges:
     """The edges of one process, put together."""
@@ -77,7 +89,7 @@
     loop: Loop
     post: object
     web: object
-    calls: object | None = None
+    calls: CallMaker | None = None
     disk: object | None = None
     checks: ThreadPoolExecutor | None = None
 
@@ -86,12 +98,15 @@
         self.loop.handlers = {
             SendMessage: lambda command: self.post.send(to=command.to, body=command.body),
             Respond: lambda command: self.web.answer(command=command),
-            StartCall: lambda command: self.calls.give(call=command),
             ValidateConfig: lambda command: self.checks.submit(self._check, command),
             CloseConnections: lambda _: None,
             AppendRecords: lambda command: self.disk.give(command=command),
             RewriteRecords: lambda command: self.disk.give(command=command),
         }
+        calls = self.calls
+        if calls is not None:
+            self.loop.handlers[StartCall] = lambda command: calls.give(call=command)
+            self.loop.handlers[CancelCall] = lambda command: calls.cancel(token=command.token)
 
     def _check(self, command: ValidateConfig) -> None:
         try:
--- a/sailward/transport/curl_client.py
+++ b/sailward/transport/curl_client.py
@@ -17,7 +17,7 @@
 import pycurl
 
 from sailward import constants
-from sailward.events import CallFinished, StartCall
+from sailward.events import CallFinished, CancelCall, StartCall
 from sailward.wire_names import WireNames, names_another
 
 NAMES = WireNames()
@@ -102,7 +102,7 @@
 
 
 class CurlClient:
-    """Task that makes the calls. `give` puts one in line; `run` makes them for ever."""
+    """Task that makes the calls. `give` puts one in line, `cancel` ends one; `run` makes them for ever."""
 
     def __init__(self, *, deliver: Callable[[object], None]) -> None:
         self._deliver = deliver
@@ -118,7 +118,14 @@
 
     def give(self, *, call: StartCall) -> None:
         """Put a call in line."""
-        self._line.append(call)
+        self._put(command=call)
+
+    def cancel(self, *, token: str) -> None:
+        """Abort a call's connection; no CallFinished follows, unless it is on its way already."""
+        self._put(command=CancelCall(token=token))
+
+    def _put(self, *, command: StartCall | CancelCall) -> None:
+        self._line.append(command)
         with contextlib.suppress(BlockingIOError):
             self._wake_out.send(b"x")
 
@@ -126,7 +133,7 @@
         """Make calls for ever."""
         while True:
             while self._line:
-                self._begin_or_refuse(call=self._line.popleft())
+                self._carry_out(command=self._line.popleft())
             while self._multi.perform()[0] == pycurl.E_CALL_MULTI_PERFORM:
                 pass
             self._collect()
@@ -140,6 +147,23 @@
             if self._wake_in in ready:
                 self._wake_in.recv(4096)
 
+    def _carry_out(self, *, command: StartCall | CancelCall) -> None:
+        if isinstance(command, StartCall):
+            self._begin_or_refuse(call=command)
+            return
+        for live in list(self._live.values()):
+            if live.call.token == command.token:
+                self._release(handle=live.handle)
+
+    def _release(self, *, handle: pycurl.Curl) -> Live:
+        """Take a handle out of use; its connection is aborted if its call has not ended."""
+        live: Live = self._live.pop(handle)
+        self._multi.remove_handle(handle)
+        handle.reset()
+        if len(self._spare) < constants.CALL_THREADS:
+            self._spare.append(handle)
+        return live
+
     def _begin_or_refuse(self, *, call: StartCall) -> None:
         """Begin a call, or say at once that it can't be made: its address or headers may be of any shape."""
         try:
@@ -193,7 +217,7 @@
                 return
 
     def _finish(self, *, handle: pycurl.Curl, errno: int) -> None:
-        live = self._live.pop(handle)
+        live = self._live[handle]
         token = live.call.token
         fault = live.find_fault(errno=errno)
         if fault:
@@ -210,10 +234,7 @@
                 fault="",
                 sent=True,
             )
-        self._multi.remove_handle(handle)
-        handle.reset()
-        if len(self._spare) < constants.CALL_THREADS:
-            self._spare.append(handle)
+        self._release(handle=handle)
         self._deliver(called)
 
 
--- a/sailward/transport/wsgi_server.py
+++ b/sailward/transport/wsgi_server.py
@@ -4,19 +4,22 @@
 
 import itertools
 import json
+import select
+import socket
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from concurrent.futures import TimeoutError as WaitedOut
 from http import HTTPStatus
 
-from werkzeug.exceptions import ClientDisconnected, HTTPException, RequestEntityTooLarge
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
 from werkzeug.wrappers import Request
 
 import sailward
 from sailward import constants
-from sailward.events import RequestReceived, Respond
+from sailward.events import ClientDisconnected, RequestReceived, Respond
 from sailward.runtime.logs import write_log
 from sailward.transport.address import split_address
 
@@ -93,8 +96,8 @@
     def __init__(
         self, *, address: str, limit: int, deliver: Callable[[object], None], threads: ThreadPoolExecutor
     ) -> None:
-        self._send_update, self._limit = deliver, limit
-        self._waiting: dict[str, Future] = {}
+        self._deliver, self._limit = deliver, limit
+        self._waiting: dict[str, Future[Respond]] = {}
         self._count = itertools.count(1)
         self._closing = False
         host, port = split_address(address=address)
@@ -126,12 +129,12 @@
             body: bytes | None = request.get_data(cache=False)
         except RequestEntityTooLarge:
             body = None
-        except (ClientDisconnected, HTTPException, OSError) as fault:
+        except (HTTPException, OSError) as fault:
             raise ConnectionError("the caller left before its request was whole") from fault
-        future: Future = Future()
+        future: Future[Respond] = Future()
         self._waiting[token] = future
         headers = {name.lower(): value for name, value in request.headers.items()}
-        self._send_update(
+        self._deliver(
             RequestReceived(
                 token=token,
                 method=request.method,
@@ -142,7 +145,7 @@
             )
         )
         try:
-            answer = future.result(timeout=constants.ANSWER_WAIT)
+            answer = self._wait_for_answer(future=future, token=token, sock=environ.get("werkzeug.socket"))
         except WaitedOut:
             self._waiting.pop(token, None)
             text = json.dumps({"error": "no-answer", "detail": "the owner gave none", "ran": "unknown"}).encode()
@@ -154,6 +157,28 @@
         start_response(f"{answer.code} {_phrase(code=answer.code)}", rows)
         return [b"" if request.method == "HEAD" else answer.body]
 
+    def _wait_for_answer(self, *, future: Future[Respond], token: str, sock: socket.socket | None) -> Respond:
+        """The owner's answer; it is told once if the caller closes its connection meanwhile.
+
+        Raises concurrent.futures.TimeoutError if there is none after ANSWER_WAIT.
+        """
+        end = time.monotonic() + constants.ANSWER_WAIT
+        while sock is not None and time.monotonic() < end:
+            try:
+                return future.result(timeout=constants.CALLER_LOOK)
+            except WaitedOut:
+                if _is_closed(sock=sock):
+                    self._deliver(ClientDisconnected(token=token))
+                    break
+        return future.result(timeout=max(0.0, end - time.monotonic()))
+
+
+def _is_closed(*, sock: socket.socket) -> bool:
+    """Whether the other side has closed or reset the connection, also behind bytes that wait to be read."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
 
 def _phrase(*, code: int) -> str:
     try:
--- a/tests/test_departures_tenant.py
+++ b/tests/test_departures_tenant.py
@@ -10,6 +10,7 @@
 import pytest
 
 from sailward.events import CancelCall, ClientDisconnected, RequestReceived, Respond, StartCall
+from sailward.transport.curl_client import CurlClient
 from sailward.transport.wsgi_server import WsgiServer
 from simulation.deployments import make_arriaga
 from simulation.real.fleet import free_addresses
@@ -38,6 +39,34 @@
     web.answer(command=Respond(token=asked.token, code=200, body=b""))
 
 
+def test_a_cancelled_call_ends_its_connection_and_tells_nothing() -> None:
+    told: queue.Queue = queue.Queue()
+    client = CurlClient(deliver=told.put)
+    threading.Thread(target=client.run, daemon=True).start()
+    with socket.create_server(("127.0.0.1", 0)) as worker:
+        worker.settimeout(WAIT)
+        address = f"127.0.0.1:{worker.getsockname()[1]}"
+        client.give(call=make_call(token="first", address=address))
+        connection, _ = worker.accept()
+        connection.settimeout(WAIT)
+        assert connection.recv(65536).startswith(b"GET /")
+        client.cancel(token="first")
+        client.cancel(token="never given")
+        with pytest.raises(ConnectionResetError):
+            connection.recv(65536)
+        client.give(call=make_call(token="second", address=address))
+        other, _ = worker.accept()
+        other.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        called = told.get(timeout=WAIT)
+        assert (called.token, called.code) == ("second", 200) and told.empty()
+
+
+def make_call(*, token: str, address: str) -> StartCall:
+    return StartCall(
+        token=token, owner="w/1", address=address, method="GET", path="/", headers={}, body=b"", timeout=20, fresh=False
+    )
+
+
 class ProxyInWorld:
     """A proxy of a simulated fleet that serves, and the calls that its workers never answer."""
 
