--- a/simulation/hosted/clients.py
+++ b/simulation/hosted/clients.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from sailward.events import Respond
@@ -20,6 +21,8 @@
 """retries of a client."""
 FINAL = (400, 401, 404, 413, 431)
 PROMISES = (408, 421, 429, 503)
+GIVEN_UP = ("deadline", "left")
+"""Ends after which a client wants no answer any more."""
 FORGET = 3.0
 """s that an address which failed is passed over."""
 
@@ -61,6 +64,7 @@
     rng: random.Random
     keeps: float
     is_eager: bool = False
+    leaves_within: float = 0.0
     addresses: list = field(default_factory=list)
     until: float = 0.0
     failed: dict = field(default_factory=dict)
@@ -216,19 +220,21 @@
             read=read,
         )
 
-        def give_up() -> None:
-            if not attempt.is_over:
+        def close(why: str) -> None:
+            if not attempt.is_over and not (why == "unread" and attempt.is_read):
                 leave()
-                self._take(attempt=attempt, address=address, answer=None, why="deadline")
+                self._take(attempt=attempt, address=address, answer=None, why=why)
 
-        def look() -> None:
-            if not attempt.is_over and not attempt.is_read:
-                leave()
-                self._take(attempt=attempt, address=address, answer=None, why="unread")
+        self._plan_closes(close=close, left=left, is_once=kind.is_once)
 
-        self.world.clock.after(left, give_up)
-        if not kind.is_once:
-            self.world.clock.after(min(1.0, left / 3) + 0.05, look)
+    def _plan_closes(self, *, close: Callable[[str], None], left: float, is_once: bool) -> None:
+        """Close the connection of a try at its deadline, if it is not read in time, or as its client leaves."""
+        clock = self.world.clock
+        if self.leaves_within:
+            clock.after(self.rng.uniform(0.0, self.leaves_within), lambda: close("left"))
+        clock.after(left, lambda: close("deadline"))
+        if not is_once:
+            clock.after(min(1.0, left / 3) + 0.05, lambda: close("unread"))
 
     def _take(self, *, attempt: Attempt, address: str, answer: Respond | None, why: str = "closed") -> None:
         if attempt.is_over:
@@ -259,10 +265,10 @@
         if 200 <= code < 300:
             self._end(request=request, is_good=True, why="")
             return
-        if code == 0 and why != "deadline":
+        if code == 0 and why not in GIVEN_UP:
             self.failed[address] = now
         is_free = code in PROMISES or (code == 0 and not attempt.is_read)
-        may_again = code not in FINAL and (not request.kind.is_once or is_free) and why != "deadline"
+        may_again = code not in FINAL and (not request.kind.is_once or is_free) and why not in GIVEN_UP
         left = request.begun + request.kind.deadline - now
         eager = 3 if self.is_eager else 1
         if not may_again or attempt.turn >= request.attempts * eager or left < 0.05:
--- a/simulation/hosted/judge.py
+++ b/simulation/hosted/judge.py
@@ -7,6 +7,7 @@
 
 from simulation.hosted.judge_config import judge_config, judge_reads
 from simulation.hosted.judge_contact import judge_contact
+from simulation.hosted.judge_departures import judge_departures
 from simulation.hosted.judge_orders import judge_orders
 from simulation.hosted.judge_places import (
     judge_budget,
@@ -48,6 +49,7 @@
         *judge_evacuations(world=world, arrivals=arrivals, touch=touch),
         *judge_owners(world=world, runs=runs),
         *judge_contact(world=world),
+        *judge_departures(world=world, touch=touch),
         *judge_recovery(world=world),
         *judge_faults(world=world),
     ]
--- a/simulation/hosted/people_verbs.py
+++ b/simulation/hosted/people_verbs.py
@@ -37,6 +37,13 @@
         if seconds:
             self._world.clock.after(float(seconds), lambda: self.do_eager("0"))
 
+    def do_give_up(self, share: str, within: str, seconds: str) -> None:
+        """For some seconds such a share of the clients leave within so many s of each try, and don't come back."""
+        leaving = self._world.clients[: round(float(share) * len(self._world.clients))]
+        for client in leaving:
+            client.leaves_within = float(within)
+            self._world.clock.after(float(seconds), lambda client=client: setattr(client, "leaves_within", 0.0))
+
     def do_put(self, number: str, *words: str) -> None:
         """`put NUMBER [base=N] [at=MACHINE] [only] [again=S]`: the whole configuration.
 
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -160,6 +160,7 @@
     "promise": _all(_patch(forwarding.Forwarder, "_give_up", _promises_all)),
     "promise-mark": _all(_patch(forwarding, "judge_reply", _takes_unmarked)),
     "drain-mark": _all(_patch(endpoint_table.EndpointTable, "replace", _never_leaving)),
+    "departures": _all(_patch(forwarding.Forwarder, "_leave", lambda old: lambda self, *, now, token: [])),
     "homes": _all(
         _patch(
             endpoint_selection.EndpointSelector,
--- a/simulation/hosted/workers.py
+++ b/simulation/hosted/workers.py
@@ -183,17 +183,7 @@
         if now >= line.due:
             self._answer(line=line, code=503, headers={"not-executed": "1"})
             return
-        command = line.command
         attempt = self.world.attempts.get(line.headers.get("attempt-id", ""))
-        self._record(
-            k="run",
-            line=line,
-            method=command.method,
-            target=command.path,
-            body=command.body,
-            key=line.key,
-            expect=line.headers.get("expect-instance", ""),
-        )
         work = (
             (attempt.work if attempt else 0.1)
             * self.speed
@@ -202,6 +192,16 @@
             * self.ailments.slowness(now=now)
             * (SLOW_TIMES if line.grey == "slow" else 1.0)
         )
+        self._record(
+            k="run",
+            line=line,
+            method=line.command.method,
+            target=line.command.path,
+            body=line.command.body,
+            key=line.key,
+            expect=line.headers.get("expect-instance", ""),
+            due=now + work,
+        )
         self.running[line] = now
         if line.grey == "errors":
             work /= 4
