--- a/sailward/control/group/graceful_shutdown.py
+++ b/sailward/control/group/graceful_shutdown.py
@@ -22,7 +22,7 @@
     def __init__(self, *, voter: Voter, peer_table: PeerTable, is_enabled: bool) -> None:
         self._voter, self._peer_table, self._is_enabled = voter, peer_table, is_enabled
         self._begun: float | None = None
-        self._received = NEVER
+        self._announced_at = NEVER
 
     def begin(self, *, now: float) -> list[Command]:
         """Begin to leave; an order that comes again changes nothing."""
@@ -34,7 +34,7 @@
         """Tell the others again, and end when it is time."""
         if self._begun is None:
             return []
-        commands = self._send_update(now=now) if now - self._received >= self._peer_table.every else []
+        commands = self._announce_departure(now=now) if now - self._announced_at >= self._peer_table.every else []
         if now - self._begun < constants.HANDOVER_WAIT and self._is_of_use():
             return commands
         log = LogEvent(
@@ -42,8 +42,8 @@
         )
         return [*commands, log, ExitProcess(code=0)]
 
-    def _send_update(self, *, now: float) -> list[Command]:
-        self._received, peer_table = now, self._peer_table
+    def _announce_departure(self, *, now: float) -> list[Command]:
+        self._announced_at, peer_table = now, self._peer_table
         peer_table.heartbeat += 1
         body = {"kind": "gossip", "entries": [peer_table.own_entry()], "reply": True}
         return [SendMessage(to=peer["post"], body=body) for peer in peer_table.alive(kind="controller")]
--- a/sailward/control/proxies/proxy_registry.py
+++ b/sailward/control/proxies/proxy_registry.py
@@ -122,10 +122,10 @@
         loads = self._own_loads(now=now)
         self.loads_at, self.rates_sent = now, self.rates
         return [
-            self._send_update(to=controller, loads=loads if self._reads(to=controller) else {}) for controller in to
+            self._send_snapshot(to=controller, loads=loads if self._reads(to=controller) else {}) for controller in to
         ]
 
-    def _send_update(self, *, to: dict, loads: dict) -> SendMessage:
+    def _send_snapshot(self, *, to: dict, loads: dict) -> SendMessage:
         version = (to["start"], self.own_number)
         is_known = self.sent_to.get(to["post"]) == version
         self.sent_to[to["post"]] = version
--- a/sailward/storage/disk.py
+++ b/sailward/storage/disk.py
@@ -120,7 +120,7 @@
     """
 
     def __init__(self, *, folder: Path, deliver: Callable[[object], None], files: Files | None = None) -> None:
-        self._files, self._send_update = files or Files(folder=folder), deliver
+        self._files, self._deliver = files or Files(folder=folder), deliver
         self._folder = folder
         self._line: queue.Queue = queue.Queue()
         self._file = -1
@@ -194,30 +194,30 @@
         except OSError as fault:
             with contextlib.suppress(OSError):
                 self._files.truncate(file=self._file, length=self._length)
-            return self._send_update(DiskWriteFailed(seq=stores[-1].seq, full=_is_full(fault=fault), reason=str(fault)))
+            return self._deliver(DiskWriteFailed(seq=stores[-1].seq, full=_is_full(fault=fault), reason=str(fault)))
         try:
             self._files.sync(file=self._file)
         except OSError as fault:
-            return self._send_update(DiskWriteFailed(seq=stores[-1].seq, full=False, reason=str(fault)))
+            return self._deliver(DiskWriteFailed(seq=stores[-1].seq, full=False, reason=str(fault)))
         self._length += len(frame)
-        return self._send_update(RecordsSynced(seq=stores[-1].seq))
+        return self._deliver(RecordsSynced(seq=stores[-1].seq))
 
     def _rewrite(self, *, command: RewriteRecords) -> None:
         frame = pack_frame(records=command.records)
         try:
             file = self._write_fresh(frame=frame)
         except OSError as fault:
-            return self._send_update(DiskWriteFailed(seq=command.seq, full=True, reason=str(fault)))
+            return self._deliver(DiskWriteFailed(seq=command.seq, full=True, reason=str(fault)))
         try:
             self._files.sync(file=file)
             self._files.rename(old=FRESH, new=DATA)
             self._files.sync_names()
         except OSError as fault:
-            return self._send_update(DiskWriteFailed(seq=command.seq, full=False, reason=str(fault)))
+            return self._deliver(DiskWriteFailed(seq=command.seq, full=False, reason=str(fault)))
         self._files.close(file=self._file)
         self._file, self._length = file, len(frame)
         self._make_reserve()
-        return self._send_update(RecordsSynced(seq=command.seq))
+        return self._deliver(RecordsSynced(seq=command.seq))
 
     def _write_fresh(self, *, frame: bytes) -> int:
         """The new file, written and open; if there is no room, the reserve is given up for it."""
--- a/sailward/transport/address.py
+++ b/sailward/transport/address.py
@@ -24,7 +24,7 @@
     """Task that owns the message sockets. `send` puts a message in its peer's line."""
 
     def __init__(self, *, address: str, deliver: Callable[[object], None], threads: ThreadPoolExecutor) -> None:
-        self._address, self._send_update, self._threads = address, deliver, threads
+        self._address, self._deliver, self._threads = address, deliver, threads
         self._lines: dict[str, queue.Queue] = {}
         self.counts: collections.Counter = collections.Counter()
         host, port = split_address(address=address)
@@ -37,12 +37,12 @@
     def send(self, *, to: str, body: dict) -> None:
         """Send, or lose, a message."""
         if to == self._address:
-            self._send_update(MessageReceived(sender=to, body=body))
+            self._deliver(MessageReceived(sender=to, body=body))
             return
         line = self._lines.get(to)
         if line is None:
             line = self._lines[to] = queue.Queue(maxsize=constants.OUT_LINE)
-            self._threads.submit(self._deliver, to, line)
+            self._threads.submit(self._send_queued, to, line)
         try:
             line.put_nowait(body)
         except queue.Full:
@@ -80,7 +80,7 @@
                     return
                 self.counts["heard"] += 1
                 self.counts["heard-bytes"] += length
-                self._send_update(MessageReceived(sender=sender, body=body))
+                self._deliver(MessageReceived(sender=sender, body=body))
 
     def _complain(self, *, sender: str, reason: str) -> None:
         self.counts["bad"] += 1
@@ -88,7 +88,7 @@
             event="bad-message", fields={"from": sender, "reason": reason, "count": self.counts["bad"]}, level="warning"
         )
 
-    def _deliver(self, to: str, line: queue.Queue) -> None:
+    def _send_queued(self, to: str, line: queue.Queue) -> None:
         connection = None
         while True:
             body = line.get()
--- a/sailward/transport/http_client.py
+++ b/sailward/transport/http_client.py
@@ -64,7 +64,7 @@
 
     def __init__(self, *, reactor: Reactor, deliver: Callable[[object], None], names: WireNames) -> None:
         self._reactor = reactor
-        self._send_update = deliver
+        self._deliver = deliver
         self._names = names
         self._running: dict[str, Running] = {}
         self._idle: dict[str, list[Connection]] = {}
@@ -280,7 +280,7 @@
             running.connection = connection.running = None
             self._forget(running=running, is_aborted=False)
             self._keep(connection=connection, idle=response.idle)
-        self._send_update(
+        self._deliver(
             CallFinished(
                 token=running.call.token,
                 code=response.code,
@@ -293,7 +293,7 @@
 
     def _fail(self, *, running: Running, fault: str) -> None:
         self._forget(running=running, is_aborted=True)
-        self._send_update(
+        self._deliver(
             CallFinished(
                 token=running.call.token,
                 code=0,
--- a/sailward/transport/message_transport.py
+++ b/sailward/transport/message_transport.py
@@ -38,7 +38,7 @@
     """Task that owns the message sockets. `send` puts a message on its way, or loses it."""
 
     def __init__(self, *, reactor: Reactor, address: str, deliver: Callable[[object], None]) -> None:
-        self._reactor, self._address, self._send_update = reactor, address, deliver
+        self._reactor, self._address, self._deliver = reactor, address, deliver
         self._peers: dict[str, Peer] = {}
         self.counts: collections.Counter = collections.Counter()
         host, port = split_address(address=address)
@@ -50,7 +50,7 @@
     def send(self, *, to: str, body: dict) -> None:
         """Send, or lose, a message."""
         if to == self._address:
-            self._reactor.soon(call=lambda: self._send_update(MessageReceived(sender=to, body=body)))
+            self._reactor.soon(call=lambda: self._deliver(MessageReceived(sender=to, body=body)))
             return
         peer = self._peers.setdefault(to, Peer())
         if len(peer.out) > constants.FRAME_BYTES or self._reactor.clock() < peer.not_before:
@@ -176,7 +176,7 @@
             )
             return False
         self.counts["heard"] += 1
-        self._send_update(MessageReceived(sender=sender, body=body))
+        self._deliver(MessageReceived(sender=sender, body=body))
         return True
 
     def forget(self, *, sock: socket.socket) -> None:
--- a/simulation/core_group.py
+++ b/simulation/core_group.py
@@ -213,14 +213,14 @@
 
     def _carry_out(self, *, member: Member, command: object) -> None:
         if isinstance(command, SendMessage):
-            self._send_update(member=member, command=command)
+            self._send_message(member=member, command=command)
         elif isinstance(command, (AppendRecords, RewriteRecords)):
             member.disk.give(command=command)
             self._after(delay=self.sync_time(), act=lambda life=member.life: self._sync(member=member, life=life))
         elif isinstance(command, ExitProcess):
             self.kill(member=member)
 
-    def _send_update(self, *, member: Member, command: SendMessage) -> None:
+    def _send_message(self, *, member: Member, command: SendMessage) -> None:
         to = next((one for one in self.members if one.post == command.to), None)
         if to is None or to.controller is None or (to is not member and (to.is_cut or member.is_cut)):
             return
--- a/simulation/hosted/draw_others.py
+++ b/simulation/hosted/draw_others.py
@@ -130,6 +130,11 @@
     return True
 
 
+def _give_up(day: Day) -> bool:
+    day.at(0.0, "give-up", 0.5, 0.4, day.seconds(2.0, 6.0))
+    return True
+
+
 def _change(day: Day, way: str) -> bool:
     if way == "weights":
         day.change()
@@ -222,6 +227,7 @@
     "burst": _burst,
     "shift": _shift,
     "retry_abuse": _abuse,
+    "give_up": _give_up,
     "srv_crash": _crash,
     **{f"srv_crash {how}": partial(_crash, how=how) for how in ("dark", "gone", "across", "all")},
     "srv_slow": _slow,
--- a/simulation/hosted/process.py
+++ b/simulation/hosted/process.py
@@ -288,7 +288,7 @@
 
     def _carry_out(self, *, command: object) -> None:
         if isinstance(command, SendMessage):
-            self._send_update(command=command)
+            self._send_message(command=command)
         elif isinstance(command, Respond):
             self._answer(command=command)
         elif isinstance(command, (StartCall, CancelCall, WithdrawCall, CloseConnections)):
@@ -346,7 +346,7 @@
                 self.world.moments.uniform(0.0, 0.004), lambda: self.world.happens(moment="answered")
             )
 
-    def _send_update(self, *, command: SendMessage) -> None:
+    def _send_message(self, *, command: SendMessage) -> None:
         to = self.world.by_post.get(command.to)
         if to is None:
             return
--- a/tests/orders_net.py
+++ b/tests/orders_net.py
@@ -148,7 +148,7 @@
             self.messages.append((sender, to, reply))
             return
         commands, finished = node.proposer.step(now=self.now, voters=self.voters, event=(sender, body))
-        self._send_update(node=node, commands=commands)
+        self._carry_out(node=node, commands=commands)
         self._finish(node=node, finished=finished)
 
     def lose(self, *, index: int) -> None:
@@ -174,7 +174,7 @@
         self.now += seconds
         for node in self.nodes:
             commands, finished = node.proposer.step(now=self.now, voters=self.voters, event=None)
-            self._send_update(node=node, commands=commands)
+            self._carry_out(node=node, commands=commands)
             self._finish(node=node, finished=finished)
 
     def calm(self, *, rounds: int = 40) -> None:
@@ -257,10 +257,10 @@
 
     def _propose(self, *, node: Node, begin: StartOperation) -> None:
         commands, finished = node.proposer.step(now=self.now, voters=self.voters, event=begin)
-        self._send_update(node=node, commands=commands)
+        self._carry_out(node=node, commands=commands)
         self._finish(node=node, finished=finished)
 
-    def _send_update(self, *, node: Node, commands: list) -> None:
+    def _carry_out(self, *, node: Node, commands: list) -> None:
         sent = [command for command in commands if isinstance(command, SendMessage)]
         self.messages += [(command.to, node.name, command.body) for command in sent]
 
--- a/tests/test_hosted_draw.py
+++ b/tests/test_hosted_draw.py
@@ -15,7 +15,7 @@
 from simulation.hosted.world import World
 
 LISTED = """
-hot_key; retry_abuse; burst; shift
+hot_key; retry_abuse; give_up; burst; shift
 srv_crash; srv_crash dark; srv_crash gone; srv_crash across; srv_crash all; srv_slow; srv_flap
 srv_grey errors; srv_grey shed; srv_grey busy; srv_grey hang; srv_grey reset; srv_grey mute
 srv_grey slow; srv_grey one_zone
