A change that drops a service no longer ends every proxy

Cause: EndpointSelector.step looked the pool of a request up in the configuration in force, by the service that the request had been given on arrival, with next() and no default. A retry, a hedge or a request that waited raised StopIteration once that service was gone. Evidence: the last traceback of each ended proxy; the same in the simulator and by hand-made events. Ruled out: controllers (none ended), workers, the list of workers.

Fix: the pool is drawn when the request is built and kept with it, like its route and its service. No later step looks a name up in the configuration. Loads by key are counted for the drawn service instead of the first one of a split.

--- a/sailward/routing/endpoint_selection.py
+++ b/sailward/routing/endpoint_selection.py
@@ -1,4 +1,4 @@
-"""Selects the worker for a request: pool by weight, zone by tier and health, worker by two random choices."""
+"""Selects the worker for a request: zone of its pool by tier and health, worker by two random choices."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from sailward.routing.rate_limits import Bucket
 from sailward.routing.request import Request
 from sailward.routing.shards import ShardTables
-from sailward.routing.weighted_draw import ZoneView, draw_pool, draw_zone, share_zones
+from sailward.routing.weighted_draw import ZoneView, draw_zone, share_zones
 from sailward.routing.zone_health import ZoneHealthTable
 
 
@@ -70,18 +70,9 @@
 
     def step(self, *, now: float, request: Request) -> Worker | Refusal:
         """Select the worker that runs this request now, or return why none can; some reasons pass within moments."""
-        context = self.context
-        if not request.is_service_drawn:
-            # drawn by weight before health is considered; retries stay with the drawn service
-            request.service, request.is_service_drawn = self._draw_service(request=request), True
         if request.service.is_ranged:
             return self._find_owner(now=now, request=request)
-        pool = next(
-            pool
-            for pool in (context.plan.pools.get(name) for name, _ in request.match.shares)
-            if pool is not None and pool.service == request.service.name
-        )
-        pool = self._resolve_tiers(pool=pool, homes=request.match.homes)
+        pool = self._resolve_tiers(pool=request.pool, homes=request.match.homes)
         eligible = self._eligible_by_zone(now=now, request=request)
         views = self._views(now=now, service=request.service.name, homes=request.match.homes)
         shares = share_zones(pool=pool, views=views)
@@ -110,13 +101,6 @@
         else:
             self.open_requests.pop(key, None)
 
-    def _draw_service(self, *, request: Request):
-        plan = self.context.plan
-        shares = [share for share in request.match.shares if share[0] in plan.pools]
-        name = draw_pool(match=request.match, rng=self.rng) if len(shares) > 1 else shares[0][0] if shares else ""
-        pool = plan.pools.get(name)
-        return plan.services[pool.service] if pool is not None else request.service
-
     def _resolve_tiers(self, *, pool: Pool, homes: frozenset) -> Pool:
         """The pool with its tiers relative to this region, or to a home region if this is not one."""
         if not pool.is_near:
--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -21,8 +21,15 @@
 from sailward.invariants import Invariant, check
 from sailward.routing.endpoint_selection import EndpointSelector
 from sailward.routing.passive_health import EVENT_BY_FAULT
-from sailward.routing.proxied_request import Refusal, answer_json
-from sailward.routing.request import Attempt, Request, build_request, headers_to_caller, headers_to_worker
+from sailward.routing.proxied_request import Refusal
+from sailward.routing.request import (
+    Attempt,
+    Request,
+    build_request,
+    headers_to_caller,
+    headers_to_worker,
+    refusal_response,
+)
 from sailward.routing.retry_budget import RetryBudget
 from sailward.routing.worker_response import Broken, CompleteResponse, NotSent, WorkerRejected, judge_reply
 from sailward.wire_names import WireNames
@@ -82,9 +89,10 @@
         ]
 
     def _on_request(self, *, now: float, event: RequestReceived) -> list[Command]:
-        request = build_request(event=event, plan=self.endpoint_selector.context.plan, now=now, names=self.names)
+        selector = self.endpoint_selector
+        request = build_request(event=event, plan=selector.context.plan, now=now, names=self.names, rng=selector.rng)
         if isinstance(request, Refusal):
-            return [self._refusal_response(token=event.token, refusal=request)]
+            return [refusal_response(token=event.token, refusal=request)]
         self.live[request.token] = request
         self.tally["taken"] += 1
         if request.service.is_ranged and request.key >= 0:
@@ -296,7 +304,7 @@
             },
         )
         return [
-            self._refusal_response(token=request.token, refusal=Refusal(code=code, reason=refusal.reason)),
+            refusal_response(token=request.token, refusal=Refusal(code=code, reason=refusal.reason)),
             log,
             *commands,
         ]
@@ -335,20 +343,6 @@
         code = 502 if request.attempts_sent else 503
         return self._give_up(now=now, request=request, refusal=Refusal(code=code, reason="caller-left"))
 
-    def _refusal_response(self, *, token: str, refusal: Refusal) -> Respond:
-        headers = (
-            {
-                "Retry-After": str(
-                    constants.RETRY_AFTER_BY_REASON.get(refusal.reason, constants.RETRY_AFTER_BY_REASON[""])
-                )
-            }
-            if refusal.code in (429, 503)
-            else {}
-        )
-        return answer_json(
-            token=token, code=refusal.code, body={"error": refusal.reason, "detail": refusal.detail}, headers=headers
-        )
-
     def _dispatch_waiting(self, *, now: float) -> list[Command]:
         commands = []
         for request in sorted(self.waiting.values(), key=lambda waiting: (waiting.match.rank, waiting.arrived_at)):
--- a/sailward/routing/request.py
+++ b/sailward/routing/request.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.events import RequestReceived
-from sailward.routing.plan import Match, Plan, Service
-from sailward.routing.proxied_request import Refusal
+from sailward.events import RequestReceived, Respond
+from sailward.routing.plan import Match, Plan, Pool, Service
+from sailward.routing.proxied_request import Refusal, answer_json
+from sailward.routing.weighted_draw import draw_pool
 from sailward.wire_names import WireNames
 
 HOP_BY_HOP = frozenset(
@@ -39,7 +41,11 @@
 
 @dataclass(kw_only=True)
 class Request:
-    """One request in flight; all times in s of the owner's clock."""
+    """One request in flight; all times in s of the owner's clock.
+
+    `match`, `pool` and `service` are those of the configuration in force when it arrived. All its attempts follow them:
+    a later configuration may lack them.
+    """
 
     token: str
     exchange_id: str
@@ -48,6 +54,7 @@
     headers: dict
     body: bytes
     match: Match
+    pool: Pool
     service: Service
     arrived_at: float
     expires_at: float
@@ -56,7 +63,6 @@
     attempts_unsent: int = 0
     may_have_run: bool = False
     is_client_gone: bool = False
-    is_service_drawn: bool = False
     waiting_since: float = -1.0
     hedge_at: float = float("inf")
     attempts: dict = field(default_factory=dict)
@@ -69,15 +75,18 @@
         return self.match.max_attempts or constants.MAX_ATTEMPTS
 
 
-def build_request(*, event: RequestReceived, plan: Plan, now: float, names: WireNames) -> Request | Refusal:
-    """Build the request that a client sent, or the refusal if it can't be accepted."""
+def build_request(
+    *, event: RequestReceived, plan: Plan, now: float, names: WireNames, rng: random.Random
+) -> Request | Refusal:
+    """Build the request that a client sent, with its pool drawn; or the refusal if it can't be accepted."""
     if not plan.number:
         return Refusal(code=503, reason="no-configuration")
     host = event.headers.get("host", "").rsplit(":", 1)[0].lower()
     match = plan.match(path=event.path, method=event.method, tenant="", host=host)
     if match is None:
         return Refusal(code=404, reason="unmatched")
-    service = plan.services[plan.pools[match.shares[0][0]].service]
+    # drawn by weight before health is considered; retries stay with the drawn pool
+    pool = plan.pools[draw_pool(match=match, rng=rng) if len(match.shares) > 1 else match.shares[0][0]]
     timeout_text = event.headers.get(names.time_budget, "")
     timeout = (
         int(timeout_text) / 1000
@@ -98,7 +107,8 @@
         headers=event.headers,
         body=event.body or b"",
         match=match,
-        service=service,
+        pool=pool,
+        service=plan.services[pool.service],
         arrived_at=now,
         key=key,
         expires_at=now + max(0.0, min(timeout, match.expiry or constants.DEFAULT_REQUEST_TIMEOUT)),
@@ -114,3 +124,12 @@
 def headers_to_caller(*, headers: dict) -> dict:
     """The worker's headers without the hop-by-hop ones."""
     return {name: value for name, value in headers.items() if name not in HOP_BY_HOP}
+
+
+def refusal_response(*, token: str, refusal: Refusal) -> Respond:
+    """The final answer to a request that is given up; one that did not run says when to come back."""
+    retry_after = constants.RETRY_AFTER_BY_REASON.get(refusal.reason, constants.RETRY_AFTER_BY_REASON[""])
+    headers = {"Retry-After": str(retry_after)} if refusal.code in (429, 503) else {}
+    return answer_json(
+        token=token, code=refusal.code, body={"error": refusal.reason, "detail": refusal.detail}, headers=headers
+    )
--- a/simulation/hosted/deployment.py
+++ b/simulation/hosted/deployment.py
@@ -175,6 +175,7 @@
     number: int,
     weights: dict | None = None,
     dropped_routes: tuple = (),
+    dropped_services: tuple = (),
     extra_routes: int = 0,
     deadlines: dict | None = None,
     idle_timeout: float = 15,
@@ -210,7 +211,9 @@
             "idle_timeout_s": idle_timeout,
         },
         "listeners": [{"hostname": host, "ruleset": rules} for host, rules in listeners.items()],
-        "pools": [_make_pool(service=service) for service in deployment.services],
+        "pools": [
+            _make_pool(service=service) for service in deployment.services if service.name not in dropped_services
+        ],
     }
 
 
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -84,6 +84,7 @@
     order: list = field(default_factory=list)
     weights: dict = field(default_factory=dict)
     dropped_routes: tuple = ()
+    dropped_services: tuple = ()
     extra_routes: int = 0
     deadlines: dict = field(default_factory=dict)
     idle_timeout: float = 15
@@ -132,6 +133,7 @@
             number=number,
             weights=self.weights,
             dropped_routes=self.dropped_routes,
+            dropped_services=self.dropped_services,
             extra_routes=self.extra_routes,
             deadlines=self.deadlines,
             idle_timeout=self.idle_timeout,
--- a/simulation/hosted/sabotage.py
+++ b/simulation/hosted/sabotage.py
@@ -102,6 +102,13 @@
     return call
 
 
+def _looks_pools_up(old):
+    def resolve_tiers(self, *, pool, homes):
+        return old(self, pool=self.context.plan.pools[pool.name], homes=homes)
+
+    return resolve_tiers
+
+
 def _ignores_evacuations(old):
     def read_orders(*, value):
         return frozenset()
@@ -183,6 +190,7 @@
     "cold-news": _combined(
         _patch(passive_health.PassiveHealth, "begin_slow_start", lambda old: lambda self, **fields: None)
     ),
+    "own-pool": _combined(_patch(endpoint_selection.EndpointSelector, "_resolve_tiers", _looks_pools_up)),
     "evacuation": _combined(_patch(proxy, "read_orders", _ignores_evacuations)),
     "late-orders": _combined(
         _patch(admin_api.AdminApi, "on_client_disconnected", lambda old: lambda self, *, token: None)
--- a/simulation/hosted/user_verbs.py
+++ b/simulation/hosted/user_verbs.py
@@ -134,6 +134,14 @@
         """Omit this route from the next whole configuration."""
         self._world.operator.dropped_routes += (route,)
 
+    def do_drop_service(self, service: str) -> None:
+        """Omit this service from the next whole configuration; its routes must lead elsewhere by then."""
+        self._world.operator.dropped_services += (service,)
+
+    def do_restore_services(self) -> None:
+        """Omit no service from the next whole configuration."""
+        self._world.operator.dropped_services = ()
+
     def do_split(self, route: str, *words: str) -> None:
         """Split a route by these weights in the next whole configuration."""
         self._world.operator.weights = {
--- a/tests/proxy_kit.py
+++ b/tests/proxy_kit.py
@@ -30,8 +30,8 @@
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
 
 
-def make_plan(*, ranged: bool = False, **match: object) -> Plan:
-    """A plan with two services, and one rule for host `shop` and path /a with the given fields."""
+def make_plan(*, ranged: bool = False, services: tuple = ("red", "blue"), **match: object) -> Plan:
+    """A plan with these services, and one rule for host `shop` and path /a with the given fields."""
     rule = {
         "path": "/a",
         "methods": [],
@@ -59,14 +59,14 @@
         "connections": 130,
         "cold_s": 3.0,
     }
-    pools = {name: {"service": name, "preferred": [], "fallback": [], "tiers": "near"} for name in ("red", "blue")}
+    pools = {name: {"service": name, "preferred": [], "fallback": [], "tiers": "near"} for name in services}
     return plan_of(
         number=1,
         full={
             "halls": {zone: {"region": region} for zone, region in ZONES.items()},
             "pools": pools,
             "tenants": {},
-            "services": {"red": service, "blue": {**service, "keys": "own"}},
+            "services": {name: service if name == "red" else {**service, "keys": "own"} for name in services},
             "matches": [rule],
         },
     )
--- /dev/null
+++ b/tests/test_config_changes.py
@@ -0,0 +1,99 @@
+"""Configurations that take effect while requests are in flight: each request ends by the one that it arrived under."""
+
+from __future__ import annotations
+
+import pytest
+
+from sailward import constants
+from sailward.routing.plan import Plan
+from tests.proxy_kit import ForwarderHarness, answers, calls, make_plan, make_worker
+
+TARGET_S = 0.5
+
+
+def make(*, workers: int = 2, ranged: bool = False, **match: object) -> ForwarderHarness:
+    listed = [make_worker(f"w{index}") for index in range(workers)] + [make_worker("b0", service="blue")]
+    return ForwarderHarness(workers=listed, plan=make_plan(ranged=ranged, target_s=TARGET_S, **match))
+
+
+def plan_without_red(**match: object) -> Plan:
+    """A plan in which the route leads to `blue`, and the service `red` is gone."""
+    return make_plan(services=("blue",), pools=[{"pool": "blue", "weight": 1}], target_s=TARGET_S, **match)
+
+
+# Guards against StopIteration in the selection of a worker: one change of configuration ended every proxy at once.
+@pytest.mark.parametrize("kind", ["repeatable", "once"])
+def test_a_retry_goes_on_at_the_service_that_a_change_dropped(kind: str) -> None:
+    bench = make(kind=kind)
+    [first] = calls(bench.ask(method="POST"))
+    bench.context.plan = plan_without_red()
+    [second] = calls(bench.respond(call=first, code=503, x_not_run="1"))
+    assert {first.owner, second.owner} == {"w0", "w1"}
+    [answer] = answers(bench.respond(call=second))
+    assert (answer.code, answer.body) == (200, b"whole")
+
+
+# Guards against the same end of every proxy by a hedge.
+def test_a_hedge_goes_on_at_the_service_that_a_change_dropped() -> None:
+    bench = make()
+    [first] = calls(bench.ask())
+    bench.context.plan = plan_without_red()
+    [second] = calls(bench.advance(constants.HEDGE_DELAY_RATIO * TARGET_S + 0.01))
+    assert {first.owner, second.owner} == {"w0", "w1"}
+    assert [answer.code for answer in answers(bench.respond(call=first))] == [200]
+
+
+# Guards against the same end of every proxy by a request that waits for a worker.
+def test_a_waiting_request_is_forwarded_to_the_service_that_a_change_dropped() -> None:
+    bench = make(workers=1)
+    sent: list = []
+    while not bench.forwarder.waiting:
+        sent += calls(bench.ask())
+    bench.context.plan = plan_without_red()
+    commands = bench.respond(call=sent[0])
+    assert [answer.code for answer in answers(commands)] == [200]
+    assert [call.owner for call in calls(commands)] == ["w0"] and not bench.forwarder.waiting
+
+
+# Guards against a request that hangs, or ends its proxy, when the workers go with their service.
+def test_a_request_whose_service_and_workers_are_gone_gets_a_final_answer() -> None:
+    bench = make(kind="once")
+    [call] = calls(bench.ask(method="POST"))
+    bench.context.plan = plan_without_red()
+    bench.update_workers(workers=[make_worker("b0", service="blue")])
+    commands = bench.respond(call=call, code=503, x_not_run="1") + bench.advance(constants.QUEUE_TIMEOUT + 0.1)
+    [answer] = answers(commands)
+    assert answer.code == 503 and float(answer.headers["Retry-After"]) > 0 and not bench.forwarder.live
+
+
+# Guards against the loss of a drawn share: the other shares of its route stay in the configuration.
+def test_a_retry_stays_with_its_drawn_pool_when_a_split_loses_it() -> None:
+    bench = make(pools=[{"pool": "red", "weight": 1}, {"pool": "blue", "weight": 1}])
+    first = next(call for _ in range(20) for call in calls(bench.ask()) if call.owner != "b0")
+    bench.context.plan = plan_without_red()
+    [second] = calls(bench.respond(call=first, code=503, x_not_run="1"))
+    assert {first.owner, second.owner} == {"w0", "w1"}
+
+
+# Guards against an end of the proxy when a divided service is dropped, or a service becomes divided or undivided.
+@pytest.mark.parametrize("was_ranged", [True, False])
+@pytest.mark.parametrize("change", ["dropped", "other-kind"])
+def test_a_request_outlives_a_change_of_its_services_division(was_ranged: bool, change: str) -> None:
+    bench = make(ranged=was_ranged)
+    bench.assign_keys(owner="w0")
+    [call] = calls(bench.ask(x_key="5"))
+    bench.context.plan = plan_without_red() if change == "dropped" else make_plan(ranged=not was_ranged)
+    commands = bench.respond(call=call, code=421, x_not_run="1")
+    for _ in range(100):
+        commands += bench.advance(constants.TICK_INTERVAL)
+        commands += [command for call in calls(commands) for command in bench.respond(call=call)]
+    assert len(answers(commands)) == 1 and not bench.forwarder.live
+
+
+# Guards against requests that a change makes go back: new ones follow the configuration in force at once.
+def test_a_new_request_follows_the_new_configuration() -> None:
+    bench = make()
+    [old] = calls(bench.ask())
+    bench.context.plan = plan_without_red()
+    [new] = calls(bench.ask())
+    assert old.owner in ("w0", "w1") and new.owner == "b0"
--- a/tests/test_endpoint_selection.py
+++ b/tests/test_endpoint_selection.py
@@ -10,9 +10,10 @@
 import pytest
 
 from sailward import constants
+from sailward.events import RequestReceived
 from sailward.routing.proxied_request import Refusal
-from sailward.routing.request import Request
-from tests.proxy_kit import ForwarderHarness, make_plan, make_worker
+from sailward.routing.request import Request, build_request
+from tests.proxy_kit import NAMES, ForwarderHarness, make_plan, make_worker
 
 ZONES = ("north-a", "north-b", "south-a", "south-b")
 
@@ -24,23 +25,15 @@
     return ForwarderHarness(workers=listed, plan=make_plan(**match), proxies=proxies)
 
 
+def make_request(bench: ForwarderHarness, **fields: object) -> Request:
+    plan, rng = bench.context.plan, bench.endpoint_selector.rng
+    event = RequestReceived(token="front 1", method="GET", path="/a/", query={}, headers={"host": "shop"}, body=b"")
+    request = build_request(event=event, plan=plan, now=bench.now, names=NAMES, rng=rng)
+    return dataclasses.replace(request, match=plan.matches[0], expires_at=bench.now + 3.0, **fields)
+
+
 def select(bench: ForwarderHarness, **fields: object):
-    plan = bench.context.plan
-    match = plan.matches[0]
-    request = Request(
-        token="front 1",
-        exchange_id="id",
-        method="GET",
-        target="/a/",
-        headers={},
-        body=b"",
-        match=match,
-        arrived_at=bench.now,
-        service=plan.services["red"],
-        expires_at=bench.now + 3.0,
-        **fields,
-    )
-    return bench.endpoint_selector.step(now=bench.now, request=request)
+    return bench.endpoint_selector.step(now=bench.now, request=make_request(bench, **fields))
 
 
 def count_zones(bench: ForwarderHarness, *, count: int = 60) -> dict:
@@ -117,20 +110,8 @@
 def test_retries_stay_with_the_pool_that_was_drawn() -> None:
     workers = [make_worker(f"{service}{at}", service=service) for service in ("red", "blue") for at in range(4)]
     bench = make(workers=workers, pools=[{"pool": "red", "weight": 1}, {"pool": "blue", "weight": 1}])
-    plan = bench.context.plan
     for _ in range(40):
-        request = Request(
-            token="front 1",
-            exchange_id="id",
-            method="GET",
-            target="/a/",
-            headers={},
-            body=b"",
-            match=plan.matches[0],
-            arrived_at=bench.now,
-            service=plan.services["red"],
-            expires_at=bench.now + 3.0,
-        )
+        request = make_request(bench)
         services = set()
         for _ in range(3):
             worker = bench.endpoint_selector.step(now=bench.now, request=request)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -184,6 +184,24 @@
     assert bench.proxy.context.plan.label == 9
 
 
+# Guards against the end of every proxy by a configuration that drops a service whose requests are in flight.
+def test_a_configuration_that_drops_a_service_leaves_its_requests_whole(bench: ProxyHarness) -> None:
+    written = make_written(label=5, weight=1000)
+    bench.push("config", {"written": written}, number=2)
+    [first] = calls(bench.request())
+    for listener in written["listeners"]:
+        for rule in listener["ruleset"]:
+            rule["verdict"]["split_to"] = [{"service": "white", "weight": 1}]
+    bench.push("config", {"written": {**written, "generation": "r6", "pools": written["pools"][1:]}}, number=3)
+    assert bench.proxy.context.plan.label == 6 and "red" not in bench.proxy.context.plan.services
+    refused = CallFinished(token=first.token, code=0, headers={}, body=b"", fault="refused", sent=False)
+    [second] = calls(bench.give(refused))
+    assert {first.owner, second.owner} == {"w0", "w1"}
+    seal = {"attempt-id": second.headers["attempt-id"], "server-seal": "x"}
+    [answer] = bench.give(CallFinished(token=second.token, code=200, headers=seal, body=b"ok", fault="", sent=True))
+    assert isinstance(answer, Respond) and answer.code == 200
+
+
 def test_lists_are_accepted_only_from_the_followed_controller(bench: ProxyHarness) -> None:
     bench.push("workers", WORKERS[:1], number=2, sender="c1")
     assert len(bench.proxy.endpoint_table.workers) == 3
