A patch that names any field of the configuration no longer ends controllers

Cause: merge() ran over each section that a patch names and the configuration holds as a list of objects with names. generation is a text: TypeError in the controller's step. The patch's own items were checked, what they are merged into was not. The same for any other field that is no list of named items, in upsert as in remove. Evidence: the traceback of each controller, and the same through a whole controller in the fuzz. Ruled out: the product's own patches (JSON merge patch), unreadable bodies, whole configurations.

Fix: items are merged only into lists of named items, else 400 with the field; an empty list alters nothing. Items under upsert.routes and names under remove.limits, acknowledged without effect so far, get 400.

--- a/tests/test_fuzz_operators.py
+++ b/tests/test_fuzz_operators.py
@@ -48,6 +48,9 @@
     "stamps": {"one": {"template": "brand", "parameters": {"who": "other"}}},
     "label": 1,
 }
+OTHER_FIELDS = {"colour": "blue", "numbers": [1, 2], "origin": {"name": "x"}, "brands": [{"name": "a"}], "none": None}
+"""Fields that a configuration may have besides those that the pages name."""
+WRITTEN = {**make_written(label=7), **OTHER_FIELDS}
 POST = "10.0.0.1:7620"
 DEPTHS = (40, 65, 300, 900, 990, 3000, 100_000)
 
@@ -84,7 +87,7 @@
         location=location, platform="", nonce="1", start=1, rng=random.Random(1), records=[], now=0.0, options=options
     )
     pump(owner, now=0.1, event=TimerFired(wall=1.0))
-    headers, given_config = ({"if-match": "0"}, make_written(label=7)) if is_platform else ({}, GOOD)
+    headers, given_config = ({"if-match": "0"}, WRITTEN) if is_platform else ({}, GOOD)
     (answer,) = ask(owner, method="PUT", path="/config", headers=headers, body=json.dumps(given_config).encode())
     assert answer.code == 200, answer.body
     return owner
@@ -149,6 +152,16 @@
     {"survivors": ["c1"]},
     {"members": {POST + "#0": POST}},
 ]
+FIELDS = st.sampled_from([*WRITTEN, "routes", "services", "hosts", "upsert", "absent"])
+NAMES = st.sampled_from(["red", "white", "r-0", "r-1", "one.example", "a", "x", ""])
+ITEMS = st.builds(lambda name: {"name": name, "hostname": name, "ruleset": []}, NAMES)
+PATCHES_OF_ANY_FIELD = st.fixed_dictionaries(
+    {"generation": st.sampled_from(["r8", "r12"])},
+    optional={
+        "upsert": st.dictionaries(FIELDS, st.lists(ITEMS, max_size=2), max_size=3),
+        "remove": st.dictionaries(FIELDS, st.lists(NAMES, max_size=2), max_size=3),
+    },
+)
 BODIES = (
     st.none()
     | st.binary(max_size=30)
@@ -178,6 +191,20 @@
     judge(dialect=dialect, method=method, path="/config", headers=headers, body=body)
 
 
+# Guards against an exception in the merge of a patch, which ended every controller that the patch was sent to.
+@settings(BOUNDED, max_examples=250)
+@given(patch=PATCHES_OF_ANY_FIELD)
+def test_a_patch_of_any_field_gets_one_clear_answer(patch: dict) -> None:
+    judge(dialect="platform", method="PATCH", path="/config", headers={"if-match": "r7"}, body=to_json(patch))
+
+
+# Guards against the same by the very patch of the review: a needless empty list beside what it removes.
+def test_a_needless_empty_list_does_not_keep_a_patch_from_being_accepted() -> None:
+    patch = {"generation": "r8", "upsert": {}, "remove": {"routes": ["r-1"], "generation": []}}
+    answer = judge(dialect="platform", method="PATCH", path="/config", headers={"if-match": "r7"}, body=to_json(patch))
+    assert answer.code == 200
+
+
 @pytest.mark.parametrize("dialect", ["own", "platform"])
 @pytest.mark.parametrize("path", ["/config", "/found", "/found-anew"])
 @pytest.mark.parametrize("depth", DEPTHS)
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import itertools
 import json
 
 import pytest
@@ -226,6 +227,8 @@
         {"generation": "r2", "upsert": {"listeners": [{"ruleset": []}]}},
         {"generation": "r2", "upsert": {"pools": [{"max_conns": 3}]}},
         {"generation": "r2", "upsert": {"listeners": [{"hostname": "x", "ruleset": [3]}]}},
+        {"generation": "r2", "upsert": {"routes": [{"name": "r-1"}]}},
+        {"generation": "r2", "remove": {"limits": ["idle_timeout_s"]}},
     ],
 )
 def test_patches_that_cannot_be_read(patch: dict) -> None:
@@ -262,6 +265,51 @@
     assert isinstance(CONFIG.merge(make_written(label=1), patch), InvalidConfig)
 
 
+FIELDS_WITHOUT_NAMES = {
+    "text": "blue",
+    "number": 3,
+    "nothing": None,
+    "object": {"name": "x"},
+    "numbers": [1, 2],
+    "lists": [["name"]],
+    "unnamed": [{"colour": "blue"}],
+    "oddly_named": [{"name": ["x"]}],
+}
+
+
+# Guards against an exception in the merge of a patch, which ended every controller that the patch was sent to.
+@pytest.mark.parametrize("field", ["generation", *FIELDS_WITHOUT_NAMES])
+@pytest.mark.parametrize("operation", ["upsert", "remove"])
+def test_a_patch_cannot_alter_a_field_without_named_items(field: str, operation: str) -> None:
+    written = {**make_written(label=1), **FIELDS_WITHOUT_NAMES}
+    items = ["x"] if operation == "remove" else [{"name": "x"}]
+    patch = CONFIG.read_patch(json.dumps({"generation": "r2", operation: {field: items}}).encode())
+    assert isinstance(patch, dict)
+    merged = CONFIG.merge(written, patch)
+    assert isinstance(merged, InvalidConfig) and [fault.path for fault in merged.faults] == [field]
+
+
+# Guards against the same exception where the patch names nothing.
+@pytest.mark.parametrize(
+    ("operation", "field"),
+    [
+        *itertools.product(("upsert", "remove"), ("generation", "routes", "pools", "listeners", *FIELDS_WITHOUT_NAMES)),
+        ("remove", "limits"),
+        ("remove", "absent"),
+    ],
+)
+def test_an_empty_list_in_a_patch_alters_nothing(operation: str, field: str) -> None:
+    written = {**make_written(label=1), **FIELDS_WITHOUT_NAMES}
+    patch = CONFIG.read_patch(json.dumps({"generation": "r2", operation: {field: []}}).encode())
+    assert CONFIG.merge(written, patch) == {**written, "generation": "r2"}
+
+
+def test_named_items_of_other_fields_are_altered_too() -> None:
+    written = {**make_written(label=1), "brands": [{"name": "a", "share": 1}, {"name": "b"}]}
+    patch = {"generation": "r2", "upsert": {"brands": [{"name": "a", "share": 2}]}, "remove": {"brands": ["b", "c"]}}
+    assert CONFIG.merge(written, patch)["brands"] == [{"name": "a", "share": 2}]
+
+
 @pytest.mark.parametrize(
     ("version", "number"),
     [("r12", 12), ("r0", 0), ("12", None), ("r", None), ("rx", None), ("", None), (12, None), ("r-1", None)],
