A tenant's request that is matched anew takes its key from its new route

What callers would have seen: a request at the owner of another key after a change of the path prefix; a final 400 though the path holds the key, after the service became divided; a stale slot and term at the worker, after it was divided no longer. Found by reading; the users' platform does not run this data plane.

Fix: the key is read in one place, at arrival and at each new match; slot, space and term start anew with it.

--- a/sailward/routing/proxied_request.py
+++ b/sailward/routing/proxied_request.py
@@ -123,7 +123,7 @@
     )
     if key_fault is not None:
         return Refusal(code=key_fault[0], reason=key_fault[1], detail=key_fault[2])
-    shard_key = event.headers.get("sailward-key", "") or shard_key_of(path=event.path, match=match)
+    shard_key = _read_shard_key(headers=event.headers, path=event.path, match=match, service=service)
     if service.slots and not shard_key:
         return Refusal(code=400, reason="part-missing", detail="this service is divided: give the key in the path")
     query = "?" + urlencode(event.query, doseq=True) if event.query else ""
@@ -139,7 +139,7 @@
         service=service,
         key=key,
         try_number=head.try_number,
-        shard_key=shard_key if service.slots else "",
+        shard_key=shard_key,
         raw_path=event.path,
         plan_number=plan.number,
         arrived_at=now,
@@ -183,8 +183,18 @@
     return path[len(match.path.rstrip("/")) :].strip("/").split("/")[0]
 
 
+def _read_shard_key(*, headers: dict[str, str], path: str, match: Match, service: Service) -> str:
+    """The key that the client names, or else the one in the path; empty if the service is not sharded by slot."""
+    if not service.slots:
+        return ""
+    return headers.get("sailward-key", "") or shard_key_of(path=path, match=match)
+
+
 def rematch_request(*, request: ProxiedRequest, plan: Plan) -> Refusal | None:
-    """Match again under the configuration in force, which may have changed since the request was received."""
+    """Match again under the configuration in force, which may have changed since the request was received.
+
+    Only while no attempt is in flight: its shard is looked up anew.
+    """
     if request.plan_number == plan.number:
         return None
     tenant = plan.tenants.get(request.tenant.name)
@@ -192,9 +202,11 @@
     if tenant is None or match is None:
         return Refusal(code=404, reason="unmatched", detail="the configuration changed meanwhile")
     service = plan.services[plan.pools[match.shares[0][0]].service]
-    if service.slots and not request.shard_key:
+    shard_key = _read_shard_key(headers=request.headers, path=request.raw_path, match=match, service=service)
+    if service.slots and not shard_key:
         return Refusal(code=400, reason="part-missing", detail="the service is divided now")
     request.tenant, request.match, request.service, request.plan_number = tenant, match, service, plan.number
+    request.shard_key, request.slot, request.space, request.term = shard_key, -1, "", 0
     if request.pool not in {name for name, weight in match.shares if weight}:
         request.pool = ""
     return None
