--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from sailward import constants
 from sailward.routing.plan import Plan
-from tests.proxy_kit import ForwarderHarness, answers, calls, make_plan, make_worker
+from tests.fuzz_kit import BOUNDED
+from tests.proxy_kit import ForwarderHarness, answers, calls, cancels, make_plan, make_worker
 
 TARGET_S = 0.5
 
@@ -97,3 +100,91 @@
     bench.context.plan = plan_without_red()
     [new] = calls(bench.ask())
     assert old.owner in ("w0", "w1") and new.owner == "b0"
+
+
+RED, BLUE = {"pool": "red", "weight": 1}, {"pool": "blue", "weight": 1}
+PLANS = st.builds(
+    lambda shares, ranged, is_dropped, **match: make_plan(
+        services=tuple(share["pool"] for share in shares) if is_dropped else ("red", "blue"),
+        ranged=ranged,
+        pools=shares,
+        **match,
+    ),
+    shares=st.sampled_from([[RED], [BLUE], [RED, BLUE], [BLUE, RED]]),
+    ranged=st.booleans(),
+    is_dropped=st.booleans(),
+    kind=st.sampled_from(["repeatable", "once"]),
+    tries=st.integers(1, 3),
+    homes=st.sampled_from([[], ["north"], ["south"], ["atlantis"]]),
+    path=st.sampled_from(["/a", "/a/1", "/b"]),
+)
+WORKER_LISTS = st.sets(st.sampled_from(["w0", "w1", "b0"])).map(
+    lambda names: [make_worker(name, service="red" if name[0] == "w" else "blue") for name in sorted(names)]
+)
+OUTCOMES = st.sampled_from(["served", "full", "stranger", "unsent", "lost"])
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("plan"), PLANS),
+        st.tuples(st.just("workers"), WORKER_LISTS),
+        st.tuples(st.just("ask"), st.sampled_from(["GET", "POST"])),
+        st.tuples(st.just("end"), OUTCOMES),
+        st.tuples(st.just("wait"), st.sampled_from([0.05, 0.31, 2.0])),
+    ),
+    max_size=30,
+)
+
+
+class RequestsUnderChanges:
+    """A forwarder under drawn changes: calls without an outcome, and the answers to each request."""
+
+    def __init__(self) -> None:
+        self.bench = make()
+        self.bench.assign_keys(owner="w0")
+        self.open_calls: dict = {}
+        self.codes: dict = {}
+
+    def apply(self, *, event: str, value: object) -> None:
+        bench = self.bench
+        if event == "plan":
+            bench.context.plan = value
+            commands = bench.forwarder.step(now=bench.now, event=None)
+        elif event == "workers":
+            commands = bench.update_workers(workers=value)
+        elif event == "ask":
+            commands = bench.ask(method=value, x_key="5")
+        elif event == "wait":
+            commands = bench.advance(value)
+        else:
+            commands = self._end_call(outcome=value)
+        self._record(commands=commands)
+
+    def _end_call(self, *, outcome: str) -> list:
+        if not self.open_calls:
+            return []
+        call = self.open_calls.pop(next(iter(self.open_calls)))
+        if outcome == "served":
+            return self.bench.respond(call=call)
+        if outcome in ("full", "stranger"):
+            return self.bench.respond(call=call, code=503 if outcome == "full" else 421, x_not_run="1")
+        fault = {"unsent": "refused", "lost": "connection-lost"}[outcome]
+        return self.bench.fail_call(call=call, fault=fault, sent=outcome == "lost")
+
+    def _record(self, *, commands: list) -> None:
+        self.open_calls |= {call.token: call for call in calls(commands)}
+        for cancel in cancels(commands):
+            self.open_calls.pop(cancel.token, None)
+        for answer in answers(commands):
+            self.codes.setdefault(answer.token, []).append(answer.code)
+
+
+# Guards against any other end of the proxy, and any lost answer, by a change while requests are in flight.
+@BOUNDED
+@given(events=EVENTS)
+def test_every_request_gets_one_answer_whatever_changes(events: list) -> None:
+    history = RequestsUnderChanges()
+    for event, value in events:
+        history.apply(event=event, value=value)
+    for _ in range(3):
+        history.apply(event="wait", value=constants.DEFAULT_REQUEST_TIMEOUT)
+    assert set(history.codes) == {f"front {number + 1}" for number in range(history.bench.count)}
+    assert all(len(codes) == 1 for codes in history.codes.values()) and not history.bench.forwarder.live
