Observability at a stop: what a hosted daemon's connections are doing when it drains, and at its end

A stop was logged with the forwarder's count alone, so requests that its sockets held could not be told from others. New lines: draining (each edge, each DrainConnections) and connections-at-end, with the connections by state. No change of what is done.

--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -108,7 +108,15 @@
     return {Respond: respond}
 
 
-def run_owner(*, hosted: HostedDaemon, reactor: Reactor, host: Host, step: Callable, handlers: dict) -> None:
+def run_owner(
+    *,
+    hosted: HostedDaemon,
+    reactor: Reactor,
+    host: Host,
+    listeners: dict[str, HttpServer],
+    step: Callable,
+    handlers: dict,
+) -> None:
     """Run the owner until it stops, and end the process with its exit code."""
     http_client = HttpClient(reactor=reactor, deliver=host.deliver, names=hosted.names)
     try:
@@ -137,6 +145,8 @@
     gc.collect()
     gc.freeze()
     code = host.run(step=step)
+    for edge, listener in listeners.items():
+        write_log(event="connections-at-end", fields={"edge": edge, **listener.states()})
     write_log(event="ended", fields={"code": code, **message_transport.counts})
     sys.stderr.flush()
     os._exit(code)
--- a/sailward/programs/hosted_controller.py
+++ b/sailward/programs/hosted_controller.py
@@ -59,7 +59,7 @@
         ValidateConfig: lambda command: check_threads.submit(_validate_config, host, command),
         **response_handlers(hosted=hosted, listeners=listeners),
     }
-    run_owner(hosted=hosted, reactor=reactor, host=host, step=owner.step, handlers=handlers)
+    run_owner(hosted=hosted, reactor=reactor, host=host, listeners=listeners, step=owner.step, handlers=handlers)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/sailward/programs/hosted_proxy.py
+++ b/sailward/programs/hosted_proxy.py
@@ -14,6 +14,7 @@
     start_host,
 )
 from sailward.proxy.proxy import Proxy
+from sailward.runtime.logs import write_log
 
 
 def run_proxy(*, hosted: HostedDaemon) -> None:
@@ -28,7 +29,8 @@
     }
 
     def drain(command: DrainConnections) -> None:
-        for listener in listeners.values():
+        for edge, listener in listeners.items():
+            write_log(event="draining", fields={"edge": edge, "shut": command.shut, **listener.states()})
             listener.drain()
             if command.shut:
                 listener.close_listener()
@@ -39,6 +41,7 @@
         hosted=hosted,
         reactor=reactor,
         host=host,
+        listeners=listeners,
         step=owner.step,
         handlers={DrainConnections: drain, **response_handlers(hosted=hosted, listeners=listeners)},
     )
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -17,6 +17,7 @@
 from sailward.transport.http_server_head import Refused, write_response
 from sailward.transport.http_server_listener import Listener
 from sailward.transport.http_server_state import Connection, Exchange
+from sailward.transport.http_server_states import count_states
 from sailward.transport.http_server_timing import TimeoutVerdict, check_timeouts
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -100,6 +101,10 @@
         """Open connections, including those that are being drained."""
         return len(self._connections)
 
+    def states(self) -> dict[str, int]:
+        """The number of connections in each state."""
+        return count_states(connections=self._connections)
+
     def _accept(self, sock: socket.socket) -> None:
         if len(self._connections) >= constants.HTTP_SERVER_MAX_CONNECTIONS:
             sock.close()
