--- a/simulation/real/hosted_fleet.py
+++ b/simulation/real/hosted_fleet.py
@@ -81,15 +81,17 @@
 
 
 class HostedFleet:
-    """Three controllers and two proxies, each at an address of its own. It ends only processes that it started."""
+    """Three controllers and some proxies, each at an address of its own. It ends only processes that it started."""
 
-    def __init__(self, *, folder: Path, list_address: str) -> None:
+    def __init__(self, *, folder: Path, list_address: str, proxies: int = 2) -> None:
         self.folder, self._list_address = folder, list_address
         self.subnet, self.port = random.randrange(2, 250), random.randrange(20000, 30000, 16)
         self.settings = {}
         for at, zone in enumerate(ZONES):
             self.settings[f"controller-{at}"] = self._make_settings(role="controller", index=at, zone=zone)
-        for at, zone in enumerate(("north-a", "south-a")):
+        zones = tuple(ZONES)
+        for at in range(proxies):
+            zone = zones[at % len(zones)]
             self.settings[f"proxy-{at}"] = self._make_settings(role="proxy", index=10 + at, zone=zone)
         self.running: dict[str, subprocess.Popen] = {}
 
--- a/simulation/soak/judge.py
+++ b/simulation/soak/judge.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from simulation.soak.records import Attempt, Records
+from simulation.soak.worker import body_of
 
 NOT_EXECUTED_CODES = (408, 421, 429, 503)
 """Codes that promise that the request has not run and never will."""
@@ -32,8 +33,8 @@
         yield f"TWICE: {attempt.name} ran {len(attempt.runs)} times"
     if attempt.is_nonidempotent and attempt.runs and attempt.code in NOT_EXECUTED_CODES:
         yield f"REFUSED: {attempt.name} got {attempt.code} and ran"
-    if attempt.code == 200 and attempt.body != f"body of {attempt.name}".encode():
-        yield f"MIXED: {attempt.name} got {attempt.body!r}"
+    if attempt.code == 200 and attempt.body != body_of(name=attempt.name, size=attempt.size):
+        yield f"MIXED: {attempt.name} got {len(attempt.body)} bytes: {attempt.body[:100]!r}"
 
 
 def judge_logs(*, folder: Path) -> Iterator[str]:
--- a/simulation/soak/records.py
+++ b/simulation/soak/records.py
@@ -3,9 +3,20 @@
 from __future__ import annotations
 
 import enum
+import time
 from dataclasses import dataclass, field
 
 
+class ConnectionEnd(enum.Enum):
+    """What a caller saw at the end of a request."""
+
+    OPEN = "open"
+    ANSWERED = "answered"
+    CLOSED = "closed"
+    RESET = "reset"
+    REFUSED = "connection refused"
+
+
 class RunEnd(enum.Enum):
     """How the run of a request ended at its worker."""
 
@@ -17,21 +28,38 @@
 
 @dataclass(kw_only=True)
 class Run:
-    """One run of a request at a worker."""
+    """One run of a request at a worker; times in s of the monotonic clock, `ended_at` 0 while it runs."""
 
     worker: str
     end: RunEnd = RunEnd.OPEN
+    began_at: float = field(default_factory=time.monotonic)
+    ended_at: float = 0.0
+
+    def finish(self, *, end: RunEnd) -> None:
+        """Record how the run ended."""
+        self.end, self.ended_at = end, time.monotonic()
 
 
 @dataclass(kw_only=True)
 class Attempt:
-    """One request of a caller: whether it disconnected early, and the answer; `code` 0 if it was incomplete."""
+    """One request of a caller: whether it disconnected early, and the answer; `code` 0 if it was incomplete.
+
+    Times are in s of the monotonic clock. `sent_at` is when the last byte was sent, 0 until then; `ended_at` is when
+    the answer was complete or the connection over. `is_behind`: it was sent behind an unanswered request.
+    """
 
     name: str
     is_nonidempotent: bool
     has_disconnected: bool = False
     code: int = 0
     body: bytes = b""
+    kind: str = ""
+    front: str = ""
+    size: int = 0
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    end: ConnectionEnd = ConnectionEnd.OPEN
+    is_behind: bool = False
     runs: list[Run] = field(default_factory=list)
 
 
--- a/simulation/soak/worker.py
+++ b/simulation/soak/worker.py
@@ -14,10 +14,18 @@
 
 WORK_HEADER = "x-soak-work"
 """The header by which a caller sets how many s its request takes."""
+SIZE_HEADER = "x-soak-size"
+"""The header by which a caller sets how many bytes its answer has at least."""
 CONNECTION_ERRORS = (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError)
 """Errors raised when a connection ends before a message is complete."""
 
 
+def body_of(*, name: str, size: int = 0) -> bytes:
+    """The body of the answer to a request, at least `size` bytes long."""
+    text = f"body of {name}".encode()
+    return text * max(1, -(-size // len(text)))
+
+
 class SoakWorker:
     """One worker, listening on loopback. `start` returns its address."""
 
@@ -81,9 +89,10 @@
         name = message.headers["attempt-id"]
         run = self._records.run(name=name, worker=self.name)
         if not await self._run_until_done(message=message, reader=reader):
-            run.end = RunEnd.CLOSED
+            run.finish(end=RunEnd.CLOSED)
             return False
-        return self._answer(name=name, run=run, writer=writer)
+        size = int(message.headers.get(SIZE_HEADER, "0"))
+        return self._answer(name=name, run=run, writer=writer, size=size)
 
     async def _run_until_done(self, *, message: HttpMessage, reader: asyncio.StreamReader) -> bool:
         """Take as long as the request asks for; False if its connection closes first."""
@@ -96,12 +105,12 @@
             closing.cancel()
             await asyncio.gather(closing, return_exceptions=True)
 
-    def _answer(self, *, name: str, run: Run, writer: asyncio.StreamWriter) -> bool:
+    def _answer(self, *, name: str, run: Run, writer: asyncio.StreamWriter, size: int) -> bool:
         if self._rng.random() < self.lost_share:
-            run.end = RunEnd.LOST
+            run.finish(end=RunEnd.LOST)
             writer.transport.abort()
             return False
-        run.end = RunEnd.ANSWERED
+        run.finish(end=RunEnd.ANSWERED)
         headers = {"Instance-Id": self.name, "Attempt-Id": name, "Server-Seal": f"seal {name}"}
-        writer.write(write_message(start_line="HTTP/1.1 200 OK", headers=headers, body=f"body of {name}".encode()))
+        writer.write(write_message(start_line="HTTP/1.1 200 OK", headers=headers, body=body_of(name=name, size=size)))
         return True
