A repeated SIGTERM no longer prolongs a proxy's stop

What callers saw: requests at workers were cut without an answer at grace_s, when the platform killed a proxy that had been told to stop twice. Cause: both proxies set the time to stop anew with each ShutdownRequested, and the platform counts from the first. Controllers count from the first already. A repeated request is logged as stop-repeated.

--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -283,6 +283,9 @@
         return self.context.zone_health.step(now=now, counts=self.context.counts())
 
     def _begin_stop(self, *, now: float) -> list[Command]:
+        """Begin the shutdown; a repeated request has no effect, as the platform counts from the first."""
+        if self.stopping != STOPPING.initial:
+            return [LogEvent(event="stop-repeated", fields={"after": round(now - self.stop_requested_at, 2)})]
         self.stopping, self.stop_requested_at = STOPPING.step(state=self.stopping, event="stop_asked"), now
         self.control_client.next_poll_at = -1e9
         return [
--- a/sailward/proxy/tenant_proxy.py
+++ b/sailward/proxy/tenant_proxy.py
@@ -109,6 +109,10 @@
                 return self.unexpected.add_unknown(event=event)
 
     def _begin_stop(self, *, now: float) -> list[Command]:
+        """Begin the shutdown; a repeated request has no effect, as the platform counts from the first."""
+        if self.stopping != STOPPING.initial:
+            requested_at = self.stop_deadline - constants.STOP_GRACE
+            return [LogEvent(event="stop-repeated", fields={"after": round(now - requested_at, 2)})]
         self.stopping = STOPPING.step(state=self.stopping, event="stop_asked")
         self.stop_deadline = now + constants.STOP_GRACE
         return [LogEvent(event="stopping", fields={"open": len(self.proxied_requests.live)})]
--- a/tests/test_stopping_proxy.py
+++ b/tests/test_stopping_proxy.py
@@ -147,3 +147,12 @@
     commands = run_on(proxy=proxy, start=0.3, end=10.0)
     assert any(isinstance(command, DrainConnections) and command.shut for _, command in commands)
     assert isinstance(commands[-1][1], ExitProcess) and 3.0 < commands[-1][0] < 4.0
+
+
+def test_a_repeated_request_to_stop_does_not_prolong_the_stop() -> None:
+    proxy = make_proxy()
+    proxy.step(now=0.3, event=ShutdownRequested())
+    run_on(proxy=proxy, start=0.3, end=2.0)
+    commands = proxy.step(now=2.0, event=ShutdownRequested())
+    assert not any(isinstance(command, DrainConnections) for command in commands)
+    assert run_on(proxy=proxy, start=2.0, end=10.0)[-1][0] < 4.0
