A stopping proxy answers whatever it reads whole, and ends after its connections

What callers saw: a safe GET whose last byte left in the last half second of a stopping proxy, uploads as well, got no answer: the connection closed in order as the process ended. Large answers that were read slowly were cut. Cause: the proxy gave ExitProcess on what its forwarder knew; the host then forgot its owner and served sockets for another 0.5 s, so that what was read then had nobody to answer it. Class: a process ends by the state of one part while another still holds work. Fix: from the close of the listener on, the HTTP server itself answers 503 with Retry-After to each request that becomes complete, with or without an owner. After ExitProcess the host drains the servers' connections: what is incomplete is refused at the end of the grace period, what is unwritten is written. Connections that wait in the listen queue are accepted before the listener closes. Controllers end the same way: an operator's request that is unanswered at the end gets 502 in place of a close.

--- a/sailward/events.py
+++ b/sailward/events.py
@@ -176,7 +176,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class DrainConnections:
-    """End each client connection after its next answer; with `shut`, accept no new connections either."""
+    """End each client connection after its next answer.
+
+    With `shut`, also accept no new connections, and answer 503 to each request that becomes complete from now on.
+    """
 
     shut: bool = False
 
@@ -191,9 +194,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ExitProcess:
-    """End the process with this exit code."""
+    """End the process with this exit code; clients may go on sending what they have begun for `drain_timeout` s."""
 
     code: int
+    drain_timeout: float = 0.0
 
 
 Event = (
--- a/sailward/programs/hosted.py
+++ b/sailward/programs/hosted.py
@@ -124,6 +124,7 @@
     except OSError as fault:
         write_log(event="address-taken", fields={"address": hosted.location.post, "reason": fault}, level="error")
         sys.exit(constants.EXIT_IN_USE)
+    host.servers = tuple(listeners.values())
     host.handlers = {
         SendMessage: lambda command: message_transport.send(to=command.to, body=command.body),
         StartCall: lambda command: http_client.start(call=command),
--- a/sailward/programs/hosted_proxy.py
+++ b/sailward/programs/hosted_proxy.py
@@ -34,6 +34,7 @@
             listener.drain()
             if command.shut:
                 listener.close_listener()
+                listener.refuse_requests()
 
     if hosted.reread_seeds:
         host.on_reload = lambda: setattr(owner.control_client, "seeds", hosted.reread_seeds())
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -57,7 +57,7 @@
     """Settings of a deployment: the names used on the wire, the regions, and the limits (times in s).
 
     After a request to stop, the proxy accepts connections for another `deregistration_delay`, so that clients learn
-    that it is going away, and ends after `stop_grace` at the latest.
+    that it is going away, and gives up after `stop_grace` what is left.
     """
 
     names: WireNames = WireNames()
@@ -309,7 +309,8 @@
         if self.stopping != "over":
             return commands
         # requests that no worker has answered by now are answered here: a closed connection would give no reason
-        return [*commands, *self.forwarder.end_all(now=now), ExitProcess(code=0)]
+        time_left = max(0.0, self.options.stop_grace - elapsed)
+        return [*commands, *self.forwarder.end_all(now=now), ExitProcess(code=0, drain_timeout=time_left)]
 
     def _build_status(self, *, now: float) -> dict:
         zones = {
--- a/sailward/runtime/host.py
+++ b/sailward/runtime/host.py
@@ -5,11 +5,12 @@
 import signal
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from sailward import constants
 from sailward.events import ExitProcess, ShutdownRequested, TimerFired
+from sailward.runtime.connection_drain import ConnectionDrain, DrainableServer
 from sailward.runtime.journal import Journal, carry_out
 from sailward.runtime.logs import write_log
 from sailward.runtime.reactor import Reactor
@@ -17,9 +18,13 @@
 
 @dataclass(kw_only=True)
 class Host:
-    """Task that runs the owner on the reactor's thread. `deliver` passes it an event; `run` returns when it stops."""
+    """Task that runs the owner on the reactor's thread. `deliver` passes it an event; `run` returns when it stops.
+
+    The connections of `servers` are served to their end after the owner has stopped.
+    """
 
     reactor: Reactor
+    servers: Sequence[DrainableServer] = ()
     handlers: dict[type, Callable] = field(default_factory=dict)
     step: Callable | None = None
     code: int = 0
@@ -61,6 +66,11 @@
         self.reactor.call_later(delay=constants.TICK_INTERVAL, callback=self._tick)
         self.deliver(TimerFired(wall=time.time()))
 
+    def _drain_connections(self, *, timeout: float) -> None:
+        ConnectionDrain(
+            reactor=self.reactor, servers=self.servers, timeout=timeout, on_drained=self.reactor.stop
+        ).begin()
+
     def _run_step(self, *, event: object) -> None:
         now = self.reactor.clock()
         self._journal.add(now=now, event=event)
@@ -71,7 +81,7 @@
                     self.code = command.code
                     self.step = None
                     self._queue.clear()
-                    self.reactor.call_later(delay=constants.FLUSH_TIMEOUT, callback=self.reactor.stop)
+                    self._drain_connections(timeout=command.drain_timeout)
                     return
                 carry_out(command=command, handlers=self.handlers)
         except Exception:  # noqa: BLE001 - any exception of the owner is logged and ends the process
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -4,25 +4,23 @@
 
 import functools
 import itertools
-import json
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 
 from sailward import constants
-from sailward.events import ClientDisconnected, RequestReceived, Respond
+from sailward.events import ClientDisconnected, Respond
 from sailward.routing.plan import Limits
 from sailward.runtime.logs import write_log
 from sailward.runtime.reactor import Reactor
 from sailward.transport.http_server_departures import DepartureCounts, check_departures
-from sailward.transport.http_server_head import Refused, write_response
+from sailward.transport.http_server_head import ABANDONED, STOPPING, Refused, refusal_answer, write_response
 from sailward.transport.http_server_listener import Listener
 from sailward.transport.http_server_state import Connection, Exchange
 from sailward.transport.http_server_states import count_states
-from sailward.transport.http_server_timing import TimeoutVerdict, check_timeouts
+from sailward.transport.http_server_timing import SLOW_REQUEST_REASONS, TimeoutVerdict, check_timeouts
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-SLOW_REQUEST_REASONS = {TimeoutVerdict.HEAD_TOO_SLOW: "head too slow", TimeoutVerdict.BODY_TOO_SLOW: "body too slow"}
-"""The error text of a 408 response, by the part of the request that came too slowly."""
 
 
 class HttpServer:
@@ -53,7 +51,7 @@
         self._connections: set[Connection] = set()
         self._pending: dict[str, tuple[Connection, Exchange]] = {}
         self._open = 0
-        self._is_draining = False
+        self._is_draining = self._is_refusing = False
         self.departures = DepartureCounts()
         self._departures_logged = DepartureCounts()
         self._listener = Listener(reactor=reactor, address=address, on_accepted=self._accept)
@@ -93,6 +91,24 @@
         """Stop accepting connections."""
         self._listener.close()
 
+    def refuse_requests(self) -> None:
+        """Answer 503 to each request that becomes complete from now on."""
+        self._is_refusing = True
+
+    def abandon_requests(self) -> None:
+        """Answer each request that was delivered and not answered: there is no owner any more."""
+        for token in list(self._pending):
+            self.answer(command=replace(refusal_answer(refused=ABANDONED), token=token))
+
+    def refuse_unfinished(self) -> None:
+        """Answer 503 to each request that is not complete by now, and close connections without a request."""
+        for connection in list(self._connections):
+            self._read(connection=connection)
+            if connection.is_idle():
+                self._close(connection=connection)
+            elif not connection.is_ending:
+                self._refuse(connection=connection, refused=STOPPING)
+
     def open_count(self) -> int:
         """Requests whose head has been read and whose response is not completely written."""
         return self._open
@@ -208,6 +224,9 @@
         return True
 
     def _deliver_request(self, *, connection: Connection, body: bytes) -> None:
+        if self._is_refusing:
+            self._refuse(connection=connection, refused=STOPPING)
+            return
         exchange, connection.reading = connection.reading, None
         connection.awaits_continue = False
         head, exchange.head.parser = exchange.head, None
@@ -217,17 +236,7 @@
             connection.is_ending = True
             connection.reader.clear()
         self._pending[exchange.token] = (connection, exchange)
-        self._deliver(
-            RequestReceived(
-                token=exchange.token,
-                method=head.method,
-                path=head.path,
-                query=head.query,
-                headers=head.headers,
-                body=body,
-                target=head.target,
-            )
-        )
+        self._deliver(exchange.received(head=head, body=body))
 
     def _refuse(self, *, connection: Connection, refused: Refused) -> None:
         if connection.is_closed:
@@ -237,12 +246,7 @@
             exchange = Exchange()
             connection.exchanges.append(exchange)
             self._open += 1
-        headers = {"Content-Type": "application/json"}
-        if refused.code == 408:
-            headers["Retry-After"] = str(constants.HTTP_SERVER_RETRY_AFTER)
-        exchange.answer = Respond(
-            token="", code=refused.code, headers=headers, body=json.dumps({"error": refused.reason}).encode()
-        )
+        exchange.answer = refusal_answer(refused=refused)
         exchange.is_last = connection.is_ending = True
         connection.awaits_continue = False
         connection.reader.clear()
--- a/sailward/transport/http_server_head.py
+++ b/sailward/transport/http_server_head.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import http
+import json
 import re
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
 import h11
 
+from sailward import constants
+from sailward.events import Respond
+
 HEAD_END = b"\r\n\r\n"
 """The end of a request's head."""
 
@@ -158,6 +162,20 @@
             raise Refused(code=400, reason="malformed trailer")
 
 
+STOPPING = Refused(code=503, reason="stopping")
+"""The refusal of a request that becomes complete after the server has stopped taking requests."""
+ABANDONED = Refused(code=502, reason="stopping")
+"""The refusal of a request that the owner has not answered at its end: it may have run."""
+
+
+def refusal_answer(*, refused: Refused) -> Respond:
+    """The server's own answer to a request that does not reach the owner; some say when to come back."""
+    headers = {"Content-Type": "application/json"}
+    if refused.code in (408, 503):
+        headers["Retry-After"] = str(constants.HTTP_SERVER_RETRY_AFTER)
+    return Respond(token="", code=refused.code, headers=headers, body=json.dumps({"error": refused.reason}).encode())
+
+
 def write_response(
     *, code: int, headers: dict, body: bytes, is_closing: bool, is_head: bool, idle_wait: float
 ) -> bytes:
--- a/sailward/transport/http_server_listener.py
+++ b/sailward/transport/http_server_listener.py
@@ -35,7 +35,8 @@
         self._reactor.watch(sock=self._socket, readable=self._accept)
 
     def close(self) -> None:
-        """Stop accepting connections."""
+        """Accept the connections that wait, then no more: closing the socket would reset them."""
+        self._accept()
         if self._socket is not None:
             self._reactor.watch(sock=self._socket)
             self._socket.close()
--- a/sailward/transport/http_server_state.py
+++ b/sailward/transport/http_server_state.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from sailward import constants
-from sailward.events import Respond
+from sailward.events import RequestReceived, Respond
 from sailward.transport.http_server_head import Head
 from sailward.transport.http_server_reading import RequestReader
 
@@ -26,6 +26,18 @@
     is_last: bool = False
     is_reported: bool = False
 
+    def received(self, *, head: Head, body: bytes) -> RequestReceived:
+        """The event that delivers this request to the owner."""
+        return RequestReceived(
+            token=self.token,
+            method=head.method,
+            path=head.path,
+            query=head.query,
+            headers=head.headers,
+            body=body,
+            target=head.target,
+        )
+
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class Connection:
--- a/sailward/transport/http_server_timing.py
+++ b/sailward/transport/http_server_timing.py
@@ -19,6 +19,10 @@
     BODY_TOO_SLOW = enum.auto()
 
 
+SLOW_REQUEST_REASONS = {TimeoutVerdict.HEAD_TOO_SLOW: "head too slow", TimeoutVerdict.BODY_TOO_SLOW: "body too slow"}
+"""The error text of a 408 response, by the part of the request that came too slowly."""
+
+
 def check_timeouts(*, connection: Connection, now: float, limits: Limits, is_draining: bool) -> TimeoutVerdict:
     """Check a connection's time-outs; `now` is a time on the reactor's clock."""
     silent_seconds = now - connection.active_at
--- a/tests/test_http_server_connections.py
+++ b/tests/test_http_server_connections.py
@@ -165,6 +165,52 @@
     assert edge.answer(edge.wait(RequestReceived, 1)[0]) and Reader(sock).response()[0] == 200
 
 
+def test_requests_that_become_complete_after_the_owner_has_stopped_are_refused(edge):
+    early, partial = edge.connect(), edge.connect()
+    early.sendall(get())
+    [received] = edge.wait(RequestReceived, 1)
+    partial.sendall(get(more="Content-Length: 2\r\n", method="POST") + b"a")
+    edge.wait_until(lambda: edge.server.open_count() == 2)
+    edge.on_reactor(edge.server.refuse_requests)
+    partial.sendall(b"b")
+    code, headers, _ = Reader(partial).response()
+    assert (code, headers["connection"]) == (503, "close") and float(headers["retry-after"]) > 0
+    assert edge.answer(received) and Reader(early).response()[0] == 200
+    assert len(edge.wait(RequestReceived, 1)) == 1
+
+
+@pytest.mark.parametrize("sent", [b"GET /", get(more="Content-Length: 2\r\n", method="POST")], ids=["head", "body"])
+def test_requests_that_stay_incomplete_are_refused_at_the_end(edge, sent: bytes):
+    partial, fresh = edge.connect(), edge.connect()
+    partial.sendall(sent)
+    edge.wait_until(lambda: edge.server.connection_count() == 2)
+    edge.settle()
+    edge.on_reactor(edge.server.refuse_unfinished)
+    assert Reader(partial).response()[0] == 503
+    assert Reader(fresh).is_ended()
+
+
+def test_requests_that_the_owner_has_abandoned_get_no_promise(edge):
+    sock = edge.connect()
+    sock.sendall(get())
+    [received] = edge.wait(RequestReceived, 1)
+    edge.on_reactor(edge.server.abandon_requests)
+    assert Reader(sock).response()[0] == 502
+    assert not edge.answer(received)
+
+
+def test_connections_that_wait_to_be_accepted_are_accepted_before_the_listener_closes(edge):
+    def connect_and_close() -> socket.socket:
+        # the reactor is busy here, so that the connection waits in the operating system's queue
+        sock = edge.connect()
+        edge.server.close_listener()
+        return sock
+
+    sock = edge.on_reactor(connect_and_close)
+    sock.sendall(get())
+    assert edge.answer(edge.wait(RequestReceived, 1)[0]) and Reader(sock).response()[0] == 200
+
+
 def test_caller_that_never_reads_is_dropped(edge, monkeypatch):
     monkeypatch.setattr(constants, "HTTP_SERVER_WRITE_IDLE_TIMEOUT", 0.1)
     sock = edge.connect()
