A stopping proxy leaves idle kept connections to their next answer until its listener closes

What callers saw: at SIGTERM every idle kept connection was closed at once, and requests that crossed the close ended without an answer; the rule leaves them out, and a caller can't repeat an order after it. Cause: idle connections were closed when clients use them most, before any directory's answer had changed. Fix: until the listener closes, a kept connection stays open; its next answer closes it, and clients that ask a directory again leave it alone. Both tests fail before.

--- a/sailward/events.py
+++ b/sailward/events.py
@@ -178,7 +178,7 @@
 class DrainConnections:
     """End each client connection after its next answer.
 
-    With `shut`, also accept no new connections, and answer 503 to each request that becomes complete from now on.
+    With `shut`, also close idle ones, accept no new ones, and answer 503 to each request that becomes complete.
     """
 
     shut: bool = False
--- a/sailward/programs/hosted_proxy.py
+++ b/sailward/programs/hosted_proxy.py
@@ -31,7 +31,8 @@
     def drain(command: DrainConnections) -> None:
         for edge, listener in listeners.items():
             write_log(event="draining", fields={"edge": edge, "shut": command.shut, **listener.states()})
-            listener.drain()
+            # clients that still hold this address use their idle connections: the next answer closes them
+            listener.drain(close_idle=command.shut)
             if command.shut:
                 listener.close_listener()
                 listener.refuse_requests()
--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -51,7 +51,7 @@
         self._connections: set[Connection] = set()
         self._pending: dict[str, tuple[Connection, Exchange]] = {}
         self._open = 0
-        self._is_draining = self._is_refusing = False
+        self._is_draining = self._closes_idle = self._is_refusing = False
         self.departures = DepartureCounts()
         self._departures_logged = DepartureCounts()
         self._listener = Listener(reactor=reactor, address=address, on_accepted=self._accept)
@@ -70,12 +70,12 @@
         self._flush(connection=connection)
         return not connection.is_closed
 
-    def drain(self) -> None:
-        """Close each connection after the requests delivered from it are answered; close idle ones now.
+    def drain(self, *, close_idle: bool = True) -> None:
+        """Close each connection after the requests delivered from it are answered; with `close_idle`, idle ones now.
 
         New connections are still accepted.
         """
-        self._is_draining = True
+        self._is_draining, self._closes_idle = True, close_idle
         for connection in list(self._connections):
             delivered = [exchange for exchange in connection.exchanges if exchange is not connection.reading]
             if delivered:
@@ -84,7 +84,7 @@
                 self._update(connection=connection)
             elif connection.reading is not None:
                 connection.reading.is_last = True
-            elif connection.is_idle() and connection.has_requested:
+            elif close_idle and connection.is_idle() and connection.has_requested:
                 self._reactor.call_soon(callback=functools.partial(self._close_idle, connection=connection))
 
     def close_listener(self) -> None:
@@ -380,7 +380,7 @@
         now, limits = self._reactor.clock(), self._limits()
         for connection in list(self._connections):
             self._check_invariants(connection=connection)
-            verdict = check_timeouts(connection=connection, now=now, limits=limits, is_draining=self._is_draining)
+            verdict = check_timeouts(connection=connection, now=now, limits=limits, is_draining=self._closes_idle)
             if verdict is TimeoutVerdict.CLOSE:
                 self._close(connection=connection)
             elif verdict is TimeoutVerdict.CLOSE_IDLE:
--- a/tests/test_http_server_connections.py
+++ b/tests/test_http_server_connections.py
@@ -155,6 +155,19 @@
     assert Reader(sock).is_ended()
 
 
+def test_draining_may_leave_idle_connections_to_their_next_answer(edge):
+    sock = edge.connect()
+    reader = Reader(sock)
+    sock.sendall(get())
+    edge.answer(edge.wait(RequestReceived, 1)[0])
+    reader.response()
+    edge.on_reactor(lambda: edge.server.drain(close_idle=False))
+    edge.pass_time(seconds=constants.HTTP_SERVER_FIRST_REQUEST_GRACE + constants.HTTP_SERVER_SWEEP_INTERVAL)
+    sock.sendall(get())
+    edge.answer(edge.wait(RequestReceived, 2)[1])
+    assert reader.response()[1]["connection"] == "close" and reader.is_ended()
+
+
 def test_closed_listener_takes_no_more(edge):
     sock = edge.connect()
     edge.wait_until(lambda: edge.server.connection_count() == 1)
--- a/tests/test_stop_real.py
+++ b/tests/test_stop_real.py
@@ -77,6 +77,20 @@
         writer.transport.abort()
         return attempts
 
+    async def keep(self, *, times: list[float]) -> list[Attempt]:
+        """Send a request at each of these times after SIGTERM, all on one connection."""
+        reader, writer = await self._connect(at=times[0])
+        attempts = []
+        for at in times:
+            await asyncio.sleep(max(0.0, self.stop.at + at - time.monotonic()))
+            attempt, data = self.callers.make_request(kind="kept", front=self.stop.front, work=0.0, is_safe=True)
+            attempts.append(attempt)
+            await self.callers.send(writer=writer, pieces=[data], attempts=[attempt])
+            if not await self.callers.read(reader=reader, attempt=attempt):
+                break
+        writer.transport.abort()
+        return attempts
+
     async def _connect(self, *, at: float) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         await asyncio.sleep(max(0.0, self.stop.at + at - time.monotonic()))
         host, _, port = self.stop.front.rpartition(":")
@@ -120,6 +134,13 @@
     assert [attempt.code for attempt in attempts] == [200] * 5
 
 
+def test_a_kept_connection_is_used_once_more_after_sigterm(tmp_path: Path) -> None:
+    proxy = StoppedProxy(folder=tmp_path)
+    kept = proxy.play(clients=[lambda at=at: proxy.keep(times=[-0.3, at, at + 0.2]) for at in (0.3, 1.0, 2.5)])
+    assert not proxy.violations()
+    assert [[attempt.code for attempt in attempts] for attempts in kept] == [[200, 200]] * 3
+
+
 def test_a_repeated_sigterm_does_not_prolong_the_stop_into_the_kill(tmp_path: Path) -> None:
     proxy = StoppedProxy(folder=tmp_path)
     attempts = proxy.play(clients=[lambda: proxy.send(at=0.5, until=0.5, work=20.0)], term_again_at=2.0)
