A stopping tenant proxy answers what no worker has answered at the end of its grace period

What callers saw: at the end of the grace period the product's own proxy ended without an answer to requests that waited, claimed their key or were at a worker.

--- a/sailward/proxy/tenant_proxy.py
+++ b/sailward/proxy/tenant_proxy.py
@@ -331,7 +331,10 @@
             self.stopping = STOPPING.step(state=self.stopping, event="left")
         event = "grace_over" if now >= self.stop_deadline else "all_done" if not self.proxied_requests.live else ""
         self.stopping = STOPPING.step(state=self.stopping, event=event)
-        return [ExitProcess(code=0)] if self.stopping == "over" else []
+        if self.stopping != "over":
+            return []
+        time_left = max(0.0, self.stop_deadline - now)
+        return [*self.proxied_requests.end_all(now=now), ExitProcess(code=0, drain_timeout=time_left)]
 
     def _build_status(self, *, now: float) -> dict:
         workers = {key: probed.state for key, probed in self.routing_state.prober.probed.items()}
--- a/sailward/routing/proxied_requests.py
+++ b/sailward/routing/proxied_requests.py
@@ -26,6 +26,14 @@
 from sailward.routing.shards_in_use import ShardsInUse
 from sailward.wire_types import Message
 
+NO_ROOM = Refusal(code=503, reason="no-room", detail="every worker that may serve is at its bound")
+CLAIMS_IN_DOUBT = Refusal(
+    code=503,
+    reason="claims-in-doubt",
+    detail="the core lost claims: an exchange that may have been sent before is not sent on until their life is over",
+)
+NO_LEASE = Refusal(code=503, reason="no-lease", detail="this proxy is cut off from the core")
+
 
 @dataclass(kw_only=True)
 class ProxiedRequests:
@@ -97,6 +105,14 @@
         refusal = self._refuse(request=request, reason="caller-left", detail="its connection was closed")
         return [*(CancelCall(token=call) for call in in_flight), refusal]
 
+    def end_all(self, *, now: float) -> list[Command]:
+        """Answer all requests that are left because the process is stopping."""
+        self.now = now
+        return [
+            self._refuse(request=request, refusal=Refusal(code=504 if request.is_sent else 503, reason="stopping"))
+            for request in list(self.live.values())
+        ]
+
     def _on_request(self, *, now: float, event: RequestReceived, is_acting: bool) -> tuple[list, list]:
         self.count += 1
         request = build_proxied_request(
@@ -109,9 +125,9 @@
         is_not_run = may_promise_not_run(event=event)
         if not is_acting and not (isinstance(request, Refusal) and request.code == 413):
             # without a lease the configuration may be stale, so that even "no such tenant" could be wrong
-            request = Refusal(code=503, reason="no-lease", detail="this proxy is cut off from the core")
+            request = NO_LEASE
         if isinstance(request, Refusal):
-            self._count_refusal(reason=request.reason)
+            self.tally[f"refused-{request.reason}"] += 1
             if request.code == 503 and event.headers.get("sailward-try", "1") == "1":
                 self.attempt_budget.credit(now=now)
             return [answer_refusal(token=event.token, refusal=request, is_not_run=is_not_run)], []
@@ -145,14 +161,11 @@
         else:
             request.charged_to = self.attempt_budget.step(now=now, is_first=not is_retry, is_client_retry=True)
         if not is_replay and not request.charged_to:
-            detail = "repeats are over their share of the traffic"
-            return self._refuse(request=request, reason="too-many-repeats", detail=detail)
+            refusal = Refusal(code=503, reason="too-many-repeats", detail="repeats are over their share of the traffic")
+            return self._refuse(request=request, refusal=refusal)
         is_unclaimed_retry = request.is_unsafe and cached is None and request.try_number != 1
-        if is_unclaimed_retry and self.load_balancer.routing_state.has_unknown_outcomes(now=now):
-            detail = "the core lost claims: an exchange that may have been sent before "
-            detail += "is not sent on until their life is over"
-            return self._refuse(request=request, reason="claims-in-doubt", detail=detail)
-        return None
+        in_doubt = is_unclaimed_retry and self.load_balancer.routing_state.has_unknown_outcomes(now=now)
+        return self._refuse(request=request, refusal=CLAIMS_IN_DOUBT) if in_doubt else None
 
     def _dispatch(self, *, now: float, request: ProxiedRequest) -> tuple[list, list] | None:
         """Select a worker, claim the key if the request is unsafe, and forward; None to wait for worker capacity."""
@@ -337,7 +350,7 @@
         self, *, request: ProxiedRequest, reason: str = "", detail: str = "", refusal: Refusal | None = None
     ) -> Respond:
         refusal = refusal or Refusal(code=503, reason=reason, detail=detail)
-        self._count_refusal(reason=refusal.reason)
+        self.tally[f"refused-{refusal.reason}"] += 1
         if request.charged_to and request.attempts == 0:
             self.attempt_budget.refund(now=self.now, charged_to=request.charged_to, adds_load=refusal.code != 503)
             request.charged_to = ""
@@ -355,9 +368,6 @@
         if cached is not None and cached.state == "running":
             cached.state = "unsent"
 
-    def _count_refusal(self, *, reason: str) -> None:
-        self.tally[f"refused-{reason}"] += 1
-
     def _dispatch_waiting(self, *, now: float, is_acting: bool) -> tuple[list, list]:
         commands, operations, blocked = [], [], set()
         while is_acting and len(self.in_flight) < constants.MAX_OPEN_EXCHANGES:
@@ -379,19 +389,9 @@
         commands: list[Command] = []
         for request in list(self.live.values()):
             if request.state == "waiting" and (not is_acting or now - request.arrived_at >= constants.QUEUE_TIMEOUT):
-                reason = "no-room" if is_acting else "no-lease"
-                commands.append(
-                    self._refuse(
-                        request=request,
-                        reason=reason,
-                        detail="every worker that may serve is at its bound"
-                        if is_acting
-                        else "this proxy is cut off from the core",
-                    )
-                )
+                commands.append(self._refuse(request=request, refusal=NO_ROOM if is_acting else NO_LEASE))
             elif now >= request.expires_at:
-                refusal = Refusal(code=504, reason="expired")
-                commands.append(self._refuse(request=request, refusal=refusal))
+                commands.append(self._refuse(request=request, refusal=Refusal(code=504, reason="expired")))
         for token, deadline in list(self.call_deadlines.items()):
             if now >= deadline:
                 # the end of the call was never reported; whether the request ran is unknown
