The product's own daemons answer whatever they read whole before they end

What callers saw: an upload that was under way when sailward-proxy stopped taking requests was closed without an answer; an answer that was being written could be cut 0.05 s later. Fix: a request counts as open from its head to the last byte of its answer; the process waits for these as long as its grace period lasts, and the server itself answers 503 when the owner has ended (with not-run where that may be promised). What the owner left gets 502.

--- a/sailward/programs/controller.py
+++ b/sailward/programs/controller.py
@@ -64,7 +64,7 @@
     edges = start_edges(
         settings=settings, loop=loop, max_body_bytes=constants.MAX_CONFIG_BYTES, has_http_client=True, disk=disk
     )
-    end_process(code=loop.run(step=owner.step), http_server=edges.http_server)
+    end_process(last=loop.run(step=owner.step), http_server=edges.http_server)
 
 
 if __name__ == "__main__":
--- a/sailward/programs/directory.py
+++ b/sailward/programs/directory.py
@@ -46,7 +46,7 @@
         location=make_location(settings=settings, kind="directory"), start=make_start_number(), rng=random.Random(nonce)
     )
     edges = start_edges(settings=settings, loop=loop, max_body_bytes=constants.MAX_BODY_BYTES, has_http_client=False)
-    end_process(code=loop.run(step=owner.step), http_server=edges.http_server)
+    end_process(last=loop.run(step=owner.step), http_server=edges.http_server)
 
 
 if __name__ == "__main__":
--- a/sailward/runtime/loop.py
+++ b/sailward/runtime/loop.py
@@ -44,8 +44,8 @@
         """Queue an event for the owner."""
         self.events.put(event)
 
-    def run(self, *, step: Callable) -> int:
-        """Run the owner until it stops; returns the exit code."""
+    def run(self, *, step: Callable) -> ExitProcess:
+        """Run the owner until it stops; returns its last command."""
         signal.signal(signal.SIGTERM, lambda *_: self.deliver(ShutdownRequested()))
         signal.signal(signal.SIGINT, lambda *_: self.deliver(ShutdownRequested()))
         tick_at = time.monotonic()
@@ -65,11 +65,11 @@
                 for command in commands:
                     if isinstance(command, ExitProcess):
                         write_log(event="stopped", fields={"code": command.code})
-                        return command.code
+                        return command
                     carry_out(command=command, handlers=self.handlers)
             except Exception:  # noqa: BLE001 - any exception of the owner is logged and ends the process
                 self.journal.write_fault(event=event)
-                return constants.EXIT_FAULT
+                return ExitProcess(code=constants.EXIT_FAULT)
 
 
 class CallMaker(Protocol):
@@ -82,13 +82,29 @@
         """Cancel a call."""
 
 
+class RequestServer(Protocol):
+    """An edge that receives requests, and serves them to their end when the owner has ended."""
+
+    def answer(self, *, command: Respond) -> None:
+        """Answer a request."""
+
+    def refuse_requests(self) -> None:
+        """Answer what becomes complete from now on without the owner."""
+
+    def abandon_requests(self) -> None:
+        """Answer what waits for the owner."""
+
+    def open_count(self) -> int:
+        """Requests that are not answered."""
+
+
 @dataclass(kw_only=True)
 class Edges:
     """The edges of one process."""
 
     loop: Loop
     message_transport: object
-    http_server: object
+    http_server: RequestServer
     calls: CallMaker | None = None
     disk: object | None = None
     checks: ThreadPoolExecutor | None = None
@@ -130,11 +146,15 @@
     threads.submit(guard)
 
 
-def end_process(*, code: int, http_server: object) -> None:
-    """Wait until the last answers are written, then end the process."""
-    end = time.monotonic() + constants.FLUSH_TIMEOUT
-    http_server.close_after_answers()
+def end_process(*, last: ExitProcess, http_server: RequestServer) -> None:
+    """Wait until the HTTP server's requests are answered, for the time that the owner's last command allows.
+
+    Then end the process.
+    """
+    end = time.monotonic() + last.drain_timeout + constants.FLUSH_TIMEOUT
+    http_server.refuse_requests()
     while http_server.open_count() and time.monotonic() < end:
+        http_server.abandon_requests()
         time.sleep(0.01)
     time.sleep(0.05)
-    os._exit(code)
+    os._exit(last.code)
--- a/sailward/transport/wsgi_server.py
+++ b/sailward/transport/wsgi_server.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import json
 import select
 import socket
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from http import HTTPStatus
@@ -20,6 +21,7 @@
 import sailward
 from sailward import constants
 from sailward.events import ClientDisconnected, RequestReceived, Respond
+from sailward.routing.proxied_request import Refusal, answer_refusal, may_promise_not_run
 from sailward.runtime.logs import write_log
 from sailward.transport.address import split_address
 
@@ -31,6 +33,7 @@
     timeout = constants.HTTP_SERVER_IDLE_TIMEOUT
     disable_nagle_algorithm = True
     wbufsize = -1
+    server: PoolServer
 
     def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
         """Log nothing: the owner logs requests."""
@@ -62,6 +65,11 @@
             self.wfile.write(body)
         self.wfile.flush()
 
+    def run_wsgi(self) -> None:
+        """Serve the request whose head has been read, until its answer is written."""
+        with self.server.count_exchange():
+            super().run_wsgi()
+
 
 class PoolServer(BaseWSGIServer):
     """A WSGI server whose connections are served by a bounded pool of threads."""
@@ -72,8 +80,21 @@
     def __init__(self, *, host: str, port: int, app: Callable, threads: ThreadPoolExecutor) -> None:
         self._threads = threads
         self._capacity = threading.BoundedSemaphore(constants.HTTP_SERVER_THREADS)
+        self._lock = threading.Lock()
+        self.open_exchanges = 0
         super().__init__(host, port, app, handler=Handler)
 
+    @contextlib.contextmanager
+    def count_exchange(self) -> Iterator[None]:
+        """Count a request as open while it is served."""
+        with self._lock:
+            self.open_exchanges += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self.open_exchanges -= 1
+
     def process_request(self, request, client_address) -> None:
         """Serve a connection on a thread of the pool, or close it at once if no thread is free."""
         if not self._capacity.acquire(blocking=False):
@@ -100,7 +121,7 @@
         self._deliver, self._max_body_bytes = deliver, max_body_bytes
         self._waiting: dict[str, Future[Respond]] = {}
         self._count = itertools.count(1)
-        self._is_closing = False
+        self._is_refusing = False
         host, port = split_address(address=address)
         self._server = PoolServer(host=host, port=port, app=self._serve, threads=threads)
 
@@ -114,13 +135,19 @@
         if future is not None:
             future.set_result(command)
 
-    def close_after_answers(self) -> None:
-        """Close each connection after its next answer."""
-        self._is_closing = True
+    def refuse_requests(self) -> None:
+        """Answer each request that becomes complete from now on without the owner, which has ended."""
+        self._is_refusing = True
+
+    def abandon_requests(self) -> None:
+        """Answer the requests that wait for the owner, which has ended: they may have run."""
+        for token in list(self._waiting):
+            refusal = Refusal(code=502, reason="stopping", detail="this process has ended")
+            self.answer(command=answer_refusal(token=token, refusal=refusal, is_not_run=False))
 
     def open_count(self) -> int:
-        """Requests that wait for an answer."""
-        return len(self._waiting)
+        """Requests whose head has been read and whose answer is not written."""
+        return self._server.open_exchanges
 
     def _serve(self, environ: dict, start_response: Callable) -> list[bytes]:
         request = Request(environ)
@@ -132,32 +159,36 @@
             body = None
         except (HTTPException, OSError) as error:
             raise ConnectionError("the client disconnected before its request was complete") from error
-        future: Future[Respond] = Future()
-        self._waiting[token] = future
-        headers = {name.lower(): value for name, value in request.headers.items()}
-        self._deliver(
-            RequestReceived(
-                token=token,
-                method=request.method,
-                path=request.path,
-                query=request.args.to_dict(),
-                headers=headers,
-                body=body,
-            )
+        received = RequestReceived(
+            token=token,
+            method=request.method,
+            path=request.path,
+            query=request.args.to_dict(),
+            headers={name.lower(): value for name, value in request.headers.items()},
+            body=body,
         )
-        try:
-            answer = self._wait_for_answer(future=future, token=token, sock=environ.get("werkzeug.socket"))
-        except FutureTimeoutError:
-            self._waiting.pop(token, None)
-            text = json.dumps({"error": "no-answer", "detail": "the owner gave none", "ran": "unknown"}).encode()
-            answer = Respond(token=token, code=500, body=text, headers={"Sailward-Ran": "unknown"})
+        answer = self._ask_owner(event=received, sock=environ.get("werkzeug.socket"))
         response_headers = [(name, value) for name, value in answer.headers.items() if name.lower() != "content-length"]
         response_headers.append(("Content-Length", str(len(answer.body))))
-        if body is None or self._is_closing:
+        if body is None:
             response_headers.append(("Connection", "close"))
         start_response(f"{answer.code} {_phrase(code=answer.code)}", response_headers)
         return [b"" if request.method == "HEAD" else answer.body]
 
+    def _ask_owner(self, *, event: RequestReceived, sock: socket.socket | None) -> Respond:
+        if self._is_refusing:
+            refusal = Refusal(code=503, reason="stopping", detail="this process is stopping: ask another one")
+            return answer_refusal(token=event.token, refusal=refusal, is_not_run=may_promise_not_run(event=event))
+        future: Future[Respond] = Future()
+        self._waiting[event.token] = future
+        self._deliver(event)
+        try:
+            return self._wait_for_answer(future=future, token=event.token, sock=sock)
+        except FutureTimeoutError:
+            self._waiting.pop(event.token, None)
+            text = json.dumps({"error": "no-answer", "detail": "the owner gave none", "ran": "unknown"}).encode()
+            return Respond(token=event.token, code=500, body=text, headers={"Sailward-Ran": "unknown"})
+
     def _wait_for_answer(self, *, future: Future[Respond], token: str, sock: socket.socket | None) -> Respond:
         """Wait for the owner's answer; the owner is notified once if the client closes its connection meanwhile.
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -286,6 +286,6 @@
     start_logs(level="info", name="x")
     for kind in ("first", "last"):
         loop.deliver(MessageReceived(sender="a:1", body={"kind": kind}))
-    assert loop.run(step=step) == constants.EXIT_FAULT
+    assert loop.run(step=step).code == constants.EXIT_FAULT
     lines = [line for line in capfd.readouterr().err.splitlines() if "event=journal" in line]
     assert ["kind=first" in lines[0], "kind=last" in lines[-1]] == [True, True]
