A server that refuses what is unfinished adds nothing behind an answer that is still being written

Found by reading: a connection whose answer was unwritten at the end of the grace period, and that had no further request, would have got a 503 that belongs to no request. Fix: only a request that has begun and is not complete is refused; any other connection closes after what it has to write. Test, seen to fail first: an unwritten answer is the last thing on its connection.

--- a/sailward/transport/http_server.py
+++ b/sailward/transport/http_server.py
@@ -106,8 +106,9 @@
             self._read(connection=connection)
             if connection.is_idle():
                 self._close(connection=connection)
-            elif not connection.is_ending:
+            elif connection.is_receiving() and not connection.is_ending:
                 self._refuse(connection=connection, refused=STOPPING)
+            connection.is_ending = True
 
     def open_count(self) -> int:
         """Requests whose head has been read and whose response is not completely written."""
--- a/sailward/transport/http_server_state.py
+++ b/sailward/transport/http_server_state.py
@@ -87,6 +87,10 @@
         """Whether nothing is buffered, unanswered or unwritten."""
         return not (self.exchanges or self.outgoing or self.reader.has_bytes or self.is_ending)
 
+    def is_receiving(self) -> bool:
+        """Whether a request has begun and is not complete."""
+        return self.reading is not None or self.reader.has_bytes
+
     def may_advance(self) -> bool:
         """Whether there are buffered bytes that may begin a further request."""
         return self.reader.has_bytes and self.reading is None and not (self.is_advancing or self.is_ending)
--- a/tests/test_http_server_connections.py
+++ b/tests/test_http_server_connections.py
@@ -203,6 +203,15 @@
     assert Reader(fresh).is_ended()
 
 
+def test_an_unwritten_answer_is_the_last_thing_on_its_connection(edge):
+    sock = edge.connect()
+    sock.sendall(get())
+    edge.answer(edge.wait(RequestReceived, 1)[0], body=b"a" * (16 << 20))
+    edge.on_reactor(edge.server.refuse_unfinished)
+    reader = Reader(sock)
+    assert len(reader.response()[2]) == 16 << 20 and reader.is_ended()
+
+
 def test_requests_that_the_owner_has_abandoned_get_no_promise(edge):
     sock = edge.connect()
     sock.sendall(get())
