--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,11 +12,13 @@
 import pytest
 import yaml
 
+from sailward import constants
 from sailward.runtime.adapter import load_part
 
 FOLDER = Path(__file__).parent.parent / "platform"
 SETTINGS = load_part(folder=FOLDER, name="settings")
 HOSTING = load_part(folder=FOLDER, name="hosting")
+RUN_PROXY = load_part(folder=FOLDER, name="run_proxy")
 GIVEN = {
     "node_name": "edge-1",
     "role": "proxy",
@@ -181,3 +183,12 @@
         assert isinstance(SETTINGS.read_settings(role="controller", path=str(path)), SETTINGS.BadSettings)
     finally:
         path.chmod(stat.S_IRUSR | stat.S_IWUSR)
+
+
+@pytest.mark.parametrize("grace", [4, 6, 10])
+def test_a_stopping_proxy_takes_only_requests_that_may_be_broken_off_when_it_ends(tmp_path: Path, grace: int) -> None:
+    """Those sent within half of the grace period by the platform's count, which begins before the signal arrives."""
+    settings = SETTINGS.read_settings(role="proxy", path=write(tmp_path, changed("bounds.grace_s", grace)))
+    options = RUN_PROXY.options_of(settings=settings)
+    assert options.deregistration_delay + 2 * constants.TICK_INTERVAL < grace / 2
+    assert options.stop_grace + constants.FLUSH_TIMEOUT + 2 * constants.TICK_INTERVAL < grace
