The test of the deploy file's packages knows the loader of arm64

On arm64 ldd names ld-linux-aarch64.so.1 where x86-64 has ld-linux-x86-64.so.2; both come with libc6.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -22,6 +22,7 @@
     "libc.so.6": "libc6",
     "libpthread.so.0": "libc6",
     "ld-linux-x86-64.so.2": "libc6",
+    "ld-linux-aarch64.so.1": "libc6",
     "libgcc_s.so.1": "libgcc-s1",
 }
 """The package of each shared library that the wheels load; linux-vdso comes from the kernel, not from a package."""
