--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -20,6 +20,7 @@
 """Packages that pip needs to reach a registry over TLS."""
 LIBRARIES = {
     "libc.so.6": "libc6",
+    "libdl.so.2": "libc6",
     "libpthread.so.0": "libc6",
     "ld-linux-x86-64.so.2": "libc6",
     "ld-linux-aarch64.so.1": "libc6",
