--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from unittest import mock
 
 from sailward import constants
@@ -44,6 +45,17 @@
     return lambda: mock.patch.object(owner, name, make(getattr(owner, name)))
 
 
+@contextlib.contextmanager
+def _end_at_once() -> Iterator[None]:
+    """A stopping proxy neither waits for its requests nor answers those that are left: either alone drops none."""
+    requests = proxied_requests.ProxiedRequests
+    with (
+        mock.patch.object(constants, "STOP_GRACE", 0.0),
+        mock.patch.object(requests, "end_all", lambda self, *, now: []),
+    ):
+        yield
+
+
 def _reply_before_sync(old):
     def step(self, *, records, replies):
         return [*old(self, records=records, replies=[]), *replies]
@@ -179,7 +191,7 @@
     "drain": _constant("ZONE_DRAIN_THRESHOLD", -1.0),
     "spill": _constant("ZONE_SPILL_THRESHOLD", 1e-9),
     "hold": _constant("ZONE_HOLD_DOWN", 0.0),
-    "grace": _constant("STOP_GRACE", 0.0),
+    "grace": _end_at_once,
     "sync": _method(write_ahead.WriteAhead, "step", _reply_before_sync),
     "claim": _method(idempotency.Claims, "_on_request", _win_every_claim),
     "sticky": _method(endpoint_table.EndpointTable, "step", _forget_generations),
