--- a/review/8/run.py
+++ b/review/8/run.py
@@ -1,4 +1,4 @@
-"""A service that was once configured without `sharded` is never served again, also after the configuration is right."""
+"""Keys of a sharded service stay without an owner after the service was taken out and put back."""
 
 from __future__ import annotations
 
@@ -22,36 +22,41 @@
 )
 from support.fleet import wait_until  # noqa: E402 - the path must be set first
 
-MISTAKE_S = 5.0
-"""s for which the version with the mistake is in force."""
+GAP_S = 0.33
+"""s from one change to the next in a storm."""
+STORM_CHANGES = 12
+"""Changes in one storm, 4 s."""
+STORMS = 3
+REST_S = 6.0
+"""s after each storm."""
 APPLY_S = 2.5
 """`config_apply_s`."""
 CONTACT_S = 4.0
 """`contact_s`."""
-JUDGED_S = 30.0
+JUDGED_S = 25.0
 """s of calm that are judged."""
+WORKERS_IN_ZONE = 2
 FIRST, ADDED = "/notes/2f", "/stock/2f"
 
 
-def make_version(*, number: int, is_sharded: bool | None) -> dict:
-    """A version; the route of the sharded service is added later (None: not yet)."""
+def make_version(*, number: int, has_stock: bool) -> dict:
+    """A version with or without the route and the pool of the sharded service."""
     rules = [make_rule(name="r-notes", path="/notes/", kind="idempotent", service="catalogo")]
     pools = [make_pool(name="catalogo")]
-    if is_sharded is not None:
+    if has_stock:
         rules.append(make_rule(name="r-stock", path="/stock/", kind="idempotent", service="bodega"))
-        pools.append(make_pool(name="bodega", is_sharded=is_sharded))
+        pools.append(make_pool(name="bodega", is_sharded=True))
     return make_config(generation=f"r{number}", rules=rules, pools=pools)
 
 
-def change(*, deployment: Deployment, number: int, expected: int, is_sharded: bool) -> None:
+def change(*, deployment: Deployment, number: int, has_stock: bool) -> None:
     """Send a version until it is acknowledged."""
-    config = make_version(number=number, is_sharded=is_sharded)
+    config = make_version(number=number, has_stock=has_stock)
     names = deployment.fleet.names("controller")
 
     def is_taken() -> bool:
-        return any(
-            deployment.order("PUT", "/config", config, name=name, match=f"r{expected}")[0] == 200 for name in names
-        )
+        match = f"r{number - 2}"
+        return any(deployment.order("PUT", "/config", config, name=name, match=match)[0] == 200 for name in names)
 
     if not wait_until(is_taken, seconds=10):
         raise CannotRun(f"r{number} was not acknowledged")
@@ -62,10 +67,16 @@
     fleet = deployment.fleet
     for at, zone in enumerate(fleet.ips):
         deployment.add_worker(name=f"i-notes-{at}", service="catalogo", zone=zone, work_ms=20, options=("silent",))
-        deployment.add_worker(
-            name=f"i-stock-{at}", service="bodega", zone=zone, work_ms=20, is_sharded=True, options=("silent",)
-        )
-    deployment.start(config=make_version(number=5, is_sharded=None))
+        for part in range(WORKERS_IN_ZONE):
+            deployment.add_worker(
+                name=f"i-stock-{at}-{part}",
+                service="bodega",
+                zone=zone,
+                work_ms=20,
+                is_sharded=True,
+                options=("silent", "far"),
+            )
+    deployment.start(config=make_version(number=5, has_stock=True))
     is_over = False
     clients = [
         KeptConnection(
@@ -75,12 +86,18 @@
         for path in (FIRST, ADDED)
     ]
     threads = start_threads([functools.partial(client.run, until=lambda: is_over, pause=0.05) for client in clients])
-    time.sleep(2)
-    change(deployment=deployment, number=7, expected=5, is_sharded=not HAS_TROUBLE)
-    time.sleep(MISTAKE_S)
-    change(deployment=deployment, number=9, expected=7, is_sharded=True)
+    time.sleep(6)
+    number = 5
+    for storm in range(STORMS):
+        deployment.note(f"storm {storm}")
+        for at in range(STORM_CHANGES):
+            begun_at = time.monotonic()
+            number += 2
+            change(deployment=deployment, number=number, has_stock=at % 2 == 1 or not HAS_TROUBLE)
+            time.sleep(max(0.0, begun_at + GAP_S - time.monotonic()))
+        time.sleep(REST_S)
     judged_from = time.monotonic() + APPLY_S + CONTACT_S
-    deployment.note("r9 is acknowledged: the service is sharded, as its workers are; nothing is changed from here on")
+    deployment.note(f"r{number} has the service; nothing is changed from here on")
     time.sleep(APPLY_S + CONTACT_S + JUDGED_S)
     is_over = True
     for thread in threads:
--- a/review/support/worker.py
+++ b/review/support/worker.py
@@ -1,6 +1,8 @@
 """A worker as a process: keeps the rules of the page PROTOCOL, and writes what it ran to standard output.
 
-Usage: worker.py ADDRESS ID SERVICE WORK_MS SHARDED(0|1) [silent]
+Usage: worker.py ADDRESS ID SERVICE WORK_MS SHARDED(0|1) [silent] [far]
+
+`silent`: records no runs and grants. `far`: takes grants and releases 110 ms late, as from another region.
 
 After SIGUSR1 it says that it is well and answers each request at once with a 500 of its own, until SIGUSR2.
 """
@@ -128,6 +130,9 @@
             self._answer(code=200, headers=seal, body=f"ran {name}".encode())
 
     def _take_keys(self, *, target: str, given: dict) -> None:
+        if "far" in self._worker.options:
+            # both ways between two regions of the site
+            time.sleep(0.11)
         if target == "/grant":
             code, headers = self._worker.grant(given), {}
         else:
