--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -165,6 +165,20 @@
                     process.end_cause = f"signal {number} of the platform"
                 process.popen.send_signal(number)
 
+    def lose(self, *, zone: str) -> None:
+        """The machine of a zone loses power: its processes are killed, and not started until `regain`."""
+        for process in self.processes.values():
+            if process.settings["zone"] == zone:
+                with self._lock:
+                    process.is_wanted = False
+                self.signal(process.name, signal.SIGKILL)
+
+    def regain(self, *, zone: str) -> None:
+        """The machine of a zone is back with its disk."""
+        for process in self.processes.values():
+            if process.settings["zone"] == zone:
+                self.start(process.name)
+
     def pid(self, name: str) -> int | None:
         """The process id of a running process."""
         with self._lock:
