--- a/tests/test_extreme_numbers.py
+++ b/tests/test_extreme_numbers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 
 import pytest
@@ -89,3 +90,98 @@
 def test_any_weights_that_do_not_add_up_to_zero_are_accepted(method: str, split: list) -> None:
     expected = 200 if any(weight > 0 for _, weight in split) else 400
     assert send(document=make_document(split=split), method=method) == expected
+
+
+NAMES_OF_NUMBERS = (
+    "weight",
+    "deadline_s",
+    "max_tries",
+    "target_s",
+    "priority",
+    "max_conns",
+    "cold_s",
+    "cold_rate_s",
+    "warm_s",
+    "max_header_bytes",
+    "max_body_bytes",
+    "header_timeout_s",
+    "idle_timeout_s",
+)
+WHOLE = frozenset({"max_tries", "priority", "max_conns", "max_header_bytes", "max_body_bytes"})
+OVER_ZERO = frozenset({"deadline_s", "max_tries", "max_header_bytes", "header_timeout_s", "idle_timeout_s"})
+
+
+def make_full_document() -> dict:
+    """A document that has every number that the pages name."""
+    document = make_document()
+    document["pools"] = [{**pool, "cold_s": 3.0, "cold_rate_s": 6.0, "warm_s": 3.0} for pool in document["pools"]]
+    return document
+
+
+def paths_of_numbers(value: object, path: tuple = ()) -> list[tuple]:
+    """The paths of all numbers of a document."""
+    if isinstance(value, (dict, list)):
+        items = value.items() if isinstance(value, dict) else enumerate(value)
+        return [found for key, inner in items for found in paths_of_numbers(inner, (*path, key))]
+    return [path] if isinstance(value, (int, float)) and not isinstance(value, bool) else []
+
+
+def is_proper(*, name: str, number: float) -> bool:
+    """Do the pages allow this number under this name? Of weights, each alone."""
+    if number < 0 or (number == 0 and name in OVER_ZERO):
+        return False
+    return name not in WHOLE or float(number).is_integer()
+
+
+def test_the_document_has_every_number() -> None:
+    assert {path[-1] for path in paths_of_numbers(make_full_document())} == set(NAMES_OF_NUMBERS)
+
+
+@st.composite
+def documents(draw: st.DrawFn, *, has_improper: bool = False) -> dict:
+    """A document with one to all of its numbers replaced by extreme ones; proper ones unless `has_improper`."""
+    document = make_full_document()
+    paths = paths_of_numbers(document)
+    for path in draw(st.lists(st.sampled_from(paths), min_size=1, max_size=len(paths), unique=True)):
+        numbers = [*MAGNITUDES, -SMALLEST, -1, -LARGEST] if has_improper else MAGNITUDES
+        put(
+            document,
+            path,
+            draw(st.sampled_from([n for n in numbers if has_improper or is_proper(name=path[-1], number=n)])),
+        )
+    for listener in document["listeners"]:
+        for rule in listener["ruleset"]:
+            if not any(part["weight"] for part in rule["verdict"]["split_to"]):
+                rule["verdict"]["split_to"][0]["weight"] = draw(st.sampled_from(MAGNITUDES[1:]))
+    return document
+
+
+# Guards against a proper configuration that is refused, or never answered, for the size of its numbers.
+@pytest.mark.parametrize("name", NAMES_OF_NUMBERS)
+@pytest.mark.parametrize("method", ["PUT", "PATCH"])
+def test_any_proper_size_of_one_number_is_accepted(method: str, name: str) -> None:
+    for number in (number for number in MAGNITUDES if is_proper(name=name, number=number)):
+        document = make_full_document()
+        for path in paths_of_numbers(document):
+            if path[-1] == name and (name != "weight" or path[-2] == 0):
+                put(document, path, number)
+        assert send(document=document, method=method) == 200, number
+
+
+@pytest.mark.parametrize("method", ["PUT", "PATCH"])
+@settings(BOUNDED, max_examples=150)
+@given(document=documents())
+def test_proper_numbers_of_any_size_together_are_accepted(method: str, document: dict) -> None:
+    assert send(document=document, method=method) == 200
+
+
+# Guards against an improper number that is accepted because others are extreme.
+@pytest.mark.parametrize("method", ["PUT", "PATCH"])
+@settings(BOUNDED, max_examples=150)
+@given(document=documents(has_improper=True))
+def test_improper_numbers_among_others_are_refused(method: str, document: dict) -> None:
+    numbers = {
+        path: functools.reduce(lambda inner, key: inner[key], path, document) for path in paths_of_numbers(document)
+    }
+    is_all_proper = all(is_proper(name=path[-1], number=number) for path, number in numbers.items())
+    assert send(document=document, method=method) == (200 if is_all_proper else 400)
