--- a/sailward/config/schema.py
+++ b/sailward/config/schema.py
@@ -97,7 +97,7 @@
     "parameters": {"type": "dict", "default": {}},
     "overlay": {"type": "dict", "default": {}},
 }
-LIMITS = {
+LIMITS: dict[str, Any] = {
     "head_bytes": {"type": "integer", "min": 1, "max": 1 << 30},
     "body_bytes": {"type": "integer", "min": 0, "max": 1 << 40},
     "head_wait": {"type": "number", "min": 0.001, "max": 86400},
