A 421 that names no worker is checked by a probe, so no configuration loses a worker for good

Cause: judge_reply took a 421 from a worker of a service that is not ranged for a stranger's, and `gone` has no way out while the worker is listed. But whether a service is sharded is the operators' word and may change or be wrong; only another identity in an answer shows another worker. Ruled out: the grants. The table is open, each range has an owner and its granter renews.

Fix: a 421 that names no worker, from a service that is not sharded, is `unidentified`: the worker is down, and its probe, which names the worker, decides. Its own identity brings it back, another's is final as before. While such answers go on, probes are backed off from. A 421 that names the intended worker is never a stranger's.

The simulated operator's wishes are one record (WantedConfig) instead of seven fields of the operator; verbs unshard and restore-routes.

--- a/sailward/routing/forwarding.py
+++ b/sailward/routing/forwarding.py
@@ -261,7 +261,7 @@
         if isinstance(verdict, CompleteResponse):
             event = "pass"
         elif isinstance(verdict, WorkerRejected):
-            event = verdict.why if verdict.why in ("full", "stranger") else ""
+            event = verdict.why if verdict.why in ("full", "unidentified", "stranger") else ""
         else:
             event = EVENT_BY_FAULT.get(verdict.reason, "" if verdict.reason in PROXY_FAULTS else "fail")
         if isinstance(verdict, (Broken, NotSent, WorkerRejected)):
--- a/sailward/routing/passive_health.py
+++ b/sailward/routing/passive_health.py
@@ -23,7 +23,7 @@
 
     Response times are in s. `window` is the number of requests that this proxy may have open at the worker,
     `unloaded_response_time` the estimate without queueing, `busy_until` the end of the backoff after a response that it
-    is full.
+    is full. `unidentified_count`: its answers since the last complete response that may be those of another worker.
     """
 
     worker: Worker
@@ -40,6 +40,7 @@
     last_pass_at: float = -1e9
     probe_token: str = ""
     failed_probes: int = 0
+    unidentified_count: int = 0
 
     def relative_speed(self, *, mean: float) -> float:
         """Speed relative to the service: mean unloaded response time / its own, clamped; 1.0 until it is measured."""
@@ -112,7 +113,7 @@
         return times
 
     def record_event(self, *, now: float, key: str, event: str, elapsed: float = 0.0) -> list[Command]:
-        """Apply the result of a request: pass (`elapsed` in s), fail, late, lost, refused, dark, stranger or full."""
+        """Apply the result of a request: pass (`elapsed` in s) or how it failed, such as late, refused or stranger."""
         health = self.workers.get(key)
         if health is None:
             return []
@@ -120,7 +121,7 @@
             health.busy_until = now + constants.WORKER_FULL_BACKOFF
             return []
         if event == "pass":
-            health.last_pass_at, health.avoided_until = now, 0.0
+            health.last_pass_at, health.avoided_until, health.unidentified_count = now, 0.0, 0
             self._response_times.setdefault(key, []).append(round(elapsed * 1000))
             self._record_response_time(health=health, elapsed=elapsed)
         elif event == "lost":
@@ -176,7 +177,7 @@
         answered_by = event.headers.get(self._names.answered_by, key)
         verdict = "pass" if event.code == 200 and answered_by == key else "stranger" if answered_by != key else "fail"
         health.failed_probes = 0 if verdict == "pass" else health.failed_probes + 1
-        backoff = min(constants.PROBE_MAX_BACKOFF, constants.PROBE_INITIAL_BACKOFF * 2 ** min(health.failed_probes, 4))
+        backoff = _probe_backoff(failures=health.failed_probes)
         health.next_probe_at = now + backoff * (0.8 + 0.4 * self._rng.random())
         slow_start = event.headers.get(self._names.slow_start, "")
         if verdict == "pass" and _is_seconds(text=slow_start):
@@ -190,7 +191,12 @@
             return []
         health.state_changed_at = now
         if health.state == "wary" or (health.state == "down" and previous != "wary"):
-            health.next_probe_at, health.failed_probes = now + constants.PROBE_INITIAL_BACKOFF * self._rng.random(), 0
+            backoff = constants.PROBE_INITIAL_BACKOFF
+            if event == "unidentified":
+                # its probes may go on passing: without a growing pause, each would be followed by another such answer
+                backoff = _probe_backoff(failures=health.unidentified_count)
+                health.unidentified_count += 1
+            health.next_probe_at, health.failed_probes = now + backoff * self._rng.random(), 0
         if {previous, health.state} <= {"good", "doubt", "wary"}:
             return []
         return [
@@ -198,6 +204,11 @@
         ]
 
 
+def _probe_backoff(*, failures: int) -> float:
+    """Seconds until the next probe after so many failures in a row."""
+    return min(constants.PROBE_MAX_BACKOFF, constants.PROBE_INITIAL_BACKOFF * 2.0 ** min(failures, 4))
+
+
 def _is_seconds(*, text: str) -> bool:
     try:
         return 0 <= float(text) < 1e6
--- a/sailward/routing/worker_response.py
+++ b/sailward/routing/worker_response.py
@@ -26,7 +26,8 @@
 class WorkerRejected:
     """The worker states that it did not run the request.
 
-    `why` is `full`, `stranger` (not the intended worker), `not-owner` or `refused`.
+    `why` is `full`, `stranger` (another worker than the intended one), `unidentified` (it may be another one, or the
+    intended one, which does not hold the request's key), `not-owner` or `refused`.
     """
 
     code: int
@@ -58,9 +59,9 @@
         return Broken(reason="another-exchange")
     if names.not_run in headers and names.not_run_value in ("", headers[names.not_run]):
         if event.code == 421:
-            is_other = headers.get(names.answered_by, worker) != worker
+            answered_by = headers.get(names.answered_by)
             return WorkerRejected(
-                code=421, why="stranger" if is_other or not request.service.is_ranged else "not-owner"
+                code=421, why=_why_misdirected(request=request, worker=worker, answered_by=answered_by)
             )
         return WorkerRejected(code=event.code, why="full" if event.code in (429, 503) else "refused")
     if event.code == 421 and headers.get(names.answered_by, worker) != worker:
@@ -74,3 +75,13 @@
         # without the not-run header the worker makes no such promise, so the proxy must not make it either
         return Broken(reason=f"code:{event.code}")
     return CompleteResponse(code=event.code, headers=headers, body=event.body, is_failure=event.code >= 500)
+
+
+def _why_misdirected(*, request: Request, worker: str, answered_by: str | None) -> str:
+    """Why a worker that says that the request is not for it says so, by the identity that it gives, if any.
+
+    Only that identity is final. Whether its service is sharded is the operators' word, and may change or be wrong.
+    """
+    if answered_by is None:
+        return "not-owner" if request.service.is_ranged else "unidentified"
+    return "not-owner" if answered_by == worker else "stranger"
--- a/simulation/hosted/deployment.py
+++ b/simulation/hosted/deployment.py
@@ -169,27 +169,32 @@
 DEPLOYMENTS = {"small": make_small, "busy": lambda: make_small(rate=3.0), "control": make_control}
 
 
-def make_written(
-    *,
-    deployment: Deployment,
-    number: int,
-    weights: dict | None = None,
-    dropped_routes: tuple = (),
-    dropped_services: tuple = (),
-    extra_routes: int = 0,
-    deadlines: dict | None = None,
-    idle_timeout: float = 15,
-) -> dict:
-    """A whole configuration in the platform's format.
+@dataclass(kw_only=True)
+class WantedConfig:
+    """What the operator wants the next whole configuration to hold, where it differs from the deployment's own.
 
     `weights` is {route: {service: weight}} for routes that are split, `deadlines` {route: s} for routes whose deadline
-    differs, `idle_timeout` in s; `extra_routes` further routes, under a separate host, come at the end.
+    differs, `idle_timeout` in s. `unsharded_services` lack the setting `sharded`, whatever their workers do.
+    `extra_routes` further routes, under a separate host, come at the end.
     """
+
+    weights: dict = field(default_factory=dict)
+    deadlines: dict = field(default_factory=dict)
+    idle_timeout: float = 15
+    dropped_routes: tuple = ()
+    dropped_services: tuple = ()
+    unsharded_services: tuple = ()
+    extra_routes: int = 0
+
+
+def make_written(*, deployment: Deployment, number: int, wanted: WantedConfig | None = None) -> dict:
+    """A whole configuration in the platform's format."""
+    wanted = wanted or WantedConfig()
     listeners: dict = {}
     for kind in deployment.kinds:
-        if kind.name not in dropped_routes:
-            rule = _make_rule(kind=kind, weights=(weights or {}).get(kind.name))
-            rule["verdict"]["deadline_s"] = (deadlines or {}).get(kind.name, kind.deadline)
+        if kind.name not in wanted.dropped_routes:
+            rule = _make_rule(kind=kind, weights=wanted.weights.get(kind.name))
+            rule["verdict"]["deadline_s"] = wanted.deadlines.get(kind.name, kind.deadline)
             listeners.setdefault(kind.host, []).append(rule)
     template = deployment.kinds[2]
     extra = [
@@ -198,7 +203,7 @@
             "name": f"extra-{index}",
             "matcher": {"path_prefix": f"/extra{index}/"},
         }
-        for index in range(extra_routes)
+        for index in range(wanted.extra_routes)
     ]
     if extra:
         listeners["extra.example"] = extra
@@ -208,11 +213,13 @@
             "max_header_bytes": 16384,
             "max_body_bytes": 1 << 20,
             "header_timeout_s": 3,
-            "idle_timeout_s": idle_timeout,
+            "idle_timeout_s": wanted.idle_timeout,
         },
         "listeners": [{"hostname": host, "ruleset": rules} for host, rules in listeners.items()],
         "pools": [
-            _make_pool(service=service) for service in deployment.services if service.name not in dropped_services
+            _make_pool(service=service, is_sharded=service.is_sharded and service.name not in wanted.unsharded_services)
+            for service in deployment.services
+            if service.name not in wanted.dropped_services
         ],
     }
 
@@ -238,7 +245,7 @@
     }
 
 
-def _make_pool(*, service: Service) -> dict:
+def _make_pool(*, service: Service, is_sharded: bool) -> dict:
     pool = {
         "name": service.name,
         "health_path": "/health",
@@ -248,4 +255,4 @@
         "cold_s": service.slow_start,
         "cold_rate_s": service.slow_start_rate,
     }
-    return {**pool, "sharded": True, "warm_s": 3.0, "grants": "direct_call"} if service.is_sharded else pool
+    return {**pool, "sharded": True, "warm_s": 3.0, "grants": "direct_call"} if is_sharded else pool
--- a/simulation/hosted/judge_config.py
+++ b/simulation/hosted/judge_config.py
@@ -154,7 +154,7 @@
 
 
 def _judge_ended(*, world: World, contact: ContactHistory):
-    limit = world.deployment.bounds["ack_s"] + ACK_EXTRA_PER_ROUTE * world.operator.extra_routes
+    limit = world.deployment.bounds["ack_s"] + ACK_EXTRA_PER_ROUTE * world.operator.wanted.extra_routes
     for row in world.history.of(k="config-ended"):
         begun = row["waits_from"]
         elapsed = row["t"] - begun
--- a/simulation/hosted/operators.py
+++ b/simulation/hosted/operators.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from sailward.events import Respond
-from simulation.hosted.deployment import make_written
+from simulation.hosted.deployment import WantedConfig, make_written
 from simulation.hosted.environment import Environment
 from simulation.hosted.network import Node
 from simulation.hosted.operator_call import FINAL_STATUSES, OperatorCall
@@ -82,12 +82,7 @@
     node: Node
     versions: dict = field(default_factory=dict)
     order: list = field(default_factory=list)
-    weights: dict = field(default_factory=dict)
-    dropped_routes: tuple = ()
-    dropped_services: tuple = ()
-    extra_routes: int = 0
-    deadlines: dict = field(default_factory=dict)
-    idle_timeout: float = 15
+    wanted: WantedConfig = field(default_factory=WantedConfig)
     evacuated_zones: set = field(default_factory=set)
     answer_timeout: float = ANSWER_TIMEOUT
     lost_ack_share: float = 0.0
@@ -128,16 +123,7 @@
         )
 
     def _wanted_config(self, *, number: int) -> dict:
-        return make_written(
-            deployment=self.world.deployment,
-            number=number,
-            weights=self.weights,
-            dropped_routes=self.dropped_routes,
-            dropped_services=self.dropped_services,
-            extra_routes=self.extra_routes,
-            deadlines=self.deadlines,
-            idle_timeout=self.idle_timeout,
-        )
+        return make_written(deployment=self.world.deployment, number=number, wanted=self.wanted)
 
     def patch(
         self, *, number: int, route: str, weights: dict, options: SendOptions | None = None, is_informed: bool = False
@@ -147,7 +133,7 @@
         It builds on the newest version that this operator knows to be acknowledged; with `is_informed`, on the newest
         that a controller acknowledged at all.
         """
-        self.weights = {**self.weights, route: weights}
+        self.wanted.weights = {**self.wanted.weights, route: weights}
         wanted = self._wanted_config(number=number)
         listener = next(
             entry for entry in wanted["listeners"] if any(rule["name"] == route for rule in entry["ruleset"])
--- a/simulation/hosted/user_verbs.py
+++ b/simulation/hosted/user_verbs.py
@@ -71,11 +71,11 @@
 
     def do_deadline(self, route: str, seconds: str) -> None:
         """Set the deadline of a route in the next whole configuration."""
-        self._world.operator.deadlines = {**self._world.operator.deadlines, route: float(seconds)}
+        self._world.operator.wanted.deadlines = {**self._world.operator.wanted.deadlines, route: float(seconds)}
 
     def do_idle(self, seconds: str) -> None:
         """Set the idle time-out of connections in the next whole configuration."""
-        self._world.operator.idle_timeout = float(seconds)
+        self._world.operator.wanted.idle_timeout = float(seconds)
 
     def do_storm(self, number: str, count: str, gap: str) -> None:
         """Send `count` changes with consecutive numbers, one every `gap` s, or later if the one before hasn't ended.
@@ -132,26 +132,34 @@
 
     def do_drop(self, route: str) -> None:
         """Omit this route from the next whole configuration."""
-        self._world.operator.dropped_routes += (route,)
+        self._world.operator.wanted.dropped_routes += (route,)
+
+    def do_restore_routes(self) -> None:
+        """Omit no route from the next whole configuration."""
+        self._world.operator.wanted.dropped_routes = ()
 
     def do_drop_service(self, service: str) -> None:
         """Omit this service from the next whole configuration; its routes must lead elsewhere by then."""
-        self._world.operator.dropped_services += (service,)
+        self._world.operator.wanted.dropped_services += (service,)
+
+    def do_unshard(self, service: str) -> None:
+        """Omit the setting `sharded` of this service from the next whole configuration."""
+        self._world.operator.wanted.unsharded_services += (service,)
 
     def do_restore_services(self) -> None:
-        """Omit no service from the next whole configuration."""
-        self._world.operator.dropped_services = ()
+        """Omit no service, and no setting `sharded`, from the next whole configuration."""
+        self._world.operator.wanted.dropped_services = self._world.operator.wanted.unsharded_services = ()
 
     def do_split(self, route: str, *words: str) -> None:
         """Split a route by these weights in the next whole configuration."""
-        self._world.operator.weights = {
-            **self._world.operator.weights,
+        self._world.operator.wanted.weights = {
+            **self._world.operator.wanted.weights,
             route: {name: float(weight) for name, weight in _named_words(words=words).items()},
         }
 
     def do_grow(self, routes: str) -> None:
         """Add this many further routes to the next whole configuration."""
-        self._world.operator.extra_routes = int(routes)
+        self._world.operator.wanted.extra_routes = int(routes)
 
     def do_put_invalid(self, number: str, mode: str) -> None:
         """Send an invalid configuration (see bad_configs.py), or with `stale` a valid one on an older version."""
--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from sailward import constants
+from sailward.events import CallFinished
 from sailward.routing.plan import Plan
 from tests.fuzz_kit import BOUNDED
 from tests.proxy_kit import ForwarderHarness, answers, calls, cancels, make_plan, make_worker
@@ -102,6 +103,47 @@
     assert old.owner in ("w0", "w1") and new.owner == "b0"
 
 
+def finish_probes(*, bench: ForwarderHarness, seconds: float) -> None:
+    """Let time pass; every probe of a worker is answered with the worker's own identity."""
+    for _ in range(round(seconds / constants.TICK_INTERVAL)):
+        bench.advance(constants.TICK_INTERVAL)
+        for probe in calls(bench.passive_health.step(now=bench.now, event=None, plan=bench.context.plan)):
+            passed = CallFinished(
+                token=probe.token, code=200, headers={"x-who": probe.owner}, body=b"", fault="", sent=True
+            )
+            bench.passive_health.step(now=bench.now, event=passed, plan=bench.context.plan)
+
+
+# Guards against a service that is refused for good, as one version of the configuration lacked `sharded`: its workers
+# rejected what they had no key for, and the proxies took them for strangers, whatever later versions said.
+@pytest.mark.parametrize("mistake", ["added", "dropped"])
+def test_a_service_that_a_version_had_undivided_is_served_under_the_next(mistake: str) -> None:
+    bench = make(ranged=mistake == "dropped")
+    bench.assign_keys(owner="w0")
+    if mistake == "dropped":
+        [call] = calls(bench.ask(x_key="5"))
+        assert [answer.code for answer in answers(bench.respond(call=call))] == [200]
+    bench.context.plan = make_plan(ranged=False, target_s=TARGET_S)
+    for _ in range(6):
+        rejected = calls(bench.ask(x_key="5"))
+        while rejected:
+            rejected = calls(bench.respond(call=rejected.pop(), code=421, x_not_run="1"))
+        finish_probes(bench=bench, seconds=0.2)
+    bench.context.plan = make_plan(ranged=True, target_s=TARGET_S)
+    finish_probes(bench=bench, seconds=2 * constants.PROBE_MAX_BACKOFF)
+    [call] = calls(bench.ask(x_key="5"))
+    assert call.owner == "w0" and [answer.code for answer in answers(bench.respond(call=call))] == [200]
+
+
+# Guards against requests to another worker at a used address: an answer that names it is final.
+def test_an_answer_of_another_worker_is_final() -> None:
+    bench = make(workers=1)
+    [call] = calls(bench.ask())
+    bench.respond(call=call, code=421, x_not_run="1", x_who="w7")
+    finish_probes(bench=bench, seconds=5.0)
+    assert bench.passive_health.workers["w0"].state == "gone"
+
+
 RED, BLUE = {"pool": "red", "weight": 1}, {"pool": "blue", "weight": 1}
 PLANS = st.builds(
     lambda shares, ranged, is_dropped, **match: make_plan(
--- a/tests/test_passive_health.py
+++ b/tests/test_passive_health.py
@@ -59,6 +59,10 @@
         (["fail", "pass"], "good"),
         (["stranger", "pass"], "gone"),
         (["fail", "stranger"], "gone"),
+        (["unidentified"], "down"),
+        (["fail", "fail", "unidentified"], "down"),
+        (["unidentified", "pass"], "good"),
+        (["unidentified", "stranger"], "gone"),
     ],
 )
 def test_state_after_results_of_exchanges(events: list, state: str) -> None:
@@ -98,6 +102,30 @@
     assert passive_health.workers["w0"].state == "gone" and not due_probes(passive_health, now=120.0)
 
 
+# Guards against a worker that is never used again for an answer that names no worker: its probe tells who it is.
+@pytest.mark.parametrize(("answered_by", "state"), [("w0", "good"), ("w7", "gone")])
+def test_a_probe_identifies_the_worker_after_an_answer_that_names_none(answered_by: str, state: str) -> None:
+    passive_health = make()
+    passive_health.record_event(now=101.0, key="w0", event="unidentified")
+    [call] = due_probes(passive_health, now=101.0 + constants.PROBE_INITIAL_BACKOFF)
+    finish_probe(passive_health, call=call, now=101.5, x_who=answered_by)
+    assert passive_health.workers["w0"].state == state
+
+
+# Guards against a probe for each request while a service's workers refuse what they have no key for.
+def test_probes_are_backed_off_from_while_a_worker_stays_unidentified() -> None:
+    passive_health, now, probes = make(), 101.0, 0
+    while now < 131.0:
+        passive_health.record_event(now=now, key="w0", event="unidentified")
+        for call in due_probes(passive_health, now=now):
+            finish_probe(passive_health, call=call, now=now, x_who="w0")
+            probes += 1
+        now += constants.TICK_INTERVAL
+    assert probes < 2.5 * 30 / constants.PROBE_MAX_BACKOFF
+    passive_health.record_event(now=now, key="w0", event="pass", elapsed=0.1)
+    assert passive_health.workers["w0"].unidentified_count == 0
+
+
 @pytest.mark.parametrize(
     ("cold_header", "slow_start"),
     [("2.5", 2.5), ("0", 0.0), ("", 0.0), ("x", 0.0), ("nan", 0.0), ("-3", 0.0), ("1e9", 0.0)],
