The result of a grant counts while its service is not sharded

Cause: the controller dropped the result of a grant that came while no service of the plan was sharded under that name, so the grant counted as in flight for good and its range was never renewed.

Fix: a result is recorded by the grants that it belongs to, whatever the plan holds by then; nothing new is granted for a service that is not sharded.

--- a/sailward/control/shards/granting.py
+++ b/sailward/control/shards/granting.py
@@ -59,10 +59,7 @@
 
     def step(self, *, now: float, event: CallFinished | None, context: GrantContext) -> tuple[list, list]:
         """Handle the result of one of its calls, or a timer tick if `event` is None."""
-        commands = []
-        if event is not None and self.is_own(token=event.token):
-            self._next_check_at = NEVER
-            commands = self._calls.take_result(now=now, event=event)
+        commands = self.record_result(now=now, event=event) if event is not None else []
         self._take_table(now=now, value=context.value)
         self._calls.addresses |= {key: worker.address for key, worker in self._targets.listed(context=context).items()}
         if now >= context.fresh_until:
@@ -71,6 +68,13 @@
             commands += self._release(now=now, context=context) + self._grant(now=now, context=context)
         return commands, self._change(now=now, context=context) if context.is_acting else []
 
+    def record_result(self, *, now: float, event: CallFinished) -> list[Command]:
+        """Record the result of one of its calls; any other is ignored."""
+        if not self.is_own(token=event.token):
+            return []
+        self._next_check_at = NEVER
+        return self._calls.take_result(now=now, event=event)
+
     def is_own(self, *, token: str) -> bool:
         """Is this the token of one of its calls in flight?"""
         return self._calls.is_own(token=token)
--- a/sailward/control/shards/shard_leases.py
+++ b/sailward/control/shards/shard_leases.py
@@ -104,9 +104,10 @@
         """Step the grants of each service that is sharded by key range; returns (commands, operations to start)."""
         services = sorted(name for name, service in self._shard_moves.plan.services.items() if service.is_ranged)
         if event is not None:
-            services = [
-                name for name in services if name in self.granting and self.granting[name].is_own(token=event.token)
-            ]
+            callers = [name for name, granting in self.granting.items() if granting.is_own(token=event.token)]
+            services = [name for name in callers if name in services]
+            if not services or self._endpoint_list.value is None:
+                return StepResult(self._record_results(now=now, callers=callers, event=event), [])
         if not services or self._endpoint_list.value is None:
             return StepResult([], [])
         self._update_endpoints(now=now)
@@ -125,6 +126,10 @@
             ]
         return StepResult(commands, operations)
 
+    def _record_results(self, *, now: float, callers: list[str], event: CallFinished) -> list[Command]:
+        """Record the result of a call for a service that is not sharded now: it may be sharded again later."""
+        return [command for name in callers for command in self.granting[name].record_result(now=now, event=event)]
+
     def _choose_granted_services(self, *, services: list[str], may_set_load_readers: bool) -> list[str]:
         """The services whose leases this controller grants: hashing chooses one voter for each."""
         controllers = [*self._peer_table.alive(kind="controller"), self._peer_table.own_entry()]
