Slow start after an evacuation follows the configuration in force, not the one before

When an evacuation ends, a zone's workers are in slow start for the service's cold_s.

Fix: both keep when the evacuation ended, and derive the end from the configuration in force. Times that workers and the list report themselves stay as they are.

--- a/sailward/control/shards/shard_leases.py
+++ b/sailward/control/shards/shard_leases.py
@@ -18,6 +18,7 @@
 from sailward.control.proxies.proxy_registry import ProxyRegistry
 from sailward.control.proxies.subscribers import Subscribers
 from sailward.control.shards.freshness import Freshness
+from sailward.control.shards.grant_calls import NEVER
 from sailward.control.shards.grant_targets import GrantContext
 from sailward.control.shards.granting import Granting
 from sailward.control.shards.shard_moves import ShardMoves
@@ -58,6 +59,7 @@
         self._adopted_list: RegisterValue | None = None
         self._workers: dict[str, Worker] = {}
         self._slow_start_until: dict[str, float] = {}
+        self._restored_at: dict[str, float] = {}
         self._evacuated_zones: frozenset = frozenset()
         self._down_since: dict[str, float] = {}
         self._cached_loads: dict[str, tuple[float, dict]] = {}
@@ -232,18 +234,27 @@
                 if row["cold_s"] > 0:
                     self._slow_start_until.setdefault(row["id"], now + row["cold_s"])
             self._slow_start_until = {key: at for key, at in self._slow_start_until.items() if key in self._workers}
-        for zone in self._evacuated_zones - evacuated_zones:
-            for key, worker in self._workers.items():
-                service = self._shard_moves.plan.services.get(worker.service)
-                if worker.zone == zone and service is not None:
-                    self._slow_start_until[key] = max(
-                        self._slow_start_until.get(key, 0.0), now + service.slow_start + constants.SLOW_START_MARGIN
-                    )
+        restored_zones = self._evacuated_zones - evacuated_zones
+        self._restored_at = {
+            key: now if worker.zone in restored_zones else self._restored_at[key]
+            for key, worker in self._workers.items()
+            if worker.zone in restored_zones or key in self._restored_at
+        }
         self._evacuated_zones = evacuated_zones
         self._workers = {
-            key: replace(worker, slow_start=max(0.0, self._slow_start_until.get(key, now) - now))
+            key: replace(worker, slow_start=max(0.0, self._slow_start_end(worker=worker) - now))
             for key, worker in self._workers.items()
         }
         reports = self._proxy_registry.down(now=now, proxies=self._subscribers.proxies())
         down = {key for key, (count, reporting) in reports.items() if 2 * count > reporting}
         self._down_since = {key: self._down_since.get(key, now) for key in down}
+
+    def _slow_start_end(self, *, worker: Worker) -> float:
+        """The end of a worker's slow start: as listed, or as the configuration now has it after an evacuation."""
+        listed: float = self._slow_start_until.get(worker.key, NEVER)
+        restored_at = self._restored_at.get(worker.key)
+        service = self._shard_moves.plan.services.get(worker.service)
+        if service is None or restored_at is None:
+            return listed
+        configured: float = restored_at + service.slow_start + constants.SLOW_START_MARGIN
+        return max(listed, configured)
--- a/sailward/proxy/proxy.py
+++ b/sailward/proxy/proxy.py
@@ -210,6 +210,7 @@
             return []
         if name == "config":
             self.context.plan = plan
+            self.passive_health.apply_plan(plan=plan)
         elif name == "orders":
             evacuated_zones = read_orders(value=value)
             for zone in self.context.evacuated_zones - evacuated_zones:
--- a/sailward/routing/passive_health.py
+++ b/sailward/routing/passive_health.py
@@ -15,12 +15,15 @@
 CHART = Chart(name="instance")
 EVENT_BY_FAULT = {"timed-out": "late", "refused": "refused", "no-connection": "dark", "connect-timeout": "dark"}
 """State machine event of a worker, by the fault of a call to it."""
+NEVER = -1e9
 
 
 @dataclass(kw_only=True)
 class WorkerHealth:
     """Health and load of one worker, as observed by this proxy.
 
+    Slow start lasts as long as the worker list or the worker itself reported, and after the evacuation of its zone,
+    which ended at `restored_at`, for as long as the configuration in force says.
     Response times are in s. `window` is the number of requests that this proxy may have open at the worker,
     `unloaded_response_time` the estimate without queueing, `busy_until` the end of the backoff after a response that it
     is full. `unidentified_count`: its answers since the last complete response that may be those of another worker.
@@ -29,7 +32,9 @@
     worker: Worker
     state: str = CHART.initial
     state_changed_at: float = 0.0
-    slow_start_until: float = 0.0
+    reported_slow_start_until: float = 0.0
+    restored_at: float = NEVER
+    configured_slow_start_until: float = NEVER
     mean_response_time: float = 0.0
     unloaded_response_time: float = 0.0
     window: float = constants.CONCURRENCY_WINDOW_INITIAL
@@ -37,7 +42,7 @@
     next_probe_at: float = 0.0
     avoided_until: float = 0.0
     leaving_since: float = float("inf")
-    last_pass_at: float = -1e9
+    last_pass_at: float = NEVER
     probe_token: str = ""
     failed_probes: int = 0
     unidentified_count: int = 0
@@ -48,6 +53,20 @@
             return 1.0
         return min(constants.MAX_SPEED_RATIO, max(1 / constants.MAX_SPEED_RATIO, mean / self.unloaded_response_time))
 
+    @property
+    def slow_start_until(self) -> float:
+        """The end of its slow start, under the configuration in force."""
+        return max(self.reported_slow_start_until, self.configured_slow_start_until)
+
+    def apply_plan(self, *, plan: Plan) -> None:
+        """Follow the slow start that this configuration has for the worker's service."""
+        service = plan.services.get(self.worker.service)
+        self.configured_slow_start_until = (
+            NEVER
+            if service is None or self.restored_at == NEVER
+            else self.restored_at + service.slow_start + constants.SLOW_START_MARGIN
+        )
+
     @property
     def is_healthy(self) -> bool:
         """May requests be sent to it?"""
@@ -82,7 +101,7 @@
             if (worker.slow_start > 0 and health.worker.slow_start != worker.slow_start) or (
                 worker.slow_start > 0 and health.state_changed_at == now
             ):
-                health.slow_start_until = max(health.slow_start_until, now + worker.slow_start)
+                health.reported_slow_start_until = max(health.reported_slow_start_until, now + worker.slow_start)
             if worker.leaving:
                 health.leaving_since = min(health.leaving_since, now)
             health.worker = worker
@@ -91,11 +110,14 @@
     def begin_slow_start(self, *, now: float, zone: str, plan: Plan) -> None:
         """Put the workers of this zone in slow start: its evacuation has ended, and they may have gone cold."""
         for health in self.workers.values():
-            service = plan.services.get(health.worker.service)
-            if health.worker.zone == zone and service is not None:
-                health.slow_start_until = max(
-                    health.slow_start_until, now + service.slow_start + constants.SLOW_START_MARGIN
-                )
+            if health.worker.zone == zone:
+                health.restored_at = now
+        self.apply_plan(plan=plan)
+
+    def apply_plan(self, *, plan: Plan) -> None:
+        """Follow a new configuration."""
+        for health in self.workers.values():
+            health.apply_plan(plan=plan)
 
     def avoid_reported(self, *, now: float, keys: list) -> None:
         """Avoid workers that other proxies report as unreachable.
@@ -181,7 +203,7 @@
         health.next_probe_at = now + backoff * (0.8 + 0.4 * self._rng.random())
         slow_start = event.headers.get(self._names.slow_start, "")
         if verdict == "pass" and _is_seconds(text=slow_start):
-            health.slow_start_until = max(health.slow_start_until, now + float(slow_start))
+            health.reported_slow_start_until = max(health.reported_slow_start_until, now + float(slow_start))
         return self._transition(now=now, key=key, health=health, event=verdict)
 
     def _transition(self, *, now: float, key: str, health: WorkerHealth, event: str) -> list[Command]:
--- a/tests/test_shard_leases.py
+++ b/tests/test_shard_leases.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
+import json
 from types import SimpleNamespace
 from unittest import mock
 
 import pytest
 
+from sailward import constants
 from sailward.control.shards.grant_targets import GrantContext
 from sailward.control.shards.granting import Granting
 from sailward.control.shards.shard_leases import ShardLeases
@@ -84,3 +87,35 @@
     leases = make_leases(plan=make_plan(), granting=granting, has_list=True)
     other = CallFinished(token="grant other 1", code=200, headers={}, body=b"", fault="", sent=True)
     assert leases.step(now=101.0, event=other) == ([], [])
+
+
+# Guards against workers that get no keys for as long as an earlier version had them in slow start.
+def test_the_slow_start_after_an_evacuation_follows_the_configuration_in_force() -> None:
+    granting = mock.Mock(step=mock.Mock(return_value=([], [])))
+    leases = make_leases(plan=make_sharded_plan(slow_start=86400.0), granting=granting, has_list=True)
+    worker = {"id": "w0", "service": SERVICE, "address": "w0:80", "hall": "gdl-a", "leaving": False, "capacity": 4}
+    leases._endpoint_list.rows = lambda: [{**worker, "cold_s": 0.0}]
+    leases._endpoint_list.value = {"number": 1}
+    leases._peer_table.alive.return_value, leases._peer_table.own_entry.return_value = [], {"fit": False}
+    leases._proxy_registry.down.return_value, leases._voter.voters.members = {}, {}
+    slow_starts = []
+    for now, zones, configured in [
+        (100.0, ["gdl-a"], 86400.0),
+        (110.0, [], 86400.0),
+        (111.0, [], 3.0),
+        (130.0, [], 3.0),
+    ]:
+        orders = SimpleNamespace(value={"number": 1, "text": json.dumps({"emptied": zones})})
+        leases._voter.learner.values = {"orders": orders}
+        leases._shard_moves.plan = make_sharded_plan(slow_start=configured)
+        leases.step(now=now, event=None)
+        slow_starts.append(granting.step.call_args.kwargs["context"].workers["w0"].slow_start)
+    margin = constants.SLOW_START_MARGIN
+    assert slow_starts == [0.0, 86400.0 + margin, 2.0 + margin, 0.0]
+
+
+def make_sharded_plan(*, slow_start: float) -> Plan:
+    """A plan whose one service is sharded, with this slow start."""
+    plan = make_plan(services=(SERVICE,), pools=[{"pool": SERVICE, "weight": 1}])
+    service = dataclasses.replace(plan.services[SERVICE], is_ranged=True, slow_start=slow_start)
+    return dataclasses.replace(plan, services={SERVICE: service})
