--- a/tests/test_settings_return_tenant.py
+++ b/tests/test_settings_return_tenant.py
@@ -18,7 +18,8 @@
 """s until a simulated fleet serves requests."""
 RECOVERY_S = 16.0
 """s after which what an earlier configuration caused must be over: the ramp of slow start, and moves of shards."""
-SHARDED = "deliveries"
+REQUESTS = 12
+"""Requests to each service under each configuration: more than it has workers."""
 NUMBERS = {
     "expiry_s": (0.05, 5.0),
     "rate": (0.1, 1e6),
@@ -76,7 +77,7 @@
                 event=event, answer=lambda answer, token=token: self.codes.setdefault(token, []).append(answer.code)
             )
             tokens.append(token)
-            self.run(seconds=0.1)
+            self.run(seconds=0.02)
         return tokens
 
 
@@ -106,11 +107,12 @@
     tokens = []
     for document in documents:
         assert fleet.apply(document=document) == 200
-        tokens += fleet.ask_all() + fleet.ask_all()
+        for _ in range(REQUESTS):
+            tokens += fleet.ask_all()
         fleet.run(seconds=calm)
     assert fleet.apply(document=make_arriaga().config) == 200
     fleet.run(seconds=RECOVERY_S)
-    right = fleet.ask_all() + fleet.ask_all()
+    right = [token for _ in range(REQUESTS) for token in fleet.ask_all()]
     fleet.run(seconds=10.0)
     assert all(len(fleet.codes[token]) == 1 for token in [*tokens, *right])
     assert [fleet.codes[token] for token in right] == [[200]] * len(right)
