Remove what was dead in the simulators

Callers.only and STALL were read nowhere. The planted fault never-older read a field that the learner has no more, so it would have raised; it reads the learned values now. No scenario uses it yet.

--- a/simulation/hosted/machine_verbs.py
+++ b/simulation/hosted/machine_verbs.py
@@ -15,8 +15,6 @@
 """s within which the machines and workers of a zone are back after its power returns."""
 EVENT_DELAY = 0.002
 """Maximum delay in s of an event on a slowed machine, per unit of the slowdown factor."""
-STALL = 1e6
-"""Factor on the duration of a sync while a disk is stalled; pending syncs complete when the stall ends."""
 
 
 class MachineVerbs:
--- a/simulation/sim/callers.py
+++ b/simulation/sim/callers.py
@@ -41,7 +41,6 @@
         self._count = itertools.count(1)
         self._known: dict[str, tuple[float, list]] = {}
         self.rate = 0.0
-        self.only: str = ""
         self.immediate_retry_share = 0.0
         self.lost_answer_share = 0.0
         self.flood_rates: dict = {}
--- a/simulation/sim/sabotage.py
+++ b/simulation/sim/sabotage.py
@@ -109,7 +109,7 @@
 
 def _accept_older_values(old):
     def step(self, *, name, ballot, value):
-        is_news = name not in self.values or value["mark"] != self.held[name].value["mark"]
+        is_news = name not in self.values or value["mark"] != self.values[name].value["mark"]
         self.values[name] = learner.LearnedValue(ballot=ballot, value=value)
         return is_news
 
